--- /dev/null
+++ b/crates/pearfront-drill/src/main.rs
@@ -0,0 +1,27 @@
+//! Plays the decision module on the bench's wire: frames in on standard input, replies out on standard output.
+
+mod settings;
+mod wire;
+
+use std::io::{self, Read, Write};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("pearfront-drill: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(input: &mut impl Read, output: &mut impl Write) -> Result<(), String> {
+    let mut drill = wire::Drill::default();
+    let mut frame = Vec::new();
+    while wire::read_frame(input, &mut frame)? {
+        let reply = drill.answer(&frame)?;
+        output.write_all(reply).and_then(|()| output.flush()).map_err(|error| format!("reply: {error}"))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,120 @@
+//! What the decision module is given at its start, and where it writes its decisions.
+//! Times and durations are milliseconds, counted from the start of the instance.
+
+/// A server's address, handed back exactly as it came.
+pub type Address = [u8; 6];
+
+/// May a job of this profile run more than once?
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    Redoable,
+    Labelled,
+    Irreversible,
+}
+
+/// The servers that drop repeats of one labelled job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Debug, Clone)]
+pub struct Profile {
+    pub effect: Effect,
+    pub group: Group,
+    pub window: f64,
+    pub contract_time: f64,
+    pub gain: f64,
+    pub late_gain: f64,
+}
+
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub siblings: f64,
+    pub tier: usize,
+    pub zone: u16,
+    pub round: f64,
+    pub listed_on_request: bool,
+    pub ask_within: f64,
+    pub profiles: Vec<Profile>,
+    /// Jobs a second that each customer may send, over all nodes.
+    pub quotas: Vec<f64>,
+    pub excess_gain: f64,
+    pub gain_by_work: bool,
+    pub cross_zone_price: f64,
+    pub probe_price: f64,
+    pub most_shots: usize,
+    pub second_copies: bool,
+    pub may_call_off: bool,
+    pub may_probe: bool,
+    pub longest_wait: Option<f64>,
+    pub cold_time: f64,
+    pub cold_share: f64,
+    pub cold_multiple: f64,
+    pub cold_window: f64,
+    /// The load report's values, in order.
+    pub report: Vec<Figure>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Figure {
+    Utilisation,
+    Held,
+    Waiting,
+    Other,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the server list.
+#[derive(Debug, Clone, Copy)]
+pub struct Listing {
+    pub server: Address,
+    pub standing: Standing,
+    pub cell: u16,
+    pub zone: u16,
+    /// Its latest start; negative infinity if long ago.
+    pub started: f64,
+}
+
+/// How a shot ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    Honoured,
+    Error,
+    Full,
+    TimedOut,
+    Unconnected,
+    Broken,
+    CalledOff,
+    NeverSent,
+}
+
+impl Ending {
+    /// Proof that the job did not run by this shot.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::Full | Ending::Unconnected | Ending::NeverSent)
+    }
+}
+
+/// Takes the decisions as they are made.
+pub trait Writer {
+    /// Sends the job to the server; without an answer within `limit` the shot times out.
+    fn shoot(&mut self, job: u32, server: Address, limit: f64);
+    fn call_off(&mut self, job: u32, shot: u16);
+    fn push_back(&mut self, job: u32, wait: f64);
+    fn forfeit(&mut self, job: u32);
+    fn probe(&mut self, server: Address);
+    /// Asks for a round in `delay` or soon after.
+    fn wake(&mut self, delay: f64);
+    /// Asks for the list and its changes.
+    fn watch(&mut self);
+    fn log(&mut self, line: &str);
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,5 @@
+//! pearfront: load balancing decisions for services that call services.
+
+pub mod interface;
+pub mod policy;
+pub mod ring;
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,761 @@
+//! Every decision of pearfront; settings and the writer it answers through are in `interface.rs`.
+//!
+//! Make one `Balancer` for an instance with `Balancer::new(settings, salt)` and call
+//! `balancer.round(now, feed, out)` once a round. `feed` is a closure that hands in what has come in
+//! (`job`, `shot_ended`, `probe_answered`, `listed`, `list_failed`, `client_left`); when it returns, decisions
+//! are made and written to `out`. A round that `Writer::wake` asked for may bring nothing.
+//!
+//! The mechanism is the load query variant of "Simulation of a distributed CORBA-based SCP", section 6.2;
+//! `docs/design.md` tells what is kept, what is changed and when each exception comes into play.
+
+use crate::interface::{
+    Address, Effect, Ending, Figure, Group, Listing, Profile, Settings, Standing, Writer,
+};
+use crate::ring::Ring;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cell::{Cell, RefCell};
+use std::collections::{BinaryHeap, HashMap};
+use std::rc::{Rc, Weak};
+
+/// Power of the draw, no unit. Above the paper's 1, since few figures are fresh at once.
+const K: f64 = 2.0;
+/// Share of probes with an even draw: busy entries must be seen again too.
+const ALPHA: f64 = 0.5;
+/// Lowest figure, as a share of the table's mean (from the design page).
+const FLOOR: f64 = 0.2;
+/// What an own send adds to a figure, as a share of the table's mean report.
+const STEP: f64 = 0.5;
+/// Least mean the step is taken of: a tenth of a core or a tenth of a waiting job.
+const STEP_UNIT: f64 = 0.1;
+/// Probes a second at the least: an idle caller still sees its servers within a minute.
+const PROBE_FLOOR: f64 = 0.2;
+/// Points of the result that one tier's probes may cost; with the stated price it gives probes a job.
+const PROBE_SPEND: f64 = 0.002;
+/// Most probes a job, where probes are almost free.
+const PROBE_MOST: f64 = 0.3;
+/// Failures in a row that set a server aside: two happen by chance where a few in a hundred fail.
+const STRIKES: u32 = 3;
+/// First time aside, ms: about as long as a short stall; it doubles up to the last.
+const ASIDE_FIRST: f64 = 1000.0;
+/// Longest time aside, ms: a lost server must be found back soon after its return.
+const ASIDE_LAST: f64 = 8000.0;
+/// Most of the table that may be aside at once; beyond it the fault is shared.
+const ASIDE_SHARE: f64 = 0.6;
+/// Silence, ms, after which a server that answers again may have restarted.
+const SILENT: f64 = 3000.0;
+/// A shot is overdue after this many mean durations of its profile on that server.
+const OVERDUE: f64 = 5.0;
+/// Share of the contract time that stands for a mean duration not yet seen.
+const UNSEEN: f64 = 0.2;
+/// Further shots as a share of first ones, if all recent ones succeed.
+const FURTHER: f64 = 0.1;
+/// Further shots that are free in each span: a lone failure may always go again.
+const FURTHER_FREE: f64 = 2.0;
+/// Share of the cold limit that this node's part of it uses: works differ, and so do nodes.
+const COLD_PART: f64 = 0.5;
+/// Span of measurements, ms: some dozen jobs on a server at usual rates.
+const SPAN: f64 = 10_000.0;
+/// Samples that the mean duration stands for when a server is compared with it.
+const PRIOR: f64 = 3.0;
+/// Longest a job waits for admission, as a share of its contract time: queues here are short.
+const HOLD: f64 = 0.25;
+/// Durations at clients' own tier may grow to this share of the contract time before fewer are let in.
+const TARGET: f64 = 0.4;
+/// Fewest jobs let in at a time.
+const WINDOW_LEAST: f64 = 4.0;
+/// Jobs let in at the start.
+const WINDOW_FIRST: f64 = 40.0;
+/// The window shrinks by this share for each late answer.
+const SHRINK: f64 = 0.02;
+/// Zones are kept apart until the home mean is above the others' by this factor per point of price.
+const ZONE_MARGIN: f64 = 20.0;
+/// First and last pause, ms, before the list is asked for again after a failure.
+const ASK_AGAIN: f64 = 1000.0;
+
+type Recent = Ring<10>;
+
+struct Server {
+    address: Address,
+    standing: Cell<Standing>,
+    zone: Cell<u16>,
+    cell: Cell<u16>,
+    started: Cell<f64>,
+    /// The load table's entry: the last report, if any.
+    figure: Cell<Option<f64>>,
+    sends: Cell<f64>,
+    out: Cell<u32>,
+    strikes: Cell<u32>,
+    aside: Cell<f64>,
+    back_at: Cell<f64>,
+    on_trial: Cell<bool>,
+    failing_since: Cell<f64>,
+    slowness: Cell<f64>,
+    relative: RefCell<Recent>,
+    cold_credit: Cell<f64>,
+    credit_at: Cell<f64>,
+}
+
+struct Shot {
+    server: Rc<Server>,
+    sent: f64,
+    ending: Option<Ending>,
+    overdue: bool,
+}
+
+struct Job {
+    id: u32,
+    profile: usize,
+    within_quota: bool,
+    arrived: f64,
+    limit: f64,
+    shots: RefCell<Vec<Shot>>,
+    closed: Cell<bool>,
+    waiting: Cell<bool>,
+}
+
+struct Due(f64, u64, Weak<Job>);
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        other.0.total_cmp(&self.0).then(other.1.cmp(&self.1))
+    }
+}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+impl Eq for Due {}
+
+/// What was seen of one profile lately.
+struct Seen {
+    durations: Recent,
+}
+
+pub struct Balancer {
+    settings: Settings,
+    chance: ChaCha8Rng,
+    now: f64,
+    jobs: HashMap<u32, Rc<Job>>,
+    known: HashMap<Address, Rc<Server>>,
+    table: Vec<Rc<Server>>,
+    pending: Vec<Rc<Job>>,
+    waiting: Vec<Rc<Job>>,
+    due: BinaryHeap<Due>,
+    numbered: u64,
+    woken_for: f64,
+    next_probe: f64,
+    next_ask: f64,
+    ask_pause: f64,
+    seen: Vec<Seen>,
+    arrivals: Recent,
+    customers: Vec<Recent>,
+    first_shots: Recent,
+    endings: Recent,
+    further: Recent,
+    out: f64,
+    window: f64,
+}
+
+impl Balancer {
+    pub fn new(settings: Settings, salt: u64) -> Self {
+        let mut chance = ChaCha8Rng::seed_from_u64(salt);
+        // All instances start alike: their first calls for the list are spread, or the service fails them.
+        let next_ask = chance.random::<f64>() * settings.ask_within * 0.3;
+        let recent = || Recent::new(SPAN);
+        Self {
+            chance,
+            now: 0.0,
+            jobs: HashMap::new(),
+            known: HashMap::new(),
+            table: Vec::new(),
+            pending: Vec::new(),
+            waiting: Vec::new(),
+            due: BinaryHeap::new(),
+            numbered: 0,
+            woken_for: f64::INFINITY,
+            next_probe: 0.0,
+            next_ask: if settings.listed_on_request { next_ask } else { f64::INFINITY },
+            ask_pause: ASK_AGAIN,
+            seen: settings.profiles.iter().map(|_| Seen { durations: recent() }).collect(),
+            arrivals: recent(),
+            customers: settings.quotas.iter().map(|_| recent()).collect(),
+            first_shots: recent(),
+            endings: recent(),
+            further: recent(),
+            out: 0.0,
+            window: WINDOW_FIRST,
+            settings,
+        }
+    }
+
+    /// One round: takes in all that `feed` hands over, then decides.
+    pub fn round<E>(
+        &mut self,
+        now: f64,
+        feed: impl FnOnce(&mut Self) -> Result<(), E>,
+        out: &mut impl Writer,
+    ) -> Result<(), E> {
+        self.now = now;
+        feed(self)?;
+        if self.woken_for <= now {
+            self.woken_for = f64::INFINITY;
+        }
+        self.ask(out);
+        self.probe(out);
+        while self.due.peek().is_some_and(|due| due.0 <= now) {
+            if let Some(job) = self.due.pop().and_then(|due| due.2.upgrade()) {
+                self.pending.push(job);
+            }
+        }
+        for job in std::mem::take(&mut self.pending) {
+            self.decide(&job, out);
+        }
+        self.admit(out);
+        let next = self.due.peek().map_or(f64::INFINITY, |due| due.0).min(self.next_probe).min(self.next_ask);
+        if next < self.woken_for {
+            self.woken_for = next;
+            out.wake((next - now).max(0.0));
+        }
+        Ok(())
+    }
+
+    // ---- what comes in ----
+
+    pub fn knows(&self, profile: usize) -> bool {
+        profile < self.settings.profiles.len()
+    }
+
+    pub fn job(&mut self, id: u32, profile: usize, customer: usize, limit: f64) {
+        let now = self.now;
+        self.arrivals.add(now, 1.0);
+        let mut within_quota = true;
+        if let Some(recent) = self.customers.get_mut(customer) {
+            recent.add(now, 1.0);
+            let share = self.settings.quotas[customer] / self.settings.siblings * SPAN / 1000.0;
+            within_quota = self.settings.tier > 0 || recent.total(now).0 <= share;
+        }
+        let job = Rc::new(Job {
+            id,
+            profile,
+            within_quota,
+            arrived: now,
+            limit,
+            shots: RefCell::default(),
+            closed: Cell::new(false),
+            waiting: Cell::new(false),
+        });
+        self.jobs.insert(id, job.clone());
+        self.pending.push(job);
+    }
+
+    pub fn shot_ended(&mut self, id: u32, shot: usize, ending: Ending, took: f64, done: bool) {
+        let Some(job) = self.jobs.get(&id).cloned() else { return };
+        let Some(server) = self.book_ending(&job, shot, ending) else { return };
+        self.judge(&server, &job, ending, took);
+        if done {
+            job.closed.set(true);
+        }
+        self.pending.push(job);
+    }
+
+    pub fn probe_answered(&mut self, address: Address, good: bool, report: &[f64], took: f64) {
+        let Some(server) = self.known.get(&address).cloned() else { return };
+        let figure = if good { self.read(report).unwrap_or(took) } else { self.highest() };
+        server.figure.set(Some(figure));
+        server.sends.set(0.0);
+    }
+
+    pub fn client_left(&mut self, id: u32) {
+        if let Some(job) = self.jobs.get(&id).cloned() {
+            job.closed.set(true);
+            self.pending.push(job);
+        }
+    }
+
+    /// New lines of the list; `whole` if servers that it lacks are gone.
+    pub fn listed(&mut self, whole: bool, cached: bool, lines: impl Iterator<Item = Listing>) {
+        if whole {
+            self.table.iter().for_each(|server| server.standing.set(Standing::Gone));
+        }
+        for line in lines {
+            self.list(line);
+        }
+        self.table.retain(|server| server.standing.get() == Standing::Ready);
+        if !cached && self.settings.listed_on_request {
+            self.next_ask = f64::INFINITY;
+            self.ask_pause = ASK_AGAIN;
+        }
+    }
+
+    pub fn list_failed(&mut self) {
+        // A failed or broken watch leaves us blind to drains; spread by chance, as all others ask too.
+        let most = self.settings.ask_within / 2.0;
+        self.next_ask = self.now + self.ask_pause.min(most) * self.chance.random_range(0.5..1.5);
+        self.ask_pause = (self.ask_pause * 2.0).min(most);
+    }
+
+    // ---- the list and the load table ----
+
+    fn list(&mut self, line: Listing) {
+        let server = self.known.entry(line.server).or_insert_with(|| Rc::new(Server::new(line)));
+        if line.started > server.started.get() {
+            server.restarted(line.started, self.now);
+        }
+        server.zone.set(line.zone);
+        server.cell.set(line.cell);
+        server.standing.set(line.standing);
+        let present = self.table.iter().any(|other| Rc::ptr_eq(other, server));
+        if line.standing == Standing::Ready && !present {
+            self.table.push(server.clone());
+        }
+    }
+
+    fn read(&self, report: &[f64]) -> Option<f64> {
+        [Figure::Utilisation, Figure::Held, Figure::Waiting].iter().find_map(|wanted| {
+            let place = self.settings.report.iter().position(|figure| figure == wanted)?;
+            report.get(place).copied()
+        })
+    }
+
+    /// Every server's figure: its report, or the others' mean, and a step for each own send since.
+    fn figures(&self) -> Vec<f64> {
+        let heard = || self.table.iter().filter_map(|server| server.figure.get());
+        let mean = heard().sum::<f64>() / (heard().count() as f64).max(1.0);
+        let step = STEP * mean.max(STEP_UNIT);
+        let raised = |server: &Rc<Server>| {
+            server.figure.get().unwrap_or(mean) + step * server.slowness.get() * server.sends.get()
+        };
+        let mut figures: Vec<f64> = self.table.iter().map(raised).collect();
+        let floor = FLOOR * figures.iter().sum::<f64>() / (figures.len() as f64).max(1.0);
+        figures.iter_mut().for_each(|figure| *figure = figure.max(floor).max(f64::MIN_POSITIVE.sqrt()));
+        figures
+    }
+
+    fn highest(&self) -> f64 {
+        self.table.iter().filter_map(|server| server.figure.get()).fold(0.0, f64::max)
+    }
+
+    fn probe(&mut self, out: &mut impl Writer) {
+        if !self.settings.may_probe || self.now < self.next_probe {
+            return;
+        }
+        if self.next_probe > 0.0 && !self.table.is_empty() {
+            let target = if self.chance.random::<f64>() < ALPHA {
+                self.chance.random_range(0..self.table.len())
+            } else {
+                let figures = self.figures();
+                (0..figures.len()).min_by(|a, b| figures[*a].total_cmp(&figures[*b])).unwrap_or(0)
+            };
+            out.probe(self.table[target].address);
+        }
+        let jobs = self.arrivals.total(self.now).0 / SPAN * 1000.0;
+        let each = (PROBE_SPEND / self.settings.probe_price.max(1e-9)).min(PROBE_MOST);
+        let rate = (jobs * each).max(PROBE_FLOOR);
+        self.next_probe = self.now - (1.0 - self.chance.random::<f64>()).ln() / rate * 1000.0;
+    }
+
+    fn ask(&mut self, out: &mut impl Writer) {
+        if self.now >= self.next_ask {
+            out.watch();
+            // Its answer puts the next call off for good; this one stands in case none comes.
+            self.next_ask = self.now + self.settings.ask_within / 2.0;
+        }
+    }
+
+    // ---- health ----
+
+    fn book_ending(&mut self, job: &Job, shot: usize, ending: Ending) -> Option<Rc<Server>> {
+        let mut shots = job.shots.borrow_mut();
+        let shot = shots.get_mut(shot).filter(|shot| shot.ending.is_none())?;
+        shot.ending = Some(ending);
+        shot.server.out.set(shot.server.out.get() - 1);
+        self.out -= 1.0;
+        Some(shot.server.clone())
+    }
+
+    fn judge(&mut self, server: &Rc<Server>, job: &Job, ending: Ending, took: f64) {
+        let now = self.now;
+        match ending {
+            Ending::Honoured => {
+                self.endings.add(now, 1.0);
+                server.answered(now, self.settings.cold_time);
+                let usual = self.usual(job.profile);
+                self.seen[job.profile].durations.add(now, took);
+                server.compare(now, took / usual);
+                let late = took > TARGET * self.settings.profiles[job.profile].contract_time;
+                self.window = if late {
+                    (self.window * (1.0 - SHRINK)).max(WINDOW_LEAST)
+                } else {
+                    (self.window + 1.0 / self.window).min(self.out * 2.0 + WINDOW_FIRST)
+                };
+            }
+            Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Broken => {
+                self.endings.add(now, 0.0);
+                self.strike(server);
+            }
+            Ending::Full | Ending::CalledOff | Ending::NeverSent => server.on_trial.set(false),
+        }
+    }
+
+    /// Failures in a row set a server aside: quick errors would otherwise win traffic by a low figure.
+    fn strike(&self, server: &Server) {
+        server.strikes.set(server.strikes.get() + 1);
+        server.failing_since.set(server.failing_since.get().min(self.now));
+        if server.on_trial.replace(false)
+            || (server.strikes.get() >= STRIKES && self.now >= server.back_at.get())
+        {
+            let time = (server.aside.get() * 2.0).clamp(ASIDE_FIRST, ASIDE_LAST);
+            server.aside.set(time);
+            server.back_at.set(self.now + time);
+        }
+    }
+
+    /// Usual duration of a profile's shot, ms.
+    fn usual(&mut self, profile: usize) -> f64 {
+        let (count, sum) = self.seen[profile].durations.total(self.now);
+        let guess = UNSEEN * self.settings.profiles[profile].contract_time;
+        (sum + guess) / (count + 1.0)
+    }
+
+    fn profile(&self, job: &Job) -> &Profile {
+        &self.settings.profiles[job.profile]
+    }
+
+    // ---- jobs ----
+
+    fn decide(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
+        if job.closed.get() {
+            return self.settle(job, out);
+        }
+        if self.now >= self.last_call(job) {
+            return self.give_up(job, out);
+        }
+        if job.waiting.get() {
+            return;
+        }
+        let unsent = job.shots.borrow().is_empty();
+        if unsent && self.settings.tier == 0 {
+            return self.hold(job);
+        }
+        if job.shots.borrow().iter().all(|shot| shot.ending.is_some()) {
+            if !self.shoot(job, out) {
+                let open = job.proven_unrun() && self.bounds(job).is_some();
+                if open { self.hold(job) } else { self.give_up(job, out) }
+            }
+            return;
+        }
+        self.check_overdue(job, out);
+    }
+
+    /// The last moment for an answer of our own: a round ahead, so that it leaves before the limit.
+    fn last_call(&self, job: &Job) -> f64 {
+        job.limit - 2.0 * self.settings.round
+    }
+
+    fn check_overdue(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
+        let usual = self.usual(job.profile);
+        let mut next = f64::INFINITY;
+        let mut late = None;
+        for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none() && !shot.overdue) {
+            let at = shot.sent + OVERDUE * usual * shot.server.slowness.get().min(2.0);
+            if at <= self.now {
+                shot.overdue = true;
+                late = Some(shot.server.clone());
+            } else {
+                next = next.min(at);
+            }
+        }
+        if let Some(server) = late {
+            self.strike(&server);
+            if self.settings.second_copies && self.shoot(job, out) {
+                return;
+            }
+        }
+        self.review(job, next);
+    }
+
+    /// Has the job looked at again at `at`, or when its answer falls due.
+    fn review(&mut self, job: &Rc<Job>, at: f64) {
+        self.numbered += 1;
+        self.due.push(Due(at.min(self.last_call(job)), self.numbered, Rc::downgrade(job)));
+    }
+
+    fn hold(&mut self, job: &Rc<Job>) {
+        if !job.waiting.replace(true) {
+            self.waiting.push(job.clone());
+            let until = self.hold_until(job);
+            self.review(job, until);
+        }
+    }
+
+    fn hold_until(&self, job: &Job) -> f64 {
+        let time = self.last_call(job);
+        if self.table.is_empty() {
+            time
+        } else {
+            time.min(job.arrived + HOLD * self.profile(job).contract_time)
+        }
+    }
+
+    /// Lets waiting jobs go, best gain first, while the window has room.
+    fn admit(&mut self, out: &mut impl Writer) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.retain(|job| !job.closed.get());
+        let worth: Vec<f64> = (0..self.settings.profiles.len()).map(|profile| self.worth(profile)).collect();
+        let excess = self.settings.excess_gain;
+        let rank = |job: &Rc<Job>| worth[job.profile] * if job.within_quota { 1.0 } else { excess };
+        waiting.sort_by(|a, b| rank(b).total_cmp(&rank(a)).then(a.arrived.total_cmp(&b.arrived)));
+        for job in waiting {
+            let open = self.settings.tier > 0 || self.out < self.window;
+            if open && self.shoot(&job, out) {
+                job.waiting.set(false);
+            } else if self.now >= self.hold_until(&job) {
+                self.give_up(&job, out);
+            } else {
+                self.waiting.push(job);
+            }
+        }
+    }
+
+    /// Gain per unit of work of a profile.
+    fn worth(&mut self, profile: usize) -> f64 {
+        let gain = self.settings.profiles[profile].gain;
+        if self.settings.gain_by_work { gain } else { gain / self.usual(profile) }
+    }
+
+    /// The only gate to a further shot: where may the job go, if anywhere?
+    fn bounds(&self, job: &Job) -> Option<Option<Rc<Server>>> {
+        let shots = job.shots.borrow();
+        if shots.len() >= self.settings.most_shots {
+            return None;
+        }
+        let Some(first) = shots.iter().find(|shot| !shot.ending.is_some_and(Ending::never_ran)) else {
+            return Some(None);
+        };
+        let profile = self.profile(job);
+        match profile.effect {
+            Effect::Irreversible => None,
+            Effect::Redoable => Some(None),
+            // Past the window its servers no longer know the mark, and the job would run twice.
+            Effect::Labelled if self.now >= first.sent + profile.window => None,
+            Effect::Labelled => Some(Some(first.server.clone())),
+        }
+    }
+
+    /// May the client be told that trying again does no harm?
+    fn may_push_back(&self, job: &Job) -> bool {
+        let profile = self.profile(job);
+        match profile.effect {
+            Effect::Redoable => true,
+            Effect::Labelled if profile.group == Group::All => true,
+            _ => job.proven_unrun(),
+        }
+    }
+
+    fn give_up(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
+        if self.may_push_back(job) {
+            out.push_back(job.id, 0.0);
+        } else {
+            out.forfeit(job.id);
+        }
+        job.closed.set(true);
+        self.settle(job, out);
+    }
+
+    /// Ends what is still out for a closed job and forgets it when nothing is.
+    fn settle(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
+        let shots = job.shots.borrow();
+        let mut still_out = false;
+        for (number, _) in shots.iter().enumerate().filter(|(_, shot)| shot.ending.is_none()) {
+            still_out = true;
+            if self.settings.may_call_off {
+                out.call_off(job.id, number as u16);
+            }
+        }
+        if !still_out {
+            self.jobs.remove(&job.id);
+        }
+    }
+
+    /// Sends the job on by the paper's draw among the servers that may have it; false if there is none.
+    fn shoot(&mut self, job: &Rc<Job>, out: &mut impl Writer) -> bool {
+        let Some(group) = self.bounds(job) else { return false };
+        let first = job.shots.borrow().is_empty();
+        if !first && !job.proven_unrun() && !self.may_go_further() {
+            return false;
+        }
+        let Some(server) = self.draw(job, group) else { return false };
+        if first {
+            self.first_shots.add(self.now, 1.0);
+        } else if !job.proven_unrun() {
+            self.further.add(self.now, 1.0);
+        }
+        server.send(self.now);
+        self.out += 1.0;
+        out.shoot(job.id, server.address, job.limit - self.now);
+        let usual = self.usual(job.profile);
+        let at = self.now + OVERDUE * usual * server.slowness.get().min(2.0);
+        job.shots.borrow_mut().push(Shot { server, sent: self.now, ending: None, overdue: false });
+        self.review(job, at);
+        true
+    }
+
+    /// Further shots follow the share of recent shots that succeeded, or retries would feed a jam.
+    fn may_go_further(&mut self) -> bool {
+        let (ended, good) = self.endings.total(self.now);
+        let share = (good + 1.0) / (ended + 1.0);
+        let allowed = FURTHER_FREE + FURTHER * share * self.first_shots.total(self.now).0;
+        self.further.total(self.now).0 < allowed
+    }
+
+    fn draw(&mut self, job: &Job, group: Option<Rc<Server>>) -> Option<Rc<Server>> {
+        let profile_group = self.profile(job).group;
+        let shots = job.shots.borrow();
+        let tried = |server: &Rc<Server>| shots.iter().any(|shot| Rc::ptr_eq(&shot.server, server));
+        let within = |server: &Rc<Server>| match (&group, profile_group) {
+            (Some(first), Group::Zone) => first.zone == server.zone,
+            (Some(first), Group::Cell) => first.cell == server.cell,
+            _ => true,
+        };
+        let most_aside = (self.table.len() as f64 * ASIDE_SHARE).floor() as usize;
+        let aside = self.table.iter().filter(|server| server.is_aside(self.now)).count();
+        let figures = self.figures();
+        let rate = self.first_shots.total(self.now).0 / SPAN / (self.table.len() as f64).max(1.0);
+        let home_only = self.home_only(&figures);
+        let fits = |server: &Rc<Server>| {
+            within(server)
+                && (aside > most_aside || !server.is_aside(self.now))
+                && self.warm_enough(server, rate)
+        };
+        let mut open: Vec<usize> =
+            (0..self.table.len()).filter(|&i| fits(&self.table[i]) && !tried(&self.table[i])).collect();
+        if home_only && open.iter().any(|&i| self.table[i].zone.get() == self.settings.zone) {
+            open.retain(|&i| self.table[i].zone.get() == self.settings.zone);
+        }
+        let weights: Vec<f64> = open.iter().map(|&i| figures[i].powf(-K)).collect();
+        let mut point = self.chance.random::<f64>() * weights.iter().sum::<f64>();
+        for (place, weight) in open.iter().zip(&weights) {
+            point -= weight;
+            if point < 0.0 {
+                return Some(self.table[*place].clone());
+            }
+        }
+        open.last().map(|&place| self.table[place].clone())
+    }
+
+    /// Crossing has a price: jobs stay at home until home is busier than away by a margin that grows with it.
+    fn home_only(&self, figures: &[f64]) -> bool {
+        let mean = |home: bool| {
+            let of = || {
+                figures
+                    .iter()
+                    .zip(&self.table)
+                    .filter(move |(_, server)| (server.zone.get() == self.settings.zone) == home)
+                    .map(|(figure, _)| *figure)
+            };
+            of().sum::<f64>() / (of().count() as f64).max(1.0)
+        };
+        mean(true) < mean(false) * (1.0 + ZONE_MARGIN * self.settings.cross_zone_price)
+    }
+
+    /// Cold servers take only their part of what warm ones bear, or all nodes together push them over.
+    fn warm_enough(&self, server: &Server, rate: f64) -> bool {
+        let age = self.now - server.started.get();
+        if age > self.settings.cold_time {
+            return true;
+        }
+        let grown =
+            self.settings.cold_share + (1.0 - self.settings.cold_share) * age / self.settings.cold_time;
+        let refill = rate * COLD_PART * self.settings.cold_multiple * grown.min(1.0);
+        let most = (refill * self.settings.cold_window).max(1.0);
+        let credit = server.cold_credit.get() + refill * (self.now - server.credit_at.get());
+        server.cold_credit.set(credit.min(most));
+        server.credit_at.set(self.now);
+        server.cold_credit.get() >= 1.0
+    }
+}
+
+impl Job {
+    /// Has every shot so far provably never run?
+    fn proven_unrun(&self) -> bool {
+        self.shots.borrow().iter().all(|shot| shot.ending.is_some_and(Ending::never_ran))
+    }
+}
+
+impl Server {
+    fn new(line: Listing) -> Self {
+        Self {
+            address: line.server,
+            standing: Cell::new(line.standing),
+            zone: Cell::new(line.zone),
+            cell: Cell::new(line.cell),
+            started: Cell::new(line.started),
+            figure: Cell::new(None),
+            sends: Cell::new(0.0),
+            out: Cell::new(0),
+            strikes: Cell::new(0),
+            aside: Cell::new(0.0),
+            back_at: Cell::new(f64::NEG_INFINITY),
+            on_trial: Cell::new(false),
+            failing_since: Cell::new(f64::INFINITY),
+            slowness: Cell::new(1.0),
+            relative: RefCell::new(Recent::new(SPAN)),
+            cold_credit: Cell::new(0.0),
+            credit_at: Cell::new(line.started.max(0.0)),
+        }
+    }
+
+    /// A new start: nothing known of it holds, and it is cold.
+    fn restarted(&self, at: f64, now: f64) {
+        self.started.set(at);
+        self.figure.set(None);
+        self.sends.set(0.0);
+        self.strikes.set(0);
+        self.back_at.set(f64::NEG_INFINITY);
+        self.cold_credit.set(0.0);
+        self.credit_at.set(now);
+    }
+
+    fn send(&self, now: f64) {
+        self.sends.set(self.sends.get() + 1.0);
+        self.out.set(self.out.get() + 1);
+        self.cold_credit.set(self.cold_credit.get() - 1.0);
+        // Back from its time aside it gets one shot, and the next when that was honoured.
+        self.on_trial.set(self.strikes.get() >= STRIKES && now >= self.back_at.get());
+    }
+
+    fn is_aside(&self, now: f64) -> bool {
+        self.strikes.get() >= STRIKES && (now < self.back_at.get() || self.on_trial.get())
+    }
+
+    fn answered(&self, now: f64, cold_time: f64) {
+        // Silent long enough to have restarted: it is cold until the list says better.
+        if self.strikes.get() >= STRIKES
+            && now - self.failing_since.get() > SILENT
+            && now - self.started.get() > cold_time
+        {
+            self.restarted(now, now);
+        }
+        self.strikes.set(0);
+        self.aside.set(0.0);
+        self.on_trial.set(false);
+        self.failing_since.set(f64::INFINITY);
+    }
+
+    fn compare(&self, now: f64, relative: f64) {
+        let mut ring = self.relative.borrow_mut();
+        ring.add(now, relative);
+        let (count, sum) = ring.total(now);
+        self.slowness.set((sum + PRIOR) / (count + PRIOR));
+    }
+}
--- /dev/null
+++ b/src/ring.rs
@@ -0,0 +1,54 @@
+//! Fixed buckets of time, used again in a ring.
+
+/// Counts and sums over the last `SLOTS` buckets; all times in milliseconds.
+#[derive(Debug, Clone)]
+pub struct Ring<const SLOTS: usize> {
+    width: f64,
+    slots: [(f64, f64); SLOTS],
+    newest: i64,
+}
+
+impl<const SLOTS: usize> Ring<SLOTS> {
+    /// A ring whose buckets together span `span` milliseconds.
+    pub fn new(span: f64) -> Self {
+        Self { width: span / SLOTS as f64, slots: [(0.0, 0.0); SLOTS], newest: 0 }
+    }
+
+    /// Books one count and `amount` at `now`.
+    pub fn add(&mut self, now: f64, amount: f64) {
+        self.turn(now);
+        let slot = &mut self.slots[self.newest.rem_euclid(SLOTS as i64) as usize];
+        slot.0 += 1.0;
+        slot.1 += amount;
+    }
+
+    /// Count and sum of what was booked within the span.
+    pub fn total(&mut self, now: f64) -> (f64, f64) {
+        self.turn(now);
+        self.slots.iter().fold((0.0, 0.0), |sum, slot| (sum.0 + slot.0, sum.1 + slot.1))
+    }
+
+    fn turn(&mut self, now: f64) {
+        let bucket = (now / self.width).floor() as i64;
+        let stale = (bucket - self.newest).clamp(0, SLOTS as i64);
+        for step in 0..stale {
+            self.slots[(bucket - step).rem_euclid(SLOTS as i64) as usize] = (0.0, 0.0);
+        }
+        self.newest = self.newest.max(bucket);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Ring;
+
+    #[test]
+    fn forgets_what_is_older_than_its_span() {
+        let mut ring = Ring::<4>::new(400.0);
+        ring.add(0.0, 5.0);
+        ring.add(150.0, 7.0);
+        assert_eq!(ring.total(399.0), (2.0, 12.0));
+        assert_eq!(ring.total(400.0), (1.0, 7.0));
+        assert_eq!(ring.total(9000.0), (0.0, 0.0));
+    }
+}
