--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,7 +19,7 @@
 use std::rc::{Rc, Weak};
 
 /// Power of the draw, no unit. Above the paper's 1, since few figures are fresh at once.
-const K: f64 = 2.0;
+const K: f64 = 1.0;
 /// Share of probes with an even draw: busy entries must be seen again too.
 const ALPHA: f64 = 0.5;
 /// Lowest figure, as a share of the table's mean (from the design page).
