--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,13 +19,13 @@
 use std::rc::{Rc, Weak};
 
 /// Power of the draw, no unit. Above the paper's 1, since few figures are fresh at once.
-const K: f64 = 1.0;
+const K: f64 = 2.0;
 /// Share of probes with an even draw: busy entries must be seen again too.
 const ALPHA: f64 = 0.5;
 /// Lowest figure, as a share of the table's mean (from the design page).
 const FLOOR: f64 = 0.2;
 /// What an own send adds to a figure, as a share of the table's mean report.
-const STEP: f64 = 0.5;
+const STEP: f64 = 1.0;
 /// Least mean the step is taken of: a tenth of a core or a tenth of a waiting job.
 const STEP_UNIT: f64 = 0.1;
 /// Probes a second at the least: an idle caller still sees its servers within a minute.
@@ -330,7 +330,7 @@
         let mean = heard().sum::<f64>() / (heard().count() as f64).max(1.0);
         let step = STEP * mean.max(STEP_UNIT);
         let raised = |server: &Rc<Server>| {
-            server.figure.get().unwrap_or(mean) + step * server.slowness.get() * server.sends.get()
+            server.figure.get().unwrap_or(mean) + step * server.slowness.get() * f64::from(server.out.get())
         };
         let mut figures: Vec<f64> = self.table.iter().map(raised).collect();
         let floor = FLOOR * figures.iter().sum::<f64>() / (figures.len() as f64).max(1.0);
