--- a/src/policy.rs
+++ b/src/policy.rs
@@ -61,13 +61,15 @@
 /// Longest a job waits for admission, as a share of its contract time: queues here are short.
 const HOLD: f64 = 0.25;
 /// Durations at clients' own tier may grow to this share of the contract time before fewer are let in.
-const TARGET: f64 = 0.4;
+const TARGET: f64 = 0.5;
 /// Fewest jobs let in at a time.
 const WINDOW_LEAST: f64 = 4.0;
 /// Jobs let in at the start.
-const WINDOW_FIRST: f64 = 4000.0;
+const WINDOW_FIRST: f64 = 40.0;
 /// The window shrinks by this share for each late answer.
-const SHRINK: f64 = 0.0;
+const SHRINK: f64 = 0.02;
+/// Span, ms, over which lateness is judged: a jam builds up in a second or two.
+const PACE_SPAN: f64 = 1000.0;
 /// Zones are kept apart until the home mean is above the others' by this factor per point of price.
 const ZONE_MARGIN: f64 = 20.0;
 /// First and last pause, ms, before the list is asked for again after a failure.
@@ -161,6 +163,7 @@
     further: Recent,
     out: f64,
     window: f64,
+    lateness: Recent,
 }
 
 impl Balancer {
@@ -191,6 +194,7 @@
             further: recent(),
             out: 0.0,
             window: WINDOW_FIRST,
+            lateness: Recent::new(PACE_SPAN),
             settings,
         }
     }
@@ -389,18 +393,29 @@
                 let usual = self.usual(job.profile);
                 self.seen[job.profile].durations.add(now, took);
                 server.compare(now, took / usual);
-                let late = took > TARGET * self.settings.profiles[job.profile].contract_time;
-                self.window = if late {
-                    (self.window * (1.0 - SHRINK)).max(WINDOW_LEAST)
-                } else {
-                    (self.window + 1.0 / self.window).min(self.out * 2.0 + WINDOW_FIRST)
-                };
+                self.pace(took / self.settings.profiles[job.profile].contract_time);
             }
             Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Broken => {
                 self.endings.add(now, 0.0);
                 self.strike(server);
+                self.pace(1.0);
             }
-            Ending::Full | Ending::CalledOff | Ending::NeverSent => server.on_trial.set(false),
+            Ending::Full => {
+                server.on_trial.set(false);
+                self.pace(1.0);
+            }
+            Ending::CalledOff | Ending::NeverSent => server.on_trial.set(false),
+        }
+    }
+
+    /// The window follows how much of their contract time recent jobs took; failures count as all of it.
+    fn pace(&mut self, part: f64) {
+        self.lateness.add(self.now, part);
+        let (count, sum) = self.lateness.total(self.now);
+        if sum / count > TARGET {
+            self.window = (self.window * (1.0 - SHRINK)).max(WINDOW_LEAST);
+        } else if self.out > self.window / 2.0 {
+            self.window += 1.0 / self.window;
         }
     }
 
