--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,6 +36,8 @@
 const PROBE_MOST: f64 = 0.3;
 /// Failures in a row that set a server aside: two happen by chance where a few in a hundred fail.
 const STRIKES: u32 = 3;
+/// Share of recent shots honoured below which an error is a shared fault, not the server's.
+const SHARED: f64 = 0.7;
 /// First time aside, ms: about as long as a short stall; it doubles up to the last.
 const ASIDE_FIRST: f64 = 1000.0;
 /// Longest time aside, ms: a lost server must be found back soon after its return.
@@ -91,6 +93,8 @@
     aside: Cell<f64>,
     back_at: Cell<f64>,
     on_trial: Cell<bool>,
+    /// Full a moment ago: it would turn the next shot away too, and quickly, as if it were idle.
+    rest_until: Cell<f64>,
     failing_since: Cell<f64>,
     slowness: Cell<f64>,
     relative: RefCell<Recent>,
@@ -395,6 +399,12 @@
                 server.compare(now, took / usual);
                 self.pace(took / self.settings.profiles[job.profile].contract_time);
             }
+            // An error that most servers give now comes from the tier behind them: no ground to judge this one.
+            Ending::Error if self.success() < SHARED => {
+                self.endings.add(now, 0.0);
+                server.on_trial.set(false);
+                self.pace(1.0);
+            }
             Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Broken => {
                 self.endings.add(now, 0.0);
                 self.strike(server);
@@ -402,6 +412,8 @@
             }
             Ending::Full => {
                 server.on_trial.set(false);
+                let rest = self.usual(job.profile);
+                server.rest_until.set(now + rest);
                 self.pace(1.0);
             }
             Ending::CalledOff | Ending::NeverSent => server.on_trial.set(false),
@@ -625,11 +637,15 @@
         true
     }
 
+    /// Share of recent shots that were honoured.
+    fn success(&mut self) -> f64 {
+        let (ended, good) = self.endings.total(self.now);
+        (good + 1.0) / (ended + 1.0)
+    }
+
     /// Further shots follow the share of recent shots that succeeded, or retries would feed a jam.
     fn may_go_further(&mut self) -> bool {
-        let (ended, good) = self.endings.total(self.now);
-        let share = (good + 1.0) / (ended + 1.0);
-        let allowed = FURTHER_FREE + FURTHER * share * self.first_shots.total(self.now).0;
+        let allowed = FURTHER_FREE + FURTHER * self.success() * self.first_shots.total(self.now).0;
         self.further.total(self.now).0 < allowed
     }
 
@@ -722,6 +738,7 @@
             aside: Cell::new(0.0),
             back_at: Cell::new(f64::NEG_INFINITY),
             on_trial: Cell::new(false),
+            rest_until: Cell::new(f64::NEG_INFINITY),
             failing_since: Cell::new(f64::INFINITY),
             slowness: Cell::new(1.0),
             relative: RefCell::new(Recent::new(SPAN)),
