--- a/src/policy.rs
+++ b/src/policy.rs
@@ -338,7 +338,8 @@
         let mean = heard().sum::<f64>() / (heard().count() as f64).max(1.0);
         let step = STEP * mean.max(STEP_UNIT);
         let raised = |server: &Rc<Server>| {
-            server.figure.get().unwrap_or(mean) + step * server.slowness.get() * f64::from(server.out.get())
+            server.figure.get().unwrap_or(mean)
+                + step * server.slowness.get() * f64::from(server.out.get() + 1)
         };
         let mut figures: Vec<f64> = self.table.iter().map(raised).collect();
         let floor = FLOOR * figures.iter().sum::<f64>() / (figures.len() as f64).max(1.0);
