--- a/crates/pearfront-drill/src/wire.rs
+++ b/crates/pearfront-drill/src/wire.rs
@@ -208,6 +208,7 @@
         server: address(line, 4),
         standing: standing(line[10]).unwrap_or(Standing::Gone),
         cell: int::<2>(line, 11) as u16,
+        make: usize::from(line[13]),
         zone: int::<2>(line, 14) as u16,
         started: match since {
             0 => f64::NEG_INFINITY,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -80,6 +80,8 @@
     pub standing: Standing,
     pub cell: u16,
     pub zone: u16,
+    /// Which kind of machine it is.
+    pub make: usize,
     /// Its latest start; negative infinity if long ago.
     pub started: f64,
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -58,6 +58,8 @@
 const COLD_PART: f64 = 0.5;
 /// Span of measurements, ms: some dozen jobs on a server at usual rates.
 const SPAN: f64 = 10_000.0;
+/// Memory, ms, of how slow servers are: a caller has few samples, and machines differ all day.
+const PACE_MEMORY: f64 = 30_000.0;
 /// Samples that the mean duration stands for when a server is compared with it.
 const PRIOR: f64 = 3.0;
 /// Longest a job waits for admission, as a share of its contract time: queues here are short.
@@ -98,6 +100,7 @@
     failing_since: Cell<f64>,
     slowness: Cell<f64>,
     relative: RefCell<Recent>,
+    make: usize,
     cold_credit: Cell<f64>,
     credit_at: Cell<f64>,
 }
@@ -168,6 +171,7 @@
     out: f64,
     window: f64,
     lateness: Recent,
+    makes: Vec<Recent>,
 }
 
 impl Balancer {
@@ -199,6 +203,7 @@
             out: 0.0,
             window: WINDOW_FIRST,
             lateness: Recent::new(PACE_SPAN),
+            makes: Vec::new(),
             settings,
         }
     }
@@ -397,7 +402,7 @@
                 server.answered(now, self.settings.cold_time);
                 let usual = self.usual(job.profile);
                 self.seen[job.profile].durations.add(now, took);
-                server.compare(now, took / usual);
+                self.compare(server, took / usual);
                 self.pace(took / self.settings.profiles[job.profile].contract_time);
             }
             // An error that most servers give now comes from the tier behind them: no ground to judge this one.
@@ -421,6 +426,21 @@
         }
     }
 
+    /// A caller sends each server too little to know it soon: machines of one make are learned together.
+    fn compare(&mut self, server: &Server, relative: f64) {
+        if self.makes.len() <= server.make {
+            self.makes.resize(server.make + 1, Recent::new(PACE_MEMORY));
+        }
+        let make = &mut self.makes[server.make];
+        make.add(self.now, relative);
+        let (count, sum) = make.total(self.now);
+        let like = (sum + PRIOR) / (count + PRIOR);
+        server.relative.borrow_mut().add(self.now, relative);
+        for other in self.table.iter().filter(|other| other.make == server.make) {
+            other.lean(self.now, like);
+        }
+    }
+
     /// The window follows how much of their contract time recent jobs took; failures count as all of it.
     fn pace(&mut self, part: f64) {
         self.lateness.add(self.now, part);
@@ -742,7 +762,8 @@
             rest_until: Cell::new(f64::NEG_INFINITY),
             failing_since: Cell::new(f64::INFINITY),
             slowness: Cell::new(1.0),
-            relative: RefCell::new(Recent::new(SPAN)),
+            relative: RefCell::new(Recent::new(PACE_MEMORY)),
+            make: line.make,
             cold_credit: Cell::new(0.0),
             credit_at: Cell::new(line.started.max(0.0)),
         }
@@ -785,10 +806,9 @@
         self.failing_since.set(f64::INFINITY);
     }
 
-    fn compare(&self, now: f64, relative: f64) {
-        let mut ring = self.relative.borrow_mut();
-        ring.add(now, relative);
-        let (count, sum) = ring.total(now);
-        self.slowness.set((sum + PRIOR) / (count + PRIOR));
+    /// How slow it is beside the others; a few samples lean on its make's mean.
+    fn lean(&self, now: f64, like: f64) {
+        let (count, sum) = self.relative.borrow_mut().total(now);
+        self.slowness.set((sum + PRIOR * like) / (count + PRIOR));
     }
 }
