--- a/src/policy.rs
+++ b/src/policy.rs
@@ -65,7 +65,7 @@
 /// Longest a job waits for admission, as a share of its contract time: queues here are short.
 const HOLD: f64 = 0.25;
 /// Durations at clients' own tier may grow to this share of the contract time before fewer are let in.
-const TARGET: f64 = 0.5;
+const TARGET: f64 = 0.4;
 /// Fewest jobs let in at a time.
 const WINDOW_LEAST: f64 = 4.0;
 /// Jobs let in at the start.
