--- a/src/policy.rs
+++ b/src/policy.rs
@@ -64,8 +64,14 @@
 const PRIOR: f64 = 3.0;
 /// Longest a job waits for admission, as a share of its contract time: queues here are short.
 const HOLD: f64 = 0.25;
-/// Durations at clients' own tier may grow to this share of the contract time before fewer are let in.
-const TARGET: f64 = 0.4;
+/// Durations at clients' own tier may grow to at most this share of the contract time before fewer are let in.
+const TARGET: f64 = 0.6;
+/// They may also grow to this many times what they are when nothing is in their way.
+const GROWTH: f64 = 1.8;
+/// Time, ms, in which that easy figure doubles if it isn't met again: longer than most troubles.
+const EASY_MEMORY: f64 = 60_000.0;
+/// Answers in the span before its mean counts for the easy figure.
+const PACE_SAMPLES: f64 = 20.0;
 /// Fewest jobs let in at a time.
 const WINDOW_LEAST: f64 = 4.0;
 /// Jobs let in at the start.
@@ -171,6 +177,9 @@
     out: f64,
     window: f64,
     lateness: Recent,
+    /// Share of their contract time that jobs take when nothing is in their way.
+    easy: f64,
+    easy_at: f64,
     makes: Vec<Recent>,
 }
 
@@ -203,6 +212,8 @@
             out: 0.0,
             window: WINDOW_FIRST,
             lateness: Recent::new(PACE_SPAN),
+            easy: 1.0,
+            easy_at: 0.0,
             makes: Vec::new(),
             settings,
         }
@@ -445,7 +456,12 @@
     fn pace(&mut self, part: f64) {
         self.lateness.add(self.now, part);
         let (count, sum) = self.lateness.total(self.now);
-        if sum / count > TARGET {
+        let mean = sum / count;
+        if count >= PACE_SAMPLES {
+            self.easy = mean.min(self.easy * (1.0 + (self.now - self.easy_at) / EASY_MEMORY));
+            self.easy_at = self.now;
+        }
+        if mean > (self.easy * GROWTH).min(TARGET) {
             self.window = (self.window * (1.0 - SHRINK)).max(WINDOW_LEAST);
         } else if self.out > self.window / 2.0 {
             self.window += 1.0 / self.window;
