--- a/src/policy.rs
+++ b/src/policy.rs
@@ -76,8 +76,10 @@
 const WINDOW_LEAST: f64 = 4.0;
 /// Jobs let in at the start.
 const WINDOW_FIRST: f64 = 40.0;
-/// The window shrinks by this share for each late answer.
-const SHRINK: f64 = 0.02;
+/// Part of the window given up within one span of lateness: half a jam's build-up.
+const SHRINK: f64 = 0.4;
+/// Part of the window won back within one span when it is used and jobs are in time.
+const GROW: f64 = 0.3;
 /// Span, ms, over which lateness is judged: a jam builds up in a second or two.
 const PACE_SPAN: f64 = 1000.0;
 /// Zones are kept apart until the home mean is above the others' by this factor per point of price.
@@ -462,9 +464,9 @@
             self.easy_at = self.now;
         }
         if mean > (self.easy * GROWTH).min(TARGET) {
-            self.window = (self.window * (1.0 - SHRINK)).max(WINDOW_LEAST);
-        } else if self.out > self.window / 2.0 {
-            self.window += 1.0 / self.window;
+            self.window = (self.window * (1.0 - SHRINK / count)).max(WINDOW_LEAST);
+        } else if self.out > self.window * 0.8 {
+            self.window *= 1.0 + GROW / count;
         }
     }
 
