--- a/src/policy.rs
+++ b/src/policy.rs
@@ -77,9 +77,9 @@
 /// Jobs let in at the start.
 const WINDOW_FIRST: f64 = 40.0;
 /// Part of the window given up within one span of lateness: half a jam's build-up.
-const SHRINK: f64 = 0.4;
+const SHRINK: f64 = 4.0;
 /// Part of the window won back within one span when it is used and jobs are in time.
-const GROW: f64 = 0.3;
+const GROW: f64 = 3.0;
 /// Span, ms, over which lateness is judged: a jam builds up in a second or two.
 const PACE_SPAN: f64 = 1000.0;
 /// Zones are kept apart until the home mean is above the others' by this factor per point of price.
