--- a/src/policy.rs
+++ b/src/policy.rs
@@ -64,24 +64,20 @@
 const PRIOR: f64 = 3.0;
 /// Longest a job waits for admission, as a share of its contract time: queues here are short.
 const HOLD: f64 = 0.25;
-/// Durations at clients' own tier may grow to at most this share of the contract time before fewer are let in.
-const TARGET: f64 = 0.6;
-/// They may also grow to this many times what they are when nothing is in their way.
-const GROWTH: f64 = 1.8;
-/// Time, ms, in which that easy figure doubles if it isn't met again: longer than most troubles.
+/// Jobs let in, as a multiple of what is out at the best rate in easy times: bursts need room, jams don't.
+const GROWTH: f64 = 2.0;
+/// Time, ms, in which the easy duration doubles if it isn't met again: longer than most troubles.
 const EASY_MEMORY: f64 = 60_000.0;
-/// Answers in the span before its mean counts for the easy figure.
+/// Span, ms, of the mean that the easy duration is the least of.
+const PACE_SPAN: f64 = 2000.0;
+/// Answers in that span before its mean counts.
 const PACE_SAMPLES: f64 = 20.0;
-/// Fewest jobs let in at a time.
-const WINDOW_LEAST: f64 = 4.0;
-/// Jobs let in at the start.
-const WINDOW_FIRST: f64 = 40.0;
-/// Part of the window given up within one span of lateness: half a jam's build-up.
-const SHRINK: f64 = 4.0;
-/// Part of the window won back within one span when it is used and jobs are in time.
-const GROW: f64 = 3.0;
-/// Span, ms, over which lateness is judged: a jam builds up in a second or two.
-const PACE_SPAN: f64 = 1000.0;
+/// Length, ms, of a bucket of the rate's ring.
+const RATE_SLOT: f64 = SPAN / 10.0;
+/// Jobs let in for each server at the least.
+const WINDOW_LEAST: f64 = 2.0;
+/// Jobs let in at the start, before any rate is known.
+const WINDOW_FIRST: f64 = 60.0;
 /// Zones are kept apart until the home mean is above the others' by this factor per point of price.
 const ZONE_MARGIN: f64 = 20.0;
 /// First and last pause, ms, before the list is asked for again after a failure.
@@ -178,8 +174,9 @@
     further: Recent,
     out: f64,
     window: f64,
-    lateness: Recent,
-    /// Share of their contract time that jobs take when nothing is in their way.
+    rate: Recent,
+    took: Recent,
+    /// Mean duration when nothing is in the jobs' way.
     easy: f64,
     easy_at: f64,
     makes: Vec<Recent>,
@@ -213,8 +210,9 @@
             further: recent(),
             out: 0.0,
             window: WINDOW_FIRST,
-            lateness: Recent::new(PACE_SPAN),
-            easy: 1.0,
+            rate: recent(),
+            took: Recent::new(PACE_SPAN),
+            easy: f64::INFINITY,
             easy_at: 0.0,
             makes: Vec::new(),
             settings,
@@ -416,24 +414,21 @@
                 let usual = self.usual(job.profile);
                 self.seen[job.profile].durations.add(now, took);
                 self.compare(server, took / usual);
-                self.pace(took / self.settings.profiles[job.profile].contract_time);
+                self.pace(took);
             }
             // An error that most servers give now comes from the tier behind them: no ground to judge this one.
             Ending::Error if self.success() < SHARED => {
                 self.endings.add(now, 0.0);
                 server.on_trial.set(false);
-                self.pace(1.0);
             }
             Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Broken => {
                 self.endings.add(now, 0.0);
                 self.strike(server);
-                self.pace(1.0);
             }
             Ending::Full => {
                 server.on_trial.set(false);
                 let rest = self.usual(job.profile);
                 server.rest_until.set(now + rest);
-                self.pace(1.0);
             }
             Ending::CalledOff | Ending::NeverSent => server.on_trial.set(false),
         }
@@ -454,19 +449,16 @@
         }
     }
 
-    /// The window follows how much of their contract time recent jobs took; failures count as all of it.
-    fn pace(&mut self, part: f64) {
-        self.lateness.add(self.now, part);
-        let (count, sum) = self.lateness.total(self.now);
-        let mean = sum / count;
+    /// Lets in what the servers were seen to bear: their best recent rate, for as long as jobs take in easy times.
+    fn pace(&mut self, took: f64) {
+        let now = self.now;
+        self.rate.add(now, 1.0);
+        self.took.add(now, took);
+        let (count, sum) = self.took.total(now);
         if count >= PACE_SAMPLES {
-            self.easy = mean.min(self.easy * (1.0 + (self.now - self.easy_at) / EASY_MEMORY));
-            self.easy_at = self.now;
-        }
-        if mean > (self.easy * GROWTH).min(TARGET) {
-            self.window = (self.window * (1.0 - SHRINK / count)).max(WINDOW_LEAST);
-        } else if self.out > self.window * 0.8 {
-            self.window *= 1.0 + GROW / count;
+            self.easy = (sum / count).min(self.easy * (1.0 + (now - self.easy_at) / EASY_MEMORY));
+            self.easy_at = now;
+            self.window = self.rate.highest(now) / RATE_SLOT * self.easy * GROWTH;
         }
     }
 
@@ -581,8 +573,9 @@
         let excess = self.settings.excess_gain;
         let rank = |job: &Rc<Job>| worth[job.profile] * if job.within_quota { 1.0 } else { excess };
         waiting.sort_by(|a, b| rank(b).total_cmp(&rank(a)).then(a.arrived.total_cmp(&b.arrived)));
+        let least = WINDOW_LEAST * self.table.len() as f64 / self.settings.siblings;
         for job in waiting {
-            let open = self.settings.tier > 0 || self.out < self.window;
+            let open = self.settings.tier > 0 || self.out < self.window.max(least);
             if open && self.shoot(&job, out) {
                 job.waiting.set(false);
             } else if self.now >= self.hold_until(&job) {
