--- a/src/policy.rs
+++ b/src/policy.rs
@@ -65,9 +65,15 @@
 /// Longest a job waits for admission, as a share of its contract time: queues here are short.
 const HOLD: f64 = 0.25;
 /// Jobs let in, as a multiple of what is out at the best rate in easy times: bursts need room, jams don't.
-const GROWTH: f64 = 2.0;
+const GROWTH: f64 = 1.5;
 /// Time, ms, in which the easy duration doubles if it isn't met again: longer than most troubles.
 const EASY_MEMORY: f64 = 60_000.0;
+/// Mean share of their contract time that jobs may take before fewer are let in.
+const TARGET: f64 = 0.5;
+/// The window shrinks by this share for each answer while they take more.
+const SHRINK: f64 = 0.02;
+/// Span, ms, over which that is judged: a jam builds up in a second or two.
+const LATE_SPAN: f64 = 1000.0;
 /// Span, ms, of the mean that the easy duration is the least of.
 const PACE_SPAN: f64 = 2000.0;
 /// Answers in that span before its mean counts.
@@ -174,6 +180,8 @@
     further: Recent,
     out: f64,
     window: f64,
+    borne: f64,
+    lateness: Recent,
     rate: Recent,
     took: Recent,
     /// Mean duration when nothing is in the jobs' way.
@@ -210,6 +218,8 @@
             further: recent(),
             out: 0.0,
             window: WINDOW_FIRST,
+            borne: WINDOW_FIRST,
+            lateness: Recent::new(LATE_SPAN),
             rate: recent(),
             took: Recent::new(PACE_SPAN),
             easy: f64::INFINITY,
@@ -414,7 +424,7 @@
                 let usual = self.usual(job.profile);
                 self.seen[job.profile].durations.add(now, took);
                 self.compare(server, took / usual);
-                self.pace(took);
+                self.pace(took, self.settings.profiles[job.profile].contract_time);
             }
             // An error that most servers give now comes from the tier behind them: no ground to judge this one.
             Ending::Error if self.success() < SHARED => {
@@ -450,15 +460,22 @@
     }
 
     /// Lets in what the servers were seen to bear: their best recent rate, for as long as jobs take in easy times.
-    fn pace(&mut self, took: f64) {
+    fn pace(&mut self, took: f64, contract_time: f64) {
         let now = self.now;
+        self.lateness.add(now, took / contract_time);
+        let (count, sum) = self.lateness.total(now);
+        if sum / count > TARGET {
+            self.window = (self.window * (1.0 - SHRINK)).max(1.0);
+        } else if self.out > self.window / 2.0 {
+            self.window += 1.0 / self.window;
+        }
         self.rate.add(now, 1.0);
         self.took.add(now, took);
         let (count, sum) = self.took.total(now);
         if count >= PACE_SAMPLES {
             self.easy = (sum / count).min(self.easy * (1.0 + (now - self.easy_at) / EASY_MEMORY));
             self.easy_at = now;
-            self.window = self.rate.highest(now) / RATE_SLOT * self.easy * GROWTH;
+            self.borne = self.rate.highest(now) / RATE_SLOT * self.easy * GROWTH;
         }
     }
 
@@ -575,7 +592,7 @@
         waiting.sort_by(|a, b| rank(b).total_cmp(&rank(a)).then(a.arrived.total_cmp(&b.arrived)));
         let least = WINDOW_LEAST * self.table.len() as f64 / self.settings.siblings;
         for job in waiting {
-            let open = self.settings.tier > 0 || self.out < self.window.max(least);
+            let open = self.settings.tier > 0 || self.out < self.window.min(self.borne).max(least);
             if open && self.shoot(&job, out) {
                 job.waiting.set(false);
             } else if self.now >= self.hold_until(&job) {
