--- a/src/policy.rs
+++ b/src/policy.rs
@@ -65,7 +65,7 @@
 /// Longest a job waits for admission, as a share of its contract time: queues here are short.
 const HOLD: f64 = 0.25;
 /// Jobs let in, as a multiple of what is out at the best rate in easy times: bursts need room, jams don't.
-const GROWTH: f64 = 1.5;
+const GROWTH: f64 = 1.6;
 /// Time, ms, in which the easy duration doubles if it isn't met again: longer than most troubles.
 const EASY_MEMORY: f64 = 60_000.0;
 /// Mean share of their contract time that jobs may take before fewer are let in.
@@ -75,7 +75,7 @@
 /// Span, ms, over which that is judged: a jam builds up in a second or two.
 const LATE_SPAN: f64 = 1000.0;
 /// Span, ms, of the mean that the easy duration is the least of.
-const PACE_SPAN: f64 = 2000.0;
+const PACE_SPAN: f64 = 10000.0;
 /// Answers in that span before its mean counts.
 const PACE_SAMPLES: f64 = 20.0;
 /// Length, ms, of a bucket of the rate's ring.
