--- a/src/policy.rs
+++ b/src/policy.rs
@@ -65,7 +65,7 @@
 /// Longest a job waits for admission, as a share of its contract time: queues here are short.
 const HOLD: f64 = 0.25;
 /// Jobs let in, as a multiple of what is out at the best rate in easy times: bursts need room, jams don't.
-const GROWTH: f64 = 1.6;
+const GROWTH: f64 = 2.0;
 /// Time, ms, in which the easy duration doubles if it isn't met again: longer than most troubles.
 const EASY_MEMORY: f64 = 60_000.0;
 /// Mean share of their contract time that jobs may take before fewer are let in.
@@ -473,7 +473,9 @@
         self.took.add(now, took);
         let (count, sum) = self.took.total(now);
         if count >= PACE_SAMPLES {
-            self.easy = (sum / count).min(self.easy * (1.0 + (now - self.easy_at) / EASY_MEMORY));
+            // The first answers are those of short jobs: no least figure is taken before the span is full.
+            let least = self.easy * (1.0 + (now - self.easy_at) / EASY_MEMORY);
+            self.easy = if now < PACE_SPAN { sum / count } else { least.min(sum / count) };
             self.easy_at = now;
             self.borne = self.rate.highest(now) / RATE_SLOT * self.easy * GROWTH;
         }
