--- a/src/policy.rs
+++ b/src/policy.rs
@@ -18,8 +18,8 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::rc::{Rc, Weak};
 
-/// Power of the draw, no unit. Above the paper's 1, since few figures are fresh at once.
-const K: f64 = 2.0;
+/// Power of the draw, no unit: rounds from 1 to 10 gained up to 6, where the draw still spreads near-equal figures.
+const K: f64 = 6.0;
 /// Share of probes with an even draw: busy entries must be seen again too.
 const ALPHA: f64 = 0.5;
 /// Lowest figure, as a share of the table's mean (from the design page).
@@ -69,7 +69,7 @@
 /// Time, ms, in which the easy duration doubles if it isn't met again: longer than most troubles.
 const EASY_MEMORY: f64 = 60_000.0;
 /// Mean share of their contract time that jobs may take before fewer are let in.
-const TARGET: f64 = 0.5;
+const TARGET: f64 = 0.45;
 /// The window shrinks by this share for each answer while they take more.
 const SHRINK: f64 = 0.02;
 /// Span, ms, over which that is judged: a jam builds up in a second or two.
