--- a/crates/pearfront-drill/src/settings.rs
+++ b/crates/pearfront-drill/src/settings.rs
@@ -48,6 +48,7 @@
     let limits = top.part("limits", "limits.")?;
     let rules = top.part("rules", "rules.")?;
     let prices = top.part("deductions", "deductions.")?;
+    let goal = top.part("objective_mix", "objective_mix.")?;
     let report = top.part("report", "report.")?;
     let on_request = top.text("discovery")? == "on_request";
     let customers = json.get("customers").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
@@ -65,6 +66,9 @@
             .collect::<Result<_, _>>()?,
         excess_gain: top.number_or("excess_gain", 1.0),
         gain_by_work: json.get("gain_basis").and_then(Value::as_str) == Some("work"),
+        weight_whole: goal.number_or("whole", 1.0),
+        weight_profile: goal.number_or("worst_class", 0.0),
+        weight_customer: goal.number_or("worst_tenant", 0.0),
         cross_zone_price: prices.number_or("cross_zone", 0.0),
         probe_price: prices.number_or("probe", 0.0),
         most_shots: limits.number("most_shots")? as usize,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -84,6 +84,8 @@
 const WINDOW_LEAST: f64 = 2.0;
 /// Jobs let in at the start, before any rate is known.
 const WINDOW_FIRST: f64 = 60.0;
+/// Span, ms, over which the worst served are told: the goal looks at the whole day, troubles last half a minute.
+const FAIR_SPAN: f64 = 30_000.0;
 /// Zones are kept apart until the home mean is above the others' by this factor per point of price.
 const ZONE_MARGIN: f64 = 20.0;
 /// First and last pause, ms, before the list is asked for again after a failure.
@@ -125,7 +127,7 @@
 struct Job {
     id: u32,
     profile: usize,
-    within_quota: bool,
+    customer: usize,
     arrived: f64,
     limit: f64,
     shots: RefCell<Vec<Shot>>,
@@ -152,6 +154,25 @@
 }
 impl Eq for Due {}
 
+/// Gain asked for and honoured in time, for one profile or one customer.
+#[derive(Clone)]
+struct Tally {
+    asked: Recent,
+    honoured: Recent,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        Self { asked: Recent::new(FAIR_SPAN), honoured: Recent::new(FAIR_SPAN) }
+    }
+}
+
+impl Tally {
+    fn share(&mut self, now: f64) -> f64 {
+        self.honoured.total(now).1 / self.asked.total(now).1.max(f64::MIN_POSITIVE)
+    }
+}
+
 /// What was seen of one profile lately.
 struct Seen {
     durations: Recent,
@@ -174,7 +195,8 @@
     ask_pause: f64,
     seen: Vec<Seen>,
     arrivals: Recent,
-    customers: Vec<Recent>,
+    tallies: [Vec<Tally>; 2],
+    admitted: Vec<Recent>,
     first_shots: Recent,
     endings: Recent,
     further: Recent,
@@ -212,7 +234,8 @@
             ask_pause: ASK_AGAIN,
             seen: settings.profiles.iter().map(|_| Seen { durations: recent() }).collect(),
             arrivals: recent(),
-            customers: settings.quotas.iter().map(|_| recent()).collect(),
+            tallies: [settings.profiles.len(), settings.quotas.len()].map(|n| vec![Tally::default(); n]),
+            admitted: settings.quotas.iter().map(|_| recent()).collect(),
             first_shots: recent(),
             endings: recent(),
             further: recent(),
@@ -269,16 +292,12 @@
     pub fn job(&mut self, id: u32, profile: usize, customer: usize, limit: f64) {
         let now = self.now;
         self.arrivals.add(now, 1.0);
-        let mut within_quota = true;
-        if let Some(recent) = self.customers.get_mut(customer) {
-            recent.add(now, 1.0);
-            let share = self.settings.quotas[customer] / self.settings.siblings * SPAN / 1000.0;
-            within_quota = self.settings.tier > 0 || recent.total(now).0 <= share;
-        }
+        let gain = self.gain(profile);
+        self.tally(profile, customer, |tally| tally.asked.add(now, gain));
         let job = Rc::new(Job {
             id,
             profile,
-            within_quota,
+            customer,
             arrived: now,
             limit,
             shots: RefCell::default(),
@@ -422,6 +441,10 @@
                 self.endings.add(now, 1.0);
                 server.answered(now, self.settings.cold_time);
                 let usual = self.usual(job.profile);
+                if now - job.arrived <= self.settings.profiles[job.profile].contract_time {
+                    let gain = self.gain(job.profile);
+                    self.tally(job.profile, job.customer, |tally| tally.honoured.add(now, gain));
+                }
                 self.seen[job.profile].durations.add(now, took);
                 self.compare(server, took / usual);
                 self.pace(took, self.settings.profiles[job.profile].contract_time);
@@ -588,10 +611,11 @@
         }
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|job| !job.closed.get());
-        let worth: Vec<f64> = (0..self.settings.profiles.len()).map(|profile| self.worth(profile)).collect();
-        let excess = self.settings.excess_gain;
-        let rank = |job: &Rc<Job>| worth[job.profile] * if job.within_quota { 1.0 } else { excess };
-        waiting.sort_by(|a, b| rank(b).total_cmp(&rank(a)).then(a.arrived.total_cmp(&b.arrived)));
+        if waiting.len() > 1 {
+            let mut ranked: Vec<_> = waiting.into_iter().map(|job| (self.worth(&job), job)).collect();
+            ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then(x.arrived.total_cmp(&y.arrived)));
+            waiting = ranked.into_iter().map(|(_, job)| job).collect();
+        }
         let least = WINDOW_LEAST * self.table.len() as f64 / self.settings.siblings;
         for job in waiting {
             let open = self.settings.tier > 0 || self.out < self.window.min(self.borne).max(least);
@@ -605,10 +629,42 @@
         }
     }
 
-    /// Gain per unit of work of a profile.
-    fn worth(&mut self, profile: usize) -> f64 {
+    /// Gain of a job of this profile, in units that add up.
+    fn gain(&mut self, profile: usize) -> f64 {
         let gain = self.settings.profiles[profile].gain;
-        if self.settings.gain_by_work { gain } else { gain / self.usual(profile) }
+        if self.settings.gain_by_work { gain * self.usual(profile) } else { gain }
+    }
+
+    fn tally(&mut self, profile: usize, customer: usize, book: impl Fn(&mut Tally)) {
+        let [profiles, customers] = &mut self.tallies;
+        profiles.get_mut(profile).into_iter().chain(customers.get_mut(customer)).for_each(book);
+    }
+
+    /// What serving the job adds to the goal for each unit of work. The worst served profile and customer count
+    /// by themselves there, so that one of low gain is not starved for the others.
+    fn worth(&mut self, job: &Job) -> f64 {
+        let now = self.now;
+        let within = self.within_quota(job.customer);
+        let asked: f64 = self.tallies[0].iter_mut().map(|tally| tally.asked.total(now).1).sum();
+        let mut part = self.settings.weight_whole / asked.max(f64::MIN_POSITIVE);
+        let weights = [self.settings.weight_profile, self.settings.weight_customer];
+        for ((tallies, place), weight) in
+            self.tallies.iter_mut().zip([job.profile, job.customer]).zip(weights)
+        {
+            let shares = tallies.iter_mut().map(|tally| tally.share(now));
+            let worst = shares.enumerate().min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place);
+            if worst == Some(place) && within {
+                part += weight / tallies[place].asked.total(now).1.max(f64::MIN_POSITIVE);
+            }
+        }
+        let excess = if within { 1.0 } else { self.settings.excess_gain };
+        part * excess * self.gain(job.profile) / self.usual(job.profile)
+    }
+
+    /// The quota holds over all nodes, and clients ask again: this node's part is measured by what it let in.
+    fn within_quota(&mut self, customer: usize) -> bool {
+        let Some(recent) = self.admitted.get_mut(customer) else { return true };
+        recent.total(self.now).0 <= self.settings.quotas[customer] / self.settings.siblings * SPAN / 1000.0
     }
 
     /// The only gate to a further shot: where may the job go, if anywhere?
@@ -675,6 +731,9 @@
         let Some(server) = self.draw(job, group) else { return false };
         if first {
             self.first_shots.add(self.now, 1.0);
+            if let Some(recent) = self.admitted.get_mut(job.customer) {
+                recent.add(self.now, 1.0);
+            }
         } else if !job.proven_unrun() {
             self.further.add(self.now, 1.0);
         }
