--- a/src/policy.rs
+++ b/src/policy.rs
@@ -82,8 +82,8 @@
 const RATE_SLOT: f64 = SPAN / 10.0;
 /// Jobs let in for each server at the least.
 const WINDOW_LEAST: f64 = 2.0;
-/// Jobs let in at the start, before any rate is known.
-const WINDOW_FIRST: f64 = 60.0;
+/// Jobs let in for each server at the start, before any rate is known: half of what tips a small server.
+const WINDOW_FIRST: f64 = 5.0;
 /// Span, ms, over which the worst served are told: the goal looks at the whole day, troubles last half a minute.
 const FAIR_SPAN: f64 = 30_000.0;
 /// Zones are kept apart until the home mean is above the others' by this factor per point of price.
@@ -240,8 +240,8 @@
             endings: recent(),
             further: recent(),
             out: 0.0,
-            window: WINDOW_FIRST,
-            borne: WINDOW_FIRST,
+            window: f64::INFINITY,
+            borne: f64::INFINITY,
             lateness: Recent::new(LATE_SPAN),
             rate: recent(),
             took: Recent::new(PACE_SPAN),
@@ -341,6 +341,9 @@
             self.list(line);
         }
         self.table.retain(|server| server.standing.get() == Standing::Ready);
+        if cached {
+            self.window = WINDOW_FIRST * self.table.len() as f64 / self.settings.siblings;
+        }
         if !cached && self.settings.listed_on_request {
             self.next_ask = f64::INFINITY;
             self.ask_pause = ASK_AGAIN;
