--- a/crates/pearfront-drill/src/settings.rs
+++ b/crates/pearfront-drill/src/settings.rs
@@ -75,7 +75,6 @@
         second_copies: limits.yes("parallel_tries"),
         may_call_off: limits.yes("cancel"),
         may_probe: limits.yes("probes"),
-        longest_wait: limits.yes("retry_after").then(|| limits.number_or("max_retry_after", 0.0) / NS_PER_MS),
         cold_time: rules.ms("cold")?,
         cold_share: rules.number("cold_from")?,
         cold_multiple: rules.number("tip_multiple")?,
@@ -104,7 +103,6 @@
         window: at.number_or("window", 0.0) / NS_PER_MS,
         contract_time: at.ms("contract_time")?,
         gain: at.number("gain")?,
-        late_gain: at.number_or("tardy_gain", 0.0),
     })
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -27,7 +27,6 @@
     pub window: f64,
     pub contract_time: f64,
     pub gain: f64,
-    pub late_gain: f64,
 }
 
 #[derive(Debug, Clone)]
@@ -53,7 +52,6 @@
     pub second_copies: bool,
     pub may_call_off: bool,
     pub may_probe: bool,
-    pub longest_wait: Option<f64>,
     pub cold_time: f64,
     pub cold_share: f64,
     pub cold_multiple: f64,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -133,6 +133,7 @@
     shots: RefCell<Vec<Shot>>,
     closed: Cell<bool>,
     waiting: Cell<bool>,
+    settled: Cell<bool>,
 }
 
 struct Due(f64, u64, Weak<Job>);
@@ -303,6 +304,7 @@
             shots: RefCell::default(),
             closed: Cell::new(false),
             waiting: Cell::new(false),
+            settled: Cell::new(false),
         });
         self.jobs.insert(id, job.clone());
         self.pending.push(job);
@@ -712,10 +714,11 @@
     /// Ends what is still out for a closed job and forgets it when nothing is.
     fn settle(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         let shots = job.shots.borrow();
+        let again = job.settled.replace(true);
         let mut still_out = false;
         for (number, _) in shots.iter().enumerate().filter(|(_, shot)| shot.ending.is_none()) {
             still_out = true;
-            if self.settings.may_call_off {
+            if self.settings.may_call_off && !again {
                 out.call_off(job.id, number as u16);
             }
         }
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,293 @@
+//! Plays the text files in `scenarios/`; the notation is told in `scenarios/README.md`.
+
+use pearfront::interface::{
+    Address, Effect, Ending, Figure, Group, Listing, Profile, Settings, Standing, Writer,
+};
+use pearfront::policy::Balancer;
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use test_case::test_case;
+
+/// Milliseconds between two rounds.
+const ROUND: f64 = 5.0;
+
+#[derive(Default)]
+struct Written(Vec<String>);
+
+fn name(server: Address) -> char {
+    char::from(server[0])
+}
+
+fn address(name: &str) -> Address {
+    [name.as_bytes()[0], 0, 0, 0, 0, 0]
+}
+
+impl Writer for Written {
+    fn shoot(&mut self, job: u32, server: Address, _: f64) {
+        self.0.push(format!("shoot {job} {}", name(server)));
+    }
+    fn call_off(&mut self, job: u32, shot: u16) {
+        self.0.push(format!("call-off {job} {shot}"));
+    }
+    fn push_back(&mut self, job: u32, _: f64) {
+        self.0.push(format!("push-back {job}"));
+    }
+    fn forfeit(&mut self, job: u32) {
+        self.0.push(format!("forfeit {job}"));
+    }
+    fn probe(&mut self, server: Address) {
+        self.0.push(format!("probe {}", name(server)));
+    }
+    fn watch(&mut self) {
+        self.0.push("watch".into());
+    }
+    fn wake(&mut self, _: f64) {}
+    fn log(&mut self, _: &str) {}
+}
+
+struct Scene {
+    settings: Settings,
+    balancer: Option<Balancer>,
+    now: f64,
+    written: Written,
+    /// How often each line was written, from the start.
+    counts: BTreeMap<String, usize>,
+}
+
+fn number(word: &str) -> f64 {
+    word.parse().unwrap_or_else(|_| panic!("{word:?} is no number"))
+}
+
+fn ending(word: &str) -> Ending {
+    match word {
+        "honoured" => Ending::Honoured,
+        "error" => Ending::Error,
+        "full" => Ending::Full,
+        "timed-out" => Ending::TimedOut,
+        "unconnected" => Ending::Unconnected,
+        other => panic!("no ending {other:?}"),
+    }
+}
+
+/// `a`, `a/zone/cell` or `a/zone/cell/start`.
+fn listing(word: &str, standing: Standing) -> Listing {
+    let parts: Vec<&str> = word.split('/').collect();
+    let part = |place: usize| parts.get(place).map(|word| number(word));
+    Listing {
+        server: address(parts[0]),
+        standing,
+        zone: part(1).unwrap_or(0.0) as u16,
+        cell: part(2).unwrap_or(0.0) as u16,
+        make: 0,
+        started: part(3).unwrap_or(f64::NEG_INFINITY),
+    }
+}
+
+impl Scene {
+    fn set(&mut self, key: &str, value: f64) {
+        let settings = &mut self.settings;
+        match key {
+            "shots" => settings.most_shots = value as usize,
+            "tier" => settings.tier = value as usize,
+            "siblings" => settings.siblings = value,
+            "cross" => settings.cross_zone_price = value,
+            "probes" => settings.may_probe = value > 0.0,
+            "on-request" => settings.listed_on_request = value > 0.0,
+            other => panic!("no setting {other:?}"),
+        }
+    }
+
+    fn profile(&mut self, words: &[&str]) {
+        let (effect, group) = match words[0] {
+            "redoable" => (Effect::Redoable, Group::All),
+            "irreversible" => (Effect::Irreversible, Group::All),
+            "labelled" => (Effect::Labelled, Group::Cell),
+            "labelled-by-all" => (Effect::Labelled, Group::All),
+            other => panic!("no kind {other:?}"),
+        };
+        let (contract_time, window, gain) = (number(words[1]), number(words[2]), number(words[3]));
+        self.settings.profiles.push(Profile { effect, group, window, contract_time, gain });
+    }
+
+    fn round(&mut self, feed: impl FnOnce(&mut Balancer)) {
+        let settings = &self.settings;
+        let balancer = self.balancer.get_or_insert_with(|| Balancer::new(settings.clone(), 7));
+        let before = self.written.0.len();
+        let fed = |balancer: &mut Balancer| {
+            feed(balancer);
+            Ok::<(), Infallible>(())
+        };
+        balancer.round(self.now, fed, &mut self.written).unwrap();
+        for line in &self.written.0[before..] {
+            *self.counts.entry(line.clone()).or_default() += 1;
+        }
+    }
+
+    fn advance(&mut self, to: f64) {
+        while self.now + ROUND < to {
+            self.now += ROUND;
+            self.round(|_| {});
+        }
+        self.now = to;
+    }
+
+    /// Sends jobs of profile 0 one after the other, each honoured at once, and counts the servers drawn.
+    fn draw(&mut self, jobs: u32) {
+        for id in 1_000_000..1_000_000 + jobs {
+            let limit = self.now + 10_000.0;
+            let took = self.settings.profiles[0].contract_time * 0.2;
+            self.round(|balancer| balancer.job(id, 0, 0, limit));
+            self.round(|balancer| balancer.shot_ended(id, 0, Ending::Honoured, took, true));
+        }
+        self.written.0.clear();
+    }
+
+    fn share(&self, server: &str) -> f64 {
+        let of = |server: Option<&str>| -> f64 {
+            let lines = self.counts.iter().filter(|(line, _)| line.starts_with("shoot 1") && line.len() > 9);
+            let mine = lines.filter(|(line, _)| server.is_none_or(|server| line.ends_with(server)));
+            mine.map(|(_, count)| *count as f64).sum()
+        };
+        of(Some(server)) / of(None)
+    }
+
+    /// All that was written for jobs since the last such line, in order; `?` stands for any server.
+    fn expect(&mut self, wanted: &str, at: &str) {
+        let mut written = std::mem::take(&mut self.written.0);
+        written.retain(|line| !line.starts_with("probe") && line != "watch");
+        let wanted: Vec<&str> = wanted.split(',').map(str::trim).filter(|line| !line.is_empty()).collect();
+        let same = |(line, wanted): (&String, &&str)| match wanted.strip_suffix('?') {
+            Some(start) => line.starts_with(start),
+            None => line == wanted,
+        };
+        let fits = wanted == ["*"] || written.len() == wanted.len() && written.iter().zip(&wanted).all(same);
+        assert!(fits, "{at}: wrote {written:?}, wanted {wanted:?}");
+    }
+
+    fn play(&mut self, line: &str, at: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words[..] {
+            ["set", key, value] => self.set(key, number(value)),
+            ["profile", ..] => self.profile(&words[1..]),
+            ["=", ..] => self.expect(&line[1..], at),
+            ["draw", jobs] => self.draw(number(jobs) as u32),
+            ["share", server, wanted, within] => {
+                let share = self.share(server);
+                assert!((share - number(wanted)).abs() <= number(within), "{at}: {server} had {share:.3}");
+            }
+            ["count", least, most, ..] => {
+                let key = words[3..].join(" ");
+                let matching = self.counts.iter().filter(|(line, _)| line.starts_with(&key));
+                let count: usize = matching.map(|(_, count)| count).sum();
+                let range = number(least) as usize..=number(most) as usize;
+                assert!(range.contains(&count), "{at}: {key:?} was written {count} times");
+            }
+            [time, ref event @ ..] => {
+                self.advance(number(time));
+                let limit = |after: &str| number(time) + number(after);
+                match *event {
+                    [] => self.round(|_| {}),
+                    ["list", ..] | ["lines", ..] => {
+                        let whole = event[0] == "list";
+                        let cached = whole && self.balancer.is_none();
+                        let lines = event[1..].iter().map(|word| listing(word, Standing::Ready));
+                        self.round(|balancer| balancer.listed(whole, cached, lines));
+                    }
+                    ["drain", word] => {
+                        let lines = std::iter::once(listing(word, Standing::Draining));
+                        self.round(|balancer| balancer.listed(false, false, lines));
+                    }
+                    ["list-failed"] => self.round(Balancer::list_failed),
+                    ["job", id, profile, after] => self.round(|balancer| {
+                        balancer.job(number(id) as u32, number(profile) as usize, 0, limit(after));
+                    }),
+                    ["jobs", first, last, after, ref profile @ ..] => self.round(|balancer| {
+                        let profile = profile.first().map_or(0.0, |word| number(word)) as usize;
+                        for id in number(first) as u32..=number(last) as u32 {
+                            balancer.job(id, profile, 0, limit(after));
+                        }
+                    }),
+                    ["end", id, shot, how, ref done @ ..] => {
+                        let (id, shot, how) = (number(id) as u32, number(shot) as usize, ending(how));
+                        let done = how == Ending::Honoured || done == ["done"];
+                        self.round(|balancer| balancer.shot_ended(id, shot, how, 20.0, done));
+                    }
+                    ["left", id] => self.round(|balancer| balancer.client_left(number(id) as u32)),
+                    ["probe", server, "lost"] => {
+                        self.round(|balancer| balancer.probe_answered(address(server), false, &[], 50.0));
+                    }
+                    ["probe", server, figure] => self.round(|balancer| {
+                        balancer.probe_answered(address(server), true, &[number(figure)], 1.0);
+                    }),
+                    _ => panic!("{at}: {line:?} is no line of the notation"),
+                }
+            }
+            [] => {}
+        }
+    }
+}
+
+fn settings() -> Settings {
+    Settings {
+        siblings: 1.0,
+        tier: 0,
+        zone: 0,
+        round: ROUND,
+        listed_on_request: false,
+        ask_within: 8000.0,
+        profiles: Vec::new(),
+        quotas: Vec::new(),
+        excess_gain: 0.1,
+        gain_by_work: false,
+        weight_whole: 1.0,
+        weight_profile: 0.0,
+        weight_customer: 0.0,
+        cross_zone_price: 0.0,
+        probe_price: 0.01,
+        most_shots: 3,
+        second_copies: true,
+        may_call_off: true,
+        may_probe: false,
+        cold_time: 10_000.0,
+        cold_share: 0.2,
+        cold_multiple: 2.0,
+        cold_window: 1000.0,
+        report: vec![Figure::Utilisation],
+    }
+}
+
+#[test_case("answer-in-time"; "each job is answered once before its limit")]
+#[test_case("same-round-end"; "nothing is sent for a job that ended in the same round")]
+#[test_case("irreversible"; "an irreversible job goes again only after proof")]
+#[test_case("labelled"; "a labelled job stays in its cell")]
+#[test_case("labelled-window"; "a labelled job does not go again after its window")]
+#[test_case("labelled-by-all"; "a job labelled for all may be pushed back")]
+#[test_case("drain"; "a draining server gets nothing new, also from jobs on hold")]
+#[test_case("cold"; "a cold server gets its part only")]
+#[test_case("draw"; "chance follows the inverse power of the figures")]
+#[test_case("floor"; "a figure of zero counts as a fifth of the mean")]
+#[test_case("step"; "own shots out raise a figure")]
+#[test_case("failed-probe"; "a failed probe writes the highest figure")]
+#[test_case("probe-targets"; "probes go to the lowest entry and evenly")]
+#[test_case("empty-table"; "with an empty table a job waits")]
+#[test_case("quick-errors"; "failures in a row set a server aside")]
+#[test_case("full"; "a full server rests and the job goes elsewhere at once")]
+#[test_case("silent"; "a silent server's shot gets a second copy elsewhere")]
+#[test_case("zones"; "jobs stay at home where crossing costs")]
+#[test_case("ask-again"; "the list is asked for again after failures")]
+#[test_case("overload"; "the window holds back a burst and pushes back early")]
+fn scenario(name: &str) {
+    let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(&path).unwrap();
+    let mut scene = Scene {
+        settings: settings(),
+        balancer: None,
+        now: 0.0,
+        written: Written::default(),
+        counts: BTreeMap::new(),
+    };
+    for (number, line) in text.lines().enumerate() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        scene.play(line, &format!("{name}:{}", number + 1));
+    }
+}
