--- a/src/policy.rs
+++ b/src/policy.rs
@@ -230,7 +230,7 @@
             due: BinaryHeap::new(),
             numbered: 0,
             woken_for: f64::INFINITY,
-            next_probe: 0.0,
+            next_probe: if settings.may_probe { 0.0 } else { f64::INFINITY },
             next_ask: if settings.listed_on_request { next_ask } else { f64::INFINITY },
             ask_pause: ASK_AGAIN,
             seen: settings.profiles.iter().map(|_| Seen { durations: recent() }).collect(),
@@ -402,7 +402,7 @@
     }
 
     fn probe(&mut self, out: &mut impl Writer) {
-        if !self.settings.may_probe || self.now < self.next_probe {
+        if self.now < self.next_probe {
             return;
         }
         if self.next_probe > 0.0 && !self.table.is_empty() {
