--- a/src/policy.rs
+++ b/src/policy.rs
@@ -505,7 +505,8 @@
             let least = self.easy * (1.0 + (now - self.easy_at) / EASY_MEMORY);
             self.easy = if now < PACE_SPAN { sum / count } else { least.min(sum / count) };
             self.easy_at = now;
-            self.borne = self.rate.highest(now) / RATE_SLOT * self.easy * GROWTH;
+            let out = self.rate.highest(now) / RATE_SLOT * self.easy * GROWTH;
+            self.borne = out / self.table.len().max(1) as f64;
         }
     }
 
@@ -621,9 +622,11 @@
             ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then(x.arrived.total_cmp(&y.arrived)));
             waiting = ranked.into_iter().map(|(_, job)| job).collect();
         }
-        let least = WINDOW_LEAST * self.table.len() as f64 / self.settings.siblings;
+        // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
+        let up = self.table.iter().filter(|server| !server.is_aside(self.now)).count() as f64;
+        let window = self.window.min(self.borne * up).max(WINDOW_LEAST * up / self.settings.siblings);
         for job in waiting {
-            let open = self.settings.tier > 0 || self.out < self.window.min(self.borne).max(least);
+            let open = self.settings.tier > 0 || self.out < window;
             if open && self.shoot(&job, out) {
                 job.waiting.set(false);
             } else if self.now >= self.hold_until(&job) {
