--- a/src/policy.rs
+++ b/src/policy.rs
@@ -623,7 +623,7 @@
             waiting = ranked.into_iter().map(|(_, job)| job).collect();
         }
         // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
-        let up = self.table.iter().filter(|server| !server.is_aside(self.now)).count() as f64;
+        let up: f64 = self.table.iter().map(|server| self.strength(server)).sum();
         let window = self.window.min(self.borne * up).max(WINDOW_LEAST * up / self.settings.siblings);
         for job in waiting {
             let open = self.settings.tier > 0 || self.out < window;
@@ -818,15 +818,24 @@
         mean(true) < mean(false) * (1.0 + ZONE_MARGIN * self.settings.cross_zone_price)
     }
 
+    /// Share of its capacity that a server has at least, by the time since its start.
+    fn grown(&self, server: &Server) -> f64 {
+        let part = (self.now - server.started.get()) / self.settings.cold_time;
+        (self.settings.cold_share + (1.0 - self.settings.cold_share) * part.max(0.0)).min(1.0)
+    }
+
+    /// What a server counts among those that bear the load.
+    fn strength(&self, server: &Server) -> f64 {
+        if server.is_aside(self.now) { 0.0 } else { self.grown(server) }
+    }
+
     /// Cold servers take only their part of what warm ones bear, or all nodes together push them over.
     fn warm_enough(&self, server: &Server, rate: f64) -> bool {
-        let age = self.now - server.started.get();
-        if age > self.settings.cold_time {
+        let grown = self.grown(server);
+        if grown >= 1.0 {
             return true;
         }
-        let grown =
-            self.settings.cold_share + (1.0 - self.settings.cold_share) * age / self.settings.cold_time;
-        let refill = rate * COLD_PART * self.settings.cold_multiple * grown.min(1.0);
+        let refill = rate * COLD_PART * self.settings.cold_multiple * grown;
         let most = (refill * self.settings.cold_window).max(1.0);
         let credit = server.cold_credit.get() + refill * (self.now - server.credit_at.get());
         server.cold_credit.set(credit.min(most));
