--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,6 +44,8 @@
 const ASIDE_LAST: f64 = 8000.0;
 /// Most of the table that may be aside at once; beyond it the fault is shared.
 const ASIDE_SHARE: f64 = 0.6;
+/// Usual durations that a server rests after it was full: its queue should be down by then.
+const REST: f64 = 12.0;
 /// Silence, ms, after which a server that answers again may have restarted.
 const SILENT: f64 = 3000.0;
 /// A shot is overdue after this many mean durations of its profile on that server.
@@ -465,7 +467,7 @@
             }
             Ending::Full => {
                 server.on_trial.set(false);
-                let rest = self.usual(job.profile);
+                let rest = REST * self.usual(job.profile);
                 server.rest_until.set(now + rest);
             }
             Ending::CalledOff | Ending::NeverSent => server.on_trial.set(false),
