--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,6 +46,8 @@
 const ASIDE_SHARE: f64 = 0.6;
 /// Usual durations that a server rests after it was full: its queue should be down by then.
 const REST: f64 = 12.0;
+/// Usual durations that a server rests after it was full: its queue should be down by then.
+const FULL_REST: f64 = 5.0;
 /// Silence, ms, after which a server that answers again may have restarted.
 const SILENT: f64 = 3000.0;
 /// A shot is overdue after this many mean durations of its profile on that server.
