--- a/src/policy.rs
+++ b/src/policy.rs
@@ -45,9 +45,7 @@
 /// Most of the table that may be aside at once; beyond it the fault is shared.
 const ASIDE_SHARE: f64 = 0.6;
 /// Usual durations that a server rests after it was full: its queue should be down by then.
-const REST: f64 = 12.0;
-/// Usual durations that a server rests after it was full: its queue should be down by then.
-const FULL_REST: f64 = 5.0;
+const REST: f64 = 4.0;
 /// Silence, ms, after which a server that answers again may have restarted.
 const SILENT: f64 = 3000.0;
 /// A shot is overdue after this many mean durations of its profile on that server.
@@ -788,6 +786,7 @@
         let home_only = self.home_only(&figures);
         let fits = |server: &Rc<Server>| {
             within(server)
+                && self.now >= server.rest_until.get()
                 && (aside > most_aside || !server.is_aside(self.now))
                 && self.warm_enough(server, rate)
         };
