--- a/src/policy.rs
+++ b/src/policy.rs
@@ -206,6 +206,7 @@
     out: f64,
     window: f64,
     borne: f64,
+    notes: Vec<String>,
     lateness: Recent,
     rate: Recent,
     took: Recent,
@@ -245,6 +246,7 @@
             out: 0.0,
             window: f64::INFINITY,
             borne: f64::INFINITY,
+            notes: Vec::new(),
             lateness: Recent::new(LATE_SPAN),
             rate: recent(),
             took: Recent::new(PACE_SPAN),
@@ -267,6 +269,7 @@
         if self.woken_for <= now {
             self.woken_for = f64::INFINITY;
         }
+        self.notes.drain(..).for_each(|line| out.log(&line));
         self.ask(out);
         self.probe(out);
         while self.due.peek().is_some_and(|due| due.0 <= now) {
@@ -443,11 +446,15 @@
 
     fn judge(&mut self, server: &Rc<Server>, job: &Job, ending: Ending, took: f64) {
         let now = self.now;
+        let usual = self.usual(job.profile);
+        // Answers that never come cost no figure a thing, so a server that loses them looks idle: count their time.
+        if ending != Ending::Honoured && took > OVERDUE * usual {
+            self.compare(server, took / usual);
+        }
         match ending {
             Ending::Honoured => {
                 self.endings.add(now, 1.0);
                 server.answered(now, self.settings.cold_time);
-                let usual = self.usual(job.profile);
                 if now - job.arrived <= self.settings.profiles[job.profile].contract_time {
                     let gain = self.gain(job.profile);
                     self.tally(job.profile, job.customer, |tally| tally.honoured.add(now, gain));
@@ -513,7 +520,7 @@
     }
 
     /// Failures in a row set a server aside: quick errors would otherwise win traffic by a low figure.
-    fn strike(&self, server: &Server) {
+    fn strike(&mut self, server: &Server) {
         server.strikes.set(server.strikes.get() + 1);
         server.failing_since.set(server.failing_since.get().min(self.now));
         if server.on_trial.replace(false)
@@ -522,6 +529,11 @@
             let time = (server.aside.get() * 2.0).clamp(ASIDE_FIRST, ASIDE_LAST);
             server.aside.set(time);
             server.back_at.set(self.now + time);
+            let [a, b, c, d, ..] = server.address;
+            self.notes.push(format!(
+                "server {a}.{b}.{c}.{d} aside for {time} ms after {} failures in a row",
+                server.strikes.get()
+            ));
         }
     }
 
