--- a/src/policy.rs
+++ b/src/policy.rs
@@ -84,6 +84,8 @@
 const RATE_SLOT: f64 = SPAN / 10.0;
 /// Jobs let in for each server at the least.
 const WINDOW_LEAST: f64 = 4.0;
+/// Jobs let in for each server at the most: about what a server of one core holds before it turns slow.
+const WINDOW_MOST: f64 = 6.0;
 /// Jobs let in for each server at the start, before any rate is known: half of what tips a small server.
 const WINDOW_FIRST: f64 = 5.0;
 /// Span, ms, over which the worst served are told: the goal looks at the whole day, troubles last half a minute.
@@ -638,7 +640,8 @@
         }
         // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
         let up: f64 = self.table.iter().map(|server| self.strength(server)).sum();
-        let window = self.window.min(self.borne * up).max(WINDOW_LEAST * up / self.settings.siblings);
+        let part = up / self.settings.siblings;
+        let window = self.window.min(self.borne * up).clamp(WINDOW_LEAST * part, WINDOW_MOST * part);
         for job in waiting {
             let open = self.settings.tier > 0 || self.out < window;
             if open && self.shoot(&job, out) {
