--- a/src/policy.rs
+++ b/src/policy.rs
@@ -85,7 +85,7 @@
 /// Jobs let in for each server at the least.
 const WINDOW_LEAST: f64 = 4.0;
 /// Jobs let in for each server at the most: about what a server of one core holds before it turns slow.
-const WINDOW_MOST: f64 = 6.0;
+const WINDOW_MOST: f64 = 8.0;
 /// Jobs let in for each server at the start, before any rate is known: half of what tips a small server.
 const WINDOW_FIRST: f64 = 5.0;
 /// Span, ms, over which the worst served are told: the goal looks at the whole day, troubles last half a minute.
