--- a/src/policy.rs
+++ b/src/policy.rs
@@ -67,7 +67,7 @@
 /// Longest a job waits for admission, as a share of its contract time: queues here are short.
 const HOLD: f64 = 0.25;
 /// Jobs let in, as a multiple of what is out at the best rate in easy times: bursts need room, jams don't.
-const GROWTH: f64 = 1.5;
+const GROWTH: f64 = 100.0;
 /// Time, ms, in which the easy duration doubles if it isn't met again: longer than most troubles.
 const EASY_MEMORY: f64 = 60_000.0;
 /// Mean share of their contract time that jobs may take before fewer are let in.
