--- a/src/policy.rs
+++ b/src/policy.rs
@@ -97,6 +97,8 @@
     figure: Cell<Option<f64>>,
     out: Cell<u32>,
     strikes: Cell<u32>,
+    /// When it last honoured a job.
+    heard: Cell<f64>,
     aside: Cell<f64>,
     back_at: Cell<f64>,
     on_trial: Cell<bool>,
@@ -555,7 +557,10 @@
             let at = shot.sent + OVERDUE * usual * shot.server.slowness.get().min(2.0);
             if at <= self.now {
                 shot.overdue = true;
-                late = Some(shot.server.clone());
+                // A server that has answered others since is not silent: the job is long, and a copy would be waste.
+                if shot.server.heard.get() < shot.sent {
+                    late = Some(shot.server.clone());
+                }
             } else {
                 next = next.min(at);
             }
@@ -846,6 +851,7 @@
             figure: Cell::new(None),
             out: Cell::new(0),
             strikes: Cell::new(0),
+            heard: Cell::new(f64::NEG_INFINITY),
             aside: Cell::new(0.0),
             back_at: Cell::new(f64::NEG_INFINITY),
             on_trial: Cell::new(false),
@@ -889,6 +895,7 @@
             self.restarted(now, now);
         }
         self.strikes.set(0);
+        self.heard.set(now);
         self.aside.set(0.0);
         self.on_trial.set(false);
         self.failing_since.set(f64::INFINITY);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -278,6 +278,7 @@
 #[test_case("ask-again"; "the list is asked for again after failures")]
 #[test_case("crowding"; "servers are not crowded however quick they are")]
 #[test_case("lost-answers"; "a server that loses jobs but answers probes wins no traffic")]
+#[test_case("long-job"; "a long job on a server that answers others gets no copy")]
 #[test_case("overload"; "the window holds back a burst and pushes back early")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
