--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,7 +49,7 @@
 /// Silence, ms, after which a server that answers again may have restarted.
 const SILENT: f64 = 3000.0;
 /// A shot is overdue after this many mean durations of its profile on that server.
-const OVERDUE: f64 = 5.0;
+const OVERDUE: f64 = 8.0;
 /// Share of the contract time that stands for a mean duration not yet seen.
 const UNSEEN: f64 = 0.2;
 /// Further shots as a share of first ones, if all recent ones succeed.
