--- a/src/policy.rs
+++ b/src/policy.rs
@@ -2,8 +2,8 @@
 //!
 //! Make one `Balancer` for an instance with `Balancer::new(settings, salt)` and call
 //! `balancer.round(now, feed, out)` once a round. `feed` is a closure that hands in what has come in
-//! (`job`, `shot_ended`, `probe_answered`, `listed`, `list_failed`, `client_left`); when it returns, decisions
-//! are made and written to `out`. A round that `Writer::wake` asked for may bring nothing.
+//! (`job`, `shot_ended`, `probe_answered`, `listed`, `list_failed`, `client_left`); when it returns,
+//! decisions are made and written to `out`. A round that `Writer::wake` asked for may bring nothing.
 //!
 //! The mechanism is the load query variant of "Simulation of a distributed CORBA-based SCP", section 6.2;
 //! `docs/design.md` tells what is kept, what is changed and when each exception comes into play.
@@ -18,7 +18,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::rc::{Rc, Weak};
 
-/// Power of the draw, no unit: rounds from 1 to 10 gained up to 6, where the draw still spreads near-equal figures.
+/// Power of the draw, no unit: rounds from 1 to 10 gained up to 6, where near-equal figures still share.
 const K: f64 = 6.0;
 /// Share of probes with an even draw: busy entries must be seen again too.
 const ALPHA: f64 = 0.5;
@@ -48,7 +48,7 @@
 const REST: f64 = 4.0;
 /// Silence, ms, after which a server that answers again may have restarted.
 const SILENT: f64 = 3000.0;
-/// A shot is overdue after this many mean durations of its profile on that server.
+/// A shot is overdue after this many mean durations of its profile on that server: tails are long.
 const OVERDUE: f64 = 8.0;
 /// Share of the contract time that stands for a mean duration not yet seen.
 const UNSEEN: f64 = 0.2;
@@ -72,13 +72,13 @@
 const SHRINK: f64 = 0.02;
 /// Span, ms, over which that is judged: a jam builds up in a second or two.
 const LATE_SPAN: f64 = 1000.0;
-/// Jobs let in for each server at the least.
+/// Jobs let in for each server at the least: with fewer the window grows back too slowly after trouble.
 const WINDOW_LEAST: f64 = 4.0;
-/// Jobs let in for each server at the most: about what a server of one core holds before it turns slow.
+/// Jobs let in for each server at the most: about what a small server holds before it turns slow.
 const WINDOW_MOST: f64 = 8.0;
 /// Jobs let in for each server at the start, before any rate is known: half of what tips a small server.
 const WINDOW_FIRST: f64 = 5.0;
-/// Span, ms, over which the worst served are told: the goal looks at the whole day, troubles last half a minute.
+/// Span, ms, over which the worst served are told: about as long as troubles last.
 const FAIR_SPAN: f64 = 30_000.0;
 /// Zones are kept apart until the home mean is above the others' by this factor per point of price.
 const ZONE_MARGIN: f64 = 20.0;
@@ -428,7 +428,7 @@
     fn judge(&mut self, server: &Rc<Server>, job: &Job, ending: Ending, took: f64) {
         let now = self.now;
         let usual = self.usual(job.profile);
-        // Answers that never come cost no figure a thing, so a server that loses them looks idle: count their time.
+        // A server that loses its answers looks idle: they count with the time they were out.
         if ending != Ending::Honoured && took > OVERDUE * usual {
             self.compare(server, took / usual);
         }
@@ -444,7 +444,7 @@
                 self.compare(server, took / usual);
                 self.pace(took, self.settings.profiles[job.profile].contract_time);
             }
-            // An error that most servers give now comes from the tier behind them: no ground to judge this one.
+            // An error that most servers give now comes from the tier behind: it says nothing of this one.
             Ending::Error if self.success() < SHARED => {
                 self.endings.add(now, 0.0);
                 server.on_trial.set(false);
@@ -557,7 +557,7 @@
             let at = shot.sent + OVERDUE * usual * shot.server.slowness.get().min(2.0);
             if at <= self.now {
                 shot.overdue = true;
-                // A server that has answered others since is not silent: the job is long, and a copy would be waste.
+                // A server that has answered others since is not silent: its job is long, a copy is waste.
                 if shot.server.heard.get() < shot.sent {
                     late = Some(shot.server.clone());
                 }
@@ -636,8 +636,8 @@
         profiles.get_mut(profile).into_iter().chain(customers.get_mut(customer)).for_each(book);
     }
 
-    /// What serving the job adds to the goal for each unit of work. The worst served profile and customer count
-    /// by themselves there, so that one of low gain is not starved for the others.
+    /// What serving the job adds to the goal for each unit of work. The worst served profile and customer
+    /// count by themselves there, so that one of low gain is not starved for the others.
     fn worth(&mut self, job: &Job) -> f64 {
         let now = self.now;
         let within = self.within_quota(job.customer);
