--- a/crates/pearfront-drill/src/settings.rs
+++ b/crates/pearfront-drill/src/settings.rs
@@ -75,6 +75,7 @@
         second_copies: limits.yes("parallel_tries"),
         may_call_off: limits.yes("cancel"),
         may_probe: limits.yes("probes"),
+        longest_wait: if limits.yes("retry_after") { limits.ms("max_retry_after")? } else { 0.0 },
         cold_time: rules.ms("cold")?,
         cold_share: rules.number("cold_from")?,
         cold_multiple: rules.number("tip_multiple")?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -52,6 +52,8 @@
     pub second_copies: bool,
     pub may_call_off: bool,
     pub may_probe: bool,
+    /// Longest advice to stay away that clients follow; 0 if they are told none.
+    pub longest_wait: f64,
     pub cold_time: f64,
     pub cold_share: f64,
     pub cold_multiple: f64,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -66,6 +66,8 @@
 const PRIOR: f64 = 3.0;
 /// Longest a job waits for admission, as a share of its contract time: queues here are short.
 const HOLD: f64 = 0.25;
+/// Advice on when to come back, as a share of the contract time: soon enough to be in time still.
+const BACK: f64 = 0.25;
 /// Mean share of their contract time that jobs may take before fewer are let in.
 const TARGET: f64 = 0.45;
 /// The window shrinks by this share for each answer while they take more.
@@ -694,7 +696,9 @@
 
     fn give_up(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         if self.may_push_back(job) {
-            out.push_back(job.id, 0.0);
+            // All told the same would come back at once: the advice is spread.
+            let wait = BACK * self.profile(job).contract_time * self.chance.random_range(0.5..1.5);
+            out.push_back(job.id, wait.min(self.settings.longest_wait));
         } else {
             out.forfeit(job.id);
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -249,6 +249,7 @@
         second_copies: true,
         may_call_off: true,
         may_probe: false,
+        longest_wait: 0.0,
         cold_time: 10_000.0,
         cold_share: 0.2,
         cold_multiple: 2.0,
