--- a/src/policy.rs
+++ b/src/policy.rs
@@ -171,11 +171,6 @@
     }
 }
 
-/// What was seen of one profile lately.
-struct Seen {
-    durations: Recent,
-}
-
 pub struct Balancer {
     settings: Settings,
     chance: ChaCha8Rng,
@@ -191,7 +186,8 @@
     next_probe: f64,
     next_ask: f64,
     ask_pause: f64,
-    seen: Vec<Seen>,
+    /// Durations of honoured shots, by profile.
+    durations: Vec<Recent>,
     arrivals: Recent,
     tallies: [Vec<Tally>; 2],
     admitted: Vec<Recent>,
@@ -225,7 +221,7 @@
             next_probe: if settings.may_probe { 0.0 } else { f64::INFINITY },
             next_ask: if settings.listed_on_request { next_ask } else { f64::INFINITY },
             ask_pause: ASK_AGAIN,
-            seen: settings.profiles.iter().map(|_| Seen { durations: recent() }).collect(),
+            durations: settings.profiles.iter().map(|_| recent()).collect(),
             arrivals: recent(),
             tallies: [settings.profiles.len(), settings.quotas.len()].map(|n| vec![Tally::default(); n]),
             admitted: settings.quotas.iter().map(|_| recent()).collect(),
@@ -442,7 +438,7 @@
                     let gain = self.gain(job.profile);
                     self.tally(job.profile, job.customer, |tally| tally.honoured.add(now, gain));
                 }
-                self.seen[job.profile].durations.add(now, took);
+                self.durations[job.profile].add(now, took);
                 self.compare(server, took / usual);
                 self.pace(took, self.settings.profiles[job.profile].contract_time);
             }
@@ -511,7 +507,7 @@
 
     /// Usual duration of a profile's shot, ms.
     fn usual(&mut self, profile: usize) -> f64 {
-        let (count, sum) = self.seen[profile].durations.total(self.now);
+        let (count, sum) = self.durations[profile].total(self.now);
         let guess = UNSEEN * self.settings.profiles[profile].contract_time;
         (sum + guess) / (count + 1.0)
     }
@@ -556,7 +552,7 @@
         let mut next = f64::INFINITY;
         let mut late = None;
         for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none() && !shot.overdue) {
-            let at = shot.sent + OVERDUE * usual * shot.server.slowness.get().min(2.0);
+            let at = shot.sent + shot.server.patience(usual);
             if at <= self.now {
                 shot.overdue = true;
                 // A server that has answered others since is not silent: its job is long, a copy is waste.
@@ -742,7 +738,7 @@
         self.out += 1.0;
         out.shoot(job.id, server.address, job.limit - self.now);
         let usual = self.usual(job.profile);
-        let at = self.now + OVERDUE * usual * server.slowness.get().min(2.0);
+        let at = self.now + server.patience(usual);
         job.shots.borrow_mut().push(Shot { server, sent: self.now, ending: None, overdue: false });
         self.review(job, at);
         true
@@ -886,6 +882,11 @@
         self.on_trial.set(self.strikes.get() >= STRIKES && now >= self.back_at.get());
     }
 
+    /// Time, ms, after which a shot on it is overdue.
+    fn patience(&self, usual: f64) -> f64 {
+        OVERDUE * usual * self.slowness.get().min(2.0)
+    }
+
     fn is_aside(&self, now: f64) -> bool {
         self.strikes.get() >= STRIKES && (now < self.back_at.get() || self.on_trial.get())
     }
