--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,6 +26,8 @@
 const FLOOR: f64 = 0.2;
 /// What an own send adds to a figure, as a share of the table's mean report.
 const STEP: f64 = 1.0;
+/// Time, ms, in which a report loses most of its hold: load wanders.
+const FRESH: f64 = 10000.0;
 /// Least mean the step is taken of: a tenth of a core or a tenth of a waiting job.
 const STEP_UNIT: f64 = 0.1;
 /// Probes a second at the least: an idle caller still sees its servers within a minute.
@@ -97,6 +99,7 @@
     started: Cell<f64>,
     /// The load table's entry: the last report, if any.
     figure: Cell<Option<f64>>,
+    figure_at: Cell<f64>,
     out: Cell<u32>,
     strikes: Cell<u32>,
     /// When it last honoured a job.
@@ -309,6 +312,7 @@
         let Some(server) = self.known.get(&address).cloned() else { return };
         let figure = if good { self.read(report).unwrap_or(took) } else { self.highest() };
         server.figure.set(Some(figure));
+        server.figure_at.set(self.now);
     }
 
     pub fn client_left(&mut self, id: u32) {
@@ -372,7 +376,8 @@
         let mean = heard().sum::<f64>() / (heard().count() as f64).max(1.0);
         let step = STEP * mean.max(STEP_UNIT);
         let raised = |server: &Rc<Server>| {
-            server.figure.get().unwrap_or(mean)
+            let hold = (-(self.now - server.figure_at.get()) / FRESH).exp();
+            mean + (server.figure.get().unwrap_or(mean) - mean) * hold
                 + step * server.slowness.get() * f64::from(server.out.get() + 1)
         };
         let mut figures: Vec<f64> = self.table.iter().map(raised).collect();
@@ -849,6 +854,7 @@
             cell: Cell::new(line.cell),
             started: Cell::new(line.started),
             figure: Cell::new(None),
+            figure_at: Cell::new(0.0),
             out: Cell::new(0),
             strikes: Cell::new(0),
             heard: Cell::new(f64::NEG_INFINITY),
