--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,8 +26,12 @@
 const FLOOR: f64 = 0.2;
 /// What an own send adds to a figure, as a share of the table's mean report.
 const STEP: f64 = 1.0;
-/// Time, ms, in which a report loses most of its hold: load wanders.
-const FRESH: f64 = 10000.0;
+/// Jobs a second that a node sends each server it draws among: with fewer it can't tell how they fare.
+const ACQUAINTED: f64 = 2.0;
+/// Servers it draws among at the least: one slow one among them must not matter much.
+const PART_LEAST: f64 = 5.0;
+/// Nodes that draw each server at the least, however few jobs they have: one hot node must not matter much.
+const COVER: f64 = 4.0;
 /// Least mean the step is taken of: a tenth of a core or a tenth of a waiting job.
 const STEP_UNIT: f64 = 0.1;
 /// Probes a second at the least: an idle caller still sees its servers within a minute.
@@ -93,13 +97,14 @@
 
 struct Server {
     address: Address,
+    /// By this the table is ordered; the first ones are those that this node draws among.
+    place: f64,
     standing: Cell<Standing>,
     zone: Cell<u16>,
     cell: Cell<u16>,
     started: Cell<f64>,
     /// The load table's entry: the last report, if any.
     figure: Cell<Option<f64>>,
-    figure_at: Cell<f64>,
     out: Cell<u32>,
     strikes: Cell<u32>,
     /// When it last honoured a job.
@@ -312,7 +317,6 @@
         let Some(server) = self.known.get(&address).cloned() else { return };
         let figure = if good { self.read(report).unwrap_or(took) } else { self.highest() };
         server.figure.set(Some(figure));
-        server.figure_at.set(self.now);
     }
 
     pub fn client_left(&mut self, id: u32) {
@@ -350,7 +354,8 @@
     // ---- the list and the load table ----
 
     fn list(&mut self, line: Listing) {
-        let server = self.known.entry(line.server).or_insert_with(|| Rc::new(Server::new(line)));
+        let place = self.chance.random();
+        let server = self.known.entry(line.server).or_insert_with(|| Rc::new(Server::new(line, place)));
         if line.started > server.started.get() {
             server.restarted(line.started, self.now);
         }
@@ -359,10 +364,32 @@
         server.standing.set(line.standing);
         let present = self.table.iter().any(|other| Rc::ptr_eq(other, server));
         if line.standing == Standing::Ready && !present {
-            self.table.push(server.clone());
+            let at = self.table.partition_point(|other| other.place < server.place);
+            self.table.insert(at, server.clone());
         }
     }
 
+    /// How many servers of a zone this node draws among: as many as its own jobs let it know.
+    fn part(&mut self) -> usize {
+        let seen = self.now.clamp(1000.0, SPAN);
+        let rate = self.first_shots.total(self.now).0 / seen * 1000.0;
+        let cover = COVER * self.table.len() as f64 / self.settings.siblings;
+        (rate / ACQUAINTED).max(cover).max(PART_LEAST).ceil() as usize
+    }
+
+    /// The first wanted servers of its own zone and of the others. Where many nodes each send a server a job in
+    /// seconds, neither shots out nor durations tell any of them that it is crowded, and all keep it so.
+    fn near(&self, part: usize, wanted: impl Fn(&Rc<Server>) -> bool) -> Vec<Rc<Server>> {
+        let mut left = [part; 2];
+        let fits = |server: &&Rc<Server>| {
+            let left = &mut left[usize::from(server.zone.get() == self.settings.zone)];
+            let fits = *left > 0 && wanted(server);
+            *left -= usize::from(fits);
+            fits
+        };
+        self.table.iter().filter(fits).cloned().collect()
+    }
+
     fn read(&self, report: &[f64]) -> Option<f64> {
         [Figure::Utilisation, Figure::Held, Figure::Waiting].iter().find_map(|wanted| {
             let place = self.settings.report.iter().position(|figure| figure == wanted)?;
@@ -370,17 +397,16 @@
         })
     }
 
-    /// Every server's figure: its report, or the others' mean, and a step for each own send since.
-    fn figures(&self) -> Vec<f64> {
-        let heard = || self.table.iter().filter_map(|server| server.figure.get());
+    /// Figures of these servers: the report, or the others' mean, and a step for each own send since.
+    fn figures(&self, servers: &[Rc<Server>]) -> Vec<f64> {
+        let heard = || servers.iter().filter_map(|server| server.figure.get());
         let mean = heard().sum::<f64>() / (heard().count() as f64).max(1.0);
         let step = STEP * mean.max(STEP_UNIT);
         let raised = |server: &Rc<Server>| {
-            let hold = (-(self.now - server.figure_at.get()) / FRESH).exp();
-            mean + (server.figure.get().unwrap_or(mean) - mean) * hold
+            server.figure.get().unwrap_or(mean)
                 + step * server.slowness.get() * f64::from(server.out.get() + 1)
         };
-        let mut figures: Vec<f64> = self.table.iter().map(raised).collect();
+        let mut figures: Vec<f64> = servers.iter().map(raised).collect();
         let floor = FLOOR * figures.iter().sum::<f64>() / (figures.len() as f64).max(1.0);
         figures.iter_mut().for_each(|figure| *figure = figure.max(floor).max(f64::MIN_POSITIVE.sqrt()));
         figures
@@ -395,13 +421,15 @@
             return;
         }
         if self.next_probe > 0.0 && !self.table.is_empty() {
+            let part = self.part();
+            let near = self.near(part, |_| true);
             let target = if self.chance.random::<f64>() < ALPHA {
-                self.chance.random_range(0..self.table.len())
+                self.chance.random_range(0..near.len())
             } else {
-                let figures = self.figures();
+                let figures = self.figures(&near);
                 (0..figures.len()).min_by(|a, b| figures[*a].total_cmp(&figures[*b])).unwrap_or(0)
             };
-            out.probe(self.table[target].address);
+            out.probe(near[target].address);
         }
         let jobs = self.arrivals.total(self.now).0 / SPAN * 1000.0;
         let each = (PROBE_SPEND / self.settings.probe_price.max(1e-9)).min(PROBE_MOST);
@@ -772,42 +800,45 @@
         };
         let most_aside = (self.table.len() as f64 * ASIDE_SHARE).floor() as usize;
         let aside = self.table.iter().filter(|server| server.is_aside(self.now)).count();
-        let figures = self.figures();
-        let rate = self.first_shots.total(self.now).0 / SPAN / (self.table.len() as f64).max(1.0);
-        let home_only = self.home_only(&figures);
+        let part = self.part();
+        let rate = self.first_shots.total(self.now).0 / SPAN / (self.table.len().min(part) as f64).max(1.0);
+        let now = self.now;
         let fits = |server: &Rc<Server>| {
             within(server)
-                && self.now >= server.rest_until.get()
-                && (aside > most_aside || !server.is_aside(self.now))
+                && now >= server.rest_until.get()
+                && (aside > most_aside || !server.is_aside(now))
+                && !tried(server)
                 && self.warm_enough(server, rate)
         };
-        let mut open: Vec<usize> =
-            (0..self.table.len()).filter(|&i| fits(&self.table[i]) && !tried(&self.table[i])).collect();
-        if home_only && open.iter().any(|&i| self.table[i].zone.get() == self.settings.zone) {
-            open.retain(|&i| self.table[i].zone.get() == self.settings.zone);
-        }
-        let weights: Vec<f64> = open.iter().map(|&i| figures[i].powf(-K)).collect();
+        let mut open = self.near(part, fits);
+        let mut figures = self.figures(&open);
+        if self.home_only(&open, &figures) {
+            let home = |server: &Rc<Server>| server.zone.get() == self.settings.zone;
+            figures = open.iter().zip(&figures).filter(|(server, _)| home(server)).map(|(_, f)| *f).collect();
+            open.retain(home);
+        }
+        let weights: Vec<f64> = figures.iter().map(|figure| figure.powf(-K)).collect();
         let mut point = self.chance.random::<f64>() * weights.iter().sum::<f64>();
-        for (place, weight) in open.iter().zip(&weights) {
+        for (server, weight) in open.iter().zip(&weights) {
             point -= weight;
             if point < 0.0 {
-                return Some(self.table[*place].clone());
+                return Some(server.clone());
             }
         }
-        open.last().map(|&place| self.table[place].clone())
+        open.pop()
     }
 
     /// Crossing has a price: jobs stay at home until home is busier than away by a margin that grows with it.
-    fn home_only(&self, figures: &[f64]) -> bool {
+    fn home_only(&self, servers: &[Rc<Server>], figures: &[f64]) -> bool {
         let mean = |home: bool| {
             let of = || {
                 figures
                     .iter()
-                    .zip(&self.table)
+                    .zip(servers)
                     .filter(move |(_, server)| (server.zone.get() == self.settings.zone) == home)
                     .map(|(figure, _)| *figure)
             };
-            of().sum::<f64>() / (of().count() as f64).max(1.0)
+            of().sum::<f64>() / (of().count() as f64)
         };
         mean(true) < mean(false) * (1.0 + ZONE_MARGIN * self.settings.cross_zone_price)
     }
@@ -846,15 +877,15 @@
 }
 
 impl Server {
-    fn new(line: Listing) -> Self {
+    fn new(line: Listing, place: f64) -> Self {
         Self {
             address: line.server,
+            place,
             standing: Cell::new(line.standing),
             zone: Cell::new(line.zone),
             cell: Cell::new(line.cell),
             started: Cell::new(line.started),
             figure: Cell::new(None),
-            figure_at: Cell::new(0.0),
             out: Cell::new(0),
             strikes: Cell::new(0),
             heard: Cell::new(f64::NEG_INFINITY),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -132,8 +132,9 @@
     }
 
     /// Sends jobs of profile 0 one after the other, each honoured at once, and counts the servers drawn.
-    fn draw(&mut self, jobs: u32) {
+    fn draw(&mut self, jobs: u32, every: f64) {
         for id in 1_000_000..1_000_000 + jobs {
+            self.advance(self.now + every);
             let limit = self.now + 10_000.0;
             let took = self.settings.profiles[0].contract_time * 0.2;
             self.round(|balancer| balancer.job(id, 0, 0, limit));
@@ -170,11 +171,24 @@
             ["set", key, value] => self.set(key, number(value)),
             ["profile", ..] => self.profile(&words[1..]),
             ["=", ..] => self.expect(&line[1..], at),
-            ["draw", jobs] => self.draw(number(jobs) as u32),
+            ["draw", jobs] => self.draw(number(jobs) as u32, 0.0),
+            ["draw", jobs, every] => self.draw(number(jobs) as u32, number(every)),
             ["share", server, wanted, within] => {
                 let share = self.share(server);
                 assert!((share - number(wanted)).abs() <= number(within), "{at}: {server} had {share:.3}");
             }
+            ["used", least, most] => {
+                let names = self
+                    .counts
+                    .keys()
+                    .filter(|line| line.starts_with("shoot"))
+                    .map(|line| line.chars().last());
+                let used = names.collect::<std::collections::BTreeSet<_>>().len();
+                assert!(
+                    (number(least) as usize..=number(most) as usize).contains(&used),
+                    "{at}: {used} servers used"
+                );
+            }
             ["count", least, most, ..] => {
                 let key = words[3..].join(" ");
                 let matching = self.counts.iter().filter(|(line, _)| line.starts_with(&key));
@@ -279,6 +293,7 @@
 #[test_case("ask-again"; "the list is asked for again after failures")]
 #[test_case("crowding"; "servers are not crowded however quick they are")]
 #[test_case("lost-answers"; "a server that loses jobs but answers probes wins no traffic")]
+#[test_case("acquainted"; "a node with few jobs draws among few servers")]
 #[test_case("long-job"; "a long job on a server that answers others gets no copy")]
 #[test_case("overload"; "the window holds back a burst and pushes back early")]
 fn scenario(name: &str) {
