--- a/src/policy.rs
+++ b/src/policy.rs
@@ -203,6 +203,9 @@
     endings: Recent,
     further: Recent,
     out: f64,
+    /// Jobs out, summed over time, and when that was last brought up to date.
+    held: Recent,
+    held_at: f64,
     window: f64,
     notes: Vec<String>,
     lateness: Recent,
@@ -237,6 +240,8 @@
             endings: recent(),
             further: recent(),
             out: 0.0,
+            held: Recent::new(LATE_SPAN),
+            held_at: 0.0,
             window: f64::INFINITY,
             notes: Vec::new(),
             lateness: Recent::new(LATE_SPAN),
@@ -452,7 +457,7 @@
         let shot = shots.get_mut(shot).filter(|shot| shot.ending.is_none())?;
         shot.ending = Some(ending);
         shot.server.out.set(shot.server.out.get() - 1);
-        self.out -= 1.0;
+        self.count_out(-1.0);
         Some(shot.server.clone())
     }
 
@@ -514,9 +519,9 @@
         self.lateness.add(now, took / contract_time);
         let (count, sum) = self.lateness.total(now);
         if sum / count > TARGET {
-            self.window *= 1.0 - SHRINK;
+            self.window -= (SHRINK * self.window).max(0.4);
         } else if self.out > self.window / 2.0 {
-            self.window += 1.0 / self.window;
+            self.window += (1.0 / self.window).min(0.05);
         }
     }
 
@@ -645,7 +650,7 @@
         let part = up.max(1.0) / self.settings.siblings;
         self.window = self.window.clamp(WINDOW_LEAST * part, WINDOW_MOST * part);
         for job in waiting {
-            let open = self.settings.tier > 0 || self.out < self.window;
+            let open = self.settings.tier > 0 || self.has_room();
             if open && self.shoot(&job, out) {
                 job.waiting.set(false);
             } else if self.now >= self.hold_until(&job) {
@@ -656,6 +661,19 @@
         }
     }
 
+    fn count_out(&mut self, change: f64) {
+        self.held.add(self.now, self.out * (self.now - self.held_at));
+        self.held_at = self.now;
+        self.out += change;
+    }
+
+    /// Where there are more nodes than servers a node's part is a job or two: whole numbers would let in
+    /// far more for all nodes together, so the mean over a second is held to it too.
+    fn has_room(&mut self) -> bool {
+        self.count_out(0.0);
+        { let burst = self.window.sqrt(); self.out < self.window + burst && self.held.total(self.now).1 < (self.window + 0.5 * burst) * LATE_SPAN }
+    }
+
     /// Gain of a job of this profile, in units that add up.
     fn gain(&mut self, profile: usize) -> f64 {
         let gain = self.settings.profiles[profile].gain;
@@ -768,7 +786,7 @@
             self.further.add(self.now, 1.0);
         }
         server.send(self.now);
-        self.out += 1.0;
+        self.count_out(1.0);
         out.shoot(job.id, server.address, job.limit - self.now);
         let usual = self.usual(job.profile);
         let at = self.now + server.patience(usual);
