--- a/src/policy.rs
+++ b/src/policy.rs
@@ -78,6 +78,12 @@
 const TARGET: f64 = 0.45;
 /// The window shrinks by this share for each answer while they take more.
 const SHRINK: f64 = 0.02;
+/// Jobs by which it shrinks at the least, and grows at the most: what the rates come to for a window of twenty.
+/// Where a node's part is a job or two, one timely answer would open it fully and a late one not close it.
+const SHRINK_LEAST: f64 = 0.4;
+const GROW_MOST: f64 = 0.05;
+/// Deviations by which the mean of the jobs out may pass the window: few nodes' jobs come evenly.
+const BURST: f64 = 0.5;
 /// Span, ms, over which that is judged: a jam builds up in a second or two.
 const LATE_SPAN: f64 = 1000.0;
 /// Jobs let in for each server at the least: with fewer the window grows back too slowly after trouble.
@@ -519,9 +525,9 @@
         self.lateness.add(now, took / contract_time);
         let (count, sum) = self.lateness.total(now);
         if sum / count > TARGET {
-            self.window -= (SHRINK * self.window).max(0.4);
+            self.window -= (SHRINK * self.window).max(SHRINK_LEAST);
         } else if self.out > self.window / 2.0 {
-            self.window += (1.0 / self.window).min(0.05);
+            self.window += (1.0 / self.window).min(GROW_MOST);
         }
     }
 
@@ -671,7 +677,8 @@
     /// far more for all nodes together, so the mean over a second is held to it too.
     fn has_room(&mut self) -> bool {
         self.count_out(0.0);
-        { let burst = self.window.sqrt(); self.out < self.window + burst && self.held.total(self.now).1 < (self.window + 0.5 * burst) * LATE_SPAN }
+        let most = self.window + BURST * self.window.sqrt();
+        self.out < self.window && self.held.total(self.now).1 < most * LATE_SPAN
     }
 
     /// Gain of a job of this profile, in units that add up.
