--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,7 +19,7 @@
 use std::rc::{Rc, Weak};
 
 /// Power of the draw, no unit: rounds from 1 to 10 gained up to 6, where near-equal figures still share.
-const K: f64 = 6.0;
+const K: f64 = 8.0;
 /// Share of probes with an even draw: busy entries must be seen again too.
 const ALPHA: f64 = 0.5;
 /// Lowest figure, as a share of the table's mean (from the design page).
@@ -27,7 +27,7 @@
 /// What an own send adds to a figure, as a share of the table's mean report.
 const STEP: f64 = 1.0;
 /// Jobs a second that a node sends each server it draws among: with fewer it can't tell how they fare.
-const ACQUAINTED: f64 = 4.0;
+const ACQUAINTED: f64 = 8.0;
 /// Servers it draws among at the least: one slow one among them must not matter much.
 const PART_LEAST: f64 = 5.0;
 /// Nodes that draw each server at the least, however few jobs they have: one hot node must not matter much.
