--- a/crates/pearfront-drill/src/wire.rs
+++ b/crates/pearfront-drill/src/wire.rs
@@ -250,7 +250,8 @@
             if !balancer.knows(profile) {
                 return Err(format!("event {at}: unknown class {profile}"));
             }
-            balancer.job(id, profile, customer, limit);
+            let hint = (record[14] & 1 != 0).then(|| int::<8>(record, 15) as f64 / NS_PER_MS);
+            balancer.job(id, profile, customer, hint, limit);
         }
         5 => {
             let (shot, took) = (int::<2>(record, 6) as usize, int::<8>(record, 15) as f64 / NS_PER_MS);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -72,6 +72,10 @@
 const PRIOR: f64 = 3.0;
 /// Longest a job waits for admission, as a share of its contract time: queues here are short.
 const HOLD: f64 = 0.25;
+/// Share in which a hint counts: it is rough, and part of a shot's time is waiting.
+const HINTED: f64 = 0.8;
+/// Power at which a job's worth falls where its usual duration is above the time left.
+const SURE: f64 = 3.0;
 /// Advice on when to come back, as a share of the contract time: soon enough to be in time still.
 const BACK: f64 = 0.25;
 /// Mean share of their contract time that jobs may take before fewer are let in.
@@ -139,6 +143,8 @@
     id: u32,
     profile: usize,
     customer: usize,
+    /// Its work as a share of its profile's usual one, if the client gave a hint.
+    size: f64,
     arrived: f64,
     limit: f64,
     shots: RefCell<Vec<Shot>>,
@@ -202,6 +208,8 @@
     ask_pause: f64,
     /// Durations of honoured shots, by profile.
     durations: Vec<Recent>,
+    /// Work hinted at, by profile.
+    hints: Vec<Recent>,
     arrivals: Recent,
     tallies: [Vec<Tally>; 2],
     admitted: Vec<Recent>,
@@ -239,6 +247,7 @@
             next_ask: if settings.listed_on_request { next_ask } else { f64::INFINITY },
             ask_pause: ASK_AGAIN,
             durations: settings.profiles.iter().map(|_| recent()).collect(),
+            hints: settings.profiles.iter().map(|_| recent()).collect(),
             arrivals: recent(),
             tallies: [settings.profiles.len(), settings.quotas.len()].map(|n| vec![Tally::default(); n]),
             admitted: settings.quotas.iter().map(|_| recent()).collect(),
@@ -294,15 +303,17 @@
         profile < self.settings.profiles.len()
     }
 
-    pub fn job(&mut self, id: u32, profile: usize, customer: usize, limit: f64) {
+    pub fn job(&mut self, id: u32, profile: usize, customer: usize, hint: Option<f64>, limit: f64) {
         let now = self.now;
         self.arrivals.add(now, 1.0);
+        let size = hint.map_or(1.0, |hint| self.size(profile, hint));
         let gain = self.gain(profile);
         self.tally(profile, customer, |tally| tally.asked.add(now, gain));
         let job = Rc::new(Job {
             id,
             profile,
             customer,
+            size,
             arrived: now,
             limit,
             shots: RefCell::default(),
@@ -469,7 +480,7 @@
 
     fn judge(&mut self, server: &Rc<Server>, job: &Job, ending: Ending, took: f64) {
         let now = self.now;
-        let usual = self.usual(job.profile);
+        let usual = self.expected(job);
         // A server that loses its answers looks idle: they count with the time they were out.
         if ending != Ending::Honoured && took > OVERDUE * usual {
             self.compare(server, took / usual);
@@ -482,7 +493,7 @@
                     let gain = self.gain(job.profile);
                     self.tally(job.profile, job.customer, |tally| tally.honoured.add(now, gain));
                 }
-                self.durations[job.profile].add(now, took);
+                self.durations[job.profile].add(now, took / job.size);
                 self.compare(server, took / usual);
                 self.pace(took, self.settings.profiles[job.profile].contract_time);
             }
@@ -549,6 +560,19 @@
         }
     }
 
+    /// Work hinted at, beside the mean of the profile's recent hints; rough, so it counts in part only.
+    fn size(&mut self, profile: usize, hint: f64) -> f64 {
+        let hints = &mut self.hints[profile];
+        hints.add(self.now, hint);
+        let (count, sum) = hints.total(self.now);
+        1.0 - HINTED + HINTED * hint * count / sum.max(f64::MIN_POSITIVE)
+    }
+
+    /// Usual duration of a shot of this job, ms.
+    fn expected(&mut self, job: &Job) -> f64 {
+        self.usual(job.profile) * job.size
+    }
+
     /// Usual duration of a profile's shot, ms.
     fn usual(&mut self, profile: usize) -> f64 {
         let (count, sum) = self.durations[profile].total(self.now);
@@ -592,7 +616,7 @@
     }
 
     fn check_overdue(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
-        let usual = self.usual(job.profile);
+        let usual = self.expected(job);
         let mut next = f64::INFINITY;
         let mut late = None;
         for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none() && !shot.overdue) {
@@ -710,7 +734,10 @@
             }
         }
         let excess = if within { 1.0 } else { self.settings.excess_gain };
-        part * excess * self.gain(job.profile) / self.usual(job.profile)
+        // What will hardly be answered in time is worth little more than nothing, however short the queue.
+        let left = job.arrived + self.profile(job).contract_time - now;
+        let chance = (left / self.expected(job)).clamp(0.0, 1.0).powf(SURE);
+        part * excess * chance * self.gain(job.profile) / self.usual(job.profile)
     }
 
     /// The quota holds over all nodes, and clients ask again: this node's part is measured by what it let in.
@@ -795,7 +822,7 @@
         server.send(self.now);
         self.count_out(1.0);
         out.shoot(job.id, server.address, job.limit - self.now);
-        let usual = self.usual(job.profile);
+        let usual = self.expected(job);
         let at = self.now + server.patience(usual);
         job.shots.borrow_mut().push(Shot { server, sent: self.now, ending: None, overdue: false });
         self.review(job, at);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -137,7 +137,7 @@
             self.advance(self.now + every);
             let limit = self.now + 10_000.0;
             let took = self.settings.profiles[0].contract_time * 0.2;
-            self.round(|balancer| balancer.job(id, 0, 0, limit));
+            self.round(|balancer| balancer.job(id, 0, 0, None, limit));
             self.round(|balancer| balancer.shot_ended(id, 0, Ending::Honoured, took, true));
         }
         self.written.0.clear();
@@ -213,12 +213,17 @@
                     }
                     ["list-failed"] => self.round(Balancer::list_failed),
                     ["job", id, profile, after] => self.round(|balancer| {
-                        balancer.job(number(id) as u32, number(profile) as usize, 0, limit(after));
+                        balancer.job(number(id) as u32, number(profile) as usize, 0, None, limit(after));
+                    }),
+                    ["hinted", first, last, after, hint] => self.round(|balancer| {
+                        for id in number(first) as u32..=number(last) as u32 {
+                            balancer.job(id, 0, 0, Some(number(hint)), limit(after));
+                        }
                     }),
                     ["jobs", first, last, after, ref profile @ ..] => self.round(|balancer| {
                         let profile = profile.first().map_or(0.0, |word| number(word)) as usize;
                         for id in number(first) as u32..=number(last) as u32 {
-                            balancer.job(id, profile, 0, limit(after));
+                            balancer.job(id, profile, 0, None, limit(after));
                         }
                     }),
                     ["end", id, shot, how, ref done @ ..] => {
@@ -294,6 +299,7 @@
 #[test_case("crowding"; "servers are not crowded however quick they are")]
 #[test_case("lost-answers"; "a server that loses jobs but answers probes wins no traffic")]
 #[test_case("acquainted"; "a node with few jobs draws among few servers")]
+#[test_case("hints"; "a job hinted to be too long for its contract time waits for others")]
 #[test_case("long-job"; "a long job on a server that answers others gets no copy")]
 #[test_case("overload"; "the window holds back a burst and pushes back early")]
 fn scenario(name: &str) {
