--- a/src/policy.rs
+++ b/src/policy.rs
@@ -91,7 +91,7 @@
 /// Span, ms, over which that is judged: a jam builds up in a second or two.
 const LATE_SPAN: f64 = 1000.0;
 /// Jobs let in for each server at the least: with fewer the window grows back too slowly after trouble.
-const WINDOW_LEAST: f64 = 4.0;
+const WINDOW_LEAST: f64 = 5.0;
 /// Jobs let in for each server at the most: about what a small server holds before it turns slow.
 const WINDOW_MOST: f64 = 8.0;
 /// Jobs let in for each server at the start, before any rate is known: half of what tips a small server.
