--- a/src/policy.rs
+++ b/src/policy.rs
@@ -430,7 +430,12 @@
         };
         let mut figures: Vec<f64> = servers.iter().map(raised).collect();
         let floor = FLOOR * figures.iter().sum::<f64>() / (figures.len() as f64).max(1.0);
-        figures.iter_mut().for_each(|figure| *figure = figure.max(floor).max(f64::MIN_POSITIVE.sqrt()));
+        // Crossing has a price: others count as busier than home by a margin that grows with it.
+        let margin = 1.0 + ZONE_MARGIN * self.settings.cross_zone_price;
+        for (figure, server) in figures.iter_mut().zip(servers) {
+            let away = server.zone.get() != self.settings.zone;
+            *figure = figure.max(floor).max(f64::MIN_POSITIVE.sqrt()) * if away { margin } else { 1.0 };
+        }
         figures
     }
 
@@ -863,12 +868,7 @@
                 && self.warm_enough(server, rate)
         };
         let mut open = self.near(part, fits);
-        let mut figures = self.figures(&open);
-        if self.home_only(&open, &figures) {
-            let home = |server: &Rc<Server>| server.zone.get() == self.settings.zone;
-            figures = open.iter().zip(&figures).filter(|(server, _)| home(server)).map(|(_, f)| *f).collect();
-            open.retain(home);
-        }
+        let figures = self.figures(&open);
         let weights: Vec<f64> = figures.iter().map(|figure| figure.powf(-K)).collect();
         let mut point = self.chance.random::<f64>() * weights.iter().sum::<f64>();
         for (server, weight) in open.iter().zip(&weights) {
@@ -880,21 +880,6 @@
         open.pop()
     }
 
-    /// Crossing has a price: jobs stay at home until home is busier than away by a margin that grows with it.
-    fn home_only(&self, servers: &[Rc<Server>], figures: &[f64]) -> bool {
-        let mean = |home: bool| {
-            let of = || {
-                figures
-                    .iter()
-                    .zip(servers)
-                    .filter(move |(_, server)| (server.zone.get() == self.settings.zone) == home)
-                    .map(|(figure, _)| *figure)
-            };
-            of().sum::<f64>() / (of().count() as f64)
-        };
-        mean(true) < mean(false) * (1.0 + ZONE_MARGIN * self.settings.cross_zone_price)
-    }
-
     /// Share of its capacity that a server has at least, by the time since its start.
     fn grown(&self, server: &Server) -> f64 {
         let part = (self.now - server.started.get()) / self.settings.cold_time;
