--- a/src/policy.rs
+++ b/src/policy.rs
@@ -56,10 +56,12 @@
 const SILENT: f64 = 3000.0;
 /// A shot is overdue after this many mean durations of its profile on that server: tails are long.
 const OVERDUE: f64 = 8.0;
+/// Share of recent shots never answered from which on answers are being lost: a few are lost with servers.
+const LOSSY: f64 = 0.05;
 /// Share of the contract time that stands for a mean duration not yet seen.
 const UNSEEN: f64 = 0.2;
 /// Further shots as a share of first ones, if all recent ones succeed.
-const FURTHER: f64 = 0.1;
+const FURTHER: f64 = 0.2;
 /// Further shots that are free in each span: a lone failure may always go again.
 const FURTHER_FREE: f64 = 2.0;
 /// Share of the cold limit that this node's part of it uses: works differ, and so do nodes.
@@ -223,6 +225,7 @@
     window: f64,
     notes: Vec<String>,
     lateness: Recent,
+    lost: Recent,
     makes: Vec<Recent>,
 }
 
@@ -260,6 +263,7 @@
             window: f64::INFINITY,
             notes: Vec::new(),
             lateness: Recent::new(LATE_SPAN),
+            lost: recent(),
             makes: Vec::new(),
             settings,
         }
@@ -486,6 +490,10 @@
     fn judge(&mut self, server: &Rc<Server>, job: &Job, ending: Ending, took: f64) {
         let now = self.now;
         let usual = self.expected(job);
+        let unanswered = matches!(ending, Ending::TimedOut | Ending::CalledOff);
+        if unanswered && took > self.overdue() * usual || ending == Ending::Honoured {
+            self.lost.add(now, f64::from(u8::from(unanswered)));
+        }
         // A server that loses its answers looks idle: they count with the time they were out.
         if ending != Ending::Honoured && took > OVERDUE * usual {
             self.compare(server, took / usual);
@@ -621,7 +629,8 @@
     }
 
     fn check_overdue(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
-        let usual = self.expected(job);
+        let usual = self.expected(job) * self.overdue();
+        let lossy = self.overdue() < OVERDUE;
         let mut next = f64::INFINITY;
         let mut late = None;
         for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none() && !shot.overdue) {
@@ -629,7 +638,7 @@
             if at <= self.now {
                 shot.overdue = true;
                 // A server that has answered others since is not silent: its job is long, a copy is waste.
-                if shot.server.heard.get() < shot.sent {
+                if lossy || shot.server.heard.get() < shot.sent {
                     late = Some(shot.server.clone());
                 }
             } else {
@@ -645,6 +654,12 @@
         self.review(job, next);
     }
 
+    /// Usual durations after which a shot is overdue; fewer while answers are lost on the way, whoever gives them.
+    fn overdue(&mut self) -> f64 {
+        let (count, sum) = self.lost.total(self.now);
+        if sum > LOSSY * count { OVERDUE * 0.5 } else { OVERDUE }
+    }
+
     /// Has the job looked at again at `at`, or when its answer falls due.
     fn review(&mut self, job: &Rc<Job>, at: f64) {
         self.numbered += 1;
@@ -827,7 +842,7 @@
         server.send(self.now);
         self.count_out(1.0);
         out.shoot(job.id, server.address, job.limit - self.now);
-        let usual = self.expected(job);
+        let usual = self.expected(job) * self.overdue();
         let at = self.now + server.patience(usual);
         job.shots.borrow_mut().push(Shot { server, sent: self.now, ending: None, overdue: false });
         self.review(job, at);
@@ -958,7 +973,7 @@
 
     /// Time, ms, after which a shot on it is overdue.
     fn patience(&self, usual: f64) -> f64 {
-        OVERDUE * usual * self.slowness.get().min(2.0)
+        usual * self.slowness.get().min(2.0)
     }
 
     fn is_aside(&self, now: f64) -> bool {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -301,6 +301,7 @@
 #[test_case("acquainted"; "a node with few jobs draws among few servers")]
 #[test_case("hints"; "a job hinted to be too long for its contract time waits for others")]
 #[test_case("crowded-home"; "a crowded home shares with an idle zone")]
+#[test_case("lossy"; "copies go out sooner while answers are lost on the way")]
 #[test_case("long-job"; "a long job on a server that answers others gets no copy")]
 #[test_case("overload"; "the window holds back a burst and pushes back early")]
 fn scenario(name: &str) {
