--- a/src/policy.rs
+++ b/src/policy.rs
@@ -88,8 +88,10 @@
 /// Where a node's part is a job or two, one timely answer would open it fully and a late one not close it.
 const SHRINK_LEAST: f64 = 0.4;
 const GROW_MOST: f64 = 0.05;
-/// Deviations by which the mean of the jobs out may pass the window: few nodes' jobs come evenly.
-const BURST: f64 = 0.5;
+/// Deviations between what the mean of the jobs out may reach for jobs above mean worth and for others.
+const SPREAD: f64 = 0.5;
+/// Span, ms, over which the jobs out are averaged: servers turn slow in about two seconds.
+const HELD_SPAN: f64 = 1000.0;
 /// Span, ms, over which that is judged: a jam builds up in a second or two.
 const LATE_SPAN: f64 = 1000.0;
 /// Jobs let in for each server at the least: with fewer the window grows back too slowly after trouble.
@@ -225,6 +227,7 @@
     window: f64,
     notes: Vec<String>,
     lateness: Recent,
+    worths: Recent,
     lost: Recent,
     makes: Vec<Recent>,
 }
@@ -258,12 +261,13 @@
             endings: recent(),
             further: recent(),
             out: 0.0,
-            held: Recent::new(LATE_SPAN),
+            held: Recent::new(HELD_SPAN),
             held_at: 0.0,
             window: f64::INFINITY,
             notes: Vec::new(),
             lateness: Recent::new(LATE_SPAN),
             lost: recent(),
+            worths: recent(),
             makes: Vec::new(),
             settings,
         }
@@ -700,7 +704,7 @@
         let part = up.max(1.0) / self.settings.siblings;
         self.window = self.window.clamp(WINDOW_LEAST * part, WINDOW_MOST * part);
         for job in waiting {
-            let open = self.settings.tier > 0 || self.has_room();
+            let open = self.settings.tier > 0 || self.has_room(&job);
             if open && self.shoot(&job, out) {
                 job.waiting.set(false);
             } else if self.now >= self.hold_until(&job) {
@@ -717,12 +721,18 @@
         self.out += change;
     }
 
-    /// Where there are more nodes than servers a node's part is a job or two: whole numbers would let in
-    /// far more for all nodes together, so the mean over a second is held to it too.
-    fn has_room(&mut self) -> bool {
+    /// Where there are more nodes than servers a node's part is a job or two: whole numbers would let in far more
+    /// for all nodes together, so the mean is held to it too. Few wait there at a time, so their order alone can't
+    /// keep room for the better ones: those may pass the window a little, and others stay as much below it.
+    fn has_room(&mut self, job: &Job) -> bool {
         self.count_out(0.0);
-        let most = self.window + BURST * self.window.sqrt();
-        self.out < self.window && self.held.total(self.now).1 < most * LATE_SPAN
+        let worth = self.worth(job);
+        self.worths.add(self.now, worth);
+        let (count, sum) = self.worths.total(self.now);
+        let better = f64::from(u8::from(worth * count > sum * (1.0 + f64::EPSILON.sqrt())));
+        let most = self.window + (better - 0.5) * SPREAD * self.window.sqrt();
+        let now = self.window + better / self.window.max(1.0);
+        self.out < now && self.held.total(self.now).1 < most * HELD_SPAN
     }
 
     /// Gain of a job of this profile, in units that add up.
