--- a/src/policy.rs
+++ b/src/policy.rs
@@ -103,7 +103,7 @@
 /// Span, ms, over which the worst served are told: about as long as troubles last.
 const FAIR_SPAN: f64 = 30_000.0;
 /// Zones are kept apart until the home mean is above the others' by this factor per point of price.
-const ZONE_MARGIN: f64 = 20.0;
+const ZONE_MARGIN: f64 = 26.0;
 /// First and last pause, ms, before the list is asked for again after a failure.
 const ASK_AGAIN: f64 = 1000.0;
 
