--- a/src/policy.rs
+++ b/src/policy.rs
@@ -15,7 +15,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::rc::{Rc, Weak};
 
 /// Power of the draw, no unit: rounds from 1 to 10 gained up to 6, where near-equal figures still share.
@@ -84,15 +84,13 @@
 const TARGET: f64 = 0.45;
 /// The window shrinks by this share for each answer while they take more.
 const SHRINK: f64 = 0.02;
-/// Jobs by which it shrinks at the least, and grows at the most: what the rates come to for a window of twenty.
-/// Where a node's part is a job or two, one timely answer would open it fully and a late one not close it.
+/// Jobs by which it shrinks at the least and grows at the most, as a window of twenty does:
+/// one of a job or two would be opened fully by one timely answer, and not closed by a late one.
 const SHRINK_LEAST: f64 = 0.4;
 const GROW_MOST: f64 = 0.05;
 /// Deviations between what the mean of the jobs out may reach for jobs above mean worth and for others.
 const SPREAD: f64 = 0.5;
-/// Span, ms, over which the jobs out are averaged: servers turn slow in about two seconds.
-const HELD_SPAN: f64 = 1000.0;
-/// Span, ms, over which that is judged: a jam builds up in a second or two.
+/// Span, ms, over which that is judged and jobs out are averaged: a jam builds up in a second or two.
 const LATE_SPAN: f64 = 1000.0;
 /// Jobs let in for each server at the least: with fewer the window grows back too slowly after trouble.
 const WINDOW_LEAST: f64 = 5.0;
@@ -157,43 +155,8 @@
     settled: Cell<bool>,
 }
 
-struct Due(f64, u64, Weak<Job>);
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        other.0.total_cmp(&self.0).then(other.1.cmp(&self.1))
-    }
-}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-impl Eq for Due {}
-
 /// Gain asked for and honoured in time, for one profile or one customer.
-#[derive(Clone)]
-struct Tally {
-    asked: Recent,
-    honoured: Recent,
-}
-
-impl Default for Tally {
-    fn default() -> Self {
-        Self { asked: Recent::new(FAIR_SPAN), honoured: Recent::new(FAIR_SPAN) }
-    }
-}
-
-impl Tally {
-    fn share(&mut self, now: f64) -> f64 {
-        self.honoured.total(now).1 / self.asked.total(now).1.max(f64::MIN_POSITIVE)
-    }
-}
+type Tally = [Recent; 2];
 
 pub struct Balancer {
     settings: Settings,
@@ -204,7 +167,8 @@
     table: Vec<Rc<Server>>,
     pending: Vec<Rc<Job>>,
     waiting: Vec<Rc<Job>>,
-    due: BinaryHeap<Due>,
+    /// Jobs to look at again, by when (positive, so the bits order as the time does) and number.
+    due: BTreeMap<(u64, u64), Weak<Job>>,
     numbered: u64,
     woken_for: f64,
     next_probe: f64,
@@ -246,7 +210,7 @@
             table: Vec::new(),
             pending: Vec::new(),
             waiting: Vec::new(),
-            due: BinaryHeap::new(),
+            due: BTreeMap::new(),
             numbered: 0,
             woken_for: f64::INFINITY,
             next_probe: if settings.may_probe { 0.0 } else { f64::INFINITY },
@@ -255,13 +219,14 @@
             durations: settings.profiles.iter().map(|_| recent()).collect(),
             hints: settings.profiles.iter().map(|_| recent()).collect(),
             arrivals: recent(),
-            tallies: [settings.profiles.len(), settings.quotas.len()].map(|n| vec![Tally::default(); n]),
+            tallies: [settings.profiles.len(), settings.quotas.len()]
+                .map(|n| vec![[Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]; n]),
             admitted: settings.quotas.iter().map(|_| recent()).collect(),
             first_shots: recent(),
             endings: recent(),
             further: recent(),
             out: 0.0,
-            held: Recent::new(HELD_SPAN),
+            held: Recent::new(LATE_SPAN),
             held_at: 0.0,
             window: f64::INFINITY,
             notes: Vec::new(),
@@ -288,16 +253,15 @@
         self.notes.drain(..).for_each(|line| out.log(&line));
         self.ask(out);
         self.probe(out);
-        while self.due.peek().is_some_and(|due| due.0 <= now) {
-            if let Some(job) = self.due.pop().and_then(|due| due.2.upgrade()) {
-                self.pending.push(job);
-            }
+        while let Some(due) = self.due.first_entry().filter(|due| f64::from_bits(due.key().0) <= now) {
+            self.pending.extend(due.remove().upgrade());
         }
         for job in std::mem::take(&mut self.pending) {
             self.decide(&job, out);
         }
         self.admit(out);
-        let next = self.due.peek().map_or(f64::INFINITY, |due| due.0).min(self.next_probe).min(self.next_ask);
+        let due = self.due.first_key_value().map_or(f64::INFINITY, |(at, _)| f64::from_bits(at.0));
+        let next = due.min(self.next_probe).min(self.next_ask);
         if next < self.woken_for {
             self.woken_for = next;
             out.wake((next - now).max(0.0));
@@ -316,7 +280,7 @@
         self.arrivals.add(now, 1.0);
         let size = hint.map_or(1.0, |hint| self.size(profile, hint));
         let gain = self.gain(profile);
-        self.tally(profile, customer, |tally| tally.asked.add(now, gain));
+        self.tally(profile, customer, |[asked, _]| asked.add(now, gain));
         let job = Rc::new(Job {
             id,
             profile,
@@ -407,8 +371,8 @@
         (rate / ACQUAINTED).max(cover).max(PART_LEAST).ceil() as usize
     }
 
-    /// The first wanted servers of its own zone and of the others. Where many nodes each send a server a job in
-    /// seconds, neither shots out nor durations tell any of them that it is crowded, and all keep it so.
+    /// The first wanted servers of its own zone and of the others. Where many nodes each send a server a job
+    /// in seconds, neither shots out nor durations tell any of them that it is crowded, and all keep it so.
     fn near(&self, part: usize, wanted: impl Fn(&Rc<Server>) -> bool) -> Vec<Rc<Server>> {
         let mut left = [part; 2];
         let fits = |server: &&Rc<Server>| {
@@ -508,7 +472,7 @@
                 server.answered(now, self.settings.cold_time);
                 if now - job.arrived <= self.settings.profiles[job.profile].contract_time {
                     let gain = self.gain(job.profile);
-                    self.tally(job.profile, job.customer, |tally| tally.honoured.add(now, gain));
+                    self.tally(job.profile, job.customer, |[_, honoured]| honoured.add(now, gain));
                 }
                 self.durations[job.profile].add(now, took / job.size);
                 self.compare(server, took / usual);
@@ -658,7 +622,7 @@
         self.review(job, next);
     }
 
-    /// Usual durations after which a shot is overdue; fewer while answers are lost on the way, whoever gives them.
+    /// Usual durations after which a shot is overdue; fewer while answers are lost on the way.
     fn overdue(&mut self) -> f64 {
         let (count, sum) = self.lost.total(self.now);
         if sum > LOSSY * count { OVERDUE * 0.5 } else { OVERDUE }
@@ -667,7 +631,8 @@
     /// Has the job looked at again at `at`, or when its answer falls due.
     fn review(&mut self, job: &Rc<Job>, at: f64) {
         self.numbered += 1;
-        self.due.push(Due(at.min(self.last_call(job)), self.numbered, Rc::downgrade(job)));
+        let at = at.min(self.last_call(job)).max(0.0);
+        self.due.insert((at.to_bits(), self.numbered), Rc::downgrade(job));
     }
 
     fn hold(&mut self, job: &Rc<Job>) {
@@ -721,9 +686,9 @@
         self.out += change;
     }
 
-    /// Where there are more nodes than servers a node's part is a job or two: whole numbers would let in far more
-    /// for all nodes together, so the mean is held to it too. Few wait there at a time, so their order alone can't
-    /// keep room for the better ones: those may pass the window a little, and others stay as much below it.
+    /// Where there are more nodes than servers a node's part is a job or two: whole numbers would let in far
+    /// more for all nodes together, so the mean is held to it too. Few wait at a time, so their order can't
+    /// keep room for the better ones: those may pass the window a little, others stay as much below it.
     fn has_room(&mut self, job: &Job) -> bool {
         self.count_out(0.0);
         let worth = self.worth(job);
@@ -732,7 +697,7 @@
         let better = f64::from(u8::from(worth * count > sum * (1.0 + f64::EPSILON.sqrt())));
         let most = self.window + (better - 0.5) * SPREAD * self.window.sqrt();
         let now = self.window + better / self.window.max(1.0);
-        self.out < now && self.held.total(self.now).1 < most * HELD_SPAN
+        self.out < now && self.held.total(self.now).1 < most * LATE_SPAN
     }
 
     /// Gain of a job of this profile, in units that add up.
@@ -751,16 +716,17 @@
     fn worth(&mut self, job: &Job) -> f64 {
         let now = self.now;
         let within = self.within_quota(job.customer);
-        let asked: f64 = self.tallies[0].iter_mut().map(|tally| tally.asked.total(now).1).sum();
+        let asked: f64 = self.tallies[0].iter_mut().map(|[asked, _]| asked.total(now).1).sum();
         let mut part = self.settings.weight_whole / asked.max(f64::MIN_POSITIVE);
         let weights = [self.settings.weight_profile, self.settings.weight_customer];
         for ((tallies, place), weight) in
             self.tallies.iter_mut().zip([job.profile, job.customer]).zip(weights)
         {
-            let shares = tallies.iter_mut().map(|tally| tally.share(now));
+            let share = |[asked, honoured]: &mut Tally| honoured.total(now).1 / asked.total(now).1.max(1e-9);
+            let shares = tallies.iter_mut().map(share);
             let worst = shares.enumerate().min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place);
             if worst == Some(place) && within {
-                part += weight / tallies[place].asked.total(now).1.max(f64::MIN_POSITIVE);
+                part += weight / tallies[place][0].total(now).1.max(f64::MIN_POSITIVE);
             }
         }
         let excess = if within { 1.0 } else { self.settings.excess_gain };
