--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,7 +12,8 @@
     Address, Effect, Ending, Figure, Group, Listing, Profile, Settings, Standing, Writer,
 };
 use crate::ring::Ring;
-use rand::{Rng, SeedableRng};
+use rand::distr::weighted::WeightedIndex;
+use rand::prelude::{Distribution, Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -92,12 +93,10 @@
 const SPREAD: f64 = 0.5;
 /// Span, ms, over which that is judged and jobs out are averaged: a jam builds up in a second or two.
 const LATE_SPAN: f64 = 1000.0;
-/// Jobs let in for each server at the least: with fewer the window grows back too slowly after trouble.
+/// Jobs let in for each server at the least and at first: with fewer it grows back too slowly after trouble.
 const WINDOW_LEAST: f64 = 5.0;
 /// Jobs let in for each server at the most: about what a small server holds before it turns slow.
 const WINDOW_MOST: f64 = 8.0;
-/// Jobs let in for each server at the start, before any rate is known: half of what tips a small server.
-const WINDOW_FIRST: f64 = 5.0;
 /// Span, ms, over which the worst served are told: about as long as troubles last.
 const FAIR_SPAN: f64 = 30_000.0;
 /// Zones are kept apart until the home mean is above the others' by this factor per point of price.
@@ -330,7 +329,7 @@
         }
         self.table.retain(|server| server.standing.get() == Standing::Ready);
         if cached {
-            self.window = WINDOW_FIRST * self.table.len() as f64 / self.settings.siblings;
+            self.window = WINDOW_LEAST * self.table.len() as f64 / self.settings.siblings;
         }
         if !cached && self.settings.listed_on_request {
             self.next_ask = f64::INFINITY;
@@ -406,7 +405,7 @@
         let margin = 1.0 + ZONE_MARGIN * self.settings.cross_zone_price;
         for (figure, server) in figures.iter_mut().zip(servers) {
             let away = server.zone.get() != self.settings.zone;
-            *figure = figure.max(floor).max(f64::MIN_POSITIVE.sqrt()) * if away { margin } else { 1.0 };
+            *figure = figure.max(floor) * if away { margin } else { 1.0 };
         }
         figures
     }
@@ -665,8 +664,9 @@
             waiting = ranked.into_iter().map(|(_, job)| job).collect();
         }
         // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
-        let up: f64 = self.table.iter().map(|server| self.strength(server)).sum();
-        let part = up.max(1.0) / self.settings.siblings;
+        let up =
+            self.table.iter().filter(|server| !server.is_aside(self.now)).map(|server| self.grown(server));
+        let part = up.sum::<f64>().max(1.0) / self.settings.siblings;
         self.window = self.window.clamp(WINDOW_LEAST * part, WINDOW_MOST * part);
         for job in waiting {
             let open = self.settings.tier > 0 || self.has_room(&job);
@@ -858,17 +858,10 @@
                 && !tried(server)
                 && self.warm_enough(server, rate)
         };
-        let mut open = self.near(part, fits);
-        let figures = self.figures(&open);
-        let weights: Vec<f64> = figures.iter().map(|figure| figure.powf(-K)).collect();
-        let mut point = self.chance.random::<f64>() * weights.iter().sum::<f64>();
-        for (server, weight) in open.iter().zip(&weights) {
-            point -= weight;
-            if point < 0.0 {
-                return Some(server.clone());
-            }
-        }
-        open.pop()
+        let open = self.near(part, fits);
+        let weights = self.figures(&open).into_iter().map(|figure| figure.powf(-K));
+        let place = WeightedIndex::new(weights).ok()?.sample(&mut self.chance);
+        open.get(place).cloned()
     }
 
     /// Share of its capacity that a server has at least, by the time since its start.
@@ -877,11 +870,6 @@
         (self.settings.cold_share + (1.0 - self.settings.cold_share) * part.max(0.0)).min(1.0)
     }
 
-    /// What a server counts among those that bear the load.
-    fn strength(&self, server: &Server) -> f64 {
-        if server.is_aside(self.now) { 0.0 } else { self.grown(server) }
-    }
-
     /// Cold servers take only their part of what warm ones bear, or all nodes together push them over.
     fn warm_enough(&self, server: &Server, rate: f64) -> bool {
         let grown = self.grown(server);
