--- a/src/policy.rs
+++ b/src/policy.rs
@@ -658,18 +658,15 @@
         }
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|job| !job.closed.get());
-        if waiting.len() > 1 {
-            let mut ranked: Vec<_> = waiting.into_iter().map(|job| (self.worth(&job), job)).collect();
-            ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then(x.arrived.total_cmp(&y.arrived)));
-            waiting = ranked.into_iter().map(|(_, job)| job).collect();
-        }
+        let mut ranked: Vec<_> = waiting.into_iter().map(|job| (self.worth(&job), job)).collect();
+        ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then(x.arrived.total_cmp(&y.arrived)));
         // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
         let up =
             self.table.iter().filter(|server| !server.is_aside(self.now)).map(|server| self.grown(server));
         let part = up.sum::<f64>().max(1.0) / self.settings.siblings;
         self.window = self.window.clamp(WINDOW_LEAST * part, WINDOW_MOST * part);
-        for job in waiting {
-            let open = self.settings.tier > 0 || self.has_room(&job);
+        for (worth, job) in ranked {
+            let open = self.settings.tier > 0 || self.has_room(worth);
             if open && self.shoot(&job, out) {
                 job.waiting.set(false);
             } else if self.now >= self.hold_until(&job) {
@@ -689,9 +686,8 @@
     /// Where there are more nodes than servers a node's part is a job or two: whole numbers would let in far
     /// more for all nodes together, so the mean is held to it too. Few wait at a time, so their order can't
     /// keep room for the better ones: those may pass the window a little, others stay as much below it.
-    fn has_room(&mut self, job: &Job) -> bool {
+    fn has_room(&mut self, worth: f64) -> bool {
         self.count_out(0.0);
-        let worth = self.worth(job);
         self.worths.add(self.now, worth);
         let (count, sum) = self.worths.total(self.now);
         let better = f64::from(u8::from(worth * count > sum * (1.0 + f64::EPSILON.sqrt())));
