--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,8 +19,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::{Rc, Weak};
 
-/// Power of the draw, no unit: rounds from 1 to 10 gained up to 6, where near-equal figures still share.
-const K: f64 = 8.0;
+/// Power of the draw, no unit: rounds from 1 to 12 gained at each step; figures within a tenth still share.
+const K: f64 = 12.0;
 /// Share of probes with an even draw: busy entries must be seen again too.
 const ALPHA: f64 = 0.5;
 /// Lowest figure, as a share of the table's mean (from the design page).
