--- a/src/policy.rs
+++ b/src/policy.rs
@@ -95,6 +95,10 @@
 const LATE_SPAN: f64 = 1000.0;
 /// Jobs let in for each server at the least and at first: with fewer it grows back too slowly after trouble.
 const WINDOW_LEAST: f64 = 5.0;
+/// Mean share of their contract time that jobs take in a jam: half of them come late by then.
+const JAMMED: f64 = 0.7;
+/// Jobs let in for each server at the least in a jam: enough to see it end.
+const WINDOW_JAMMED: f64 = 2.0;
 /// Jobs let in for each server at the most: about what a small server holds before it turns slow.
 const WINDOW_MOST: f64 = 8.0;
 /// Span, ms, over which the worst served are told: about as long as troubles last.
@@ -664,7 +668,10 @@
         let up =
             self.table.iter().filter(|server| !server.is_aside(self.now)).map(|server| self.grown(server));
         let part = up.sum::<f64>().max(1.0) / self.settings.siblings;
-        self.window = self.window.clamp(WINDOW_LEAST * part, WINDOW_MOST * part);
+        // Where the tier behind is what jams, servers let in more for their number than it can bear.
+        let (count, sum) = self.lateness.total(self.now);
+        let least = if sum > JAMMED * count { WINDOW_JAMMED } else { WINDOW_LEAST };
+        self.window = self.window.clamp(least * part, WINDOW_MOST * part);
         for (worth, job) in ranked {
             let open = self.settings.tier > 0 || self.has_room(worth);
             if open && self.shoot(&job, out) {
