--- a/crates/pearfront-drill/src/wire.rs
+++ b/crates/pearfront-drill/src/wire.rs
@@ -437,6 +437,33 @@
         assert_eq!(bytes[128..], *b"two servers known");
     }
 
+    #[test]
+    fn hundreds_of_instances_and_servers_fit_in_a_frame_and_bad_input_there_is_named() {
+        let (instances, servers, length) = (700u16, 600u32, SETTINGS.len() as u32);
+        let mut records = Vec::new();
+        for instance in 0..instances {
+            let on = format!("0c00 {:04x}", instance.swap_bytes());
+            let boot = format!("0100 {:016x} 00000000 {:08x}", instance, length.swap_bytes());
+            let table = format!("0b00 00000000 {:08x} {:08x}", length.swap_bytes(), servers.swap_bytes());
+            records.extend([on, boot, table, "0200 02 29000000 00000000".into()]);
+        }
+        let mut tail = SETTINGS.replace("\"siblings\": 1", "\"siblings\": 9").into_bytes();
+        for server in 0..servers {
+            tail.extend(hex(&format!("0000803f 0a00{server:04x} c32b 00 0000 00 0000 0000000000000000")));
+        }
+        let records: Vec<&str> = records.iter().map(String::as_str).collect();
+        let mut drill = Drill::default();
+        drill.answer(&frame(&records, &tail)).unwrap();
+        let demand = "0300 c4913a5d 0000000000000000 00 0000000000000000 00 90dbb60302000000 0000";
+        let reply = drill.answer(&frame(&["0c00 bb02", demand], &[])).unwrap();
+        assert_eq!(reply[8..12], hex("0d00 bb02"));
+        let unknown = demand.replace("00 90db", "07 90db");
+        let said = drill.answer(&frame(&["0c00 bb02", &unknown], &[])).unwrap_err();
+        assert_eq!(said, "event 1: unknown class 7");
+        let short = drill.answer(&frame(&records, &tail[..tail.len() - 1])).unwrap_err();
+        assert!(short.starts_with("event 2: tail bytes"), "{short}");
+    }
+
     #[test_case(&frame(&["0c00 0900", "0700 4d00000000000000"], &[]), "instance 9 was never started"; "unknown instance")]
     #[test_case(&frame(&["0700 4d00000000000000"], &[]), "no instance named"; "nobody addressed")]
     #[test_case(&frame(&["0c00 0300", "6300"], &[]), "unknown code 99"; "unknown code")]
