--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,7 +11,7 @@
 use crate::interface::{
     Address, Effect, Ending, Figure, Group, Listing, Profile, Settings, Standing, Writer,
 };
-use crate::ring::Ring;
+use crate::ring::{Level, Ring};
 use rand::distr::weighted::WeightedIndex;
 use rand::prelude::{Distribution, Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -85,9 +85,10 @@
 const TARGET: f64 = 0.45;
 /// The window shrinks by this share for each answer while they take more.
 const SHRINK: f64 = 0.02;
-/// Jobs by which it shrinks at the least and grows at the most, as a window of twenty does:
+/// Jobs by which it shrinks at the least, as a window of twenty does:
 /// one of a job or two would be opened fully by one timely answer, and not closed by a late one.
 const SHRINK_LEAST: f64 = 0.4;
+/// Jobs by which it grows at the most, likewise.
 const GROW_MOST: f64 = 0.05;
 /// Deviations between what the mean of the jobs out may reach for jobs above mean worth and for others.
 const SPREAD: f64 = 0.5;
@@ -95,6 +96,12 @@
 const LATE_SPAN: f64 = 1000.0;
 /// Jobs let in for each server at the least and at first: with fewer it grows back too slowly after trouble.
 const WINDOW_LEAST: f64 = 5.0;
+/// Times the easiest mean share ever seen up to which jobs are as quick as ever.
+const EASY: f64 = 1.15;
+/// Answers that tell how easy jobs are: with fewer the easiest would be chance.
+const EASY_COUNT: f64 = 20.0;
+/// Share by which the cap by server rises with each answer while the window is at it; it falls twice as fast.
+const CAP_STEP: f64 = 0.005;
 /// Mean share of their contract time that jobs take in a jam: half of them come late by then.
 const JAMMED: f64 = 0.7;
 /// Jobs let in for each server at the least in a jam: enough to see it end.
@@ -103,7 +110,7 @@
 const WINDOW_MOST: f64 = 8.0;
 /// Span, ms, over which the worst served are told: about as long as troubles last.
 const FAIR_SPAN: f64 = 30_000.0;
-/// Zones are kept apart until the home mean is above the others' by this factor per point of price.
+/// Share by which an away server's figure is raised for each point of the price of crossing.
 const ZONE_MARGIN: f64 = 26.0;
 /// First and last pause, ms, before the list is asked for again after a failure.
 const ASK_AGAIN: f64 = 1000.0;
@@ -187,10 +194,13 @@
     first_shots: Recent,
     endings: Recent,
     further: Recent,
-    out: f64,
-    /// Jobs out, summed over time, and when that was last brought up to date.
-    held: Recent,
-    held_at: f64,
+    /// Shots out.
+    out: Level<10>,
+    shares: Recent,
+    easy: f64,
+    /// Jobs let in for each server at the most, and whether the window was there.
+    cap: f64,
+    full: bool,
     window: f64,
     notes: Vec<String>,
     lateness: Recent,
@@ -228,9 +238,11 @@
             first_shots: recent(),
             endings: recent(),
             further: recent(),
-            out: 0.0,
-            held: Recent::new(LATE_SPAN),
-            held_at: 0.0,
+            out: Level::new(LATE_SPAN),
+            shares: recent(),
+            easy: f64::INFINITY,
+            cap: WINDOW_MOST,
+            full: false,
             window: f64::INFINITY,
             notes: Vec::new(),
             lateness: Recent::new(LATE_SPAN),
@@ -304,23 +316,21 @@
         let Some(job) = self.jobs.get(&id).cloned() else { return };
         let Some(server) = self.book_ending(&job, shot, ending) else { return };
         self.judge(&server, &job, ending, took);
-        if done {
-            job.closed.set(true);
-        }
+        job.closed.set(done || job.closed.get());
         self.pending.push(job);
     }
 
     pub fn probe_answered(&mut self, address: Address, good: bool, report: &[f64], took: f64) {
         let Some(server) = self.known.get(&address).cloned() else { return };
-        let figure = if good { self.read(report).unwrap_or(took) } else { self.highest() };
+        let highest = || self.table.iter().filter_map(|server| server.figure.get()).fold(0.0, f64::max);
+        let figure = if good { self.read(report).unwrap_or(took) } else { highest() };
         server.figure.set(Some(figure));
     }
 
     pub fn client_left(&mut self, id: u32) {
-        if let Some(job) = self.jobs.get(&id).cloned() {
-            job.closed.set(true);
-            self.pending.push(job);
-        }
+        let Some(job) = self.jobs.get(&id) else { return };
+        job.closed.set(true);
+        self.pending.push(job.clone());
     }
 
     /// New lines of the list; `whole` if servers that it lacks are gone.
@@ -334,8 +344,7 @@
         self.table.retain(|server| server.standing.get() == Standing::Ready);
         if cached {
             self.window = WINDOW_LEAST * self.table.len() as f64 / self.settings.siblings;
-        }
-        if !cached && self.settings.listed_on_request {
+        } else if self.settings.listed_on_request {
             self.next_ask = f64::INFINITY;
             self.ask_pause = ASK_AGAIN;
         }
@@ -414,10 +423,6 @@
         figures
     }
 
-    fn highest(&self) -> f64 {
-        self.table.iter().filter_map(|server| server.figure.get()).fold(0.0, f64::max)
-    }
-
     fn probe(&mut self, out: &mut impl Writer) {
         if self.now < self.next_probe {
             return;
@@ -454,7 +459,7 @@
         let shot = shots.get_mut(shot).filter(|shot| shot.ending.is_none())?;
         shot.ending = Some(ending);
         shot.server.out.set(shot.server.out.get() - 1);
-        self.count_out(-1.0);
+        self.out.change(self.now, -1.0);
         Some(shot.server.clone())
     }
 
@@ -506,8 +511,7 @@
         }
         let make = &mut self.makes[server.make];
         make.add(self.now, relative);
-        let (count, sum) = make.total(self.now);
-        let like = (sum + PRIOR) / (count + PRIOR);
+        let like = make.mean(self.now, PRIOR, 1.0);
         server.relative.borrow_mut().add(self.now, relative);
         for other in self.table.iter().filter(|other| other.make == server.make) {
             other.lean(self.now, like);
@@ -516,12 +520,22 @@
 
     /// The window closes while recent jobs take much of their contract time, and opens as jobs are answered.
     fn pace(&mut self, took: f64, contract_time: f64) {
-        let now = self.now;
-        self.lateness.add(now, took / contract_time);
-        let (count, sum) = self.lateness.total(now);
-        if sum / count > TARGET {
+        let (now, share) = (self.now, took / contract_time);
+        self.lateness.add(now, share);
+        self.shares.add(now, share);
+        let (count, sum) = self.shares.total(now);
+        if count >= EASY_COUNT {
+            self.easy = self.easy.min(sum / count);
+        }
+        let late = self.lateness.mean(now, 0.0, 0.0);
+        // Servers of more cores bear more, which shows in jobs at the cap that are as quick as ever.
+        if self.full {
+            let step = if late <= EASY * self.easy { CAP_STEP } else { -2.0 * CAP_STEP };
+            self.cap = (self.cap * (1.0 + step)).max(WINDOW_MOST);
+        }
+        if late > TARGET {
             self.window -= (SHRINK * self.window).max(SHRINK_LEAST);
-        } else if self.out > self.window / 2.0 {
+        } else if self.out.value > self.window / 2.0 {
             self.window += (1.0 / self.window).min(GROW_MOST);
         }
     }
@@ -548,8 +562,7 @@
     fn size(&mut self, profile: usize, hint: f64) -> f64 {
         let hints = &mut self.hints[profile];
         hints.add(self.now, hint);
-        let (count, sum) = hints.total(self.now);
-        1.0 - HINTED + HINTED * hint * count / sum.max(f64::MIN_POSITIVE)
+        1.0 - HINTED + HINTED * hint / hints.mean(self.now, 0.0, 0.0).max(f64::MIN_POSITIVE)
     }
 
     /// Usual duration of a shot of this job, ms.
@@ -559,9 +572,8 @@
 
     /// Usual duration of a profile's shot, ms.
     fn usual(&mut self, profile: usize) -> f64 {
-        let (count, sum) = self.durations[profile].total(self.now);
         let guess = UNSEEN * self.settings.profiles[profile].contract_time;
-        (sum + guess) / (count + 1.0)
+        self.durations[profile].mean(self.now, 1.0, guess)
     }
 
     fn profile(&self, job: &Job) -> &Profile {
@@ -627,8 +639,7 @@
 
     /// Usual durations after which a shot is overdue; fewer while answers are lost on the way.
     fn overdue(&mut self) -> f64 {
-        let (count, sum) = self.lost.total(self.now);
-        if sum > LOSSY * count { OVERDUE * 0.5 } else { OVERDUE }
+        if self.lost.mean(self.now, 0.0, 0.0) > LOSSY { OVERDUE * 0.5 } else { OVERDUE }
     }
 
     /// Has the job looked at again at `at`, or when its answer falls due.
@@ -647,12 +658,8 @@
     }
 
     fn hold_until(&self, job: &Job) -> f64 {
-        let time = self.last_call(job);
-        if self.table.is_empty() {
-            time
-        } else {
-            time.min(job.arrived + HOLD * self.profile(job).contract_time)
-        }
+        let hold = if self.table.is_empty() { f64::INFINITY } else { HOLD };
+        self.last_call(job).min(job.arrived + hold * self.profile(job).contract_time)
     }
 
     /// Lets waiting jobs go, best gain first, while the window has room.
@@ -669,9 +676,10 @@
             self.table.iter().filter(|server| !server.is_aside(self.now)).map(|server| self.grown(server));
         let part = up.sum::<f64>().max(1.0) / self.settings.siblings;
         // Where the tier behind is what jams, servers let in more for their number than it can bear.
-        let (count, sum) = self.lateness.total(self.now);
-        let least = if sum > JAMMED * count { WINDOW_JAMMED } else { WINDOW_LEAST };
-        self.window = self.window.clamp(least * part, WINDOW_MOST * part);
+        let late = self.lateness.mean(self.now, 0.0, 0.0);
+        let least = if late > JAMMED { WINDOW_JAMMED } else { WINDOW_LEAST };
+        self.full = self.window >= self.cap * part * 0.95;
+        self.window = self.window.clamp(least * part, self.cap * part);
         for (worth, job) in ranked {
             let open = self.settings.tier > 0 || self.has_room(worth);
             if open && self.shoot(&job, out) {
@@ -684,23 +692,15 @@
         }
     }
 
-    fn count_out(&mut self, change: f64) {
-        self.held.add(self.now, self.out * (self.now - self.held_at));
-        self.held_at = self.now;
-        self.out += change;
-    }
-
     /// Where there are more nodes than servers a node's part is a job or two: whole numbers would let in far
     /// more for all nodes together, so the mean is held to it too. Few wait at a time, so their order can't
     /// keep room for the better ones: those may pass the window a little, others stay as much below it.
     fn has_room(&mut self, worth: f64) -> bool {
-        self.count_out(0.0);
         self.worths.add(self.now, worth);
-        let (count, sum) = self.worths.total(self.now);
-        let better = f64::from(u8::from(worth * count > sum * (1.0 + f64::EPSILON.sqrt())));
+        let usual = self.worths.mean(self.now, 0.0, 0.0) * (1.0 + f64::EPSILON.sqrt());
+        let better = if worth > usual { 1.0 } else { 0.0 };
         let most = self.window + (better - 0.5) * SPREAD * self.window.sqrt();
-        let now = self.window + better / self.window.max(1.0);
-        self.out < now && self.held.total(self.now).1 < most * LATE_SPAN
+        self.out.value < self.window + better / self.window.max(1.0) && self.out.mean(self.now) < most
     }
 
     /// Gain of a job of this profile, in units that add up.
@@ -819,7 +819,7 @@
             self.further.add(self.now, 1.0);
         }
         server.send(self.now);
-        self.count_out(1.0);
+        self.out.change(self.now, 1.0);
         out.shoot(job.id, server.address, job.limit - self.now);
         let usual = self.expected(job) * self.overdue();
         let at = self.now + server.patience(usual);
@@ -830,8 +830,7 @@
 
     /// Share of recent shots that were honoured.
     fn success(&mut self) -> f64 {
-        let (ended, good) = self.endings.total(self.now);
-        (good + 1.0) / (ended + 1.0)
+        self.endings.mean(self.now, 1.0, 1.0)
     }
 
     /// Further shots follow the share of recent shots that succeeded, or retries would feed a jam.
@@ -849,15 +848,15 @@
             (Some(first), Group::Cell) => first.cell == server.cell,
             _ => true,
         };
-        let most_aside = (self.table.len() as f64 * ASIDE_SHARE).floor() as usize;
         let aside = self.table.iter().filter(|server| server.is_aside(self.now)).count();
+        let shared = aside as f64 > self.table.len() as f64 * ASIDE_SHARE;
         let part = self.part();
         let rate = self.first_shots.total(self.now).0 / SPAN / (self.table.len().min(part) as f64).max(1.0);
         let now = self.now;
         let fits = |server: &Rc<Server>| {
             within(server)
                 && now >= server.rest_until.get()
-                && (aside > most_aside || !server.is_aside(now))
+                && (shared || !server.is_aside(now))
                 && !tried(server)
                 && self.warm_enough(server, rate)
         };
@@ -964,7 +963,6 @@
 
     /// How slow it is beside the others; a few samples lean on its make's mean.
     fn lean(&self, now: f64, like: f64) {
-        let (count, sum) = self.relative.borrow_mut().total(now);
-        self.slowness.set((sum + PRIOR * like) / (count + PRIOR));
+        self.slowness.set(self.relative.borrow_mut().mean(now, PRIOR, like));
     }
 }
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -28,6 +28,12 @@
         self.slots.iter().fold((0.0, 0.0), |sum, slot| (sum.0 + slot.0, sum.1 + slot.1))
     }
 
+    /// Mean of what was booked within the span, beside `prior` more that were `like`.
+    pub fn mean(&mut self, now: f64, prior: f64, like: f64) -> f64 {
+        let (count, sum) = self.total(now);
+        (sum + prior * like) / (count + prior)
+    }
+
     fn turn(&mut self, now: f64) {
         let bucket = (now / self.width).floor() as i64;
         let stale = (bucket - self.newest).clamp(0, SLOTS as i64);
@@ -38,9 +44,45 @@
     }
 }
 
+/// A level that changes now and then, and its mean over time.
+#[derive(Debug, Clone)]
+pub struct Level<const SLOTS: usize> {
+    pub value: f64,
+    since: f64,
+    span: f64,
+    held: Ring<SLOTS>,
+}
+
+impl<const SLOTS: usize> Level<SLOTS> {
+    pub fn new(span: f64) -> Self {
+        Self { value: 0.0, since: 0.0, span, held: Ring::new(span) }
+    }
+
+    pub fn change(&mut self, now: f64, by: f64) {
+        self.held.add(now, self.value * (now - self.since));
+        self.since = now;
+        self.value += by;
+    }
+
+    /// Mean over the span.
+    pub fn mean(&mut self, now: f64) -> f64 {
+        self.change(now, 0.0);
+        self.held.total(now).1 / self.span
+    }
+}
+
 #[cfg(test)]
 mod tests {
-    use super::Ring;
+    use super::{Level, Ring};
+
+    #[test]
+    fn a_level_counts_for_as_long_as_it_lasted() {
+        let mut level = Level::<4>::new(400.0);
+        level.change(100.0, 2.0);
+        level.change(200.0, 2.0);
+        assert_eq!(level.mean(300.0), (2.0 * 100.0 + 4.0 * 100.0) / 400.0);
+        assert_eq!(level.value, 4.0);
+    }
 
     #[test]
     fn forgets_what_is_older_than_its_span() {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -304,6 +304,7 @@
 #[test_case("lossy"; "copies go out sooner while answers are lost on the way")]
 #[test_case("better-first"; "a small window keeps room for jobs of high gain")]
 #[test_case("jammed"; "in a jam fewer jobs are let in than servers would take")]
+#[test_case("more-cores"; "the cap by server rises while jobs are as quick as ever")]
 #[test_case("long-job"; "a long job on a server that answers others gets no copy")]
 #[test_case("overload"; "the window holds back a burst and pushes back early")]
 fn scenario(name: &str) {
