--- a/src/policy.rs
+++ b/src/policy.rs
@@ -523,15 +523,15 @@
         let (now, share) = (self.now, took / contract_time);
         self.lateness.add(now, share);
         self.shares.add(now, share);
-        let (count, sum) = self.shares.total(now);
-        if count >= EASY_COUNT {
-            self.easy = self.easy.min(sum / count);
+        if self.shares.total(now).0 >= EASY_COUNT {
+            self.easy = self.easy.min(self.shares.mean(now, 0.0, 0.0));
         }
         let late = self.lateness.mean(now, 0.0, 0.0);
         // Servers of more cores bear more, which shows in jobs at the cap that are as quick as ever.
         if self.full {
             let step = if late <= EASY * self.easy { CAP_STEP } else { -2.0 * CAP_STEP };
             self.cap = (self.cap * (1.0 + step)).max(WINDOW_MOST);
+            self.window *= 1.0 + step.max(0.0);
         }
         if late > TARGET {
             self.window -= (SHRINK * self.window).max(SHRINK_LEAST);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -232,6 +232,11 @@
                         let took = if how == Ending::TimedOut { 1000.0 } else { 20.0 };
                         self.round(|balancer| balancer.shot_ended(id, shot, how, took, done));
                     }
+                    ["ends", first, last, "honoured"] => self.round(|balancer| {
+                        for id in number(first) as u32..=number(last) as u32 {
+                            balancer.shot_ended(id, 0, Ending::Honoured, 20.0, true);
+                        }
+                    }),
                     ["left", id] => self.round(|balancer| balancer.client_left(number(id) as u32)),
                     ["probe", server, "lost"] => {
                         self.round(|balancer| balancer.probe_answered(address(server), false, &[], 50.0));
