--- a/src/policy.rs
+++ b/src/policy.rs
@@ -478,30 +478,29 @@
             Ending::Honoured => {
                 self.endings.add(now, 1.0);
                 server.answered(now, self.settings.cold_time);
-                if now - job.arrived <= self.settings.profiles[job.profile].contract_time {
+                if now - job.arrived <= self.profile(job).contract_time {
                     let gain = self.gain(job.profile);
                     self.tally(job.profile, job.customer, |[_, honoured]| honoured.add(now, gain));
                 }
                 self.durations[job.profile].add(now, took / job.size);
                 self.compare(server, took / usual);
-                self.pace(took, self.settings.profiles[job.profile].contract_time);
+                self.pace(took / self.profile(job).contract_time);
             }
             // An error that most servers give now comes from the tier behind: it says nothing of this one.
             Ending::Error if self.success() < SHARED => {
                 self.endings.add(now, 0.0);
-                server.on_trial.set(false);
             }
             Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Broken => {
                 self.endings.add(now, 0.0);
                 self.strike(server);
             }
             Ending::Full => {
-                server.on_trial.set(false);
-                let rest = REST * self.usual(job.profile);
-                server.rest_until.set(now + rest);
+                server.rest_until.set(now + REST * self.usual(job.profile));
             }
-            Ending::CalledOff | Ending::NeverSent => server.on_trial.set(false),
+            Ending::CalledOff | Ending::NeverSent => {}
         }
+        // A trial ends with its shot, however that ended.
+        server.on_trial.set(false);
     }
 
     /// A caller sends each server too little to know it soon: machines of one make are learned together.
@@ -511,22 +510,24 @@
         }
         let make = &mut self.makes[server.make];
         make.add(self.now, relative);
-        let like = make.mean(self.now, PRIOR, 1.0);
+        let like = make.mean_beside(self.now, PRIOR, 1.0);
         server.relative.borrow_mut().add(self.now, relative);
         for other in self.table.iter().filter(|other| other.make == server.make) {
-            other.lean(self.now, like);
+            // A few samples lean on the make's mean.
+            other.slowness.set(other.relative.borrow_mut().mean_beside(self.now, PRIOR, like));
         }
     }
 
     /// The window closes while recent jobs take much of their contract time, and opens as jobs are answered.
-    fn pace(&mut self, took: f64, contract_time: f64) {
-        let (now, share) = (self.now, took / contract_time);
+    fn pace(&mut self, share: f64) {
+        let now = self.now;
         self.lateness.add(now, share);
         self.shares.add(now, share);
-        if self.shares.total(now).0 >= EASY_COUNT {
-            self.easy = self.easy.min(self.shares.mean(now, 0.0, 0.0));
+        let (count, sum) = self.shares.total(now);
+        if count >= EASY_COUNT {
+            self.easy = self.easy.min(sum / count);
         }
-        let late = self.lateness.mean(now, 0.0, 0.0);
+        let late = self.lateness.mean(now);
         // Servers of more cores bear more, which shows in jobs at the cap that are as quick as ever.
         if self.full {
             let step = if late <= EASY * self.easy { CAP_STEP } else { -2.0 * CAP_STEP };
@@ -562,7 +563,7 @@
     fn size(&mut self, profile: usize, hint: f64) -> f64 {
         let hints = &mut self.hints[profile];
         hints.add(self.now, hint);
-        1.0 - HINTED + HINTED * hint / hints.mean(self.now, 0.0, 0.0).max(f64::MIN_POSITIVE)
+        1.0 - HINTED + HINTED * hint / hints.mean(self.now).max(f64::MIN_POSITIVE)
     }
 
     /// Usual duration of a shot of this job, ms.
@@ -573,7 +574,7 @@
     /// Usual duration of a profile's shot, ms.
     fn usual(&mut self, profile: usize) -> f64 {
         let guess = UNSEEN * self.settings.profiles[profile].contract_time;
-        self.durations[profile].mean(self.now, 1.0, guess)
+        self.durations[profile].mean_beside(self.now, 1.0, guess)
     }
 
     fn profile(&self, job: &Job) -> &Profile {
@@ -612,8 +613,9 @@
     }
 
     fn check_overdue(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
-        let usual = self.expected(job) * self.overdue();
-        let lossy = self.overdue() < OVERDUE;
+        let overdue = self.overdue();
+        let usual = self.expected(job) * overdue;
+        let lossy = overdue < OVERDUE;
         let mut next = f64::INFINITY;
         let mut late = None;
         for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none() && !shot.overdue) {
@@ -639,7 +641,7 @@
 
     /// Usual durations after which a shot is overdue; fewer while answers are lost on the way.
     fn overdue(&mut self) -> f64 {
-        if self.lost.mean(self.now, 0.0, 0.0) > LOSSY { OVERDUE * 0.5 } else { OVERDUE }
+        if self.lost.mean(self.now) > LOSSY { OVERDUE * 0.5 } else { OVERDUE }
     }
 
     /// Has the job looked at again at `at`, or when its answer falls due.
@@ -676,7 +678,7 @@
             self.table.iter().filter(|server| !server.is_aside(self.now)).map(|server| self.grown(server));
         let part = up.sum::<f64>().max(1.0) / self.settings.siblings;
         // Where the tier behind is what jams, servers let in more for their number than it can bear.
-        let late = self.lateness.mean(self.now, 0.0, 0.0);
+        let late = self.lateness.mean(self.now);
         let least = if late > JAMMED { WINDOW_JAMMED } else { WINDOW_LEAST };
         self.full = self.window >= self.cap * part * 0.95;
         self.window = self.window.clamp(least * part, self.cap * part);
@@ -697,7 +699,7 @@
     /// keep room for the better ones: those may pass the window a little, others stay as much below it.
     fn has_room(&mut self, worth: f64) -> bool {
         self.worths.add(self.now, worth);
-        let usual = self.worths.mean(self.now, 0.0, 0.0) * (1.0 + f64::EPSILON.sqrt());
+        let usual = self.worths.mean(self.now) * (1.0 + f64::EPSILON.sqrt());
         let better = if worth > usual { 1.0 } else { 0.0 };
         let most = self.window + (better - 0.5) * SPREAD * self.window.sqrt();
         self.out.value < self.window + better / self.window.max(1.0) && self.out.mean(self.now) < most
@@ -830,7 +832,7 @@
 
     /// Share of recent shots that were honoured.
     fn success(&mut self) -> f64 {
-        self.endings.mean(self.now, 1.0, 1.0)
+        self.endings.mean_beside(self.now, 1.0, 1.0)
     }
 
     /// Further shots follow the share of recent shots that succeeded, or retries would feed a jam.
@@ -852,11 +854,10 @@
         let shared = aside as f64 > self.table.len() as f64 * ASIDE_SHARE;
         let part = self.part();
         let rate = self.first_shots.total(self.now).0 / SPAN / (self.table.len().min(part) as f64).max(1.0);
-        let now = self.now;
         let fits = |server: &Rc<Server>| {
             within(server)
-                && now >= server.rest_until.get()
-                && (shared || !server.is_aside(now))
+                && self.now >= server.rest_until.get()
+                && (shared || !server.is_aside(self.now))
                 && !tried(server)
                 && self.warm_enough(server, rate)
         };
@@ -957,12 +958,6 @@
         self.strikes.set(0);
         self.heard.set(now);
         self.aside.set(0.0);
-        self.on_trial.set(false);
         self.failing_since.set(f64::INFINITY);
     }
-
-    /// How slow it is beside the others; a few samples lean on its make's mean.
-    fn lean(&self, now: f64, like: f64) {
-        self.slowness.set(self.relative.borrow_mut().mean(now, PRIOR, like));
-    }
 }
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -28,8 +28,13 @@
         self.slots.iter().fold((0.0, 0.0), |sum, slot| (sum.0 + slot.0, sum.1 + slot.1))
     }
 
-    /// Mean of what was booked within the span, beside `prior` more that were `like`.
-    pub fn mean(&mut self, now: f64, prior: f64, like: f64) -> f64 {
+    /// Mean of what was booked within the span; not a number if nothing was.
+    pub fn mean(&mut self, now: f64) -> f64 {
+        self.mean_beside(now, 0.0, 0.0)
+    }
+
+    /// The same, beside `prior` more that were `like`.
+    pub fn mean_beside(&mut self, now: f64, prior: f64, like: f64) -> f64 {
         let (count, sum) = self.total(now);
         (sum + prior * like) / (count + prior)
     }
@@ -49,13 +54,12 @@
 pub struct Level<const SLOTS: usize> {
     pub value: f64,
     since: f64,
-    span: f64,
     held: Ring<SLOTS>,
 }
 
 impl<const SLOTS: usize> Level<SLOTS> {
     pub fn new(span: f64) -> Self {
-        Self { value: 0.0, since: 0.0, span, held: Ring::new(span) }
+        Self { value: 0.0, since: 0.0, held: Ring::new(span) }
     }
 
     pub fn change(&mut self, now: f64, by: f64) {
@@ -67,7 +71,7 @@
     /// Mean over the span.
     pub fn mean(&mut self, now: f64) -> f64 {
         self.change(now, 0.0);
-        self.held.total(now).1 / self.span
+        self.held.total(now).1 / (self.held.width * SLOTS as f64)
     }
 }
 
