Read-through: what held jobs share is worked out once a round, inner tiers keep no window

Asked gain and the worst served were added up again for every held job of a round, and callers inside servers kept lateness and window figures that nobody reads. Two figures that stood in the code are in the block of constants now.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -59,6 +59,8 @@
 const OVERDUE: f64 = 8.0;
 /// Share of recent shots never answered from which on answers are being lost: a few are lost with servers.
 const LOSSY: f64 = 0.05;
+/// The same as `OVERDUE`, but while answers are lost: what is out so long mostly is.
+const OVERDUE_LOSSY: f64 = 4.0;
 /// Share of the contract time that stands for a mean duration not yet seen.
 const UNSEEN: f64 = 0.2;
 /// Further shots as a share of first ones, if all recent ones succeed.
@@ -96,6 +98,8 @@
 const LATE_SPAN: f64 = 1000.0;
 /// Jobs let in for each server at the least and at first: with fewer it grows back too slowly after trouble.
 const WINDOW_LEAST: f64 = 5.0;
+/// Share of the cap from which on the window is at it: it may be a step or two below.
+const AT_CAP: f64 = 0.95;
 /// Times the easiest mean share ever seen up to which jobs are as quick as ever.
 const EASY: f64 = 1.15;
 /// Answers that tell how easy jobs are: with fewer the easiest would be chance.
@@ -338,9 +342,7 @@
         if whole {
             self.table.iter().for_each(|server| server.standing.set(Standing::Gone));
         }
-        for line in lines {
-            self.list(line);
-        }
+        lines.for_each(|line| self.list(line));
         self.table.retain(|server| server.standing.get() == Standing::Ready);
         if cached {
             self.window = WINDOW_LEAST * self.table.len() as f64 / self.settings.siblings;
@@ -484,7 +486,9 @@
                 }
                 self.durations[job.profile].add(now, took / job.size);
                 self.compare(server, took / usual);
-                self.pace(took / self.profile(job).contract_time);
+                if self.settings.tier == 0 {
+                    self.pace(took / self.profile(job).contract_time);
+                }
             }
             // An error that most servers give now comes from the tier behind: it says nothing of this one.
             Ending::Error if self.success() < SHARED => {
@@ -545,9 +549,8 @@
     fn strike(&mut self, server: &Server) {
         server.strikes.set(server.strikes.get() + 1);
         server.failing_since.set(server.failing_since.get().min(self.now));
-        if server.on_trial.replace(false)
-            || (server.strikes.get() >= STRIKES && self.now >= server.back_at.get())
-        {
+        let in_a_row = server.strikes.get() >= STRIKES && self.now >= server.back_at.get();
+        if server.on_trial.replace(false) || in_a_row {
             let time = (server.aside.get() * 2.0).clamp(ASIDE_FIRST, ASIDE_LAST);
             server.aside.set(time);
             server.back_at.set(self.now + time);
@@ -593,8 +596,7 @@
         if job.waiting.get() {
             return;
         }
-        let unsent = job.shots.borrow().is_empty();
-        if unsent && self.settings.tier == 0 {
+        if self.settings.tier == 0 && job.shots.borrow().is_empty() {
             return self.hold(job);
         }
         if job.shots.borrow().iter().all(|shot| shot.ending.is_some()) {
@@ -615,7 +617,6 @@
     fn check_overdue(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         let overdue = self.overdue();
         let usual = self.expected(job) * overdue;
-        let lossy = overdue < OVERDUE;
         let mut next = f64::INFINITY;
         let mut late = None;
         for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none() && !shot.overdue) {
@@ -623,7 +624,7 @@
             if at <= self.now {
                 shot.overdue = true;
                 // A server that has answered others since is not silent: its job is long, a copy is waste.
-                if lossy || shot.server.heard.get() < shot.sent {
+                if overdue < OVERDUE || shot.server.heard.get() < shot.sent {
                     late = Some(shot.server.clone());
                 }
             } else {
@@ -641,7 +642,7 @@
 
     /// Usual durations after which a shot is overdue; fewer while answers are lost on the way.
     fn overdue(&mut self) -> f64 {
-        if self.lost.mean(self.now) > LOSSY { OVERDUE * 0.5 } else { OVERDUE }
+        if self.lost.mean(self.now) > LOSSY { OVERDUE_LOSSY } else { OVERDUE }
     }
 
     /// Has the job looked at again at `at`, or when its answer falls due.
@@ -669,9 +670,9 @@
         if self.waiting.is_empty() {
             return;
         }
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.retain(|job| !job.closed.get());
-        let mut ranked: Vec<_> = waiting.into_iter().map(|job| (self.worth(&job), job)).collect();
+        let waiting = std::mem::take(&mut self.waiting).into_iter().filter(|job| !job.closed.get());
+        let (asked, worst) = self.served();
+        let mut ranked: Vec<_> = waiting.map(|job| (self.worth(&job, asked, worst), job)).collect();
         ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then(x.arrived.total_cmp(&y.arrived)));
         // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
         let up =
@@ -680,7 +681,7 @@
         // Where the tier behind is what jams, servers let in more for their number than it can bear.
         let late = self.lateness.mean(self.now);
         let least = if late > JAMMED { WINDOW_JAMMED } else { WINDOW_LEAST };
-        self.full = self.window >= self.cap * part * 0.95;
+        self.full = self.window >= self.cap * part * AT_CAP;
         self.window = self.window.clamp(least * part, self.cap * part);
         for (worth, job) in ranked {
             let open = self.settings.tier > 0 || self.has_room(worth);
@@ -716,22 +717,28 @@
         profiles.get_mut(profile).into_iter().chain(customers.get_mut(customer)).for_each(book);
     }
 
+    /// Gain asked for by all, and the worst served profile and customer.
+    fn served(&mut self) -> (f64, [Option<usize>; 2]) {
+        let now = self.now;
+        let asked = self.tallies[0].iter_mut().map(|[asked, _]| asked.total(now).1).sum();
+        let share = |[asked, honoured]: &mut Tally| honoured.total(now).1 / asked.total(now).1.max(1e-9);
+        let worst = self.tallies.each_mut().map(|tallies| {
+            let shares = tallies.iter_mut().map(share).enumerate();
+            shares.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place)
+        });
+        (asked, worst)
+    }
+
     /// What serving the job adds to the goal for each unit of work. The worst served profile and customer
     /// count by themselves there, so that one of low gain is not starved for the others.
-    fn worth(&mut self, job: &Job) -> f64 {
+    fn worth(&mut self, job: &Job, asked: f64, worst: [Option<usize>; 2]) -> f64 {
         let now = self.now;
         let within = self.within_quota(job.customer);
-        let asked: f64 = self.tallies[0].iter_mut().map(|[asked, _]| asked.total(now).1).sum();
         let mut part = self.settings.weight_whole / asked.max(f64::MIN_POSITIVE);
         let weights = [self.settings.weight_profile, self.settings.weight_customer];
-        for ((tallies, place), weight) in
-            self.tallies.iter_mut().zip([job.profile, job.customer]).zip(weights)
-        {
-            let share = |[asked, honoured]: &mut Tally| honoured.total(now).1 / asked.total(now).1.max(1e-9);
-            let shares = tallies.iter_mut().map(share);
-            let worst = shares.enumerate().min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place);
-            if worst == Some(place) && within {
-                part += weight / tallies[place][0].total(now).1.max(f64::MIN_POSITIVE);
+        for (kind, place) in [job.profile, job.customer].into_iter().enumerate() {
+            if worst[kind] == Some(place) && within {
+                part += weights[kind] / self.tallies[kind][place][0].total(now).1.max(f64::MIN_POSITIVE);
             }
         }
         let excess = if within { 1.0 } else { self.settings.excess_gain };
@@ -949,10 +956,8 @@
 
     fn answered(&self, now: f64, cold_time: f64) {
         // Silent long enough to have restarted: it is cold until the list says better.
-        if self.strikes.get() >= STRIKES
-            && now - self.failing_since.get() > SILENT
-            && now - self.started.get() > cold_time
-        {
+        let silent = now - self.failing_since.get() > SILENT && now - self.started.get() > cold_time;
+        if silent && self.strikes.get() >= STRIKES {
             self.restarted(now, now);
         }
         self.strikes.set(0);
