--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -10,6 +10,8 @@
 
 /// Milliseconds between two rounds.
 const ROUND: f64 = 5.0;
+/// How long, ms, a shot takes that a line ends.
+const QUICK: f64 = 20.0;
 
 #[derive(Default)]
 struct Written(Vec<String>);
@@ -131,6 +133,11 @@
         self.now = to;
     }
 
+    fn jobs(&mut self, ids: [&str; 2], profile: &str, hint: Option<f64>, limit: f64) {
+        let ([first, last], profile) = (ids.map(|id| number(id) as u32), number(profile) as usize);
+        self.round(|balancer| (first..=last).for_each(|id| balancer.job(id, profile, 0, hint, limit)));
+    }
+
     /// Sends jobs of profile 0 one after the other, each honoured at once, and counts the servers drawn.
     fn draw(&mut self, jobs: u32, every: f64) {
         for id in 1_000_000..1_000_000 + jobs {
@@ -212,29 +219,22 @@
                         self.round(|balancer| balancer.listed(false, false, lines));
                     }
                     ["list-failed"] => self.round(Balancer::list_failed),
-                    ["job", id, profile, after] => self.round(|balancer| {
-                        balancer.job(number(id) as u32, number(profile) as usize, 0, None, limit(after));
-                    }),
-                    ["hinted", first, last, after, hint] => self.round(|balancer| {
-                        for id in number(first) as u32..=number(last) as u32 {
-                            balancer.job(id, 0, 0, Some(number(hint)), limit(after));
-                        }
-                    }),
-                    ["jobs", first, last, after, ref profile @ ..] => self.round(|balancer| {
-                        let profile = profile.first().map_or(0.0, |word| number(word)) as usize;
-                        for id in number(first) as u32..=number(last) as u32 {
-                            balancer.job(id, profile, 0, None, limit(after));
-                        }
-                    }),
+                    ["job", id, profile, after] => self.jobs([id, id], profile, None, limit(after)),
+                    ["hinted", first, last, after, hint] => {
+                        self.jobs([first, last], "0", Some(number(hint)), limit(after));
+                    }
+                    ["jobs", first, last, after, ref profile @ ..] => {
+                        self.jobs([first, last], profile.first().unwrap_or(&"0"), None, limit(after));
+                    }
                     ["end", id, shot, how, ref done @ ..] => {
                         let (id, shot, how) = (number(id) as u32, number(shot) as usize, ending(how));
                         let done = how == Ending::Honoured || done == ["done"];
-                        let took = if how == Ending::TimedOut { 1000.0 } else { 20.0 };
+                        let took = if how == Ending::TimedOut { 1000.0 } else { QUICK };
                         self.round(|balancer| balancer.shot_ended(id, shot, how, took, done));
                     }
                     ["ends", first, last, "honoured"] => self.round(|balancer| {
                         for id in number(first) as u32..=number(last) as u32 {
-                            balancer.shot_ended(id, 0, Ending::Honoured, 20.0, true);
+                            balancer.shot_ended(id, 0, Ending::Honoured, QUICK, true);
                         }
                     }),
                     ["left", id] => self.round(|balancer| balancer.client_left(number(id) as u32)),
