--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -26,10 +26,10 @@
 const LEAST_BODY: usize = 4 * 1024;
 
 pub struct Room {
-    most_open: usize,
-    last_resort: usize,
+    most_open: Cell<usize>,
+    last_resort: Cell<usize>,
     open: Cell<usize>,
-    most_bytes: usize,
+    most_bytes: Cell<usize>,
     bytes: Cell<usize>,
     /// Jobs taken in, or being read, and not answered.
     jobs: Cell<usize>,
@@ -42,29 +42,38 @@
 
 impl Room {
     pub fn new(sockets: usize, memory_mb: f64) -> Rc<Self> {
-        let last_resort = (sockets / LAST_RESORT.0).min(LAST_RESORT.1);
-        Rc::new(Self {
-            most_open: sockets.saturating_sub(FIXED + last_resort).max(CONNECTIONS),
-            last_resort,
+        let room = Self {
+            most_open: Cell::new(0),
+            last_resort: Cell::new(0),
             open: Cell::new(0),
-            most_bytes: (memory_mb * 1024.0 * 1024.0 * BODIES) as usize,
+            most_bytes: Cell::new(0),
             bytes: Cell::new(0),
             jobs: Cell::new(0),
             waiting: Cell::new(0),
             freed: Notify::new(),
             callers: RefCell::default(),
             numbered: Cell::new(0),
-        })
+        };
+        room.limit(sockets, memory_mb);
+        Rc::new(room)
+    }
+
+    /// The limits from now on; what is over them already is not cut off.
+    pub fn limit(&self, sockets: usize, memory_mb: f64) {
+        let last_resort = (sockets / LAST_RESORT.0).min(LAST_RESORT.1);
+        self.last_resort.set(last_resort);
+        self.most_open.set(sockets.saturating_sub(FIXED + last_resort).max(CONNECTIONS));
+        self.most_bytes.set((memory_mb * 1024.0 * 1024.0 * BODIES) as usize);
     }
 
     /// Room for one more connection.
     pub fn has_place(&self) -> bool {
-        self.open.get() < self.most_open
+        self.open.get() < self.most_open.get()
     }
 
     /// The same, if it is only to push a job back, or stands in for one that is being closed.
     pub fn has_last_place(&self) -> bool {
-        self.open.get() < self.most_open + self.last_resort
+        self.open.get() < self.most_open.get() + self.last_resort.get()
     }
 
     pub fn place(self: &Rc<Self>) -> Place {
@@ -90,8 +99,8 @@
     /// Takes room for a job whose body has this length; none if bodies or connections would not fit.
     pub fn job(self: &Rc<Self>, body: usize) -> Option<Share> {
         let bytes = body.max(LEAST_BODY);
-        let connected = (self.jobs.get() + 1) * CONNECTIONS <= self.most_open;
-        (connected && self.bytes.get() + bytes <= self.most_bytes).then(|| {
+        let connected = (self.jobs.get() + 1) * CONNECTIONS <= self.most_open.get();
+        (connected && self.bytes.get() + bytes <= self.most_bytes.get()).then(|| {
             self.bytes.set(self.bytes.get() + bytes);
             self.jobs.set(self.jobs.get() + 1);
             Share { room: self.clone(), bytes }
--- a/crates/pearfront-node/src/config.rs
+++ b/crates/pearfront-node/src/config.rs
@@ -1,5 +1,5 @@
-//! All that the node is told at its start: four variables and the file that one of them names. Read, checked and
-//! given defaults here only; a problem is one line that names the faulty variable or key.
+//! All that the node is told at its start and at each SIGHUP: four variables and the file that one of them names.
+//! Read, checked and given defaults here only; a problem is one line that names the faulty variable or key.
 
 use crate::message::{self, List};
 use pearfront::interface::Settings;
@@ -21,6 +21,8 @@
     pub known: List,
     pub settings: Settings,
     pub around: Surroundings,
+    /// The settings as they stand in the file, to tell whether a new file has others.
+    pub as_written: Value,
 }
 
 pub fn read() -> Result<Config, String> {
@@ -38,6 +40,11 @@
     let json: Value =
         serde_json::from_slice(&text).map_err(|error| format!("ROUTER_CONFIG: {path}: {error}"))?;
     let top = At::top(&json, "config");
+    // Discovery may have moved since the variable was set: the file, which can be replaced, says where it is now.
+    let discovery = match top.maybe("discovery") {
+        Some(at) => at.text()?.parse().or_else(|_| at.problem("is no address and port"))?,
+        None => discovery,
+    };
     let seed = top.needed("seed")?;
     let limits = top.maybe("limits");
     let limit =
@@ -58,5 +65,6 @@
         known,
         settings: pearfront_settings::decode(&settings)?,
         around,
+        as_written: json["settings"].clone(),
     })
 }
--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -13,6 +13,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -21,6 +22,9 @@
 const HOLD: f64 = 20_000.0;
 /// Longest a call may take beside what it waits for news, ms.
 const PATIENCE: f64 = 2100.0;
+/// How long a watch at the address where discovery was goes on, beside the new one: what is still on its way there
+/// counts as told.
+const OLD_WATCH: Duration = Duration::from_secs(2);
 /// First and last pause before a watch that nobody asked for begins again after a failure.
 const AGAIN: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
 /// Longest body of a list, bytes: thousands of servers.
@@ -98,7 +102,11 @@
 }
 
 pub struct Discovery {
-    service: SocketAddr,
+    service: Cell<SocketAddr>,
+    /// Rung when the service has moved, and how often it has: each watch is of one address.
+    moved: Notify,
+    moves: Cell<u64>,
+    by_itself: Cell<bool>,
     unix_start: f64,
     around: Rc<Surroundings>,
     inbox: Rc<Inbox>,
@@ -123,7 +131,10 @@
         inbox: Rc<Inbox>,
     ) -> Rc<Self> {
         Rc::new(Self {
-            service,
+            service: Cell::new(service),
+            moved: Notify::new(),
+            moves: Cell::new(0),
+            by_itself: Cell::new(false),
             unix_start,
             around,
             inbox,
@@ -165,7 +176,7 @@
         if !self.watching.replace(true) {
             let discovery = self.clone();
             spawn_local(async move {
-                let problem = discovery.follow().await;
+                let Some(problem) = discovery.follow().await else { return };
                 discovery.watching.set(false);
                 discovery.note_failure(&problem);
                 discovery.inbox.tell(|balancer| balancer.list_failed());
@@ -174,15 +185,32 @@
     }
 
     /// Watches all the time, for a deployment where changes are to come by themselves.
-    pub async fn keep_watching(self: Rc<Self>) {
-        let mut pause = AGAIN.0;
-        loop {
-            let lists = self.book.lists.value();
-            let problem = self.follow().await;
-            self.note_failure(&problem);
-            pause = if self.book.lists.value() > lists { AGAIN.0 } else { (pause * 2).min(AGAIN.1) };
-            sleep(pause).await;
+    pub fn keep_watching(self: &Rc<Self>) {
+        self.by_itself.set(true);
+        let discovery = self.clone();
+        spawn_local(async move {
+            let mut pause = AGAIN.0;
+            loop {
+                let lists = discovery.book.lists.value();
+                let Some(problem) = discovery.follow().await else { return };
+                discovery.note_failure(&problem);
+                let heard = discovery.book.lists.value() > lists;
+                pause = if heard { AGAIN.0 } else { (pause * 2).min(AGAIN.1) };
+                sleep(pause).await;
+            }
+        });
+    }
+
+    /// The service answers elsewhere from now on. A watch begins there at once; the one that is on goes on beside
+    /// it for a moment.
+    pub fn move_to(self: &Rc<Self>, service: SocketAddr) {
+        if self.service.replace(service) == service {
+            return;
         }
+        self.moves.set(self.moves.get() + 1);
+        self.moved.notify_waiters();
+        self.watching.set(false);
+        if self.by_itself.get() { self.keep_watching() } else { self.watch() }
     }
 
     fn note_failure(&self, problem: &str) {
@@ -190,35 +218,55 @@
         self.failing.warn(format_args!("watch on discovery ended: {problem}"));
     }
 
-    /// One call after the other until one fails; says why.
-    async fn follow(&self) -> String {
+    /// One call after the other until one fails; says why, or nothing if the service has moved meanwhile.
+    async fn follow(&self) -> Option<String> {
+        let (service, moves) = (self.service.get(), self.moves.get());
+        let moved = async {
+            while self.moves.get() == moves {
+                self.moved.notified().await;
+            }
+            sleep(OLD_WATCH).await;
+        };
+        tokio::select! {
+            problem = self.follow_at(service, moves) => (self.moves.get() == moves).then_some(problem),
+            () = moved => None,
+        }
+    }
+
+    async fn follow_at(&self, service: SocketAddr, moves: u64) -> String {
         // The first asks only what has changed since, so that the module is answered at once.
         let mut wait = 0.0;
         let mut link = None;
         loop {
-            match self.call(&mut link, wait).await {
-                Ok(list) => self.tell(list, false),
+            match self.call(&mut link, service, wait).await {
+                // Of two watches the one behind has nothing to say; only a whole list may count from anew.
+                Ok(list) => {
+                    let anew = list.whole && self.moves.get() == moves;
+                    if anew || list.version >= self.version.get() {
+                        self.tell(list, false);
+                    }
+                }
                 Err(problem) => return problem,
             }
             wait = HOLD;
         }
     }
 
-    async fn call(&self, link: &mut Option<Link>, wait: f64) -> Result<List, String> {
-        timeout(ms(wait + PATIENCE), self.ask(link, wait))
+    async fn call(&self, link: &mut Option<Link>, service: SocketAddr, wait: f64) -> Result<List, String> {
+        timeout(ms(wait + PATIENCE), self.ask(link, service, wait))
             .await
             .unwrap_or_else(|_| Err("no answer in time".into()))
     }
 
-    async fn ask(&self, place: &mut Option<Link>, wait: f64) -> Result<List, String> {
+    async fn ask(&self, place: &mut Option<Link>, service: SocketAddr, wait: f64) -> Result<List, String> {
         let link = match place.take().filter(Link::is_usable) {
             Some(link) => place.insert(link),
             None => {
-                let opened = timeout(ms(PATIENCE), Link::open(self.service, &self.room)).await;
+                let opened = timeout(ms(PATIENCE), Link::open(service, &self.room)).await;
                 place.insert(opened.ok().and_then(Result::ok).ok_or("no connection")?)
             }
         };
-        let call = message::encode_watch(&self.service.to_string(), self.version.get(), wait);
+        let call = message::encode_watch(&service.to_string(), self.version.get(), wait);
         let (head, body) = link.ask(call, MOST_LIST).await.map_err(|()| "connection broke")?;
         if head.status != hyper::StatusCode::OK {
             return Err(format!("answered {}", head.status));
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -72,13 +72,15 @@
 async fn serve(config: Config) -> Result<(), String> {
     let told = |kind| signal(kind).map_err(|error| format!("signals: {error}"));
     let (mut end, mut interrupt) = (told(SignalKind::terminate())?, told(SignalKind::interrupt())?);
-    let show = told(SignalKind::user_defined1())?;
+    let (show, again) = (told(SignalKind::user_defined1())?, told(SignalKind::hangup())?);
     let listener = listen(&config)?;
     let longest = config.around.longest_limit.min(LONGEST_COUNTED) + AFTER_LIMIT;
     let (name, address) = (config.name.clone(), config.listen);
-    let (take_in, book) = build(config);
+    let settings = config.as_written.clone();
+    let (take_in, book, discovery) = build(config);
     log::info!("node {name} listens on {address}");
     spawn_local(print_counters(show, book.clone(), take_in.room.clone()));
+    spawn_local(read_again(again, settings, discovery, take_in.room.clone()));
     let (clock, last) = (take_in.route.clock, Cell::new(f64::INFINITY));
     let ended = async {
         tokio::select! {
@@ -104,8 +106,30 @@
     }
 }
 
+/// Takes over a replaced configuration: where discovery is, and the limits. What the module was built with holds
+/// until the next start, and the list in the file is older than what the watch has told.
+async fn read_again(
+    mut again: Signal,
+    settings: serde_json::Value,
+    discovery: Rc<Discovery>,
+    room: Rc<Room>,
+) {
+    while again.recv().await.is_some() {
+        match config::read() {
+            Ok(config) => {
+                discovery.move_to(config.discovery);
+                room.limit(config.sockets, config.memory_mb);
+                let rest =
+                    if config.as_written == settings { "" } else { "; its settings wait for a new start" };
+                log::info!("configuration read again, discovery at {}{rest}", config.discovery);
+            }
+            Err(problem) => log::warn!("configuration stays as it was: {problem}"),
+        }
+    }
+}
+
 /// Puts the stages together and starts what runs by itself.
-fn build(config: Config) -> (Rc<TakeIn>, Rc<Book>) {
+fn build(config: Config) -> (Rc<TakeIn>, Rc<Book>, Rc<Discovery>) {
     let clock = Clock::start();
     let unix_start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
     let book = Rc::new(Book::default());
@@ -132,11 +156,11 @@
     let route = Route::new(clock, inbox, senders.clone(), discovery.clone(), prober, book.clone());
     discovery.tell(config.known, true);
     if !config.settings.listed_on_request {
-        spawn_local(discovery.keep_watching());
+        discovery.keep_watching();
     }
     let round = config.settings.round;
     let effects = config.settings.profiles.iter().map(|profile| profile.effect).collect();
     spawn_local(senders.clone().sweep());
     spawn_local(route.clone().drive(Balancer::new(config.settings, config.seed), round));
-    (TakeIn::new(route, room, senders, around, effects, book.clone()), book)
+    (TakeIn::new(route, room, senders, around, effects, book.clone()), book, discovery)
 }
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -314,6 +314,47 @@
     assert_eq!((counters["taken"], counters["pushed_back"], counters["forfeited"]), (2, 1, 1));
 }
 
+// SIGHUP by itself ends a program. The watch moves and goes on from what was told, and nothing else is touched.
+#[test]
+fn a_new_configuration_moves_the_watch_and_nothing_else() {
+    let (old, new) = (Server::start(Act::Silence), Server::start(Act::Honour(b"new".to_vec())));
+    let mut config = config(&[old.address]);
+    let node = Node::start(&config);
+    node.discovery.publish(2, list(2, false, &[]));
+    node.discovery.wait_for(2);
+    let mut busy = node.caller();
+    busy.send(&head("pay", "2", 0), b"");
+    old.wait_for("job 1");
+    let elsewhere = Discovery::start();
+    elsewhere
+        .publish(3, list(3, false, &[entry("s0", old.address, "Gone"), entry("s1", new.address, "Ready")]));
+    config["discovery"] = json!(elsewhere.address.to_string());
+    node.reload(&config.to_string());
+    elsewhere.wait_for(2);
+    elsewhere.wait_for(3);
+    assert_eq!(node.caller().ask(&head("pay", "5", 0), b"").body, b"new");
+    // Back again, with nothing new there: what the other one told stays.
+    config["discovery"] = json!(node.discovery.address.to_string());
+    node.reload(&config.to_string());
+    node.discovery.wait_for(3);
+    assert_eq!(node.caller().ask(&head("pay", "5", 0), b"").body, b"new");
+    assert_eq!(busy.answer().unwrap().status(), 502);
+    let counters = node.end();
+    assert_eq!((counters["taken"], counters["honoured"], counters["forfeited"]), (3, 2, 1));
+}
+
+#[test_case(r#"{"discovery": "here"}"#, "config.discovery is no address and port"; "bad address")]
+#[test_case("{", "EOF while parsing an object at line 1 column 1"; "no JSON")]
+fn a_faulty_new_configuration_changes_nothing(text: &str, problem: &str) {
+    let server = Server::start(Act::Honour(Vec::new()));
+    let node = Node::start(&config(&[server.address]));
+    node.reload(text);
+    assert_eq!(node.caller().ask(&head("pay", "5", 0), b"").status(), 200);
+    node.signal("-TERM");
+    let log = node.log();
+    assert!(log.contains("configuration stays as it was: ") && log.contains(problem), "{log}");
+}
+
 // Neither half a head nor a caller that never brought anything holds up the end.
 #[test]
 fn unfinished_callers_do_not_hold_up_the_end() {
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -211,12 +211,12 @@
 }
 
 pub struct Discovery {
-    address: SocketAddr,
+    pub address: SocketAddr,
     listed: Arc<(Mutex<Listed>, Condvar)>,
 }
 
 impl Discovery {
-    fn start() -> Self {
+    pub fn start() -> Self {
         let address = fresh_address();
         let listed: Arc<(Mutex<Listed>, Condvar)> = Arc::default();
         let shared = listed.clone();
@@ -381,6 +381,12 @@
         peak.trim().trim_end_matches(" kB").parse().unwrap()
     }
 
+    /// Replaces the node's file and tells it so.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("-HUP");
+    }
+
     pub fn signal(&self, signal: &str) {
         let id = self.child.as_ref().unwrap().id().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
