--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -22,8 +22,7 @@
 const HOLD: f64 = 20_000.0;
 /// Longest a call may take beside what it waits for news, ms.
 const PATIENCE: f64 = 2100.0;
-/// How long a watch at the address where discovery was goes on, beside the new one: what is still on its way there
-/// counts as told.
+/// How long a call at the address where discovery was is waited for: it closes what is open there by then.
 const OLD_WATCH: Duration = Duration::from_secs(2);
 /// First and last pause before a watch that nobody asked for begins again after a failure.
 const AGAIN: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
@@ -109,10 +108,8 @@
 
 pub struct Discovery {
     service: Cell<SocketAddr>,
-    /// Rung when the service has moved, and how often it has: each watch is of one address.
+    /// Rung when the service has moved.
     moved: Notify,
-    moves: Cell<u64>,
-    by_itself: Cell<bool>,
     unix_start: f64,
     around: Rc<Surroundings>,
     inbox: Rc<Inbox>,
@@ -139,8 +136,6 @@
         Rc::new(Self {
             service: Cell::new(service),
             moved: Notify::new(),
-            moves: Cell::new(0),
-            by_itself: Cell::new(false),
             unix_start,
             around,
             inbox,
@@ -181,7 +176,7 @@
         if !self.watching.replace(true) {
             let discovery = self.clone();
             spawn_local(async move {
-                let Some(problem) = discovery.follow().await else { return };
+                let problem = discovery.follow().await;
                 discovery.watching.set(false);
                 discovery.note_failure(&problem);
                 discovery.inbox.tell(|balancer| balancer.list_failed());
@@ -190,32 +185,25 @@
     }
 
     /// Watches all the time, for a deployment where changes are to come by themselves.
-    pub fn keep_watching(self: &Rc<Self>) {
-        self.by_itself.set(true);
-        let discovery = self.clone();
-        spawn_local(async move {
-            let mut pause = AGAIN.0;
-            loop {
-                let lists = discovery.book.lists.value();
-                let Some(problem) = discovery.follow().await else { return };
-                discovery.note_failure(&problem);
-                let heard = discovery.book.lists.value() > lists;
-                pause = if heard { AGAIN.0 } else { (pause * 2).min(AGAIN.1) };
-                sleep(pause).await;
-            }
-        });
+    pub async fn keep_watching(self: Rc<Self>) {
+        self.watching.set(true);
+        let mut pause = AGAIN.0;
+        loop {
+            let lists = self.book.lists.value();
+            let problem = self.follow().await;
+            self.note_failure(&problem);
+            pause = if self.book.lists.value() > lists { AGAIN.0 } else { (pause * 2).min(AGAIN.1) };
+            sleep(pause).await;
+        }
     }
 
-    /// The service answers elsewhere from now on. A watch begins there at once; the one that is on goes on beside
-    /// it for a moment.
+    /// The service answers elsewhere from now on. A watch that is on goes there with its next call; a pause after
+    /// a failure was meant for the old address.
     pub fn move_to(self: &Rc<Self>, service: SocketAddr) {
-        if self.service.replace(service) == service {
-            return;
+        if self.service.replace(service) != service {
+            self.moved.notify_waiters();
+            self.watch();
         }
-        self.moves.set(self.moves.get() + 1);
-        self.moved.notify_waiters();
-        self.watching.set(false);
-        if self.by_itself.get() { self.keep_watching() } else { self.watch() }
     }
 
     fn note_failure(&self, problem: &str) {
@@ -223,40 +211,35 @@
         self.failing.warn(format_args!("watch on discovery ended: {problem}"));
     }
 
-    /// One call after the other until one fails; says why, or nothing if the service has moved meanwhile.
-    async fn follow(&self) -> Option<String> {
-        let (service, moves) = (self.service.get(), self.moves.get());
-        let moved = async {
-            while self.moves.get() == moves {
-                self.moved.notified().await;
-            }
-            sleep(OLD_WATCH).await;
-        };
-        tokio::select! {
-            problem = self.follow_at(service, moves) => (self.moves.get() == moves).then_some(problem),
-            () = moved => None,
-        }
-    }
-
-    async fn follow_at(&self, service: SocketAddr, moves: u64) -> String {
+    /// One call after the other until one fails; says why.
+    async fn follow(&self) -> String {
         // The first asks only what has changed since, so that the module is answered at once.
         let mut wait = 0.0;
         let mut link = None;
+        let mut at = self.service.get();
         loop {
-            match self.call(&mut link, service, wait).await {
-                // Of two watches the one behind has nothing to say; only a whole list may count from anew.
-                Ok(list) => {
-                    let anew = list.whole && self.moves.get() == moves;
-                    if anew || list.version >= self.version.get() {
-                        self.tell(list, false);
-                    }
-                }
-                Err(problem) => return problem,
+            let answer = tokio::select! {
+                answer = self.call(&mut link, at, wait) => answer,
+                () = self.old_call_is_over() => Err("the service has moved".into()),
+            };
+            let moved = at != self.service.get();
+            wait = if answer.is_ok() { HOLD } else { 0.0 };
+            match answer {
+                Ok(list) => self.tell(list, false),
+                Err(problem) if !moved => return problem,
+                Err(_) => {}
+            }
+            if moved {
+                (link, at) = (None, self.service.get());
             }
-            wait = HOLD;
         }
     }
 
+    async fn old_call_is_over(&self) {
+        self.moved.notified().await;
+        sleep(OLD_WATCH).await;
+    }
+
     async fn call(&self, link: &mut Option<Link>, service: SocketAddr, wait: f64) -> Result<List, String> {
         timeout(ms(wait + PATIENCE), self.ask(link, service, wait))
             .await
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -157,7 +157,7 @@
     let route = Route::new(clock, inbox, senders.clone(), discovery.clone(), prober, book.clone());
     discovery.tell(config.known, true);
     if !config.settings.listed_on_request {
-        discovery.keep_watching();
+        spawn_local(discovery.clone().keep_watching());
     }
     let round = config.settings.round;
     let effects = config.settings.profiles.iter().map(|profile| profile.effect).collect();
