Bad callers cut off in time, open ids and hidden jobs refused, a 4xx is no server's fault

Seen: redoable jobs pushed back after one shot with 4.5 s left, healthy servers set aside again and again. Two kinds got through: a length beside chunks (the body by chunks is empty, hyper drops the length in either order, role.rs there), and the id of a job still open. Idle connections to servers were closed for each silent caller (send.rs `make_place`).

- wire.rs sees in the bytes whether a head names a length; take_in.rs refuses it beside chunks, and ends a connection after any job in chunks.
- route.rs keeps the ids of jobs held; another job with one is refused.
- A 4xx is `TurnedDown`: passed on as 400, told to the module as called off, nothing learned of the server.
- Callers without a whole head after 2.2 s, or a whole body 2.5 s after its head, are cut off or answered 400; a body said to be too long is answered at once, and what still comes is read for a moment so that the answer arrives.
- Two ids or labels, or those named in `Connection`, are refused: the one a server takes must be the one we looked at.
- Callers beyond half of all connections are closed before idle connections to servers.

--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -1,13 +1,14 @@
 //! Second stage: is there room for a connection or a job? What finds none is pushed back at once, before the
 //! module hears of it: nothing was sent, so trying again is harmless.
 
+use crate::book::Book;
 use crate::wire::Wire;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// Descriptors kept for what is no caller, server or probe: standard streams, listener, poll, signals, discovery.
 const FIXED: usize = 24;
@@ -18,6 +19,11 @@
 const CONNECTIONS: usize = 2;
 /// How long a connection that has brought nothing yet is left alone.
 const FIRST_JOB: Duration = Duration::from_millis(150);
+/// How long a caller may take for its first head, or for the rest of one: it is owed an error or a close within 3 s
+/// of connecting.
+const WHOLE_HEAD: Duration = Duration::from_millis(2200);
+/// How often callers are looked through for that.
+const LOOK: Duration = Duration::from_millis(200);
 /// Share of the memory limit that bodies may take; the rest is for connections' buffers and answers.
 const BODIES: f64 = 0.3;
 /// Most bytes of a body, by the protocol.
@@ -123,13 +129,28 @@
         self.callers.borrow_mut().remove(&number);
     }
 
-    /// Has the caller that has been idle longest closed.
-    pub fn close_idle(&self) {
+    /// Do callers hold more than half of all connections? Those they keep idle then go before servers' idle ones.
+    pub fn callers_crowd(&self) -> bool {
+        self.callers.borrow().len() * 2 > self.most_open.get()
+    }
+
+    /// Has the caller that has been idle longest closed; false if there is none.
+    pub fn close_idle(&self) -> bool {
         let callers = self.callers.borrow();
         let mut idle: Vec<_> = callers.values().filter(|caller| caller.can_be_spared()).collect();
         idle.sort_by_key(|caller| caller.since.get());
-        if let Some(caller) = idle.into_iter().find(|caller| !caller.wire.has_unread()) {
-            caller.close();
+        let spared = idle.into_iter().find(|caller| !caller.wire.has_unread());
+        spared.inspect(|caller| caller.close()).is_some()
+    }
+
+    /// Has callers closed that have not brought a whole head for too long, as long as the node runs.
+    pub async fn close_unfinished(self: Rc<Self>, book: Rc<Book>) {
+        loop {
+            sleep(LOOK).await;
+            for caller in self.callers.borrow().values().filter(|caller| caller.is_unfinished()) {
+                book.cut_off.add();
+                caller.close();
+            }
         }
     }
 
@@ -147,11 +168,14 @@
 
 /// A caller's connection, and whether it could be spared.
 pub struct Caller {
-    wire: Rc<Wire>,
+    pub wire: Rc<Wire>,
     busy: Cell<bool>,
     used: Cell<bool>,
     since: Cell<Instant>,
     closing: Cell<bool>,
+    answered_early: Cell<bool>,
+    /// When half a head was first seen on it.
+    half: Cell<Option<Instant>>,
     pub told: Notify,
 }
 
@@ -163,6 +187,8 @@
             used: Cell::new(false),
             since: Cell::new(Instant::now()),
             closing: Cell::new(false),
+            answered_early: Cell::new(false),
+            half: Cell::new(None),
             told: Notify::new(),
         }
     }
@@ -179,16 +205,35 @@
         self.is_idle() && begun && !self.closing.get()
     }
 
+    fn is_unfinished(&self) -> bool {
+        let half = self.wire.in_head().then(|| self.half.get().unwrap_or_else(Instant::now));
+        self.half.set(half);
+        let since = if self.used.get() { half } else { Some(self.since.get()) };
+        let waits = self.is_idle() && !self.closing.get() && !self.wire.has_unread();
+        waits && since.is_some_and(|since| since.elapsed() > WHOLE_HEAD)
+    }
+
     pub fn begin(&self) {
         self.busy.set(true);
         self.used.set(true);
     }
 
-    pub fn end(&self) {
+    /// Answered, a job with a body of this length if that was told ahead.
+    pub fn end(&self, body: Option<usize>) {
+        self.wire.message_over(body);
         self.busy.set(false);
         self.since.set(Instant::now());
     }
 
+    /// What it sends was answered before its end, and is not read any further.
+    pub fn answer_early(&self) {
+        self.answered_early.set(true);
+    }
+
+    pub fn is_answered_early(&self) -> bool {
+        self.answered_early.get()
+    }
+
     fn close(&self) {
         self.closing.set(true);
         self.told.notify_one();
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -162,6 +162,7 @@
     let round = config.settings.round;
     let effects = config.settings.profiles.iter().map(|profile| profile.effect).collect();
     spawn_local(senders.clone().sweep());
+    spawn_local(room.clone().close_unfinished(book.clone()));
     spawn_local(route.clone().drive(Balancer::new(config.settings, config.seed), round));
     (TakeIn::new(route, room, senders, around, effects, book.clone()), book, discovery)
 }
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -55,12 +55,17 @@
     headers: HeaderMap,
 }
 
-/// Decodes a call's head. The error says what is wrong with it.
+/// Decodes a call's head. The error says what is wrong with it. `lengths` tells whether a length may have stood in
+/// it: where chunks come as well, hyper drops the length, and the body may hide another job from one of two readers.
 pub fn decode_call(
     head: request::Parts,
     around: &Surroundings,
     effect: impl Fn(usize) -> Effect,
+    lengths: bool,
 ) -> Result<Call, String> {
+    if lengths && is_chunked(&head.headers) {
+        return Err("both a length and chunks".into());
+    }
     if head.method == Method::GET && head.uri.path() == "/up" {
         return Ok(Call::Up);
     }
@@ -70,6 +75,10 @@
     if text(&head.headers, &ID).is_none_or(str::is_empty) {
         return Err(format!("no {ID}"));
     }
+    // Of two a server may take the other one.
+    if let Some(twice) = [ID, LABEL].iter().find(|name| head.headers.get_all(*name).iter().count() > 1) {
+        return Err(format!("more than one {twice}"));
+    }
     let labelled = head.headers.contains_key(&LABEL);
     let fits = match effect(profile) {
         Effect::Redoable => head.method == Method::GET,
@@ -85,11 +94,24 @@
     let customer = decode_customer(&head.headers, around)?;
     let hint = text(&head.headers, &HINT).and_then(finite).map(|hint| hint / 1000.0);
     let headers = end_to_end(head.headers);
+    if !headers.contains_key(&ID) || headers.contains_key(&LABEL) != labelled {
+        return Err("its own headers named as the connection's".into());
+    }
     let (method, target) = (head.method, head.uri);
     let job = Job { profile, customer, hint, left, body: Bytes::new(), method, target, headers };
     Ok(Call::Job(Box::new(job)))
 }
 
+pub fn is_chunked(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+/// The connection ends with this answer.
+pub fn last_on_connection(mut answer: Response<Body>) -> Response<Body> {
+    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
 fn decode_customer(headers: &HeaderMap, around: &Surroundings) -> Result<usize, String> {
     if around.customers.is_empty() {
         return Ok(0);
@@ -128,6 +150,11 @@
 }
 
 impl Job {
+    /// What no two jobs that are open have in common.
+    pub fn id(&self) -> &HeaderValue {
+        &self.headers[ID]
+    }
+
     /// The job as a shot that will be waited for so long.
     pub fn encode(&self, wait: f64) -> Request<Body> {
         let mut shot = Request::new(Full::new(self.body.clone()));
@@ -146,6 +173,8 @@
     /// With the advice to come back in so many ms; 0 is none.
     PushedBack(f64),
     Forfeited,
+    /// A server can't use the job: its caller's fault.
+    TurnedDown,
 }
 
 /// A server's whole answer to a job.
@@ -171,6 +200,7 @@
                 }
                 answer
             }
+            Answer::TurnedDown => encode_malformed("a server can't use it"),
             Answer::Forfeited => plain(StatusCode::BAD_GATEWAY, "forfeited\n"),
         }
     }
@@ -199,6 +229,8 @@
         // Without either, nobody can tell an answer that was cut off from a whole one.
         200 if framed.iter().any(|name| head.headers.contains_key(name)) => ConnectionEnd::Honoured,
         500 => ConnectionEnd::Error,
+        // The protocol has none of these for a job that is as it should be.
+        400..500 => ConnectionEnd::TurnedDown,
         503 | 504 if text(&head.headers, &NEVER_RAN) == Some("1") => ConnectionEnd::TurnedAway,
         _ => ConnectionEnd::Malformed,
     }
--- a/crates/pearfront-node/src/relay.rs
+++ b/crates/pearfront-node/src/relay.rs
@@ -34,6 +34,7 @@
             Answer::Honoured(_) => self.book.honoured.add(),
             Answer::PushedBack(_) => self.book.pushed_back.add(),
             Answer::Forfeited => self.book.forfeited.add(),
+            Answer::TurnedDown => self.book.turned_down.add(),
         }
         if caller.send(answer).is_err() {
             self.book.answer_unsent.add();
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -8,10 +8,11 @@
 use crate::probe::Prober;
 use crate::relay::Relay;
 use crate::send::{ConnectionEnd, Senders, Shot};
+use hyper::header::HeaderValue;
 use pearfront::interface::{Address, Writer};
 use pearfront::policy::Balancer;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -85,6 +86,8 @@
     prober: Rc<Prober>,
     book: Rc<Book>,
     held: RefCell<HashMap<u32, Rc<Held>>>,
+    /// The ids of the jobs held.
+    ids: RefCell<HashSet<HeaderValue>>,
     numbered: Cell<u32>,
 }
 
@@ -97,8 +100,13 @@
         prober: Rc<Prober>,
         book: Rc<Book>,
     ) -> Rc<Self> {
-        let (held, numbered) = (RefCell::default(), Cell::new(0));
-        Rc::new(Self { clock, inbox, senders, discovery, prober, book, held, numbered })
+        let (held, ids, numbered) = (RefCell::default(), RefCell::default(), Cell::new(0));
+        Rc::new(Self { clock, inbox, senders, discovery, prober, book, held, ids, numbered })
+    }
+
+    /// Is another job with its id open, whoever sent that?
+    pub fn has_open(&self, job: &Job) -> bool {
+        self.ids.borrow().contains(job.id())
     }
 
     /// Takes a job on; its answer comes through the receiver, whatever happens.
@@ -116,6 +124,7 @@
             out: Cell::new(0),
             _share: share,
         });
+        self.ids.borrow_mut().insert(held.job.id().clone());
         self.held.borrow_mut().insert(number, held.clone());
         self.book.taken.add();
         self.inbox.tell(move |balancer| balancer.job(number, profile, customer, hint, limit));
@@ -144,6 +153,7 @@
     fn forget(&self, held: &Held) {
         if held.out.get() == 0 && !held.relay.is_open() {
             self.held.borrow_mut().remove(&held.number);
+            self.ids.borrow_mut().remove(held.job.id());
         }
     }
 
@@ -173,6 +183,8 @@
         held.out.set(held.out.get() - 1);
         if let Some(reply) = shot.reply {
             held.relay.give(Answer::Honoured(reply));
+        } else if shot.end == ConnectionEnd::TurnedDown {
+            held.relay.give(Answer::TurnedDown);
         }
         let (number, done) = (held.number, !held.relay.is_open());
         let ending = ConnectionEnd::ending(shot.end);
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -38,6 +38,8 @@
     Error,
     /// The server says that it never ran the job.
     TurnedAway,
+    /// The server says that nobody could use the job: no fault of its own, and the next one would say the same.
+    TurnedDown,
     /// An answer that is none, or longer than allowed.
     Malformed,
     /// No connection came up: refused or silent.
@@ -66,15 +68,17 @@
             Self::NeverUp | Self::BrokenBefore | Self::TooLateBefore => Ending::Unconnected,
             Self::BrokenAfter => Ending::Broken,
             Self::TooLateAfter => Ending::TimedOut,
-            Self::CalledOffAfter => Ending::CalledOff,
+            // Over without anything learned of the server.
+            Self::CalledOffAfter | Self::TurnedDown => Ending::CalledOff,
             Self::CalledOffBefore | Self::NotSent => Ending::NeverSent,
         }
     }
 
-    /// Counted as what the module is told, but for answers that are none, which on-call staff look for.
+    /// Counted as what the module is told, but for what on-call staff look for by itself.
     pub fn count(self, book: &Book) {
         let count = match self.ending() {
             Ending::Error if self == Self::Malformed => &book.shot_malformed,
+            Ending::CalledOff if self == Self::TurnedDown => &book.shot_turned_down,
             Ending::Honoured => &book.shot_honoured,
             Ending::Error => &book.shot_error,
             Ending::Full => &book.shot_full,
@@ -181,9 +185,10 @@
         self.idle.borrow_mut().remove(&server);
     }
 
-    /// Room for one more connection; if need be idle ones are closed for it, servers' first.
+    /// Room for one more connection; if need be idle ones are closed for it, servers' first unless callers hold most.
     pub fn make_place(&self) -> bool {
-        if self.room.has_place() || self.close_one() {
+        let crowding = || self.room.callers_crowd() && self.room.close_idle();
+        if self.room.has_place() || !crowding() && self.close_one() {
             return true;
         }
         self.room.close_idle();
@@ -271,8 +276,10 @@
     }
 
     fn finish(self: &Rc<Self>, server: SocketAddr, link: Option<Link>, shot: Shot) -> Shot {
-        use ConnectionEnd::{Error, Honoured, NotSent, TurnedAway};
-        if let Some(link) = link.filter(|_| matches!(shot.end, Honoured | Error | TurnedAway | NotSent)) {
+        use ConnectionEnd::{Error, Honoured, NotSent, TurnedAway, TurnedDown};
+        if let Some(link) =
+            link.filter(|_| matches!(shot.end, Honoured | Error | TurnedAway | TurnedDown | NotSent))
+        {
             self.keep_link(server, link);
         }
         shot
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -5,7 +5,7 @@
 use crate::book::Book;
 use crate::logger::Seldom;
 use crate::message::{self, Answer, Body, Call, Job};
-use crate::route::{Held, Route, ms};
+use crate::route::{Held, Route};
 use crate::send::{BUFFER, Senders};
 use crate::wire::{Socket, Wire};
 use bytes::Bytes;
@@ -33,9 +33,8 @@
 /// A caller that is to be closed, and has begun a head or not taken its answer, is cut off once nothing has moved
 /// on its connection for so long.
 const STUCK: Duration = Duration::from_millis(200);
-/// A body is waited for as long as its job has time left, and at least, and at most, ms, this long.
-const LEAST_READ: Duration = Duration::from_secs(1);
-const MOST_READ: f64 = 60_000.0;
+/// How long a body is waited for: with the head it is owed an error or a close within 3 s of connecting.
+const WHOLE_BODY: Duration = Duration::from_millis(2500);
 
 pub struct TakeIn {
     pub route: Rc<Route>,
@@ -132,18 +131,24 @@
                     // A caller that breaks off shows on its job, if it had one.
                     if let Err(error) = ended && error.is_parse() {
                         self.reject(&error.to_string());
+                        caller.answer_early();
+                    }
+                    if caller.is_answered_early() {
+                        wire.linger().await;
                     }
                     break;
                 }
                 () = caller.told.notified(), if closing.is_none() => {
-                    closing = Some(wire.moved());
+                    closing = Some((wire.moved(), false));
                     connection.as_mut().graceful_shutdown();
                 }
                 () = sleep(STUCK), if closing.is_some() => {
-                    if caller.is_idle() && closing == Some(wire.moved()) {
+                    // A head that goes on and on moves nothing forward either.
+                    let stuck = |(moved, in_head)| moved == wire.moved() || in_head && wire.in_head();
+                    if caller.is_idle() && closing.is_some_and(stuck) {
                         break;
                     }
-                    closing = Some(wire.moved());
+                    closing = Some((wire.moved(), wire.in_head()));
                 }
             }
         }
@@ -152,22 +157,33 @@
 
     async fn answer(&self, caller: &Caller, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
         caller.begin();
-        let answer = self.call(request).await;
-        caller.end();
-        answer
+        let chunked = message::is_chunked(request.headers());
+        let length = request.body().size_hint().exact();
+        let answer = self.call(caller, request).await;
+        caller.end(length.map(|length| length as usize));
+        // Behind chunks nobody here can tell the next head's bytes from the body's.
+        if chunked { answer.map(message::last_on_connection) } else { answer }
     }
 
-    async fn call(&self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    async fn call(&self, caller: &Caller, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
         let came = self.route.clock.now();
         let (head, body) = request.into_parts();
-        match message::decode_call(head, &self.around, |profile| self.effects[profile]) {
-            Ok(Call::Up) => Ok(message::encode_up(!self.ending.get())),
-            Ok(Call::Job(job)) => self.job(*job, body, came).await,
-            Err(problem) => {
-                read(body, 0, LEAST_READ).await?;
-                Ok(self.reject(&problem))
-            }
-        }
+        let lengths = caller.wire.may_have_length();
+        let call = message::decode_call(head, &self.around, |profile| self.effects[profile], lengths);
+        let problem = match call {
+            Ok(Call::Up) => return Ok(message::encode_up(!self.ending.get())),
+            Ok(Call::Job(job)) => match self.job(*job, body, came).await? {
+                Ok(answer) => return Ok(answer),
+                Err(problem) => problem,
+            },
+            Err(problem) => match read(body, false).await? {
+                Ok(_) => return Ok(self.reject(&problem)),
+                Err(_) => problem,
+            },
+        };
+        // Its body goes on: nothing that comes on the connection from now on is a job.
+        caller.answer_early();
+        Ok(message::last_on_connection(self.reject(&problem)))
     }
 
     fn reject(&self, problem: &str) -> Response<Body> {
@@ -176,31 +192,37 @@
         message::encode_malformed(problem)
     }
 
-    async fn job(&self, mut job: Job, body: Incoming, came: f64) -> Result<Response<Body>, Cut> {
+    /// The answer to a job, or what is wrong with its body.
+    async fn job(
+        &self,
+        mut job: Job,
+        body: Incoming,
+        came: f64,
+    ) -> Result<Result<Response<Body>, String>, Cut> {
         let length = body.size_hint().upper().map_or(MOST_BODY, |most| MOST_BODY.min(most as usize));
         let share = self.room.job(length);
-        let kept = if share.is_some() { MOST_BODY } else { 0 };
-        let patience = ms(job.left.clamp(0.0, MOST_READ)).max(LEAST_READ);
-        let whole = read(body, kept, patience).await?;
+        job.body = match read(body, share.is_some()).await? {
+            Ok(whole) => whole,
+            Err(problem) => return Ok(Err(problem)),
+        };
         let Some(share) = share else {
             self.book.no_room.add();
             self.crowded.warn("no room for a job, pushed back");
-            return Ok(Answer::PushedBack(0.0).encode());
-        };
-        let Some(whole) = whole else {
-            return Ok(self.reject(&format!("a body of more than {MOST_BODY} bytes")));
+            return Ok(Ok(Answer::PushedBack(0.0).encode()));
         };
         let limit = came + job.left;
         if limit <= self.route.clock.now() {
             self.book.too_late.add();
-            return Ok(Answer::PushedBack(0.0).encode());
+            return Ok(Ok(Answer::PushedBack(0.0).encode()));
+        }
+        if self.route.has_open(&job) {
+            return Ok(Ok(self.reject("another job with its id is open")));
         }
-        job.body = whole;
         let (held, answer) = self.route.take(job, share, limit);
         let held = Guard { route: &self.route, held };
         let answer = answer.await.unwrap_or(Answer::Forfeited);
         drop(held);
-        Ok(answer.encode())
+        Ok(Ok(answer.encode()))
     }
 
     /// Closes idle callers and waits until the last has its answer.
@@ -236,21 +258,29 @@
 
 impl std::error::Error for Cut {}
 
-/// Reads a body to its end, also one that is not kept, so that the answer is not lost in a reset. Nothing if it
-/// is longer than `most`.
-async fn read(mut body: Incoming, most: usize, patience: Duration) -> Result<Option<Bytes>, Cut> {
+/// Reads a body to its end, also one that is not kept, so that the answer is not lost in a reset; or tells why it
+/// is not waited for.
+async fn read(mut body: Incoming, keep: bool) -> Result<Result<Bytes, String>, Cut> {
+    let too_long = || Ok(Err(format!("a body of more than {MOST_BODY} bytes")));
+    let least = body.size_hint().lower();
+    if least > MOST_BODY as u64 {
+        return too_long();
+    }
     let all = async {
-        let mut whole = Vec::with_capacity(body.size_hint().lower().min(most as u64) as usize);
-        let mut fits = true;
+        let mut whole = Vec::with_capacity(if keep { least as usize } else { 0 });
+        let mut length = 0;
         while let Some(frame) = body.frame().await {
             if let Ok(data) = frame.map_err(|_| Cut)?.into_data() {
-                fits = fits && whole.len() + data.len() <= most;
-                if fits {
+                length += data.len();
+                if length > MOST_BODY {
+                    return too_long();
+                }
+                if keep {
                     whole.extend_from_slice(&data);
                 }
             }
         }
-        Ok(fits.then(|| whole.into()))
+        Ok(Ok(whole.into()))
     };
-    timeout(patience, all).await.unwrap_or(Err(Cut))
+    timeout(WHOLE_BODY, all).await.unwrap_or_else(|_| Ok(Err("its body does not come".into())))
 }
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -3,17 +3,68 @@
 
 use crate::admit::Place;
 use hyper::rt::{Read, ReadBufCursor, Write};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Bytes read at a time: heads are a few hundred, most bodies a few thousand.
 const CHUNK: usize = 8 * 1024;
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
+const LENGTH: &[u8] = b"content-length:";
+/// Longest time and most bytes for which a connection that was answered early is read on.
+const LINGER: Duration = Duration::from_millis(500);
+const MOST_LINGER: usize = 1024 * 1024;
+
+/// What of the heads that come in hyper does not tell: whether one is half here, and whether it names a length.
+#[derive(Default)]
+struct Heads {
+    begun: bool,
+    ended: bool,
+    length: bool,
+    /// How much of the current line there is, and how much of it is like `LENGTH`.
+    line: usize,
+    alike: usize,
+    /// Bytes that came behind the head.
+    beyond: usize,
+    /// Some bytes came ahead of their turn: heads can't be told apart any more.
+    unsure: bool,
+}
+
+impl Heads {
+    fn read(&mut self, bytes: &[u8]) {
+        let mut rest = bytes.iter();
+        while !self.ended {
+            let Some(byte) = rest.next() else { return };
+            self.byte(*byte);
+        }
+        self.beyond += rest.len();
+    }
+
+    /// Lines end with a line feed, with or without a return before it; empty ones ahead of a head are no end.
+    fn byte(&mut self, byte: u8) {
+        match byte {
+            b'\r' => {}
+            b'\n' => {
+                self.ended = self.begun && self.line == 0;
+                self.length |= self.alike == LENGTH.len();
+                (self.line, self.alike) = (0, 0);
+            }
+            other => {
+                self.begun = true;
+                let fits =
+                    self.alike == self.line && LENGTH.get(self.line) == Some(&other.to_ascii_lowercase());
+                self.alike += usize::from(fits);
+                self.line += 1;
+            }
+        }
+    }
+}
 
 /// The socket and what has been written on it; shared by hyper's side and ours.
 pub struct Wire {
@@ -24,6 +75,7 @@
     body_left: Cell<usize>,
     /// Bytes read and written so far.
     moved: Cell<usize>,
+    heads: RefCell<Heads>,
     _place: Place,
 }
 
@@ -38,6 +90,7 @@
             in_body: Cell::new(false),
             body_left: Cell::new(0),
             moved: Cell::new(0),
+            heads: RefCell::default(),
             _place: place,
         })
     }
@@ -66,6 +119,44 @@
         self.body_left.set(self.body_left.get().saturating_sub(rest.len()));
     }
 
+    /// Has the other side begun a head and not ended it?
+    pub fn in_head(&self) -> bool {
+        let heads = self.heads.borrow();
+        heads.begun && !heads.ended
+    }
+
+    /// May a length have stood in the head that came last?
+    pub fn may_have_length(&self) -> bool {
+        let heads = self.heads.borrow();
+        heads.length || heads.unsure
+    }
+
+    /// The message that came last is over, with a body of this length, if it is known; the next head begins.
+    pub fn message_over(&self, body: Option<usize>) {
+        let mut heads = self.heads.borrow_mut();
+        let unsure = heads.unsure || !heads.ended || body != Some(heads.beyond);
+        *heads = Heads { unsure, ..Heads::default() };
+    }
+
+    /// Ends the sending, and reads what still comes for a moment: closed with bytes unread, the kernel would tell
+    /// the other side of a reset, which may overtake the answer.
+    pub async fn linger(&self) {
+        let _ = socket2::SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
+        let all = async {
+            let mut chunk = [0; CHUNK];
+            let mut left = MOST_LINGER;
+            while left > 0 && self.stream.readable().await.is_ok() {
+                match self.stream.try_read(&mut chunk) {
+                    Ok(0) => return,
+                    Ok(count) => left = left.saturating_sub(count),
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
+            }
+        };
+        let _ = timeout(LINGER, all).await;
+    }
+
     /// Bytes that have gone either way: while they grow, the connection is in use.
     pub fn moved(&self) -> usize {
         self.moved.get()
@@ -95,6 +186,7 @@
             match self.0.stream.try_read(&mut chunk[..most]) {
                 Ok(count) => {
                     to.put_slice(&chunk[..count]);
+                    self.0.heads.borrow_mut().read(&chunk[..count]);
                     self.0.moved.set(self.0.moved.get() + count);
                     return Poll::Ready(Ok(()));
                 }
@@ -154,6 +246,20 @@
     use crate::admit::Room;
     use test_case::test_case;
 
+    // What hyper does not tell of a head decides whether its body may hide a job: in whatever pieces it is read.
+    #[test_case("GET /a HTTP/1.1\r\nHost: b\r\n\r\n", (true, false); "none")]
+    #[test_case("\r\n\r\nPOST /a HTTP/1.1\r\nCONTENT-Length:1\r\n\r\n", (true, true); "behind empty lines")]
+    #[test_case("POST /a HTTP/1.1\nContent-Length: 1\nTe: x\n\n", (true, true); "line feeds alone")]
+    #[test_case("POST /a HTTP/1.1\r\nX-Content-Length: 1\r\n\r\ncontent-length:", (true, false); "only like one")]
+    #[test_case("POST /a HTTP/1.1\r\nContent-Length: 1\r\n", (false, true); "half a head")]
+    fn lengths_in_heads(text: &str, wanted: (bool, bool)) {
+        for piece in [1, 3, text.len()] {
+            let mut heads = Heads::default();
+            text.as_bytes().chunks(piece).for_each(|part| heads.read(part));
+            assert_eq!((heads.ended, heads.length), wanted, "in pieces of {piece}");
+        }
+    }
+
     // The boundary between "never ran" and "may have run" is the last byte, in whatever pieces it is written.
     #[test_case("GET /a HTTP/1.1\r\nHost: b\r\n\r\n", 0; "no body")]
     #[test_case("POST /a HTTP/1.1\r\nX: \r\r\n\r\nbo\r\n\r\ndy", 8; "ends of lines in odd places")]
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -34,6 +34,7 @@
 #[test_case(Act::Error, "pay", (502, 1, 0); "an error proves nothing")]
 #[test_case(Act::Error, "book", (502, 1, 0); "a labelled job stays in its group")]
 #[test_case(Act::Error, "read", (200, 1, 1); "a redoable job goes elsewhere after an error")]
+#[test_case(Act::TurnDown, "read", (400, 1, 0); "what a server can't use no other can")]
 #[test_case(Act::Close, "pay", (502, 1, 0); "closed after the last byte, it may have run")]
 #[test_case(Act::Close, "read", (200, 1, 1); "closed after the last byte, a redoable job goes elsewhere")]
 #[test_case(Act::Cut, "pay", (502, 1, 0); "half an answer is none")]
@@ -93,11 +94,13 @@
     let server = Server::start(Act::Honour(body.clone()));
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
-    let answer = caller.ask(&head("book", "5", body.len()), &body);
+    let sent = head("book", "5", body.len());
+    let answer = caller.ask(&sent, &body);
     assert_eq!((answer.status(), answer.body == body), (200, true));
     let job = &server.jobs()[0];
     assert_eq!((job.start.as_str(), job.body == body), ("POST /book/it HTTP/1.1", true));
-    assert_eq!((&*job.headers["x-trace-id"], &*job.headers["idempotency-key"]), ("9b1f03aa", "77"));
+    assert!(sent.contains(&format!("X-Trace-Id: {}\r\n", job.headers["x-trace-id"])));
+    assert_eq!(job.headers["idempotency-key"], "77");
     let left: f64 = job.headers["x-expires-in"].parse().unwrap();
     assert!(left > 0.0 && left <= 5.0, "{left}");
     assert_eq!(caller.ask(&head("read", "5", 0), b"").status(), 200);
@@ -128,7 +131,7 @@
 }
 
 // Each is told what is wrong, at once, and the next one is served on the same connection.
-#[test_case("X-Trace-Id: 9b1f03aa\r\n", "", "no x-trace-id"; "no id")]
+#[test_case("X-Trace-Id", "X-Other", "no x-trace-id"; "no id")]
 #[test_case("/read/", "/write/", "unknown profile \"write\""; "unknown profile")]
 #[test_case("acme", "nobody", "unknown customer \"nobody\""; "unknown customer")]
 #[test_case("X-Expires-In: 5\r\n", "", "no time in x-expires-in"; "no time")]
@@ -147,6 +150,64 @@
     assert_eq!((counters["malformed"], counters["taken"], server.jobs().len()), (1, 1, 1));
 }
 
+// Behind a length and chunks another job may hide: neither of the two may reach a server. Chunks alone are a job.
+#[test_case("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", 400, 0; "length first")]
+#[test_case("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", 400, 0; "chunks first")]
+#[test_case("Transfer-Encoding: chunked\r\n", 200, 1; "chunks alone")]
+fn a_job_hidden_in_a_body_is_not_sent(framing: &str, status: u16, sent: usize) {
+    let server = Server::start(Act::Honour(Vec::new()));
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    // Another job before it, so that the connection is in use.
+    assert_eq!(caller.ask(&head("book", "5", 3), b"abc").status(), 200);
+    let outer = head("pay", "5", 0).replace("Content-Length: 0\r\n", framing);
+    let answer = caller.ask(&outer, format!("0\r\n\r\n{}", head("pay", "5", 0)).as_bytes());
+    assert_eq!(answer.status(), status);
+    assert!(caller.answer().is_none());
+    node.end();
+    assert_eq!(server.jobs().len(), 1 + sent);
+}
+
+// Two open jobs of one id could not be told apart: the second is turned down, whoever sends it, until the first ends.
+#[test]
+fn the_id_of_an_open_job_is_taken() {
+    let server = Server::start(Act::Silence);
+    let node = Node::start(&config(&[server.address]));
+    let mut first = node.caller();
+    let job = head("pay", "60", 0);
+    first.send(&job, b"");
+    server.wait_for("job 1");
+    let mut second = node.caller();
+    assert_eq!(second.ask(&job, b"").status(), 400);
+    first.stream.shutdown(Shutdown::Both).unwrap();
+    server.wait_for("closed 1");
+    second.send(&job, b"");
+    server.wait_for("job 2");
+}
+
+// Callers that do not go on are owed an error or a close, and must not hold descriptors and memory until then.
+#[test_case("", None; "silence")]
+#[test_case("GET /read/it HT", None; "half a head")]
+#[test_case("POST /pay/it HTTP/1.1\r\nContent-Length: 5\r\nX-Trace-Id: 1\r\nX-Customer: acme\r\nX-Expires-In: 60\r\n\r\nhalf", Some(400); "half a body")]
+#[test_case("POST /pay/it HTTP/1.1\r\nContent-Length: 60000000\r\nX-Trace-Id: 1\r\nX-Customer: acme\r\nX-Expires-In: 60\r\n\r\nmuch", Some(400); "far too long a body")]
+#[test_case("POST /write HTTP/1.1\r\nContent-Length: 60000000\r\n\r\nmuch", Some(400); "the same of no profile")]
+#[test_case("POST /pay/it HTTP/1.1\r\nContent-Length: -1\r\n\r\n", Some(400); "negative length")]
+#[test_case("POST /pay/it HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", Some(400); "two lengths")]
+#[test_case("GET /read/it HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Trace-Id: 2\r\n\r\n", Some(400); "two ids")]
+#[test_case("GET /read/it HTTP/1.1\r\nConnection: X-Trace-Id\r\nX-Trace-Id: 1\r\nX-Customer: acme\r\nX-Expires-In: 60\r\n\r\n", Some(400); "its id as the connection's")]
+fn a_caller_that_does_not_go_on_is_cut_off(sent: &str, status: Option<u16>) {
+    let server = Server::start(Act::Honour(Vec::new()));
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    caller.send(sent, b"");
+    assert_eq!(caller.answer().map(|answer| answer.status()), status);
+    // The node goes on.
+    assert_eq!(node.caller().ask(&head("read", "5", 0), b"").status(), 200);
+    let counters = node.end();
+    assert_eq!((counters["cut_off"], counters["malformed"]), if status.is_none() { (1, 0) } else { (0, 1) });
+    assert_eq!(server.jobs().len(), 1);
+}
+
 #[test]
 fn a_body_over_the_limit_is_turned_down() {
     let node = Node::start(&config(&[Server::nowhere()]));
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -86,6 +86,8 @@
     /// Honours it, with this load report.
     Report(&'static str),
     Error,
+    /// Says that the job is none.
+    TurnDown,
     /// Says that it never ran the job.
     TurnAway,
     /// Says 503, but not that.
@@ -184,6 +186,7 @@
             Act::Honour(body) => (whole("200 OK", body), true),
             Act::Report(report) => (whole(&format!("200 OK\r\nEndpoint-Load-Metrics: {report}"), b""), true),
             Act::Error => (whole("500 Oops", b""), true),
+            Act::TurnDown => (whole("400 Bad Request", b""), true),
             Act::TurnAway => (whole("503 Full\r\nX-Never-Ran: 1", b""), true),
             Act::Unproven => (whole("503 Full", b""), true),
             Act::Cut => (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec(), false),
@@ -451,14 +454,15 @@
     }
 }
 
-/// A job's head: `read` (redoable), `book` (labelled) or `pay` (irreversible), with so many seconds left.
+/// A job's head: `read` (redoable), `book` (labelled) or `pay` (irreversible), with so many seconds left. Its id is
+/// new.
 pub fn head(profile: &str, left: &str, length: usize) -> String {
+    static COUNT: AtomicU32 = AtomicU32::new(1);
+    let id = COUNT.fetch_add(1, Ordering::Relaxed);
     let first = match profile {
         "read" => "GET /read/it?x=1 HTTP/1.1\r\n".to_string(),
         "book" => format!("POST /book/it HTTP/1.1\r\nIdempotency-Key: 77\r\nContent-Length: {length}\r\n"),
         _ => format!("POST /pay/it HTTP/1.1\r\nContent-Length: {length}\r\n"),
     };
-    format!(
-        "{first}Host: origin.svc\r\nX-Trace-Id: 9b1f03aa\r\nX-Customer: acme\r\nX-Expires-In: {left}\r\n\r\n"
-    )
+    format!("{first}Host: origin.svc\r\nX-Trace-Id: {id}\r\nX-Customer: acme\r\nX-Expires-In: {left}\r\n\r\n")
 }
