--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -47,6 +47,7 @@
     pub profile: usize,
     pub customer: usize,
     pub hint: Option<f64>,
+    pub irreversible: bool,
     /// How long the caller will wait, ms.
     pub left: f64,
     pub body: Bytes,
@@ -80,7 +81,8 @@
         return Err(format!("more than one {twice}"));
     }
     let labelled = head.headers.contains_key(&LABEL);
-    let fits = match effect(profile) {
+    let effect = effect(profile);
+    let fits = match effect {
         Effect::Redoable => head.method == Method::GET,
         Effect::Labelled => head.method == Method::POST && labelled,
         Effect::Irreversible => head.method == Method::POST && !labelled,
@@ -98,7 +100,9 @@
         return Err("its own headers named as the connection's".into());
     }
     let (method, target) = (head.method, head.uri);
-    let job = Job { profile, customer, hint, left, body: Bytes::new(), method, target, headers };
+    let irreversible = effect == Effect::Irreversible;
+    let job =
+        Job { profile, customer, hint, irreversible, left, body: Bytes::new(), method, target, headers };
     Ok(Call::Job(Box::new(job)))
 }
 
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -14,7 +14,7 @@
 use hyper::http::response;
 use pearfront::interface::Ending;
 use pearfront_settings::Surroundings;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,6 +25,10 @@
 
 /// Share of the time after which servers close idle connections for which ours are kept: they close by then.
 const IDLE_PART: f64 = 0.8;
+/// Weight of one shot on a kept connection in the share of those that broke before any answer: some fifty count.
+const KEPT_WEIGHT: f64 = 0.02;
+/// That share from which on an irreversible job gets a new connection: one break counts for some thirty shots.
+const KEPT_RISK: f64 = 0.01;
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Largest buffer of a connection, bytes: a head fits, and a body goes through in pieces.
@@ -96,6 +100,8 @@
 pub struct Link {
     sender: SendRequest<Body>,
     pub wire: Rc<Wire>,
+    /// Has another message been on it before?
+    kept: bool,
     served_by: AbortHandle,
 }
 
@@ -116,11 +122,12 @@
             // How it ended shows on the shot itself.
             let _ = connection.await;
         });
-        Ok(Self { sender, wire, served_by: served_by.abort_handle() })
+        Ok(Self { sender, wire, kept: false, served_by: served_by.abort_handle() })
     }
 
     /// Sends a message and waits for its answer's head and whole body of at most so many bytes.
     pub async fn ask(&mut self, call: Request<Body>, most: usize) -> Result<(response::Parts, Bytes), ()> {
+        self.wire.message_over(None);
         self.wire.expect(hyper::body::Body::size_hint(call.body()).exact().unwrap_or(0) as usize);
         let (head, body) = self.sender.send_request(call).await.map_err(|_| ())?.into_parts();
         let body = Limited::new(body, most).collect().await.map_err(|_| ())?.to_bytes();
@@ -145,6 +152,8 @@
 /// Connections to servers, the idle ones kept for the next shot.
 pub struct Senders {
     idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
+    /// Share of recent shots on kept connections that broke before any answer.
+    kept_broke: Cell<f64>,
     around: Rc<Surroundings>,
     room: Rc<Room>,
     book: Rc<Book>,
@@ -153,17 +162,29 @@
 
 impl Senders {
     pub fn new(around: Rc<Surroundings>, room: Rc<Room>, book: Rc<Book>) -> Rc<Self> {
-        Rc::new(Self { idle: RefCell::default(), around, room, book, crowded: Seldom::default() })
+        Rc::new(Self {
+            idle: RefCell::default(),
+            kept_broke: Cell::new(0.0),
+            around,
+            room,
+            book,
+            crowded: Seldom::default(),
+        })
     }
 
     /// A connection to the server: the idle one used last, or a new one.
     pub async fn link(&self, server: SocketAddr) -> Result<Link, ()> {
-        while let Some(idle) = self.idle.borrow_mut().get_mut(&server).and_then(Vec::pop) {
+        while let Some(mut idle) = self.idle.borrow_mut().get_mut(&server).and_then(Vec::pop) {
             if self.is_fresh(&idle) {
                 self.book.connections_reused.add();
+                idle.link.kept = true;
                 return Ok(idle.link);
             }
         }
+        self.new_link(server).await
+    }
+
+    async fn new_link(&self, server: SocketAddr) -> Result<Link, ()> {
         self.wait_for_place().await;
         self.book.connections.add();
         timeout(ms(self.around.connect_timeout), Link::open(server, &self.room)).await.unwrap_or(Err(()))
@@ -256,12 +277,21 @@
         job: &message::Job,
         wanted: impl Fn() -> Option<f64>,
     ) -> Shot {
-        let Ok(link) = self.link(server).await else { return Shot::ended(ConnectionEnd::NeverUp) };
+        // A server may have closed a kept connection without our knowing yet. Where that happens, a job that could
+        // not go again must not be what finds out.
+        let new = job.irreversible && self.kept_broke.get() > KEPT_RISK;
+        let link = if new { self.new_link(server).await } else { self.link(server).await };
+        let Ok(link) = link else { return Shot::ended(ConnectionEnd::NeverUp) };
         // What was written on it before belongs to another message.
         link.wire.expect(0);
         let link = place.insert(link);
         let Some(wait) = wanted() else { return Shot::ended(ConnectionEnd::NotSent) };
-        match link.ask(job.encode(wait), crate::admit::MOST_BODY).await {
+        let answer = link.ask(job.encode(wait), crate::admit::MOST_BODY).await;
+        if link.kept {
+            let broke = f64::from(u8::from(answer.is_err() && !link.wire.has_begun()));
+            self.kept_broke.set(self.kept_broke.get() + KEPT_WEIGHT * (broke - self.kept_broke.get()));
+        }
+        match answer {
             Ok((head, body)) => self.read(head, body),
             Err(_) if !link.wire.whole_written() => Shot::ended(ConnectionEnd::BrokenBefore),
             Err(_) => Shot::ended(ConnectionEnd::BrokenAfter),
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -119,6 +119,11 @@
         self.body_left.set(self.body_left.get().saturating_sub(rest.len()));
     }
 
+    /// Has the other side begun a message since the last one was over?
+    pub fn has_begun(&self) -> bool {
+        self.heads.borrow().begun
+    }
+
     /// Has the other side begun a head and not ended it?
     pub fn in_head(&self) -> bool {
         let heads = self.heads.borrow();
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -58,6 +58,20 @@
     assert!(counters["shot_unconnected"] > 0 && counters["forfeited"] == 0, "{counters:?}");
 }
 
+// Where kept connections turn out to be closed, a job that can't go again is not what finds out the next time.
+#[test]
+fn an_irreversible_job_gets_a_new_connection_while_kept_ones_break() {
+    let server = Server::start(Act::HonourOnce);
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    let mut ask = |what| caller.ask(&head(what, "5", 0), b"").status();
+    // The first ones may come before their connection is kept; then a redoable one finds out.
+    assert!((0..100).any(|_| ask("read") == 503));
+    assert!((0..10).all(|_| ask("pay") == 200));
+    let counters = node.end();
+    assert_eq!((counters["shot_broken"], counters["forfeited"]), (1, 0));
+}
+
 // So does a connection that never comes up; it is given up after the settings' time, not the job's.
 #[test]
 fn a_machine_that_has_vanished_costs_a_job_its_connect_only() {
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -97,6 +97,8 @@
     /// An answer whose end nobody can tell.
     Unframed,
     Close,
+    /// Honours the first job on a connection, and closes it at the next.
+    HonourOnce,
     /// An answer that is none.
     Nonsense,
     /// No answer until the node closes the connection.
@@ -181,7 +183,6 @@
         }
         jobs.lock().unwrap().push(message);
         tell(seen, "job");
-        had_job = true;
         let (answer, goes_on) = match act {
             Act::Honour(body) => (whole("200 OK", body), true),
             Act::Report(report) => (whole(&format!("200 OK\r\nEndpoint-Load-Metrics: {report}"), b""), true),
@@ -191,10 +192,13 @@
             Act::Unproven => (whole("503 Full", b""), true),
             Act::Cut => (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec(), false),
             Act::Unframed => (b"HTTP/1.1 200 OK\r\n\r\nall?".to_vec(), false),
+            Act::HonourOnce if had_job => (Vec::new(), false),
+            Act::HonourOnce => (whole("200 OK", b""), true),
             Act::Close => (Vec::new(), false),
             Act::Nonsense => (b"what do you mean?\r\n\r\n".to_vec(), false),
             Act::Silence => (Vec::new(), true),
         };
+        had_job = true;
         let _ = writer.write_all(&answer);
         if !goes_on {
             break;
