--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -17,13 +17,15 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-/// How long a watch may wait for news, ms: long enough to cost discovery little, short enough to notice soon
-/// that it has gone silent.
-const HOLD: f64 = 20_000.0;
+/// How long a call of a watch may wait for news, ms: servers come and go within seconds, and only a call that has
+/// no answer shows that discovery, or the way to it, has gone silent. Calls that go on with a watch cost it little.
+const HOLD: f64 = 3000.0;
 /// Longest a call may take beside what it waits for news, ms.
 const PATIENCE: f64 = 2100.0;
 /// How long a call at the address where discovery was is waited for: it closes what is open there by then.
 const OLD_WATCH: Duration = Duration::from_secs(2);
+/// What is said of a call that had no answer in time.
+const SILENT: &str = "no answer in time";
 /// First and last pause before a watch that nobody asked for begins again after a failure.
 const AGAIN: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
 /// Longest body of a list, bytes: thousands of servers.
@@ -217,6 +219,7 @@
         let mut wait = 0.0;
         let mut link = None;
         let mut at = self.service.get();
+        let mut tried_again = true;
         loop {
             let answer = tokio::select! {
                 answer = self.call(&mut link, at, wait) => answer,
@@ -226,10 +229,12 @@
             wait = if answer.is_ok() { HOLD } else { 0.0 };
             match answer {
                 Ok(list) => self.tell(list, false),
-                Err(problem) if !moved => return problem,
+                // The way to it may be lost for this connection alone; what it wrote there counts as told.
+                Err(problem) if !moved && (problem != SILENT || tried_again) => return problem,
                 Err(_) => {}
             }
-            if moved {
+            tried_again = wait == 0.0 && !moved;
+            if wait == 0.0 || moved {
                 (link, at) = (None, self.service.get());
             }
         }
@@ -243,7 +248,7 @@
     async fn call(&self, link: &mut Option<Link>, service: SocketAddr, wait: f64) -> Result<List, String> {
         timeout(ms(wait + PATIENCE), self.ask(link, service, wait))
             .await
-            .unwrap_or_else(|_| Err("no answer in time".into()))
+            .unwrap_or_else(|_| Err(SILENT.into()))
     }
 
     async fn ask(&self, place: &mut Option<Link>, service: SocketAddr, wait: f64) -> Result<List, String> {
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -389,6 +389,18 @@
     assert_eq!((counters["taken"], counters["pushed_back"], counters["forfeited"]), (2, 1, 1));
 }
 
+// A watch whose way is cut says nothing: its call must not be waited for so long that all servers have changed.
+#[test]
+fn a_watch_that_falls_silent_is_noticed() {
+    let node = Node::start(&config(&[]));
+    node.discovery.publish(2, list(2, false, &[]));
+    node.discovery.wait_for(2);
+    node.discovery.fall_silent();
+    // The call that is out has no answer, nor the next one, which comes at once, nor the one after that.
+    node.discovery.wait_for_unanswered(2);
+    assert!(node.end()["lists_failed"] > 0);
+}
+
 // SIGHUP by itself ends a program. The watch moves and goes on from what was told, and nothing else is touched.
 #[test]
 fn a_new_configuration_moves_the_watch_and_nothing_else() {
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -281,7 +281,11 @@
         if listed.silent {
             continue;
         }
-        let listed = changed.wait_timeout_while(listed, hold, |listed| listed.version <= from).unwrap().0;
+        let news = |listed: &mut Listed| listed.version <= from && !listed.silent;
+        let listed = changed.wait_timeout_while(listed, hold, news).unwrap().0;
+        if listed.silent {
+            continue;
+        }
         let nothing = json!({"generation": from, "reset": false, "instances": []}).to_string();
         let body = if listed.version > from { listed.body.clone() } else { nothing };
         drop(listed);
