--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -212,6 +212,7 @@
         if self.room.has_place() || !crowding() && self.close_one() {
             return true;
         }
+        // Where callers crowd this is a second one: with one alone more of the servers' connections had to go.
         self.room.close_idle();
         self.room.has_last_place()
     }
