--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 # Build, test, lint and run. `.ci/run` is all but the last.
-.PHONY: build test lint run
+.PHONY: build test lint run rehearse
 
 build:
 	cargo build --release --locked
+	cargo build --release --locked -p pearfront-cli
 
 test:
 	cargo test --workspace --locked
@@ -18,3 +19,8 @@
 run: export ROUTER_CONFIG ?= deploy/example.json
 run: build
 	target/release/pearfront-node
+
+# A play in simulated time, as in `make rehearse SCENARIO=rehearsals/lost-zone.toml`.
+SCENARIO ?= rehearsals/calm-minute.toml
+rehearse:
+	cargo run --release --locked -p pearfront-cli -- rehearse $(SCENARIO)
--- /dev/null
+++ b/crates/pearfront-cli/src/check.rs
@@ -0,0 +1,39 @@
+//! `pearfront check`: is a scenario file right?
+
+use crate::Trouble;
+use pearfront_emulator::scenario::Scenario;
+use std::path::{Path, PathBuf};
+
+/// Check a scenario file; the first mistake is told with its key and line.
+#[derive(clap::Args)]
+pub struct Check {
+    /// The scenario file.
+    file: PathBuf,
+}
+
+impl Check {
+    pub fn run(self) -> Result<(), Trouble> {
+        let scenario = read(&self.file)?;
+        let servers: usize = scenario.tiers.iter().map(|tier| tier.servers).sum();
+        println!(
+            "{}: {:?}, {} s, {servers} servers in {} tiers, {} nodes, up to {} jobs a second, {} troubles",
+            self.file.display(),
+            scenario.name,
+            scenario.length_s,
+            scenario.tiers.len(),
+            scenario.nodes.count,
+            scenario.callers.rate.most(),
+            scenario.troubles.len()
+        );
+        for (tier, load) in scenario.tiers.iter().zip(scenario.loads()) {
+            println!("  {}: {:.0} % of its capacity at the highest rate", tier.name, load * 100.0);
+        }
+        Ok(())
+    }
+}
+
+pub fn read(file: &Path) -> Result<Scenario, Trouble> {
+    let text = std::fs::read_to_string(file);
+    let text = text.map_err(|error| Trouble::Input(format!("{}: {error}", file.display())))?;
+    Scenario::parse(&text).map_err(|mistake| Trouble::Input(format!("{}: {mistake}", file.display())))
+}
--- /dev/null
+++ b/crates/pearfront-cli/src/main.rs
@@ -0,0 +1,72 @@
+//! The `pearfront` command line: one subcommand a file. Exit codes: 0 kept, 1 could not be done, 2 bad input, 3 a rule
+//! was broken.
+
+mod check;
+mod compare;
+mod log_form;
+mod plot;
+mod rehearse;
+mod results;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Rehearse what may happen to a fleet of services, and see what the nodes before it make of it.
+#[derive(Parser)]
+#[command(
+    name = "pearfront",
+    version,
+    after_help = "Exit codes: 0 all rules kept, 1 it could not be done, 2 bad input, \
+    3 a rule was broken.\nEverything that a play shows is simulated: servers, callers and discovery."
+)]
+struct Arguments {
+    /// How the log is written, on standard error.
+    #[arg(long, global = true, value_enum, default_value_t = log_form::Form::Text)]
+    log: log_form::Form,
+    /// What is logged: off, error, warn, info, debug or trace.
+    #[arg(long, global = true, default_value = "warn", value_name = "LEVEL")]
+    log_level: log::LevelFilter,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    Check(check::Check),
+    Rehearse(rehearse::Rehearse),
+    Compare(compare::Compare),
+    Plot(plot::Plot),
+}
+
+/// Why a command did not end well.
+#[derive(Debug)]
+pub enum Trouble {
+    /// It could not be done: a file that can't be written, a node that does not start, a play that came too late.
+    Undone(String),
+    /// What was given is wrong.
+    Input(String),
+    /// It was done, and a rule was broken.
+    RuleBroken,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    log_form::start(arguments.log, arguments.log_level);
+    let done = match arguments.command {
+        Command::Check(check) => check.run(),
+        Command::Rehearse(rehearse) => rehearse.run(),
+        Command::Compare(compare) => compare.run(),
+        Command::Plot(plot) => plot.run(),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Trouble::Undone(what)) => told(&what, 1),
+        Err(Trouble::Input(what)) => told(&what, 2),
+        Err(Trouble::RuleBroken) => ExitCode::from(3),
+    }
+}
+
+fn told(what: &str, code: u8) -> ExitCode {
+    eprintln!("pearfront: {what}");
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/crates/pearfront-cli/src/rehearse.rs
@@ -0,0 +1,85 @@
+//! `pearfront rehearse`: plays a scenario and says what came of it.
+
+use crate::{Trouble, check, results};
+use indicatif::{ProgressBar, ProgressStyle};
+use pearfront_emulator::decide::Policy;
+use pearfront_emulator::judge::{Verdict, judge};
+use pearfront_emulator::model;
+use pearfront_emulator::report::Outcome;
+use pearfront_emulator::scenario::Scenario;
+use std::path::PathBuf;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+enum Play {
+    /// Simulated time round the decision module itself; the same seed gives the same result, byte for byte.
+    Model,
+}
+
+/// Play a scenario. The last line of the output is for machines: service, rules, latencies.
+#[derive(clap::Args)]
+pub struct Rehearse {
+    /// The scenario file; `rehearsals/` has some.
+    scenario: PathBuf,
+    #[arg(long, value_enum, default_value_t = Play::Model)]
+    play: Play,
+    /// Seed of all chance; the file's own if absent.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Play so many seeds, one after another, from the first on.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
+    seeds: u64,
+    /// Write result.json, seconds.tsv and report.html there; with several seeds into a folder each below it.
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// Who decides, in the model play: module, random, two-choices, least-held or sees-all.
+    #[arg(long, default_value = "module", value_parser = policy)]
+    policy: Policy,
+}
+
+fn policy(name: &str) -> Result<Policy, String> {
+    let names: Vec<&str> = Policy::ALL.iter().map(|(name, _)| *name).collect();
+    Policy::named(name).ok_or_else(|| format!("it is one of {}", names.join(", ")))
+}
+
+impl Rehearse {
+    pub fn run(self) -> Result<(), Trouble> {
+        let scenario = check::read(&self.scenario)?;
+        let first = self.seed.unwrap_or(scenario.seed);
+        let mut kept = true;
+        for seed in first..first.saturating_add(self.seeds) {
+            let verdict = self.play(&scenario, seed)?;
+            for finding in &verdict.broken {
+                println!("rule broken: {} ({} times)", finding.rule, finding.cases);
+                finding.examples.iter().for_each(|case| println!("  {case}"));
+            }
+            kept &= verdict.broken.is_empty();
+            let (line, void) = (verdict.line(), verdict.void);
+            let play = if self.play == Play::Model { "model" } else { "sockets" };
+            let outcome = Outcome::new(&scenario, play, self.policy.name(), seed, verdict);
+            if let Some(distance) = outcome.recorded_distance {
+                println!("mean distance from the recorded curve: {distance:.3}");
+            }
+            if let Some(folder) = &self.out {
+                let below = folder.join(format!("seed-{seed}"));
+                results::write(if self.seeds > 1 { &below } else { folder }, &outcome)?;
+            }
+            println!("seed={seed} {line}");
+            if void {
+                return Err(Trouble::Undone("the emulator itself ran late: the play is void".into()));
+            }
+        }
+        if kept { Ok(()) } else { Err(Trouble::RuleBroken) }
+    }
+
+    fn play(&self, scenario: &Scenario, seed: u64) -> Result<Verdict, Trouble> {
+        // Drawn on a terminal only.
+        let bar = ProgressBar::new(1000);
+        if let Ok(style) = ProgressStyle::with_template("{bar:40} {percent} % {elapsed}") {
+            bar.set_style(style);
+        }
+        let options = model::Options { seed, policy: self.policy, fault: None };
+        let records = model::play(scenario, options, &mut |share| bar.set_position((share * 1000.0) as u64));
+        bar.finish_and_clear();
+        Ok(judge(scenario, &records))
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/agenda.rs
@@ -0,0 +1,68 @@
+//! What is to happen in simulated time, in order: by time, then in the order in which it was put down.
+
+use std::collections::BinaryHeap;
+
+struct Entry<T> {
+    at: f64,
+    number: u64,
+    what: T,
+}
+
+impl<T> PartialEq for Entry<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+impl<T> Eq for Entry<T> {}
+impl<T> PartialOrd for Entry<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl<T> Ord for Entry<T> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        other.at.total_cmp(&self.at).then(other.number.cmp(&self.number))
+    }
+}
+
+pub struct Agenda<T> {
+    entries: BinaryHeap<Entry<T>>,
+    numbered: u64,
+}
+
+impl<T> Default for Agenda<T> {
+    fn default() -> Self {
+        Self { entries: BinaryHeap::new(), numbered: 0 }
+    }
+}
+
+impl<T> Agenda<T> {
+    pub fn put(&mut self, at: f64, what: T) {
+        self.entries.push(Entry { at, number: self.numbered, what });
+        self.numbered += 1;
+    }
+
+    /// The next entry, if it is due by `until`.
+    pub fn next(&mut self, until: f64) -> Option<(f64, T)> {
+        let due = self.entries.peek().is_some_and(|entry| entry.at <= until);
+        due.then(|| self.entries.pop()).flatten().map(|entry| (entry.at, entry.what))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn entries_come_by_time_and_then_in_their_order() {
+        let mut agenda = Agenda::default();
+        for (at, what) in [(5.0, 'c'), (1.0, 'a'), (5.0, 'd'), (3.0, 'b')] {
+            agenda.put(at, what);
+        }
+        let mut all = String::new();
+        while let Some((_, what)) = agenda.next(5.0) {
+            all.push(what);
+        }
+        assert_eq!(all, "abcd");
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/judge.rs
@@ -0,0 +1,449 @@
+//! What came of a play, from the records of servers, callers and discovery alone: the four rules, the gain honoured in
+//! time, the work done for nothing. It knows neither the nodes nor how they decide.
+
+use crate::record::{Answer, Answered, Job, NodeEnd, Records, Shot, ShotEnd};
+use crate::scenario::{Effect, Group, Scenario};
+use crate::server::grown;
+use hdrhistogram::Histogram;
+use pearfront::interface::Standing;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Seconds of the window that is told as the worst.
+const WORST_WINDOW: usize = 10;
+/// Asks that such a window must hold at the least, as a share of the mean: an all but empty one says nothing.
+const WINDOW_LEAST: f64 = 0.2;
+/// Lateness of the emulator itself, us at the hundredth: beyond it a play in real time says nothing of the nodes.
+const LATE_MOST: u64 = 5000;
+/// Share of a cold server's work that must come from nodes that knew, for the rule to be theirs.
+const KNOWING: f64 = 2.0 / 3.0;
+/// Longest latency that is told apart, us: an hour.
+const LATENCY_MOST: u64 = 3_600_000_000;
+/// Cases of each broken rule that are told in words.
+const EXAMPLES: usize = 5;
+
+pub const RULES: [&str; 4] = ["no-job-lost", "no-effect-twice", "drains", "cold-servers"];
+
+#[derive(Debug, Clone, Default, Serialize, Deserialize, PartialEq)]
+pub struct Finding {
+    pub rule: String,
+    pub cases: usize,
+    /// The first of them, in words.
+    pub examples: Vec<String>,
+}
+
+#[derive(Debug, Clone, Default, Serialize, Deserialize, PartialEq)]
+pub struct Share {
+    pub name: String,
+    pub asked: f64,
+    pub honoured: f64,
+}
+
+impl Share {
+    pub fn service(&self) -> f64 {
+        if self.asked > 0.0 { self.honoured / self.asked } else { 1.0 }
+    }
+}
+
+/// One second of the play, by when things were asked for or sent.
+#[derive(Debug, Clone, Default, Serialize, Deserialize, PartialEq)]
+pub struct Second {
+    pub asked: f64,
+    pub honoured: f64,
+    pub jobs: u64,
+    pub shots: u64,
+    pub served: u64,
+    pub errors: u64,
+    pub turned_away: u64,
+    pub unanswered: u64,
+    /// Mean and highest number of shots that servers of the first tier got.
+    pub shots_mean: f64,
+    pub shots_most: u64,
+}
+
+#[derive(Debug, Clone, Default, Serialize, Deserialize, PartialEq)]
+pub struct Verdict {
+    /// Gain honoured within the contract time over gain asked for.
+    pub service: f64,
+    pub worst_10s: f64,
+    pub profiles: Vec<Share>,
+    pub customers: Vec<Share>,
+    /// A rule that stands here was broken.
+    pub broken: Vec<Finding>,
+    pub asks: usize,
+    pub tries: usize,
+    pub honoured: usize,
+    pub pushed_back: usize,
+    pub forfeited: usize,
+    pub unanswered: usize,
+    /// Shots at the first tier for each job, and work done at any tier for answers that nobody got, as a share.
+    pub shots_a_job: f64,
+    /// An error that came at once counts with all the work that was asked for.
+    pub wasted: f64,
+    pub shots: usize,
+    pub probes: u64,
+    pub connections: u64,
+    /// Effects had again by a caller's own repeat: no node could know.
+    pub repeats_by_callers: usize,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+    /// The emulator was too late itself for this to say anything.
+    pub void: bool,
+    pub late_p99_us: u64,
+    pub seconds: Vec<Second>,
+    pub script: Vec<(f64, String)>,
+}
+
+impl Verdict {
+    pub fn worst(shares: &[Share]) -> f64 {
+        shares.iter().map(Share::service).fold(1.0, f64::min)
+    }
+
+    /// The one line for machines.
+    pub fn line(&self) -> String {
+        let rules: Vec<&str> = self.broken.iter().map(|finding| finding.rule.as_str()).collect();
+        let rules = if rules.is_empty() { "kept".into() } else { rules.join(",") };
+        format!(
+            "service={:.3} worst_10s={:.3} worst_profile={:.3} worst_customer={:.3} rules={rules} p50_ms={:.0} \
+             p99_ms={:.0} asks={} shots_a_job={:.3} wasted={:.3} void={}",
+            self.service,
+            self.worst_10s,
+            Self::worst(&self.profiles),
+            Self::worst(&self.customers),
+            self.p50_ms,
+            self.p99_ms,
+            self.asks,
+            self.shots_a_job,
+            self.wasted,
+            self.void
+        )
+    }
+}
+
+/// All shots of one job, in the order in which they came, by the job's id.
+type ShotsOf<'a> = BTreeMap<u64, Vec<&'a Shot>>;
+
+struct Court<'a> {
+    scenario: &'a Scenario,
+    records: &'a Records,
+    shots: ShotsOf<'a>,
+    cases: [Vec<String>; 4],
+}
+
+pub fn judge(scenario: &Scenario, records: &Records) -> Verdict {
+    let mut shots = ShotsOf::new();
+    for shot in &records.shots {
+        shots.entry(shot.trace).or_default().push(shot);
+    }
+    shots.values_mut().for_each(|shots| shots.sort_by(|a, b| a.came.total_cmp(&b.came)));
+    let mut court = Court { scenario, records, shots, cases: Default::default() };
+    records.jobs.iter().for_each(|job| court.job(job));
+    court.drains();
+    court.cold();
+    let cases = std::mem::take(&mut court.cases);
+    let broken = RULES.iter().zip(cases).filter(|(_, cases)| !cases.is_empty());
+    let mut verdict = court.figures();
+    verdict.broken = broken
+        .map(|(rule, cases)| Finding {
+            rule: rule.to_string(),
+            cases: cases.len(),
+            examples: cases.into_iter().take(EXAMPLES).collect(),
+        })
+        .collect();
+    verdict
+}
+
+impl Court<'_> {
+    fn job(&mut self, job: &Job) {
+        let told = |what: &str| format!("job {} at {:.3} s: {what}", job.trace, job.sent / 1000.0);
+        if let Some(what) = self.answers(job) {
+            self.cases[0].push(told(&what));
+        }
+        if let Some(what) = self.effects(job) {
+            self.cases[1].push(told(&what));
+        }
+    }
+
+    /// Rule 1: one whole answer in time, and nothing after it.
+    fn answers(&self, job: &Job) -> Option<String> {
+        if job.answers.len() > 1 {
+            return Some(format!("{} answers", job.answers.len()));
+        }
+        let Some(answered) = job.answers.first() else {
+            let node = &self.records.nodes[job.node];
+            let killed = node.ended.is_some_and(|(at, how)| how == NodeEnd::Killed && at <= job.limit);
+            let excused = killed || job.left.is_some_and(|at| at < job.limit);
+            return (!excused).then(|| if job.cut { "cut off".into() } else { "no answer".into() });
+        };
+        if answered.at > job.limit + self.scenario.rules.slack_ms {
+            return Some(format!("answered {:.0} ms after its limit", answered.at - job.limit));
+        }
+        if answered.answer != Answer::Honoured {
+            return None;
+        }
+        let served = |shot: &&Shot| shot.ended.is_some_and(|(_, how)| how == ShotEnd::Served);
+        let made = self.shots.get(&job.trace).is_some_and(|shots| shots.iter().any(served));
+        match answered.body {
+            body if body != job.trace => Some(format!("got what was made for job {body}")),
+            _ if !made => Some("honoured with what no server made".into()),
+            _ => None,
+        }
+    }
+
+    /// Rule 2: what may have run goes again, or is pushed back, only where that is harmless.
+    fn effects(&self, job: &Job) -> Option<String> {
+        let profile = &self.scenario.profiles[job.profile];
+        let shots = self.shots.get(&job.trace)?;
+        let proven =
+            |shot: &Shot, by: f64| shot.ended.is_some_and(|(at, how)| how == ShotEnd::TurnedAway && at <= by);
+        let effects = shots.iter().filter(|shot| shot.effect).count();
+        if effects > 1 && profile.effect != Effect::Redoable {
+            return Some(format!("its effect was had {effects} times"));
+        }
+        for (at, shot) in shots.iter().enumerate().skip(1) {
+            let Some(first) = shots[..at].iter().find(|earlier| !proven(earlier, shot.came)) else {
+                continue;
+            };
+            match profile.effect {
+                Effect::Redoable => {}
+                Effect::Irreversible => return Some("sent again though it may have run".into()),
+                Effect::Labelled if !self.same_group(profile.group, first, shot) => {
+                    return Some("its repeat went outside its group".into());
+                }
+                Effect::Labelled if shot.sent > first.came + profile.window_s * 1000.0 => {
+                    return Some("its repeat went after its window".into());
+                }
+                Effect::Labelled => {}
+            }
+        }
+        let pushed_back = job.answers.iter().find(|answered| answered.answer == Answer::PushedBack)?;
+        let harmless = match profile.effect {
+            Effect::Redoable => true,
+            Effect::Labelled if profile.group == Group::All => true,
+            _ => shots.iter().all(|shot| shot.came > pushed_back.at || proven(shot, pushed_back.at)),
+        };
+        (!harmless).then(|| "pushed back though it may have run".into())
+    }
+
+    fn same_group(&self, group: Group, one: &Shot, other: &Shot) -> bool {
+        let [one, other] = [one, other].map(|shot| &self.records.servers[shot.server]);
+        match group {
+            Group::All => true,
+            Group::Zone => one.zone == other.zone,
+            Group::Cell => one.cell == other.cell,
+        }
+    }
+
+    /// Which node's life a shot came from.
+    fn nodes(&self) -> BTreeMap<u64, usize> {
+        self.records.jobs.iter().map(|job| (job.trace, job.node)).collect()
+    }
+
+    /// Rule 3: nothing new to a server that the node knows to drain or to be gone.
+    fn drains(&mut self) {
+        let mut ends: BTreeMap<(usize, usize), f64> = BTreeMap::new();
+        for told in self.records.told.iter().filter(|told| told.standing != Standing::Ready) {
+            let at = ends.entry((told.node, told.server)).or_insert(told.at);
+            *at = at.min(told.at);
+        }
+        if ends.is_empty() {
+            return;
+        }
+        let nodes = self.nodes();
+        let grace = self.scenario.rules.drain_grace_s * 1000.0;
+        for shot in &self.records.shots {
+            let told = nodes.get(&shot.trace).and_then(|node| ends.get(&(*node, shot.server)));
+            if let Some(at) = told.filter(|at| shot.sent > **at + grace) {
+                let server = &self.records.servers[shot.server].id;
+                self.cases[2].push(format!(
+                    "job {} went to {server} {:.1} s after its node was told that it drains or is gone",
+                    shot.trace,
+                    (shot.sent - at) / 1000.0
+                ));
+            }
+        }
+    }
+
+    /// Rule 4: no cold server is sent more than it bears by nodes that know of its start.
+    fn cold(&mut self) {
+        let cold: Vec<usize> = (0..self.records.servers.len())
+            .filter(|server| self.records.servers[*server].started.is_finite())
+            .collect();
+        if cold.is_empty() {
+            return;
+        }
+        let nodes = self.nodes();
+        let mut knows: BTreeMap<(usize, usize), f64> = BTreeMap::new();
+        for told in &self.records.told {
+            let at = knows.entry((told.node, told.server)).or_insert(told.at);
+            *at = at.min(told.at);
+        }
+        let mut by_server: BTreeMap<usize, Vec<&Shot>> = BTreeMap::new();
+        for shot in &self.records.shots {
+            by_server.entry(shot.server).or_default().push(shot);
+        }
+        for server in cold {
+            let mut shots = by_server.remove(&server).unwrap_or_default();
+            shots.sort_by(|a, b| a.came.total_cmp(&b.came));
+            let knowing = |shot: &Shot| {
+                let node = nodes.get(&shot.trace);
+                node.is_some_and(|node| knows.get(&(*node, server)).is_some_and(|at| *at <= shot.sent))
+            };
+            if let Some(what) = self.pushed_over(server, &shots, knowing) {
+                self.cases[3].push(what);
+            }
+        }
+    }
+
+    fn pushed_over(&self, server: usize, shots: &[&Shot], knowing: impl Fn(&Shot) -> bool) -> Option<String> {
+        let life = &self.records.servers[server];
+        let habits = &self.scenario.tiers[life.tier].server;
+        let window = self.scenario.rules.tip_window_s * 1000.0;
+        let (mut sum, mut known, mut first) = (0.0, 0.0, 0);
+        for shot in shots {
+            let share = grown(life.started, habits, shot.came);
+            if share >= 1.0 {
+                return None;
+            }
+            sum += shot.work;
+            known += if knowing(shot) { shot.work } else { 0.0 };
+            while shots[first].came < shot.came - window {
+                sum -= shots[first].work;
+                known -= if knowing(shots[first]) { shots[first].work } else { 0.0 };
+                first += 1;
+            }
+            let budget = self.scenario.rules.tip_multiple * life.cores * life.speed * share * window;
+            if sum > budget && known >= KNOWING * sum {
+                let since = (shot.came - life.started) / 1000.0;
+                return Some(format!(
+                    "{} was sent {sum:.0} ms of work within {:.1} s, {since:.1} s after its start, and bears {budget:.0}",
+                    life.id,
+                    window / 1000.0
+                ));
+            }
+        }
+        None
+    }
+
+    fn figures(&self) -> Verdict {
+        let scenario = self.scenario;
+        let mut verdict = Verdict { script: self.records.script.clone(), ..Verdict::default() };
+        let named = |name: &String| Share { name: name.clone(), ..Share::default() };
+        verdict.profiles = scenario.profiles.iter().map(|profile| named(&profile.name)).collect();
+        verdict.customers = scenario.customers.iter().map(|customer| named(&customer.name)).collect();
+        verdict.seconds = vec![Second::default(); scenario.length_s.ceil() as usize];
+        // When each ask was honoured, by its best try.
+        let mut honoured = vec![f64::INFINITY; self.records.asks.len()];
+        let mut latency = Histogram::<u64>::new_with_bounds(1, LATENCY_MOST, 3).expect("bounds that fit");
+        for job in &self.records.jobs {
+            let Some(ask) = job.ask else { continue };
+            verdict.tries += 1;
+            let last = verdict.seconds.len() - 1;
+            verdict.seconds[((job.sent / 1000.0) as usize).min(last)].jobs += 1;
+            match job.answers.first() {
+                Some(Answered { answer: Answer::Honoured, at, .. }) => {
+                    verdict.honoured += 1;
+                    honoured[ask] = honoured[ask].min(*at);
+                    latency.saturating_record(((at - job.sent) * 1000.0).max(0.0) as u64);
+                }
+                Some(Answered { answer: Answer::PushedBack, .. }) => verdict.pushed_back += 1,
+                Some(Answered { answer: Answer::Forfeited, .. }) => verdict.forfeited += 1,
+                None => verdict.unanswered += 1,
+            }
+        }
+        for (ask, honoured) in self.records.asks.iter().zip(&honoured) {
+            let profile = &scenario.profiles[ask.profile];
+            let gain = if honoured - ask.at <= profile.contract_ms { profile.gain } else { 0.0 };
+            let last = verdict.seconds.len() - 1;
+            let second = &mut verdict.seconds[((ask.at / 1000.0) as usize).min(last)];
+            second.asked += profile.gain;
+            second.honoured += gain;
+            for share in [&mut verdict.profiles[ask.profile], &mut verdict.customers[ask.customer]] {
+                share.asked += profile.gain;
+                share.honoured += gain;
+            }
+        }
+        let sum = |part: fn(&Second) -> f64| verdict.seconds.iter().map(part).sum::<f64>();
+        let (asked, gained) = (sum(|second| second.asked), sum(|second| second.honoured));
+        verdict.service = if asked > 0.0 { gained / asked } else { 1.0 };
+        verdict.worst_10s = worst_window(&verdict.seconds);
+        verdict.asks = self.records.asks.len();
+        verdict.p50_ms = latency.value_at_quantile(0.5) as f64 / 1000.0;
+        verdict.p99_ms = latency.value_at_quantile(0.99) as f64 / 1000.0;
+        verdict.probes = self.records.probes;
+        verdict.connections = self.records.connections;
+        if let Some(late) = &self.records.late {
+            verdict.late_p99_us = late.value_at_quantile(0.99);
+            verdict.void = verdict.late_p99_us > LATE_MOST;
+        }
+        self.shot_figures(&mut verdict);
+        verdict
+    }
+
+    fn shot_figures(&self, verdict: &mut Verdict) {
+        let records = self.records;
+        let honoured = |job: &&Job| {
+            job.ask.is_some()
+                && job.answers.first().is_some_and(|answered| answered.answer == Answer::Honoured)
+        };
+        let useful: BTreeSet<u64> = records.jobs.iter().filter(honoured).map(|job| job.trace).collect();
+        let roots: BTreeMap<u64, u64> = records.jobs.iter().map(|job| (job.trace, job.root)).collect();
+        let last = verdict.seconds.len() - 1;
+        let mut loads: Vec<BTreeMap<usize, u64>> = vec![BTreeMap::new(); verdict.seconds.len()];
+        let (mut done, mut wasted, mut outer) = (0.0, 0.0, 0usize);
+        for shot in &records.shots {
+            let at = ((shot.came / 1000.0) as usize).min(last);
+            let second = &mut verdict.seconds[at];
+            second.shots += 1;
+            match shot.ended {
+                Some((_, ShotEnd::Served)) => second.served += 1,
+                Some((_, ShotEnd::Error)) => second.errors += 1,
+                Some((_, ShotEnd::TurnedAway)) => second.turned_away += 1,
+                Some((_, ShotEnd::Dropped | ShotEnd::Lost)) | None => second.unanswered += 1,
+            }
+            if records.servers[shot.server].tier == 0 {
+                outer += 1;
+                *loads[at].entry(shot.server).or_default() += 1;
+            }
+            if matches!(shot.ended, Some((_, ShotEnd::Served | ShotEnd::Error))) {
+                done += shot.work;
+                let served = matches!(shot.ended, Some((_, ShotEnd::Served))) && shot.called_off.is_none();
+                let used = served && roots.get(&shot.trace).is_some_and(|root| useful.contains(root));
+                wasted += if used { 0.0 } else { shot.work };
+            }
+        }
+        let servers = self.scenario.tiers[0].servers as f64;
+        for (second, load) in verdict.seconds.iter_mut().zip(&loads) {
+            second.shots_mean = load.values().sum::<u64>() as f64 / servers;
+            second.shots_most = load.values().copied().max().unwrap_or(0);
+        }
+        verdict.shots = records.shots.len();
+        verdict.shots_a_job = outer as f64 / (verdict.tries as f64).max(1.0);
+        verdict.wasted = if done > 0.0 { wasted / done } else { 0.0 };
+        verdict.repeats_by_callers = self.repeats_by_callers();
+    }
+
+    /// Labels whose effect was had by two jobs, beyond what one job did itself.
+    fn repeats_by_callers(&self) -> usize {
+        let labels: BTreeMap<u64, u64> = self.records.jobs.iter().map(|job| (job.trace, job.label)).collect();
+        let mut had: BTreeMap<(u64, usize), BTreeMap<u64, ()>> = BTreeMap::new();
+        for shot in self.records.shots.iter().filter(|shot| shot.effect) {
+            if let Some(label) = labels.get(&shot.trace).filter(|label| **label > 0) {
+                let tier = self.records.servers[shot.server].tier;
+                had.entry((*label, tier)).or_default().insert(shot.trace, ());
+            }
+        }
+        had.values().map(|traces| traces.len() - 1).sum()
+    }
+}
+
+fn worst_window(seconds: &[Second]) -> f64 {
+    let window = WORST_WINDOW.min(seconds.len());
+    let sums = |part: fn(&Second) -> f64| -> Vec<f64> {
+        seconds.windows(window).map(|seconds| seconds.iter().map(part).sum()).collect()
+    };
+    let (asked, honoured) = (sums(|second| second.asked), sums(|second| second.honoured));
+    let mean = asked.iter().sum::<f64>() / asked.len() as f64;
+    let full = asked.iter().zip(&honoured).filter(|(asked, _)| **asked > WINDOW_LEAST * mean);
+    full.map(|(asked, honoured)| honoured / asked).fold(1.0, f64::min)
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/lib.rs
@@ -0,0 +1,13 @@
+//! Rehearsals: an emulated fleet, its callers and its discovery in simulated or real time, and a judge who knows only
+//! what these saw. `scenario` is the file, `model` the play in simulated time, `judge` what came of it.
+
+pub mod agenda;
+pub mod decide;
+pub mod judge;
+pub mod model;
+pub mod platform;
+pub mod record;
+pub mod repeats;
+pub mod report;
+pub mod scenario;
+pub mod server;
--- /dev/null
+++ b/crates/pearfront-emulator/src/model/directory.rs
@@ -0,0 +1,166 @@
+//! Discovery in the model play: the list as it was published, calls that are worked through in turn, and who watches.
+
+use super::hosts::{Fleet, Host};
+use super::nodes::Node;
+use super::{Event, World};
+use crate::decide::Word;
+use crate::scenario::Scenario;
+use pearfront::interface::{Address, Listing, Standing};
+use rand::prelude::Rng;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// One line of the list, and which life of a server it stands for.
+#[derive(Debug, Clone)]
+pub struct Line {
+    pub id: String,
+    pub address: Address,
+    pub tier: usize,
+    pub zone: u16,
+    pub cell: u16,
+    pub make: usize,
+    pub standing: Standing,
+    pub started: f64,
+    pub life: usize,
+}
+
+impl Line {
+    /// As a node takes it whose time began at `from`.
+    pub fn listing(&self, from: f64) -> Listing {
+        Listing {
+            server: self.address,
+            standing: self.standing,
+            cell: self.cell,
+            zone: self.zone,
+            make: self.make,
+            started: self.started - from,
+        }
+    }
+}
+
+#[derive(Default)]
+pub struct Directory {
+    published: BTreeMap<String, Line>,
+    pub watchers: Vec<Rc<Node>>,
+    busy_until: f64,
+    /// Troubles that keep it down or old, and what waits until they are over.
+    pub down: u32,
+    pub old: u32,
+    held_back: VecDeque<Line>,
+    lines_per_ms: f64,
+}
+
+impl Directory {
+    pub fn new(scenario: &Scenario) -> Self {
+        Self { lines_per_ms: scenario.discovery.lines_per_s / 1000.0, ..Self::default() }
+    }
+
+    pub fn publish_all(&mut self, fleet: &Fleet) {
+        for host in fleet.hosts.borrow().iter() {
+            let line = line(host, Standing::Ready);
+            self.published.insert(line.id.clone(), line);
+        }
+    }
+
+    /// The list of a tier as it was published.
+    pub fn lines(&self, tier: usize) -> Vec<Line> {
+        self.published.values().filter(|line| line.tier == tier).cloned().collect()
+    }
+
+    /// When a call that comes now is answered; nothing if it waits too long.
+    fn turn(&mut self, now: f64, lines: f64, timeout: f64) -> Option<f64> {
+        let begins = now.max(self.busy_until);
+        if begins - now > timeout {
+            return None;
+        }
+        self.busy_until = begins + lines / self.lines_per_ms;
+        Some(self.busy_until)
+    }
+}
+
+pub fn line(host: &Host, standing: Standing) -> Line {
+    Line {
+        id: host.id.borrow().clone(),
+        address: host.address.get(),
+        tier: host.tier,
+        zone: host.zone,
+        cell: host.cell,
+        make: host.kind,
+        standing,
+        started: host.started.get(),
+        life: host.life.get(),
+    }
+}
+
+impl World {
+    /// Something about a server has changed; discovery notices after a while.
+    pub fn announce(&mut self, host: &Host, standing: Standing, after: f64) {
+        let (soonest, latest) = self.scenario.discovery.late_ms;
+        let late = soonest + (latest - soonest) * self.net.random::<f64>();
+        self.agenda.put(self.now + after + late, Event::Publish(line(host, standing)));
+    }
+
+    pub fn publish(&mut self, line: Line) {
+        if self.directory.old > 0 || self.scenario.discovery.pushed && self.directory.down > 0 {
+            return self.directory.held_back.push_back(line);
+        }
+        let known = self.directory.published.get(&line.id);
+        // A line of an earlier life may be overtaken by one of a later.
+        if known.is_some_and(|known| known.life > line.life) {
+            return;
+        }
+        if line.standing == Standing::Gone {
+            self.directory.published.remove(&line.id);
+        } else {
+            self.directory.published.insert(line.id.clone(), line.clone());
+        }
+        let watchers: Vec<Rc<Node>> = self.directory.watchers.clone();
+        for node in watchers.into_iter().filter(|node| node.tier == line.tier && node.watching.get()) {
+            let at = self.directory.turn(self.now, 1.0, f64::INFINITY).unwrap_or(self.now);
+            let hop = self.hop(node.zone, line.zone);
+            self.agenda.put(at + hop, Event::Told(node, vec![line.clone()], false));
+        }
+    }
+
+    /// What was held back while the list was old is published.
+    pub fn catch_up_list(&mut self) {
+        while let Some(line) = self.directory.held_back.pop_front() {
+            self.publish(line);
+        }
+    }
+
+    /// A node asks for the list and its changes.
+    pub fn watch(&mut self, node: &Rc<Node>) {
+        let hop = self.hop(node.zone, node.zone);
+        let discovery = &self.scenario.discovery;
+        let lines = self.directory.lines(node.tier).len() as f64 + discovery.call_lines;
+        let timeout = discovery.timeout_ms;
+        let turn =
+            if self.directory.down > 0 { None } else { self.directory.turn(self.now + hop, lines, timeout) };
+        let (at, good) = turn.map_or((self.now + timeout, false), |at| (at, true));
+        self.agenda.put(at + hop, Event::WatchAnswered(node.clone(), good));
+    }
+
+    pub fn watch_answered(&mut self, node: &Rc<Node>, good: bool) {
+        if !node.alive.get() {
+            return;
+        }
+        if !good || self.directory.down > 0 {
+            return self.tell(node, Word::ListFailed);
+        }
+        node.watching.set(true);
+        let lines = self.directory.lines(node.tier);
+        self.told(node, lines, true, false);
+    }
+
+    /// Discovery is down: watches end.
+    pub fn end_watches(&mut self) {
+        if self.scenario.discovery.pushed {
+            return;
+        }
+        let watchers: Vec<Rc<Node>> = self.directory.watchers.clone();
+        for node in watchers.into_iter().filter(|node| node.watching.replace(false)) {
+            self.tell(&node, Word::ListFailed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/model/hosts.rs
@@ -0,0 +1,427 @@
+//! Machines of the model play: servers at their addresses, what troubles do to them, and the shots that reach them.
+
+use super::nodes::{Flight, Node};
+use super::{BESIDE, Event, World};
+use crate::decide::{SeesAll, Truth};
+use crate::record::{ServerLife, Shot, ShotEnd};
+use crate::repeats::Repeats;
+use crate::scenario::{Effect, Group, Scenario, What};
+use crate::server::{Arrival, Happened, Need, Server};
+use pearfront::interface::{Address, Ending};
+use rand::prelude::Rng;
+use rand_distr::{Distribution, Exp};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// A shot as its server's ticket: the same one, not an equal one.
+#[derive(Clone)]
+pub struct Ticket(pub Rc<Flight>);
+
+impl PartialEq for Ticket {
+    fn eq(&self, other: &Self) -> bool {
+        Rc::ptr_eq(&self.0, &other.0)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    Up,
+    /// Says nothing: connections stay open and silent, new ones never come up.
+    Silent,
+    /// No process: connections are refused.
+    Down,
+}
+
+pub struct Host {
+    pub address: Cell<Address>,
+    pub tier: usize,
+    pub zone: u16,
+    pub cell: u16,
+    pub kind: usize,
+    /// What the list calls it; a new one with each replacement.
+    pub id: RefCell<String>,
+    pub state: Cell<State>,
+    pub draining: Cell<bool>,
+    /// Place of its present life in the records, and a number that rises with each start.
+    pub life: Cell<usize>,
+    pub starts: Cell<u64>,
+    pub started: Cell<f64>,
+    pub server: RefCell<Server<Ticket>>,
+    /// The node beside it that its calls go through.
+    pub node: RefCell<Option<Rc<Node>>>,
+    pub flights: RefCell<Vec<Rc<Flight>>>,
+    /// Troubles under way here, by their place in the script.
+    pub troubles: RefCell<Vec<(usize, What, f64)>>,
+    version: Cell<u64>,
+}
+
+impl Host {
+    /// A machine of the given tier, zone, cell and kind, long warm.
+    pub fn new(
+        scenario: &Scenario,
+        address: Address,
+        (tier, zone, cell, kind): (usize, u16, u16, usize),
+        id: String,
+        state: State,
+    ) -> Rc<Self> {
+        let habits = &scenario.tiers[tier].server;
+        let server = Server::new(&scenario.kinds[kind], habits, &scenario.rules, f64::NEG_INFINITY, 0.0);
+        Rc::new(Host {
+            address: Cell::new(address),
+            tier,
+            zone,
+            cell,
+            kind,
+            id: RefCell::new(id),
+            state: Cell::new(state),
+            draining: Cell::new(false),
+            life: Cell::new(0),
+            starts: Cell::new(0),
+            started: Cell::new(f64::NEG_INFINITY),
+            server: RefCell::new(server),
+            node: RefCell::default(),
+            flights: RefCell::default(),
+            troubles: RefCell::default(),
+            version: Cell::new(0),
+        })
+    }
+
+    /// One that takes its place, not up yet.
+    pub fn twin(&self, scenario: &Scenario, address: Address) -> Rc<Self> {
+        let place = (self.tier, self.zone, self.cell, self.kind);
+        let twin = Self::new(scenario, address, place, format!("{}+", self.id.borrow()), State::Down);
+        twin.life.set(self.life.get());
+        twin
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.state.get() == State::Up
+    }
+
+    /// Chance that none of the troubles of a kind strikes.
+    fn spared(&self, what: What) -> f64 {
+        let troubles = self.troubles.borrow();
+        troubles.iter().filter(|trouble| trouble.1 == what).map(|trouble| 1.0 - trouble.2).product()
+    }
+
+    pub fn has(&self, what: What) -> bool {
+        self.troubles.borrow().iter().any(|trouble| trouble.1 == what)
+    }
+
+    /// After this time, ms, it closes an idle connection.
+    pub fn idle(&self, scenario: &Scenario) -> f64 {
+        let troubles = self.troubles.borrow();
+        let short = troubles.iter().filter(|trouble| trouble.1 == What::ShortIdle);
+        let usual = scenario.tiers[self.tier].server.idle_s;
+        short.map(|trouble| trouble.2).fold(usual, f64::min) * 1000.0
+    }
+}
+
+/// Share of its answers that a server must give right and whole for `sees-all` to use it freely.
+const SOUND: f64 = 0.95;
+
+#[derive(Default)]
+pub struct Fleet {
+    pub hosts: RefCell<Vec<Rc<Host>>>,
+    pub at: RefCell<BTreeMap<Address, Rc<Host>>>,
+    /// What each group of servers of a tier knows of labels: by tier, profile and group.
+    pub repeats: RefCell<BTreeMap<(usize, usize, u32), Repeats>>,
+    now: Cell<f64>,
+    pub addressed: Cell<u32>,
+}
+
+impl Fleet {
+    pub fn host(&self, address: Address) -> Option<Rc<Host>> {
+        self.at.borrow().get(&address).cloned()
+    }
+
+    pub fn fresh_address(&self) -> Address {
+        let number = self.addressed.get() + 1;
+        self.addressed.set(number);
+        let [_, a, b, c] = number.to_be_bytes();
+        [10, a, b, c, 0x1f, 0x90]
+    }
+
+    /// Everything in the fleet knows this time, so that the true state is that of now.
+    pub fn tick(&self, now: f64) {
+        self.now.set(now);
+    }
+}
+
+impl SeesAll for Fleet {
+    fn truth(&self, server: Address) -> Option<Truth> {
+        let host = self.host(server)?;
+        let server = host.server.borrow();
+        let capacity = server.capacity(self.now.get());
+        let sound = host.spared(What::FastErrors) * host.spared(What::LostAnswers) > SOUND;
+        let up = host.is_up() && !host.draining.get() && capacity > 0.0;
+        // Shots on their way weigh as much as those that have come.
+        let coming = host.flights.borrow().iter().filter(|flight| flight.shot.get().is_none()).count();
+        let each = if server.held() > 0 { server.work_left() / server.held() as f64 } else { 0.0 };
+        let held = (server.held() + coming) as f64;
+        let most = server.room() * server.grown(self.now.get());
+        Some(Truth {
+            work: server.work_left() + each * coming as f64,
+            capacity,
+            up,
+            sound,
+            filled: held / most,
+        })
+    }
+}
+
+impl World {
+    pub fn build_fleet(&mut self) {
+        let scenario = self.scenario.clone();
+        for (at, tier) in scenario.tiers.iter().enumerate() {
+            let share: f64 = scenario.kinds.iter().map(|kind| kind.share).sum();
+            for number in 0..tier.servers {
+                // Kinds by their shares, zones in turn, cells by number.
+                let place = (number as f64 + 0.5) / tier.servers as f64 * share;
+                let mut sum = 0.0;
+                let before = |kind: &crate::scenario::Kind| {
+                    sum += kind.share;
+                    sum <= place
+                };
+                let kind = scenario.kinds.iter().map(before).filter(|before| *before).count();
+                let zone = (number % scenario.zones.len()) as u16;
+                // No two zones share a cell.
+                let cell = (number / scenario.zones.len()) as u16 % tier.cells + zone * tier.cells;
+                self.add_host(
+                    at,
+                    zone,
+                    cell,
+                    kind.min(scenario.kinds.len() - 1),
+                    format!("{}-{number}", tier.name),
+                );
+            }
+        }
+    }
+
+    fn add_host(&mut self, tier: usize, zone: u16, cell: u16, kind: usize, id: String) {
+        let address = self.fleet.fresh_address();
+        let host = Host::new(&self.scenario, address, (tier, zone, cell, kind), id, State::Up);
+        self.record_life(&host);
+        self.fleet.at.borrow_mut().insert(host.address.get(), host.clone());
+        self.fleet.hosts.borrow_mut().push(host.clone());
+        self.next_pause(&host);
+    }
+
+    pub fn record_life(&mut self, host: &Host) {
+        let kind = &self.scenario.kinds[host.kind];
+        host.life.set(self.records.servers.len());
+        self.records.servers.push(ServerLife {
+            id: host.id.borrow().clone(),
+            tier: host.tier,
+            zone: host.zone,
+            cell: host.cell,
+            cores: kind.cores,
+            speed: kind.speed,
+            started: host.started.get(),
+            fell: None,
+            used: 0.0,
+        });
+    }
+
+    pub fn next_pause(&mut self, host: &Rc<Host>) {
+        let every = self.scenario.tiers[host.tier].server.pause_every_s * 1000.0;
+        if every <= 0.0 {
+            return;
+        }
+        let wait = Exp::new(1.0 / every).map_or(every, |exp| exp.sample(&mut self.service));
+        self.agenda.put(self.now + wait, Event::Pause(host.clone()));
+    }
+
+    pub fn pause(&mut self, host: &Rc<Host>) {
+        let until = self.now + self.scenario.tiers[host.tier].server.pause_ms;
+        self.catch_up(host);
+        host.server.borrow_mut().stand_still(until);
+        self.watch_host(host);
+        self.next_pause(host);
+    }
+
+    /// Has the server work on until now, and carries out what happened meanwhile.
+    pub fn catch_up(&mut self, host: &Rc<Host>) {
+        self.fleet.tick(self.now);
+        let happened = host.server.borrow_mut().advance(self.now);
+        for (Ticket(flight), what) in happened {
+            match what {
+                Happened::Began => {}
+                Happened::Calls => self.call_next_tier(host, &flight),
+                Happened::Done => self.served(host, &flight),
+                Happened::Failed => self.server_ends(host, &flight, ShotEnd::Error, Ending::Error),
+            }
+        }
+    }
+
+    /// Looks at the server again when its next thing is due.
+    pub fn watch_host(&mut self, host: &Rc<Host>) {
+        host.version.set(host.version.get() + 1);
+        let due = host.server.borrow().due();
+        if due.is_finite() && host.is_up() {
+            self.agenda.put(due.max(self.now), Event::HostDue(host.clone(), host.version.get()));
+        }
+    }
+
+    pub fn host_due(&mut self, host: &Rc<Host>, version: u64) {
+        if host.version.get() == version {
+            self.catch_up(host);
+            self.watch_host(host);
+        }
+    }
+
+    pub fn shot_arrives(&mut self, flight: &Rc<Flight>) {
+        let host = flight.host.clone();
+        if flight.starts != host.starts.get() || !host.is_up() {
+            return;
+        }
+        self.catch_up(&host);
+        let job = &flight.job;
+        let mut work = job.work;
+        if flight.new_connection {
+            work += self.scenario.tiers[host.tier].server.connect_work_ms;
+        }
+        let need = Need {
+            work,
+            calls: self.scenario.tiers[host.tier].calls,
+            fails: self.service.random::<f64>() >= host.spared(What::FastErrors),
+            repeat: self.repeats(&host, flight, |repeats, label, now, _| repeats.knows(label, now)),
+        };
+        flight.shot.set(Some(self.records.shots.len()));
+        self.records.shots.push(Shot {
+            trace: job.trace,
+            server: host.life.get(),
+            sent: flight.sent,
+            came: self.now,
+            work: job.work,
+            ended: None,
+            effect: false,
+            called_off: None,
+        });
+        let arrival = host.server.borrow_mut().arrive(Ticket(flight.clone()), need);
+        match arrival {
+            Arrival::Began | Arrival::Waits => {}
+            Arrival::TurnedAway => self.server_ends(&host, flight, ShotEnd::TurnedAway, Ending::Full),
+            Arrival::Fell => {
+                self.records.servers[host.life.get()].fell = Some(self.now);
+                self.note(format!("{} falls over: cold and sent too much", host.id.borrow()));
+                self.lose_all(&host, Ending::Broken);
+            }
+        }
+        self.watch_host(&host);
+    }
+
+    /// Asks the memory of labels that this shot falls under; false for jobs without one.
+    fn repeats(
+        &self,
+        host: &Host,
+        flight: &Flight,
+        ask: impl Fn(&mut Repeats, u64, f64, f64) -> bool,
+    ) -> bool {
+        let profile = &self.scenario.profiles[flight.job.profile];
+        if profile.effect != Effect::Labelled {
+            return false;
+        }
+        let group = match profile.group {
+            Group::All => 0,
+            Group::Zone => u32::from(host.zone),
+            Group::Cell => u32::from(host.cell),
+        };
+        let mut all = self.fleet.repeats.borrow_mut();
+        let repeats = all.entry((host.tier, flight.job.profile, group)).or_default();
+        ask(repeats, flight.job.label, self.now, profile.window_s * 1000.0)
+    }
+
+    fn served(&mut self, host: &Rc<Host>, flight: &Rc<Flight>) {
+        let labelled = self.scenario.profiles[flight.job.profile].effect == Effect::Labelled;
+        let first = self.repeats(host, flight, Repeats::work_through);
+        if let Some(shot) = flight.shot.get() {
+            self.records.shots[shot].effect = first || !labelled;
+        }
+        self.server_ends(host, flight, ShotEnd::Served, Ending::Honoured);
+    }
+
+    /// The server is done with a shot: books it and answers, unless nobody listens or the answer is lost.
+    fn server_ends(&mut self, host: &Rc<Host>, flight: &Rc<Flight>, end: ShotEnd, ending: Ending) {
+        host.flights.borrow_mut().retain(|other| !Rc::ptr_eq(other, flight));
+        if let Some(shot) = flight.shot.get() {
+            self.records.shots[shot].ended = Some((self.now, end));
+        }
+        let lost = self.service.random::<f64>() >= host.spared(What::LostAnswers);
+        if !flight.ended.get() && !lost {
+            let hop = self.hop(host.zone, flight.job.node.zone);
+            self.agenda.put(self.now + hop, Event::ShotEnds(flight.clone(), ending, flight.job.trace));
+        }
+    }
+
+    fn call_next_tier(&mut self, host: &Rc<Host>, flight: &Rc<Flight>) {
+        let node = host.node.borrow().clone();
+        let left = flight.job.limit - self.now;
+        match node {
+            Some(node) if left > 0.0 => {
+                let call = self.new_call(&node, flight);
+                self.agenda.put(self.now + BESIDE, Event::Take(node, call));
+            }
+            _ => self.call_ended(host, flight, false),
+        }
+    }
+
+    /// The call that a job was waiting for is over.
+    pub fn call_ended(&mut self, host: &Rc<Host>, flight: &Rc<Flight>, good: bool) {
+        if flight.starts != host.starts.get() || !host.is_up() {
+            return;
+        }
+        let ended = host.server.borrow_mut().call_ended(&Ticket(flight.clone()), good);
+        if ended.is_some() {
+            self.server_ends(host, flight, ShotEnd::Error, Ending::Error);
+        }
+    }
+
+    pub fn call_off_arrives(&mut self, flight: &Rc<Flight>) {
+        let host = flight.host.clone();
+        let Some(shot) = flight.shot.get().filter(|_| flight.starts == host.starts.get()) else { return };
+        if self.records.shots[shot].ended.is_none() {
+            self.records.shots[shot].called_off = Some(self.now);
+        }
+        if !host.is_up() {
+            return;
+        }
+        self.catch_up(&host);
+        if host.server.borrow_mut().call_off(&Ticket(flight.clone())) {
+            self.records.shots[shot].ended = Some((self.now, ShotEnd::Dropped));
+            host.flights.borrow_mut().retain(|other| !Rc::ptr_eq(other, flight));
+        }
+        self.watch_host(&host);
+    }
+
+    /// The process is gone, and all that it held; its connections are reset.
+    pub fn lose_all(&mut self, host: &Rc<Host>, ending: Ending) {
+        for flight in host.flights.take() {
+            if let Some(shot) = flight.shot.get().filter(|shot| self.records.shots[*shot].ended.is_none()) {
+                self.records.shots[shot].ended = Some((self.now, ShotEnd::Lost));
+            }
+            if !flight.ended.get() {
+                let hop = self.hop(host.zone, flight.job.node.zone);
+                self.agenda.put(self.now + hop, Event::ShotEnds(flight, ending, 0));
+            }
+        }
+    }
+
+    pub fn probe_arrives(&mut self, node: &Rc<Node>, address: Address, sent: f64) {
+        let Some(host) = self.fleet.host(address).filter(|host| host.is_up()) else { return };
+        self.catch_up(&host);
+        self.records.probes += 1;
+        let mut server = host.server.borrow_mut();
+        if server.has_fallen() || host.has(What::LostReports) {
+            return;
+        }
+        server.burden(self.scenario.tiers[host.tier].server.probe_work_ms);
+        let report = if host.has(What::StaleReports) { server.old_report() } else { server.report() };
+        drop(server);
+        self.watch_host(&host);
+        let hop = self.hop(host.zone, node.zone);
+        let answer = Event::ProbeAnswered(node.clone(), address, true, vec![report.utilisation], sent);
+        self.agenda.put(self.now + hop, answer);
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/model/mod.rs
@@ -0,0 +1,216 @@
+//! The model play: a scenario in simulated time round the decision module itself. One seed gives one result, byte for
+//! byte. `play` builds a world, runs it to its end and hands out the records.
+
+mod callers;
+mod directory;
+mod hosts;
+mod nodes;
+mod script;
+
+use crate::agenda::Agenda;
+use crate::decide::{Fault, Policy};
+use crate::platform;
+use crate::record::{Answer, Records};
+use crate::scenario::Scenario;
+use callers::{AskState, Front};
+use directory::{Directory, Line};
+use hosts::{Fleet, Host};
+use nodes::{Flight, HeldJob, Node, Seat};
+use pearfront::interface::{Address, Ending, Settings};
+use rand::prelude::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::rc::Rc;
+
+/// How long, ms, a play runs on after its last arrival at the most: everything has an answer by then.
+const RUN_OUT: f64 = 60_000.0;
+/// One-way delay, ms, between a server and the node beside it.
+const BESIDE: f64 = 0.05;
+
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    pub seed: u64,
+    pub policy: Policy,
+    pub fault: Option<Fault>,
+}
+
+impl Options {
+    pub fn new(seed: u64) -> Self {
+        Self { seed, policy: Policy::Module, fault: None }
+    }
+}
+
+enum Event {
+    NextAsk,
+    Try(Rc<AskState>),
+    Take(Rc<Node>, Rc<HeldJob>),
+    Round(Rc<Node>),
+    ShotArrives(Rc<Flight>),
+    ShotTimesOut(Rc<Flight>),
+    /// Told to its node, which may know better by now.
+    ShotEnds(Rc<Flight>, Ending, u64),
+    CallOffArrives(Rc<Flight>),
+    HostDue(Rc<Host>, u64),
+    ProbeArrives(Rc<Node>, Address, f64),
+    ProbeAnswered(Rc<Node>, Address, bool, Vec<f64>, f64),
+    Answered(Rc<HeldJob>, Answer, u64, f64),
+    CallerLeaves(Rc<HeldJob>),
+    WatchAnswered(Rc<Node>, bool),
+    Publish(Line),
+    Told(Rc<Node>, Vec<Line>, bool),
+    Sweep(Rc<Node>),
+    Pause(Rc<Host>),
+    Begin(usize),
+    End(usize),
+    EndHost(Rc<Host>, u64),
+    StartHost(Rc<Host>),
+    DrainHost(Rc<Host>),
+    EndNode(Rc<Seat>, u64),
+    StartNode(Rc<Seat>),
+    FrontNotices(Rc<Seat>, bool),
+    FrontDrops(Rc<Seat>),
+}
+
+struct World {
+    scenario: Rc<Scenario>,
+    options: Options,
+    agenda: Agenda<Event>,
+    now: f64,
+    records: Records,
+    fleet: Rc<Fleet>,
+    seats: Vec<Rc<Seat>>,
+    /// Settings of the nodes of each tier and zone.
+    settings: Vec<Vec<Settings>>,
+    directory: Directory,
+    front: Front,
+    /// Chance of the network, of servers and of the script; callers have their own, so that all policies meet the same.
+    net: ChaCha8Rng,
+    troubles: ChaCha8Rng,
+    service: ChaCha8Rng,
+    node_salt: ChaCha8Rng,
+    /// Body that a driver with swapped answers hands to the next job.
+    last_body: u64,
+    swaps: u64,
+}
+
+/// Plays the scenario; `progress` hears now and then what share of it is done.
+pub fn play(scenario: &Scenario, options: Options, progress: &mut dyn FnMut(f64)) -> Records {
+    let mut world = World::new(scenario, options);
+    world.begin();
+    let end = scenario.length() + RUN_OUT;
+    let mut told = 0.0;
+    while let Some((at, event)) = world.agenda.next(end) {
+        world.now = at;
+        if at - told >= 1000.0 {
+            told = at;
+            progress((at / scenario.length()).min(1.0));
+        }
+        if at > scenario.length() && world.front.open == 0 {
+            break;
+        }
+        world.happen(event);
+    }
+    world.close()
+}
+
+impl World {
+    fn new(scenario: &Scenario, options: Options) -> Self {
+        let stream = |number: u64| {
+            let mut chance = ChaCha8Rng::seed_from_u64(options.seed);
+            chance.set_stream(number);
+            chance
+        };
+        let settings = |tier: usize, zone: usize| {
+            let siblings = if tier == 0 { scenario.nodes.count } else { scenario.tiers[tier - 1].servers };
+            let json = platform::settings(scenario, tier, zone, siblings).to_string();
+            pearfront_settings::parse(json.as_bytes()).expect("the scenario was checked")
+        };
+        let zones = scenario.zones.len();
+        let by_zone = |tier: usize| (0..zones).map(|zone| settings(tier, zone)).collect();
+        Self {
+            scenario: Rc::new(scenario.clone()),
+            options,
+            agenda: Agenda::default(),
+            now: 0.0,
+            records: Records::default(),
+            fleet: Rc::default(),
+            seats: Vec::new(),
+            settings: (0..scenario.tiers.len()).map(by_zone).collect(),
+            directory: Directory::new(scenario),
+            front: Front::new(stream(1)),
+            net: stream(2),
+            troubles: stream(3),
+            service: stream(4),
+            node_salt: stream(5),
+            last_body: 0,
+            swaps: 0,
+        }
+    }
+
+    fn begin(&mut self) {
+        self.build_fleet();
+        self.directory.publish_all(&self.fleet);
+        self.build_seats();
+        for trouble in 0..self.scenario.troubles.len() {
+            self.agenda.put(self.scenario.troubles[trouble].at_s * 1000.0, Event::Begin(trouble));
+        }
+        self.agenda.put(0.0, Event::NextAsk);
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::NextAsk => self.next_ask(),
+            Event::Try(ask) => self.try_ask(&ask),
+            Event::Take(node, job) => self.take(&node, &job),
+            Event::Round(node) => self.round(&node),
+            Event::ShotArrives(flight) => self.shot_arrives(&flight),
+            Event::ShotTimesOut(flight) => self.shot_times_out(&flight),
+            Event::ShotEnds(flight, ending, body) => self.shot_ends(&flight, ending, body),
+            Event::CallOffArrives(flight) => self.call_off_arrives(&flight),
+            Event::HostDue(host, version) => self.host_due(&host, version),
+            Event::ProbeArrives(node, address, sent) => self.probe_arrives(&node, address, sent),
+            Event::ProbeAnswered(node, address, good, report, sent) => {
+                self.probe_answered(&node, address, good, report, sent);
+            }
+            Event::Answered(job, answer, body, wait) => self.answered(&job, answer, body, wait),
+            Event::CallerLeaves(job) => self.caller_leaves(&job),
+            Event::WatchAnswered(node, good) => self.watch_answered(&node, good),
+            Event::Publish(line) => self.publish(line),
+            Event::Told(node, lines, whole) => self.told(&node, lines, whole, false),
+            Event::Sweep(node) => self.sweep(&node),
+            Event::Pause(host) => self.pause(&host),
+            Event::Begin(trouble) => self.begin_trouble(trouble),
+            Event::End(trouble) => self.end_trouble(trouble),
+            Event::EndHost(host, life) => self.end_host(&host, life),
+            Event::StartHost(host) => self.start_host(&host),
+            Event::DrainHost(host) => self.drain_host(&host),
+            Event::FrontDrops(seat) => seat.dealt.set(false),
+            Event::EndNode(seat, life) => self.end_node(&seat, life),
+            Event::StartNode(seat) => self.start_node(&seat),
+            Event::FrontNotices(seat, up) => self.front_notices(&seat, up),
+        }
+    }
+
+    /// One-way delay between two zones, ms.
+    fn hop(&mut self, one: u16, other: u16) -> f64 {
+        let network = &self.scenario.network;
+        let base = if one == other { network.hop_ms } else { network.cross_ms };
+        base * (1.0 + network.jitter * self.net.random::<f64>())
+    }
+
+    fn caller_hop(&mut self) -> f64 {
+        let network = &self.scenario.network;
+        network.caller_ms * (1.0 + network.jitter * self.net.random::<f64>())
+    }
+
+    fn note(&mut self, line: String) {
+        log::info!(at_s = self.now / 1000.0; "{line}");
+        self.records.script.push((self.now / 1000.0, line));
+    }
+
+    fn close(mut self) -> Records {
+        for host in self.fleet.hosts.borrow().iter() {
+            self.records.servers[host.life.get()].used = host.server.borrow().used_in_all;
+        }
+        self.records
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/model/nodes.rs
@@ -0,0 +1,592 @@
+//! Nodes of the model play: what stands between callers, the one who decides, and servers. Messages, connections and
+//! timers are simulated; every decision is the decider's.
+
+use super::directory::Line;
+use super::hosts::Host;
+use super::{Event, World};
+use crate::decide::{Act, Decider, Fault, Module, Plain, Policy, Word};
+use crate::record::{Answer, Job, NodeEnd, NodeLife, Told};
+use pearfront::interface::{Address, Ending, Listing, Standing};
+use rand::prelude::Rng;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Share of the stated idle time for which a node keeps a connection.
+const KEPT: f64 = 0.8;
+/// Time, ms, a probe may take.
+const PROBE_TIME: f64 = 250.0;
+/// Time, ms, between two looks through a node's idle connections.
+const SWEEP: f64 = 5000.0;
+/// Of jobs of a driver that loses some: one in so many.
+const LOSES_ONE_IN: u64 = 50;
+
+/// Where a node of the first tier runs; it outlives the node.
+pub struct Seat {
+    pub name: String,
+    pub zone: u16,
+    pub node: RefCell<Option<Rc<Node>>>,
+    /// Its share of the traffic beside the others'.
+    pub weight: Cell<f64>,
+    /// Whether the front sends there.
+    pub dealt: Cell<bool>,
+    pub starts: Cell<u64>,
+    /// The list as its last node had it.
+    pub known: RefCell<Vec<Line>>,
+}
+
+pub struct Node {
+    pub tier: usize,
+    pub zone: u16,
+    /// Place of its life in the records.
+    pub life: usize,
+    pub started: f64,
+    pub alive: Cell<bool>,
+    pub decider: RefCell<Box<dyn Decider>>,
+    inbox: RefCell<Vec<Word>>,
+    last_round: Cell<f64>,
+    round_at: Cell<f64>,
+    pub jobs: RefCell<BTreeMap<u32, Rc<HeldJob>>>,
+    numbered: Cell<u32>,
+    pub watching: Cell<bool>,
+    pub known: RefCell<BTreeMap<Address, Line>>,
+    /// Idle connections to each server: when each was used last.
+    idle: RefCell<BTreeMap<Address, Vec<(f64, u64)>>>,
+    /// Probes that were answered, by when they were sent: their failure is still on the agenda.
+    answered_probes: RefCell<Vec<(Address, f64)>>,
+}
+
+/// Who waits for a job's answer.
+pub enum From {
+    Caller(Rc<super::callers::AskState>),
+    /// A shot that its server makes this call for.
+    Server(Rc<Flight>),
+}
+
+pub struct HeldJob {
+    pub node: Rc<Node>,
+    pub number: Cell<u32>,
+    pub record: usize,
+    pub trace: u64,
+    pub root: u64,
+    pub label: u64,
+    pub profile: usize,
+    pub customer: usize,
+    pub limit: f64,
+    /// Own work of this tier, ms, and of the whole ask over all tiers.
+    pub work: f64,
+    pub whole_work: f64,
+    /// How many jobs of this tier one ask makes.
+    pub fan: f64,
+    pub from: From,
+    pub shots: RefCell<Vec<Rc<Flight>>>,
+    pub answered: Cell<bool>,
+    /// Its caller has what it will get.
+    pub over: Cell<bool>,
+}
+
+/// A shot on its way.
+pub struct Flight {
+    pub job: Rc<HeldJob>,
+    pub number: usize,
+    pub host: Rc<Host>,
+    /// The start of the host that it was sent to.
+    pub starts: u64,
+    pub sent: f64,
+    pub new_connection: bool,
+    /// Its place in the records once it has come.
+    pub shot: Cell<Option<usize>>,
+    /// Its node knows how it ended.
+    pub ended: Cell<bool>,
+}
+
+impl World {
+    pub fn build_seats(&mut self) {
+        let zones = self.scenario.zones.len();
+        for number in 0..self.scenario.nodes.count {
+            let seat = Rc::new(Seat {
+                name: format!("n{number}"),
+                zone: (number % zones) as u16,
+                node: RefCell::default(),
+                weight: Cell::new(1.0),
+                dealt: Cell::new(true),
+                starts: Cell::new(0),
+                known: RefCell::new(self.directory.lines(0)),
+            });
+            self.seats.push(seat.clone());
+            self.start_node(&seat);
+        }
+        let calling = |host: &&Rc<Host>| host.tier + 1 < self.scenario.tiers.len();
+        let hosts: Vec<Rc<Host>> = self.fleet.hosts.borrow().iter().filter(calling).cloned().collect();
+        for host in hosts {
+            self.start_node_beside(&host);
+        }
+    }
+
+    pub fn start_node(&mut self, seat: &Rc<Seat>) {
+        if seat.node.borrow().is_some() {
+            return;
+        }
+        seat.starts.set(seat.starts.get() + 1);
+        let known = seat.known.borrow().clone();
+        let node = self.new_node(seat.name.clone(), 0, seat.zone, known);
+        *seat.node.borrow_mut() = Some(node);
+        self.agenda
+            .put(self.now + self.scenario.callers.notice_s * 500.0, Event::FrontNotices(seat.clone(), true));
+    }
+
+    /// The node beside a server, for the next tier; it starts and ends with its server.
+    pub fn start_node_beside(&mut self, host: &Rc<Host>) {
+        let known = self.directory.lines(host.tier + 1);
+        let node = self.new_node(format!("by-{}", host.id.borrow()), host.tier + 1, host.zone, known);
+        *host.node.borrow_mut() = Some(node);
+    }
+
+    fn new_node(&mut self, name: String, tier: usize, zone: u16, known: Vec<Line>) -> Rc<Node> {
+        let settings = self.settings[tier][usize::from(zone)].clone();
+        let salt = self.node_salt.random();
+        let (policy, fault) = (self.options.policy, self.options.fault);
+        let decider: Box<dyn Decider> = match policy {
+            Policy::Module => Box::new(Module::new(settings, salt)),
+            // A driver with a fault has it where callers come in; behind it all is well.
+            _ => {
+                let fault = fault.filter(|_| tier == 0);
+                Box::new(Plain::new(policy, fault, settings, salt, self.fleet.clone()))
+            }
+        };
+        let life = self.records.nodes.len();
+        self.records.nodes.push(NodeLife { name, tier, from: self.now, ended: None });
+        let node = Rc::new(Node {
+            tier,
+            zone,
+            life,
+            started: self.now,
+            alive: Cell::new(true),
+            decider: RefCell::new(decider),
+            inbox: RefCell::default(),
+            last_round: Cell::new(f64::NEG_INFINITY),
+            round_at: Cell::new(f64::INFINITY),
+            jobs: RefCell::default(),
+            numbered: Cell::new(0),
+            watching: Cell::new(self.scenario.discovery.pushed),
+            known: RefCell::default(),
+            idle: RefCell::default(),
+            answered_probes: RefCell::default(),
+        });
+        self.directory.watchers.push(node.clone());
+        self.told(&node, known, true, true);
+        self.agenda.put(self.now + SWEEP, Event::Sweep(node.clone()));
+        node
+    }
+
+    /// Puts a word into the node's inbox and sees that a round comes.
+    pub fn tell(&mut self, node: &Rc<Node>, word: Word) {
+        node.inbox.borrow_mut().push(word);
+        let at = self.now.max(node.last_round.get() + self.scenario.nodes.round_ms);
+        self.round_by(node, at);
+    }
+
+    fn round_by(&mut self, node: &Rc<Node>, at: f64) {
+        if at < node.round_at.get() {
+            node.round_at.set(at);
+            self.agenda.put(at, Event::Round(node.clone()));
+        }
+    }
+
+    pub fn round(&mut self, node: &Rc<Node>) {
+        if !node.alive.get() || self.now < node.round_at.get() {
+            return;
+        }
+        node.round_at.set(f64::INFINITY);
+        node.last_round.set(self.now);
+        self.fleet.tick(self.now);
+        let words = node.inbox.take();
+        let acts = node.decider.borrow_mut().round(self.now - node.started, words);
+        acts.into_iter().for_each(|act| self.act(node, act));
+    }
+
+    fn act(&mut self, node: &Rc<Node>, act: Act) {
+        let job = |number: u32| node.jobs.borrow().get(&number).cloned();
+        match act {
+            Act::Shoot { job: number, server, limit } => {
+                if let Some(job) = job(number) {
+                    self.shoot(node, &job, server, limit);
+                }
+            }
+            Act::CallOff { job: number, shot } => {
+                let flight = job(number).and_then(|job| job.shots.borrow().get(shot).cloned());
+                if let Some(flight) = flight.filter(|flight| !flight.ended.get()) {
+                    self.shot_over(&flight, Ending::CalledOff, true);
+                }
+            }
+            Act::PushBack { job: number, wait } => {
+                if let Some(job) = job(number) {
+                    self.give(&job, Answer::PushedBack, 0, wait);
+                }
+            }
+            Act::Forfeit { job: number } => {
+                if let Some(job) = job(number) {
+                    self.give(&job, Answer::Forfeited, 0, 0.0);
+                }
+            }
+            Act::Probe { server } => self.probe(node, server),
+            Act::Wake { delay } => {
+                let at = (self.now + delay).max(self.now + self.scenario.nodes.round_ms);
+                self.round_by(node, at);
+            }
+            Act::Watch => self.watch(node),
+        }
+    }
+
+    /// A job has come in whole.
+    pub fn take(&mut self, node: &Rc<Node>, job: &Rc<HeldJob>) {
+        if !node.alive.get() {
+            return self.cut(job);
+        }
+        let number = node.numbered.get();
+        node.numbered.set(number.wrapping_add(1));
+        job.number.set(number);
+        node.jobs.borrow_mut().insert(number, job.clone());
+        let limit = job.limit - node.started;
+        let (profile, customer) = (job.profile, job.customer);
+        self.tell(node, Word::Job { id: number, profile, customer, limit });
+    }
+
+    /// A call to the next tier, made by a server for a shot that it works on.
+    pub fn new_call(&mut self, node: &Rc<Node>, flight: &Rc<Flight>) -> Rc<HeldJob> {
+        let (above, scenario) = (&flight.job, self.scenario.clone());
+        let fan = above.fan * f64::from(scenario.tiers[node.tier - 1].calls);
+        self.new_job(node, above, scenario.tiers[node.tier].work / fan, fan, From::Server(flight.clone()))
+    }
+
+    fn new_job(&mut self, node: &Rc<Node>, above: &HeldJob, share: f64, fan: f64, from: From) -> Rc<HeldJob> {
+        let record = self.records.jobs.len();
+        let trace = record as u64 + 1;
+        self.records.jobs.push(Job {
+            trace,
+            root: above.root,
+            ask: None,
+            node: node.life,
+            tier: node.tier,
+            profile: above.profile,
+            label: above.label,
+            sent: self.now,
+            limit: above.limit,
+            left: None,
+            answers: Vec::new(),
+            cut: false,
+        });
+        Rc::new(HeldJob {
+            node: node.clone(),
+            number: Cell::new(0),
+            record,
+            trace,
+            root: above.root,
+            label: above.label,
+            profile: above.profile,
+            customer: above.customer,
+            limit: above.limit,
+            work: above.whole_work * share,
+            whole_work: above.whole_work,
+            fan,
+            from,
+            shots: RefCell::default(),
+            answered: Cell::new(false),
+            over: Cell::new(false),
+        })
+    }
+
+    fn shoot(&mut self, node: &Rc<Node>, job: &Rc<HeldJob>, server: Address, limit: f64) {
+        let Some(host) = self.fleet.host(server) else {
+            return self.lone_end(node, job);
+        };
+        let kept = self.kept_connection(node, &host);
+        let flight = Rc::new(Flight {
+            job: job.clone(),
+            number: job.shots.borrow().len(),
+            host: host.clone(),
+            starts: kept.map_or(host.starts.get(), |(_, starts)| starts),
+            sent: self.now,
+            new_connection: kept.is_none(),
+            shot: Cell::new(None),
+            ended: Cell::new(false),
+        });
+        job.shots.borrow_mut().push(flight.clone());
+        self.agenda.put(self.now + limit.max(0.0), Event::ShotTimesOut(flight.clone()));
+        let (there, back) = (self.hop(node.zone, host.zone), self.hop(host.zone, node.zone));
+        let ends = |ending| Event::ShotEnds(flight.clone(), ending, 0);
+        if let Some((used, starts)) = kept {
+            let closed = starts != host.starts.get() || self.now - used >= host.idle(&self.scenario);
+            if host.state.get() == super::hosts::State::Silent {
+                return;
+            }
+            if closed || !host.is_up() {
+                // The server ended it unannounced: that shows once the job has been written.
+                return self.agenda.put(self.now + there + back, ends(Ending::Broken));
+            }
+            host.flights.borrow_mut().push(flight.clone());
+            return self.agenda.put(self.now + there, Event::ShotArrives(flight));
+        }
+        match host.state.get() {
+            super::hosts::State::Silent => {
+                self.agenda.put(self.now + self.scenario.nodes.connect_ms, ends(Ending::Unconnected));
+            }
+            super::hosts::State::Up if host.server.borrow_mut().connect() => {
+                self.records.connections += 1;
+                host.flights.borrow_mut().push(flight.clone());
+                self.agenda.put(self.now + 2.0 * there + back, Event::ShotArrives(flight));
+            }
+            _ => self.agenda.put(self.now + there + back, ends(Ending::Unconnected)),
+        }
+    }
+
+    /// A shot at an address that nobody ever had.
+    fn lone_end(&mut self, node: &Rc<Node>, job: &Rc<HeldJob>) {
+        let shot = job.shots.borrow().len();
+        let word = Word::ShotEnded {
+            id: job.number.get(),
+            shot,
+            ending: Ending::Unconnected,
+            took: 0.0,
+            done: false,
+        };
+        self.tell(node, word);
+    }
+
+    /// The idle connection that was used last, and which start of the server it is to.
+    fn kept_connection(&self, node: &Node, host: &Host) -> Option<(f64, u64)> {
+        let mut idle = node.idle.borrow_mut();
+        let kept = idle.get_mut(&host.address.get())?.pop()?;
+        let fresh = self.now - kept.0 < KEPT * self.scenario.nodes.idle_s * 1000.0;
+        if !fresh && kept.1 == host.starts.get() {
+            host.server.borrow_mut().disconnect();
+        }
+        fresh.then_some(kept)
+    }
+
+    pub fn sweep(&mut self, node: &Rc<Node>) {
+        if !node.alive.get() {
+            return;
+        }
+        let fleet = self.fleet.clone();
+        for (address, kept) in node.idle.borrow_mut().iter_mut() {
+            let Some(host) = fleet.host(*address) else { continue };
+            let most = (KEPT * self.scenario.nodes.idle_s * 1000.0).min(host.idle(&self.scenario));
+            let before = kept.len();
+            // What the server has closed by now is found out by its next use, as on sockets.
+            kept.retain(|(used, _)| self.now - used < KEPT * self.scenario.nodes.idle_s * 1000.0);
+            let closed = kept.iter().filter(|(used, _)| self.now - used >= most).count();
+            for _ in 0..(before - kept.len()).saturating_sub(closed) {
+                host.server.borrow_mut().disconnect();
+            }
+        }
+        self.agenda.put(self.now + SWEEP, Event::Sweep(node.clone()));
+    }
+
+    pub fn shot_times_out(&mut self, flight: &Rc<Flight>) {
+        if !flight.ended.get() {
+            // Never written where the connection has not come up: then it was told as unconnected before.
+            self.shot_over(flight, Ending::TimedOut, true);
+        }
+    }
+
+    /// What the server or the network had to say of a shot has come to its node.
+    pub fn shot_ends(&mut self, flight: &Rc<Flight>, ending: Ending, body: u64) {
+        if flight.ended.get() || !flight.job.node.alive.get() {
+            return;
+        }
+        let node = flight.job.node.clone();
+        if matches!(ending, Ending::Honoured | Ending::Error | Ending::Full) {
+            let kept = (self.now, flight.starts);
+            node.idle.borrow_mut().entry(flight.host.address.get()).or_default().push(kept);
+        }
+        if ending == Ending::Honoured {
+            self.give(&flight.job.clone(), Answer::Honoured, body, 0.0);
+        }
+        self.shot_over(flight, ending, false);
+    }
+
+    /// A shot is over for its node; `gives_up` closes its connection, so that the server hears of it.
+    fn shot_over(&mut self, flight: &Rc<Flight>, ending: Ending, gives_up: bool) {
+        flight.ended.set(true);
+        let (job, host) = (&flight.job, &flight.host);
+        if gives_up {
+            let hop = self.hop(job.node.zone, host.zone);
+            host.server.borrow_mut().disconnect();
+            self.agenda.put(self.now + hop, Event::CallOffArrives(flight.clone()));
+        }
+        let word = Word::ShotEnded {
+            id: job.number.get(),
+            shot: flight.number,
+            ending,
+            took: self.now - flight.sent,
+            done: job.answered.get(),
+        };
+        self.tell(&job.node.clone(), word);
+        self.forget(job);
+    }
+
+    /// A final answer leaves the node; later ones are dropped.
+    fn give(&mut self, job: &Rc<HeldJob>, answer: Answer, body: u64, wait: f64) {
+        let again = self.options.fault == Some(Fault::AnswersTwice) && job.node.tier == 0;
+        if job.answered.replace(true) && !again {
+            return;
+        }
+        let mut body = body;
+        if job.node.tier == 0 {
+            match self.options.fault {
+                Some(Fault::LosesJobs) if job.trace.is_multiple_of(LOSES_ONE_IN) => return self.forget(job),
+                Some(Fault::SwapsAnswers) if answer == Answer::Honoured => {
+                    self.swaps += 1;
+                    let last = std::mem::replace(&mut self.last_body, body);
+                    body = if self.swaps.is_multiple_of(LOSES_ONE_IN) { last } else { body };
+                }
+                Some(Fault::AnswersTwice) if job.trace.is_multiple_of(LOSES_ONE_IN) => {
+                    let hop = self.caller_hop();
+                    self.agenda.put(self.now + hop + 1.0, Event::Answered(job.clone(), answer, body, wait));
+                }
+                _ => {}
+            }
+        }
+        let hop = if job.node.tier == 0 { self.caller_hop() } else { super::BESIDE };
+        self.agenda.put(self.now + hop, Event::Answered(job.clone(), answer, body, wait));
+        self.forget(job);
+    }
+
+    fn forget(&self, job: &Rc<HeldJob>) {
+        let out = job.shots.borrow().iter().any(|flight| !flight.ended.get());
+        if job.answered.get() && !out {
+            job.node.jobs.borrow_mut().remove(&job.number.get());
+        }
+    }
+
+    fn probe(&mut self, node: &Rc<Node>, server: Address) {
+        let zone = self.fleet.host(server).map_or(node.zone, |host| host.zone);
+        let hop = self.hop(node.zone, zone);
+        self.agenda.put(self.now + hop, Event::ProbeArrives(node.clone(), server, self.now));
+        let failed = Event::ProbeAnswered(node.clone(), server, false, Vec::new(), self.now);
+        self.agenda.put(self.now + PROBE_TIME, failed);
+    }
+
+    pub fn probe_answered(
+        &mut self,
+        node: &Rc<Node>,
+        server: Address,
+        good: bool,
+        report: Vec<f64>,
+        sent: f64,
+    ) {
+        // Each probe has its failure on the agenda; it counts only if no answer came before.
+        if !node.alive.get() || !good && node.answered_probe(server, sent) {
+            return;
+        }
+        if good {
+            node.answered_probes.borrow_mut().push((server, sent));
+        }
+        self.tell(node, Word::ProbeAnswered { server, good, report, took: self.now - sent });
+    }
+
+    /// Lines of the list have come to a node.
+    pub fn told(&mut self, node: &Rc<Node>, lines: Vec<Line>, whole: bool, cached: bool) {
+        if !node.alive.get() {
+            return;
+        }
+        let mut known = node.known.borrow_mut();
+        let mut out: Vec<Listing> = Vec::new();
+        if whole {
+            // Who the whole list lacks is gone, as far as this node is told.
+            let gone = known.values().filter(|old| lines.iter().all(|line| line.life != old.life));
+            let gone: Vec<usize> = gone.map(|line| line.life).collect();
+            for server in gone {
+                self.records.told.push(Told {
+                    node: node.life,
+                    server,
+                    standing: Standing::Gone,
+                    at: self.now,
+                });
+            }
+            known.clear();
+        }
+        for line in lines {
+            self.records.told.push(Told {
+                node: node.life,
+                server: line.life,
+                standing: line.standing,
+                at: self.now,
+            });
+            let newcomer = known.get(&line.address).is_some_and(|old| old.id != line.id);
+            if newcomer && line.standing == Standing::Gone {
+                continue;
+            }
+            let listing = line.listing(node.started);
+            if newcomer {
+                // Whoever comes to another's address is told of after that one has gone.
+                out.push(Listing { standing: Standing::Gone, ..listing });
+            }
+            if line.standing == Standing::Gone {
+                known.remove(&line.address);
+            } else {
+                known.insert(line.address, line);
+            }
+            out.push(listing);
+        }
+        drop(known);
+        self.tell(node, Word::Listed { whole, cached, lines: out });
+    }
+
+    /// A node's process ends; callers' connections are reset, and servers see theirs close.
+    pub fn stop_node(&mut self, node: &Rc<Node>, how: NodeEnd) {
+        if !node.alive.replace(false) {
+            return;
+        }
+        self.records.nodes[node.life].ended = Some((self.now, how));
+        let jobs = node.jobs.take();
+        for job in jobs.values() {
+            for flight in job.shots.borrow().iter().filter(|flight| !flight.ended.replace(true)) {
+                let hop = self.hop(node.zone, flight.host.zone);
+                flight.host.server.borrow_mut().disconnect();
+                self.agenda.put(self.now + hop, Event::CallOffArrives(flight.clone()));
+            }
+            if !job.answered.replace(true) {
+                self.cut(job);
+            }
+        }
+        for (address, kept) in node.idle.take() {
+            if let Some(host) = self.fleet.host(address) {
+                kept.iter().for_each(|_| host.server.borrow_mut().disconnect());
+            }
+        }
+        self.directory.watchers.retain(|other| !Rc::ptr_eq(other, node));
+    }
+
+    pub fn end_node(&mut self, seat: &Rc<Seat>, starts: u64) {
+        if seat.starts.get() != starts {
+            return;
+        }
+        self.take_down(seat, NodeEnd::Terminated);
+    }
+
+    /// Ends the node at a seat, if there is one.
+    pub fn take_down(&mut self, seat: &Rc<Seat>, how: NodeEnd) {
+        let Some(node) = seat.node.take() else { return };
+        *seat.known.borrow_mut() = node.known.borrow().values().cloned().collect();
+        self.stop_node(&node, how);
+        let notice = self.scenario.callers.notice_s * 1000.0;
+        self.agenda.put(self.now + notice, Event::FrontNotices(seat.clone(), false));
+    }
+
+    pub fn front_notices(&mut self, seat: &Rc<Seat>, up: bool) {
+        let there = seat.node.borrow().is_some();
+        if there == up {
+            seat.dealt.set(up);
+        }
+    }
+}
+
+impl Node {
+    fn answered_probe(&self, server: Address, sent: f64) -> bool {
+        let mut answered = self.answered_probes.borrow_mut();
+        let place = answered.iter().position(|probe| *probe == (server, sent));
+        place.map(|place| answered.swap_remove(place)).is_some()
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/model/script.rs
@@ -0,0 +1,274 @@
+//! The script of troubles in the model play: who is struck, and what begins and ends when.
+
+use super::hosts::{Host, State};
+use super::nodes::Seat;
+use super::{Event, World};
+use crate::decide::Word;
+use crate::record::NodeEnd;
+use crate::scenario::{Trouble, What};
+use crate::server::Server;
+use pearfront::interface::{Ending, Standing};
+use rand::seq::SliceRandom;
+use std::rc::Rc;
+
+/// How long, ms, callers still come to a node after SIGTERM.
+const COMES_ON: f64 = 300.0;
+/// Longest, ms, that a node may take to end after SIGTERM.
+const END_MOST: f64 = 3400.0;
+
+impl World {
+    pub fn begin_trouble(&mut self, place: usize) {
+        let trouble = self.scenario.troubles[place].clone();
+        let lasts = trouble.for_s * 1000.0;
+        match trouble.what {
+            What::DiscoveryDown => {
+                self.directory.down += 1;
+                self.end_watches();
+            }
+            What::DiscoveryOld => self.directory.old += 1,
+            What::KillNodes | What::RestartNodes | What::HotNode | What::Sighup => {
+                self.strike_nodes(&trouble)
+            }
+            _ => self.strike_hosts(place, &trouble),
+        }
+        if trouble.with_nodes {
+            self.kill_zone(&trouble);
+        }
+        self.agenda.put(self.now + lasts, Event::End(place));
+    }
+
+    pub fn end_trouble(&mut self, place: usize) {
+        let trouble = self.scenario.troubles[place].clone();
+        match trouble.what {
+            What::DiscoveryDown => {
+                self.directory.down -= 1;
+                self.catch_up_list();
+            }
+            What::DiscoveryOld => {
+                self.directory.old -= 1;
+                self.catch_up_list();
+            }
+            What::HotNode => self.seats.iter().for_each(|seat| seat.weight.set(1.0)),
+            What::KillNodes | What::RestartNodes | What::Sighup | What::Release | What::Drain => {}
+            _ => self.spare_hosts(place, &trouble),
+        }
+        self.note(format!("{:?} is over", trouble.what));
+    }
+
+    /// Who is struck: of the servers that fit, as many as the script says, by chance.
+    fn targets(&mut self, trouble: &Trouble) -> Vec<Rc<Host>> {
+        let tier = trouble.tier.as_ref().and_then(|name| self.scenario.tier(name));
+        let zone = self.zone_of(trouble);
+        let kind = trouble.kind.as_ref();
+        let kinds = &self.scenario.kinds;
+        let fits = |host: &&Rc<Host>| {
+            tier.is_none_or(|tier| host.tier == tier)
+                && zone.is_none_or(|zone| usize::from(host.zone) == zone)
+                && kind.is_none_or(|kind| kinds[host.kind].name == *kind)
+                && host.is_up()
+                && !host.draining.get()
+        };
+        let mut hosts: Vec<Rc<Host>> = self.fleet.hosts.borrow().iter().filter(fits).cloned().collect();
+        hosts.shuffle(&mut self.troubles);
+        hosts.truncate(how_many(trouble, hosts.len()));
+        hosts
+    }
+
+    fn zone_of(&self, trouble: &Trouble) -> Option<usize> {
+        let zone = trouble.zone.as_ref()?;
+        self.scenario.zones.iter().position(|name| name == zone)
+    }
+
+    fn strike_hosts(&mut self, place: usize, trouble: &Trouble) {
+        let hosts = self.targets(trouble);
+        let names: Vec<String> = hosts.iter().take(8).map(|host| host.id.borrow().clone()).collect();
+        self.note(format!(
+            "{:?} begins at {} servers, among them {}",
+            trouble.what,
+            hosts.len(),
+            names.join(" ")
+        ));
+        if trouble.what == What::Release {
+            return self.release(trouble, &hosts);
+        }
+        for host in hosts {
+            self.catch_up(&host);
+            host.troubles.borrow_mut().push((place, trouble.what, trouble.by()));
+            match trouble.what {
+                What::Silent => self.silence(&host),
+                What::Stall => host.server.borrow_mut().stand_still(self.now + trouble.for_s * 1000.0),
+                What::Slow => host.server.borrow_mut().pace *= trouble.by(),
+                What::Drain => self.drain(&host),
+                _ => {}
+            }
+            self.watch_host(&host);
+        }
+    }
+
+    fn spare_hosts(&mut self, place: usize, trouble: &Trouble) {
+        let hosts: Vec<Rc<Host>> = self.fleet.hosts.borrow().iter().cloned().collect();
+        for host in hosts {
+            let mut troubles = host.troubles.borrow_mut();
+            let before = troubles.len();
+            troubles.retain(|other| other.0 != place);
+            if troubles.len() == before {
+                continue;
+            }
+            drop(troubles);
+            if trouble.what == What::Slow {
+                self.catch_up(&host);
+                host.server.borrow_mut().pace /= trouble.by();
+                self.watch_host(&host);
+            }
+            if trouble.what == What::Silent {
+                self.come_back(&host, trouble.new_ids);
+            }
+        }
+    }
+
+    fn silence(&mut self, host: &Rc<Host>) {
+        host.state.set(State::Silent);
+        self.announce(host, Standing::Gone, self.scenario.discovery.silent_s * 1000.0);
+        if let Some(node) = host.node.take() {
+            self.stop_node(&node, NodeEnd::Killed);
+        }
+    }
+
+    /// A machine that was silent starts anew, cold.
+    fn come_back(&mut self, host: &Rc<Host>, new_id: bool) {
+        if host.state.get() != State::Silent {
+            return;
+        }
+        self.lose_all(host, Ending::Broken);
+        if new_id {
+            self.announce(host, Standing::Gone, 0.0);
+            let id = format!("{}'", host.id.borrow());
+            *host.id.borrow_mut() = id;
+        }
+        self.start_host(host);
+    }
+
+    /// A process starts at the host's address: cold, with nothing known of it.
+    pub fn start_host(&mut self, host: &Rc<Host>) {
+        let scenario = self.scenario.clone();
+        if host.state.get() == State::Silent {
+            self.records.servers[host.life.get()].used = host.server.borrow().used_in_all;
+        } else {
+            self.next_pause(host);
+        }
+        host.started.set(self.now);
+        host.starts.set(host.starts.get() + 1);
+        host.draining.set(false);
+        host.state.set(State::Up);
+        let habits = &scenario.tiers[host.tier].server;
+        let mut server = Server::new(&scenario.kinds[host.kind], habits, &scenario.rules, self.now, self.now);
+        let slow = |trouble: &(usize, What, f64)| if trouble.1 == What::Slow { trouble.2 } else { 1.0 };
+        server.pace = host.troubles.borrow().iter().map(slow).product();
+        *host.server.borrow_mut() = server;
+        self.record_life(host);
+        if host.tier + 1 < scenario.tiers.len() {
+            self.start_node_beside(host);
+        }
+        self.announce(host, Standing::Ready, 0.0);
+    }
+
+    fn drain(&mut self, host: &Rc<Host>) {
+        host.draining.set(true);
+        self.announce(host, Standing::Draining, 0.0);
+        let discovery = &self.scenario.discovery;
+        // It works on for as long as the slowest word of it and the grace may take, and half a second more.
+        let ends = discovery.late_ms.1 + self.scenario.rules.drain_grace_s * 1000.0 + 500.0;
+        self.agenda.put(self.now + ends, Event::EndHost(host.clone(), host.starts.get()));
+    }
+
+    pub fn end_host(&mut self, host: &Rc<Host>, starts: u64) {
+        if host.starts.get() != starts || !host.is_up() {
+            return;
+        }
+        self.catch_up(host);
+        host.state.set(State::Down);
+        self.lose_all(host, Ending::Broken);
+        if let Some(node) = host.node.take() {
+            self.stop_node(&node, NodeEnd::Killed);
+        }
+        self.announce(host, Standing::Gone, 0.0);
+    }
+
+    /// A rolling release: some at a time drain, end, and are replaced at new addresses.
+    fn release(&mut self, trouble: &Trouble, hosts: &[Rc<Host>]) {
+        let at_once = trouble.by().max(1.0) as usize;
+        for (step, hosts) in hosts.chunks(at_once).enumerate() {
+            let wait = step as f64 * trouble.for_s * 1000.0;
+            for host in hosts {
+                self.agenda.put(self.now + wait, Event::StartHost(self.replacement(host)));
+                self.agenda.put(self.now + wait, Event::DrainHost(host.clone()));
+            }
+        }
+    }
+
+    /// A machine that is not up yet, to take another's place.
+    fn replacement(&self, host: &Host) -> Rc<Host> {
+        let new = host.twin(&self.scenario, self.fleet.fresh_address());
+        self.fleet.at.borrow_mut().insert(new.address.get(), new.clone());
+        self.fleet.hosts.borrow_mut().push(new.clone());
+        new
+    }
+
+    pub fn drain_host(&mut self, host: &Rc<Host>) {
+        if host.is_up() && !host.draining.get() {
+            self.drain(host);
+        }
+    }
+
+    fn strike_nodes(&mut self, trouble: &Trouble) {
+        let zone = self.zone_of(trouble);
+        let fits = |seat: &&Rc<Seat>| zone.is_none_or(|zone| usize::from(seat.zone) == zone);
+        let mut seats: Vec<Rc<Seat>> = self.seats.iter().filter(fits).cloned().collect();
+        seats.shuffle(&mut self.troubles);
+        let all = if trouble.what == What::HotNode && trouble.part.is_none() { 1 } else { seats.len() };
+        seats.truncate(how_many(trouble, all));
+        let names: Vec<&str> = seats.iter().map(|seat| seat.name.as_str()).collect();
+        self.note(format!("{:?} strikes nodes {}", trouble.what, names.join(" ")));
+        for seat in seats {
+            match trouble.what {
+                What::KillNodes => {
+                    self.take_down(&seat, NodeEnd::Killed);
+                    self.agenda.put(self.now + trouble.for_s * 1000.0, Event::StartNode(seat));
+                }
+                What::RestartNodes => self.terminate(&seat, trouble.for_s * 1000.0),
+                What::HotNode => seat.weight.set(seat.weight.get() * trouble.by()),
+                // Settings are the same: in simulated time nothing is to be seen of it.
+                _ => {}
+            }
+        }
+    }
+
+    fn terminate(&mut self, seat: &Rc<Seat>, down: f64) {
+        let Some(node) = seat.node.borrow().clone() else { return };
+        let longest =
+            self.scenario.profiles.iter().fold(0.0, |most: f64, profile| most.max(profile.limit_ms));
+        let ends = longest.min(END_MOST - COMES_ON) + COMES_ON;
+        self.agenda.put(self.now + COMES_ON, Event::FrontDrops(seat.clone()));
+        let at = self.now + ends - node.started;
+        self.tell(&node, Word::Closing { at });
+        self.agenda.put(self.now + ends + 10.0, Event::EndNode(seat.clone(), seat.starts.get()));
+        self.agenda.put(self.now + ends + 10.0 + down, Event::StartNode(seat.clone()));
+    }
+
+    fn kill_zone(&mut self, trouble: &Trouble) {
+        let zone = self.zone_of(trouble);
+        let seats: Vec<Rc<Seat>> = self.seats.clone();
+        for seat in seats.into_iter().filter(|seat| zone.is_none_or(|zone| usize::from(seat.zone) == zone)) {
+            self.take_down(&seat, NodeEnd::Killed);
+            self.agenda.put(self.now + trouble.for_s * 1000.0, Event::StartNode(seat));
+        }
+    }
+}
+
+fn how_many(trouble: &Trouble, all: usize) -> usize {
+    match (trouble.part, trouble.count) {
+        (Some(part), _) => ((all as f64 * part).round() as usize).clamp(1, all.max(1)),
+        (None, Some(count)) => count.min(all),
+        (None, None) => all,
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/platform.rs
@@ -0,0 +1,63 @@
+//! A scenario in the platform's words: the settings object and the lines of the list, as nodes on sockets get them.
+//! The model play decodes the same object, so both plays decide by the same figures.
+
+use crate::scenario::{Effect, Group, Scenario};
+use pearfront::interface::Standing;
+use serde_json::{Value, json};
+
+const NS_PER_MS: f64 = 1e6;
+
+/// The settings of a node that sends to `tier`, of which there are `siblings`, in `zone`.
+pub fn settings(scenario: &Scenario, tier: usize, zone: usize, siblings: usize) -> Value {
+    let ns = |ms: f64| (ms * NS_PER_MS).round();
+    let nodes = &scenario.nodes;
+    let profile = |profile: &crate::scenario::Profile| {
+        json!({"name": profile.name, "effect": effect(profile.effect), "group": group(profile.group),
+            "window": ns(profile.window_s * 1000.0), "contract_time": ns(profile.contract_ms),
+            "outer_limit": ns(profile.limit_ms), "gain": profile.gain})
+    };
+    let customer = |customer: &crate::scenario::Customer| json!({"name": customer.name, "quota_per_s": customer.quota_per_s});
+    let habits = &scenario.tiers[tier].server;
+    json!({
+        "siblings": siblings, "tier": tier, "locality": zone, "round": ns(nodes.round_ms),
+        "discovery": if scenario.discovery.pushed { "pushed" } else { "on_request" },
+        "azs": scenario.zones, "host_types": scenario.kinds.iter().map(|kind| &kind.name).collect::<Vec<_>>(),
+        "profiles": scenario.profiles.iter().map(profile).collect::<Vec<_>>(),
+        "customers": scenario.customers.iter().map(customer).collect::<Vec<_>>(),
+        "limits": {"most_shots": nodes.most_shots, "cancel": nodes.call_off, "probes": nodes.probes,
+            "parallel_tries": nodes.second_copies, "retry_after": nodes.advice_s > 0.0,
+            "max_retry_after": ns(nodes.advice_s * 1000.0), "connect_timeout": ns(nodes.connect_ms),
+            "conn_idle": ns(nodes.idle_s * 1000.0)},
+        "deductions": {"cross_zone": nodes.cross_zone_price, "probe": nodes.probe_price},
+        "objective_mix": {"whole": scenario.goal.whole, "worst_class": scenario.goal.worst_profile,
+            "worst_tenant": scenario.goal.worst_customer},
+        "report": {"fields": ["utilization"], "via": if nodes.probes { "probe" } else { "none" }},
+        "rules": {"ask_within": ns(scenario.discovery.ask_within_s * 1000.0), "cold": ns(habits.warm_up_s * 1000.0),
+            "cold_from": habits.cold_from, "tip_multiple": scenario.rules.tip_multiple,
+            "overload_for": ns(scenario.rules.tip_window_s * 1000.0)},
+    })
+}
+
+pub fn effect(effect: Effect) -> &'static str {
+    match effect {
+        Effect::Redoable => "safe",
+        Effect::Labelled => "keyed",
+        Effect::Irreversible => "unsafe",
+    }
+}
+
+fn group(group: Group) -> &'static str {
+    match group {
+        Group::All => "all",
+        Group::Zone => "zone",
+        Group::Cell => "cell",
+    }
+}
+
+pub fn lifecycle(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Ready => "Ready",
+        Standing::Draining => "Terminating",
+        Standing::Gone => "Gone",
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/repeats.rs
@@ -0,0 +1,45 @@
+//! What a group of servers (all, a zone, a cell) remembers of labelled jobs. It outlives any one of its servers.
+
+use std::collections::BTreeMap;
+
+/// Labels whose effect a group has had, and until when it knows them.
+#[derive(Debug, Default)]
+pub struct Repeats {
+    known: BTreeMap<u64, f64>,
+    swept: f64,
+}
+
+impl Repeats {
+    /// Is a repeat dropped now?
+    pub fn knows(&self, label: u64, now: f64) -> bool {
+        self.known.get(&label).is_some_and(|until| now < *until)
+    }
+
+    /// A job with this label has been worked through: true if it has its effect, false if that was had before.
+    pub fn work_through(&mut self, label: u64, now: f64, window: f64) -> bool {
+        if self.knows(label, now) {
+            return false;
+        }
+        if now - self.swept > window {
+            self.known.retain(|_, until| now < *until);
+            self.swept = now;
+        }
+        self.known.insert(label, now + window);
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_repeat_within_the_window_has_no_effect_and_one_after_it_has() {
+        let mut repeats = Repeats::default();
+        assert!(repeats.work_through(7, 0.0, 5000.0));
+        assert!(!repeats.work_through(7, 4999.0, 5000.0));
+        assert!(repeats.work_through(8, 5001.0, 5000.0));
+        assert!(repeats.work_through(7, 5001.0, 5000.0));
+        assert!(repeats.knows(7, 10_000.0) && !repeats.knows(7, 10_001.0));
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/report.rs
@@ -0,0 +1,338 @@
+//! What a play leaves behind: `result.json`, a table by second, a page with plots; and two sets of results beside each
+//! other. Makes texts; whoever calls writes them.
+
+use crate::judge::{Second, Verdict};
+use plotters::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::fmt::Write;
+
+/// Version of `result.json`; it rises when a reader of the old form would be misled.
+pub const VERSION: u32 = 1;
+/// Standard errors beyond which a difference is more than noise.
+const NOISE: f64 = 2.0;
+/// Difference in service that is told as noise however alike the seeds are: below it nothing was ever concluded.
+const NOISE_LEAST: f64 = 0.005;
+const SIZE: (u32, u32) = (960, 260);
+
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Outcome {
+    pub version: u32,
+    pub scenario: String,
+    pub play: String,
+    pub policy: String,
+    pub seed: u64,
+    /// A service curve that was recorded elsewhere, by second, and its mean distance from this one.
+    pub recorded: Vec<(f64, f64)>,
+    pub recorded_distance: Option<f64>,
+    pub verdict: Verdict,
+}
+
+impl Outcome {
+    pub fn new(
+        scenario: &crate::scenario::Scenario,
+        play: &str,
+        policy: &str,
+        seed: u64,
+        verdict: Verdict,
+    ) -> Self {
+        let mut outcome = Self {
+            version: VERSION,
+            scenario: scenario.name.clone(),
+            play: play.into(),
+            policy: policy.into(),
+            seed,
+            recorded: scenario.recorded.clone(),
+            recorded_distance: None,
+            verdict,
+        };
+        outcome.recorded_distance = outcome.distance();
+        outcome
+    }
+
+    pub fn json(&self) -> String {
+        let mut text = serde_json::to_string_pretty(self).unwrap_or_default();
+        text.push('\n');
+        text
+    }
+
+    pub fn from_json(text: &str) -> Result<Self, String> {
+        let outcome: Self = serde_json::from_str(text).map_err(|error| error.to_string())?;
+        if outcome.version != VERSION {
+            return Err(format!("version {} of a result; this program reads {VERSION}", outcome.version));
+        }
+        Ok(outcome)
+    }
+
+    /// Mean absolute distance to the recorded curve, each of its points standing for the time up to the next.
+    fn distance(&self) -> Option<f64> {
+        let spans: Vec<(f64, f64)> = self.spans()?;
+        let distance = |((_, was), (_, is)): (&(f64, f64), &(f64, f64))| (was - is).abs();
+        Some(self.recorded.iter().zip(&spans).map(distance).sum::<f64>() / spans.len() as f64)
+    }
+
+    /// Service of this play over the same spans as the recorded points.
+    fn spans(&self) -> Option<Vec<(f64, f64)>> {
+        let starts: Vec<f64> = self.recorded.iter().map(|point| point.0).collect();
+        let end = self.verdict.seconds.len() as f64;
+        let ends = starts.iter().skip(1).copied().chain([end]);
+        let service = |(from, to): (&f64, f64)| {
+            let within = self.verdict.seconds.iter().skip(*from as usize).take((to - from).max(1.0) as usize);
+            let (asked, honoured) =
+                within.fold((0.0, 0.0), |sum, second| (sum.0 + second.asked, sum.1 + second.honoured));
+            (*from, if asked > 0.0 { honoured / asked } else { 1.0 })
+        };
+        let spans: Vec<(f64, f64)> = starts.iter().zip(ends).map(service).collect();
+        (!spans.is_empty()).then_some(spans)
+    }
+
+    /// One line a second, separated by tabs.
+    pub fn table(&self) -> String {
+        let mut text = String::from(
+            "second\tasked\thonoured\tservice\tjobs\tshots\tserved\terrors\tturned_away\tunanswered\tshots_mean\tshots_most\n",
+        );
+        for (at, second) in self.verdict.seconds.iter().enumerate() {
+            let Second { asked, honoured, jobs, shots, served, errors, turned_away, unanswered, .. } = second;
+            let service = if *asked > 0.0 { honoured / asked } else { 1.0 };
+            let _ = writeln!(
+                text,
+                "{at}\t{asked}\t{honoured}\t{service:.4}\t{jobs}\t{shots}\t{served}\t{errors}\t{turned_away}\t{unanswered}\t\
+                 {:.2}\t{}",
+                second.shots_mean, second.shots_most
+            );
+        }
+        text
+    }
+
+    /// One page that needs nothing else.
+    pub fn page(&self) -> Result<String, String> {
+        let verdict = &self.verdict;
+        let seconds = &verdict.seconds;
+        let by = |part: fn(&Second) -> f64| -> Vec<(f64, f64)> {
+            seconds.iter().enumerate().map(|(at, second)| (at as f64, part(second))).collect()
+        };
+        let share = |second: &Second| if second.asked > 0.0 { second.honoured / second.asked } else { 1.0 };
+        let service = seconds.iter().enumerate().map(|(at, second)| (at as f64, share(second))).collect();
+        let mut curves = vec![("service", service)];
+        if !self.recorded.is_empty() {
+            curves.push(("recorded", self.recorded.clone()));
+        }
+        let served = by(|second| second.served as f64);
+        let plots = [
+            ("Service by second (gain honoured in time over gain asked for)", plot(&curves, Some(1.0))?),
+            (
+                "Shots a second by ending",
+                plot(
+                    &[
+                        ("served", served),
+                        ("errors", by(|second| second.errors as f64)),
+                        ("turned away", by(|second| second.turned_away as f64)),
+                        ("unanswered", by(|second| second.unanswered as f64)),
+                    ],
+                    None,
+                )?,
+            ),
+            (
+                "Shots a second at a server of the first tier",
+                plot(
+                    &[
+                        ("mean", by(|second| second.shots_mean)),
+                        ("highest", by(|second| second.shots_most as f64)),
+                    ],
+                    None,
+                )?,
+            ),
+        ];
+        let mut page = format!(
+            "<!doctype html><meta charset=\"utf-8\"><title>{0}</title><style>body{{font:15px sans-serif;max-width:62em;\
+             margin:2em auto}}td,th{{padding:.2em .8em;text-align:left}}</style><h1>{0}</h1><p>{1}, {2}, seed {3}. \
+             Servers, callers and discovery are simulated.</p><pre>{4}</pre>",
+            escape(&self.scenario),
+            escape(&self.play),
+            escape(&self.policy),
+            self.seed,
+            escape(&verdict.line())
+        );
+        if let Some(distance) = self.recorded_distance {
+            let _ = write!(page, "<p>Mean distance from the recorded curve: {distance:.3}.</p>");
+        }
+        for finding in &verdict.broken {
+            let _ =
+                write!(page, "<h3>Rule broken: {} ({} times)</h3><ul>", escape(&finding.rule), finding.cases);
+            finding.examples.iter().for_each(|case| {
+                let _ = write!(page, "<li>{}</li>", escape(case));
+            });
+            page.push_str("</ul>");
+        }
+        for (title, svg) in plots {
+            let _ = write!(page, "<h2>{title}</h2>{svg}");
+        }
+        for (title, shares) in [("Profiles", &verdict.profiles), ("Customers", &verdict.customers)] {
+            let _ = write!(page, "<h2>{title}</h2><table><tr><th>name<th>gain asked for<th>service");
+            for share in shares {
+                let name = escape(&share.name);
+                let _ = write!(page, "<tr><td>{name}<td>{:.0}<td>{:.3}", share.asked, share.service());
+            }
+            page.push_str("</table>");
+        }
+        page.push_str("<h2>What the script did</h2><table>");
+        for (at, what) in &verdict.script {
+            let _ = write!(page, "<tr><td>{at:.1} s<td>{}", escape(what));
+        }
+        page.push_str("</table>\n");
+        Ok(page)
+    }
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+}
+
+fn plot(curves: &[(&str, Vec<(f64, f64)>)], most: Option<f64>) -> Result<String, String> {
+    let points = || curves.iter().flat_map(|(_, points)| points);
+    let right = points().fold(1.0, |right: f64, point| right.max(point.0));
+    let top = most.unwrap_or_else(|| points().fold(1.0, |top: f64, point| top.max(point.1)));
+    let mut svg = String::new();
+    let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+    let draw = || -> Result<(), Box<dyn std::error::Error + '_>> {
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(48)
+            .build_cartesian_2d(0.0..right, 0.0..top * 1.05)?;
+        chart.configure_mesh().x_desc("second").draw()?;
+        for (at, (name, points)) in curves.iter().enumerate() {
+            let colour = Palette99::pick(at).to_rgba();
+            chart
+                .draw_series(LineSeries::new(points.iter().copied(), colour.stroke_width(2)))?
+                .label(*name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2)));
+        }
+        chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+        area.present()?;
+        Ok(())
+    };
+    draw().map_err(|error| format!("plot: {error}"))?;
+    drop(area);
+    Ok(svg)
+}
+
+/// A figure's name, and where it stands.
+type Figure = (&'static str, fn(&Verdict) -> f64);
+
+/// One figure of two sets of plays.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Compared {
+    pub figure: &'static str,
+    pub one: f64,
+    pub other: f64,
+    /// Difference that chance alone makes; the seeds say.
+    pub noise: f64,
+}
+
+impl Compared {
+    pub fn says(&self) -> &'static str {
+        if (self.other - self.one).abs() <= self.noise {
+            "within noise"
+        } else if self.other > self.one {
+            "higher"
+        } else {
+            "lower"
+        }
+    }
+}
+
+/// Sets of plays of one scenario, several seeds each, beside one another.
+pub fn compare(one: &[Outcome], other: &[Outcome]) -> Result<Vec<Compared>, String> {
+    let (Some(first), Some(second)) = (one.first(), other.first()) else {
+        return Err("a folder without results".into());
+    };
+    for outcome in one.iter().chain(other) {
+        if outcome.scenario != first.scenario {
+            return Err(format!("{:?} and {:?} are different scenarios", first.scenario, second.scenario));
+        }
+    }
+    let figures: [Figure; 7] = [
+        ("service", |verdict| verdict.service),
+        ("worst_10s", |verdict| verdict.worst_10s),
+        ("worst_profile", |verdict| Verdict::worst(&verdict.profiles)),
+        ("worst_customer", |verdict| Verdict::worst(&verdict.customers)),
+        ("shots_a_job", |verdict| verdict.shots_a_job),
+        ("wasted", |verdict| verdict.wasted),
+        ("p99_ms", |verdict| verdict.p99_ms),
+    ];
+    let compared = figures.map(|(figure, of)| {
+        let values = |set: &[Outcome]| set.iter().map(|outcome| of(&outcome.verdict)).collect::<Vec<f64>>();
+        let (one, other) = (values(one), values(other));
+        let (a, b) = (mean(&one), mean(&other));
+        let least = if figure == "p99_ms" { 0.02 * a.max(b) } else { NOISE_LEAST };
+        let noise = (NOISE * (error(&one).powi(2) + error(&other).powi(2)).sqrt()).max(least);
+        Compared { figure, one: a, other: b, noise }
+    });
+    Ok(compared.to_vec())
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len() as f64
+}
+
+/// Standard error of the mean; infinite with one value, which says nothing of noise.
+fn error(values: &[f64]) -> f64 {
+    let (count, mean) = (values.len() as f64, mean(values));
+    if values.len() < 2 {
+        return f64::INFINITY;
+    }
+    let squares: f64 = values.iter().map(|value| (value - mean).powi(2)).sum();
+    (squares / (count - 1.0) / count).sqrt()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn outcome(service: f64) -> Outcome {
+        let second = |honoured: f64| Second { asked: 10.0, honoured, ..Second::default() };
+        let seconds = vec![second(10.0), second(10.0), second(10.0 * service), second(10.0 * service)];
+        Outcome {
+            version: VERSION,
+            scenario: "<a & b>".into(),
+            play: "model".into(),
+            policy: "module".into(),
+            seed: 1,
+            recorded: vec![(0.0, 1.0), (2.0, 0.5)],
+            recorded_distance: None,
+            verdict: Verdict { service, seconds, ..Verdict::default() },
+        }
+    }
+
+    #[test]
+    fn a_recorded_curve_is_met_as_far_as_its_spans_say() {
+        let distance = |service| outcome(service).distance().unwrap();
+        assert!((distance(0.5), distance(0.7)) == (0.0, 0.1) || (distance(0.7) - 0.1).abs() < 1e-12);
+    }
+
+    #[test]
+    fn a_result_is_read_back_as_it_was_and_another_version_is_refused() {
+        let outcome = outcome(0.5);
+        assert_eq!(Outcome::from_json(&outcome.json()).unwrap(), outcome);
+        let newer = outcome.json().replace("\"version\": 1", "\"version\": 7");
+        assert!(Outcome::from_json(&newer).unwrap_err().contains("version 7"));
+    }
+
+    #[test]
+    fn names_do_not_become_part_of_the_page() {
+        let page = outcome(0.5).page().unwrap();
+        assert!(page.contains("&lt;a &amp; b&gt;") && !page.contains("<a & b>"));
+        assert_eq!(page.matches("<svg").count(), 3);
+    }
+
+    #[test]
+    fn a_difference_counts_only_beyond_what_seeds_do() {
+        let set = |values: &[f64]| values.iter().map(|value| outcome(*value)).collect::<Vec<_>>();
+        let says = |one: &[f64], other: &[f64]| compare(&set(one), &set(other)).unwrap()[0].says();
+        assert_eq!(says(&[0.80, 0.81, 0.82], &[0.90, 0.91, 0.92]), "higher");
+        assert_eq!(says(&[0.90, 0.91, 0.92], &[0.80, 0.81, 0.82]), "lower");
+        assert_eq!(says(&[0.70, 0.90], &[0.75, 0.95]), "within noise");
+        assert_eq!(says(&[0.70], &[0.95]), "within noise");
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/server.rs
@@ -0,0 +1,526 @@
+//! One emulated server: cores, slots, a queue and its limit, warm-up, crowding, falling over. Free of I/O and clocks:
+//! it is told the time and what comes, and says what has happened by then. Both plays drive this one.
+
+use crate::scenario::{Kind, Rules, ServerHabits};
+use std::collections::VecDeque;
+
+/// Work, ms, under which a part counts as done: below what any clock here tells apart.
+const DONE: f64 = 1e-7;
+/// Time, ms, after which the capacity of a cold server with work is looked at again.
+const COLD_STEP: f64 = 25.0;
+/// Work, ms, that an error at once or a dropped repeat costs.
+const QUICK_WORK: f64 = 0.1;
+
+/// What one job needs of this server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Need {
+    /// Own work, ms, in `calls` + 1 equal parts.
+    pub work: f64,
+    pub calls: u32,
+    /// It ends in an error at once instead.
+    pub fails: bool,
+    /// Its label is known here: answered without its effect.
+    pub repeat: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arrival {
+    Began,
+    Waits,
+    /// Never ran and never will: the queue was full.
+    TurnedAway,
+    /// This was too much for a cold server: it has fallen, and so has all that it held.
+    Fell,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Happened {
+    /// A waiting job got a slot.
+    Began,
+    /// It has to call the next tier, and goes on once `call_ended` is told.
+    Calls,
+    Done,
+    Failed,
+}
+
+/// Its load report's values.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Report {
+    pub utilisation: f64,
+    pub held: f64,
+    pub waiting: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Waiting,
+    Own,
+    Calling,
+}
+
+#[derive(Debug)]
+struct Held<T> {
+    ticket: T,
+    need: Need,
+    state: State,
+    left: f64,
+    calls_left: u32,
+}
+
+/// `T` names a job held; it is handed back as it came.
+pub struct Server<T> {
+    cores: f64,
+    speed: f64,
+    slots: usize,
+    habits: ServerHabits,
+    tip_multiple: f64,
+    tip_window: f64,
+    /// Negative infinity if it is long warm.
+    started: f64,
+    now: f64,
+    held: Vec<Held<T>>,
+    crowded: bool,
+    fallen: bool,
+    /// Troubles: share of the speed left, and until when nothing moves.
+    pub pace: f64,
+    still_until: f64,
+    connections: usize,
+    /// Work sent while cold, by when.
+    sent: VecDeque<(f64, f64)>,
+    /// Core time used since the last refresh of the report, ms, and when that was.
+    used: f64,
+    used_since: f64,
+    report: Report,
+    /// All core time used, ms.
+    pub used_in_all: f64,
+}
+
+impl<T: Clone + PartialEq> Server<T> {
+    pub fn new(kind: &Kind, habits: &ServerHabits, rules: &Rules, started: f64, now: f64) -> Self {
+        Self {
+            cores: kind.cores,
+            speed: kind.speed,
+            slots: (kind.cores * habits.slots).ceil() as usize,
+            habits: habits.clone(),
+            tip_multiple: rules.tip_multiple,
+            tip_window: rules.tip_window_s * 1000.0,
+            started,
+            now,
+            held: Vec::new(),
+            crowded: false,
+            fallen: false,
+            pace: 1.0,
+            still_until: f64::NEG_INFINITY,
+            connections: 0,
+            sent: VecDeque::new(),
+            used: 0.0,
+            used_since: now,
+            report: Report::default(),
+            used_in_all: 0.0,
+        }
+    }
+
+    /// Share of its capacity that it has at a time.
+    pub fn grown(&self, at: f64) -> f64 {
+        grown(self.started, &self.habits, at)
+    }
+
+    /// Work, ms, that it does in a millisecond when all cores are busy, as things stand.
+    pub fn capacity(&self, at: f64) -> f64 {
+        if self.fallen || at < self.still_until {
+            return 0.0;
+        }
+        let crowded = if self.crowded { self.habits.crowded_speed } else { 1.0 };
+        self.cores * self.speed * self.pace * self.grown(at) * crowded
+    }
+
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Own work, ms, that is still to be done for what it holds.
+    pub fn work_left(&self) -> f64 {
+        let part = |held: &Held<T>| held.need.work / f64::from(held.need.calls + 1);
+        self.held.iter().map(|held| held.left + part(held) * f64::from(held.calls_left)).sum()
+    }
+
+    /// Jobs that it can hold without being crowded or turning any away.
+    pub fn room(&self) -> f64 {
+        (self.habits.crowded_at * self.cores).min((self.slots + self.habits.queue) as f64).floor().max(1.0)
+    }
+
+    pub fn is_crowded(&self) -> bool {
+        self.crowded
+    }
+
+    pub fn has_fallen(&self) -> bool {
+        self.fallen
+    }
+
+    /// Nothing moves until that time.
+    pub fn stand_still(&mut self, until: f64) {
+        self.still_until = self.still_until.max(until);
+    }
+
+    /// A new connection; false if it holds as many as it can. The handshake is work.
+    pub fn connect(&mut self) -> bool {
+        if self.fallen || self.connections >= self.habits.connections {
+            return false;
+        }
+        self.connections += 1;
+        true
+    }
+
+    pub fn disconnect(&mut self) {
+        self.connections = self.connections.saturating_sub(1);
+    }
+
+    /// A job's last byte has come. `advance` to the same time goes before.
+    pub fn arrive(&mut self, ticket: T, need: Need) -> Arrival {
+        if self.tips(need.work) {
+            self.fallen = true;
+            self.held.clear();
+            return Arrival::Fell;
+        }
+        let working = self.working();
+        let waiting = self.held.len() - working;
+        if working >= self.slots && waiting >= self.habits.queue {
+            return Arrival::TurnedAway;
+        }
+        let quick = need.fails || need.repeat;
+        let need = if quick { Need { work: QUICK_WORK, calls: 0, ..need } } else { need };
+        let begins = working < self.slots;
+        let state = if begins { State::Own } else { State::Waiting };
+        let left = need.work / f64::from(need.calls + 1);
+        self.held.push(Held { ticket, need, state, left, calls_left: need.calls });
+        self.crowd();
+        if begins { Arrival::Began } else { Arrival::Waits }
+    }
+
+    /// Work beside jobs, such as a probe's or a handshake's: it takes from what is under way.
+    pub fn burden(&mut self, work: f64) {
+        if let Some(held) = self.held.iter_mut().find(|held| held.state == State::Own) {
+            held.left += work;
+        }
+    }
+
+    /// Its caller waits no more: true if it was waiting and is dropped, so that it never runs.
+    pub fn call_off(&mut self, ticket: &T) -> bool {
+        let place = self.held.iter().position(|held| held.ticket == *ticket);
+        let Some(place) = place.filter(|at| self.held[*at].state == State::Waiting) else { return false };
+        if self.habits.drops_waiting {
+            self.held.remove(place);
+            self.crowd();
+        }
+        self.habits.drops_waiting
+    }
+
+    /// The call that a job was waiting for has ended.
+    pub fn call_ended(&mut self, ticket: &T, good: bool) -> Option<Happened> {
+        let place = self.held.iter().position(|held| held.ticket == *ticket)?;
+        let held = &mut self.held[place];
+        if !good {
+            self.held.remove(place);
+            self.crowd();
+            return Some(Happened::Failed);
+        }
+        held.state = State::Own;
+        held.left = held.need.work / f64::from(held.need.calls + 1);
+        None
+    }
+
+    /// Works on until `now` and says what happened, in order.
+    pub fn advance(&mut self, now: f64) -> Vec<(T, Happened)> {
+        let mut happened = Vec::new();
+        loop {
+            self.begin_waiting(&mut happened);
+            let at = self.due().min(now).max(self.now);
+            self.work_until(at);
+            let mut place = 0;
+            while place < self.held.len() {
+                let held = &mut self.held[place];
+                if held.state != State::Own || held.left > DONE {
+                    place += 1;
+                } else if held.calls_left > 0 && !held.need.fails {
+                    held.calls_left -= 1;
+                    held.state = State::Calling;
+                    happened.push((held.ticket.clone(), Happened::Calls));
+                    place += 1;
+                } else {
+                    let ended = self.held.remove(place);
+                    let how = if ended.need.fails { Happened::Failed } else { Happened::Done };
+                    happened.push((ended.ticket, how));
+                }
+            }
+            self.crowd();
+            if at >= now && !self.can_begin() {
+                return happened;
+            }
+        }
+    }
+
+    /// When something happens next if nothing comes in; infinity if nothing will.
+    pub fn due(&self) -> f64 {
+        let own = || self.held.iter().filter(|held| held.state == State::Own);
+        if self.fallen || own().next().is_none() {
+            return f64::INFINITY;
+        }
+        if self.now < self.still_until {
+            return self.still_until;
+        }
+        let least = own().map(|held| held.left).fold(f64::INFINITY, f64::min);
+        let done = self.now + (least / self.each()).max(0.0);
+        if self.grown(self.now) < 1.0 { done.min(self.now + COLD_STEP) } else { done }
+    }
+
+    /// The load report as it was last refreshed.
+    pub fn report(&mut self) -> Report {
+        let since = self.now - self.used_since;
+        if since >= self.habits.report_ms {
+            self.report = Report {
+                utilisation: (self.used / since / self.cores).min(1.0),
+                held: self.held.len() as f64,
+                waiting: (self.held.len() - self.working()) as f64,
+            };
+            self.used = 0.0;
+            self.used_since = self.now;
+        }
+        self.report
+    }
+
+    /// The load report without a look at whether it is due.
+    pub fn old_report(&self) -> Report {
+        self.report
+    }
+
+    fn working(&self) -> usize {
+        self.held.iter().filter(|held| held.state != State::Waiting).count()
+    }
+
+    fn can_begin(&self) -> bool {
+        !self.fallen
+            && self.working() < self.slots
+            && self.held.iter().any(|held| held.state == State::Waiting)
+    }
+
+    fn begin_waiting(&mut self, happened: &mut Vec<(T, Happened)>) {
+        while self.can_begin() {
+            if let Some(next) = self.held.iter_mut().find(|held| held.state == State::Waiting) {
+                next.state = State::Own;
+                happened.push((next.ticket.clone(), Happened::Began));
+            }
+        }
+    }
+
+    /// Work a millisecond for each job that is in own work.
+    fn each(&self) -> f64 {
+        let active = self.held.iter().filter(|held| held.state == State::Own).count() as f64;
+        self.capacity(self.now) / self.cores * (self.cores / active.max(1.0)).min(1.0)
+    }
+
+    fn work_until(&mut self, at: f64) {
+        let each = self.each();
+        let time = at - self.now;
+        let mut active = 0.0;
+        for held in self.held.iter_mut().filter(|held| held.state == State::Own) {
+            held.left -= each * time;
+            active += 1.0;
+        }
+        let used = if self.fallen { 0.0 } else { f64::min(active, self.cores) * time };
+        self.used += used;
+        self.used_in_all += used;
+        self.now = at;
+    }
+
+    fn crowd(&mut self) {
+        let held = self.held.len() as f64 / self.cores;
+        self.crowded = held > if self.crowded { self.habits.calm_at } else { self.habits.crowded_at };
+    }
+
+    /// Has a cold server been sent more than it bears, with this?
+    fn tips(&mut self, work: f64) -> bool {
+        let grown = self.grown(self.now);
+        if grown >= 1.0 {
+            self.sent.clear();
+            return false;
+        }
+        self.sent.push_back((self.now, work));
+        while self.sent.front().is_some_and(|sent| sent.0 < self.now - self.tip_window) {
+            self.sent.pop_front();
+        }
+        let sent: f64 = self.sent.iter().map(|sent| sent.1).sum();
+        sent > self.tip_multiple * self.cores * self.speed * grown * self.tip_window
+    }
+}
+
+/// Share of its capacity that a server has at a time, by when it started.
+pub fn grown(started: f64, habits: &ServerHabits, at: f64) -> f64 {
+    let warm_up = habits.warm_up_s * 1000.0;
+    if warm_up <= 0.0 || at - started >= warm_up {
+        return 1.0;
+    }
+    habits.cold_from + (1.0 - habits.cold_from) * ((at - started) / warm_up).max(0.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    const LONG_AGO: f64 = f64::NEG_INFINITY;
+
+    fn kind(cores: f64) -> Kind {
+        Kind { name: "m".into(), cores, speed: 1.0, share: 1.0 }
+    }
+
+    fn server(cores: f64, started: f64, change: impl Fn(&mut ServerHabits)) -> Server<u32> {
+        let mut habits = ServerHabits { slots: 2.0, queue: 2, ..ServerHabits::default() };
+        change(&mut habits);
+        Server::new(&kind(cores), &habits, &Rules::default(), started, 0.0)
+    }
+
+    fn work(work: f64) -> Need {
+        Need { work, calls: 0, fails: false, repeat: false }
+    }
+
+    /// All that happens until the end, with times.
+    fn play(server: &mut Server<u32>) -> Vec<(f64, u32, Happened)> {
+        let mut all = Vec::new();
+        while server.due().is_finite() {
+            let at = server.due();
+            all.extend(server.advance(at).into_iter().map(|(ticket, what)| (at.round(), ticket, what)));
+        }
+        all
+    }
+
+    #[test]
+    fn jobs_in_slots_share_the_cores_and_the_next_one_waits() {
+        let mut server = server(1.0, LONG_AGO, |_| {});
+        let came = [1, 2, 3].map(|ticket| server.arrive(ticket, work(10.0)));
+        assert_eq!(came, [Arrival::Began, Arrival::Began, Arrival::Waits]);
+        let done = Happened::Done;
+        assert_eq!(
+            play(&mut server),
+            [(20.0, 1, done), (20.0, 2, done), (20.0, 3, Happened::Began), (30.0, 3, done)]
+        );
+    }
+
+    #[test]
+    fn a_full_queue_turns_away() {
+        let mut server = server(1.0, LONG_AGO, |_| {});
+        let came: Vec<Arrival> = (0..5).map(|ticket| server.arrive(ticket, work(10.0))).collect();
+        assert_eq!(came[3..], [Arrival::Waits, Arrival::TurnedAway]);
+    }
+
+    #[test]
+    fn a_slot_stays_taken_while_the_next_tier_is_called() {
+        let mut server = server(1.0, LONG_AGO, |habits| habits.slots = 1.0);
+        server.arrive(1, Need { calls: 1, ..work(10.0) });
+        server.arrive(2, work(10.0));
+        assert_eq!(server.advance(50.0), [(1, Happened::Calls)]);
+        assert_eq!((server.held(), server.due()), (2, f64::INFINITY));
+        assert_eq!(server.call_ended(&1, true), None);
+        assert_eq!(server.advance(55.0), [(1, Happened::Done), (2, Happened::Began)]);
+        assert_eq!(server.advance(65.0), [(2, Happened::Done)]);
+    }
+
+    #[test]
+    fn a_failed_call_fails_the_job() {
+        let mut server = server(1.0, LONG_AGO, |_| {});
+        server.arrive(1, Need { calls: 1, ..work(10.0) });
+        server.advance(50.0);
+        assert_eq!((server.call_ended(&1, false), server.held()), (Some(Happened::Failed), 0));
+    }
+
+    // The share grows from 0.5 to 1 over 100 ms: the mean is 0.75 over it.
+    #[test]
+    fn a_cold_server_works_slower_until_it_is_warm() {
+        let cold = |habits: &mut ServerHabits| (habits.cold_from, habits.warm_up_s) = (0.5, 0.1);
+        let mut server = server(1.0, 0.0, cold);
+        server.arrive(1, work(75.0));
+        let (at, ..) = play(&mut server)[0];
+        assert!((100.0..110.0).contains(&at), "{at}");
+    }
+
+    #[test]
+    fn a_cold_server_that_is_sent_too_much_falls_over_and_stays_down() {
+        let mut server = server(1.0, 0.0, |_| {});
+        let mut came = Vec::new();
+        for ticket in 0..100 {
+            came.push(server.arrive(ticket, work(100.0)));
+        }
+        // 4 x 0.3 of a core for 2 s are 2400 ms of work, whether it was taken or turned away.
+        assert_eq!(came.iter().position(|came| *came == Arrival::Fell), Some(24));
+        assert_eq!((server.held(), server.due(), server.connect()), (0, f64::INFINITY, false));
+    }
+
+    #[test]
+    fn a_warm_server_bears_any_burst() {
+        let mut server = server(1.0, LONG_AGO, |_| {});
+        assert!((0..100).all(|ticket| server.arrive(ticket, work(100.0)) != Arrival::Fell));
+    }
+
+    #[test]
+    fn a_crowded_server_stays_slow_until_it_is_mostly_idle() {
+        let habits = |habits: &mut ServerHabits| {
+            (habits.slots, habits.crowded_at, habits.calm_at, habits.crowded_speed) = (9.0, 3.0, 1.0, 0.25);
+        };
+        let mut server = server(1.0, LONG_AGO, habits);
+        let _ = [0, 1, 2].map(|ticket| server.arrive(ticket, work(30.0)));
+        assert!(!server.is_crowded());
+        server.arrive(3, work(90.0));
+        assert!(server.is_crowded());
+        // Three end at 4 x 30 / 0.25; the last one, alone, goes on at full speed.
+        let ends = play(&mut server);
+        assert_eq!((ends[2].0, ends[3].0), (480.0, 540.0));
+        assert!(!server.is_crowded());
+    }
+
+    #[test_case(true, 0; "dropped")]
+    #[test_case(false, 1; "run all the same")]
+    fn called_off_work_goes_on_and_waiting_work_is(dropped: bool, waiting_ran: usize) {
+        let mut server =
+            server(1.0, LONG_AGO, |habits| (habits.slots, habits.drops_waiting) = (1.0, dropped));
+        server.arrive(1, work(10.0));
+        server.arrive(2, work(10.0));
+        assert_eq!((server.call_off(&1), server.call_off(&2)), (false, dropped));
+        let ran = play(&mut server).iter().filter(|(_, _, what)| *what == Happened::Done).count();
+        assert_eq!(ran, 1 + waiting_ran);
+    }
+
+    #[test]
+    fn nothing_moves_while_it_stands_still_and_then_all_goes_on() {
+        let mut server = server(1.0, LONG_AGO, |_| {});
+        server.arrive(1, work(10.0));
+        server.advance(5.0);
+        server.stand_still(100.0);
+        assert_eq!(play(&mut server), [(105.0, 1, Happened::Done)]);
+    }
+
+    #[test]
+    fn connections_are_limited() {
+        let mut server = server(1.0, LONG_AGO, |habits| habits.connections = 2);
+        assert_eq!([server.connect(), server.connect(), server.connect()], [true, true, false]);
+        server.disconnect();
+        assert!(server.connect());
+    }
+
+    #[test]
+    fn load_reports_are_as_old_as_their_refresh() {
+        let mut server = server(2.0, LONG_AGO, |_| {});
+        server.arrive(1, work(300.0));
+        server.advance(199.0);
+        assert_eq!(server.report(), Report::default());
+        server.advance(200.0);
+        assert_eq!(server.report(), Report { utilisation: 0.5, held: 1.0, waiting: 0.0 });
+        server.advance(390.0);
+        assert_eq!(server.report().held, 1.0);
+    }
+
+    #[test]
+    fn an_error_at_once_costs_next_to_nothing() {
+        let mut server = server(1.0, LONG_AGO, |_| {});
+        server.arrive(1, Need { fails: true, calls: 2, ..work(500.0) });
+        assert_eq!(play(&mut server), [(0.0, 1, Happened::Failed)]);
+    }
+}
