--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint and run. `.ci/run` is all but the last.
-.PHONY: build test lint run rehearse
+.PHONY: build test lint run rehearse bench-node bench-model
 
 build:
 	cargo build --release --locked
@@ -24,3 +24,11 @@
 SCENARIO ?= rehearsals/calm-minute.toml
 rehearse:
 	cargo run --release --locked -p pearfront-cli -- rehearse $(SCENARIO)
+
+# What one node carries on one core, beside a straight relay; some two minutes. Not part of the tests.
+bench-node: build
+	cargo bench --locked -p pearfront-emulator --bench node
+
+# What a play in simulated time costs with size; some minutes.
+bench-model:
+	cargo bench --locked -p pearfront-emulator --bench model
--- a/crates/pearfront-cli/src/rehearse.rs
+++ b/crates/pearfront-cli/src/rehearse.rs
@@ -7,12 +7,18 @@
 use pearfront_emulator::model;
 use pearfront_emulator::report::Outcome;
 use pearfront_emulator::scenario::Scenario;
+use pearfront_emulator::sockets::{self, NodeCommand};
 use std::path::PathBuf;
 
+/// The platform's file, as seen from the root.
+const DEPLOY: &str = "deploy/balancer.toml";
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
 enum Play {
     /// Simulated time round the decision module itself; the same seed gives the same result, byte for byte.
     Model,
+    /// Real time: node programs on loopback addresses, between emulated servers, callers and discovery.
+    Sockets,
 }
 
 /// Play a scenario. The last line of the output is for machines: service, rules, latencies.
@@ -31,6 +37,9 @@
     /// Write result.json, seconds.tsv and report.html there; with several seeds into a folder each below it.
     #[arg(long, value_name = "DIR")]
     out: Option<PathBuf>,
+    /// The node program, in the sockets play; else what the deploy file's `run` says.
+    #[arg(long, value_name = "PROGRAM")]
+    nodes: Option<PathBuf>,
     /// Who decides, in the model play: module, random, two-choices, least-held or sees-all.
     #[arg(long, default_value = "module", value_parser = policy)]
     policy: Policy,
@@ -46,6 +55,7 @@
         let scenario = check::read(&self.scenario)?;
         let first = self.seed.unwrap_or(scenario.seed);
         let mut kept = true;
+        let mut outcomes = Vec::new();
         for seed in first..first.saturating_add(self.seeds) {
             let verdict = self.play(&scenario, seed)?;
             for finding in &verdict.broken {
@@ -63,6 +73,11 @@
                 let below = folder.join(format!("seed-{seed}"));
                 results::write(if self.seeds > 1 { &below } else { folder }, &outcome)?;
             }
+            outcomes.push(outcome);
+            let last = outcomes.len() as u64 == self.seeds;
+            if let Some(distance) = Outcome::distance_together(&outcomes).filter(|_| last && self.seeds > 1) {
+                println!("all seeds together: mean distance from the recorded curve {distance:.3}");
+            }
             println!("seed={seed} {line}");
             if void {
                 return Err(Trouble::Undone("the emulator itself ran late: the play is void".into()));
@@ -71,15 +86,47 @@
         if kept { Ok(()) } else { Err(Trouble::RuleBroken) }
     }
 
+    /// How nodes are started, and a folder for their files: beside the results, else a fresh one that is kept.
+    fn command(&self, seed: u64) -> Result<NodeCommand, Trouble> {
+        if self.policy != Policy::Module {
+            return Err(Trouble::Input("--policy: on sockets the node program decides".into()));
+        }
+        let run = match &self.nodes {
+            Some(program) => format!("exec '{}'", program.display()),
+            None => deployed()?,
+        };
+        let below = format!("nodes-{seed}-{}", std::process::id());
+        let folder = self.out.clone().unwrap_or_else(|| std::env::temp_dir().join("pearfront")).join(below);
+        Ok(NodeCommand { run, folder })
+    }
+
     fn play(&self, scenario: &Scenario, seed: u64) -> Result<Verdict, Trouble> {
         // Drawn on a terminal only.
         let bar = ProgressBar::new(1000);
         if let Ok(style) = ProgressStyle::with_template("{bar:40} {percent} % {elapsed}") {
             bar.set_style(style);
         }
-        let options = model::Options { seed, policy: self.policy, fault: None };
-        let records = model::play(scenario, options, &mut |share| bar.set_position((share * 1000.0) as u64));
+        let mut progress = |share: f64| bar.set_position((share * 1000.0) as u64);
+        let records = match self.play {
+            Play::Model => {
+                let options = model::Options { seed, policy: self.policy, fault: None };
+                Ok(model::play(scenario, options, &mut progress))
+            }
+            Play::Sockets => {
+                let command = self.command(seed)?;
+                sockets::play(scenario, seed, &command, &mut progress).map_err(Trouble::Undone)
+            }
+        };
         bar.finish_and_clear();
-        Ok(judge(scenario, &records))
+        Ok(judge(scenario, &records?))
     }
 }
+
+/// What the deploy file of this folder starts a node with.
+fn deployed() -> Result<String, Trouble> {
+    let wrong = |what: String| Trouble::Input(format!("{DEPLOY}: {what}; --nodes names a program instead"));
+    let text = std::fs::read_to_string(DEPLOY).map_err(|error| wrong(error.to_string()))?;
+    let deploy: toml::Table = toml::from_str(&text).map_err(|error| wrong(error.message().to_string()))?;
+    let run = deploy.get("run").and_then(|run| run.as_str());
+    run.map(str::to_string).ok_or_else(|| wrong("run is missing or no text".into()))
+}
--- /dev/null
+++ b/crates/pearfront-emulator/benches/node.rs
@@ -0,0 +1,329 @@
+//! How much a node carries: jobs a second and CPU time a job through one node on one core, beside a straight relay
+//! (hyper in, hyper out, no decisions) and a direct call, in one run. `make bench-node`; not part of the tests.
+//!
+//! Server, callers and the one in the middle have a core each. Callers ask again as soon as they are answered.
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use pearfront_emulator::scenario::Scenario;
+use pearfront_emulator::{platform, sockets};
+use rustix::process::Pid;
+use rustix::thread::{CpuSet, sched_setaffinity};
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+
+/// Cores for the server, the one in the middle, and callers.
+const SERVER_CORE: usize = 0;
+const MIDDLE_CORE: usize = 1;
+const CALLERS_CORE: usize = 2;
+/// How long each figure is taken over, after a warm-up.
+const WARM_UP: Duration = Duration::from_secs(1);
+const MEASURE: Duration = Duration::from_secs(4);
+/// Times the whole round of figures is taken; the middle one is told.
+const ROUNDS: usize = 3;
+/// Set for a process that is to be the straight relay: where it listens and where it sends.
+const RELAY: &str = "PEARFRONT_BENCH_RELAY";
+
+const SCENARIO: &str = r#"
+name = "bench"
+length_s = 1
+zones = ["a"]
+[[kinds]]
+name = "m"
+cores = 8
+[[tiers]]
+name = "only"
+servers = 1
+[[profiles]]
+name = "read"
+effect = "redoable"
+contract_ms = 1000
+limit_ms = 3000
+gain = 1
+share = 1
+work_ms = 1
+[[customers]]
+name = "acme"
+share = 1
+quota_per_s = 1e6
+[callers]
+rate = 1
+[nodes]
+count = 1
+"#;
+
+#[derive(Debug, Clone)]
+struct Figures {
+    rate: f64,
+    cpu_us: f64,
+    p50_us: f64,
+    p99_us: f64,
+}
+
+fn main() {
+    if let Ok(relay) = std::env::var(RELAY) {
+        return run_relay(&relay);
+    }
+    let program = std::env::var("PEARFRONT_NODE").unwrap_or_else(|_| "target/release/pearfront-node".into());
+    let own = std::process::id().to_be_bytes();
+    let place = |port| SocketAddrV4::new(Ipv4Addr::new(127, 200 | own[2] & 31, own[3], 1), port);
+    let (server, relay, node, discovery) = (place(22_001), place(22_002), place(22_003), place(22_004));
+    std::thread::spawn(move || on_core(SERVER_CORE, serve(server)));
+    std::thread::spawn(move || on_core(SERVER_CORE, no_discovery(discovery)));
+    let mut relay_process = start_relay(relay, server);
+    let file = std::env::temp_dir().join(format!("pearfront-bench-{}.json", std::process::id()));
+    let mut node_process = start_node(&program, node, discovery, server, &file);
+    wait_for(server);
+    wait_for(relay);
+    wait_for(node);
+    println!(
+        "{:>8} {:>8} {:>10} {:>12} {:>10} {:>10} {:>12}",
+        "callers", "way", "jobs/s", "CPU us/job", "p50 us", "p99 us", "node/relay"
+    );
+    for callers in [1, 16, 128] {
+        let ways = [
+            ("direct", server, None),
+            ("relay", relay, Some(relay_process.id())),
+            ("node", node, Some(node_process.id())),
+        ];
+        let mut all: Vec<Vec<Figures>> = vec![Vec::new(); ways.len()];
+        for _ in 0..ROUNDS {
+            for (way, (_, address, process)) in ways.iter().enumerate() {
+                all[way].push(measure(*address, callers, *process));
+            }
+        }
+        let middle: Vec<Figures> = all.into_iter().map(middle).collect();
+        for ((name, ..), figures) in ways.iter().zip(&middle) {
+            let ratio =
+                if *name == "node" { format!("{:.3}", figures.rate / middle[1].rate) } else { String::new() };
+            println!(
+                "{callers:>8} {name:>8} {:>10.0} {:>12.1} {:>10.0} {:>10.0} {ratio:>12}",
+                figures.rate, figures.cpu_us, figures.p50_us, figures.p99_us
+            );
+        }
+        println!(
+            "{callers:>8} callers: the node adds {:.0} us at p50 and {:.0} us at p99",
+            middle[2].p50_us - middle[0].p50_us,
+            middle[2].p99_us - middle[0].p99_us
+        );
+    }
+    for process in [&mut relay_process, &mut node_process] {
+        process.kill().expect("our own process");
+        process.wait().expect("our own process");
+    }
+    std::fs::remove_file(file).expect("our own file");
+}
+
+/// The round whose rate is in the middle.
+fn middle(mut rounds: Vec<Figures>) -> Figures {
+    rounds.sort_by(|a, b| a.rate.total_cmp(&b.rate));
+    rounds.swap_remove(rounds.len() / 2)
+}
+
+fn pin(process: Option<u32>, core: usize) {
+    let mut cores = CpuSet::new();
+    cores.set(core);
+    let process = process.and_then(|id| Pid::from_raw(id as i32));
+    if let Err(error) = sched_setaffinity(process, &cores) {
+        eprintln!("core {core} can't be had: {error}");
+    }
+}
+
+fn on_core<T>(core: usize, work: impl Future<Output = T>) -> T {
+    pin(None, core);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, work)
+}
+
+fn wait_for(address: SocketAddrV4) {
+    while std::net::TcpStream::connect(address).is_err() {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+async fn serve(at: SocketAddrV4) {
+    let listener = TcpListener::bind(at).await.expect("a loopback address of our own");
+    while let Ok((stream, _)) = listener.accept().await {
+        stream.set_nodelay(true).expect("a TCP option");
+        let service = service_fn(async |request: Request<Incoming>| {
+            let body = if request.uri().path() == "/metrics/load" { "TEXT util=0.1" } else { "ok" };
+            Ok::<_, Infallible>(Response::new(Full::new(Bytes::from_static(body.as_bytes()))))
+        });
+        spawn_local(async move {
+            drop(http1::Builder::new().serve_connection(TokioIo::new(stream), service).await)
+        });
+    }
+}
+
+/// Calls are accepted and never answered: the node goes on with the list from its file.
+async fn no_discovery(at: SocketAddrV4) {
+    let listener = TcpListener::bind(at).await.expect("a loopback address of our own");
+    let mut open = Vec::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        open.push(stream);
+    }
+}
+
+fn start_relay(at: SocketAddrV4, to: SocketAddrV4) -> Child {
+    let own = std::env::current_exe().expect("this program");
+    let process = Command::new(own).env(RELAY, format!("{at} {to}")).spawn().expect("this program again");
+    pin(Some(process.id()), MIDDLE_CORE);
+    process
+}
+
+fn start_node(
+    program: &str,
+    at: SocketAddrV4,
+    discovery: SocketAddrV4,
+    server: SocketAddrV4,
+    file: &std::path::Path,
+) -> Child {
+    let scenario = Scenario::parse(SCENARIO).unwrap_or_else(|mistake| panic!("{mistake}"));
+    let settings = platform::settings(&scenario, 0, 0, 1);
+    let known = serde_json::json!({"instanceId": "s", "hostPort": server.to_string(), "zone": "a", "machineType": "m",
+        "cell": 0, "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 0});
+    let config = sockets::config(&scenario, &settings, &[known], 7);
+    std::fs::write(file, config.to_string()).expect("a file in the temporary folder");
+    let process = Command::new(program)
+        .env("ROUTER_NAME", "bench")
+        .env("ROUTER_LISTEN", at.to_string())
+        .env("ROUTER_DISCOVERY", discovery.to_string())
+        .env("ROUTER_CONFIG", file)
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap_or_else(|error| {
+            panic!("{program}: {error} (built in release? PEARFRONT_NODE names another)")
+        });
+    pin(Some(process.id()), MIDDLE_CORE);
+    process
+}
+
+/// Hyper in, hyper out: what a relay costs that decides nothing and keeps nothing but connections.
+fn run_relay(places: &str) {
+    let (at, to) = places.split_once(' ').expect("two places");
+    let (at, to): (SocketAddrV4, SocketAddrV4) = (at.parse().expect("a place"), to.parse().expect("a place"));
+    on_core(MIDDLE_CORE, async move {
+        let listener = TcpListener::bind(at).await.expect("a loopback address of our own");
+        let idle: Rc<RefCell<Vec<SendRequest<Full<Bytes>>>>> = Rc::default();
+        while let Ok((stream, _)) = listener.accept().await {
+            stream.set_nodelay(true).expect("a TCP option");
+            let idle = idle.clone();
+            let service = service_fn(move |request| relay(request, idle.clone(), to));
+            spawn_local(async move {
+                drop(http1::Builder::new().serve_connection(TokioIo::new(stream), service).await)
+            });
+        }
+    });
+}
+
+async fn relay(
+    request: Request<Incoming>,
+    idle: Rc<RefCell<Vec<SendRequest<Full<Bytes>>>>>,
+    to: SocketAddrV4,
+) -> Result<Response<Full<Bytes>>, hyper::Error> {
+    let kept = idle.borrow_mut().pop();
+    let mut sender = match kept {
+        Some(sender) => sender,
+        None => {
+            let stream = TcpStream::connect(to).await.expect("the server is there");
+            stream.set_nodelay(true).expect("a TCP option");
+            let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+            spawn_local(async move { drop(connection.await) });
+            sender
+        }
+    };
+    let (head, body) = request.into_parts();
+    let body = body.collect().await?.to_bytes();
+    let answer = sender.send_request(Request::from_parts(head, Full::new(body))).await?;
+    let (head, body) = answer.into_parts();
+    let body = body.collect().await?.to_bytes();
+    idle.borrow_mut().push(sender);
+    Ok(Response::from_parts(head, Full::new(body)))
+}
+
+fn measure(to: SocketAddrV4, callers: usize, process: Option<u32>) -> Figures {
+    let measured = std::thread::spawn(move || on_core(CALLERS_CORE, call(to, callers, process)));
+    measured.join().expect("callers that end")
+}
+
+async fn call(to: SocketAddrV4, callers: usize, process: Option<u32>) -> Figures {
+    let over = Instant::now() + WARM_UP + MEASURE;
+    let counts = Rc::new(Cell::new(false));
+    let latencies =
+        Rc::new(RefCell::new(Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("bounds")));
+    let tasks: Vec<_> = (0..callers)
+        .map(|caller| spawn_local(ask_on(to, caller, over, counts.clone(), latencies.clone())))
+        .collect();
+    tokio::time::sleep(WARM_UP).await;
+    counts.set(true);
+    let (from, used) = (Instant::now(), process.map(cpu));
+    tokio::time::sleep(MEASURE).await;
+    counts.set(false);
+    let (took, used) = (from.elapsed().as_secs_f64(), used.zip(process).map(|(used, id)| cpu(id) - used));
+    for task in tasks {
+        task.await.expect("a caller that ends");
+    }
+    let latencies = latencies.borrow();
+    let jobs = latencies.len() as f64;
+    Figures {
+        rate: jobs / took,
+        cpu_us: used.map_or(0.0, |used| used * 1e6 / jobs),
+        p50_us: latencies.value_at_quantile(0.5) as f64 / 1000.0,
+        p99_us: latencies.value_at_quantile(0.99) as f64 / 1000.0,
+    }
+}
+
+async fn ask_on(
+    to: SocketAddrV4,
+    caller: usize,
+    over: Instant,
+    counts: Rc<Cell<bool>>,
+    latencies: Rc<RefCell<Histogram<u64>>>,
+) {
+    let mut stream = TcpStream::connect(to).await.expect("it listens");
+    stream.set_nodelay(true).expect("a TCP option");
+    let mut number = caller as u64 * 1_000_000_000;
+    let mut answer = vec![0; 4096];
+    while Instant::now() < over {
+        number += 1;
+        let head = format!(
+            "GET /read/it HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: {number}\r\nX-Customer: acme\r\nX-Expires-In: 3\r\n\r\n"
+        );
+        let sent = Instant::now();
+        stream.write_all(head.as_bytes()).await.expect("an open connection");
+        let mut got = 0;
+        // All answers here are short and end with their two bytes.
+        while !answer[..got].ends_with(b"\r\n\r\nok") {
+            let more = stream.read(&mut answer[got..]).await.expect("an open connection");
+            assert!(more > 0 && got + more < answer.len(), "{}", String::from_utf8_lossy(&answer[..got]));
+            got += more;
+        }
+        if counts.get() {
+            // Nanoseconds, so that what a direct call takes can be told.
+            latencies.borrow_mut().saturating_record(sent.elapsed().as_nanos() as u64);
+        }
+    }
+}
+
+/// CPU time, s, that a process has used.
+fn cpu(process: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).expect("it runs");
+    let after = stat.rsplit_once(") ").expect("a name in brackets").1;
+    let ticks = |place: usize| after.split(' ').nth(place).and_then(|field| field.parse::<f64>().ok());
+    let ticks = ticks(11).zip(ticks(12)).expect("user and system time");
+    (ticks.0 + ticks.1) / rustix::param::clock_ticks_per_second() as f64
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/asks.rs
@@ -0,0 +1,173 @@
+//! What callers ask for and when, drawn ahead of all that nodes do with it, and when they try again. Both plays use it.
+
+use crate::scenario::{Effect, Profile, Scenario};
+use rand::distr::weighted::WeightedIndex;
+use rand::prelude::{Distribution, Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::LogNormal;
+use std::rc::Rc;
+
+/// A further try that has less time left than this, ms, is not made.
+const TRY_LEAST: f64 = 20.0;
+/// Part of its limit after which an impatient caller leaves.
+const IMPATIENT: f64 = 0.25;
+
+/// One ask. Times are milliseconds from the start of the play.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Drawn {
+    pub at: f64,
+    pub profile: usize,
+    pub customer: usize,
+    pub zone: usize,
+    /// From 1 on for labelled jobs, else 0.
+    pub label: u64,
+    /// Work over all tiers, ms.
+    pub work: f64,
+    /// When its caller stops waiting, over all tries.
+    pub limit: f64,
+    impatient: bool,
+    heeds: bool,
+    persists: bool,
+    spread: f64,
+}
+
+/// All asks of a play, by time.
+pub struct Asks {
+    scenario: Rc<Scenario>,
+    chance: ChaCha8Rng,
+    at: f64,
+    labelled: u64,
+}
+
+impl Asks {
+    pub fn new(scenario: Rc<Scenario>, seed: u64) -> Self {
+        let mut chance = ChaCha8Rng::seed_from_u64(seed);
+        chance.set_stream(1);
+        Self { scenario, chance, at: 0.0, labelled: 0 }
+    }
+
+    fn draw(&mut self) -> Drawn {
+        let (scenario, chance) = (&self.scenario, &mut self.chance);
+        let callers = &scenario.callers;
+        let profile = weighted(chance, scenario.profiles.iter().map(|profile| profile.share));
+        let customer = weighted(chance, scenario.customers.iter().map(|customer| customer.share));
+        let zone = if callers.zone_shares.is_empty() {
+            chance.random_range(0..scenario.zones.len())
+        } else {
+            weighted(chance, callers.zone_shares.iter().copied())
+        };
+        let of = &scenario.profiles[profile];
+        let labelled = of.effect == Effect::Labelled;
+        self.labelled += u64::from(labelled);
+        Drawn {
+            at: self.at,
+            profile,
+            customer,
+            zone,
+            label: if labelled { self.labelled } else { 0 },
+            work: draw_work(of, chance),
+            limit: self.at + of.limit_ms,
+            impatient: chance.random::<f64>() < callers.impatient,
+            heeds: chance.random::<f64>() < callers.heed_advice,
+            persists: chance.random::<f64>() < callers.retry_share,
+            spread: chance.random_range(0.5..1.5),
+        }
+    }
+}
+
+/// A Poisson process, thinned to the curve.
+impl Iterator for Asks {
+    type Item = Drawn;
+
+    fn next(&mut self) -> Option<Drawn> {
+        let most = self.scenario.callers.rate.most() / 1000.0;
+        loop {
+            self.at -= (1.0 - self.chance.random::<f64>()).ln() / most;
+            if self.at >= self.scenario.length() {
+                return None;
+            }
+            let rate = self.scenario.callers.rate.at(self.at / 1000.0) / 1000.0;
+            if self.chance.random::<f64>() * most <= rate {
+                return Some(self.draw());
+            }
+        }
+    }
+}
+
+impl Drawn {
+    /// When the caller of a try that is made now leaves without an answer; it hears what comes within the slack.
+    pub fn leaves(&self, scenario: &Scenario, now: f64) -> f64 {
+        let patience = if self.impatient { IMPATIENT } else { 1.0 };
+        now + (self.limit - now) * patience + scenario.rules.slack_ms
+    }
+
+    /// When its next try is made after `tries` in vain, if ever: `harmless` if the last one was pushed back, `wait` ms
+    /// what its caller was told.
+    pub fn next_try(
+        &self,
+        scenario: &Scenario,
+        now: f64,
+        tries: u32,
+        wait: f64,
+        harmless: bool,
+    ) -> Option<f64> {
+        let callers = &scenario.callers;
+        let irreversible = scenario.profiles[self.profile].effect == Effect::Irreversible;
+        let may = self.persists && tries <= callers.retries && (harmless || !irreversible);
+        let doubled = f64::from(1u32 << (tries.max(1) - 1).min(16));
+        let own = callers.backoff_ms * doubled * self.spread;
+        let advised = wait.min(scenario.nodes.advice_s * 1000.0);
+        let at = now + if self.heeds { own.max(advised) } else { own };
+        (may && at + TRY_LEAST < self.limit).then_some(at)
+    }
+}
+
+pub fn weighted(chance: &mut ChaCha8Rng, weights: impl Iterator<Item = f64>) -> usize {
+    WeightedIndex::new(weights).map_or(0, |index| index.sample(chance))
+}
+
+/// Log-normal with the profile's mean and spread.
+fn draw_work(profile: &Profile, chance: &mut ChaCha8Rng) -> f64 {
+    let spread = profile.work_spread;
+    let sigma = (1.0 + spread * spread).ln().sqrt();
+    let mu = profile.work_ms.ln() - sigma * sigma / 2.0;
+    LogNormal::new(mu, sigma).map_or(profile.work_ms, |drawn| drawn.sample(chance))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn scenario(change: impl Fn(&mut Scenario)) -> Rc<Scenario> {
+        let file = include_str!("../../../rehearsals/calm-minute.toml");
+        let mut scenario = Scenario::parse(file).unwrap();
+        change(&mut scenario);
+        Rc::new(scenario)
+    }
+
+    #[test]
+    fn asks_follow_rate_and_shares() {
+        let asks: Vec<Drawn> = Asks::new(scenario(|_| {}), 5).collect();
+        let part = |wanted: &dyn Fn(&Drawn) -> bool| {
+            asks.iter().filter(|ask| wanted(ask)).count() as f64 / asks.len() as f64
+        };
+        assert!((asks.len() as f64 / 60.0 - 750.0).abs() < 15.0, "{}", asks.len());
+        assert!((part(&|ask| ask.profile == 1) - 0.2).abs() < 0.01);
+        assert!((part(&|ask| ask.customer == 0) - 0.6).abs() < 0.01);
+        let work: f64 = asks.iter().map(|ask| ask.work).sum::<f64>() / asks.len() as f64;
+        assert!((work - 25.0).abs() < 0.5, "{work}");
+        assert!(asks.windows(2).all(|pair| pair[0].at <= pair[1].at));
+    }
+
+    #[test]
+    fn only_what_was_pushed_back_is_tried_again_if_it_is_irreversible() {
+        let scenario = scenario(|scenario| scenario.callers.retry_share = 1.0);
+        let ask = Asks::new(scenario.clone(), 5).find(|ask| ask.profile == 2).unwrap();
+        assert_eq!(ask.next_try(&scenario, ask.at, 1, 0.0, false), None);
+        let told = ask.next_try(&scenario, ask.at, 1, 700.0, true).unwrap();
+        assert_eq!(told, ask.at + 700.0);
+        // Two further tries, then none; none that would come too late either.
+        assert_eq!(ask.next_try(&scenario, ask.at, 3, 0.0, true), None);
+        assert_eq!(ask.next_try(&scenario, ask.limit - 30.0, 1, 0.0, true), None);
+    }
+}
--- a/crates/pearfront-emulator/src/judge.rs
+++ b/crates/pearfront-emulator/src/judge.rs
@@ -1,7 +1,7 @@
 //! What came of a play, from the records of servers, callers and discovery alone: the four rules, the gain honoured in
 //! time, the work done for nothing. It knows neither the nodes nor how they decide.
 
-use crate::record::{Answer, Answered, Job, NodeEnd, Records, Shot, ShotEnd};
+use crate::record::{Answer, Answered, Ask, Job, NodeEnd, Records, Shot, ShotEnd};
 use crate::scenario::{Effect, Group, Scenario};
 use crate::server::grown;
 use hdrhistogram::Histogram;
@@ -351,15 +351,17 @@
                 None => verdict.unanswered += 1,
             }
         }
+        let mut quotas = Quotas::new(scenario);
         for (ask, honoured) in self.records.asks.iter().zip(&honoured) {
             let profile = &scenario.profiles[ask.profile];
-            let gain = if honoured - ask.at <= profile.contract_ms { profile.gain } else { 0.0 };
+            let asked = profile.gain * if quotas.take(ask) { 1.0 } else { scenario.goal.excess_gain };
+            let gain = if honoured - ask.at <= profile.contract_ms { asked } else { 0.0 };
             let last = verdict.seconds.len() - 1;
             let second = &mut verdict.seconds[((ask.at / 1000.0) as usize).min(last)];
-            second.asked += profile.gain;
+            second.asked += asked;
             second.honoured += gain;
             for share in [&mut verdict.profiles[ask.profile], &mut verdict.customers[ask.customer]] {
-                share.asked += profile.gain;
+                share.asked += asked;
                 share.honoured += gain;
             }
         }
@@ -437,6 +439,29 @@
     }
 }
 
+/// What each customer may still ask for within its quota: a second's worth at the most.
+struct Quotas {
+    rates: Vec<f64>,
+    left: Vec<(f64, f64)>,
+}
+
+impl Quotas {
+    fn new(scenario: &Scenario) -> Self {
+        let rates: Vec<f64> = scenario.customers.iter().map(|customer| customer.quota_per_s).collect();
+        Self { left: rates.iter().map(|rate| (rate.max(1.0), 0.0)).collect(), rates }
+    }
+
+    fn take(&mut self, ask: &Ask) -> bool {
+        let rate = self.rates[ask.customer];
+        let (left, since) = &mut self.left[ask.customer];
+        *left = (*left + rate * (ask.at - *since) / 1000.0).min(rate.max(1.0));
+        *since = ask.at;
+        let within = *left >= 1.0;
+        *left -= if within { 1.0 } else { 0.0 };
+        within
+    }
+}
+
 fn worst_window(seconds: &[Second]) -> f64 {
     let window = WORST_WINDOW.min(seconds.len());
     let sums = |part: fn(&Second) -> f64| -> Vec<f64> {
--- a/crates/pearfront-emulator/src/lib.rs
+++ b/crates/pearfront-emulator/src/lib.rs
@@ -2,8 +2,10 @@
 //! what these saw. `scenario` is the file, `model` the play in simulated time, `judge` what came of it.
 
 pub mod agenda;
+pub mod asks;
 pub mod decide;
 pub mod judge;
+pub mod list;
 pub mod model;
 pub mod platform;
 pub mod record;
@@ -11,3 +13,5 @@
 pub mod report;
 pub mod scenario;
 pub mod server;
+pub mod sockets;
+pub mod struck;
--- /dev/null
+++ b/crates/pearfront-emulator/src/list.rs
@@ -0,0 +1,53 @@
+//! A line of the server list, in the module's terms and in the platform's.
+
+use crate::platform::lifecycle;
+use crate::scenario::Scenario;
+use pearfront::interface::{Address, Listing, Standing};
+use serde_json::{Value, json};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// One line of the list, and which life of a server it stands for.
+#[derive(Debug, Clone)]
+pub struct Line {
+    pub id: String,
+    pub address: Address,
+    pub tier: usize,
+    pub zone: u16,
+    pub cell: u16,
+    pub make: usize,
+    pub standing: Standing,
+    pub started: f64,
+    pub life: usize,
+}
+
+impl Line {
+    /// As a node takes it whose time began at `from`.
+    pub fn listing(&self, from: f64) -> Listing {
+        Listing {
+            server: self.address,
+            standing: self.standing,
+            cell: self.cell,
+            zone: self.zone,
+            make: self.make,
+            started: self.started - from,
+        }
+    }
+
+    /// As discovery writes it; `began` is the Unix time, ms, at which the play began.
+    pub fn json(&self, scenario: &Scenario, began: f64) -> Value {
+        let started = if self.started.is_finite() { (began + self.started).round() } else { 0.0 };
+        json!({"instanceId": self.id, "hostPort": socket(self.address).to_string(),
+            "zone": scenario.zones[usize::from(self.zone)], "machineType": scenario.kinds[self.make].name,
+            "cell": self.cell, "lifecycle": lifecycle(self.standing), "weight": 1.0, "startedAtMs": started})
+    }
+}
+
+pub fn socket(address: Address) -> SocketAddrV4 {
+    let [a, b, c, d, high, low] = address;
+    SocketAddrV4::new(Ipv4Addr::new(a, b, c, d), u16::from_be_bytes([high, low]))
+}
+
+pub fn address(socket: SocketAddrV4) -> Address {
+    let ([a, b, c, d], [high, low]) = (socket.ip().octets(), socket.port().to_be_bytes());
+    [a, b, c, d, high, low]
+}
--- a/crates/pearfront-emulator/src/model/callers.rs
+++ b/crates/pearfront-emulator/src/model/callers.rs
@@ -1,120 +1,51 @@
-//! Callers of the model play: what they ask for and when, the front that deals their jobs out, tries after the first.
+//! Callers of the model play: the front that deals their jobs out, answers, tries after the first.
 
 use super::nodes::{From, HeldJob, Seat};
 use super::{Event, World};
+use crate::asks::{Asks, Drawn, weighted};
 use crate::record::{Answer, Answered, Ask, Job};
-use crate::scenario::{Effect, Profile};
-use rand::distr::weighted::WeightedIndex;
-use rand::prelude::{Distribution, Rng};
-use rand_chacha::ChaCha8Rng;
-use rand_distr::LogNormal;
+use crate::scenario::Scenario;
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// A further try that has less time left than this, ms, is not made.
-const TRY_LEAST: f64 = 20.0;
-/// Part of its limit after which an impatient caller leaves.
-const IMPATIENT: f64 = 0.25;
-
+/// An ask under way.
 pub struct AskState {
     place: usize,
-    profile: usize,
-    customer: usize,
-    zone: usize,
-    label: u64,
-    work: f64,
-    limit: f64,
-    impatient: bool,
-    /// Drawn ahead, so that it does not depend on how nodes answer.
-    heeds: bool,
-    persists: bool,
-    spread: f64,
+    ask: Drawn,
     tries: Cell<u32>,
     over: Cell<bool>,
 }
 
 pub struct Front {
-    pub chance: ChaCha8Rng,
+    asks: Asks,
     /// Asks that are not over yet.
     pub open: usize,
-    labelled: u64,
 }
 
 impl Front {
-    pub fn new(chance: ChaCha8Rng) -> Self {
-        Self { chance, open: 0, labelled: 0 }
+    pub fn new(scenario: Rc<Scenario>, seed: u64) -> Self {
+        Self { asks: Asks::new(scenario, seed), open: 0 }
     }
 }
 
-fn weighted(chance: &mut ChaCha8Rng, weights: impl Iterator<Item = f64>) -> usize {
-    WeightedIndex::new(weights).map_or(0, |index| index.sample(chance))
-}
-
-/// Work of one ask, ms: mean and spread as the profile says.
-pub fn draw_work(profile: &Profile, chance: &mut ChaCha8Rng) -> f64 {
-    let spread = profile.work_spread;
-    let sigma = (1.0 + spread * spread).ln().sqrt();
-    let mu = profile.work_ms.ln() - sigma * sigma / 2.0;
-    LogNormal::new(mu, sigma).map_or(profile.work_ms, |drawn| drawn.sample(chance))
-}
-
 impl World {
-    /// The next moment of a Poisson process thinned to the curve.
     pub fn next_ask(&mut self) {
-        let scenario = self.scenario.clone();
-        let most = scenario.callers.rate.most() / 1000.0;
-        let mut at = self.now;
-        if at > 0.0 {
-            self.ask();
-        }
-        let chance = &mut self.front.chance;
-        loop {
-            at -= (1.0 - chance.random::<f64>()).ln() / most;
-            if at >= scenario.length() {
-                return;
-            }
-            if chance.random::<f64>() * most <= scenario.callers.rate.at(at / 1000.0) / 1000.0 {
-                return self.agenda.put(at, Event::NextAsk);
-            }
+        if let Some(ask) = self.front.asks.next() {
+            self.agenda.put(ask.at, Event::Ask(ask));
         }
     }
 
-    fn ask(&mut self) {
-        let scenario = self.scenario.clone();
-        let callers = &scenario.callers;
-        let front = &mut self.front;
-        let chance = &mut front.chance;
-        let profile = weighted(chance, scenario.profiles.iter().map(|profile| profile.share));
-        let customer = weighted(chance, scenario.customers.iter().map(|customer| customer.share));
-        let zone = if callers.zone_shares.is_empty() {
-            chance.random_range(0..scenario.zones.len())
-        } else {
-            weighted(chance, callers.zone_shares.iter().copied())
-        };
-        front.labelled += 1;
-        let ask = Rc::new(AskState {
-            place: self.records.asks.len(),
-            profile,
-            customer,
-            zone,
-            label: if scenario.profiles[profile].effect == Effect::Labelled { front.labelled } else { 0 },
-            work: draw_work(&scenario.profiles[profile], chance),
-            limit: self.now + scenario.profiles[profile].limit_ms,
-            impatient: chance.random::<f64>() < callers.impatient,
-            heeds: chance.random::<f64>() < callers.heed_advice,
-            persists: chance.random::<f64>() < callers.retry_share,
-            spread: chance.random_range(0.5..1.5),
-            tries: Cell::new(0),
-            over: Cell::new(false),
-        });
-        front.open += 1;
-        self.records.asks.push(Ask { at: self.now, profile, customer });
-        self.try_ask(&ask);
+    pub fn ask(&mut self, ask: Drawn) {
+        self.front.open += 1;
+        let place = self.records.asks.len();
+        self.records.asks.push(Ask { at: ask.at, profile: ask.profile, customer: ask.customer });
+        self.try_ask(&Rc::new(AskState { place, ask, tries: Cell::new(0), over: Cell::new(false) }));
+        self.next_ask();
     }
 
     pub fn try_ask(&mut self, ask: &Rc<AskState>) {
         ask.tries.set(ask.tries.get() + 1);
-        let Some(seat) = self.deal(ask.zone) else { return self.failed(ask) };
+        let Some(seat) = self.deal(ask.ask.zone) else { return self.failed(ask) };
         let node = seat.node.borrow().clone();
         let Some(node) = node else { return self.failed(ask) };
         let record = self.records.jobs.len();
@@ -125,10 +56,10 @@
             ask: Some(ask.place),
             node: node.life,
             tier: 0,
-            profile: ask.profile,
-            label: ask.label,
+            profile: ask.ask.profile,
+            label: ask.ask.label,
             sent: self.now,
-            limit: ask.limit,
+            limit: ask.ask.limit,
             left: None,
             answers: Vec::new(),
             cut: false,
@@ -139,12 +70,12 @@
             record,
             trace,
             root: trace,
-            label: ask.label,
-            profile: ask.profile,
-            customer: ask.customer,
-            limit: ask.limit,
-            work: ask.work * self.scenario.tiers[0].work,
-            whole_work: ask.work,
+            label: ask.ask.label,
+            profile: ask.ask.profile,
+            customer: ask.ask.customer,
+            limit: ask.ask.limit,
+            work: ask.ask.work * self.scenario.tiers[0].work,
+            whole_work: ask.ask.work,
             fan: 1.0,
             from: From::Caller(ask.clone()),
             shots: Default::default(),
@@ -153,8 +84,7 @@
         });
         let hop = self.caller_hop();
         self.agenda.put(self.now + hop, Event::Take(node, job.clone()));
-        let patience = if ask.impatient { IMPATIENT } else { 1.0 };
-        let leaves = self.now + (ask.limit - self.now) * patience + self.scenario.rules.slack_ms;
+        let leaves = ask.ask.leaves(&self.scenario, self.now);
         self.agenda.put(leaves, Event::CallerLeaves(job));
     }
 
@@ -237,17 +167,9 @@
 
     /// A try was in vain; the next one follows where the caller may and wants to.
     fn again(&mut self, ask: &Rc<AskState>, wait: f64, harmless: bool) {
-        let callers = &self.scenario.callers;
-        let irreversible = self.scenario.profiles[ask.profile].effect == Effect::Irreversible;
-        let may = ask.persists && ask.tries.get() <= callers.retries && (harmless || !irreversible);
-        let doubled = f64::from(1u32 << (ask.tries.get() - 1).min(16));
-        let own = callers.backoff_ms * doubled * ask.spread;
-        let advised = wait.min(self.scenario.nodes.advice_s * 1000.0);
-        let at = self.now + if ask.heeds { own.max(advised) } else { own };
-        if may && at + TRY_LEAST < ask.limit {
-            self.agenda.put(at, Event::Try(ask.clone()));
-        } else {
-            self.finish(ask);
+        match ask.ask.next_try(&self.scenario, self.now, ask.tries.get(), wait, harmless) {
+            Some(at) => self.agenda.put(at, Event::Try(ask.clone())),
+            None => self.finish(ask),
         }
     }
 
--- a/crates/pearfront-emulator/src/model/directory.rs
+++ b/crates/pearfront-emulator/src/model/directory.rs
@@ -4,40 +4,13 @@
 use super::nodes::Node;
 use super::{Event, World};
 use crate::decide::Word;
+use crate::list::Line;
 use crate::scenario::Scenario;
-use pearfront::interface::{Address, Listing, Standing};
+use pearfront::interface::Standing;
 use rand::prelude::Rng;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-/// One line of the list, and which life of a server it stands for.
-#[derive(Debug, Clone)]
-pub struct Line {
-    pub id: String,
-    pub address: Address,
-    pub tier: usize,
-    pub zone: u16,
-    pub cell: u16,
-    pub make: usize,
-    pub standing: Standing,
-    pub started: f64,
-    pub life: usize,
-}
-
-impl Line {
-    /// As a node takes it whose time began at `from`.
-    pub fn listing(&self, from: f64) -> Listing {
-        Listing {
-            server: self.address,
-            standing: self.standing,
-            cell: self.cell,
-            zone: self.zone,
-            make: self.make,
-            started: self.started - from,
-        }
-    }
-}
-
 #[derive(Default)]
 pub struct Directory {
     published: BTreeMap<String, Line>,
--- a/crates/pearfront-emulator/src/model/hosts.rs
+++ b/crates/pearfront-emulator/src/model/hosts.rs
@@ -7,6 +7,7 @@
 use crate::repeats::Repeats;
 use crate::scenario::{Effect, Group, Scenario, What};
 use crate::server::{Arrival, Happened, Need, Server};
+use crate::struck::Struck;
 use pearfront::interface::{Address, Ending};
 use rand::prelude::Rng;
 use rand_distr::{Distribution, Exp};
@@ -51,8 +52,7 @@
     /// The node beside it that its calls go through.
     pub node: RefCell<Option<Rc<Node>>>,
     pub flights: RefCell<Vec<Rc<Flight>>>,
-    /// Troubles under way here, by their place in the script.
-    pub troubles: RefCell<Vec<(usize, What, f64)>>,
+    pub struck: Struck,
     version: Cell<u64>,
 }
 
@@ -82,7 +82,7 @@
             server: RefCell::new(server),
             node: RefCell::default(),
             flights: RefCell::default(),
-            troubles: RefCell::default(),
+            struck: Struck::default(),
             version: Cell::new(0),
         })
     }
@@ -98,24 +98,6 @@
     pub fn is_up(&self) -> bool {
         self.state.get() == State::Up
     }
-
-    /// Chance that none of the troubles of a kind strikes.
-    fn spared(&self, what: What) -> f64 {
-        let troubles = self.troubles.borrow();
-        troubles.iter().filter(|trouble| trouble.1 == what).map(|trouble| 1.0 - trouble.2).product()
-    }
-
-    pub fn has(&self, what: What) -> bool {
-        self.troubles.borrow().iter().any(|trouble| trouble.1 == what)
-    }
-
-    /// After this time, ms, it closes an idle connection.
-    pub fn idle(&self, scenario: &Scenario) -> f64 {
-        let troubles = self.troubles.borrow();
-        let short = troubles.iter().filter(|trouble| trouble.1 == What::ShortIdle);
-        let usual = scenario.tiers[self.tier].server.idle_s;
-        short.map(|trouble| trouble.2).fold(usual, f64::min) * 1000.0
-    }
 }
 
 /// Share of its answers that a server must give right and whole for `sees-all` to use it freely.
@@ -154,7 +136,7 @@
         let host = self.host(server)?;
         let server = host.server.borrow();
         let capacity = server.capacity(self.now.get());
-        let sound = host.spared(What::FastErrors) * host.spared(What::LostAnswers) > SOUND;
+        let sound = host.struck.spared(What::FastErrors) * host.struck.spared(What::LostAnswers) > SOUND;
         let up = host.is_up() && !host.draining.get() && capacity > 0.0;
         // Shots on their way weigh as much as those that have come.
         let coming = host.flights.borrow().iter().filter(|flight| flight.shot.get().is_none()).count();
@@ -174,28 +156,9 @@
 impl World {
     pub fn build_fleet(&mut self) {
         let scenario = self.scenario.clone();
-        for (at, tier) in scenario.tiers.iter().enumerate() {
-            let share: f64 = scenario.kinds.iter().map(|kind| kind.share).sum();
-            for number in 0..tier.servers {
-                // Kinds by their shares, zones in turn, cells by number.
-                let place = (number as f64 + 0.5) / tier.servers as f64 * share;
-                let mut sum = 0.0;
-                let before = |kind: &crate::scenario::Kind| {
-                    sum += kind.share;
-                    sum <= place
-                };
-                let kind = scenario.kinds.iter().map(before).filter(|before| *before).count();
-                let zone = (number % scenario.zones.len()) as u16;
-                // No two zones share a cell.
-                let cell = (number / scenario.zones.len()) as u16 % tier.cells + zone * tier.cells;
-                self.add_host(
-                    at,
-                    zone,
-                    cell,
-                    kind.min(scenario.kinds.len() - 1),
-                    format!("{}-{number}", tier.name),
-                );
-            }
+        for (tier, machine) in scenario.machines() {
+            let id = format!("{}-{}", scenario.tiers[tier].name, machine.number);
+            self.add_host(tier, machine.zone, machine.cell, machine.kind, id);
         }
     }
 
@@ -285,7 +248,7 @@
         let need = Need {
             work,
             calls: self.scenario.tiers[host.tier].calls,
-            fails: self.service.random::<f64>() >= host.spared(What::FastErrors),
+            fails: self.service.random::<f64>() >= host.struck.spared(What::FastErrors),
             repeat: self.repeats(&host, flight, |repeats, label, now, _| repeats.knows(label, now)),
         };
         flight.shot.set(Some(self.records.shots.len()));
@@ -348,7 +311,7 @@
         if let Some(shot) = flight.shot.get() {
             self.records.shots[shot].ended = Some((self.now, end));
         }
-        let lost = self.service.random::<f64>() >= host.spared(What::LostAnswers);
+        let lost = self.service.random::<f64>() >= host.struck.spared(What::LostAnswers);
         if !flight.ended.get() && !lost {
             let hop = self.hop(host.zone, flight.job.node.zone);
             self.agenda.put(self.now + hop, Event::ShotEnds(flight.clone(), ending, flight.job.trace));
@@ -413,11 +376,11 @@
         self.catch_up(&host);
         self.records.probes += 1;
         let mut server = host.server.borrow_mut();
-        if server.has_fallen() || host.has(What::LostReports) {
+        if server.has_fallen() || host.struck.has(What::LostReports) {
             return;
         }
         server.burden(self.scenario.tiers[host.tier].server.probe_work_ms);
-        let report = if host.has(What::StaleReports) { server.old_report() } else { server.report() };
+        let report = if host.struck.has(What::StaleReports) { server.old_report() } else { server.report() };
         drop(server);
         self.watch_host(&host);
         let hop = self.hop(host.zone, node.zone);
--- a/crates/pearfront-emulator/src/model/mod.rs
+++ b/crates/pearfront-emulator/src/model/mod.rs
@@ -8,12 +8,14 @@
 mod script;
 
 use crate::agenda::Agenda;
+use crate::asks::Drawn;
 use crate::decide::{Fault, Policy};
+use crate::list::Line;
 use crate::platform;
 use crate::record::{Answer, Records};
 use crate::scenario::Scenario;
 use callers::{AskState, Front};
-use directory::{Directory, Line};
+use directory::Directory;
 use hosts::{Fleet, Host};
 use nodes::{Flight, HeldJob, Node, Seat};
 use pearfront::interface::{Address, Ending, Settings};
@@ -40,7 +42,7 @@
 }
 
 enum Event {
-    NextAsk,
+    Ask(Drawn),
     Try(Rc<AskState>),
     Take(Rc<Node>, Rc<HeldJob>),
     Round(Rc<Node>),
@@ -126,8 +128,10 @@
         };
         let zones = scenario.zones.len();
         let by_zone = |tier: usize| (0..zones).map(|zone| settings(tier, zone)).collect();
+        let shared = Rc::new(scenario.clone());
         Self {
-            scenario: Rc::new(scenario.clone()),
+            front: Front::new(shared.clone(), options.seed),
+            scenario: shared,
             options,
             agenda: Agenda::default(),
             now: 0.0,
@@ -136,7 +140,6 @@
             seats: Vec::new(),
             settings: (0..scenario.tiers.len()).map(by_zone).collect(),
             directory: Directory::new(scenario),
-            front: Front::new(stream(1)),
             net: stream(2),
             troubles: stream(3),
             service: stream(4),
@@ -153,12 +156,12 @@
         for trouble in 0..self.scenario.troubles.len() {
             self.agenda.put(self.scenario.troubles[trouble].at_s * 1000.0, Event::Begin(trouble));
         }
-        self.agenda.put(0.0, Event::NextAsk);
+        self.next_ask();
     }
 
     fn happen(&mut self, event: Event) {
         match event {
-            Event::NextAsk => self.next_ask(),
+            Event::Ask(ask) => self.ask(ask),
             Event::Try(ask) => self.try_ask(&ask),
             Event::Take(node, job) => self.take(&node, &job),
             Event::Round(node) => self.round(&node),
--- a/crates/pearfront-emulator/src/model/nodes.rs
+++ b/crates/pearfront-emulator/src/model/nodes.rs
@@ -1,10 +1,10 @@
 //! Nodes of the model play: what stands between callers, the one who decides, and servers. Messages, connections and
 //! timers are simulated; every decision is the decider's.
 
-use super::directory::Line;
 use super::hosts::Host;
 use super::{Event, World};
 use crate::decide::{Act, Decider, Fault, Module, Plain, Policy, Word};
+use crate::list::Line;
 use crate::record::{Answer, Job, NodeEnd, NodeLife, Told};
 use pearfront::interface::{Address, Ending, Listing, Standing};
 use rand::prelude::Rng;
@@ -316,7 +316,8 @@
         let (there, back) = (self.hop(node.zone, host.zone), self.hop(host.zone, node.zone));
         let ends = |ending| Event::ShotEnds(flight.clone(), ending, 0);
         if let Some((used, starts)) = kept {
-            let closed = starts != host.starts.get() || self.now - used >= host.idle(&self.scenario);
+            let closed = starts != host.starts.get()
+                || self.now - used >= host.struck.idle(self.scenario.tiers[host.tier].server.idle_s);
             if host.state.get() == super::hosts::State::Silent {
                 return;
             }
@@ -371,7 +372,8 @@
         let fleet = self.fleet.clone();
         for (address, kept) in node.idle.borrow_mut().iter_mut() {
             let Some(host) = fleet.host(*address) else { continue };
-            let most = (KEPT * self.scenario.nodes.idle_s * 1000.0).min(host.idle(&self.scenario));
+            let most = (KEPT * self.scenario.nodes.idle_s * 1000.0)
+                .min(host.struck.idle(self.scenario.tiers[host.tier].server.idle_s));
             let before = kept.len();
             // What the server has closed by now is found out by its next use, as on sockets.
             kept.retain(|(used, _)| self.now - used < KEPT * self.scenario.nodes.idle_s * 1000.0);
--- a/crates/pearfront-emulator/src/model/script.rs
+++ b/crates/pearfront-emulator/src/model/script.rs
@@ -58,7 +58,7 @@
     /// Who is struck: of the servers that fit, as many as the script says, by chance.
     fn targets(&mut self, trouble: &Trouble) -> Vec<Rc<Host>> {
         let tier = trouble.tier.as_ref().and_then(|name| self.scenario.tier(name));
-        let zone = self.zone_of(trouble);
+        let zone = self.scenario.zone_of(trouble);
         let kind = trouble.kind.as_ref();
         let kinds = &self.scenario.kinds;
         let fits = |host: &&Rc<Host>| {
@@ -70,15 +70,10 @@
         };
         let mut hosts: Vec<Rc<Host>> = self.fleet.hosts.borrow().iter().filter(fits).cloned().collect();
         hosts.shuffle(&mut self.troubles);
-        hosts.truncate(how_many(trouble, hosts.len()));
+        hosts.truncate(trouble.how_many(hosts.len()));
         hosts
     }
 
-    fn zone_of(&self, trouble: &Trouble) -> Option<usize> {
-        let zone = trouble.zone.as_ref()?;
-        self.scenario.zones.iter().position(|name| name == zone)
-    }
-
     fn strike_hosts(&mut self, place: usize, trouble: &Trouble) {
         let hosts = self.targets(trouble);
         let names: Vec<String> = hosts.iter().take(8).map(|host| host.id.borrow().clone()).collect();
@@ -93,11 +88,11 @@
         }
         for host in hosts {
             self.catch_up(&host);
-            host.troubles.borrow_mut().push((place, trouble.what, trouble.by()));
+            host.struck.strike(place, trouble.what, trouble.by());
             match trouble.what {
                 What::Silent => self.silence(&host),
                 What::Stall => host.server.borrow_mut().stand_still(self.now + trouble.for_s * 1000.0),
-                What::Slow => host.server.borrow_mut().pace *= trouble.by(),
+                What::Slow => host.server.borrow_mut().pace = host.struck.pace(),
                 What::Drain => self.drain(&host),
                 _ => {}
             }
@@ -108,16 +103,12 @@
     fn spare_hosts(&mut self, place: usize, trouble: &Trouble) {
         let hosts: Vec<Rc<Host>> = self.fleet.hosts.borrow().iter().cloned().collect();
         for host in hosts {
-            let mut troubles = host.troubles.borrow_mut();
-            let before = troubles.len();
-            troubles.retain(|other| other.0 != place);
-            if troubles.len() == before {
+            if !host.struck.spare(place) {
                 continue;
             }
-            drop(troubles);
             if trouble.what == What::Slow {
                 self.catch_up(&host);
-                host.server.borrow_mut().pace /= trouble.by();
+                host.server.borrow_mut().pace = host.struck.pace();
                 self.watch_host(&host);
             }
             if trouble.what == What::Silent {
@@ -162,8 +153,7 @@
         host.state.set(State::Up);
         let habits = &scenario.tiers[host.tier].server;
         let mut server = Server::new(&scenario.kinds[host.kind], habits, &scenario.rules, self.now, self.now);
-        let slow = |trouble: &(usize, What, f64)| if trouble.1 == What::Slow { trouble.2 } else { 1.0 };
-        server.pace = host.troubles.borrow().iter().map(slow).product();
+        server.pace = host.struck.pace();
         *host.server.borrow_mut() = server;
         self.record_life(host);
         if host.tier + 1 < scenario.tiers.len() {
@@ -175,9 +165,7 @@
     fn drain(&mut self, host: &Rc<Host>) {
         host.draining.set(true);
         self.announce(host, Standing::Draining, 0.0);
-        let discovery = &self.scenario.discovery;
-        // It works on for as long as the slowest word of it and the grace may take, and half a second more.
-        let ends = discovery.late_ms.1 + self.scenario.rules.drain_grace_s * 1000.0 + 500.0;
+        let ends = self.scenario.drains_for();
         self.agenda.put(self.now + ends, Event::EndHost(host.clone(), host.starts.get()));
     }
 
@@ -221,12 +209,12 @@
     }
 
     fn strike_nodes(&mut self, trouble: &Trouble) {
-        let zone = self.zone_of(trouble);
+        let zone = self.scenario.zone_of(trouble);
         let fits = |seat: &&Rc<Seat>| zone.is_none_or(|zone| usize::from(seat.zone) == zone);
         let mut seats: Vec<Rc<Seat>> = self.seats.iter().filter(fits).cloned().collect();
         seats.shuffle(&mut self.troubles);
         let all = if trouble.what == What::HotNode && trouble.part.is_none() { 1 } else { seats.len() };
-        seats.truncate(how_many(trouble, all));
+        seats.truncate(trouble.how_many(all));
         let names: Vec<&str> = seats.iter().map(|seat| seat.name.as_str()).collect();
         self.note(format!("{:?} strikes nodes {}", trouble.what, names.join(" ")));
         for seat in seats {
@@ -256,7 +244,7 @@
     }
 
     fn kill_zone(&mut self, trouble: &Trouble) {
-        let zone = self.zone_of(trouble);
+        let zone = self.scenario.zone_of(trouble);
         let seats: Vec<Rc<Seat>> = self.seats.clone();
         for seat in seats.into_iter().filter(|seat| zone.is_none_or(|zone| usize::from(seat.zone) == zone)) {
             self.take_down(&seat, NodeEnd::Killed);
@@ -264,11 +252,3 @@
         }
     }
 }
-
-fn how_many(trouble: &Trouble, all: usize) -> usize {
-    match (trouble.part, trouble.count) {
-        (Some(part), _) => ((all as f64 * part).round() as usize).clamp(1, all.max(1)),
-        (None, Some(count)) => count.min(all),
-        (None, None) => all,
-    }
-}
--- a/crates/pearfront-emulator/src/platform.rs
+++ b/crates/pearfront-emulator/src/platform.rs
@@ -28,6 +28,7 @@
             "parallel_tries": nodes.second_copies, "retry_after": nodes.advice_s > 0.0,
             "max_retry_after": ns(nodes.advice_s * 1000.0), "connect_timeout": ns(nodes.connect_ms),
             "conn_idle": ns(nodes.idle_s * 1000.0)},
+        "excess_gain": scenario.goal.excess_gain,
         "deductions": {"cross_zone": nodes.cross_zone_price, "probe": nodes.probe_price},
         "objective_mix": {"whole": scenario.goal.whole, "worst_class": scenario.goal.worst_profile,
             "worst_tenant": scenario.goal.worst_customer},
--- a/crates/pearfront-emulator/src/report.rs
+++ b/crates/pearfront-emulator/src/report.rs
@@ -85,6 +85,18 @@
         (!spans.is_empty()).then_some(spans)
     }
 
+    /// The distance to the recorded curve of all these plays together, which one play's chance moves less.
+    pub fn distance_together(outcomes: &[Self]) -> Option<f64> {
+        let mut all = outcomes.first()?.clone();
+        for outcome in &outcomes[1..] {
+            for (sum, second) in all.verdict.seconds.iter_mut().zip(&outcome.verdict.seconds) {
+                sum.asked += second.asked;
+                sum.honoured += second.honoured;
+            }
+        }
+        all.distance()
+    }
+
     /// One line a second, separated by tabs.
     pub fn table(&self) -> String {
         let mut text = String::from(
@@ -311,6 +323,13 @@
         assert!((distance(0.5), distance(0.7)) == (0.0, 0.1) || (distance(0.7) - 0.1).abs() < 1e-12);
     }
 
+    #[test]
+    fn plays_together_may_be_nearer_than_each() {
+        let (high, low) = (outcome(0.6), outcome(0.4));
+        let together = Outcome::distance_together(&[high.clone(), low]).unwrap();
+        assert!(together < 1e-12 && high.distance().unwrap() > 0.04, "{together}");
+    }
+
     #[test]
     fn a_result_is_read_back_as_it_was_and_another_version_is_refused() {
         let outcome = outcome(0.5);
--- a/crates/pearfront-emulator/src/scenario.rs
+++ b/crates/pearfront-emulator/src/scenario.rs
@@ -63,6 +63,15 @@
     }
 }
 
+/// Where a machine stands.
+#[derive(Debug, Clone, Copy)]
+pub struct Machine {
+    pub number: usize,
+    pub zone: u16,
+    pub cell: u16,
+    pub kind: usize,
+}
+
 /// A kind of machine.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -348,11 +357,13 @@
     pub whole: f64,
     pub worst_profile: f64,
     pub worst_customer: f64,
+    /// What a job beyond its customer's quota is worth, as a share.
+    pub excess_gain: f64,
 }
 
 impl Default for Goal {
     fn default() -> Self {
-        Self { whole: 0.7, worst_profile: 0.2, worst_customer: 0.1 }
+        Self { whole: 0.7, worst_profile: 0.2, worst_customer: 0.1, excess_gain: 1.0 }
     }
 }
 
@@ -413,6 +424,15 @@
 }
 
 impl Trouble {
+    /// How many of those that fit are struck.
+    pub fn how_many(&self, all: usize) -> usize {
+        match (self.part, self.count) {
+            (Some(part), _) => ((all as f64 * part).round() as usize).clamp(1, all.max(1)),
+            (None, Some(count)) => count.min(all),
+            (None, None) => all,
+        }
+    }
+
     pub fn by(&self) -> f64 {
         self.by.unwrap_or(match self.what {
             What::FastErrors => 0.9,
@@ -506,6 +526,39 @@
         self.profiles.iter().map(|profile| profile.share * profile.work_ms).sum::<f64>() / shares
     }
 
+    /// All machines at the start, tier by tier: kinds by their shares, zones in turn, cells that no two zones share.
+    pub fn machines(&self) -> impl Iterator<Item = (usize, Machine)> {
+        let zones = self.zones.len();
+        self.tiers.iter().enumerate().flat_map(move |(at, tier)| {
+            (0..tier.servers).map(move |number| {
+                let zone = (number % zones) as u16;
+                let cell = (number / zones) as u16 % tier.cells + zone * tier.cells;
+                let kind = self.kind_at((number as f64 + 0.5) / tier.servers as f64);
+                (at, Machine { number, zone, cell, kind })
+            })
+        })
+    }
+
+    fn kind_at(&self, place: f64) -> usize {
+        let all: f64 = self.kinds.iter().map(|kind| kind.share).sum();
+        let mut sum = 0.0;
+        let reaches = |kind: &Kind| {
+            sum += kind.share;
+            sum > place * all
+        };
+        self.kinds.iter().position(reaches).unwrap_or(self.kinds.len() - 1)
+    }
+
+    pub fn zone_of(&self, trouble: &Trouble) -> Option<usize> {
+        let zone = trouble.zone.as_ref()?;
+        self.zones.iter().position(|name| name == zone)
+    }
+
+    /// How long, ms, a draining server works on: the slowest word of it, the grace, and half a second more.
+    pub fn drains_for(&self) -> f64 {
+        self.discovery.late_ms.1 + self.rules.drain_grace_s * 1000.0 + 500.0
+    }
+
     /// Work asked for at the highest rate as a share of each tier's capacity.
     pub fn loads(&self) -> Vec<f64> {
         let share: f64 = self.kinds.iter().map(|kind| kind.share).sum();
@@ -648,6 +701,10 @@
         above("discovery.ask_within_s", self.discovery.ask_within_s, 0.0, 3600.0)?;
         above("rules.tip_multiple", self.rules.tip_multiple, 0.0, 1e6)?;
         above("rules.tip_window_s", self.rules.tip_window_s, 0.0, 3600.0)?;
+        within("goal.excess_gain", self.goal.excess_gain, 0.0, 1.0)?;
+        within("goal.whole", self.goal.whole, 0.0, 1.0)?;
+        within("goal.worst_profile", self.goal.worst_profile, 0.0, 1.0)?;
+        within("goal.worst_customer", self.goal.worst_customer, 0.0, 1.0)?;
         within("rules.slack_ms", self.rules.slack_ms, 0.0, 10_000.0)?;
         within("rules.drain_grace_s", self.rules.drain_grace_s, 0.0, 600.0)
     }
--- /dev/null
+++ b/crates/pearfront-emulator/src/sockets/client.rs
@@ -0,0 +1,144 @@
+//! One who sends jobs to a node and hears its answers: callers, and servers that call the next tier. It keeps
+//! connections, sends one job at a time on each, and opens more when all are busy.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddrV4;
+
+use crate::record::Answer;
+use crate::scenario::{Effect, Scenario};
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+
+/// What a job looks like on the wire, beside its id and time.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    pub profile: usize,
+    pub customer: usize,
+    pub label: u64,
+    /// Work over all tiers, and how many jobs of this tier one ask makes; the emulator's own, in the target.
+    pub work: f64,
+    pub fan: f64,
+    pub root: u64,
+}
+
+/// What came back.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Heard {
+    Answer {
+        answer: Answer,
+        body: u64,
+        wait: f64,
+    },
+    /// Nobody took the connection.
+    Refused,
+    /// The connection ended without a whole answer.
+    Cut,
+}
+
+pub struct Client {
+    scenario: Rc<Scenario>,
+    address: SocketAddrV4,
+    idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+    ended: Cell<bool>,
+}
+
+impl Client {
+    pub fn new(scenario: Rc<Scenario>, address: SocketAddrV4) -> Rc<Self> {
+        Rc::new(Self { scenario, address, idle: RefCell::default(), ended: Cell::new(false) })
+    }
+
+    /// Sends a job whose caller waits `left` ms; `accepted` is called once a connection stands.
+    pub async fn ask(&self, trace: u64, asked: &Asked, left: f64, accepted: impl Fn()) -> Heard {
+        loop {
+            let kept = self.kept();
+            let reused = kept.is_some();
+            let sender = match kept {
+                Some(sender) => Some(sender),
+                None => self.connect().await,
+            };
+            let Some(mut sender) = sender else { return Heard::Refused };
+            accepted();
+            match self.send(&mut sender, trace, asked, left).await {
+                Some(heard) => {
+                    self.idle.borrow_mut().push(sender);
+                    return heard;
+                }
+                // The node closed a kept connection just as the job was written: once more on a new one.
+                None if reused => self.idle.borrow_mut().clear(),
+                None => return Heard::Cut,
+            }
+        }
+    }
+
+    fn kept(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(sender) = idle.pop() {
+            if !sender.is_closed() && sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let stream = TcpStream::connect(self.address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        // Its end shows at the sender.
+        spawn_local(async move { drop(connection.await) });
+        Some(sender)
+    }
+
+    async fn send(
+        &self,
+        sender: &mut SendRequest<Full<Bytes>>,
+        trace: u64,
+        asked: &Asked,
+        left: f64,
+    ) -> Option<Heard> {
+        let request = self.encode(trace, asked, left);
+        let answer = sender.send_request(request).await.ok()?;
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        let number = |text: &[u8]| std::str::from_utf8(text).ok().and_then(|text| text.trim().parse().ok());
+        let wait = head.headers.get("retry-after").and_then(|value| value.to_str().ok());
+        let wait = wait.and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0) * 1000.0;
+        let answer = match head.status {
+            StatusCode::OK => Answer::Honoured,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Answer::PushedBack,
+            _ => Answer::Forfeited,
+        };
+        Some(Heard::Answer { answer, body: number(&body).unwrap_or(0), wait })
+    }
+
+    fn encode(&self, trace: u64, asked: &Asked, left: f64) -> Request<Full<Bytes>> {
+        let profile = &self.scenario.profiles[asked.profile];
+        let (work, fan, root) = (asked.work, asked.fan, asked.root);
+        let target = format!("/{}/it?w={work}&f={fan}&r={root}&c={}", profile.name, asked.customer);
+        let method = if profile.effect == Effect::Redoable { "GET" } else { "POST" };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(target)
+            .header("Host", "origin.svc")
+            .header("X-Trace-Id", trace.to_string())
+            .header("X-Customer", &self.scenario.customers[asked.customer].name)
+            .header("X-Expires-In", format!("{:.4}", left.max(0.0) / 1000.0));
+        if profile.effect == Effect::Labelled {
+            request = request.header("Idempotency-Key", asked.label.to_string());
+        }
+        let body = if method == "GET" { Bytes::new() } else { Bytes::from_static(b"{}") };
+        request.body(Full::new(body)).expect("names were checked with the file")
+    }
+
+    /// Closes what is idle, as when its process ends.
+    pub fn end(&self) {
+        self.ended.set(true);
+        self.idle.borrow_mut().clear();
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/sockets/fleet.rs
@@ -0,0 +1,446 @@
+//! The fleet's side of a play on sockets: servers, the nodes beside them, discovery, and what the script does to these.
+
+use super::discovery::Directory;
+use super::processes::{Process, Signal};
+use super::servers::{AllRepeats, Host, State};
+use super::{
+    BESIDE, BESIDE_DISCOVERY, Clock, NodeCommand, Places, SEAT_DISCOVERY, SERVER, Seen, config, lateness,
+};
+use crate::list::{Line, address};
+use crate::platform;
+use crate::record::{NodeEnd, NodeLife, Records, ShotEnd, Told};
+use crate::scenario::{Scenario, Trouble, What};
+use crate::server::Server;
+use crate::struck::Struck;
+use hdrhistogram::Histogram;
+use pearfront::interface::Standing;
+use rand::prelude::{Rng, SeedableRng};
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+
+pub struct Side {
+    pub scenario: Rc<Scenario>,
+    pub clock: Cell<Clock>,
+    pub records: RefCell<Records>,
+    pub late: RefCell<Histogram<u64>>,
+    pub chance: RefCell<ChaCha8Rng>,
+    pub hosts: RefCell<Vec<Rc<Host>>>,
+    pub repeats: RefCell<AllRepeats>,
+    pub directory: Directory,
+    /// Answers that were lost on their way: their connections stay open and silent.
+    pub unanswered: RefCell<Vec<oneshot::Sender<ShotEnd>>>,
+    /// What seats' nodes were told: their lives are the callers' side's to know.
+    pub told_seats: RefCell<Vec<(usize, Told)>>,
+    troubles: RefCell<ChaCha8Rng>,
+    command: NodeCommand,
+    places: Places,
+    traces: Cell<u64>,
+    seed: u64,
+}
+
+pub struct FleetSeen {
+    pub seen: Seen,
+    pub told_seats: Vec<(usize, Told)>,
+}
+
+/// Runs the fleet from before the nodes of callers start until `stops` is told.
+pub async fn side(
+    scenario: Rc<Scenario>,
+    seed: u64,
+    command: NodeCommand,
+    places: Places,
+    ready: oneshot::Sender<Result<(), String>>,
+    goes: oneshot::Receiver<Clock>,
+    stops: oneshot::Receiver<()>,
+) -> Result<FleetSeen, String> {
+    let side = Side::new(scenario, seed, command, places);
+    let built = side.build().await;
+    let failed = built.is_err();
+    if ready.send(built).is_err() || failed {
+        return Err("the fleet did not start".into());
+    }
+    let clock = goes.await.map_err(|_| "the nodes did not start".to_string())?;
+    side.clock.set(clock);
+    side.hosts.borrow().iter().for_each(|host| host.bell.notify_one());
+    for place in 0..side.scenario.troubles.len() {
+        spawn_local(side.clone().trouble(place));
+    }
+    // Whoever waits for it may have been cut short.
+    let _ = stops.await;
+    Ok(side.close().await)
+}
+
+impl Side {
+    fn new(scenario: Rc<Scenario>, seed: u64, command: NodeCommand, places: Places) -> Rc<Self> {
+        let stream = |number: u64| {
+            let mut chance = ChaCha8Rng::seed_from_u64(seed);
+            chance.set_stream(number);
+            RefCell::new(chance)
+        };
+        Rc::new(Self {
+            clock: Cell::new(Clock::starting_in(std::time::Duration::from_secs(3600))),
+            records: RefCell::default(),
+            late: RefCell::new(lateness()),
+            chance: stream(4),
+            hosts: RefCell::default(),
+            repeats: RefCell::default(),
+            directory: Directory::default(),
+            unanswered: RefCell::default(),
+            told_seats: RefCell::default(),
+            troubles: stream(3),
+            command,
+            places,
+            traces: Cell::new(2),
+            seed,
+            scenario,
+        })
+    }
+
+    /// Ids of calls are even, those of callers' jobs odd.
+    pub fn next_trace(&self) -> u64 {
+        self.traces.replace(self.traces.get() + 2)
+    }
+
+    pub fn note(&self, line: String) {
+        let at = self.clock.get().now() / 1000.0;
+        log::info!(at_s = at; "{line}");
+        self.records.borrow_mut().script.push((at, line));
+    }
+
+    async fn build(self: &Rc<Self>) -> Result<(), String> {
+        for (tier, place) in self.scenario.machines() {
+            let id = format!("{}-{}", self.scenario.tiers[tier].name, place.number);
+            let host = self.add_host(tier, (place.zone, place.cell, place.kind), id);
+            host.state.set(State::Up);
+            self.record_life(&host);
+            self.listen(&host)?;
+            self.directory.put(&line(&host, Standing::Ready));
+        }
+        for number in 0..self.scenario.nodes.count {
+            let at = self.places.at(SEAT_DISCOVERY, number);
+            self.serve_directory(at, 0, super::discovery::Asker::Seat(number))?;
+        }
+        let calling: Vec<Rc<Host>> =
+            self.hosts.borrow().iter().filter(|host| self.calls(host)).cloned().collect();
+        for host in &calling {
+            let at = self.places.at(BESIDE_DISCOVERY, host.place);
+            self.serve_directory(at, host.tier + 1, super::discovery::Asker::Beside(host.clone()))?;
+            self.start_node(host)?;
+        }
+        for host in &calling {
+            self.node_up(host).await?;
+        }
+        Ok(())
+    }
+
+    fn calls(&self, host: &Host) -> bool {
+        host.tier + 1 < self.scenario.tiers.len()
+    }
+
+    fn add_host(self: &Rc<Self>, tier: usize, (zone, cell, kind): (u16, u16, usize), id: String) -> Rc<Host> {
+        let scenario = &self.scenario;
+        let habits = &scenario.tiers[tier].server;
+        let server = Server::new(&scenario.kinds[kind], habits, &scenario.rules, f64::NEG_INFINITY, f64::MIN);
+        let place = self.hosts.borrow().len();
+        let host = Rc::new(Host {
+            address: address(self.places.at(SERVER, place)),
+            tier,
+            zone,
+            cell,
+            kind,
+            id: RefCell::new(id),
+            state: Cell::new(State::Down),
+            draining: Cell::new(false),
+            life: Cell::new(0),
+            started: Cell::new(f64::NEG_INFINITY),
+            server: RefCell::new(server),
+            struck: Struck::default(),
+            bell: Notify::new(),
+            starts: watch::Sender::new(0),
+            listening: RefCell::default(),
+            node: RefCell::default(),
+            node_life: Cell::new(0),
+            caller: RefCell::default(),
+            held: RefCell::default(),
+            place,
+        });
+        self.hosts.borrow_mut().push(host.clone());
+        spawn_local(self.clone().drive(host.clone()));
+        spawn_local(self.clone().pauses(host.clone()));
+        host
+    }
+
+    async fn pauses(self: Rc<Self>, host: Rc<Host>) {
+        let habits = &self.scenario.tiers[host.tier].server;
+        let Ok(waits) = Exp::new(1.0 / (habits.pause_every_s * 1000.0)) else { return };
+        if habits.pause_every_s <= 0.0 {
+            return;
+        }
+        let mut at = 0.0;
+        loop {
+            at += waits.sample(&mut *self.chance.borrow_mut());
+            while self.clock.get().now() < at {
+                sleep_until(self.clock.get().at(at)).await;
+            }
+            self.catch_up(&host);
+            host.server.borrow_mut().stand_still(at + habits.pause_ms);
+            host.bell.notify_one();
+        }
+    }
+
+    /// Starts the node beside a server; `node_up` tells when callers may use it.
+    fn start_node(&self, host: &Rc<Host>) -> Result<(), String> {
+        let scenario = &self.scenario;
+        let tier = host.tier + 1;
+        let settings =
+            platform::settings(scenario, tier, usize::from(host.zone), scenario.tiers[host.tier].servers);
+        let began = self.clock.get().began;
+        let lines: Vec<Line> = self.directory.lines(tier);
+        let known: Vec<_> = lines.iter().map(|line| line.json(scenario, began)).collect();
+        let seed = self.seed ^ (host.place as u64) << 32 ^ *host.starts.borrow();
+        let name = format!("by-{}", host.place);
+        let listen = self.places.at(BESIDE, host.place);
+        let discovery = self.places.at(BESIDE_DISCOVERY, host.place);
+        let config = config(scenario, &settings, &known, seed);
+        let process = Process::start(&self.command, &name, listen, discovery, &config)?;
+        *host.node.borrow_mut() = Some(process);
+        let mut records = self.records.borrow_mut();
+        host.node_life.set(records.nodes.len());
+        let from = self.clock.get().now();
+        records.nodes.push(NodeLife { name, tier, from, ended: None });
+        let node = host.node_life.get();
+        for line in &lines {
+            records.told.push(Told { node, server: line.life, standing: line.standing, at: from });
+        }
+        Ok(())
+    }
+
+    async fn node_up(&self, host: &Rc<Host>) -> Result<(), String> {
+        let Some(mut process) = host.node.take() else { return Ok(()) };
+        let up = process.up().await;
+        *host.node.borrow_mut() = Some(process);
+        let client = super::client::Client::new(self.scenario.clone(), self.places.at(BESIDE, host.place));
+        *host.caller.borrow_mut() = Some(client);
+        up
+    }
+
+    async fn stop_node(&self, host: &Host) {
+        if let Some(client) = host.caller.take() {
+            client.end();
+        }
+        let process = host.node.take();
+        if let Some(mut process) = process {
+            let now = self.clock.get().now();
+            self.records.borrow_mut().nodes[host.node_life.get()].ended = Some((now, NodeEnd::Killed));
+            process.kill().await;
+        }
+    }
+
+    // ---- the script ----
+
+    async fn trouble(self: Rc<Self>, place: usize) {
+        let trouble = self.scenario.troubles[place].clone();
+        sleep_until(self.clock.get().at(trouble.at_s * 1000.0)).await;
+        match trouble.what {
+            What::DiscoveryDown => self.directory.go_down(true),
+            What::DiscoveryOld => self.directory.grow_old(true),
+            What::Sighup => self.hup(),
+            // The callers' side strikes their nodes.
+            What::KillNodes | What::RestartNodes | What::HotNode => return,
+            _ => self.strike(place, &trouble).await,
+        }
+        sleep_until(self.clock.get().at((trouble.at_s + trouble.for_s) * 1000.0)).await;
+        match trouble.what {
+            What::DiscoveryDown => self.directory.go_down(false),
+            What::DiscoveryOld => self.directory.grow_old(false),
+            What::Release | What::Drain | What::Sighup => {}
+            _ => self.spare(place, &trouble).await,
+        }
+        self.note(format!("{:?} is over", trouble.what));
+    }
+
+    fn hup(&self) {
+        for host in self.hosts.borrow().iter() {
+            if let Some(process) = host.node.borrow().as_ref() {
+                process.signal(Signal::Hup);
+            }
+        }
+    }
+
+    fn targets(&self, trouble: &Trouble) -> Vec<Rc<Host>> {
+        let scenario = &self.scenario;
+        let tier = trouble.tier.as_ref().and_then(|name| scenario.tier(name));
+        let zone = scenario.zone_of(trouble);
+        let fits = |host: &&Rc<Host>| {
+            tier.is_none_or(|tier| host.tier == tier)
+                && zone.is_none_or(|zone| usize::from(host.zone) == zone)
+                && trouble.kind.as_ref().is_none_or(|kind| scenario.kinds[host.kind].name == *kind)
+                && host.is_up()
+                && !host.draining.get()
+        };
+        let mut hosts: Vec<Rc<Host>> = self.hosts.borrow().iter().filter(fits).cloned().collect();
+        hosts.shuffle(&mut *self.troubles.borrow_mut());
+        hosts.truncate(trouble.how_many(hosts.len()));
+        hosts
+    }
+
+    async fn strike(self: &Rc<Self>, place: usize, trouble: &Trouble) {
+        let hosts = self.targets(trouble);
+        self.note(format!("{:?} begins at {} servers", trouble.what, hosts.len()));
+        if trouble.what == What::Release {
+            spawn_local(self.clone().release(trouble.clone(), hosts));
+            return;
+        }
+        let now = self.clock.get().now();
+        for host in hosts {
+            self.catch_up(&host);
+            host.struck.strike(place, trouble.what, trouble.by());
+            match trouble.what {
+                What::Silent => {
+                    host.state.set(State::Silent);
+                    self.announce(&host, Standing::Gone, self.scenario.discovery.silent_s * 1000.0);
+                    self.stop_node(&host).await;
+                }
+                What::Stall => host.server.borrow_mut().stand_still(now + trouble.for_s * 1000.0),
+                What::Drain => self.drain(&host),
+                _ => {}
+            }
+            host.server.borrow_mut().pace = host.struck.pace();
+            host.bell.notify_one();
+        }
+    }
+
+    async fn spare(self: &Rc<Self>, place: usize, trouble: &Trouble) {
+        let hosts: Vec<Rc<Host>> = self.hosts.borrow().iter().cloned().collect();
+        for host in hosts.into_iter().filter(|host| host.struck.spare(place)) {
+            self.catch_up(&host);
+            host.server.borrow_mut().pace = host.struck.pace();
+            host.bell.notify_one();
+            if trouble.what == What::Silent && host.state.get() == State::Silent {
+                self.lose_all(&host);
+                if trouble.new_ids {
+                    self.announce(&host, Standing::Gone, 0.0);
+                    let id = format!("{}'", host.id.borrow());
+                    *host.id.borrow_mut() = id;
+                }
+                self.start_host(&host).await;
+            }
+        }
+    }
+
+    /// A process starts at the host's address: cold, with nothing known of it.
+    async fn start_host(self: &Rc<Self>, host: &Rc<Host>) {
+        let now = self.clock.get().now();
+        let scenario = &self.scenario;
+        let habits = &scenario.tiers[host.tier].server;
+        host.started.set(now);
+        host.draining.set(false);
+        let mut server = Server::new(&scenario.kinds[host.kind], habits, &scenario.rules, now, now);
+        server.pace = host.struck.pace();
+        *host.server.borrow_mut() = server;
+        self.record_life(host);
+        let was_down = host.state.replace(State::Up) == State::Down;
+        if was_down && let Err(problem) = self.listen(host) {
+            log::warn!("{problem}");
+        }
+        if self.calls(host) {
+            let (side, of) = (self.clone(), host.clone());
+            let started = self.start_node(host);
+            spawn_local(async move {
+                if let Err(problem) = started.and(side.node_up(&of).await) {
+                    log::warn!("{problem}");
+                }
+                side.announce(&of, Standing::Ready, 0.0);
+            });
+        } else {
+            self.announce(host, Standing::Ready, 0.0);
+        }
+        host.bell.notify_one();
+    }
+
+    fn drain(self: &Rc<Self>, host: &Rc<Host>) {
+        host.draining.set(true);
+        self.announce(host, Standing::Draining, 0.0);
+        let ends = self.clock.get().now() + self.scenario.drains_for();
+        let (side, host) = (self.clone(), host.clone());
+        spawn_local(async move {
+            sleep_until(side.clock.get().at(ends)).await;
+            side.catch_up(&host);
+            host.state.set(State::Down);
+            if let Some(listening) = host.listening.take() {
+                listening.abort();
+            }
+            side.lose_all(&host);
+            side.stop_node(&host).await;
+            side.announce(&host, Standing::Gone, 0.0);
+        });
+    }
+
+    async fn release(self: Rc<Self>, trouble: Trouble, hosts: Vec<Rc<Host>>) {
+        let at_once = trouble.by().max(1.0) as usize;
+        for (step, hosts) in hosts.chunks(at_once).enumerate() {
+            let at = (trouble.at_s + step as f64 * trouble.for_s) * 1000.0;
+            sleep_until(self.clock.get().at(at)).await;
+            for host in hosts.iter().filter(|host| host.is_up() && !host.draining.get()) {
+                let id = format!("{}+", host.id.borrow());
+                let new = self.add_host(host.tier, (host.zone, host.cell, host.kind), id);
+                if self.calls(&new) {
+                    let at = self.places.at(BESIDE_DISCOVERY, new.place);
+                    let asker = super::discovery::Asker::Beside(new.clone());
+                    if let Err(problem) = self.serve_directory(at, new.tier + 1, asker) {
+                        log::warn!("{problem}");
+                    }
+                }
+                self.start_host(&new).await;
+                self.drain(host);
+            }
+        }
+    }
+
+    /// Something about a server has changed; discovery notices after a while.
+    fn announce(self: &Rc<Self>, host: &Host, standing: Standing, after: f64) {
+        let (soonest, latest) = self.scenario.discovery.late_ms;
+        let late = soonest + (latest - soonest) * self.chance.borrow_mut().random::<f64>();
+        let at = self.clock.get().now() + after + late;
+        let line = line(host, standing);
+        let side = self.clone();
+        spawn_local(async move {
+            sleep_until(side.clock.get().at(at)).await;
+            side.directory.publish(line);
+        });
+    }
+
+    async fn close(self: Rc<Self>) -> FleetSeen {
+        let hosts: Vec<Rc<Host>> = self.hosts.borrow().iter().cloned().collect();
+        for host in hosts {
+            let process = host.node.take();
+            if let Some(mut process) = process {
+                process.kill().await;
+            }
+        }
+        FleetSeen {
+            seen: Seen { records: self.records.take(), late: self.late.borrow().clone() },
+            told_seats: self.told_seats.take(),
+        }
+    }
+}
+
+fn line(host: &Host, standing: Standing) -> Line {
+    Line {
+        id: host.id.borrow().clone(),
+        address: host.address,
+        tier: host.tier,
+        zone: host.zone,
+        cell: host.cell,
+        make: host.kind,
+        standing,
+        started: host.started.get(),
+        life: host.life.get(),
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/sockets/mod.rs
@@ -0,0 +1,192 @@
+//! The play on sockets: node programs on loopback addresses, between an emulated fleet with its discovery on one thread
+//! and callers on another, each a single-threaded runtime of its own. They share nothing but the time of the start and
+//! put their records together at the end.
+
+mod callers;
+mod client;
+mod discovery;
+mod fleet;
+mod processes;
+mod servers;
+
+use crate::record::{Job, NodeLife, Records};
+use crate::scenario::Scenario;
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+/// Time between all nodes' being up and the start.
+const SETTLE: Duration = Duration::from_millis(500);
+/// Longest lateness that is told apart, us.
+const LATE_MOST: u64 = 60_000_000;
+
+/// How nodes are started, and where their files go.
+#[derive(Debug, Clone)]
+pub struct NodeCommand {
+    /// Given to the shell, as the deploy file's `run` is.
+    pub run: String,
+    pub folder: PathBuf,
+}
+
+/// Milliseconds since the start of the play; negative before it.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    /// Unix time of the start, ms.
+    pub began: f64,
+}
+
+impl Clock {
+    fn starting_in(wait: Duration) -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default() + wait;
+        Self { start: Instant::now() + wait, began: unix.as_secs_f64() * 1000.0 }
+    }
+
+    pub fn now(&self) -> f64 {
+        let now = Instant::now();
+        if now >= self.start {
+            (now - self.start).as_secs_f64() * 1000.0
+        } else {
+            -(self.start - now).as_secs_f64() * 1000.0
+        }
+    }
+
+    pub fn at(&self, ms: f64) -> Instant {
+        self.start + Duration::from_secs_f64(ms.clamp(0.0, 1e10) / 1000.0)
+    }
+}
+
+/// Loopback addresses that no other play on this machine uses at the same time.
+#[derive(Debug, Clone, Copy)]
+pub struct Places {
+    network: [u8; 2],
+}
+
+impl Places {
+    fn new() -> Self {
+        let [.., high, low] = std::process::id().to_be_bytes();
+        Self { network: [128 | (high & 0x7f), low] }
+    }
+
+    /// The how many-th of a kind of place.
+    pub fn at(&self, kind: u16, number: usize) -> SocketAddrV4 {
+        let [high, low] = self.network;
+        // 127 is the loopback network; the process has a part of it, each number an address there.
+        let third = (number / 250) as u8 ^ low;
+        SocketAddrV4::new(Ipv4Addr::new(127, high, third, 1 + (number % 250) as u8), 21_000 + kind)
+    }
+}
+
+/// Kinds of places: servers, nodes of callers, nodes beside servers, and discovery for each.
+pub const SERVER: u16 = 0;
+pub const SEAT: u16 = 1;
+pub const BESIDE: u16 = 2;
+pub const SEAT_DISCOVERY: u16 = 3;
+pub const BESIDE_DISCOVERY: u16 = 4;
+
+/// What a node is told by its file.
+pub fn config(scenario: &Scenario, settings: &Value, known: &[Value], seed: u64) -> Value {
+    json!({"seed": format!("{seed:016x}"),
+        "limits": {"memory_mb": scenario.nodes.memory_mb, "sockets": scenario.nodes.sockets},
+        "known": {"generation": 1, "reset": true, "instances": known}, "settings": settings})
+}
+
+/// What one side of the play saw. Places of nodes are those of its own list.
+pub struct Seen {
+    pub records: Records,
+    pub late: Histogram<u64>,
+}
+
+pub fn lateness() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LATE_MOST, 3).expect("bounds that fit")
+}
+
+fn run_here<T>(work: impl Future<Output = T>) -> Result<T, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| format!("runtime: {error}"))?;
+    Ok(LocalSet::new().block_on(&runtime, work))
+}
+
+/// Plays the scenario in real time; `progress` hears now and then what share of it is done.
+pub fn play(
+    scenario: &Scenario,
+    seed: u64,
+    command: &NodeCommand,
+    progress: &mut dyn FnMut(f64),
+) -> Result<Records, String> {
+    std::fs::create_dir_all(&command.folder)
+        .map_err(|error| format!("{}: {error}", command.folder.display()))?;
+    let places = Places::new();
+    let (ready, is_ready) = oneshot::channel::<Result<(), String>>();
+    let (go, goes) = oneshot::channel::<Clock>();
+    let (stop, stops) = oneshot::channel::<()>();
+    let (shared, with) = (Arc::new(scenario.clone()), command.clone());
+    let fleet_of = shared.clone();
+    let side = std::thread::spawn(move || {
+        let scenario = std::rc::Rc::new((*fleet_of).clone());
+        run_here(fleet::side(scenario, seed, with, places, ready, goes, stops))
+    });
+    let callers = run_here(async {
+        let told = is_ready.await.map_err(|_| "the fleet's thread ended early".to_string())?;
+        told?;
+        let scenario = std::rc::Rc::new((*shared).clone());
+        let front = callers::Front::start(scenario.clone(), seed, command, places).await?;
+        let clock = Clock::starting_in(SETTLE);
+        go.send(clock).map_err(|_| "the fleet's thread ended early".to_string())?;
+        let seen = front.play(clock, progress).await;
+        let _ = stop.send(());
+        Ok::<Seen, String>(seen)
+    })?;
+    let fleet = side.join().map_err(|_| "the fleet's thread panicked".to_string())??;
+    Ok(merge(callers?, fleet?))
+}
+
+/// Puts both sides' records together: jobs and shots meet by the jobs' ids.
+fn merge(callers: Seen, fleet: fleet::FleetSeen) -> Records {
+    let mut late = callers.late;
+    // Both have the same bounds.
+    let _ = late.add(&fleet.seen.late);
+    let mut all = callers.records;
+    let offset = all.nodes.len();
+    let own = fleet.seen.records;
+    let life_of = |seat: usize, at: f64| -> Option<usize> {
+        let name = format!("n{seat}");
+        let fits = |life: &&NodeLife| life.name == name && life.from <= at;
+        let from = |life: &NodeLife| life.from;
+        let last = all.nodes.iter().filter(fits).map(from).fold(f64::NEG_INFINITY, f64::max);
+        all.nodes.iter().position(|life| life.name == name && life.from == last)
+    };
+    let mut told = Vec::new();
+    for (seat, mut word) in fleet.told_seats {
+        if let Some(life) = life_of(seat, word.at) {
+            word.node = life;
+            told.push(word);
+        }
+    }
+    told.extend(own.told.into_iter().map(|mut word| {
+        word.node += offset;
+        word
+    }));
+    all.told = told;
+    all.nodes.extend(own.nodes);
+    let moved = |mut job: Job| {
+        job.node += offset;
+        job
+    };
+    all.jobs.extend(own.jobs.into_iter().map(moved));
+    all.shots = own.shots;
+    all.servers = own.servers;
+    all.probes = own.probes;
+    all.connections = own.connections;
+    all.script.extend(own.script);
+    all.script.sort_by(|a, b| a.0.total_cmp(&b.0));
+    all.late = Some(late);
+    all
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/sockets/servers.rs
@@ -0,0 +1,509 @@
+//! Emulated servers on sockets: connections, messages and timers round the same `Server` that the model play drives.
+
+use super::client::{Asked, Client, Heard};
+use super::fleet::Side;
+use super::processes::Process;
+use crate::record::{Answer, Job, ServerLife, Shot, ShotEnd};
+use crate::repeats::Repeats;
+use crate::scenario::{Effect, Group, What};
+use crate::server::{Arrival, Happened, Need, Server};
+use crate::struck::Struck;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use pearfront::interface::Address;
+use rand::prelude::Rng;
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, sleep_until};
+
+/// Connections that the kernel keeps for a server that is up.
+const BACKLOG: i32 = 1024;
+/// Connections of our own that fill the queue of a silent one; more than it takes.
+const FILL: usize = 3;
+
+/// A job that a server holds.
+pub struct Pending {
+    root: u64,
+    asked: Asked,
+    limit: f64,
+    shot: usize,
+    starts: u64,
+    done: RefCell<Option<oneshot::Sender<ShotEnd>>>,
+}
+
+#[derive(Clone)]
+pub struct Ticket(Rc<Pending>);
+
+impl PartialEq for Ticket {
+    fn eq(&self, other: &Self) -> bool {
+        Rc::ptr_eq(&self.0, &other.0)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    Up,
+    Silent,
+    Down,
+}
+
+pub struct Host {
+    pub address: Address,
+    pub tier: usize,
+    pub zone: u16,
+    pub cell: u16,
+    pub kind: usize,
+    pub id: RefCell<String>,
+    pub state: Cell<State>,
+    pub draining: Cell<bool>,
+    pub life: Cell<usize>,
+    pub started: Cell<f64>,
+    pub server: RefCell<Server<Ticket>>,
+    pub struck: Struck,
+    /// Rings when its next due time may have moved.
+    pub bell: Notify,
+    /// Rises with each start; connections of earlier ones are dropped.
+    pub starts: watch::Sender<u64>,
+    pub listening: RefCell<Option<JoinHandle<()>>>,
+    /// The node beside it, and who calls through that.
+    pub node: RefCell<Option<Process>>,
+    pub node_life: Cell<usize>,
+    pub caller: RefCell<Option<Rc<Client>>>,
+    pub held: RefCell<Vec<Rc<Pending>>>,
+    pub place: usize,
+}
+
+impl Host {
+    pub fn is_up(&self) -> bool {
+        self.state.get() == State::Up
+    }
+}
+
+impl Side {
+    pub fn record_life(&self, host: &Host) {
+        let kind = &self.scenario.kinds[host.kind];
+        let mut records = self.records.borrow_mut();
+        host.life.set(records.servers.len());
+        records.servers.push(ServerLife {
+            id: host.id.borrow().clone(),
+            tier: host.tier,
+            zone: host.zone,
+            cell: host.cell,
+            cores: kind.cores,
+            speed: kind.speed,
+            started: host.started.get(),
+            fell: None,
+            used: 0.0,
+        });
+    }
+
+    /// Opens the server's address and serves what comes.
+    pub fn listen(self: &Rc<Self>, host: &Rc<Host>) -> Result<(), String> {
+        let address = crate::list::socket(host.address);
+        let bound = std::net::TcpListener::bind(address).and_then(|listener| {
+            listener.set_nonblocking(true)?;
+            SockRef::from(&listener).listen(BACKLOG)?;
+            TcpListener::from_std(listener)
+        });
+        let listener = bound.map_err(|error| format!("{address}: {error}"))?;
+        let (side, of) = (self.clone(), host.clone());
+        let task = spawn_local(async move { accept(side, of, listener).await });
+        if let Some(old) = host.listening.replace(Some(task)) {
+            old.abort();
+        }
+        Ok(())
+    }
+
+    /// Works on as time goes, as long as the play lasts.
+    pub async fn drive(self: Rc<Self>, host: Rc<Host>) {
+        loop {
+            let due = host.server.borrow().due();
+            if due.is_finite() && host.state.get() != State::Down {
+                tokio::select! {
+                    () = host.bell.notified() => {}
+                    () = sleep_until(self.clock.get().at(due)) => {
+                        let late = (self.clock.get().now() - due).max(0.0) * 1000.0;
+                        self.late.borrow_mut().saturating_record(late as u64);
+                    }
+                }
+            } else {
+                host.bell.notified().await;
+            }
+            self.catch_up(&host);
+        }
+    }
+
+    pub fn catch_up(self: &Rc<Self>, host: &Rc<Host>) {
+        let now = self.clock.get().now();
+        let happened = host.server.borrow_mut().advance(now);
+        for (Ticket(job), what) in happened {
+            match what {
+                Happened::Began => {}
+                Happened::Calls => self.call_next_tier(host, job),
+                Happened::Done => {
+                    let labelled = self.scenario.profiles[job.asked.profile].effect == Effect::Labelled;
+                    let first = self.repeats(host, &job.asked, Repeats::work_through);
+                    self.records.borrow_mut().shots[job.shot].effect = first || !labelled;
+                    self.end(host, &job, ShotEnd::Served);
+                }
+                Happened::Failed => self.end(host, &job, ShotEnd::Error),
+            }
+        }
+    }
+
+    fn end(&self, host: &Host, job: &Rc<Pending>, how: ShotEnd) {
+        host.held.borrow_mut().retain(|other| !Rc::ptr_eq(other, job));
+        self.records.borrow_mut().shots[job.shot].ended = Some((self.clock.get().now(), how));
+        let lost = self.chance.borrow_mut().random::<f64>() >= host.struck.spared(What::LostAnswers);
+        let done = job.done.take();
+        match done {
+            // Its connection stays open and silent.
+            Some(done) if lost => self.unanswered.borrow_mut().push(done),
+            Some(done) => drop(done.send(how)),
+            None => {}
+        }
+    }
+
+    fn repeats(&self, host: &Host, asked: &Asked, ask: impl Fn(&mut Repeats, u64, f64, f64) -> bool) -> bool {
+        let profile = &self.scenario.profiles[asked.profile];
+        if profile.effect != Effect::Labelled {
+            return false;
+        }
+        let group = match profile.group {
+            Group::All => 0,
+            Group::Zone => u32::from(host.zone),
+            Group::Cell => u32::from(host.cell),
+        };
+        let mut all = self.repeats.borrow_mut();
+        let repeats = all.entry((host.tier, asked.profile, group)).or_default();
+        ask(repeats, asked.label, self.clock.get().now(), profile.window_s * 1000.0)
+    }
+
+    fn call_next_tier(self: &Rc<Self>, host: &Rc<Host>, job: Rc<Pending>) {
+        let now = self.clock.get().now();
+        let caller = host.caller.borrow().clone();
+        let Some(caller) = caller.filter(|_| job.limit > now) else {
+            return self.call_ended(host, &job, false);
+        };
+        let trace = self.next_trace();
+        let fan = job.asked.fan * f64::from(self.scenario.tiers[host.tier].calls);
+        let asked = Asked { fan, ..job.asked.clone() };
+        let place = {
+            let mut records = self.records.borrow_mut();
+            records.jobs.push(Job {
+                trace,
+                root: job.root,
+                ask: None,
+                node: host.node_life.get(),
+                tier: host.tier + 1,
+                profile: asked.profile,
+                label: asked.label,
+                sent: now,
+                limit: job.limit,
+                left: None,
+                answers: Vec::new(),
+                cut: false,
+            });
+            records.jobs.len() - 1
+        };
+        let (side, host) = (self.clone(), host.clone());
+        spawn_local(async move {
+            let slack = side.scenario.rules.slack_ms;
+            let until = side.clock.get().at(job.limit + slack);
+            let heard =
+                tokio::time::timeout_at(until, caller.ask(trace, &asked, job.limit - now, || {})).await;
+            let at = side.clock.get().now();
+            let honoured = {
+                let job = &mut side.records.borrow_mut().jobs[place];
+                match heard {
+                    Ok(Heard::Answer { answer, body, .. }) => {
+                        job.answers.push(crate::record::Answered { at, answer, body });
+                        answer == Answer::Honoured
+                    }
+                    Ok(Heard::Refused | Heard::Cut) => {
+                        job.cut = true;
+                        false
+                    }
+                    Err(_) => {
+                        job.left = Some(at);
+                        false
+                    }
+                }
+            };
+            side.call_ended(&host, &job, honoured);
+        });
+    }
+
+    fn call_ended(self: &Rc<Self>, host: &Rc<Host>, job: &Rc<Pending>, good: bool) {
+        if job.starts != *host.starts.borrow() {
+            return;
+        }
+        self.catch_up(host);
+        let ended = host.server.borrow_mut().call_ended(&Ticket(job.clone()), good);
+        if ended.is_some() {
+            self.end(host, job, ShotEnd::Error);
+        }
+        host.bell.notify_one();
+    }
+
+    /// The process is gone with all that it held.
+    pub fn lose_all(&self, host: &Host) {
+        let now = self.clock.get().now();
+        for job in host.held.take() {
+            self.records.borrow_mut().shots[job.shot].ended = Some((now, ShotEnd::Lost));
+        }
+        host.starts.send_modify(|starts| *starts += 1);
+    }
+
+    /// Reads a job to its end, has it worked on and answers.
+    async fn job(
+        self: Rc<Self>,
+        host: Rc<Host>,
+        request: Request<Incoming>,
+        new: bool,
+    ) -> Response<Full<Bytes>> {
+        let sent = self.clock.get().now();
+        let (head, body) = request.into_parts();
+        let Some((trace, asked)) = self.decode(&head) else {
+            return answer(StatusCode::NOT_FOUND, "no job of this play");
+        };
+        if body.collect().await.is_err() {
+            return answer(StatusCode::BAD_REQUEST, "half a body");
+        }
+        let starts = *host.starts.borrow();
+        self.wait_while_silent(&host).await;
+        self.catch_up(&host);
+        let now = self.clock.get().now();
+        let tier = &self.scenario.tiers[host.tier];
+        let own = asked.work * tier.work / asked.fan;
+        let fails = self.chance.borrow_mut().random::<f64>() >= host.struck.spared(What::FastErrors);
+        let need = Need {
+            work: own + if new { tier.server.connect_work_ms } else { 0.0 },
+            calls: tier.calls,
+            fails,
+            repeat: self.repeats(&host, &asked, |repeats, label, now, _| repeats.knows(label, now)),
+        };
+        let shot = self.record_shot(&host, trace, sent, now, own);
+        let (done, is_done) = oneshot::channel();
+        let left =
+            head.headers.get("x-expires-in").and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
+        let pending = Rc::new(Pending {
+            root: asked.root,
+            asked,
+            limit: now + left.unwrap_or(0.0) * 1000.0,
+            shot,
+            starts,
+            done: RefCell::new(Some(done)),
+        });
+        let arrival = host.server.borrow_mut().arrive(Ticket(pending.clone()), need);
+        match arrival {
+            Arrival::Began | Arrival::Waits => host.held.borrow_mut().push(pending.clone()),
+            Arrival::TurnedAway => self.end(&host, &pending, ShotEnd::TurnedAway),
+            Arrival::Fell => {
+                let life = host.life.get();
+                self.records.borrow_mut().servers[life].fell = Some(now);
+                self.note(format!("{} falls over: cold and sent too much", host.id.borrow()));
+                host.held.borrow_mut().push(pending.clone());
+                if let Some(listening) = host.listening.take() {
+                    listening.abort();
+                }
+                self.lose_all(&host);
+            }
+        }
+        host.bell.notify_one();
+        let mut watch = Watch { side: self.clone(), host: host.clone(), pending, over: false };
+        let how = is_done.await;
+        watch.over = true;
+        match how {
+            Ok(ShotEnd::Served) => answer(StatusCode::OK, trace.to_string()),
+            Ok(ShotEnd::TurnedAway) => {
+                let mut full = answer(StatusCode::SERVICE_UNAVAILABLE, "full");
+                full.headers_mut().insert("x-never-ran", hyper::header::HeaderValue::from_static("1"));
+                full
+            }
+            _ => answer(StatusCode::INTERNAL_SERVER_ERROR, "error"),
+        }
+    }
+
+    fn record_shot(&self, host: &Host, trace: u64, sent: f64, came: f64, work: f64) -> usize {
+        let mut records = self.records.borrow_mut();
+        records.shots.push(Shot {
+            trace,
+            server: host.life.get(),
+            sent,
+            came,
+            work,
+            ended: None,
+            effect: false,
+            called_off: None,
+        });
+        records.shots.len() - 1
+    }
+
+    /// A silent machine says nothing, whatever stands at its connections.
+    async fn wait_while_silent(&self, host: &Host) {
+        if host.state.get() == State::Silent {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    fn decode(&self, head: &hyper::http::request::Parts) -> Option<(u64, Asked)> {
+        let trace = head.headers.get("x-trace-id")?.to_str().ok()?.parse().ok()?;
+        let name = head.uri.path().split('/').nth(1)?;
+        let profile = self.scenario.profiles.iter().position(|profile| profile.name == name)?;
+        let query = head.uri.query()?;
+        let figure = |key: &str| -> Option<f64> {
+            query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('=')?.parse().ok())
+        };
+        let label = head.headers.get("idempotency-key").and_then(|label| label.to_str().ok()?.parse().ok());
+        let asked = Asked {
+            profile,
+            customer: figure("c")? as usize,
+            label: label.unwrap_or(0),
+            work: figure("w")?,
+            fan: figure("f")?,
+            root: figure("r")? as u64,
+        };
+        Some((trace, asked))
+    }
+
+    async fn probe(self: Rc<Self>, host: Rc<Host>) -> Response<Full<Bytes>> {
+        self.wait_while_silent(&host).await;
+        if host.struck.has(What::LostReports) {
+            std::future::pending::<()>().await;
+        }
+        self.catch_up(&host);
+        self.records.borrow_mut().probes += 1;
+        let mut server = host.server.borrow_mut();
+        server.burden(self.scenario.tiers[host.tier].server.probe_work_ms);
+        let report = if host.struck.has(What::StaleReports) { server.old_report() } else { server.report() };
+        let text = format!(
+            "TEXT inflight={}, queue={}, util={:.3}",
+            report.held, report.waiting, report.utilisation
+        );
+        answer(StatusCode::OK, text)
+    }
+}
+
+/// Sees to it that the server hears when a job's connection is closed before its answer.
+struct Watch {
+    side: Rc<Side>,
+    host: Rc<Host>,
+    pending: Rc<Pending>,
+    over: bool,
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if self.over || self.pending.starts != *self.host.starts.borrow() {
+            return;
+        }
+        let now = self.side.clock.get().now();
+        let shot = self.pending.shot;
+        if self.side.records.borrow().shots[shot].ended.is_none() {
+            self.side.records.borrow_mut().shots[shot].called_off = Some(now);
+        }
+        let dropped = self.host.server.borrow_mut().call_off(&Ticket(self.pending.clone()));
+        if dropped {
+            self.side.records.borrow_mut().shots[shot].ended = Some((now, ShotEnd::Dropped));
+            self.host.held.borrow_mut().retain(|other| !Rc::ptr_eq(other, &self.pending));
+        }
+        self.host.bell.notify_one();
+    }
+}
+
+pub fn answer(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = status;
+    answer
+}
+
+async fn accept(side: Rc<Side>, host: Rc<Host>, listener: TcpListener) {
+    let mut filling: Vec<JoinHandle<()>> = Vec::new();
+    loop {
+        if host.state.get() == State::Silent {
+            // The queue is made as short as it gets and filled: further connections never come up.
+            let _ = SockRef::from(&listener).listen(0);
+            if filling.is_empty() {
+                let address = crate::list::socket(host.address);
+                filling = (0..FILL).map(|_| spawn_local(hold(address))).collect();
+            }
+            sleep(Duration::from_millis(10)).await;
+            continue;
+        }
+        if !filling.is_empty() {
+            filling.drain(..).for_each(|task| task.abort());
+            let _ = SockRef::from(&listener).listen(BACKLOG);
+        }
+        let accepted = tokio::time::timeout(Duration::from_millis(20), listener.accept()).await;
+        let Ok(Ok((stream, _))) = accepted else { continue };
+        let connected = host.server.borrow_mut().connect();
+        if connected {
+            side.records.borrow_mut().connections += 1;
+            spawn_local(serve(side.clone(), host.clone(), stream));
+        }
+    }
+}
+
+/// Holds a connection that nobody accepts.
+async fn hold(address: std::net::SocketAddrV4) {
+    if let Ok(_stream) = TcpStream::connect(address).await {
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn serve(side: Rc<Side>, host: Rc<Host>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let mut starts = host.starts.subscribe();
+    let busy = Rc::new(Cell::new(0u32));
+    let moved = Rc::new(Notify::new());
+    let new = Rc::new(Cell::new(true));
+    let service = {
+        let (side, host, busy, moved) = (side.clone(), host.clone(), busy.clone(), moved.clone());
+        service_fn(move |request: Request<Incoming>| {
+            let (side, host, busy, moved) = (side.clone(), host.clone(), busy.clone(), moved.clone());
+            let first = new.replace(false);
+            async move {
+                busy.set(busy.get() + 1);
+                let answer = match request.uri().path() {
+                    "/alive" | "/metrics/load" => side.probe(host).await,
+                    _ => side.job(host, request, first).await,
+                };
+                busy.set(busy.get() - 1);
+                moved.notify_one();
+                Ok::<_, std::convert::Infallible>(answer)
+            }
+        })
+    };
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    loop {
+        let idle = host.struck.idle(side.scenario.tiers[host.tier].server.idle_s);
+        tokio::select! {
+            _ = &mut connection => break,
+            // A new start: the old process's connections are gone.
+            _ = starts.changed() => break,
+            () = moved.notified() => {}
+            () = sleep(Duration::from_secs_f64(idle / 1000.0)), if busy.get() == 0 => {
+                if busy.get() == 0 {
+                    break;
+                }
+            }
+        }
+    }
+    host.server.borrow_mut().disconnect();
+}
+
+/// By tier, profile and group: what servers remember of labels.
+pub type AllRepeats = BTreeMap<(usize, usize, u32), Repeats>;
--- /dev/null
+++ b/crates/pearfront-emulator/src/struck.rs
@@ -0,0 +1,62 @@
+//! What troubles have struck a server, and what they do to it together.
+
+use crate::scenario::What;
+use std::cell::RefCell;
+
+/// Troubles under way at one server: place in the script, what, and how much.
+#[derive(Debug, Default)]
+pub struct Struck(RefCell<Vec<(usize, What, f64)>>);
+
+impl Struck {
+    pub fn strike(&self, place: usize, what: What, by: f64) {
+        self.0.borrow_mut().push((place, what, by));
+    }
+
+    /// Ends one; false if it did not strike here.
+    pub fn spare(&self, place: usize) -> bool {
+        let mut troubles = self.0.borrow_mut();
+        let before = troubles.len();
+        troubles.retain(|trouble| trouble.0 != place);
+        troubles.len() < before
+    }
+
+    pub fn has(&self, what: What) -> bool {
+        self.0.borrow().iter().any(|trouble| trouble.1 == what)
+    }
+
+    /// Chance that none of the troubles of a kind strikes a job.
+    pub fn spared(&self, what: What) -> f64 {
+        self.fold(what, 1.0, |spared, by| spared * (1.0 - by))
+    }
+
+    /// Share of its speed that is left.
+    pub fn pace(&self) -> f64 {
+        self.fold(What::Slow, 1.0, |pace, by| pace * by)
+    }
+
+    /// After this time, ms, it closes an idle connection, where that is `usual` seconds without troubles.
+    pub fn idle(&self, usual: f64) -> f64 {
+        self.fold(What::ShortIdle, usual, f64::min) * 1000.0
+    }
+
+    fn fold(&self, what: What, from: f64, with: fn(f64, f64) -> f64) -> f64 {
+        let troubles = self.0.borrow();
+        troubles.iter().filter(|trouble| trouble.1 == what).fold(from, |sum, trouble| with(sum, trouble.2))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn troubles_overlap_and_end_one_by_one() {
+        let struck = Struck::default();
+        struck.strike(0, What::Slow, 0.5);
+        struck.strike(1, What::Slow, 0.1);
+        struck.strike(2, What::FastErrors, 0.4);
+        assert_eq!((struck.pace(), struck.spared(What::FastErrors)), (0.05, 0.6));
+        assert!(struck.spare(1) && !struck.spare(1));
+        assert_eq!((struck.pace(), struck.has(What::FastErrors), struck.idle(30.0)), (0.5, true, 30_000.0));
+    }
+}
--- /dev/null
+++ b/crates/pearfront-node/tests/rehearsal.rs
@@ -0,0 +1,105 @@
+//! The node program in a short play on sockets, through silence, errors at once and a drain: the judge, who knows only
+//! what servers, callers and discovery saw, finds the rules kept.
+
+use pearfront_emulator::judge::judge;
+use pearfront_emulator::record::{Answer, ShotEnd};
+use pearfront_emulator::scenario::Scenario;
+use pearfront_emulator::sockets::{NodeCommand, play};
+
+// Limits are long and slack is wide: the tests beside this one may take the machine for a while.
+const SCENARIO: &str = r#"
+name = "a short play"
+length_s = 9
+zones = ["east", "west"]
+[[kinds]]
+name = "m"
+cores = 2
+[[tiers]]
+name = "front"
+servers = 4
+work = 0.5
+calls = 1
+[[tiers]]
+name = "core"
+servers = 5
+work = 0.5
+[[profiles]]
+name = "search"
+effect = "redoable"
+contract_ms = 2000
+limit_ms = 4000
+gain = 1
+share = 0.6
+work_ms = 10
+[[profiles]]
+name = "booking-in"
+effect = "labelled"
+group = "cell"
+contract_ms = 2000
+limit_ms = 4000
+gain = 8
+share = 0.2
+work_ms = 10
+[[profiles]]
+name = "cancel-refund"
+effect = "irreversible"
+contract_ms = 2000
+limit_ms = 4000
+gain = 3
+share = 0.2
+work_ms = 10
+[[customers]]
+name = "desks"
+share = 1
+quota_per_s = 500
+[callers]
+rate = 60
+[nodes]
+count = 2
+[discovery]
+late_ms = [50.0, 200.0]
+silent_s = 1.0
+[rules]
+slack_ms = 1000.0
+drain_grace_s = 3.0
+[[troubles]]
+what = "silent"
+at_s = 1
+for_s = 4
+tier = "core"
+count = 1
+new_ids = true
+[[troubles]]
+what = "fast-errors"
+at_s = 2
+for_s = 3
+tier = "front"
+count = 1
+by = 1
+[[troubles]]
+what = "drain"
+at_s = 3
+tier = "core"
+count = 1
+"#;
+
+#[test]
+fn the_node_keeps_the_rules_through_silence_errors_and_a_drain() {
+    let scenario = Scenario::parse(SCENARIO).unwrap_or_else(|mistake| panic!("{mistake}"));
+    let folder = std::env::temp_dir().join(format!("pearfront-rehearsal-{}", std::process::id()));
+    let run = format!("exec '{}'", env!("CARGO_BIN_EXE_pearfront-node"));
+    let command = NodeCommand { run, folder: folder.clone() };
+    let records = play(&scenario, 1, &command, &mut |_| {}).unwrap();
+    let verdict = judge(&scenario, &records);
+    assert!(verdict.broken.is_empty(), "{:?}", verdict.broken);
+    // Each trouble was there to be met: errors were seen, a server drained, one came back under a new id and was used.
+    let ended = |how| records.shots.iter().any(|shot| shot.ended.is_some_and(|(_, ended)| ended == how));
+    assert!(ended(ShotEnd::Error) && ended(ShotEnd::Served));
+    assert!(records.told.iter().any(|told| told.standing == pearfront::interface::Standing::Draining));
+    let back = records.servers.iter().position(|life| life.id.ends_with('\'')).expect("one that came back");
+    assert!(records.shots.iter().any(|shot| shot.server == back));
+    let answers = || records.jobs.iter().flat_map(|job| &job.answers);
+    let honoured = answers().filter(|answered| answered.answer == Answer::Honoured).count();
+    assert!(honoured * 2 > answers().count(), "{}", verdict.line());
+    std::fs::remove_dir_all(folder).unwrap();
+}
