--- /dev/null
+++ b/crates/pearfront-cli/tests/cli.rs
@@ -0,0 +1,130 @@
+//! The command line as a program: what it prints, what it leaves behind and how it ends.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_pearfront")).args(arguments).output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8(bytes.to_vec()).unwrap()
+}
+
+/// A folder that only this test has.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Self {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("pearfront-cli-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Self(folder)
+    }
+
+    fn path(&self, name: &str) -> String {
+        self.0.join(name).to_str().unwrap().to_string()
+    }
+
+    /// The calm minute, shorter, with changes.
+    fn scenario(&self, changes: &[(&str, &str)], more: &str) -> String {
+        let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../rehearsals/calm-minute.toml");
+        let mut text = std::fs::read_to_string(file).unwrap().replace("length_s = 60", "length_s = 12");
+        for (was, is) in changes {
+            assert!(text.contains(was), "{was}");
+            text = text.replace(was, is);
+        }
+        let path = self.path("scenario.toml");
+        std::fs::write(&path, text + more).unwrap();
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.0).unwrap();
+    }
+}
+
+#[test]
+fn a_play_that_keeps_the_rules_ends_with_0_and_one_line_for_machines() {
+    let folder = Folder::new();
+    let played = run(&["rehearse", &folder.scenario(&[], ""), "--out", &folder.path("out")]);
+    assert_eq!(played.status.code(), Some(0), "{}", text(&played.stderr));
+    let printed = text(&played.stdout);
+    let last = printed.lines().last().unwrap();
+    let pairs: Vec<(&str, &str)> = last.split(' ').map(|pair| pair.split_once('=').expect(last)).collect();
+    assert!(pairs.contains(&("rules", "kept")) && pairs.contains(&("void", "false")), "{last}");
+    assert!(pairs.iter().any(|(name, value)| *name == "service" && value.parse::<f64>().unwrap() > 0.9));
+    // No bar where nobody looks, and nothing in the log below a warning.
+    assert_eq!(text(&played.stderr), "");
+    for name in ["result.json", "seconds.tsv", "report.html"] {
+        assert!(folder.0.join("out").join(name).is_file(), "{name}");
+    }
+}
+
+#[test]
+fn a_broken_rule_ends_with_3_and_is_named() {
+    let folder = Folder::new();
+    // A cold server bears next to nothing, and random choice does not care.
+    let more = "[discovery]\nlate_ms = [1, 2]\n[rules]\ntip_multiple = 0.3\n[[troubles]]\nwhat = \"silent\"\nat_s = 1\nfor_s = 2\ncount = 4\n";
+    let scenario = folder.scenario(&[], more);
+    let played = run(&["rehearse", &scenario, "--policy", "random"]);
+    assert_eq!(played.status.code(), Some(3), "{}", text(&played.stdout));
+    assert!(text(&played.stdout).contains("rule broken: cold-servers"));
+    assert!(text(&played.stdout).lines().last().unwrap().contains("rules=cold-servers"));
+}
+
+#[test]
+fn bad_input_ends_with_2_and_names_key_and_line() {
+    let folder = Folder::new();
+    let scenario = folder.scenario(&[("cores = 2", "cores = 0")], "");
+    for command in ["check", "rehearse"] {
+        let told = run(&[command, &scenario]);
+        assert_eq!(told.status.code(), Some(2));
+        assert!(
+            text(&told.stderr).contains("line 12: kinds[0].cores: 0 is not above 0"),
+            "{}",
+            text(&told.stderr)
+        );
+    }
+    assert_eq!(run(&["check", "nowhere.toml"]).status.code(), Some(2));
+    assert_eq!(run(&["rehearse", &folder.scenario(&[], ""), "--policy", "best"]).status.code(), Some(2));
+    let sockets = run(&["rehearse", &folder.scenario(&[], ""), "--play", "sockets", "--policy", "random"]);
+    assert_eq!(sockets.status.code(), Some(2));
+}
+
+#[test]
+fn a_node_program_that_does_not_start_is_told_and_ends_with_1() {
+    let folder = Folder::new();
+    let scenario = folder.scenario(&[], "");
+    let nodes = folder.path("no-such-program");
+    let out = folder.path("out");
+    let played = run(&["rehearse", &scenario, "--play", "sockets", "--nodes", &nodes, "--out", &out]);
+    assert_eq!(played.status.code(), Some(1));
+    let told = text(&played.stderr);
+    assert!(told.contains("did not start") || told.contains("ended at its start"), "{told}");
+}
+
+#[test]
+fn sets_of_seeds_are_compared_and_pages_made_anew() {
+    let folder = Folder::new();
+    let scenario = folder.scenario(&[("rate = 750", "rate = 200")], "");
+    for (policy, out) in [("module", "one"), ("random", "other")] {
+        let played =
+            run(&["rehearse", &scenario, "--seeds", "2", "--policy", policy, "--out", &folder.path(out)]);
+        assert_eq!(played.status.code(), Some(0), "{}", text(&played.stderr));
+    }
+    let compared = run(&["compare", &folder.path("one"), &folder.path("other")]);
+    let printed = text(&compared.stdout);
+    assert_eq!(compared.status.code(), Some(0));
+    assert!(printed.contains("service") && printed.contains("within noise"), "{printed}");
+    assert!(printed.contains("one: 2 plays, 0 with a rule broken"), "{printed}");
+    let page = folder.0.join("one/seed-2/report.html");
+    std::fs::remove_file(&page).unwrap();
+    assert_eq!(run(&["plot", &folder.path("one")]).status.code(), Some(0));
+    assert!(page.is_file());
+    assert_eq!(run(&["compare", &folder.path("one"), &folder.path("none")]).status.code(), Some(2));
+}
--- a/crates/pearfront-emulator/src/model/nodes.rs
+++ b/crates/pearfront-emulator/src/model/nodes.rs
@@ -9,7 +9,7 @@
 use pearfront::interface::{Address, Ending, Listing, Standing};
 use rand::prelude::Rng;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// Share of the stated idle time for which a node keeps a connection.
@@ -497,7 +497,8 @@
         let mut out: Vec<Listing> = Vec::new();
         if whole {
             // Who the whole list lacks is gone, as far as this node is told.
-            let gone = known.values().filter(|old| lines.iter().all(|line| line.life != old.life));
+            let listed: BTreeSet<usize> = lines.iter().map(|line| line.life).collect();
+            let gone = known.values().filter(|old| !listed.contains(&old.life));
             let gone: Vec<usize> = gone.map(|line| line.life).collect();
             for server in gone {
                 self.records.told.push(Told {
--- a/crates/pearfront-emulator/src/sockets/callers.rs
+++ b/crates/pearfront-emulator/src/sockets/callers.rs
@@ -249,8 +249,9 @@
             let job = &mut self.records.borrow_mut().jobs[job];
             match heard {
                 Ok(Heard::Answer { answer, body, .. }) => job.answers.push(Answered { at, answer, body }),
-                Ok(Heard::Refused | Heard::Cut) => job.cut = true,
-                Err(_) => job.left = Some(at),
+                Ok(Heard::Cut) => job.cut = true,
+                // Written to a kept connection just as that was closed, and then to nobody: it was never taken.
+                Ok(Heard::Refused) | Err(_) => job.left = Some(at),
             }
         }
         heard.ok()
--- a/crates/pearfront-emulator/tests/plays.rs
+++ b/crates/pearfront-emulator/tests/plays.rs
@@ -6,7 +6,7 @@
 use pearfront_emulator::model::{Options, play};
 use pearfront_emulator::record::{Answer, Records, ShotEnd};
 use pearfront_emulator::report::Outcome;
-use pearfront_emulator::scenario::Scenario;
+use pearfront_emulator::scenario::{Rate, Scenario};
 use std::collections::{BTreeMap, BTreeSet};
 use test_case::test_case;
 
@@ -221,12 +221,13 @@
 }
 
 #[test]
-fn a_node_that_is_told_to_end_answers_all_that_it_holds() {
-    let scenario = scenario("[[troubles]]\nwhat = \"restart-nodes\"\nat_s = 8\nfor_s = 2\n");
+fn a_node_that_is_told_to_end_in_a_burst_answers_all_that_it_holds() {
+    let mut scenario = scenario("[[troubles]]\nwhat = \"restart-nodes\"\nat_s = 8\nfor_s = 2\n");
+    scenario.callers.rate = Rate::Curve(vec![(7.0, 150.0), (7.5, 900.0), (9.0, 900.0), (9.5, 150.0)]);
     let (records, verdict) = run(&scenario, Policy::Module, None);
     assert!(broken(&verdict).is_empty(), "{:?}", verdict.broken);
     let held = records.jobs.iter().filter(|job| job.ask.is_some() && (7500.0..8000.0).contains(&job.sent));
-    assert!(held.clone().count() > 10 && held.clone().all(|job| job.answers.len() == 1));
+    assert!(held.clone().count() > 200 && held.clone().all(|job| job.answers.len() == 1));
 }
 
 #[test]
--- a/crates/pearfront-node/tests/rehearsal.rs
+++ b/crates/pearfront-node/tests/rehearsal.rs
@@ -1,5 +1,5 @@
-//! The node program in a short play on sockets, through silence, errors at once and a drain: the judge, who knows only
-//! what servers, callers and discovery saw, finds the rules kept.
+//! The node program in a short play on sockets, through silence, errors at once, a drain, a node killed and one told to
+//! end: the judge, who knows only what servers, callers and discovery saw, finds the rules kept.
 
 use pearfront_emulator::judge::judge;
 use pearfront_emulator::record::{Answer, ShotEnd};
@@ -81,10 +81,23 @@
 at_s = 3
 tier = "core"
 count = 1
+[[troubles]]
+what = "restart-nodes"
+at_s = 4
+for_s = 0.5
+count = 1
+[[troubles]]
+what = "kill-nodes"
+at_s = 1.5
+for_s = 0.5
+count = 1
+[[troubles]]
+what = "sighup"
+at_s = 2.5
 "#;
 
 #[test]
-fn the_node_keeps_the_rules_through_silence_errors_and_a_drain() {
+fn the_node_keeps_the_rules_through_silence_errors_a_drain_and_restarts() {
     let scenario = Scenario::parse(SCENARIO).unwrap_or_else(|mistake| panic!("{mistake}"));
     let folder = std::env::temp_dir().join(format!("pearfront-rehearsal-{}", std::process::id()));
     let run = format!("exec '{}'", env!("CARGO_BIN_EXE_pearfront-node"));
@@ -98,6 +111,8 @@
     assert!(records.told.iter().any(|told| told.standing == pearfront::interface::Standing::Draining));
     let back = records.servers.iter().position(|life| life.id.ends_with('\'')).expect("one that came back");
     assert!(records.shots.iter().any(|shot| shot.server == back));
+    let starts = |name| records.nodes.iter().filter(|life| life.name == name).count();
+    assert_eq!(starts("n0") + starts("n1"), 4);
     let answers = || records.jobs.iter().flat_map(|job| &job.answers);
     let honoured = answers().filter(|answered| answered.answer == Answer::Honoured).count();
     assert!(honoured * 2 > answers().count(), "{}", verdict.line());
