--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -17,16 +17,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
-use tokio::task::{spawn_local, yield_now};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
 /// Added to each wake, ms, so that rounding never lets a round come just before what it is for.
 const ROUNDING: f64 = 0.01;
-/// A round that took long is followed by a rest of so many times as long, up to the settings' `round`: with much held
-/// back, rounds would else take all of a small share of a core.
-const REST: f64 = 4.0;
-/// Rests shorter than this, ms, are none: the runtime's timers are no finer.
-const REST_LEAST: f64 = 1.0;
 /// A wake that never comes, ms: some thirty years.
 const NEVER: f64 = 1e12;
 
@@ -204,8 +199,7 @@
         self.forget(held);
     }
 
-    /// Rounds, as long as the node runs: one as soon as something came in, or once a wake is due, which is never sooner
-    /// than `round` after the last. What comes in while others are served waits together for the next.
+    /// Rounds, as long as the node runs: one once something came in or a wake is due, no two closer than `round`.
     pub async fn drive(self: Rc<Self>, mut balancer: Balancer, round: f64) {
         let mut wake = NEVER;
         loop {
@@ -224,14 +218,9 @@
             };
             let mut decisions = Decisions { route: &self, now, wake };
             let Ok(()) = balancer.round(now, feed, &mut decisions);
-            wake = decisions.wake.max(now + round);
+            wake = decisions.wake;
             self.book.rounds.add();
-            let rest = (REST * (self.clock.now() - now)).min(round);
-            if rest < REST_LEAST {
-                yield_now().await;
-            } else {
-                sleep_until(self.clock.at(now + rest)).await;
-            }
+            sleep_until(self.clock.at(now + round)).await;
         }
     }
 }
