What groups remember of labels is looked up in one place by both plays

Found on reading the change again: the model's and the sockets' servers each worked out a label's group.

--- a/crates/pearfront-emulator/src/model/hosts.rs
+++ b/crates/pearfront-emulator/src/model/hosts.rs
@@ -4,8 +4,8 @@
 use super::{BESIDE, Event, World};
 use crate::decide::{SeesAll, Truth};
 use crate::record::{ServerLife, Shot, ShotEnd};
-use crate::repeats::Repeats;
-use crate::scenario::{Effect, Group, Scenario, What};
+use crate::repeats::{Groups, Repeats};
+use crate::scenario::{Effect, Scenario, What};
 use crate::server::{Arrival, Happened, Need, Server};
 use crate::struck::Struck;
 use pearfront::interface::{Address, Ending};
@@ -107,8 +107,8 @@
 pub struct Fleet {
     pub hosts: RefCell<Vec<Rc<Host>>>,
     pub at: RefCell<BTreeMap<Address, Rc<Host>>>,
-    /// What each group of servers of a tier knows of labels: by tier, profile and group.
-    pub repeats: RefCell<BTreeMap<(usize, usize, u32), Repeats>>,
+    /// What each group of servers knows of labels.
+    pub repeats: RefCell<Groups>,
     now: Cell<f64>,
     pub addressed: Cell<u32>,
 }
@@ -282,18 +282,11 @@
         flight: &Flight,
         ask: impl Fn(&mut Repeats, u64, f64, f64) -> bool,
     ) -> bool {
-        let profile = &self.scenario.profiles[flight.job.profile];
-        if profile.effect != Effect::Labelled {
-            return false;
-        }
-        let group = match profile.group {
-            Group::All => 0,
-            Group::Zone => u32::from(host.zone),
-            Group::Cell => u32::from(host.cell),
-        };
-        let mut all = self.fleet.repeats.borrow_mut();
-        let repeats = all.entry((host.tier, flight.job.profile, group)).or_default();
-        ask(repeats, flight.job.label, self.now, profile.window_s * 1000.0)
+        let profile = flight.job.profile;
+        let mut groups = self.fleet.repeats.borrow_mut();
+        let repeats = groups.of(&self.scenario, host.tier, (host.zone, host.cell), profile);
+        let window = self.scenario.profiles[profile].window_s * 1000.0;
+        repeats.is_some_and(|repeats| ask(repeats, flight.job.label, self.now, window))
     }
 
     fn served(&mut self, host: &Rc<Host>, flight: &Rc<Flight>) {
--- a/crates/pearfront-emulator/src/repeats.rs
+++ b/crates/pearfront-emulator/src/repeats.rs
@@ -1,5 +1,6 @@
 //! What a group of servers (all, a zone, a cell) remembers of labelled jobs. It outlives any one of its servers.
 
+use crate::scenario::{Effect, Group, Scenario};
 use std::collections::BTreeMap;
 
 /// Labels whose effect a group has had, and until when it knows them.
@@ -29,6 +30,30 @@
     }
 }
 
+/// The memories of all groups of a fleet, by tier, profile and group.
+#[derive(Debug, Default)]
+pub struct Groups(BTreeMap<(usize, usize, u32), Repeats>);
+
+impl Groups {
+    /// What a server's group remembers of a profile; nothing for jobs without a label.
+    pub fn of(
+        &mut self,
+        scenario: &Scenario,
+        tier: usize,
+        (zone, cell): (u16, u16),
+        profile: usize,
+    ) -> Option<&mut Repeats> {
+        let wanted = &scenario.profiles[profile];
+        let group = match wanted.group {
+            Group::All => 0,
+            Group::Zone => u32::from(zone),
+            Group::Cell => u32::from(cell),
+        };
+        let labelled = wanted.effect == Effect::Labelled;
+        labelled.then(|| self.0.entry((tier, profile, group)).or_default())
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/pearfront-emulator/src/sockets/fleet.rs
+++ b/crates/pearfront-emulator/src/sockets/fleet.rs
@@ -2,13 +2,14 @@
 
 use super::discovery::Directory;
 use super::processes::{Process, Signal};
-use super::servers::{AllRepeats, Host, State};
+use super::servers::{Host, State};
 use super::{
     BESIDE, BESIDE_DISCOVERY, Clock, NodeCommand, Places, SEAT_DISCOVERY, SERVER, Seen, config, lateness,
 };
 use crate::list::{Line, address};
 use crate::platform;
 use crate::record::{NodeEnd, NodeLife, Records, ShotEnd, Told};
+use crate::repeats::Groups;
 use crate::scenario::{Scenario, Trouble, What};
 use crate::server::Server;
 use crate::struck::Struck;
@@ -31,7 +32,7 @@
     pub late: RefCell<Histogram<u64>>,
     pub chance: RefCell<ChaCha8Rng>,
     pub hosts: RefCell<Vec<Rc<Host>>>,
-    pub repeats: RefCell<AllRepeats>,
+    pub repeats: RefCell<Groups>,
     pub directory: Directory,
     /// Answers that were lost on their way: their connections stay open and silent.
     pub unanswered: RefCell<Vec<oneshot::Sender<ShotEnd>>>,
--- a/crates/pearfront-emulator/src/sockets/servers.rs
+++ b/crates/pearfront-emulator/src/sockets/servers.rs
@@ -5,7 +5,7 @@
 use super::processes::Process;
 use crate::record::{Answer, Job, ServerLife, Shot, ShotEnd};
 use crate::repeats::Repeats;
-use crate::scenario::{Effect, Group, What};
+use crate::scenario::{Effect, What};
 use crate::server::{Arrival, Happened, Need, Server};
 use crate::struck::Struck;
 use bytes::Bytes;
@@ -19,7 +19,6 @@
 use rand::prelude::Rng;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -176,18 +175,10 @@
     }
 
     fn repeats(&self, host: &Host, asked: &Asked, ask: impl Fn(&mut Repeats, u64, f64, f64) -> bool) -> bool {
-        let profile = &self.scenario.profiles[asked.profile];
-        if profile.effect != Effect::Labelled {
-            return false;
-        }
-        let group = match profile.group {
-            Group::All => 0,
-            Group::Zone => u32::from(host.zone),
-            Group::Cell => u32::from(host.cell),
-        };
-        let mut all = self.repeats.borrow_mut();
-        let repeats = all.entry((host.tier, asked.profile, group)).or_default();
-        ask(repeats, asked.label, self.clock.get().now(), profile.window_s * 1000.0)
+        let mut groups = self.repeats.borrow_mut();
+        let repeats = groups.of(&self.scenario, host.tier, (host.zone, host.cell), asked.profile);
+        let window = self.scenario.profiles[asked.profile].window_s * 1000.0;
+        repeats.is_some_and(|repeats| ask(repeats, asked.label, self.clock.get().now(), window))
     }
 
     fn call_next_tier(self: &Rc<Self>, host: &Rc<Host>, job: Rc<Pending>) {
@@ -504,6 +495,3 @@
     }
     host.server.borrow_mut().disconnect();
 }
-
-/// By tier, profile and group: what servers remember of labels.
-pub type AllRepeats = BTreeMap<(usize, usize, u32), Repeats>;
