Reading the rehearsals again: unread state goes, both plays share a server's life and standing

Found on reading the change: core time that was summed and recorded but read by nobody, a client's flag that nothing asked for, an address in a cell that never changes, two copies of a server's state and of its record, and the judge working out twice which node took which job.

--- a/crates/pearfront-emulator/src/judge.rs
+++ b/crates/pearfront-emulator/src/judge.rs
@@ -127,6 +127,8 @@
     scenario: &'a Scenario,
     records: &'a Records,
     shots: ShotsOf<'a>,
+    /// Which node's life each job was taken by.
+    nodes: BTreeMap<u64, usize>,
     cases: [Vec<String>; 4],
 }
 
@@ -136,7 +138,8 @@
         shots.entry(shot.trace).or_default().push(shot);
     }
     shots.values_mut().for_each(|shots| shots.sort_by(|a, b| a.came.total_cmp(&b.came)));
-    let mut court = Court { scenario, records, shots, cases: Default::default() };
+    let nodes = records.jobs.iter().map(|job| (job.trace, job.node)).collect();
+    let mut court = Court { scenario, records, shots, nodes, cases: Default::default() };
     records.jobs.iter().for_each(|job| court.job(job));
     court.drains();
     court.cold();
@@ -234,11 +237,6 @@
         }
     }
 
-    /// Which node's life a shot came from.
-    fn nodes(&self) -> BTreeMap<u64, usize> {
-        self.records.jobs.iter().map(|job| (job.trace, job.node)).collect()
-    }
-
     /// Rule 3: nothing new to a server that the node knows to drain or to be gone.
     fn drains(&mut self) {
         let mut ends: BTreeMap<(usize, usize), f64> = BTreeMap::new();
@@ -249,10 +247,9 @@
         if ends.is_empty() {
             return;
         }
-        let nodes = self.nodes();
         let grace = self.scenario.rules.drain_grace_s * 1000.0;
         for shot in &self.records.shots {
-            let told = nodes.get(&shot.trace).and_then(|node| ends.get(&(*node, shot.server)));
+            let told = self.nodes.get(&shot.trace).and_then(|node| ends.get(&(*node, shot.server)));
             if let Some(at) = told.filter(|at| shot.sent > **at + grace) {
                 let server = &self.records.servers[shot.server].id;
                 self.cases[2].push(format!(
@@ -272,7 +269,6 @@
         if cold.is_empty() {
             return;
         }
-        let nodes = self.nodes();
         let mut knows: BTreeMap<(usize, usize), f64> = BTreeMap::new();
         for told in &self.records.told {
             let at = knows.entry((told.node, told.server)).or_insert(told.at);
@@ -286,7 +282,7 @@
             let mut shots = by_server.remove(&server).unwrap_or_default();
             shots.sort_by(|a, b| a.came.total_cmp(&b.came));
             let knowing = |shot: &Shot| {
-                let node = nodes.get(&shot.trace);
+                let node = self.nodes.get(&shot.trace);
                 node.is_some_and(|node| knows.get(&(*node, server)).is_some_and(|at| *at <= shot.sent))
             };
             if let Some(what) = self.pushed_over(server, &shots, knowing) {
--- a/crates/pearfront-emulator/src/model/directory.rs
+++ b/crates/pearfront-emulator/src/model/directory.rs
@@ -54,7 +54,7 @@
 pub fn line(host: &Host, standing: Standing) -> Line {
     Line {
         id: host.id.borrow().clone(),
-        address: host.address.get(),
+        address: host.address,
         tier: host.tier,
         zone: host.zone,
         cell: host.cell,
--- a/crates/pearfront-emulator/src/model/hosts.rs
+++ b/crates/pearfront-emulator/src/model/hosts.rs
@@ -7,7 +7,7 @@
 use crate::repeats::{Groups, Repeats};
 use crate::scenario::{Effect, Scenario, What};
 use crate::server::{Arrival, Happened, Need, Server};
-use crate::struck::Struck;
+use crate::struck::{State, Struck};
 use pearfront::interface::{Address, Ending};
 use rand::prelude::Rng;
 use rand_distr::{Distribution, Exp};
@@ -25,17 +25,8 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum State {
-    Up,
-    /// Says nothing: connections stay open and silent, new ones never come up.
-    Silent,
-    /// No process: connections are refused.
-    Down,
-}
-
 pub struct Host {
-    pub address: Cell<Address>,
+    pub address: Address,
     pub tier: usize,
     pub zone: u16,
     pub cell: u16,
@@ -68,7 +59,7 @@
         let habits = &scenario.tiers[tier].server;
         let server = Server::new(&scenario.kinds[kind], habits, &scenario.rules, f64::NEG_INFINITY, 0.0);
         Rc::new(Host {
-            address: Cell::new(address),
+            address,
             tier,
             zone,
             cell,
@@ -166,25 +157,16 @@
         let address = self.fleet.fresh_address();
         let host = Host::new(&self.scenario, address, (tier, zone, cell, kind), id, State::Up);
         self.record_life(&host);
-        self.fleet.at.borrow_mut().insert(host.address.get(), host.clone());
+        self.fleet.at.borrow_mut().insert(host.address, host.clone());
         self.fleet.hosts.borrow_mut().push(host.clone());
         self.next_pause(&host);
     }
 
     pub fn record_life(&mut self, host: &Host) {
-        let kind = &self.scenario.kinds[host.kind];
+        let place = (host.tier, host.zone, host.cell, host.kind);
+        let life = ServerLife::new(&self.scenario, host.id.borrow().clone(), place, host.started.get());
         host.life.set(self.records.servers.len());
-        self.records.servers.push(ServerLife {
-            id: host.id.borrow().clone(),
-            tier: host.tier,
-            zone: host.zone,
-            cell: host.cell,
-            cores: kind.cores,
-            speed: kind.speed,
-            started: host.started.get(),
-            fell: None,
-            used: 0.0,
-        });
+        self.records.servers.push(life);
     }
 
     pub fn next_pause(&mut self, host: &Rc<Host>) {
--- a/crates/pearfront-emulator/src/model/mod.rs
+++ b/crates/pearfront-emulator/src/model/mod.rs
@@ -111,7 +111,7 @@
         }
         world.happen(event);
     }
-    world.close()
+    world.records
 }
 
 impl World {
@@ -209,11 +209,4 @@
         log::info!(at_s = self.now / 1000.0; "{line}");
         self.records.script.push((self.now / 1000.0, line));
     }
-
-    fn close(mut self) -> Records {
-        for host in self.fleet.hosts.borrow().iter() {
-            self.records.servers[host.life.get()].used = host.server.borrow().used_in_all;
-        }
-        self.records
-    }
 }
--- a/crates/pearfront-emulator/src/model/nodes.rs
+++ b/crates/pearfront-emulator/src/model/nodes.rs
@@ -6,6 +6,7 @@
 use crate::decide::{Act, Decider, Fault, Module, Plain, Policy, Word};
 use crate::list::Line;
 use crate::record::{Answer, Job, NodeEnd, NodeLife, Told};
+use crate::struck::State;
 use pearfront::interface::{Address, Ending, Listing, Standing};
 use rand::prelude::Rng;
 use std::cell::{Cell, RefCell};
@@ -318,7 +319,7 @@
         if let Some((used, starts)) = kept {
             let closed = starts != host.starts.get()
                 || self.now - used >= host.struck.idle(self.scenario.tiers[host.tier].server.idle_s);
-            if host.state.get() == super::hosts::State::Silent {
+            if host.state.get() == State::Silent {
                 return;
             }
             if closed || !host.is_up() {
@@ -329,10 +330,10 @@
             return self.agenda.put(self.now + there, Event::ShotArrives(flight));
         }
         match host.state.get() {
-            super::hosts::State::Silent => {
+            State::Silent => {
                 self.agenda.put(self.now + self.scenario.nodes.connect_ms, ends(Ending::Unconnected));
             }
-            super::hosts::State::Up if host.server.borrow_mut().connect() => {
+            State::Up if host.server.borrow_mut().connect() => {
                 self.records.connections += 1;
                 host.flights.borrow_mut().push(flight.clone());
                 self.agenda.put(self.now + 2.0 * there + back, Event::ShotArrives(flight));
@@ -357,7 +358,7 @@
     /// The idle connection that was used last, and which start of the server it is to.
     fn kept_connection(&self, node: &Node, host: &Host) -> Option<(f64, u64)> {
         let mut idle = node.idle.borrow_mut();
-        let kept = idle.get_mut(&host.address.get())?.pop()?;
+        let kept = idle.get_mut(&host.address)?.pop()?;
         let fresh = self.now - kept.0 < KEPT * self.scenario.nodes.idle_s * 1000.0;
         if !fresh && kept.1 == host.starts.get() {
             host.server.borrow_mut().disconnect();
@@ -400,7 +401,7 @@
         let node = flight.job.node.clone();
         if matches!(ending, Ending::Honoured | Ending::Error | Ending::Full) {
             let kept = (self.now, flight.starts);
-            node.idle.borrow_mut().entry(flight.host.address.get()).or_default().push(kept);
+            node.idle.borrow_mut().entry(flight.host.address).or_default().push(kept);
         }
         if ending == Ending::Honoured {
             self.give(&flight.job.clone(), Answer::Honoured, body, 0.0);
--- a/crates/pearfront-emulator/src/model/script.rs
+++ b/crates/pearfront-emulator/src/model/script.rs
@@ -1,12 +1,13 @@
 //! The script of troubles in the model play: who is struck, and what begins and ends when.
 
-use super::hosts::{Host, State};
+use super::hosts::Host;
 use super::nodes::Seat;
 use super::{Event, World};
 use crate::decide::Word;
 use crate::record::NodeEnd;
 use crate::scenario::{Trouble, What};
 use crate::server::Server;
+use crate::struck::State;
 use pearfront::interface::{Ending, Standing};
 use rand::seq::SliceRandom;
 use std::rc::Rc;
@@ -142,9 +143,8 @@
     /// A process starts at the host's address: cold, with nothing known of it.
     pub fn start_host(&mut self, host: &Rc<Host>) {
         let scenario = self.scenario.clone();
-        if host.state.get() == State::Silent {
-            self.records.servers[host.life.get()].used = host.server.borrow().used_in_all;
-        } else {
+        // One that was silent has its pauses drawn already.
+        if host.state.get() != State::Silent {
             self.next_pause(host);
         }
         host.started.set(self.now);
@@ -197,7 +197,7 @@
     /// A machine that is not up yet, to take another's place.
     fn replacement(&self, host: &Host) -> Rc<Host> {
         let new = host.twin(&self.scenario, self.fleet.fresh_address());
-        self.fleet.at.borrow_mut().insert(new.address.get(), new.clone());
+        self.fleet.at.borrow_mut().insert(new.address, new.clone());
         self.fleet.hosts.borrow_mut().push(new.clone());
         new
     }
--- a/crates/pearfront-emulator/src/record.rs
+++ b/crates/pearfront-emulator/src/record.rs
@@ -1,6 +1,7 @@
 //! What servers, callers and discovery saw of a play. The judge reads this and nothing else; no node writes into it.
 //! Times are milliseconds from the start of the play.
 
+use crate::scenario::Scenario;
 use hdrhistogram::Histogram;
 use pearfront::interface::Standing;
 
@@ -91,8 +92,19 @@
     /// Negative infinity if it is long warm.
     pub started: f64,
     pub fell: Option<f64>,
-    /// Core time used, ms.
-    pub used: f64,
+}
+
+impl ServerLife {
+    /// One that begins at `started`, of a tier, zone, cell and kind.
+    pub fn new(
+        scenario: &Scenario,
+        id: String,
+        (tier, zone, cell, kind): (usize, u16, u16, usize),
+        started: f64,
+    ) -> Self {
+        let kind = &scenario.kinds[kind];
+        Self { id, tier, zone, cell, cores: kind.cores, speed: kind.speed, started, fell: None }
+    }
 }
 
 /// What discovery told a node of a server, and when.
--- a/crates/pearfront-emulator/src/server.rs
+++ b/crates/pearfront-emulator/src/server.rs
@@ -91,8 +91,6 @@
     used: f64,
     used_since: f64,
     report: Report,
-    /// All core time used, ms.
-    pub used_in_all: f64,
 }
 
 impl<T: Clone + PartialEq> Server<T> {
@@ -116,7 +114,6 @@
             used: 0.0,
             used_since: now,
             report: Report::default(),
-            used_in_all: 0.0,
         }
     }
 
@@ -328,7 +325,6 @@
         }
         let used = if self.fallen { 0.0 } else { f64::min(active, self.cores) * time };
         self.used += used;
-        self.used_in_all += used;
         self.now = at;
     }
 
--- a/crates/pearfront-emulator/src/sockets/client.rs
+++ b/crates/pearfront-emulator/src/sockets/client.rs
@@ -6,7 +6,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddrV4;
 
 use crate::record::Answer;
@@ -45,12 +45,11 @@
     scenario: Rc<Scenario>,
     address: SocketAddrV4,
     idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
-    ended: Cell<bool>,
 }
 
 impl Client {
     pub fn new(scenario: Rc<Scenario>, address: SocketAddrV4) -> Rc<Self> {
-        Rc::new(Self { scenario, address, idle: RefCell::default(), ended: Cell::new(false) })
+        Rc::new(Self { scenario, address, idle: RefCell::default() })
     }
 
     /// Sends a job whose caller waits `left` ms; `accepted` is called once a connection stands.
@@ -138,7 +137,6 @@
 
     /// Closes what is idle, as when its process ends.
     pub fn end(&self) {
-        self.ended.set(true);
         self.idle.borrow_mut().clear();
     }
 }
--- a/crates/pearfront-emulator/src/sockets/fleet.rs
+++ b/crates/pearfront-emulator/src/sockets/fleet.rs
@@ -2,7 +2,7 @@
 
 use super::discovery::Directory;
 use super::processes::{Process, Signal};
-use super::servers::{Host, State};
+use super::servers::Host;
 use super::{
     BESIDE, BESIDE_DISCOVERY, Clock, NodeCommand, Places, SEAT_DISCOVERY, SERVER, Seen, config, lateness,
 };
@@ -12,7 +12,7 @@
 use crate::repeats::Groups;
 use crate::scenario::{Scenario, Trouble, What};
 use crate::server::Server;
-use crate::struck::Struck;
+use crate::struck::{State, Struck};
 use hdrhistogram::Histogram;
 use pearfront::interface::Standing;
 use rand::prelude::{Rng, SeedableRng};
--- a/crates/pearfront-emulator/src/sockets/servers.rs
+++ b/crates/pearfront-emulator/src/sockets/servers.rs
@@ -7,7 +7,7 @@
 use crate::repeats::Repeats;
 use crate::scenario::{Effect, What};
 use crate::server::{Arrival, Happened, Need, Server};
-use crate::struck::Struck;
+use crate::struck::{State, Struck};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -50,13 +50,6 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum State {
-    Up,
-    Silent,
-    Down,
-}
-
 pub struct Host {
     pub address: Address,
     pub tier: usize,
@@ -91,20 +84,11 @@
 
 impl Side {
     pub fn record_life(&self, host: &Host) {
-        let kind = &self.scenario.kinds[host.kind];
+        let place = (host.tier, host.zone, host.cell, host.kind);
+        let life = ServerLife::new(&self.scenario, host.id.borrow().clone(), place, host.started.get());
         let mut records = self.records.borrow_mut();
         host.life.set(records.servers.len());
-        records.servers.push(ServerLife {
-            id: host.id.borrow().clone(),
-            tier: host.tier,
-            zone: host.zone,
-            cell: host.cell,
-            cores: kind.cores,
-            speed: kind.speed,
-            started: host.started.get(),
-            fell: None,
-            used: 0.0,
-        });
+        records.servers.push(life);
     }
 
     /// Opens the server's address and serves what comes.
--- a/crates/pearfront-emulator/src/struck.rs
+++ b/crates/pearfront-emulator/src/struck.rs
@@ -1,8 +1,18 @@
-//! What troubles have struck a server, and what they do to it together.
+//! What troubles have struck a server, how it stands since, and what they do to it together.
 
 use crate::scenario::What;
 use std::cell::RefCell;
 
+/// How a server's process stands to the network.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    Up,
+    /// Says nothing: connections stay open and silent, new ones never come up.
+    Silent,
+    /// No process: connections are refused.
+    Down,
+}
+
 /// Troubles under way at one server: place in the script, what, and how much.
 #[derive(Debug, Default)]
 pub struct Struck(RefCell<Vec<(usize, What, f64)>>);
