A draw first asks servers of its part where probes are cheap

Lines to blame: probe(), one timer for all servers whatever their number and the jobs between. Jobs held come before utilisation; a probe answered without a report writes the highest figure, not its round trip; the part is halved between home and away.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,6 +41,15 @@
 const PROBE_SPEND: f64 = 0.002;
 /// Most probes a job, where probes are almost free.
 const PROBE_MOST: f64 = 0.3;
+/// Points of the result that the questions before one job's draw may cost; with the stated price it gives their number.
+const ASK_SPEND: f64 = 0.01;
+/// Servers asked before a draw at the most, and at the least: one figure compares with nothing.
+const ASK_MOST: f64 = 5.0;
+const ASK_LEAST: f64 = 2.0;
+/// Longest a draw waits for the answers, as a share of the contract time: a silent server must not hold it up.
+const ASK_PATIENCE: f64 = 0.05;
+/// Least figure of a server that gave none: a job or a core's worth, as idle tables have no highest.
+const UNREPORTED: f64 = 1.0;
 /// Failures in a row that set a server aside: two happen by chance where a few in a hundred fail.
 const STRIKES: u32 = 3;
 /// Share of recent shots honoured below which an error is a shared fault, not the server's.
@@ -130,6 +139,9 @@
     started: Cell<f64>,
     /// The load table's entry: the last report, if any.
     figure: Cell<Option<f64>>,
+    /// When it was last probed, and when it last answered that.
+    probed: Cell<f64>,
+    seen: Cell<f64>,
     out: Cell<u32>,
     strikes: Cell<u32>,
     /// Its last shot found no connection: no fault shared with others, and its line may be out of date.
@@ -323,8 +335,11 @@
 
     pub fn probe_answered(&mut self, address: Address, good: bool, report: &[f64], took: f64) {
         let Some(server) = self.known.get(&address).cloned() else { return };
+        server.seen.set(self.now);
         let highest = || self.table.iter().filter_map(|server| server.figure.get()).fold(0.0, f64::max);
-        server.figure.set(Some(if good { self.read(report).unwrap_or(took) } else { highest() }));
+        let reported = self.read(report).or(self.settings.report.is_empty().then_some(took));
+        // One that reports nothing where others do is too busy to, or lost: neither may win traffic.
+        server.figure.set(Some(reported.filter(|_| good).unwrap_or_else(|| highest().max(UNREPORTED))));
     }
 
     pub fn client_left(&mut self, id: u32) {
@@ -395,7 +410,9 @@
 
     /// The first wanted servers of its own zone and of the others: of many it would know none.
     fn near(&self, part: usize, wanted: impl Fn(&Rc<Server>) -> bool) -> Vec<Rc<Server>> {
-        let mut left = [part; 2];
+        // Its own zone and the others share the part.
+        let mixed = self.table.iter().any(|server| server.zone.get() != self.settings.zone);
+        let mut left = [if mixed { part.div_ceil(2) } else { part }; 2];
         let fits = |server: &&Rc<Server>| {
             let left = &mut left[usize::from(server.zone.get() == self.settings.zone)];
             let fits = *left > 0 && wanted(server);
@@ -406,7 +423,7 @@
     }
 
     fn read(&self, report: &[f64]) -> Option<f64> {
-        [Figure::Utilisation, Figure::Held, Figure::Waiting].iter().find_map(|wanted| {
+        [Figure::Held, Figure::Utilisation, Figure::Waiting].iter().find_map(|wanted| {
             let place = self.settings.report.iter().position(|figure| figure == wanted)?;
             report.get(place).copied()
         })
@@ -445,6 +462,7 @@
                 let figures = self.figures(&near);
                 (0..figures.len()).min_by(|a, b| figures[*a].total_cmp(&figures[*b])).unwrap_or(0)
             };
+            near[target].probed.set(self.now);
             out.probe(near[target].address);
         }
         let jobs = self.arrivals.total(self.now).0 / SPAN * 1000.0;
@@ -453,6 +471,41 @@
         self.next_probe = self.now - (1.0 - self.chance.random::<f64>()).ln() / rate * 1000.0;
     }
 
+    /// Servers that a draw asks first, where the price allows it: between two jobs of its own a node's figures
+    /// get older than what they tell of.
+    fn questions(&self) -> usize {
+        let asks = (ASK_SPEND / self.settings.probe_price.max(1e-9)).min(ASK_MOST);
+        if self.settings.may_probe && asks >= ASK_LEAST { asks as usize } else { 0 }
+    }
+
+    /// Probes the servers that the job may be drawn to, the paper's way: even draws and lowest entries.
+    fn inquire(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
+        let part = self.part();
+        let mut near = self.near(part, |server| !server.is_aside(self.now));
+        for _ in 0..self.questions().min(near.len()) {
+            let figures = self.figures(&near);
+            let target = if self.chance.random::<f64>() < ALPHA {
+                self.chance.random_range(0..near.len())
+            } else {
+                (0..figures.len()).min_by(|a, b| figures[*a].total_cmp(&figures[*b])).unwrap_or(0)
+            };
+            let server = near.swap_remove(target);
+            if server.probed.get() < self.now {
+                server.probed.set(self.now);
+                out.probe(server.address);
+            }
+        }
+        self.review(job, job.arrived + ASK_PATIENCE * self.profile(job).contract_time);
+    }
+
+    /// Is the job's draw still waiting for answers?
+    fn awaits(&self, job: &Job) -> bool {
+        let asked = |server: &Rc<Server>| server.probed.get() >= job.arrived && server.seen.get() < server.probed.get();
+        self.questions() > 0
+            && self.now < job.arrived + ASK_PATIENCE * self.profile(job).contract_time
+            && self.table.iter().any(asked)
+    }
+
     fn ask(&mut self, out: &mut impl Writer) {
         if self.now >= self.next_ask {
             out.watch();
@@ -604,6 +657,9 @@
             return;
         }
         if self.settings.tier == 0 && job.shots.borrow().is_empty() {
+            if self.questions() > 0 && !job.waiting.get() {
+                self.inquire(job, out);
+            }
             return self.hold(job);
         }
         if job.shots.borrow().iter().all(|shot| shot.ending.is_some()) {
@@ -687,7 +743,11 @@
         self.full = self.window >= self.cap * part * AT_CAP;
         self.window = self.window.clamp(least * part, self.cap * part);
         for (worth, job) in ranked {
-            let open = self.settings.tier > 0 || self.has_room(worth);
+            if self.awaits(&job) {
+                self.waiting.push(job);
+                continue;
+            }
+            let open = self.settings.tier > 0 || self.questions() > 0 || self.has_room(worth);
             if open && self.shoot(&job, out) {
                 job.waiting.set(false);
             } else if self.now >= self.hold_until(&job) {
@@ -866,7 +926,10 @@
                 && !tried(server)
                 && self.warm_enough(server, rate)
         };
-        let open = self.near(part, fits);
+        let open = self.near(part, &fits);
+        let fresh = |server: &Rc<Server>| server.seen.get() >= job.arrived && server.probed.get() >= job.arrived;
+        let asked: Vec<_> = open.iter().filter(|server| fresh(server)).cloned().collect();
+        let open = if asked.is_empty() { open } else { asked };
         let weights = self.figures(&open).into_iter().map(|figure| figure.powf(-K));
         let place = WeightedIndex::new(weights).ok()?.sample(&mut self.chance);
         open.get(place).cloned()
@@ -910,6 +973,8 @@
             cell: Cell::new(line.cell),
             started: Cell::new(line.started),
             figure: Cell::new(None),
+            probed: Cell::new(f64::NEG_INFINITY),
+            seen: Cell::new(f64::NEG_INFINITY),
             out: Cell::new(0),
             strikes: Cell::new(0),
             unreached: Cell::new(false),
