Held jobs count by a server's size and warmth, and a server not met yet counts one more

Cause of cold servers falling over since draws ask: a cold server looks as idle as it is to all nodes at once, while it bears 12 to 36 in 100 of the others. Its figure is now divided by the share it has grown to and by the list's rough size (akl's machines differ eightfold), and a first connection's work (23 to 37 ms of some 117) counts as one job.

--- a/crates/pearfront-drill/src/wire.rs
+++ b/crates/pearfront-drill/src/wire.rs
@@ -206,12 +206,14 @@
 
 fn listing(line: &[u8], started: u64) -> Listing {
     let since = int::<8>(line, 16);
+    let share = f64::from(f32::from_le_bytes(std::array::from_fn(|byte| line[byte])));
     Listing {
         server: address(line, 4),
         standing: standing(line[10]).unwrap_or(Standing::Gone),
         cell: int::<2>(line, 11) as u16,
         make: usize::from(line[13]),
         zone: int::<2>(line, 14) as u16,
+        size: Some(share).filter(|share| share.is_normal() && *share > 0.0).unwrap_or(1.0),
         started: match since {
             0 => f64::NEG_INFINITY,
             since => since.wrapping_sub(started) as i64 as f64 / NS_PER_MS,
--- a/crates/pearfront-emulator/src/list.rs
+++ b/crates/pearfront-emulator/src/list.rs
@@ -29,6 +29,7 @@
             cell: self.cell,
             zone: self.zone,
             make: self.make,
+            size: 1.0,
             started: self.started - from,
         }
     }
--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -105,6 +105,7 @@
         cell: line.cell,
         zone: line.zone,
         make: line.make,
+        size: line.size,
         started: line.started.map_or(f64::NEG_INFINITY, |started| started - unix_start),
     }
 }
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -315,10 +315,18 @@
     pub cell: u16,
     pub zone: u16,
     pub make: usize,
+    /// What it bears beside others, roughly.
+    pub size: f64,
     /// Its latest start, ms of Unix time; none if long ago.
     pub started: Option<f64>,
 }
 
+/// A server of no size would never be drawn, or always.
+fn size(at: &At) -> Result<f64, String> {
+    let size = at.number_or("weight", 1.0)?;
+    if size > 0.0 { Ok(size) } else { at.problem("has a weight of 0") }
+}
+
 pub fn decode_list(text: &[u8], around: &Surroundings) -> Result<List, String> {
     let json: Value = serde_json::from_slice(text).map_err(|error| format!("list: {error}"))?;
     decode_known(&At::top(&json, "list"), around)
@@ -361,6 +369,7 @@
         address: address.text()?.parse().or_else(|_| address.problem("is no address and port"))?,
         standing,
         cell: at.number_or("cell", 0.0)? as u16,
+        size: size(at)?,
         zone: named("zone", &around.zones)? as u16,
         make: named("machineType", &around.makes)?,
         started: (started > 0.0).then_some(started),
@@ -409,7 +418,7 @@
         let (standing, started) = (Standing::Ready, Some(5.0));
         assert_eq!(
             list.lines,
-            [Line { id: "s-1".into(), address, standing, cell: 3, zone: 1, make: 2, started }]
+            [Line { id: "s-1".into(), address, standing, cell: 3, zone: 1, make: 2, size: 1.0, started }]
         );
         let problem = "list.instances[1].lifecycle \"Asleep\" is unknown".to_string();
         assert_eq!(list.dropped, [(Some("s-1".to_string()), problem)]);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -86,6 +86,8 @@
     pub zone: u16,
     /// Which kind of machine it is.
     pub make: usize,
+    /// What it bears beside others, roughly; 1 where the list does not say.
+    pub size: f64,
     /// Its latest start; negative infinity if long ago.
     pub started: f64,
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,6 +50,8 @@
 const ASK_PATIENCE: f64 = 0.05;
 /// Least figure of a server that gave none: a job or a core's worth, as idle tables have no highest.
 const UNREPORTED: f64 = 1.0;
+/// Jobs that opening the first connection to a server is worth, as its work and time fall on the job.
+const STRANGER: f64 = 1.0;
 /// Failures in a row that set a server aside: two happen by chance where a few in a hundred fail.
 const STRIKES: u32 = 3;
 /// Share of recent shots honoured below which an error is a shared fault, not the server's.
@@ -136,6 +138,7 @@
     standing: Cell<Standing>,
     zone: Cell<u16>,
     cell: Cell<u16>,
+    size: Cell<f64>,
     started: Cell<f64>,
     /// The load table's entry: the last report, if any.
     figure: Cell<Option<f64>>,
@@ -392,6 +395,7 @@
         }
         server.zone.set(line.zone);
         server.cell.set(line.cell);
+        server.size.set(line.size);
         server.standing.set(line.standing);
         let present = self.table.iter().any(|other| Rc::ptr_eq(other, server));
         if line.standing == Standing::Ready && !present {
@@ -434,9 +438,16 @@
         let heard = || servers.iter().filter_map(|server| server.figure.get());
         let mean = heard().sum::<f64>() / (heard().count() as f64).max(1.0);
         let step = STEP * mean.max(STEP_UNIT);
+        let counted = self.settings.report.contains(&Figure::Held);
         let raised = |server: &Rc<Server>| {
-            server.figure.get().unwrap_or(mean)
-                + step * server.slowness.get() * f64::from(server.out.get() + 1)
+            let (report, out) = (server.figure.get().unwrap_or(mean), f64::from(server.out.get()));
+            if counted {
+                // Jobs held have a size: the own ones are among them, and a cold or small server bears fewer.
+                let stranger = if server.heard.get().is_finite() { 0.0 } else { STRANGER };
+                (report.max(out) + stranger + 1.0) * server.slowness.get() / (server.size.get() * self.grown(server))
+            } else {
+                report + step * server.slowness.get() * (out + 1.0)
+            }
         };
         let mut figures: Vec<f64> = servers.iter().map(raised).collect();
         let floor = FLOOR * figures.iter().sum::<f64>() / (figures.len() as f64).max(1.0);
@@ -971,6 +982,7 @@
             standing: Cell::new(line.standing),
             zone: Cell::new(line.zone),
             cell: Cell::new(line.cell),
+            size: Cell::new(line.size),
             started: Cell::new(line.started),
             figure: Cell::new(None),
             probed: Cell::new(f64::NEG_INFINITY),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -81,6 +81,7 @@
         zone: part(1).unwrap_or(0.0) as u16,
         cell: part(2).unwrap_or(0.0) as u16,
         make: 0,
+        size: 1.0,
         started: part(3).unwrap_or(f64::NEG_INFINITY),
     }
 }
