Servers are set aside by profile, after one failure where jobs are few, for 20 own jobs

Lines: strike(), answered(), is_aside(). Each profile has its count now; an error weighs three for its own profile where a server gets under a job a second, and time aside is at least 20 jobs of the node's own.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -54,6 +54,10 @@
 const STRANGER: f64 = 1.0;
 /// Failures in a row that set a server aside: two happen by chance where a few in a hundred fail.
 const STRIKES: u32 = 3;
+/// Jobs to a server, each second, below which one failure of a profile sets it aside for that profile.
+const RARE: f64 = 1000.0;
+/// Jobs of its own that a node sends between two trials of one server at the least.
+const TRIAL: f64 = 20.0;
 /// Share of recent shots honoured below which an error is a shared fault, not the server's.
 const SHARED: f64 = 0.7;
 /// First time aside, ms: about as long as a short stall; it doubles up to the last.
@@ -146,14 +150,12 @@
     probed: Cell<f64>,
     seen: Cell<f64>,
     out: Cell<u32>,
-    strikes: Cell<u32>,
+    /// How each profile fares on it.
+    health: Vec<Health>,
     /// Its last shot found no connection: no fault shared with others, and its line may be out of date.
     unreached: Cell<bool>,
     /// When it last honoured a job.
     heard: Cell<f64>,
-    aside: Cell<f64>,
-    back_at: Cell<f64>,
-    on_trial: Cell<bool>,
     /// Full a moment ago: it would turn the next shot away too, and quickly, as if it were idle.
     rest_until: Cell<f64>,
     failing_since: Cell<f64>,
@@ -164,6 +166,14 @@
     credit_at: Cell<f64>,
 }
 
+/// How one profile's shots fare on a server: some fail one profile and serve the others.
+struct Health {
+    strikes: Cell<u32>,
+    aside: Cell<f64>,
+    back_at: Cell<f64>,
+    on_trial: Cell<bool>,
+}
+
 struct Shot {
     server: Rc<Server>,
     sent: f64,
@@ -388,8 +398,8 @@
             // Whoever comes to its address is another server.
             return self.known.remove(&line.server).iter().for_each(|old| old.standing.set(Standing::Gone));
         }
-        let place = self.chance.random();
-        let server = self.known.entry(line.server).or_insert_with(|| Rc::new(Server::new(line, place)));
+        let (place, profiles) = (self.chance.random(), self.settings.profiles.len());
+        let server = self.known.entry(line.server).or_insert_with(|| Rc::new(Server::new(line, place, profiles)));
         if line.started > server.started.get() {
             server.restarted(line.started, self.now);
         }
@@ -492,7 +502,7 @@
     /// Probes the servers that the job may be drawn to, the paper's way: even draws and lowest entries.
     fn inquire(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         let part = self.part();
-        let mut near = self.near(part, |server| !server.is_aside(self.now));
+        let mut near = self.near(part, |server| !server.is_aside(job.profile, self.now));
         for _ in 0..self.questions().min(near.len()) {
             let figures = self.figures(&near);
             let target = if self.chance.random::<f64>() < ALPHA {
@@ -555,7 +565,7 @@
         match ending {
             Ending::Honoured => {
                 self.endings.add(now, 1.0);
-                server.answered(now, self.settings.cold_time);
+                server.answered(job.profile, now, self.settings.cold_time);
                 if now - job.arrived <= self.profile(job).contract_time {
                     let gain = self.gain(job.profile);
                     self.tally(job.profile, job.customer, |[_, honoured]| honoured.add(now, gain));
@@ -570,13 +580,13 @@
             Ending::Error if self.success() < SHARED => self.endings.add(now, 0.0),
             Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Broken => {
                 self.endings.add(now, 0.0);
-                self.strike(server);
+                self.strike(server, job.profile, ending == Ending::Error);
             }
             Ending::Full => server.rest_until.set(now + REST * self.usual(job.profile)),
             Ending::CalledOff | Ending::NeverSent => {}
         }
         // A trial ends with its shot, however that ended.
-        server.on_trial.set(false);
+        server.health[job.profile].on_trial.set(false);
     }
 
     /// A caller sends each server too little to know it soon: machines of one make are learned together.
@@ -618,18 +628,25 @@
     }
 
     /// Failures in a row set a server aside: quick errors would otherwise win traffic by a low figure.
-    fn strike(&mut self, server: &Server) {
-        let strikes = server.strikes.get() + 1;
-        server.strikes.set(strikes);
-        server.failing_since.set(server.failing_since.get().min(self.now));
-        if server.on_trial.replace(false) || strikes >= STRIKES && self.now >= server.back_at.get() {
-            let time = (server.aside.get() * 2.0).clamp(ASIDE_FIRST, ASIDE_LAST);
-            server.aside.set(time);
-            server.back_at.set(self.now + time);
-            let [a, b, c, d, ..] = server.address;
-            self.notes.push(format!(
-                "server {a}.{b}.{c}.{d} aside for {time} ms after {strikes} failures in a row"
-            ));
+    fn strike(&mut self, server: &Server, profile: usize, error: bool) {
+        let now = self.now;
+        let jobs = self.first_shots.total(now).0 / now.clamp(1000.0, SPAN);
+        let part = self.part();
+        // With few jobs three failures in a row are many lost, and so is a trial each second.
+        let own = if jobs * RARE < part as f64 { STRIKES } else { 1 };
+        let pause = TRIAL / jobs.max(f64::MIN_POSITIVE);
+        server.failing_since.set(server.failing_since.get().min(now));
+        for (place, health) in server.health.iter().enumerate() {
+            let count = if place == profile || !error { own } else { 1 };
+            let strikes = health.strikes.get() + count;
+            health.strikes.set(strikes);
+            if health.on_trial.replace(false) || strikes >= STRIKES && now >= health.back_at.get() {
+                let time = (health.aside.get() * 2.0).clamp(ASIDE_FIRST, ASIDE_LAST).max(pause);
+                health.aside.set(time);
+                health.back_at.set(now + time);
+                let [a, b, c, d, ..] = server.address;
+                self.notes.push(format!("server {a}.{b}.{c}.{d} aside for {time:.0} ms, profile {place}"));
+            }
         }
     }
 
@@ -705,7 +722,7 @@
                 late = Some(shot.server.clone());
             }
         }
-        late.iter().for_each(|server| self.strike(server));
+        late.iter().for_each(|server| self.strike(server, job.profile, false));
         if late.is_none() || !self.settings.second_copies || !self.shoot(job, out) {
             self.review(job, next);
         }
@@ -746,7 +763,7 @@
         let mut ranked: Vec<_> = waiting.map(|job| (self.worth(&job, asked, worst), job)).collect();
         ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then(x.arrived.total_cmp(&y.arrived)));
         // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
-        let up = self.table.iter().filter(|server| !server.is_aside(self.now));
+        let up = self.table.iter().filter(|server| server.is_up(self.now));
         let part = up.map(|server| self.grown(server)).sum::<f64>().max(1.0) / self.settings.siblings;
         // Where the tier behind is what jams, servers let in more for their number than it can bear.
         let late = self.lateness.mean(self.now);
@@ -896,7 +913,7 @@
         } else if !job.proven_unrun() {
             self.further.add(self.now, 1.0);
         }
-        server.send(self.now);
+        server.send(job.profile, self.now);
         self.out.change(self.now, 1.0);
         out.shoot(job.id, server.address, job.limit - self.now);
         let usual = self.expected(job) * self.overdue();
@@ -926,14 +943,14 @@
             (Some(first), Group::Cell) => first.cell == server.cell,
             _ => true,
         };
-        let aside = self.table.iter().filter(|server| server.is_aside(self.now)).count();
+        let aside = self.table.iter().filter(|server| server.is_aside(job.profile, self.now)).count();
         let shared = aside as f64 > self.table.len() as f64 * ASIDE_SHARE;
         let part = self.part();
         let rate = self.first_shots.total(self.now).0 / SPAN / (self.table.len().min(part) as f64).max(1.0);
         let fits = |server: &Rc<Server>| {
             within(server)
                 && self.now >= server.rest_until.get()
-                && (shared && !server.unreached.get() || !server.is_aside(self.now))
+                && (shared && !server.unreached.get() || !server.is_aside(job.profile, self.now))
                 && !tried(server)
                 && self.warm_enough(server, rate)
         };
@@ -975,7 +992,7 @@
 }
 
 impl Server {
-    fn new(line: Listing, place: f64) -> Self {
+    fn new(line: Listing, place: f64, profiles: usize) -> Self {
         Self {
             address: line.server,
             place,
@@ -988,12 +1005,9 @@
             probed: Cell::new(f64::NEG_INFINITY),
             seen: Cell::new(f64::NEG_INFINITY),
             out: Cell::new(0),
-            strikes: Cell::new(0),
+            health: (0..profiles).map(|_| Health::new()).collect(),
             unreached: Cell::new(false),
             heard: Cell::new(f64::NEG_INFINITY),
-            aside: Cell::new(0.0),
-            back_at: Cell::new(f64::NEG_INFINITY),
-            on_trial: Cell::new(false),
             rest_until: Cell::new(f64::NEG_INFINITY),
             failing_since: Cell::new(f64::INFINITY),
             slowness: Cell::new(1.0),
@@ -1008,17 +1022,20 @@
     fn restarted(&self, at: f64, now: f64) {
         self.started.set(at);
         self.figure.set(None);
-        self.strikes.set(0);
-        self.back_at.set(f64::NEG_INFINITY);
+        for health in &self.health {
+            health.strikes.set(0);
+            health.back_at.set(f64::NEG_INFINITY);
+        }
         self.cold_credit.set(0.0);
         self.credit_at.set(now);
     }
 
-    fn send(&self, now: f64) {
+    fn send(&self, profile: usize, now: f64) {
         self.out.set(self.out.get() + 1);
         self.cold_credit.set(self.cold_credit.get() - 1.0);
         // Back from its time aside it gets one shot, and the next when that was honoured.
-        self.on_trial.set(self.strikes.get() >= STRIKES && now >= self.back_at.get());
+        let health = &self.health[profile];
+        health.on_trial.set(health.strikes.get() >= STRIKES && now >= health.back_at.get());
     }
 
     /// Time, ms, after which a shot on it is overdue.
@@ -1026,19 +1043,39 @@
         usual * self.slowness.get().min(2.0)
     }
 
-    fn is_aside(&self, now: f64) -> bool {
-        self.strikes.get() >= STRIKES && (now < self.back_at.get() || self.on_trial.get())
+    fn is_aside(&self, profile: usize, now: f64) -> bool {
+        self.health[profile].is_aside(now)
     }
 
-    fn answered(&self, now: f64, cold_time: f64) {
+    fn is_up(&self, now: f64) -> bool {
+        !self.health.iter().all(|health| health.is_aside(now))
+    }
+
+    fn answered(&self, profile: usize, now: f64, cold_time: f64) {
         // Silent long enough to have restarted: it is cold until the list says better.
         let silent = now - self.failing_since.get() > SILENT && now - self.started.get() > cold_time;
-        if silent && self.strikes.get() >= STRIKES {
+        let health = &self.health[profile];
+        if silent && self.health.iter().all(|health| health.strikes.get() >= STRIKES) {
             self.restarted(now, now);
         }
-        self.strikes.set(0);
+        health.strikes.set(0);
+        health.aside.set(0.0);
         self.heard.set(now);
-        self.aside.set(0.0);
         self.failing_since.set(f64::INFINITY);
     }
 }
+
+impl Health {
+    fn new() -> Self {
+        Self {
+            strikes: Cell::new(0),
+            aside: Cell::new(0.0),
+            back_at: Cell::new(f64::NEG_INFINITY),
+            on_trial: Cell::new(false),
+        }
+    }
+
+    fn is_aside(&self, now: f64) -> bool {
+        self.strikes.get() >= STRIKES && (now < self.back_at.get() || self.on_trial.get())
+    }
+}
