Where draws ask, a job goes only to a server that promises an answer in time

Where figures are of this moment, the drawn server's figure beside the mean one of recent answers tells how long the job will take; it goes if that is within a share of its time left, which falls by a tenth with each late answer and grows by a hundredth with each timely one; better jobs reach 1.4 times as far. An unpromising job asks again until its hold is over.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -52,10 +52,18 @@
 const UNREPORTED: f64 = 1.0;
 /// Jobs that opening the first connection to a server is worth, as its work and time fall on the job.
 const STRANGER: f64 = 1.0;
+/// Share of the contract time after which a job that found no promising server asks again.
+const ASK_AGAIN_SHARE: f64 = 0.1;
+/// Share of the time left that a draw's server may promise to take: at first and at the most, and at the least.
+const REACH_MOST: f64 = 1.0;
+const REACH_LEAST: f64 = 0.3;
+/// What it shrinks by with a late answer, and grows by with one in time: some one in ten may be late.
+const REACH_SHRINK: f64 = 0.1;
+const REACH_GROW: f64 = 0.01;
+/// Times as far that jobs above mean worth reach.
+const REACH_BETTER: f64 = 1.4;
 /// Failures in a row that set a server aside: two happen by chance where a few in a hundred fail.
 const STRIKES: u32 = 3;
-/// Jobs to a server, each second, below which one failure of a profile sets it aside for that profile.
-const RARE: f64 = 1000.0;
 /// Jobs of its own that a node sends between two trials of one server at the least.
 const TRIAL: f64 = 20.0;
 /// Share of recent shots honoured below which an error is a shared fault, not the server's.
@@ -177,6 +185,8 @@
 struct Shot {
     server: Rc<Server>,
     sent: f64,
+    /// What the table said of it then.
+    figure: f64,
     ending: Option<Ending>,
     overdue: bool,
 }
@@ -189,6 +199,8 @@
     size: f64,
     arrived: f64,
     limit: f64,
+    /// When servers were last asked for it.
+    asked: Cell<f64>,
     shots: RefCell<Vec<Shot>>,
     closed: Cell<bool>,
     waiting: Cell<bool>,
@@ -223,6 +235,9 @@
     tallies: [Vec<Tally>; 2],
     admitted: Vec<Recent>,
     first_shots: Recent,
+    reach: f64,
+    /// Figures of the servers that honoured jobs were drawn to.
+    drawn: Recent,
     endings: Recent,
     further: Recent,
     /// Shots out.
@@ -268,6 +283,8 @@
                 .map(|n| vec![[Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]; n]),
             admitted: settings.quotas.iter().map(|_| recent()).collect(),
             first_shots: recent(),
+            reach: REACH_MOST,
+            drawn: recent(),
             endings: recent(),
             further: recent(),
             out: Level::new(LATE_SPAN),
@@ -329,6 +346,7 @@
             size,
             arrived: now,
             limit,
+            asked: Cell::new(f64::NEG_INFINITY),
             shots: RefCell::default(),
             closed: Cell::new(false),
             waiting: Cell::new(false),
@@ -516,15 +534,24 @@
                 out.probe(server.address);
             }
         }
-        self.review(job, job.arrived + ASK_PATIENCE * self.profile(job).contract_time);
+        job.asked.set(self.now);
+        self.review(job, self.now + ASK_PATIENCE * self.profile(job).contract_time);
     }
 
     /// Is the job's draw still waiting for answers?
     fn awaits(&self, job: &Job) -> bool {
-        let asked = |server: &Rc<Server>| server.probed.get() >= job.arrived && server.seen.get() < server.probed.get();
-        self.questions() > 0
-            && self.now < job.arrived + ASK_PATIENCE * self.profile(job).contract_time
-            && self.table.iter().any(asked)
+        let asked = |server: &Rc<Server>| server.probed.get() >= job.asked.get() && server.seen.get() < server.probed.get();
+        self.now < job.asked.get() + ASK_PATIENCE * self.profile(job).contract_time && self.table.iter().any(asked)
+    }
+
+    /// Will a job of this worth be in time on a server of this figure? What held jobs take shows in recent answers.
+    fn promises(&mut self, job: &Job, figure: f64, worth: f64) -> bool {
+        self.worths.add(self.now, worth);
+        let usual = self.worths.mean(self.now) * (1.0 + f64::EPSILON.sqrt());
+        let most = self.reach * if worth > usual { REACH_BETTER } else { 1.0 };
+        let left = job.arrived + self.profile(job).contract_time - self.now;
+        let mean = self.drawn.mean_beside(self.now, 1.0, 1.0);
+        self.expected(job) * figure / mean < most * left
     }
 
     fn ask(&mut self, out: &mut impl Writer) {
@@ -541,6 +568,9 @@
         let mut shots = job.shots.borrow_mut();
         let shot = shots.get_mut(shot).filter(|shot| shot.ending.is_none())?;
         shot.ending = Some(ending);
+        if ending == Ending::Honoured {
+            self.drawn.add(self.now, shot.figure);
+        }
         shot.server.out.set(shot.server.out.get() - 1);
         self.out.change(self.now, -1.0);
         Some(shot.server.clone())
@@ -562,6 +592,11 @@
         if server.unreached.get() && self.ask_pause <= ASK_AGAIN && self.next_ask.is_finite() {
             (self.next_ask, self.ask_pause) = (now, 2.0 * ASK_AGAIN);
         }
+        let late = now - job.arrived > self.profile(job).contract_time;
+        if late || ending == Ending::Honoured {
+            let step = if late { -REACH_SHRINK } else { REACH_GROW };
+            self.reach = (self.reach * (1.0 + step)).clamp(REACH_LEAST, REACH_MOST);
+        }
         match ending {
             Ending::Honoured => {
                 self.endings.add(now, 1.0);
@@ -631,9 +666,8 @@
     fn strike(&mut self, server: &Server, profile: usize, error: bool) {
         let now = self.now;
         let jobs = self.first_shots.total(now).0 / now.clamp(1000.0, SPAN);
-        let part = self.part();
         // With few jobs three failures in a row are many lost, and so is a trial each second.
-        let own = if jobs * RARE < part as f64 { STRIKES } else { 1 };
+        let own = if error { STRIKES } else { 1 };
         let pause = TRIAL / jobs.max(f64::MIN_POSITIVE);
         server.failing_since.set(server.failing_since.get().min(now));
         for (place, health) in server.health.iter().enumerate() {
@@ -685,13 +719,10 @@
             return;
         }
         if self.settings.tier == 0 && job.shots.borrow().is_empty() {
-            if self.questions() > 0 && !job.waiting.get() {
-                self.inquire(job, out);
-            }
             return self.hold(job);
         }
         if job.shots.borrow().iter().all(|shot| shot.ending.is_some()) {
-            if self.shoot(job, out) {
+            if self.shoot(job, None, out) {
                 return;
             }
             let open = job.proven_unrun() && self.bounds(job).is_some();
@@ -723,7 +754,7 @@
             }
         }
         late.iter().for_each(|server| self.strike(server, job.profile, false));
-        if late.is_none() || !self.settings.second_copies || !self.shoot(job, out) {
+        if late.is_none() || !self.settings.second_copies || !self.shoot(job, None, out) {
             self.review(job, next);
         }
     }
@@ -771,12 +802,16 @@
         self.full = self.window >= self.cap * part * AT_CAP;
         self.window = self.window.clamp(least * part, self.cap * part);
         for (worth, job) in ranked {
-            if self.awaits(&job) {
+            let asks = self.questions() > 0;
+            if asks && self.now >= job.asked.get() + ASK_AGAIN_SHARE * self.profile(&job).contract_time {
+                self.inquire(&job, out);
+            }
+            if asks && self.awaits(&job) {
                 self.waiting.push(job);
                 continue;
             }
-            let open = self.settings.tier > 0 || self.questions() > 0 || self.has_room(worth);
-            if open && self.shoot(&job, out) {
+            let open = self.settings.tier > 0 || asks || self.has_room(worth);
+            if open && self.shoot(&job, asks.then_some(worth), out) {
                 job.waiting.set(false);
             } else if self.now >= self.hold_until(&job) {
                 self.give_up(&job, out);
@@ -898,13 +933,16 @@
     }
 
     /// Sends the job on by the paper's draw among the servers that may have it; false if there is none.
-    fn shoot(&mut self, job: &Rc<Job>, out: &mut impl Writer) -> bool {
+    fn shoot(&mut self, job: &Rc<Job>, worth: Option<f64>, out: &mut impl Writer) -> bool {
         let Some(group) = self.bounds(job) else { return false };
         let first = job.shots.borrow().is_empty();
         if !first && !job.proven_unrun() && !self.may_go_further() {
             return false;
         }
-        let Some(server) = self.draw(job, group) else { return false };
+        let Some((server, figure)) = self.draw(job, group) else { return false };
+        if worth.is_some_and(|worth| !self.promises(job, figure, worth)) {
+            return false;
+        }
         if first {
             self.first_shots.add(self.now, 1.0);
             if let Some(recent) = self.admitted.get_mut(job.customer) {
@@ -918,7 +956,7 @@
         out.shoot(job.id, server.address, job.limit - self.now);
         let usual = self.expected(job) * self.overdue();
         let at = self.now + server.patience(usual);
-        job.shots.borrow_mut().push(Shot { server, sent: self.now, ending: None, overdue: false });
+        job.shots.borrow_mut().push(Shot { server, sent: self.now, figure, ending: None, overdue: false });
         self.review(job, at);
         true
     }
@@ -934,7 +972,7 @@
         self.further.total(self.now).0 < allowed
     }
 
-    fn draw(&mut self, job: &Job, group: Option<Rc<Server>>) -> Option<Rc<Server>> {
+    fn draw(&mut self, job: &Job, group: Option<Rc<Server>>) -> Option<(Rc<Server>, f64)> {
         let profile_group = self.profile(job).group;
         let shots = job.shots.borrow();
         let tried = |server: &Rc<Server>| shots.iter().any(|shot| Rc::ptr_eq(&shot.server, server));
@@ -955,12 +993,12 @@
                 && self.warm_enough(server, rate)
         };
         let open = self.near(part, &fits);
-        let fresh = |server: &Rc<Server>| server.seen.get() >= job.arrived && server.probed.get() >= job.arrived;
+        let fresh = |server: &Rc<Server>| server.seen.get() >= server.probed.get() && server.probed.get() >= job.asked.get();
         let asked: Vec<_> = open.iter().filter(|server| fresh(server)).cloned().collect();
         let open = if asked.is_empty() { open } else { asked };
-        let weights = self.figures(&open).into_iter().map(|figure| figure.powf(-K));
-        let place = WeightedIndex::new(weights).ok()?.sample(&mut self.chance);
-        open.get(place).cloned()
+        let figures = self.figures(&open);
+        let place = WeightedIndex::new(figures.iter().map(|figure| figure.powf(-K))).ok()?.sample(&mut self.chance);
+        Some((open.get(place)?.clone(), figures[place]))
     }
 
     /// Share of its capacity that a server has at least, by the time since its start.
