--- a/crates/pearfront-settings/src/lib.rs
+++ b/crates/pearfront-settings/src/lib.rs
@@ -98,9 +98,11 @@
     let goal = top.needed("objective_mix")?;
     let on_request = top.needed("discovery")?.text()? == "on_request";
     let quota = |customer: &At| customer.needed("quota_per_s")?.number();
+    let tier = top.number_or("tier", 0.0)? as usize;
     Ok(Settings {
         siblings: top.needed("siblings")?.number()?.max(1.0),
-        tier: top.number_or("tier", 0.0)? as usize,
+        tier,
+        last_tier: top.texts("layers")?.len() == tier + 1,
         zone: top.number_or("locality", 0.0)? as u16,
         round: top.needed("round")?.ms()?,
         listed_on_request: on_request,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -33,6 +33,8 @@
 pub struct Settings {
     pub siblings: f64,
     pub tier: usize,
+    /// Servers of this tier call no further one: their errors are their own.
+    pub last_tier: bool,
     pub zone: u16,
     pub round: f64,
     pub listed_on_request: bool,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -65,7 +65,7 @@
 /// Failures in a row that set a server aside: two happen by chance where a few in a hundred fail.
 const STRIKES: u32 = 3;
 /// Jobs of its own that a node sends between two trials of one server at the least.
-const TRIAL: f64 = 20.0;
+const TRIAL: f64 = 40.0;
 /// Share of recent shots honoured below which an error is a shared fault, not the server's.
 const SHARED: f64 = 0.7;
 /// First time aside, ms: about as long as a short stall; it doubles up to the last.
@@ -612,7 +612,7 @@
                 }
             }
             // An error that most servers give now comes from the tier behind: it says nothing of this one.
-            Ending::Error if self.success() < SHARED => self.endings.add(now, 0.0),
+            Ending::Error if !self.settings.last_tier && self.success() < SHARED => self.endings.add(now, 0.0),
             Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Broken => {
                 self.endings.add(now, 0.0);
                 self.strike(server, job.profile, ending == Ending::Error);
@@ -1097,7 +1097,7 @@
             self.restarted(now, now);
         }
         health.strikes.set(0);
-        health.aside.set(0.0);
+        health.aside.set(health.aside.get() / 4.0);
         self.heard.set(now);
         self.failing_since.set(f64::INFINITY);
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -259,6 +259,7 @@
     Settings {
         siblings: 1.0,
         tier: 0,
+        last_tier: false,
         zone: 0,
         round: ROUND,
         listed_on_request: false,
