--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,8 +60,11 @@
 /// What it shrinks by with a late answer, and grows by with one in time: some one in ten may be late.
 const REACH_SHRINK: f64 = 0.1;
 const REACH_GROW: f64 = 0.01;
-/// Times as far that jobs above mean worth reach.
-const REACH_BETTER: f64 = 1.4;
+/// Share of the reach that a promise has to take for its being late to count.
+const EDGE: f64 = 0.6;
+/// Powers of it for jobs above mean worth and for others: what room there is under overload is for the better.
+const REACH_BETTER: f64 = 0.5;
+const REACH_OTHERS: f64 = 2.0;
 /// Failures in a row that set a server aside: two happen by chance where a few in a hundred fail.
 const STRIKES: u32 = 3;
 /// Jobs of its own that a node sends between two trials of one server at the least.
@@ -187,6 +190,7 @@
     sent: f64,
     /// What the table said of it then.
     figure: f64,
+    promise: f64,
     ending: Option<Ending>,
     overdue: bool,
 }
@@ -545,13 +549,18 @@
     }
 
     /// Will a job of this worth be in time on a server of this figure? What held jobs take shows in recent answers.
-    fn promises(&mut self, job: &Job, figure: f64, worth: f64) -> bool {
+    fn promises(&mut self, job: &Job, promise: f64, worth: f64) -> bool {
         self.worths.add(self.now, worth);
         let usual = self.worths.mean(self.now) * (1.0 + f64::EPSILON.sqrt());
-        let most = self.reach * if worth > usual { REACH_BETTER } else { 1.0 };
+        let most = self.reach.powf(if worth > usual { REACH_BETTER } else { REACH_OTHERS });
+        promise < most
+    }
+
+    /// Share of the job's time left that a server of this figure will take, by what recent ones took.
+    fn promise(&mut self, job: &Job, figure: f64) -> f64 {
         let left = job.arrived + self.profile(job).contract_time - self.now;
         let mean = self.drawn.mean_beside(self.now, 1.0, 1.0);
-        self.expected(job) * figure / mean < most * left
+        self.expected(job) * figure / mean / left.max(f64::MIN_POSITIVE)
     }
 
     fn ask(&mut self, out: &mut impl Writer) {
@@ -571,6 +580,13 @@
         if ending == Ending::Honoured {
             self.drawn.add(self.now, shot.figure);
         }
+        // A late answer from where it was to be quick is chance, not crowding.
+        let late = self.now - job.arrived > self.profile(job).contract_time;
+        if late && shot.promise > EDGE * self.reach {
+            self.reach = (self.reach * (1.0 - REACH_SHRINK)).max(REACH_LEAST);
+        } else if ending == Ending::Honoured && !late {
+            self.reach = (self.reach * (1.0 + REACH_GROW)).min(REACH_MOST);
+        }
         shot.server.out.set(shot.server.out.get() - 1);
         self.out.change(self.now, -1.0);
         Some(shot.server.clone())
@@ -592,11 +608,6 @@
         if server.unreached.get() && self.ask_pause <= ASK_AGAIN && self.next_ask.is_finite() {
             (self.next_ask, self.ask_pause) = (now, 2.0 * ASK_AGAIN);
         }
-        let late = now - job.arrived > self.profile(job).contract_time;
-        if late || ending == Ending::Honoured {
-            let step = if late { -REACH_SHRINK } else { REACH_GROW };
-            self.reach = (self.reach * (1.0 + step)).clamp(REACH_LEAST, REACH_MOST);
-        }
         match ending {
             Ending::Honoured => {
                 self.endings.add(now, 1.0);
@@ -940,7 +951,8 @@
             return false;
         }
         let Some((server, figure)) = self.draw(job, group) else { return false };
-        if worth.is_some_and(|worth| !self.promises(job, figure, worth)) {
+        let promise = self.promise(job, figure);
+        if worth.is_some_and(|worth| !self.promises(job, promise, worth)) {
             return false;
         }
         if first {
@@ -956,7 +968,7 @@
         out.shoot(job.id, server.address, job.limit - self.now);
         let usual = self.expected(job) * self.overdue();
         let at = self.now + server.patience(usual);
-        job.shots.borrow_mut().push(Shot { server, sent: self.now, figure, ending: None, overdue: false });
+        job.shots.borrow_mut().push(Shot { server, sent: self.now, figure, promise, ending: None, overdue: false });
         self.review(job, at);
         true
     }
