Cold servers that are asked are bounded by the jobs they hold; parts shrink to three before they widen

Lines: warm_enough(), near(). Where a draw asks, a cold server may hold what the stated multiple and window allow at its share (in that time it is sent what it did and what it holds at the end); a part passes over servers aside only once three are left.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,6 +46,8 @@
 /// Servers asked before a draw at the most, and at the least: one figure compares with nothing.
 const ASK_MOST: f64 = 5.0;
 const ASK_LEAST: f64 = 2.0;
+/// Servers of its part that a node must be able to ask before it goes beyond it.
+const KEPT: usize = 3;
 /// Longest a draw waits for the answers, as a share of the contract time: a silent server must not hold it up.
 const ASK_PATIENCE: f64 = 0.05;
 /// Least figure of a server that gave none: a job or a core's worth, as idle tables have no highest.
@@ -524,7 +526,7 @@
     /// Probes the servers that the job may be drawn to, the paper's way: even draws and lowest entries.
     fn inquire(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         let part = self.part();
-        let mut near = self.near(part, |server| !server.is_aside(job.profile, self.now));
+        let mut near = self.open(job, &None, part, |_| true);
         for _ in 0..self.questions().min(near.len()) {
             let figures = self.figures(&near);
             let target = if self.chance.random::<f64>() < ALPHA {
@@ -549,7 +551,7 @@
     }
 
     /// Will a job of this worth be in time on a server of this figure? What held jobs take shows in recent answers.
-    fn promises(&mut self, job: &Job, promise: f64, worth: f64) -> bool {
+    fn promises(&mut self, promise: f64, worth: f64) -> bool {
         self.worths.add(self.now, worth);
         let usual = self.worths.mean(self.now) * (1.0 + f64::EPSILON.sqrt());
         let most = self.reach.powf(if worth > usual { REACH_BETTER } else { REACH_OTHERS });
@@ -952,7 +954,7 @@
         }
         let Some((server, figure)) = self.draw(job, group) else { return false };
         let promise = self.promise(job, figure);
-        if worth.is_some_and(|worth| !self.promises(job, promise, worth)) {
+        if worth.is_some_and(|worth| !self.promises(promise, worth)) {
             return false;
         }
         if first {
@@ -985,32 +987,65 @@
     }
 
     fn draw(&mut self, job: &Job, group: Option<Rc<Server>>) -> Option<(Rc<Server>, f64)> {
-        let profile_group = self.profile(job).group;
+        let part = self.part();
+        let rate = self.first_shots.total(self.now).0 / SPAN / (self.table.len().min(part) as f64).max(1.0);
+        let asked = |server: &Rc<Server>| {
+            server.seen.get() >= server.probed.get() && server.probed.get() >= job.asked.get()
+        };
+        let mut open = self.open(job, &group, part, |_| true);
+        open.retain(asked);
+        let most = self.cold_most(job);
+        if open.is_empty() {
+            open = self.open(job, &group, part, |server| self.warm_enough(server, rate));
+        } else {
+            open.retain(|server| {
+                let grown = self.grown(server);
+                grown >= 1.0 || server.figure.get().unwrap_or(0.0) < (most * grown).max(1.0)
+            });
+        }
+        let figures = self.figures(&open);
+        let place = WeightedIndex::new(figures.iter().map(|figure| figure.powf(-K))).ok()?.sample(&mut self.chance);
+        Some((open.get(place)?.clone(), figures[place]))
+    }
+
+    /// The servers of this node's part that may have the job.
+    fn open(
+        &self,
+        job: &Job,
+        group: &Option<Rc<Server>>,
+        part: usize,
+        more: impl Fn(&Server) -> bool,
+    ) -> Vec<Rc<Server>> {
         let shots = job.shots.borrow();
         let tried = |server: &Rc<Server>| shots.iter().any(|shot| Rc::ptr_eq(&shot.server, server));
-        let within = |server: &Rc<Server>| match (&group, profile_group) {
+        let within = |server: &Rc<Server>| match (group, self.profile(job).group) {
             (Some(first), Group::Zone) => first.zone == server.zone,
             (Some(first), Group::Cell) => first.cell == server.cell,
             _ => true,
         };
         let aside = self.table.iter().filter(|server| server.is_aside(job.profile, self.now)).count();
         let shared = aside as f64 > self.table.len() as f64 * ASIDE_SHARE;
-        let part = self.part();
-        let rate = self.first_shots.total(self.now).0 / SPAN / (self.table.len().min(part) as f64).max(1.0);
         let fits = |server: &Rc<Server>| {
             within(server)
                 && self.now >= server.rest_until.get()
                 && (shared && !server.unreached.get() || !server.is_aside(job.profile, self.now))
                 && !tried(server)
-                && self.warm_enough(server, rate)
+                && more(server)
         };
-        let open = self.near(part, &fits);
-        let fresh = |server: &Rc<Server>| server.seen.get() >= server.probed.get() && server.probed.get() >= job.asked.get();
-        let asked: Vec<_> = open.iter().filter(|server| fresh(server)).cloned().collect();
-        let open = if asked.is_empty() { open } else { asked };
-        let figures = self.figures(&open);
-        let place = WeightedIndex::new(figures.iter().map(|figure| figure.powf(-K))).ok()?.sample(&mut self.chance);
-        Some((open.get(place)?.clone(), figures[place]))
+        // Each further server would have to be met, and learned of by jobs lost; a few are enough to ask.
+        if self.questions() > 0 {
+            let mut kept = self.near(part, |_| true);
+            kept.retain(&fits);
+            return if kept.len() >= KEPT { kept } else { self.near(KEPT, fits) };
+        }
+        self.near(part, fits)
+    }
+
+    /// Jobs that a server may hold that has its whole capacity as it is stated, by what falls over and how soon:
+    /// what it is sent in that time is what it did and what it holds at the end.
+    fn cold_most(&mut self, job: &Job) -> f64 {
+        let multiple = (self.settings.cold_multiple - 1.0).max(0.0) * COLD_PART;
+        multiple * self.settings.cold_window / self.expected(job)
     }
 
     /// Share of its capacity that a server has at least, by the time since its start.
