--- a/crates/pearfront-settings/src/lib.rs
+++ b/crates/pearfront-settings/src/lib.rs
@@ -114,6 +114,7 @@
         weight_whole: goal.number_or("whole", 1.0)?,
         weight_profile: goal.number_or("worst_class", 0.0)?,
         weight_customer: goal.number_or("worst_tenant", 0.0)?,
+        keys_met: top.maybe("specifics").map_or(Ok(false), |at| at.yes("warm_keys"))?,
         cross_zone_price: prices.number_or("cross_zone", 0.0)?,
         probe_price: prices.number_or("probe", 0.0)?,
         most_shots: limits.needed("most_shots")?.number()? as usize,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,6 +46,8 @@
 /// Servers asked before a draw at the most, and at the least: one figure compares with nothing.
 const ASK_MOST: f64 = 5.0;
 const ASK_LEAST: f64 = 2.0;
+/// Share of a job's work taken for saved where its key was met lately: from a quarter to two thirds are.
+const KEY_SAVES: f64 = 0.4;
 /// Servers of its part that a node must be able to ask before it goes beyond it.
 const KEPT: usize = 3;
 /// Longest a draw waits for the answers, as a share of the contract time: a silent server must not hold it up.
@@ -85,10 +87,6 @@
 const SILENT: f64 = 3000.0;
 /// A shot is overdue after this many mean durations of its profile on that server: tails are long.
 const OVERDUE: f64 = 8.0;
-/// Share of recent shots never answered from which on answers are being lost: a few are lost with servers.
-const LOSSY: f64 = 0.05;
-/// The same as `OVERDUE`, but while answers are lost: what is out so long mostly is.
-const OVERDUE_LOSSY: f64 = 4.0;
 /// Share of the contract time that stands for a mean duration not yet seen.
 const UNSEEN: f64 = 0.2;
 /// Further shots as a share of first ones, if all recent ones succeed.
@@ -105,8 +103,6 @@
 const PRIOR: f64 = 3.0;
 /// Longest a job waits for admission, as a share of its contract time: queues here are short.
 const HOLD: f64 = 0.25;
-/// Share in which a hint counts: it is rough, and part of a shot's time is waiting.
-const HINTED: f64 = 0.8;
 /// Power at which a job's worth falls where its usual duration is above the time left.
 const SURE: f64 = 3.0;
 /// Advice on when to come back, as a share of the contract time: soon enough to be in time still.
@@ -125,14 +121,6 @@
 const LATE_SPAN: f64 = 1000.0;
 /// Jobs let in for each server at the least and at first: with fewer it grows back too slowly after trouble.
 const WINDOW_LEAST: f64 = 5.0;
-/// Share of the cap from which on the window is at it: it may be a step or two below.
-const AT_CAP: f64 = 0.95;
-/// Times the easiest mean share ever seen up to which jobs are as quick as ever.
-const EASY: f64 = 1.15;
-/// Answers that tell how easy jobs are: with fewer the easiest would be chance.
-const EASY_COUNT: f64 = 20.0;
-/// Share by which the cap by server rises with each answer while the window is at it; it falls twice as fast.
-const CAP_STEP: f64 = 0.005;
 /// Mean share of their contract time that jobs take in a jam: half of them come late by then.
 const JAMMED: f64 = 0.7;
 /// Jobs let in for each server at the least in a jam: enough to see it end.
@@ -201,8 +189,8 @@
     id: u32,
     profile: usize,
     customer: usize,
-    /// Its work as a share of its profile's usual one, if the client gave a hint.
-    size: f64,
+    /// Jobs that share it are done with less work where one was done lately.
+    key: Option<u64>,
     arrived: f64,
     limit: f64,
     /// When servers were last asked for it.
@@ -235,8 +223,6 @@
     ask_pause: f64,
     /// Durations of honoured shots, by profile.
     durations: Vec<Recent>,
-    /// Work hinted at, by profile.
-    hints: Vec<Recent>,
     arrivals: Recent,
     tallies: [Vec<Tally>; 2],
     admitted: Vec<Recent>,
@@ -248,16 +234,10 @@
     further: Recent,
     /// Shots out.
     out: Level<10>,
-    shares: Recent,
-    easy: f64,
-    /// Jobs let in for each server at the most, and whether the window was there.
-    cap: f64,
-    full: bool,
     window: f64,
     notes: Vec<String>,
     lateness: Recent,
     worths: Recent,
-    lost: Recent,
     makes: Vec<Recent>,
 }
 
@@ -283,7 +263,6 @@
             next_ask: if settings.listed_on_request { next_ask } else { f64::INFINITY },
             ask_pause: ASK_AGAIN,
             durations: settings.profiles.iter().map(|_| recent()).collect(),
-            hints: settings.profiles.iter().map(|_| recent()).collect(),
             arrivals: recent(),
             tallies: [settings.profiles.len(), settings.quotas.len()]
                 .map(|n| vec![[Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]; n]),
@@ -294,14 +273,9 @@
             endings: recent(),
             further: recent(),
             out: Level::new(LATE_SPAN),
-            shares: recent(),
-            easy: f64::INFINITY,
-            cap: WINDOW_MOST,
-            full: false,
             window: f64::INFINITY,
             notes: Vec::new(),
             lateness: Recent::new(LATE_SPAN),
-            lost: recent(),
             worths: recent(),
             makes: Vec::new(),
             settings,
@@ -339,17 +313,16 @@
 
     // ---- what comes in ----
 
-    pub fn job(&mut self, id: u32, profile: usize, customer: usize, hint: Option<f64>, limit: f64) {
+    pub fn job(&mut self, id: u32, profile: usize, customer: usize, key: Option<u64>, limit: f64) {
         let now = self.now;
         self.arrivals.add(now, 1.0);
-        let size = hint.map_or(1.0, |hint| self.size(profile, hint));
         let gain = self.gain(profile);
         self.tally(profile, customer, |[asked, _]| asked.add(now, gain));
         let job = Rc::new(Job {
             id,
             profile,
             customer,
-            size,
+            key,
             arrived: now,
             limit,
             asked: Cell::new(f64::NEG_INFINITY),
@@ -527,9 +500,12 @@
     fn inquire(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         let part = self.part();
         let mut near = self.open(job, &None, part, |_| true);
+        let mut favoured = self.favoured(job, &near);
         for _ in 0..self.questions().min(near.len()) {
             let figures = self.figures(&near);
-            let target = if self.chance.random::<f64>() < ALPHA {
+            let target = if let Some(place) = favoured.take() {
+                place
+            } else if self.chance.random::<f64>() < ALPHA {
                 self.chance.random_range(0..near.len())
             } else {
                 (0..figures.len()).min_by(|a, b| figures[*a].total_cmp(&figures[*b])).unwrap_or(0)
@@ -544,6 +520,12 @@
         self.review(job, self.now + ASK_PATIENCE * self.profile(job).contract_time);
     }
 
+    /// The server that jobs of its key go to from here as long as it is not busier: there it may be less work.
+    fn favoured(&self, job: &Job, servers: &[Rc<Server>]) -> Option<usize> {
+        let key = job.key.filter(|_| self.settings.keys_met)?;
+        (0..servers.len()).max_by_key(|place| rank(key, servers[*place].address))
+    }
+
     /// Is the job's draw still waiting for answers?
     fn awaits(&self, job: &Job) -> bool {
         let asked = |server: &Rc<Server>| server.probed.get() >= job.asked.get() && server.seen.get() < server.probed.get();
@@ -562,7 +544,7 @@
     fn promise(&mut self, job: &Job, figure: f64) -> f64 {
         let left = job.arrived + self.profile(job).contract_time - self.now;
         let mean = self.drawn.mean_beside(self.now, 1.0, 1.0);
-        self.expected(job) * figure / mean / left.max(f64::MIN_POSITIVE)
+        self.usual(job.profile) * figure / mean / left.max(f64::MIN_POSITIVE)
     }
 
     fn ask(&mut self, out: &mut impl Writer) {
@@ -596,11 +578,7 @@
 
     fn judge(&mut self, server: &Rc<Server>, job: &Job, ending: Ending, took: f64) {
         let now = self.now;
-        let usual = self.expected(job);
-        let unanswered = matches!(ending, Ending::TimedOut | Ending::CalledOff);
-        if unanswered && took > self.overdue() * usual || ending == Ending::Honoured {
-            self.lost.add(now, f64::from(u8::from(unanswered)));
-        }
+        let usual = self.usual(job.profile);
         // A server that loses its answers looks idle: they count with the time they were out.
         if ending != Ending::Honoured && took > OVERDUE * usual {
             self.compare(server, took / usual);
@@ -618,7 +596,7 @@
                     let gain = self.gain(job.profile);
                     self.tally(job.profile, job.customer, |[_, honoured]| honoured.add(now, gain));
                 }
-                self.durations[job.profile].add(now, took / job.size);
+                self.durations[job.profile].add(now, took);
                 self.compare(server, took / usual);
                 if self.settings.tier == 0 {
                     self.pace(took / self.profile(job).contract_time);
@@ -656,18 +634,7 @@
     fn pace(&mut self, share: f64) {
         let now = self.now;
         self.lateness.add(now, share);
-        self.shares.add(now, share);
-        let (count, sum) = self.shares.total(now);
-        if count >= EASY_COUNT {
-            self.easy = self.easy.min(sum / count);
-        }
         let late = self.lateness.mean(now);
-        // Servers of more cores bear more, which shows in jobs at the cap that are as quick as ever.
-        if self.full {
-            let step = if late <= EASY * self.easy { CAP_STEP } else { -2.0 * CAP_STEP };
-            self.cap = (self.cap * (1.0 + step)).max(WINDOW_MOST);
-            self.window *= 1.0 + step.max(0.0);
-        }
         if late > TARGET {
             self.window -= (SHRINK * self.window).max(SHRINK_LEAST);
         } else if self.out.value > self.window / 2.0 {
@@ -697,18 +664,6 @@
         }
     }
 
-    /// Work hinted at, beside the mean of the profile's recent hints; rough, so it counts in part only.
-    fn size(&mut self, profile: usize, hint: f64) -> f64 {
-        let hints = &mut self.hints[profile];
-        hints.add(self.now, hint);
-        1.0 - HINTED + HINTED * hint / hints.mean(self.now).max(f64::MIN_POSITIVE)
-    }
-
-    /// Usual duration of a shot of this job, ms.
-    fn expected(&mut self, job: &Job) -> f64 {
-        self.usual(job.profile) * job.size
-    }
-
     /// Usual duration of a profile's shot, ms.
     fn usual(&mut self, profile: usize) -> f64 {
         let guess = UNSEEN * self.settings.profiles[profile].contract_time;
@@ -750,8 +705,7 @@
     }
 
     fn check_overdue(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
-        let overdue = self.overdue();
-        let usual = self.expected(job) * overdue;
+        let usual = self.usual(job.profile) * OVERDUE;
         let mut next = f64::INFINITY;
         let mut late = None;
         for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none() && !shot.overdue) {
@@ -762,7 +716,7 @@
             }
             shot.overdue = true;
             // A server that has answered others since is not silent: its job is long, a copy is waste.
-            if overdue < OVERDUE || shot.server.heard.get() < shot.sent {
+            if shot.server.heard.get() < shot.sent {
                 late = Some(shot.server.clone());
             }
         }
@@ -772,11 +726,6 @@
         }
     }
 
-    /// Usual durations after which a shot is overdue; fewer while answers are lost on the way.
-    fn overdue(&mut self) -> f64 {
-        if self.lost.mean(self.now) > LOSSY { OVERDUE_LOSSY } else { OVERDUE }
-    }
-
     /// Has the job looked at again at `at`, or when its answer falls due.
     fn review(&mut self, job: &Rc<Job>, at: f64) {
         self.numbered += 1;
@@ -812,8 +761,7 @@
         // Where the tier behind is what jams, servers let in more for their number than it can bear.
         let late = self.lateness.mean(self.now);
         let least = if late > JAMMED { WINDOW_JAMMED } else { WINDOW_LEAST };
-        self.full = self.window >= self.cap * part * AT_CAP;
-        self.window = self.window.clamp(least * part, self.cap * part);
+        self.window = self.window.clamp(least * part, WINDOW_MOST * part);
         for (worth, job) in ranked {
             let asks = self.questions() > 0;
             if asks && self.now >= job.asked.get() + ASK_AGAIN_SHARE * self.profile(&job).contract_time {
@@ -882,7 +830,7 @@
         let excess = if within { 1.0 } else { self.settings.excess_gain };
         // What will hardly be answered in time is worth little more than nothing, however short the queue.
         let left = job.arrived + self.profile(job).contract_time - now;
-        let chance = (left / self.expected(job)).clamp(0.0, 1.0).powf(SURE);
+        let chance = (left / self.usual(job.profile)).clamp(0.0, 1.0).powf(SURE);
         part * excess * chance * self.gain(job.profile) / self.usual(job.profile)
     }
 
@@ -968,7 +916,7 @@
         server.send(job.profile, self.now);
         self.out.change(self.now, 1.0);
         out.shoot(job.id, server.address, job.limit - self.now);
-        let usual = self.expected(job) * self.overdue();
+        let usual = self.usual(job.profile) * OVERDUE;
         let at = self.now + server.patience(usual);
         job.shots.borrow_mut().push(Shot { server, sent: self.now, figure, promise, ending: None, overdue: false });
         self.review(job, at);
@@ -1003,7 +951,10 @@
                 grown >= 1.0 || server.figure.get().unwrap_or(0.0) < (most * grown).max(1.0)
             });
         }
-        let figures = self.figures(&open);
+        let mut figures = self.figures(&open);
+        if let Some(place) = self.favoured(job, &open) {
+            figures[place] *= 1.0 - KEY_SAVES;
+        }
         let place = WeightedIndex::new(figures.iter().map(|figure| figure.powf(-K))).ok()?.sample(&mut self.chance);
         Some((open.get(place)?.clone(), figures[place]))
     }
@@ -1045,7 +996,7 @@
     /// what it is sent in that time is what it did and what it holds at the end.
     fn cold_most(&mut self, job: &Job) -> f64 {
         let multiple = (self.settings.cold_multiple - 1.0).max(0.0) * COLD_PART;
-        multiple * self.settings.cold_window / self.expected(job)
+        multiple * self.settings.cold_window / self.usual(job.profile)
     }
 
     /// Share of its capacity that a server has at least, by the time since its start.
@@ -1069,6 +1020,12 @@
     }
 }
 
+/// A number of its own for each key and server, the same at all nodes.
+fn rank(key: u64, address: Address) -> u64 {
+    let mix = |mixed: u64, byte: &u8| (mixed ^ u64::from(*byte)).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(29);
+    address.iter().fold(key, mix).wrapping_mul(0xBF58_476D_1CE4_E5B9)
+}
+
 impl Job {
     /// Has every shot so far provably never run?
     fn proven_unrun(&self) -> bool {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -271,6 +271,7 @@
         weight_whole: 1.0,
         weight_profile: 0.0,
         weight_customer: 0.0,
+        keys_met: false,
         cross_zone_price: 0.0,
         probe_price: 0.01,
         most_shots: 3,
