A wake that comes a hair early no longer leaves a job unanswered

Seen in a trace of that job's rounds: a wake asked for at 16500.0004 ms came in the round of 16500.0, round() took it for one still to come and asked for no other, so nothing woke the node until the client had gone. Ruled out: the job's own times (due at 16515.5, limit 17105.2) and the order of its looks. A wake due within a round now counts as come.

--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -280,7 +280,16 @@
 
     fn line(id: &str, port: u16, started: Option<f64>) -> Line {
         let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
-        Line { id: id.into(), address, standing: Standing::Ready, cell: 0, zone: 0, make: 0, started }
+        Line {
+            id: id.into(),
+            address,
+            standing: Standing::Ready,
+            cell: 0,
+            zone: 0,
+            make: 0,
+            size: 1.0,
+            started,
+        }
     }
 
     fn update(roster: &mut Roster, whole: bool, lines: Vec<Line>) -> (Vec<(u16, Standing)>, Vec<u16>) {
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -103,14 +103,15 @@
     }
     let (method, target) = (head.method, head.uri);
     let irreversible = effect == Effect::Irreversible;
-    let job =
-        Job { profile, customer, key, irreversible, left, body: Bytes::new(), method, target, headers };
+    let job = Job { profile, customer, key, irreversible, left, body: Bytes::new(), method, target, headers };
     Ok(Call::Job(Box::new(job)))
 }
 
 /// Its text as a number: FNV-1a, the same at every node and in every build.
 fn decode_key(figures: &str) -> Option<u64> {
-    let pair = |figure: &str| figure.split_once('=').map(|(name, value)| (name.trim() == KEY, value.trim().to_string()));
+    let pair = |figure: &str| {
+        figure.split_once('=').map(|(name, value)| (name.trim() == KEY, value.trim().to_string()))
+    };
     let (_, value) = figures.split(',').filter_map(pair).find(|(is_key, _)| *is_key)?;
     let step = |sum: u64, byte: u8| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
     (!value.is_empty()).then(|| value.bytes().fold(0xcbf2_9ce4_8422_2325, step))
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -66,9 +66,6 @@
 const REACH_GROW: f64 = 0.01;
 /// Share of the reach that a promise has to take for its being late to count.
 const EDGE: f64 = 0.6;
-/// Powers of it for jobs above mean worth and for others: what room there is under overload is for the better.
-const REACH_BETTER: f64 = 0.5;
-const REACH_OTHERS: f64 = 2.0;
 /// Failures in a row that set a server aside: two happen by chance where a few in a hundred fail.
 const STRIKES: u32 = 3;
 /// Jobs of its own that a node sends between two trials of one server at the least.
@@ -228,6 +225,8 @@
     admitted: Vec<Recent>,
     first_shots: Recent,
     reach: f64,
+    /// The part of it that other than better jobs have.
+    leave: f64,
     /// Figures of the servers that honoured jobs were drawn to.
     drawn: Recent,
     endings: Recent,
@@ -269,6 +268,7 @@
             admitted: settings.quotas.iter().map(|_| recent()).collect(),
             first_shots: recent(),
             reach: REACH_MOST,
+            leave: 1.0,
             drawn: recent(),
             endings: recent(),
             further: recent(),
@@ -291,7 +291,10 @@
     ) -> Result<(), E> {
         self.now = now;
         feed(self)?;
-        self.woken_for = if self.woken_for <= now { f64::INFINITY } else { self.woken_for };
+        // A wake may come a hair early: taken for one still to come, it would be the last, and jobs would be lost.
+        if self.woken_for <= now + self.settings.round {
+            self.woken_for = f64::INFINITY;
+        }
         self.notes.drain(..).for_each(|line| out.log(&line));
         self.ask(out);
         self.probe(out);
@@ -347,9 +350,13 @@
         let Some(server) = self.known.get(&address).cloned() else { return };
         server.seen.set(self.now);
         let highest = || self.table.iter().filter_map(|server| server.figure.get()).fold(0.0, f64::max);
-        let reported = self.read(report).or(self.settings.report.is_empty().then_some(took));
-        // One that reports nothing where others do is too busy to, or lost: neither may win traffic.
-        server.figure.set(Some(reported.filter(|_| good).unwrap_or_else(|| highest().max(UNREPORTED))));
+        server.figure.set(match self.read(report) {
+            _ if !good => Some(highest()),
+            Some(figure) => Some(figure),
+            None if self.settings.report.is_empty() => Some(took),
+            // One that has just started has nothing to report yet; a warm one is too busy to, and may not win traffic.
+            None => (self.grown(&server) >= 1.0).then(|| highest().max(UNREPORTED)),
+        });
     }
 
     pub fn client_left(&mut self, id: u32) {
@@ -396,7 +403,8 @@
             return self.known.remove(&line.server).iter().for_each(|old| old.standing.set(Standing::Gone));
         }
         let (place, profiles) = (self.chance.random(), self.settings.profiles.len());
-        let server = self.known.entry(line.server).or_insert_with(|| Rc::new(Server::new(line, place, profiles)));
+        let server =
+            self.known.entry(line.server).or_insert_with(|| Rc::new(Server::new(line, place, profiles)));
         if line.started > server.started.get() {
             server.restarted(line.started, self.now);
         }
@@ -451,7 +459,8 @@
             if counted {
                 // Jobs held have a size: the own ones are among them, and a cold or small server bears fewer.
                 let stranger = if server.heard.get().is_finite() { 0.0 } else { STRANGER };
-                (report.max(out) + stranger + 1.0) * server.slowness.get() / (server.size.get() * self.grown(server))
+                (report.max(out) + stranger + 1.0) * server.slowness.get()
+                    / (server.size.get() * self.grown(server))
             } else {
                 report + step * server.slowness.get() * (out + 1.0)
             }
@@ -528,15 +537,22 @@
 
     /// Is the job's draw still waiting for answers?
     fn awaits(&self, job: &Job) -> bool {
-        let asked = |server: &Rc<Server>| server.probed.get() >= job.asked.get() && server.seen.get() < server.probed.get();
-        self.now < job.asked.get() + ASK_PATIENCE * self.profile(job).contract_time && self.table.iter().any(asked)
+        let asked = |server: &Rc<Server>| {
+            server.probed.get() >= job.asked.get() && server.seen.get() < server.probed.get()
+        };
+        self.now < job.asked.get() + ASK_PATIENCE * self.profile(job).contract_time
+            && self.table.iter().any(asked)
     }
 
     /// Will a job of this worth be in time on a server of this figure? What held jobs take shows in recent answers.
     fn promises(&mut self, promise: f64, worth: f64) -> bool {
         self.worths.add(self.now, worth);
         let usual = self.worths.mean(self.now) * (1.0 + f64::EPSILON.sqrt());
-        let most = self.reach.powf(if worth > usual { REACH_BETTER } else { REACH_OTHERS });
+        let better = worth > usual;
+        let most = if better { self.reach.sqrt() } else { self.reach * self.leave };
+        if better && promise >= most {
+            self.leave = (self.leave * (1.0 - REACH_SHRINK)).max(REACH_LEAST);
+        }
         promise < most
     }
 
@@ -570,6 +586,7 @@
             self.reach = (self.reach * (1.0 - REACH_SHRINK)).max(REACH_LEAST);
         } else if ending == Ending::Honoured && !late {
             self.reach = (self.reach * (1.0 + REACH_GROW)).min(REACH_MOST);
+            self.leave = (self.leave * (1.0 + REACH_GROW)).min(1.0);
         }
         shot.server.out.set(shot.server.out.get() - 1);
         self.out.change(self.now, -1.0);
@@ -603,7 +620,9 @@
                 }
             }
             // An error that most servers give now comes from the tier behind: it says nothing of this one.
-            Ending::Error if !self.settings.last_tier && self.success() < SHARED => self.endings.add(now, 0.0),
+            Ending::Error if !self.settings.last_tier && self.success() < SHARED => {
+                self.endings.add(now, 0.0)
+            }
             Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Broken => {
                 self.endings.add(now, 0.0);
                 self.strike(server, job.profile, ending == Ending::Error);
@@ -918,7 +937,14 @@
         out.shoot(job.id, server.address, job.limit - self.now);
         let usual = self.usual(job.profile) * OVERDUE;
         let at = self.now + server.patience(usual);
-        job.shots.borrow_mut().push(Shot { server, sent: self.now, figure, promise, ending: None, overdue: false });
+        job.shots.borrow_mut().push(Shot {
+            server,
+            sent: self.now,
+            figure,
+            promise,
+            ending: None,
+            overdue: false,
+        });
         self.review(job, at);
         true
     }
@@ -955,7 +981,8 @@
         if let Some(place) = self.favoured(job, &open) {
             figures[place] *= 1.0 - KEY_SAVES;
         }
-        let place = WeightedIndex::new(figures.iter().map(|figure| figure.powf(-K))).ok()?.sample(&mut self.chance);
+        let place =
+            WeightedIndex::new(figures.iter().map(|figure| figure.powf(-K))).ok()?.sample(&mut self.chance);
         Some((open.get(place)?.clone(), figures[place]))
     }
 
@@ -1022,7 +1049,9 @@
 
 /// A number of its own for each key and server, the same at all nodes.
 fn rank(key: u64, address: Address) -> u64 {
-    let mix = |mixed: u64, byte: &u8| (mixed ^ u64::from(*byte)).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(29);
+    let mix = |mixed: u64, byte: &u8| {
+        (mixed ^ u64::from(*byte)).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(29)
+    };
     address.iter().fold(key, mix).wrapping_mul(0xBF58_476D_1CE4_E5B9)
 }
 
