--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,117 +19,59 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::{Rc, Weak};
 
-/// Power of the draw, no unit: rounds from 1 to 12 gained at each step; figures within a tenth still share.
-const K: f64 = 12.0;
-/// Share of probes with an even draw: busy entries must be seen again too.
-const ALPHA: f64 = 0.5;
-/// Lowest figure, as a share of the table's mean (from the design page).
-const FLOOR: f64 = 0.2;
-/// What an own send adds to a figure, as a share of the table's mean report.
-const STEP: f64 = 1.0;
-/// Jobs a second that a node sends each server it draws among: with fewer it can't tell how they fare.
-const ACQUAINTED: f64 = 8.0;
-/// Servers it draws among at the least: one slow one among them must not matter much.
-const PART_LEAST: f64 = 5.0;
-/// Nodes that draw each server at the least, however few jobs they have: one hot node must not matter much.
-const COVER: f64 = 4.0;
-/// Least mean the step is taken of: a tenth of a core or a tenth of a waiting job.
-const STEP_UNIT: f64 = 0.1;
-/// Probes a second at the least: an idle caller still sees its servers within a minute.
-const PROBE_FLOOR: f64 = 0.2;
-/// Points of the result that one tier's probes may cost; with the stated price it gives probes a job.
-const PROBE_SPEND: f64 = 0.002;
-/// Most probes a job, where probes are almost free.
-const PROBE_MOST: f64 = 0.3;
-/// Points of the result that the questions before one job's draw may cost; with the stated price it gives their number.
-const ASK_SPEND: f64 = 0.01;
-/// Servers asked before a draw at the most, and at the least: one figure compares with nothing.
-const ASK_MOST: f64 = 5.0;
-const ASK_LEAST: f64 = 2.0;
-/// Share of a job's work taken for saved where its key was met lately: from a quarter to two thirds are.
-const KEY_SAVES: f64 = 0.4;
-/// Servers of its part that a node must be able to ask before it goes beyond it.
-const KEPT: usize = 3;
-/// Longest a draw waits for the answers, as a share of the contract time: a silent server must not hold it up.
-const ASK_PATIENCE: f64 = 0.05;
-/// Least figure of a server that gave none: a job or a core's worth, as idle tables have no highest.
-const UNREPORTED: f64 = 1.0;
-/// Jobs that opening the first connection to a server is worth, as its work and time fall on the job.
-const STRANGER: f64 = 1.0;
-/// Share of the contract time after which a job that found no promising server asks again.
-const ASK_AGAIN_SHARE: f64 = 0.1;
-/// Share of the time left that a draw's server may promise to take: at first and at the most, and at the least.
-const REACH_MOST: f64 = 1.0;
-const REACH_LEAST: f64 = 0.3;
-/// What it shrinks by with a late answer, and grows by with one in time: some one in ten may be late.
-const REACH_SHRINK: f64 = 0.1;
-const REACH_GROW: f64 = 0.01;
-/// Share of the reach that a promise has to take for its being late to count.
-const EDGE: f64 = 0.6;
-/// Failures in a row that set a server aside: two happen by chance where a few in a hundred fail.
-const STRIKES: u32 = 3;
-/// Jobs of its own that a node sends between two trials of one server at the least.
-const TRIAL: f64 = 40.0;
-/// Share of recent shots honoured below which an error is a shared fault, not the server's.
-const SHARED: f64 = 0.7;
-/// First time aside, ms: about as long as a short stall; it doubles up to the last.
-const ASIDE_FIRST: f64 = 1000.0;
-/// Longest, ms: a lost server must be found back soon after its return.
-const ASIDE_LAST: f64 = 8000.0;
-/// Most of the table that may be aside at once; beyond it the fault is shared.
-const ASIDE_SHARE: f64 = 0.6;
-/// Usual durations that a server rests after it was full: its queue should be down by then.
-const REST: f64 = 4.0;
-/// Silence, ms, after which a server that answers again may have restarted.
-const SILENT: f64 = 3000.0;
-/// A shot is overdue after this many mean durations of its profile on that server: tails are long.
-const OVERDUE: f64 = 8.0;
-/// Share of the contract time that stands for a mean duration not yet seen.
-const UNSEEN: f64 = 0.2;
-/// Further shots as a share of first ones, if all recent ones succeed.
-const FURTHER: f64 = 0.2;
-/// Further shots that are free in each span: a lone failure may always go again.
-const FURTHER_FREE: f64 = 2.0;
-/// Share of the cold limit that this node's part of it uses: works differ, and so do nodes.
-const COLD_PART: f64 = 0.5;
-/// Span of measurements, ms: some dozen jobs on a server at usual rates.
-const SPAN: f64 = 10_000.0;
-/// Memory, ms, of how slow servers are: a caller has few samples, and machines differ all day.
-const PACE_MEMORY: f64 = 30_000.0;
-/// Samples that the mean duration stands for when a server is compared with it.
-const PRIOR: f64 = 3.0;
-/// Longest a job waits for admission, as a share of its contract time: queues here are short.
-const HOLD: f64 = 0.25;
-/// Power at which a job's worth falls where its usual duration is above the time left.
-const SURE: f64 = 3.0;
-/// Advice on when to come back, as a share of the contract time: soon enough to be in time still.
-const BACK: f64 = 0.25;
-/// Mean share of their contract time that jobs may take before fewer are let in.
-const TARGET: f64 = 0.45;
-/// The window shrinks by this share for each answer while they take more.
-const SHRINK: f64 = 0.02;
-/// Jobs by which it shrinks at the least: one of a job or two would not be closed by a late answer.
-const SHRINK_LEAST: f64 = 0.4;
-/// Jobs by which it grows at the most, likewise.
-const GROW_MOST: f64 = 0.05;
-/// Deviations between what the mean of the jobs out may reach for jobs above mean worth and for others.
-const SPREAD: f64 = 0.5;
-/// Span, ms, over which that is judged and jobs out are averaged: a jam builds up in a second or two.
-const LATE_SPAN: f64 = 1000.0;
-/// Jobs let in for each server at the least and at first: with fewer it grows back too slowly after trouble.
-const WINDOW_LEAST: f64 = 5.0;
-/// Mean share of their contract time that jobs take in a jam: half of them come late by then.
-const JAMMED: f64 = 0.7;
-/// Jobs let in for each server at the least in a jam: enough to see it end.
-const WINDOW_JAMMED: f64 = 2.0;
-/// Jobs let in for each server at the most: about what a small server holds before it turns slow.
-const WINDOW_MOST: f64 = 8.0;
-/// Span, ms, over which the worst served are told: about as long as troubles last.
-const FAIR_SPAN: f64 = 30_000.0;
-/// Share by which an away server's figure is raised for each point of the price of crossing.
-const ZONE_MARGIN: f64 = 26.0;
-/// First and last pause, ms, before the list is asked for again after a failure.
-const ASK_AGAIN: f64 = 1000.0;
+const K: f64 = 12.0; // Power of the draw: each step from 1 to 12 gained; figures within a tenth still share.
+const ALPHA: f64 = 0.5; // Share of probes with an even draw: busy entries must be seen again too.
+const FLOOR: f64 = 0.2; // Lowest figure, as a share of the table's mean (from the design page).
+const ACQUAINTED: f64 = 8.0; // Jobs a second to each server of the part: with fewer a node can't tell how they fare.
+const PART_LEAST: f64 = 5.0; // Servers in the part at the least: one slow one among them must not matter much.
+const STEP_UNIT: f64 = 0.1; // Least mean the step is taken of: a tenth of a core or a tenth of a waiting job.
+const PROBE_FLOOR: f64 = 0.2; // Probes a second at the least: an idle caller sees its servers within a minute.
+const PROBE_SPEND: f64 = 0.002; // Points that a tier's probes may cost; the price gives probes a job.
+const PROBE_MOST: f64 = 0.3; // Most probes a job, where probes are almost free.
+const ASK_SPEND: f64 = 0.01; // Points that the questions before a job's draw may cost; the price gives them.
+const ASK_MOST: f64 = 5.0; // Servers asked before a draw at the most, and
+const ASK_LEAST: f64 = 2.0; // at the least: one figure compares with nothing.
+const KEY_SAVES: f64 = 0.4; // Share of a job's work saved where its key was met lately: a quarter to two thirds are.
+const KEPT: usize = 3; // Servers of its part that a node must be able to ask before it goes beyond it.
+const ASK_PATIENCE: f64 = 0.05; // Share of the contract time a draw waits for answers: some servers are silent.
+const UNREPORTED: f64 = 1.0; // Least figure, jobs, of a busy server that gave none: idle tables have no highest.
+const STRANGER: f64 = 1.0; // Jobs that the first connection to a server is worth: its work falls on the job.
+const ASK_AGAIN_SHARE: f64 = 0.1; // Share of the contract time after which an unpromised job asks again.
+const REACH_MOST: f64 = 1.0; // Share of the time left that a server may promise to take, first and most, and
+const REACH_LEAST: f64 = 0.3; // at the least: servers must stay at work.
+const REACH_SHRINK: f64 = 0.1; // What it shrinks by when late, and
+const REACH_GROW: f64 = 0.01; // grows by with an answer in time: some one in ten may be late.
+const EDGE: f64 = 0.6; // Share of the reach that a promise has to take for its being late to count.
+const STRIKES: u32 = 3; // Failures in a row that set a server aside; an error is as many by itself.
+const TRIAL: f64 = 40.0; // Jobs of its own that a node sends between two trials of one server at the least.
+const SHARED: f64 = 0.7; // Share of recent shots honoured below which errors come from the tier behind.
+const ASIDE_FIRST: f64 = 1000.0; // First time aside, ms: about a short stall; it doubles up to the last.
+const ASIDE_LAST: f64 = 8000.0; // Longest, ms: a lost server must be found back soon after its return.
+const ASIDE_SHARE: f64 = 0.6; // Most of the table that may be aside at once; beyond it the fault is shared.
+const REST: f64 = 4.0; // Usual durations that a full server rests: its queue should be down by then.
+const SILENT: f64 = 3000.0; // Silence, ms, after which a server that answers again may have restarted.
+const OVERDUE: f64 = 8.0; // Mean durations of its profile there after which a shot is overdue: tails are long.
+const UNSEEN: f64 = 0.2; // Share of the contract time that stands for a mean duration not yet seen.
+const FURTHER: f64 = 0.2; // Further shots as a share of first ones, if all recent ones succeed.
+const FURTHER_FREE: f64 = 2.0; // Further shots free in each span: a lone failure may always go again.
+const COLD_PART: f64 = 0.5; // Share of the cold limit that is used: works differ, and so do nodes.
+const SPAN: f64 = 10_000.0; // Span of measurements, ms: some dozen jobs on a server at usual rates.
+const PACE_MEMORY: f64 = 30_000.0; // Memory, ms, of how slow servers are: a caller has few samples.
+const PRIOR: f64 = 3.0; // Samples that the mean duration stands for when a server is compared with it.
+const HOLD: f64 = 0.25; // Share of its contract time that a job waits at the most: queues here are short.
+const SURE: f64 = 3.0; // Power at which a job's worth falls where its usual duration is above the time left.
+const BACK: f64 = 0.25; // Advice on when to come back, share of the contract time: soon enough to be in time.
+const TARGET: f64 = 0.45; // Mean share of their contract time that jobs may take before fewer are let in.
+const SHRINK: f64 = 0.02; // The window shrinks by this share for each answer while they take more.
+const SHRINK_LEAST: f64 = 0.4; // Jobs by which it shrinks at the least: a late answer must close one of a job.
+const GROW_MOST: f64 = 0.05; // Jobs by which it grows at the most, likewise.
+const SPREAD: f64 = 0.5; // Deviations between the means of jobs out for jobs above mean worth and others.
+const LATE_SPAN: f64 = 1000.0; // Span, ms, over which jobs out and lateness count: a jam takes a second or two.
+const WINDOW_LEAST: f64 = 5.0; // Jobs a server let in at the least and first: with fewer it grows back slowly.
+const WINDOW_MOST: f64 = 8.0; // Jobs a server let in at the most: with more a small one turns slow.
+const FAIR_SPAN: f64 = 30_000.0; // Span, ms, over which the worst served are told: as long as troubles last.
+const ZONE_MARGIN: f64 = 26.0; // Share that raises an away server's figure for each point of crossing's price.
+const ASK_AGAIN: f64 = 1000.0; // First and last pause, ms, before the list is asked for again.
 
 type Recent = Ring<10>;
 
@@ -165,6 +107,7 @@
 }
 
 /// How one profile's shots fare on a server: some fail one profile and serve the others.
+#[derive(Default)]
 struct Health {
     strikes: Cell<u32>,
     aside: Cell<f64>,
@@ -182,6 +125,7 @@
     overdue: bool,
 }
 
+#[derive(Default)]
 struct Job {
     id: u32,
     profile: usize,
@@ -220,7 +164,6 @@
     ask_pause: f64,
     /// Durations of honoured shots, by profile.
     durations: Vec<Recent>,
-    arrivals: Recent,
     tallies: [Vec<Tally>; 2],
     admitted: Vec<Recent>,
     first_shots: Recent,
@@ -262,7 +205,6 @@
             next_ask: if settings.listed_on_request { next_ask } else { f64::INFINITY },
             ask_pause: ASK_AGAIN,
             durations: settings.profiles.iter().map(|_| recent()).collect(),
-            arrivals: recent(),
             tallies: [settings.profiles.len(), settings.quotas.len()]
                 .map(|n| vec![[Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]; n]),
             admitted: settings.quotas.iter().map(|_| recent()).collect(),
@@ -318,7 +260,6 @@
 
     pub fn job(&mut self, id: u32, profile: usize, customer: usize, key: Option<u64>, limit: f64) {
         let now = self.now;
-        self.arrivals.add(now, 1.0);
         let gain = self.gain(profile);
         self.tally(profile, customer, |[asked, _]| asked.add(now, gain));
         let job = Rc::new(Job {
@@ -329,10 +270,7 @@
             arrived: now,
             limit,
             asked: Cell::new(f64::NEG_INFINITY),
-            shots: RefCell::default(),
-            closed: Cell::new(false),
-            waiting: Cell::new(false),
-            settled: Cell::new(false),
+            ..Job::default()
         });
         self.jobs.insert(id, job.clone());
         self.pending.push(job);
@@ -423,8 +361,7 @@
     fn part(&mut self) -> usize {
         let seen = self.now.clamp(1000.0, SPAN);
         let rate = self.first_shots.total(self.now).0 / seen * 1000.0;
-        let cover = COVER * self.table.len() as f64 / self.settings.siblings;
-        (rate / ACQUAINTED).max(cover).max(PART_LEAST).ceil() as usize
+        (rate / ACQUAINTED).max(PART_LEAST).ceil() as usize
     }
 
     /// The first wanted servers of its own zone and of the others: of many it would know none.
@@ -452,7 +389,7 @@
     fn figures(&self, servers: &[Rc<Server>]) -> Vec<f64> {
         let heard = || servers.iter().filter_map(|server| server.figure.get());
         let mean = heard().sum::<f64>() / (heard().count() as f64).max(1.0);
-        let step = STEP * mean.max(STEP_UNIT);
+        let step = mean.max(STEP_UNIT);
         let counted = self.settings.report.contains(&Figure::Held);
         let raised = |server: &Rc<Server>| {
             let (report, out) = (server.figure.get().unwrap_or(mean), f64::from(server.out.get()));
@@ -483,21 +420,25 @@
         if self.next_probe > 0.0 && !self.table.is_empty() {
             let part = self.part();
             let near = self.near(part, |_| true);
-            let target = if self.chance.random::<f64>() < ALPHA {
-                self.chance.random_range(0..near.len())
-            } else {
-                let figures = self.figures(&near);
-                (0..figures.len()).min_by(|a, b| figures[*a].total_cmp(&figures[*b])).unwrap_or(0)
-            };
+            let target = self.target(&near);
             near[target].probed.set(self.now);
             out.probe(near[target].address);
         }
-        let jobs = self.arrivals.total(self.now).0 / SPAN * 1000.0;
+        let jobs = self.first_shots.total(self.now).0 / SPAN * 1000.0;
         let each = (PROBE_SPEND / self.settings.probe_price.max(1e-9)).min(PROBE_MOST);
         let rate = (jobs * each).max(PROBE_FLOOR);
         self.next_probe = self.now - (1.0 - self.chance.random::<f64>()).ln() / rate * 1000.0;
     }
 
+    /// Where a probe goes: an even draw, or the lowest entry.
+    fn target(&mut self, servers: &[Rc<Server>]) -> usize {
+        if self.chance.random::<f64>() < ALPHA {
+            return self.chance.random_range(0..servers.len());
+        }
+        let figures = self.figures(servers);
+        (0..figures.len()).min_by(|a, b| figures[*a].total_cmp(&figures[*b])).unwrap_or(0)
+    }
+
     /// Servers that a draw asks first, where the price allows it: between two jobs of its own a node's figures
     /// get older than what they tell of.
     fn questions(&self) -> usize {
@@ -511,17 +452,9 @@
         let mut near = self.open(job, &None, part, |_| true);
         let mut favoured = self.favoured(job, &near);
         for _ in 0..self.questions().min(near.len()) {
-            let figures = self.figures(&near);
-            let target = if let Some(place) = favoured.take() {
-                place
-            } else if self.chance.random::<f64>() < ALPHA {
-                self.chance.random_range(0..near.len())
-            } else {
-                (0..figures.len()).min_by(|a, b| figures[*a].total_cmp(&figures[*b])).unwrap_or(0)
-            };
+            let target = favoured.take().unwrap_or_else(|| self.target(&near));
             let server = near.swap_remove(target);
-            if server.probed.get() < self.now {
-                server.probed.set(self.now);
+            if server.probed.replace(self.now) < self.now {
                 out.probe(server.address);
             }
         }
@@ -546,9 +479,7 @@
 
     /// Will a job of this worth be in time on a server of this figure? What held jobs take shows in recent answers.
     fn promises(&mut self, promise: f64, worth: f64) -> bool {
-        self.worths.add(self.now, worth);
-        let usual = self.worths.mean(self.now) * (1.0 + f64::EPSILON.sqrt());
-        let better = worth > usual;
+        let better = self.is_better(worth);
         let most = if better { self.reach.sqrt() } else { self.reach * self.leave };
         if better && promise >= most {
             self.leave = (self.leave * (1.0 - REACH_SHRINK)).max(REACH_LEAST);
@@ -777,10 +708,7 @@
         // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
         let up = self.table.iter().filter(|server| server.is_up(self.now));
         let part = up.map(|server| self.grown(server)).sum::<f64>().max(1.0) / self.settings.siblings;
-        // Where the tier behind is what jams, servers let in more for their number than it can bear.
-        let late = self.lateness.mean(self.now);
-        let least = if late > JAMMED { WINDOW_JAMMED } else { WINDOW_LEAST };
-        self.window = self.window.clamp(least * part, WINDOW_MOST * part);
+        self.window = self.window.clamp(WINDOW_LEAST * part, WINDOW_MOST * part);
         for (worth, job) in ranked {
             let asks = self.questions() > 0;
             if asks && self.now >= job.asked.get() + ASK_AGAIN_SHARE * self.profile(&job).contract_time {
@@ -804,13 +732,17 @@
     /// With more nodes than servers a part is a job or two: whole numbers would let in far more, so the
     /// mean is held to it too. Few wait at a time: better ones may pass it a little, others stay below.
     fn has_room(&mut self, worth: f64) -> bool {
-        self.worths.add(self.now, worth);
-        let usual = self.worths.mean(self.now) * (1.0 + f64::EPSILON.sqrt());
-        let better = if worth > usual { 1.0 } else { 0.0 };
+        let better = f64::from(u8::from(self.is_better(worth)));
         let most = self.window + (better - 0.5) * SPREAD * self.window.sqrt();
         self.out.value < self.window + better / self.window.max(1.0) && self.out.mean(self.now) < most
     }
 
+    /// Is it above the mean worth of jobs looked at lately?
+    fn is_better(&mut self, worth: f64) -> bool {
+        self.worths.add(self.now, worth);
+        worth > self.worths.mean(self.now) * (1.0 + f64::EPSILON.sqrt())
+    }
+
     /// Gain of a job of this profile, in units that add up.
     fn gain(&mut self, profile: usize) -> f64 {
         let gain = self.settings.profiles[profile].gain;
@@ -1076,7 +1008,7 @@
             probed: Cell::new(f64::NEG_INFINITY),
             seen: Cell::new(f64::NEG_INFINITY),
             out: Cell::new(0),
-            health: (0..profiles).map(|_| Health::new()).collect(),
+            health: (0..profiles).map(|_| Health::default()).collect(),
             unreached: Cell::new(false),
             heard: Cell::new(f64::NEG_INFINITY),
             rest_until: Cell::new(f64::NEG_INFINITY),
@@ -1137,15 +1069,6 @@
 }
 
 impl Health {
-    fn new() -> Self {
-        Self {
-            strikes: Cell::new(0),
-            aside: Cell::new(0.0),
-            back_at: Cell::new(f64::NEG_INFINITY),
-            on_trial: Cell::new(false),
-        }
-    }
-
     fn is_aside(&self, now: f64) -> bool {
         self.strikes.get() >= STRIKES && (now < self.back_at.get() || self.on_trial.get())
     }
