--- a/src/interface.rs
+++ b/src/interface.rs
@@ -74,8 +74,9 @@
     Other,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     Ready,
     Draining,
     Gone,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,19 +22,19 @@
 const K: f64 = 12.0; // Power of the draw: each step from 1 to 12 gained; figures within a tenth still share.
 const ALPHA: f64 = 0.5; // Share of probes with an even draw: busy entries must be seen again too.
 const FLOOR: f64 = 0.2; // Lowest figure, as a share of the table's mean (from the design page).
-const ACQUAINTED: f64 = 8.0; // Jobs a second to each server of the part: with fewer a node can't tell how they fare.
-const PART_LEAST: f64 = 5.0; // Servers in the part at the least: one slow one among them must not matter much.
+const ACQUAINTED: f64 = 8.0; // Jobs a second to each server of the part: else it can't tell how they fare.
+const PART_LEAST: f64 = 5.0; // Servers in the part at the least: one slow one must not matter much.
 const STEP_UNIT: f64 = 0.1; // Least mean the step is taken of: a tenth of a core or a tenth of a waiting job.
-const PROBE_FLOOR: f64 = 0.2; // Probes a second at the least: an idle caller sees its servers within a minute.
+const PROBE_FLOOR: f64 = 0.2; // Probes a second at the least: idle callers see servers within a minute.
 const PROBE_SPEND: f64 = 0.002; // Points that a tier's probes may cost; the price gives probes a job.
 const PROBE_MOST: f64 = 0.3; // Most probes a job, where probes are almost free.
 const ASK_SPEND: f64 = 0.01; // Points that the questions before a job's draw may cost; the price gives them.
 const ASK_MOST: f64 = 5.0; // Servers asked before a draw at the most, and
 const ASK_LEAST: f64 = 2.0; // at the least: one figure compares with nothing.
-const KEY_SAVES: f64 = 0.4; // Share of a job's work saved where its key was met lately: a quarter to two thirds are.
+const KEY_SAVES: f64 = 0.4; // Share of work saved where a key was met lately: a quarter to two thirds are.
 const KEPT: usize = 3; // Servers of its part that a node must be able to ask before it goes beyond it.
-const ASK_PATIENCE: f64 = 0.05; // Share of the contract time a draw waits for answers: some servers are silent.
-const UNREPORTED: f64 = 1.0; // Least figure, jobs, of a busy server that gave none: idle tables have no highest.
+const ASK_PATIENCE: f64 = 0.05; // Share of the contract time a draw waits for answers: some are lost.
+const UNREPORTED: f64 = 1.0; // Least figure, jobs, of a busy server that gave none: others may be idle.
 const STRANGER: f64 = 1.0; // Jobs that the first connection to a server is worth: its work falls on the job.
 const ASK_AGAIN_SHARE: f64 = 0.1; // Share of the contract time after which an unpromised job asks again.
 const REACH_MOST: f64 = 1.0; // Share of the time left that a server may promise to take, first and most, and
@@ -50,7 +50,7 @@
 const ASIDE_SHARE: f64 = 0.6; // Most of the table that may be aside at once; beyond it the fault is shared.
 const REST: f64 = 4.0; // Usual durations that a full server rests: its queue should be down by then.
 const SILENT: f64 = 3000.0; // Silence, ms, after which a server that answers again may have restarted.
-const OVERDUE: f64 = 8.0; // Mean durations of its profile there after which a shot is overdue: tails are long.
+const OVERDUE: f64 = 8.0; // Mean durations of its profile after which a shot is overdue: tails are long.
 const UNSEEN: f64 = 0.2; // Share of the contract time that stands for a mean duration not yet seen.
 const FURTHER: f64 = 0.2; // Further shots as a share of first ones, if all recent ones succeed.
 const FURTHER_FREE: f64 = 2.0; // Further shots free in each span: a lone failure may always go again.
@@ -63,18 +63,19 @@
 const BACK: f64 = 0.25; // Advice on when to come back, share of the contract time: soon enough to be in time.
 const TARGET: f64 = 0.45; // Mean share of their contract time that jobs may take before fewer are let in.
 const SHRINK: f64 = 0.02; // The window shrinks by this share for each answer while they take more.
-const SHRINK_LEAST: f64 = 0.4; // Jobs by which it shrinks at the least: a late answer must close one of a job.
+const SHRINK_LEAST: f64 = 0.4; // Jobs it shrinks by at the least: a late answer must close one of a job.
 const GROW_MOST: f64 = 0.05; // Jobs by which it grows at the most, likewise.
 const SPREAD: f64 = 0.5; // Deviations between the means of jobs out for jobs above mean worth and others.
-const LATE_SPAN: f64 = 1000.0; // Span, ms, over which jobs out and lateness count: a jam takes a second or two.
-const WINDOW_LEAST: f64 = 5.0; // Jobs a server let in at the least and first: with fewer it grows back slowly.
+const LATE_SPAN: f64 = 1000.0; // Span, ms, over which jobs out and lateness count: a jam takes a second.
+const WINDOW_LEAST: f64 = 5.0; // Jobs a server let in at the least and first: with fewer it grows slowly.
 const WINDOW_MOST: f64 = 8.0; // Jobs a server let in at the most: with more a small one turns slow.
 const FAIR_SPAN: f64 = 30_000.0; // Span, ms, over which the worst served are told: as long as troubles last.
-const ZONE_MARGIN: f64 = 26.0; // Share that raises an away server's figure for each point of crossing's price.
+const ZONE_MARGIN: f64 = 26.0; // Share that raises an away server's figure for each point of crossing.
 const ASK_AGAIN: f64 = 1000.0; // First and last pause, ms, before the list is asked for again.
 
 type Recent = Ring<10>;
 
+#[derive(Default)]
 struct Server {
     address: Address,
     /// By this the table is ordered; the first ones are those that this node draws among.
@@ -118,8 +119,7 @@
 struct Shot {
     server: Rc<Server>,
     sent: f64,
-    /// What the table said of it then.
-    figure: f64,
+    /// Share of the job's time left that it was to take.
     promise: f64,
     ending: Option<Ending>,
     overdue: bool,
@@ -154,9 +154,8 @@
     table: Vec<Rc<Server>>,
     pending: Vec<Rc<Job>>,
     waiting: Vec<Rc<Job>>,
-    /// Jobs to look at again, by when (positive, so the bits order as the time does) and number.
-    due: BTreeMap<(u64, u64), Weak<Job>>,
-    numbered: u64,
+    /// Jobs to look at again, by when (positive, so the bits order as the time does) and which.
+    due: BTreeMap<(u64, u32), Weak<Job>>,
     woken_for: f64,
     closing: f64,
     next_probe: f64,
@@ -167,10 +166,10 @@
     tallies: [Vec<Tally>; 2],
     admitted: Vec<Recent>,
     first_shots: Recent,
+    /// Servers that a draw asks first: between two jobs of its own a node's figures get too old to tell much.
+    asks: usize,
     reach: f64,
-    /// The part of it that other than better jobs have.
-    leave: f64,
-    /// Figures of the servers that honoured jobs were drawn to.
+    /// Figures of the servers that jobs were drawn to.
     drawn: Recent,
     endings: Recent,
     further: Recent,
@@ -180,7 +179,7 @@
     notes: Vec<String>,
     lateness: Recent,
     worths: Recent,
-    makes: Vec<Recent>,
+    makes: BTreeMap<usize, Recent>,
 }
 
 impl Balancer {
@@ -189,6 +188,7 @@
         // All instances start alike: their first calls for the list are spread, or the service fails them.
         let next_ask = chance.random::<f64>() * settings.ask_within * 0.3;
         let recent = || Recent::new(SPAN);
+        let asks = (ASK_SPEND / settings.probe_price.max(1e-9)).min(ASK_MOST);
         Self {
             chance,
             now: 0.0,
@@ -198,7 +198,6 @@
             pending: Vec::new(),
             waiting: Vec::new(),
             due: BTreeMap::new(),
-            numbered: 0,
             woken_for: f64::INFINITY,
             closing: f64::INFINITY,
             next_probe: if settings.may_probe { 0.0 } else { f64::INFINITY },
@@ -209,8 +208,8 @@
                 .map(|n| vec![[Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]; n]),
             admitted: settings.quotas.iter().map(|_| recent()).collect(),
             first_shots: recent(),
+            asks: if settings.may_probe && asks >= ASK_LEAST { asks as usize } else { 0 },
             reach: REACH_MOST,
-            leave: 1.0,
             drawn: recent(),
             endings: recent(),
             further: recent(),
@@ -219,7 +218,7 @@
             notes: Vec::new(),
             lateness: Recent::new(LATE_SPAN),
             worths: recent(),
-            makes: Vec::new(),
+            makes: BTreeMap::new(),
             settings,
         }
     }
@@ -233,7 +232,7 @@
     ) -> Result<(), E> {
         self.now = now;
         feed(self)?;
-        // A wake may come a hair early: taken for one still to come, it would be the last, and jobs would be lost.
+        // A wake may come a hair early: taken for one still to come it would be the last, and jobs be lost.
         if self.woken_for <= now + self.settings.round {
             self.woken_for = f64::INFINITY;
         }
@@ -256,8 +255,6 @@
         Ok(())
     }
 
-    // ---- what comes in ----
-
     pub fn job(&mut self, id: u32, profile: usize, customer: usize, key: Option<u64>, limit: f64) {
         let now = self.now;
         let gain = self.gain(profile);
@@ -292,7 +289,7 @@
             _ if !good => Some(highest()),
             Some(figure) => Some(figure),
             None if self.settings.report.is_empty() => Some(took),
-            // One that has just started has nothing to report yet; a warm one is too busy to, and may not win traffic.
+            // A cold one has nothing to report yet; a warm one is too busy to, and may not win traffic.
             None => (self.grown(&server) >= 1.0).then(|| highest().max(UNREPORTED)),
         });
     }
@@ -333,8 +330,6 @@
         self.ask_pause = (self.ask_pause * 2.0).min(most);
     }
 
-    // ---- the list and the load table ----
-
     fn list(&mut self, line: Listing) {
         if line.standing == Standing::Gone {
             // Whoever comes to its address is another server.
@@ -395,7 +390,7 @@
             let (report, out) = (server.figure.get().unwrap_or(mean), f64::from(server.out.get()));
             if counted {
                 // Jobs held have a size: the own ones are among them, and a cold or small server bears fewer.
-                let stranger = if server.heard.get().is_finite() { 0.0 } else { STRANGER };
+                let stranger = if server.heard.get() > 0.0 { 0.0 } else { STRANGER };
                 (report.max(out) + stranger + 1.0) * server.slowness.get()
                     / (server.size.get() * self.grown(server))
             } else {
@@ -439,19 +434,11 @@
         (0..figures.len()).min_by(|a, b| figures[*a].total_cmp(&figures[*b])).unwrap_or(0)
     }
 
-    /// Servers that a draw asks first, where the price allows it: between two jobs of its own a node's figures
-    /// get older than what they tell of.
-    fn questions(&self) -> usize {
-        let asks = (ASK_SPEND / self.settings.probe_price.max(1e-9)).min(ASK_MOST);
-        if self.settings.may_probe && asks >= ASK_LEAST { asks as usize } else { 0 }
-    }
-
     /// Probes the servers that the job may be drawn to, the paper's way: even draws and lowest entries.
     fn inquire(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
-        let part = self.part();
-        let mut near = self.open(job, &None, part, |_| true);
+        let mut near = self.open(job, &None, |_, _| true);
         let mut favoured = self.favoured(job, &near);
-        for _ in 0..self.questions().min(near.len()) {
+        for _ in 0..self.asks.min(near.len()) {
             let target = favoured.take().unwrap_or_else(|| self.target(&near));
             let server = near.swap_remove(target);
             if server.probed.replace(self.now) < self.now {
@@ -462,7 +449,7 @@
         self.review(job, self.now + ASK_PATIENCE * self.profile(job).contract_time);
     }
 
-    /// The server that jobs of its key go to from here as long as it is not busier: there it may be less work.
+    /// The server that jobs of its key go to from here unless it is busier: there it may be less work.
     fn favoured(&self, job: &Job, servers: &[Rc<Server>]) -> Option<usize> {
         let key = job.key.filter(|_| self.settings.keys_met)?;
         (0..servers.len()).max_by_key(|place| rank(key, servers[*place].address))
@@ -470,21 +457,15 @@
 
     /// Is the job's draw still waiting for answers?
     fn awaits(&self, job: &Job) -> bool {
-        let asked = |server: &Rc<Server>| {
-            server.probed.get() >= job.asked.get() && server.seen.get() < server.probed.get()
-        };
-        self.now < job.asked.get() + ASK_PATIENCE * self.profile(job).contract_time
-            && self.table.iter().any(asked)
+        let patience = ASK_PATIENCE * self.profile(job).contract_time;
+        let silent = |server: &Rc<Server>| server.seen.get() < server.probed.get();
+        self.now < job.asked.get() + patience && self.table.iter().any(silent)
     }
 
-    /// Will a job of this worth be in time on a server of this figure? What held jobs take shows in recent answers.
+    /// Will a job of this worth be in time where it was drawn to?
     fn promises(&mut self, promise: f64, worth: f64) -> bool {
-        let better = self.is_better(worth);
-        let most = if better { self.reach.sqrt() } else { self.reach * self.leave };
-        if better && promise >= most {
-            self.leave = (self.leave * (1.0 - REACH_SHRINK)).max(REACH_LEAST);
-        }
-        promise < most
+        // What room there is under overload is for the better ones.
+        promise < self.reach.powf(if self.is_better(worth) { 0.5 } else { 2.0 })
     }
 
     /// Share of the job's time left that a server of this figure will take, by what recent ones took.
@@ -502,22 +483,16 @@
         }
     }
 
-    // ---- health ----
-
     fn book_ending(&mut self, job: &Job, shot: usize, ending: Ending) -> Option<Rc<Server>> {
         let mut shots = job.shots.borrow_mut();
         let shot = shots.get_mut(shot).filter(|shot| shot.ending.is_none())?;
         shot.ending = Some(ending);
-        if ending == Ending::Honoured {
-            self.drawn.add(self.now, shot.figure);
-        }
         // A late answer from where it was to be quick is chance, not crowding.
         let late = self.now - job.arrived > self.profile(job).contract_time;
         if late && shot.promise > EDGE * self.reach {
             self.reach = (self.reach * (1.0 - REACH_SHRINK)).max(REACH_LEAST);
         } else if ending == Ending::Honoured && !late {
             self.reach = (self.reach * (1.0 + REACH_GROW)).min(REACH_MOST);
-            self.leave = (self.leave * (1.0 + REACH_GROW)).min(1.0);
         }
         shot.server.out.set(shot.server.out.get() - 1);
         self.out.change(self.now, -1.0);
@@ -567,10 +542,7 @@
 
     /// A caller sends each server too little to know it soon: machines of one make are learned together.
     fn compare(&mut self, server: &Server, relative: f64) {
-        if self.makes.len() <= server.make {
-            self.makes.resize(server.make + 1, Recent::new(PACE_MEMORY));
-        }
-        let make = &mut self.makes[server.make];
+        let make = self.makes.entry(server.make).or_insert_with(|| Recent::new(PACE_MEMORY));
         make.add(self.now, relative);
         let like = make.mean_beside(self.now, PRIOR, 1.0);
         server.relative.borrow_mut().add(self.now, relative);
@@ -596,13 +568,11 @@
     fn strike(&mut self, server: &Server, profile: usize, error: bool) {
         let now = self.now;
         let jobs = self.first_shots.total(now).0 / now.clamp(1000.0, SPAN);
-        // With few jobs three failures in a row are many lost, and so is a trial each second.
-        let own = if error { STRIKES } else { 1 };
+        // With few jobs a trial each second is many lost.
         let pause = TRIAL / jobs.max(f64::MIN_POSITIVE);
         server.failing_since.set(server.failing_since.get().min(now));
         for (place, health) in server.health.iter().enumerate() {
-            let count = if place == profile || !error { own } else { 1 };
-            let strikes = health.strikes.get() + count;
+            let strikes = health.strikes.get() + if error && place == profile { STRIKES } else { 1 };
             health.strikes.set(strikes);
             if health.on_trial.replace(false) || strikes >= STRIKES && now >= health.back_at.get() {
                 let time = (health.aside.get() * 2.0).clamp(ASIDE_FIRST, ASIDE_LAST).max(pause);
@@ -624,8 +594,6 @@
         &self.settings.profiles[job.profile]
     }
 
-    // ---- jobs ----
-
     fn decide(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         if job.closed.get() {
             return self.settle(job, out);
@@ -633,10 +601,7 @@
         if self.now >= self.last_call(job) {
             return self.give_up(job, out);
         }
-        if job.waiting.get() {
-            return;
-        }
-        if self.settings.tier == 0 && job.shots.borrow().is_empty() {
+        if job.waiting.get() || self.settings.tier == 0 && job.shots.borrow().is_empty() {
             return self.hold(job);
         }
         if job.shots.borrow().iter().all(|shot| shot.ending.is_some()) {
@@ -678,9 +643,8 @@
 
     /// Has the job looked at again at `at`, or when its answer falls due.
     fn review(&mut self, job: &Rc<Job>, at: f64) {
-        self.numbered += 1;
         let at = at.min(self.last_call(job)).max(0.0);
-        self.due.insert((at.to_bits(), self.numbered), Rc::downgrade(job));
+        self.due.insert((at.to_bits(), job.id), Rc::downgrade(job));
     }
 
     fn hold(&mut self, job: &Rc<Job>) {
@@ -706,11 +670,12 @@
         let mut ranked: Vec<_> = waiting.map(|job| (self.worth(&job, asked, worst), job)).collect();
         ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then(x.arrived.total_cmp(&y.arrived)));
         // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
-        let up = self.table.iter().filter(|server| server.is_up(self.now));
+        let works = |server: &&Rc<Server>| !server.health.iter().all(|health| health.is_aside(self.now));
+        let up = self.table.iter().filter(works);
         let part = up.map(|server| self.grown(server)).sum::<f64>().max(1.0) / self.settings.siblings;
         self.window = self.window.clamp(WINDOW_LEAST * part, WINDOW_MOST * part);
         for (worth, job) in ranked {
-            let asks = self.questions() > 0;
+            let asks = self.asks > 0;
             if asks && self.now >= job.asked.get() + ASK_AGAIN_SHARE * self.profile(&job).contract_time {
                 self.inquire(&job, out);
             }
@@ -864,19 +829,13 @@
         } else if !job.proven_unrun() {
             self.further.add(self.now, 1.0);
         }
+        self.drawn.add(self.now, figure);
         server.send(job.profile, self.now);
         self.out.change(self.now, 1.0);
         out.shoot(job.id, server.address, job.limit - self.now);
         let usual = self.usual(job.profile) * OVERDUE;
         let at = self.now + server.patience(usual);
-        job.shots.borrow_mut().push(Shot {
-            server,
-            sent: self.now,
-            figure,
-            promise,
-            ending: None,
-            overdue: false,
-        });
+        job.shots.borrow_mut().push(Shot { server, sent: self.now, promise, ending: None, overdue: false });
         self.review(job, at);
         true
     }
@@ -893,69 +852,65 @@
     }
 
     fn draw(&mut self, job: &Job, group: Option<Rc<Server>>) -> Option<(Rc<Server>, f64)> {
-        let part = self.part();
-        let rate = self.first_shots.total(self.now).0 / SPAN / (self.table.len().min(part) as f64).max(1.0);
-        let asked = |server: &Rc<Server>| {
-            server.seen.get() >= server.probed.get() && server.probed.get() >= job.asked.get()
-        };
-        let mut open = self.open(job, &group, part, |_| true);
-        open.retain(asked);
-        let most = self.cold_most(job);
+        let mut open = Vec::new();
+        if self.asks > 0 {
+            open = self.open(job, &group, |_, _| true);
+            let asked = |server: &Rc<Server>| server.seen.get() >= server.probed.get().max(job.asked.get());
+            open.retain(asked);
+        }
         if open.is_empty() {
-            open = self.open(job, &group, part, |server| self.warm_enough(server, rate));
+            let part = self.part().min(self.table.len()).max(1);
+            let rate = self.first_shots.total(self.now).0 / SPAN / part as f64;
+            open = self.open(job, &group, |me, server| me.has_credit(server, rate));
         } else {
-            open.retain(|server| {
-                let grown = self.grown(server);
-                grown >= 1.0 || server.figure.get().unwrap_or(0.0) < (most * grown).max(1.0)
-            });
+            // In the time in which a cold one falls over it is sent what it did and what it holds at the end.
+            let multiple = (self.settings.cold_multiple - 1.0).max(0.0) * COLD_PART;
+            let most = multiple * self.settings.cold_window / self.usual(job.profile);
+            let holds = |server: &Rc<Server>| server.figure.get().unwrap_or(0.0);
+            let grown = |server: &Rc<Server>| self.grown(server);
+            open.retain(|server| grown(server) >= 1.0 || holds(server) < (most * grown(server)).max(1.0));
         }
         let mut figures = self.figures(&open);
         if let Some(place) = self.favoured(job, &open) {
             figures[place] *= 1.0 - KEY_SAVES;
         }
-        let place =
-            WeightedIndex::new(figures.iter().map(|figure| figure.powf(-K))).ok()?.sample(&mut self.chance);
+        let weights = WeightedIndex::new(figures.iter().map(|figure| figure.powf(-K)));
+        let place = weights.ok()?.sample(&mut self.chance);
         Some((open.get(place)?.clone(), figures[place]))
     }
 
     /// The servers of this node's part that may have the job.
-    fn open(
-        &self,
+    fn open<M: Fn(&Self, &Server) -> bool>(
+        &mut self,
         job: &Job,
         group: &Option<Rc<Server>>,
-        part: usize,
-        more: impl Fn(&Server) -> bool,
+        more: M,
     ) -> Vec<Rc<Server>> {
+        let part = self.part();
         let shots = job.shots.borrow();
-        let tried = |server: &Rc<Server>| shots.iter().any(|shot| Rc::ptr_eq(&shot.server, server));
+        let aside = |server: &Rc<Server>| server.health[job.profile].is_aside(self.now);
+        let shared = self.table.iter().filter(|server| aside(server)).count() as f64;
+        let shared = shared > self.table.len() as f64 * ASIDE_SHARE;
         let within = |server: &Rc<Server>| match (group, self.profile(job).group) {
             (Some(first), Group::Zone) => first.zone == server.zone,
             (Some(first), Group::Cell) => first.cell == server.cell,
             _ => true,
         };
-        let aside = self.table.iter().filter(|server| server.is_aside(job.profile, self.now)).count();
-        let shared = aside as f64 > self.table.len() as f64 * ASIDE_SHARE;
         let fits = |server: &Rc<Server>| {
             within(server)
                 && self.now >= server.rest_until.get()
-                && (shared && !server.unreached.get() || !server.is_aside(job.profile, self.now))
-                && !tried(server)
-                && more(server)
+                && (shared && !server.unreached.get() || !aside(server))
+                && !shots.iter().any(|shot| Rc::ptr_eq(&shot.server, server))
+                && more(self, server)
         };
         // Each further server would have to be met, and learned of by jobs lost; a few are enough to ask.
-        if self.questions() > 0 {
-            let mut kept = self.near(part, |_| true);
-            kept.retain(&fits);
-            return if kept.len() >= KEPT { kept } else { self.near(KEPT, fits) };
+        let mut kept = if self.asks > 0 { self.near(part, |_| true) } else { Vec::new() };
+        kept.retain(&fits);
+        match (self.asks, kept.len()) {
+            (0, _) => self.near(part, fits),
+            (_, 0..KEPT) => self.near(KEPT, fits),
+            _ => kept,
         }
-        self.near(part, fits)
-    }
-
-    /// Jobs that a server may hold that has its whole capacity as it is stated, by what falls over and how soon:
-    /// what it is sent in that time is what it did and what it holds at the end.
-    fn cold_most(&mut self, job: &Job) -> f64 {
-        let multiple = (self.settings.cold_multiple - 1.0).max(0.0) * COLD_PART;
-        multiple * self.settings.cold_window / self.usual(job.profile)
     }
 
     /// Share of its capacity that a server has at least, by the time since its start.
@@ -965,17 +920,14 @@
     }
 
     /// Cold servers take only their part of what warm ones bear, or all nodes together push them over.
-    fn warm_enough(&self, server: &Server, rate: f64) -> bool {
+    fn has_credit(&self, server: &Server, rate: f64) -> bool {
         let grown = self.grown(server);
-        if grown >= 1.0 {
-            return true;
-        }
         let refill = rate * COLD_PART * self.settings.cold_multiple * grown;
         let most = (refill * self.settings.cold_window).max(1.0);
         let credit = server.cold_credit.get() + refill * (self.now - server.credit_at.get());
         server.cold_credit.set(credit.min(most));
         server.credit_at.set(self.now);
-        server.cold_credit.get() >= 1.0
+        grown >= 1.0 || server.cold_credit.get() >= 1.0
     }
 }
 
@@ -1004,20 +956,13 @@
             cell: Cell::new(line.cell),
             size: Cell::new(line.size),
             started: Cell::new(line.started),
-            figure: Cell::new(None),
-            probed: Cell::new(f64::NEG_INFINITY),
-            seen: Cell::new(f64::NEG_INFINITY),
-            out: Cell::new(0),
             health: (0..profiles).map(|_| Health::default()).collect(),
-            unreached: Cell::new(false),
-            heard: Cell::new(f64::NEG_INFINITY),
-            rest_until: Cell::new(f64::NEG_INFINITY),
             failing_since: Cell::new(f64::INFINITY),
             slowness: Cell::new(1.0),
             relative: RefCell::new(Recent::new(PACE_MEMORY)),
             make: line.make,
-            cold_credit: Cell::new(0.0),
             credit_at: Cell::new(line.started.max(0.0)),
+            ..Self::default()
         }
     }
 
@@ -1025,10 +970,7 @@
     fn restarted(&self, at: f64, now: f64) {
         self.started.set(at);
         self.figure.set(None);
-        for health in &self.health {
-            health.strikes.set(0);
-            health.back_at.set(f64::NEG_INFINITY);
-        }
+        self.health.iter().for_each(|health| health.strikes.set(0));
         self.cold_credit.set(0.0);
         self.credit_at.set(now);
     }
@@ -1046,14 +988,6 @@
         usual * self.slowness.get().min(2.0)
     }
 
-    fn is_aside(&self, profile: usize, now: f64) -> bool {
-        self.health[profile].is_aside(now)
-    }
-
-    fn is_up(&self, now: f64) -> bool {
-        !self.health.iter().all(|health| health.is_aside(now))
-    }
-
     fn answered(&self, profile: usize, now: f64, cold_time: f64) {
         // Silent long enough to have restarted: it is cold until the list says better.
         let silent = now - self.failing_since.get() > SILENT && now - self.started.get() > cold_time;
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -49,6 +49,12 @@
     }
 }
 
+impl<const SLOTS: usize> Default for Ring<SLOTS> {
+    fn default() -> Self {
+        Self::new(1000.0)
+    }
+}
+
 /// A level that changes now and then, and its mean over time.
 #[derive(Debug, Clone)]
 pub struct Level<const SLOTS: usize> {
