--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,16 +1,12 @@
 //! Every decision of pearfront; settings and the writer it answers through are in `interface.rs`.
 //!
-//! Make one `Balancer` for an instance with `Balancer::new(settings, salt)` and call
-//! `balancer.round(now, feed, out)` once a round. `feed` is a closure that hands in what has come in
-//! (`job`, `shot_ended`, `probe_answered`, `listed`, `list_failed`, `client_left`, `closing`); when it
-//! returns, decisions are made and written to `out`. A round that `Writer::wake` asked for may bring nothing.
-//!
-//! The mechanism is the load query variant of "Simulation of a distributed CORBA-based SCP", section 6.2;
-//! `docs/design.md` tells what is kept, what is changed and when each exception comes into play.
+//! Make one `Balancer` for an instance and call `balancer.round(now, feed, out)` once a round: `feed` hands in
+//! what has come in (`job` to `list_failed`), then decisions are made and written to `out`. The mechanism is the
+//! load query variant of "Simulation of a distributed CORBA-based SCP", section 6.2; `docs/design.md` tells what
+//! is kept, what is changed and when each exception comes into play.
 
-use crate::interface::{
-    Address, Effect, Ending, Figure, Group, Listing, Profile, Settings, Standing, Writer,
-};
+use crate::interface::{Address, Effect, Ending, Figure, Group, Listing};
+use crate::interface::{Profile, Settings, Standing, Writer};
 use crate::ring::{Level, Ring};
 use rand::distr::weighted::WeightedIndex;
 use rand::prelude::{Distribution, Rng, SeedableRng};
@@ -41,6 +37,8 @@
 const REACH_LEAST: f64 = 0.3; // at the least: servers must stay at work.
 const REACH_SHRINK: f64 = 0.1; // What it shrinks by when late, and
 const REACH_GROW: f64 = 0.01; // grows by with an answer in time: some one in ten may be late.
+const BETTER: f64 = 0.5; // Power of the reach for jobs above mean worth, and
+const OTHERS: f64 = 2.0; // for others.
 const EDGE: f64 = 0.6; // Share of the reach that a promise has to take for its being late to count.
 const STRIKES: u32 = 3; // Failures in a row that set a server aside; an error is as many by itself.
 const TRIAL: f64 = 40.0; // Jobs of its own that a node sends between two trials of one server at the least.
@@ -462,12 +460,6 @@
         self.now < job.asked.get() + patience && self.table.iter().any(silent)
     }
 
-    /// Will a job of this worth be in time where it was drawn to?
-    fn promises(&mut self, promise: f64, worth: f64) -> bool {
-        // What room there is under overload is for the better ones.
-        promise < self.reach.powf(if self.is_better(worth) { 0.5 } else { 2.0 })
-    }
-
     /// Share of the job's time left that a server of this figure will take, by what recent ones took.
     fn promise(&mut self, job: &Job, figure: f64) -> f64 {
         let left = job.arrived + self.profile(job).contract_time - self.now;
@@ -813,12 +805,17 @@
     fn shoot(&mut self, job: &Rc<Job>, worth: Option<f64>, out: &mut impl Writer) -> bool {
         let Some(group) = self.bounds(job) else { return false };
         let first = job.shots.borrow().is_empty();
-        if !first && !job.proven_unrun() && !self.may_go_further() {
+        let further = !job.proven_unrun();
+        // Further shots follow the share of recent shots that succeeded, or retries would feed a jam.
+        let allowed = FURTHER_FREE + FURTHER * self.success() * self.first_shots.total(self.now).0;
+        if further && self.further.total(self.now).0 >= allowed {
             return false;
         }
         let Some((server, figure)) = self.draw(job, group) else { return false };
         let promise = self.promise(job, figure);
-        if worth.is_some_and(|worth| !self.promises(promise, worth)) {
+        // What room there is under overload is for the better ones.
+        let power = worth.map(|worth| if self.is_better(worth) { BETTER } else { OTHERS });
+        if power.is_some_and(|power| promise >= self.reach.powf(power)) {
             return false;
         }
         if first {
@@ -826,7 +823,7 @@
             if let Some(recent) = self.admitted.get_mut(job.customer) {
                 recent.add(self.now, 1.0);
             }
-        } else if !job.proven_unrun() {
+        } else if further {
             self.further.add(self.now, 1.0);
         }
         self.drawn.add(self.now, figure);
@@ -845,12 +842,6 @@
         self.endings.mean_beside(self.now, 1.0, 1.0)
     }
 
-    /// Further shots follow the share of recent shots that succeeded, or retries would feed a jam.
-    fn may_go_further(&mut self) -> bool {
-        let allowed = FURTHER_FREE + FURTHER * self.success() * self.first_shots.total(self.now).0;
-        self.further.total(self.now).0 < allowed
-    }
-
     fn draw(&mut self, job: &Job, group: Option<Rc<Server>>) -> Option<(Rc<Server>, f64)> {
         let mut open = Vec::new();
         if self.asks > 0 {
@@ -866,9 +857,9 @@
             // In the time in which a cold one falls over it is sent what it did and what it holds at the end.
             let multiple = (self.settings.cold_multiple - 1.0).max(0.0) * COLD_PART;
             let most = multiple * self.settings.cold_window / self.usual(job.profile);
-            let holds = |server: &Rc<Server>| server.figure.get().unwrap_or(0.0);
-            let grown = |server: &Rc<Server>| self.grown(server);
-            open.retain(|server| grown(server) >= 1.0 || holds(server) < (most * grown(server)).max(1.0));
+            let least = |server: &Rc<Server>| (most * self.grown(server)).max(1.0);
+            let warm = |server: &Rc<Server>| self.grown(server) >= 1.0;
+            open.retain(|server| warm(server) || server.figure.get().unwrap_or(0.0) < least(server));
         }
         let mut figures = self.figures(&open);
         if let Some(place) = self.favoured(job, &open) {
