--- a/crates/pearfront-cli/src/main.rs
+++ b/crates/pearfront-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `pearfront` command line: one subcommand a file. Exit codes: 0 kept, 1 could not be done, 2 bad input, 3 a rule
 //! was broken.
 
+mod carry;
 mod check;
 mod compare;
 mod log_form;
@@ -11,7 +12,7 @@
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 
-/// Rehearse what may happen to a fleet of services, and see what the nodes before it make of it.
+/// Rehearse what may happen to a fleet of services, see what the nodes before it make of it, and move their files.
 #[derive(Parser)]
 #[command(
     name = "pearfront",
@@ -36,6 +37,7 @@
     Rehearse(rehearse::Rehearse),
     Compare(compare::Compare),
     Plot(plot::Plot),
+    Move(carry::Move),
 }
 
 /// Why a command did not end well.
@@ -57,6 +59,7 @@
         Command::Rehearse(rehearse) => rehearse.run(),
         Command::Compare(compare) => compare.run(),
         Command::Plot(plot) => plot.run(),
+        Command::Move(carry) => carry.run(),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/pearfront-cli/tests/cli.rs
+++ b/crates/pearfront-cli/tests/cli.rs
@@ -128,3 +128,87 @@
     assert!(page.is_file());
     assert_eq!(run(&["compare", &folder.path("one"), &folder.path("none")]).status.code(), Some(2));
 }
+
+const NEW_SHAPE: [&str; 10] =
+    ["--nodes", "300", "--zones", "a,b,c", "--zone", "b", "--streams", "100", "--seed", "1f"];
+
+impl Folder {
+    /// A node's file of the old shape, with a change.
+    fn node_file(&self, was: &str, is: &str) -> String {
+        let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/example.json");
+        let text = std::fs::read_to_string(file).unwrap();
+        assert!(text.contains(was), "{was}");
+        let path = self.path("old.json");
+        std::fs::write(&path, text.replacen(was, is, 1)).unwrap();
+        path
+    }
+
+    fn move_file(&self, file: &str, more: &[&str]) -> Output {
+        run(&[&["move", file], &NEW_SHAPE[..], more].concat())
+    }
+
+    fn names(&self) -> Vec<String> {
+        let entry =
+            |entry: std::io::Result<std::fs::DirEntry>| entry.unwrap().file_name().into_string().unwrap();
+        let mut names: Vec<_> = std::fs::read_dir(&self.0).unwrap().map(entry).collect();
+        names.sort();
+        names
+    }
+}
+
+#[test]
+fn a_node_file_is_moved_and_what_stays_behind_is_told() {
+    let folder = Folder::new();
+    let (old, new) = (folder.node_file("{", "{"), folder.path("new.json"));
+    let before = std::fs::read(&old).unwrap();
+    let told = folder.move_file(&old, &["--out", &new]);
+    assert_eq!(told.status.code(), Some(0), "{}", text(&told.stderr));
+    for key in ["seed", "ask_within", "parallel_tries", "deductions.probe"] {
+        assert!(text(&told.stdout).contains(key), "{key}: {}", text(&told.stdout));
+    }
+    assert!(std::fs::read_to_string(&new).unwrap().contains("\"discovery\": \"pushed\""));
+    assert_eq!(std::fs::read(&old).unwrap(), before);
+    let again = folder.move_file(&new, &["--out", &folder.path("newer.json")]);
+    assert_eq!(again.status.code(), Some(2));
+    assert!(text(&again.stderr).contains("new.json: config.settings.discovery"), "{}", text(&again.stderr));
+    assert_eq!(folder.names(), ["new.json", "old.json"]);
+}
+
+#[test]
+fn no_file_is_overwritten_unasked_and_looking_changes_nothing() {
+    let folder = Folder::new();
+    let (old, new) = (folder.node_file("{", "{"), folder.path("new.json"));
+    let looked = folder.move_file(&old, &["--dry-run"]);
+    assert_eq!(looked.status.code(), Some(0), "{}", text(&looked.stderr));
+    assert!(text(&looked.stdout).contains("nothing written") && text(&looked.stdout).contains("ask_within"));
+    assert_eq!(folder.move_file(&old, &["--out", &new, "--dry-run"]).status.code(), Some(0));
+    assert_eq!(folder.names(), ["old.json"]);
+    std::fs::write(&new, "mine").unwrap();
+    let refused = folder.move_file(&old, &["--out", &new]);
+    assert_eq!(refused.status.code(), Some(2));
+    assert!(text(&refused.stderr).contains("new.json"), "{}", text(&refused.stderr));
+    assert_eq!(std::fs::read_to_string(&new).unwrap(), "mine");
+    assert_eq!(folder.move_file(&old, &["--out", &old, "--force"]).status.code(), Some(2));
+    assert_eq!(folder.move_file(&old, &["--out", &new, "--force"]).status.code(), Some(0));
+    assert!(std::fs::read_to_string(&new).unwrap().len() > 100);
+}
+
+#[test]
+fn a_node_file_that_is_wrong_is_named_with_its_key_and_nothing_is_written() {
+    let folder = Folder::new();
+    let wrong = [
+        ("\"siblings\": 1", "\"siblings\": \"one\"", "config.settings.siblings"),
+        ("\"siblings\": 1", "\"siblings\": 1, \"sibling\": 2", "config.settings.sibling is unknown"),
+        ("\"seed\":", "\"seeds\":", "config.seeds is unknown"),
+        ("\"rules\":", "rules:", "old.json: "),
+    ];
+    for (was, is, problem) in wrong {
+        let told = folder.move_file(&folder.node_file(was, is), &["--out", &folder.path("new.json")]);
+        let line = text(&told.stderr);
+        assert_eq!(told.status.code(), Some(2), "{line}");
+        assert!(line.contains("old.json") && line.contains(problem) && line.lines().count() == 1, "{line}");
+    }
+    let missing = folder.move_file(&folder.path("none.json"), &["--out", &folder.path("new.json")]);
+    assert!(missing.status.code() == Some(2) && text(&missing.stderr).contains("none.json"));
+    assert_eq!(folder.names(), ["old.json"]);
+}
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -483,3 +483,34 @@
     assert_eq!((output.status.code(), bound), (Some(1), false));
     assert_eq!(said, format!("pearfront-node: {problem}\n"));
 }
+
+/// A file of the old shape, as the command line moves it.
+fn moved_config(servers: &[std::net::SocketAddr]) -> serde_json::Value {
+    use pearfront_settings::moving::{Place, moved};
+    let zones = ["a", "b", "c"].map(str::to_string).to_vec();
+    let place = Place { nodes: 300, zones, zone: "b".into(), streams: 100, seed: "1f".into() };
+    moved(&config(servers), &place).unwrap().file
+}
+
+#[test]
+fn a_moved_file_starts_a_node_that_hears_of_servers_unasked() {
+    let (old, new) =
+        (Server::start(Act::Honour(b"old".to_vec())), Server::start(Act::Honour(b"new".to_vec())));
+    let node = Node::start(&moved_config(&[old.address]));
+    let mut caller = node.caller();
+    assert_eq!(caller.ask(&head("read", "5", 0), b"").status(), 200);
+    node.discovery.publish(2, list(2, true, &[entry("new", new.address, "Ready")]));
+    node.discovery.wait_for(2);
+    while new.jobs().is_empty() {
+        assert_eq!(caller.ask(&head("read", "5", 0), b"").status(), 200);
+    }
+    assert_eq!(node.end()["forfeited"], 0);
+}
+
+#[test]
+fn a_moved_node_sends_no_shot_beside_one_that_is_out() {
+    let silent = [Server::start(Act::Silence), Server::start(Act::Silence)];
+    let node = Node::start(&moved_config(&silent.each_ref().map(|server| server.address)));
+    assert_eq!(node.caller().ask(&head("read", "2", 0), b"").status(), 503);
+    assert_eq!(silent.iter().map(|server| server.jobs().len()).sum::<usize>(), 1);
+}
--- a/crates/pearfront-settings/src/lib.rs
+++ b/crates/pearfront-settings/src/lib.rs
@@ -1,6 +1,8 @@
 //! The one decoding of the settings that an instance is given: checks them, gives defaults and names the faulty
 //! key. `decode` reads what the module decides by, `Surroundings` what a node on sockets needs beside it.
 
+pub mod moving;
+
 use pearfront::interface::{Effect, Figure, Group, Profile, Settings};
 use serde_json::Value;
 
@@ -99,10 +101,15 @@
     let on_request = top.needed("discovery")?.text()? == "on_request";
     let quota = |customer: &At| customer.needed("quota_per_s")?.number();
     let tier = top.number_or("tier", 0.0)? as usize;
+    let layers = top.texts("layers")?.len();
+    if layers > 0 && tier >= layers {
+        return top.needed("tier")?.problem(format!("is none of the {layers} layers"));
+    }
     Ok(Settings {
         siblings: top.needed("siblings")?.number()?.max(1.0),
         tier,
-        last_tier: top.texts("layers")?.len() == tier + 1,
+        last_tier: layers == tier + 1,
+        sized: sized(top)?,
         zone: top.number_or("locality", 0.0)? as u16,
         round: top.needed("round")?.ms()?,
         listed_on_request: on_request,
@@ -130,6 +137,16 @@
     })
 }
 
+/// Does the list say what servers bear? Weights that follow load would count it twice.
+fn sized(top: &At) -> Result<bool, String> {
+    let Some(weights) = top.maybe("weights") else { return Ok(false) };
+    match weights.text()? {
+        "nominal" | "rough" => Ok(true),
+        "none" | "live" => Ok(false),
+        other => weights.problem(format!("{other:?} is unknown")),
+    }
+}
+
 fn profile(at: &At) -> Result<Profile, String> {
     let kind = at.needed("effect")?;
     let effect = match kind.text()? {
@@ -187,6 +204,9 @@
         let limits = top.needed("limits")?;
         let report = top.needed("report")?;
         let via = report.maybe("via").map_or(Ok("none"), |at| at.text())?;
+        if limits.number_or("streams_per_conn", 1.0)? < 1.0 {
+            return limits.needed("streams_per_conn")?.problem("is below 1");
+        }
         let outer_limit = |at: &At| at.needed("outer_limit")?.ms();
         let outer_limits: Vec<f64> =
             top.needed("profiles")?.list()?.iter().map(outer_limit).collect::<Result<_, _>>()?;
@@ -232,10 +252,25 @@
         assert_eq!(around.customers, ["inns"]);
     }
 
+    #[test]
+    fn what_the_new_shape_needs_is_read_and_stands_still_where_it_is_not_named() {
+        let old = parse(SETTINGS.as_bytes()).unwrap();
+        assert!(!old.last_tier && !old.sized && !old.keys_met && !old.second_copies);
+        let named = SETTINGS.replace(
+            "\"siblings\": 2",
+            "\"siblings\": 2, \"layers\": [\"a\"], \"weights\": \"rough\", \"specifics\": {\"warm_keys\": true}",
+        );
+        let new = parse(named.as_bytes()).unwrap();
+        assert!(new.last_tier && new.sized && new.keys_met);
+    }
+
     #[test_case("\"siblings\": 2", "\"siblings\": \"two\"", "settings.siblings is no number of at least 0"; "text")]
     #[test_case("\"cell\"", "\"shelf\"", "settings.profiles[0].group \"shelf\" is unknown"; "unknown group")]
     #[test_case("9.5", "null", "settings.customers[0].quota_per_s is missing"; "null is missing")]
     #[test_case("\"cancel\": true", "\"cancel\": 1", "settings.limits.cancel is neither true nor false"; "flag")]
+    #[test_case("\"siblings\": 2", "\"siblings\": 2, \"weights\": \"heavy\"", "settings.weights \"heavy\" is unknown"; "unknown weights")]
+    #[test_case("\"siblings\": 2", "\"siblings\": 2, \"tier\": 1, \"layers\": [\"a\"]", "settings.tier is none of the 1 layers"; "tier beyond the last")]
+    #[test_case("\"siblings\": 2", "\"siblings\": 2, \"specifics\": {\"warm_keys\": 1}", "settings.specifics.warm_keys is neither true nor false"; "keys")]
     #[test_case("{}", "{\"probe\": -1}", "settings.deductions.probe is no number of at least 0"; "default's key")]
     #[test_case("{}", "{", "settings: key must be a string at line 2 column 100"; "no JSON")]
     fn the_faulty_key_is_named(was: &str, is: &str, problem: &str) {
--- /dev/null
+++ b/crates/pearfront-settings/src/moving.rs
@@ -0,0 +1,284 @@
+//! An operator's file for a node of a pool, turned into one for a node beside a single caller's process. Pure: the
+//! command line reads and writes the files. What can't be carried over is told by key, never dropped in silence.
+
+use crate::{At, Surroundings, decode};
+use serde_json::{Map, Value, json};
+
+/// Keys that a file may have, by the object they stand in; `*` stands for any object of a list.
+const KEYS: &[(&str, &[&str])] = &[
+    (
+        "",
+        &[
+            "name",
+            "listen",
+            "discovery",
+            "seed",
+            "limits",
+            "peer_listen",
+            "peers",
+            "peers_all",
+            "known",
+            "settings",
+        ],
+    ),
+    ("limits", &["cores", "memory_mb", "sockets"]),
+    ("known", &["generation", "reset", "instances"]),
+    (
+        "known.instances.*",
+        &["instanceId", "hostPort", "zone", "machineType", "cell", "lifecycle", "weight", "startedAtMs"],
+    ),
+    (
+        "settings",
+        &[
+            "azs",
+            "clients",
+            "customers",
+            "deductions",
+            "discovery",
+            "excess_gain",
+            "family",
+            "gain_basis",
+            "host_types",
+            "layers",
+            "limits",
+            "locality",
+            "me",
+            "objective_mix",
+            "profiles",
+            "report",
+            "round",
+            "rules",
+            "siblings",
+            "specifics",
+            "tier",
+            "weights",
+        ],
+    ),
+    ("settings.clients", &["marks_retry"]),
+    ("settings.customers.*", &["name", "quota_per_s", "fraction"]),
+    (
+        "settings.deductions",
+        &[
+            "connection",
+            "cross_zone",
+            "discovery",
+            "fleet",
+            "handshake",
+            "late_fail",
+            "moves",
+            "origin",
+            "peer",
+            "probe",
+            "waste",
+        ],
+    ),
+    (
+        "settings.limits",
+        &[
+            "cancel",
+            "conn_idle",
+            "connect_timeout",
+            "cpu_us_per_request",
+            "cpu_us_per_s",
+            "max_open",
+            "max_retry_after",
+            "may_tell",
+            "most_shots",
+            "parallel_tries",
+            "probes",
+            "retry_after",
+            "streams_per_conn",
+        ],
+    ),
+    (
+        "settings.objective_mix",
+        &["availability", "nines_full", "whole", "worst_class", "worst_tenant", "worst_window"],
+    ),
+    (
+        "settings.profiles.*",
+        &[
+            "aim_stretch",
+            "contract_time",
+            "effect",
+            "gain",
+            "group",
+            "name",
+            "outer_limit",
+            "stream",
+            "tardy_gain",
+            "window",
+        ],
+    ),
+    ("settings.report", &["fields", "via"]),
+    (
+        "settings.rules",
+        &["answer_slack", "ask_within", "cold", "cold_from", "drain_grace", "overload_for", "tip_multiple"],
+    ),
+    ("settings.specifics", &["passes_deadline", "warm_keys"]),
+];
+
+/// What the old file can't know of the new place.
+pub struct Place {
+    /// Nodes in all, one for each client process.
+    pub nodes: u32,
+    pub zones: Vec<String>,
+    /// Where this node stands.
+    pub zone: String,
+    /// Jobs that a connection carries at once.
+    pub streams: u32,
+    /// This node's own, hexadecimal: nodes of one seed would all draw alike.
+    pub seed: String,
+}
+
+pub struct Moved {
+    pub file: Value,
+    /// One line for each key that could not be carried over, or that the new place makes another thing of.
+    pub left: Vec<String>,
+}
+
+pub fn moved(old: &Value, place: &Place) -> Result<Moved, String> {
+    known_keys(old, "")?;
+    let top = At::top(old, "config");
+    let settings = top.needed("settings")?;
+    let around = Surroundings::decode(&settings)?;
+    let read = decode(&settings)?;
+    top.needed("seed")?.text()?;
+    let instances = top.needed("known")?.needed("instances")?.list()?;
+    if !read.listed_on_request {
+        return settings.needed("discovery")?.problem("is \"pushed\": the file has been moved already");
+    }
+    if read.tier > 0 {
+        return settings.needed("tier")?.problem("is not 0: only nodes that clients call move");
+    }
+    let zone = place.zones.iter().position(|zone| *zone == place.zone);
+    let zone = zone.ok_or_else(|| format!("zone {:?} is none of those given", place.zone))?;
+    u64::from_str_radix(&place.seed, 16)
+        .map_err(|_| format!("seed {:?} is no hexadecimal number", place.seed))?;
+    let mut left = vec!["seed: each node has its own, the one given".to_string()];
+    let mut file = old.clone();
+    file["seed"] = json!(place.seed);
+    for key in ["name", "listen", "peer_listen", "peers", "peers_all"] {
+        drop_key(&mut file, key, &mut left, "belongs to the old node");
+    }
+    let mut kept = Vec::new();
+    for (at, value) in instances.iter().zip(old["known"]["instances"].as_array().into_iter().flatten()) {
+        match at.maybe("zone").map(|zone| zone.text()).transpose()? {
+            Some(name) if place.zones.iter().any(|zone| zone == name) => kept.push(value.clone()),
+            other => {
+                left.push(format!("{}: zone {} is none of the new ones", at.path, other.unwrap_or("none")))
+            }
+        }
+    }
+    file["known"]["instances"] = Value::Array(kept);
+    let new = &mut file["settings"];
+    new["discovery"] = json!("pushed");
+    new["siblings"] = json!(place.nodes);
+    new["azs"] = json!(place.zones);
+    new["locality"] = json!(zone);
+    new["limits"]["parallel_tries"] = json!(false);
+    new["limits"]["streams_per_conn"] = json!(place.streams);
+    if read.second_copies {
+        left.push("settings.limits.parallel_tries: no second copies".into());
+    }
+    drop_key(new, "me", &mut left, "is the old node's number");
+    drop_key(&mut new["rules"], "ask_within", &mut left, "the list comes unasked");
+    if around.zones != place.zones {
+        left.push(format!("settings.azs: {} became {}", around.zones.join(", "), place.zones.join(", ")));
+    }
+    for (key, what) in
+        [("probe", "with it a draw asks first or not"), ("cross_zone", "it keeps jobs at home")]
+    {
+        let price = settings.maybe("deductions").map_or(Ok(0.0), |at| at.number_or(key, 0.0))?;
+        left.push(format!("settings.deductions.{key}: stays {price}, the old price; {what}"));
+    }
+    // What is written must be what a node takes.
+    decode(&At::top(&file["settings"], "config.settings"))?;
+    Ok(Moved { file, left })
+}
+
+fn drop_key(object: &mut Value, key: &str, left: &mut Vec<String>, why: &str) {
+    if object.as_object_mut().and_then(|object| object.remove(key)).is_some() {
+        left.push(format!("{key}: {why}"));
+    }
+}
+
+fn known_keys(value: &Value, path: &str) -> Result<(), String> {
+    let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+    let checked = |object: &Map<String, Value>, keys: &[&str]| {
+        let unknown = object.keys().find(|key| !keys.contains(&key.as_str()));
+        unknown.map_or(Ok(()), |key| Err(format!("config.{} is unknown", below(key))))
+    };
+    let keys = KEYS.iter().find(|(place, _)| *place == path).map(|(_, keys)| *keys);
+    match (value, keys) {
+        (Value::Object(object), Some(keys)) => {
+            checked(object, keys)?;
+            object.iter().try_for_each(|(key, value)| known_keys(value, &below(key)))
+        }
+        (Value::Array(list), _) => list.iter().try_for_each(|value| known_keys(value, &below("*"))),
+        (_, Some(_)) => Err(format!("config{}{path} is no object", if path.is_empty() { "" } else { "." })),
+        _ => Ok(()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    fn old() -> Value {
+        json!({"seed": "8c1f", "known": {"generation": 1, "reset": true, "instances": [
+                {"instanceId": "s-1", "hostPort": "127.0.0.1:9001", "zone": "north"},
+                {"instanceId": "s-2", "hostPort": "127.0.0.1:9002", "zone": "old-room"}]},
+            "settings": {"siblings": 4, "round": 4e6, "discovery": "on_request", "azs": ["old-room"], "me": 2,
+                "profiles": [{"name": "read", "effect": "safe", "contract_time": 1e9, "outer_limit": 3e9, "gain": 1.0}],
+                "limits": {"most_shots": 3, "parallel_tries": true}, "deductions": {"probe": 0.03},
+                "objective_mix": {"whole": 1.0}, "report": {"fields": ["utilization"], "via": "probe"},
+                "rules": {"ask_within": 1e10, "cold": 9e9, "cold_from": 0.3, "tip_multiple": 4.0, "overload_for": 2e9}}})
+    }
+
+    fn place() -> Place {
+        let zones = ["north", "middle", "south"].map(str::to_string).to_vec();
+        Place { nodes: 300, zones, zone: "middle".into(), streams: 100, seed: "1f".into() }
+    }
+
+    #[test]
+    fn the_new_file_is_for_a_node_of_its_own_and_tells_what_stays_behind() {
+        let moved = moved(&old(), &place()).unwrap();
+        let settings = decode(&At::top(&moved.file["settings"], "settings")).unwrap();
+        assert!(!settings.listed_on_request && !settings.second_copies);
+        assert_eq!((settings.siblings, settings.zone), (300.0, 1));
+        assert_eq!(moved.file["seed"], "1f");
+        assert_eq!(moved.file["known"]["instances"].as_array().unwrap().len(), 1);
+        for key in [
+            "seed",
+            "me",
+            "ask_within",
+            "parallel_tries",
+            "azs",
+            "config.known.instances[1]",
+            "deductions.probe",
+        ] {
+            assert!(moved.left.iter().any(|line| line.contains(key)), "{key} is not told: {:?}", moved.left);
+        }
+    }
+
+    #[test]
+    fn a_file_moved_once_is_refused() {
+        let once = moved(&old(), &place()).unwrap().file;
+        let problem = moved(&once, &place()).err().unwrap();
+        assert_eq!(problem, "config.settings.discovery is \"pushed\": the file has been moved already");
+    }
+
+    #[test_case("/settings/limits/hedge", json!(1), "config.settings.limits.hedge is unknown"; "unknown key")]
+    #[test_case("/known/instances/0/colour", json!(1), "config.known.instances.*.colour is unknown"; "in a list")]
+    #[test_case("/settings/siblings", json!("four"), "config.settings.siblings is no number of at least 0"; "text")]
+    #[test_case("/settings/tier", json!(1), "config.settings.tier is not 0: only nodes that clients call move"; "inner tier")]
+    #[test_case("/settings/rules", json!(3), "config.settings.rules is no object"; "no object")]
+    #[test_case("/seed", json!(null), "config.seed is missing"; "no seed")]
+    fn the_faulty_key_is_named(path: &str, value: Value, problem: &str) {
+        let mut file = old();
+        let (parent, key) = path.rsplit_once('/').unwrap();
+        file.pointer_mut(parent).unwrap()[key] = value;
+        assert_eq!(moved(&file, &place()).err().unwrap(), problem);
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -35,6 +35,8 @@
     pub tier: usize,
     /// Servers of this tier call no further one: their errors are their own.
     pub last_tier: bool,
+    /// The list tells the servers' sizes.
+    pub sized: bool,
     pub zone: u16,
     pub round: f64,
     pub listed_on_request: bool,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -186,6 +186,7 @@
         // All instances start alike: their first calls for the list are spread, or the service fails them.
         let next_ask = chance.random::<f64>() * settings.ask_within * 0.3;
         let recent = || Recent::new(SPAN);
+        let tells = settings.may_probe && settings.report.contains(&Figure::Held);
         let asks = (ASK_SPEND / settings.probe_price.max(1e-9)).min(ASK_MOST);
         Self {
             chance,
@@ -206,7 +207,8 @@
                 .map(|n| vec![[Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]; n]),
             admitted: settings.quotas.iter().map(|_| recent()).collect(),
             first_shots: recent(),
-            asks: if settings.may_probe && asks >= ASK_LEAST { asks as usize } else { 0 },
+            // Utilisation is a mean over some time: only jobs held tell of the moment.
+            asks: if tells && asks >= ASK_LEAST { asks as usize } else { 0 },
             reach: REACH_MOST,
             drawn: recent(),
             endings: recent(),
@@ -341,7 +343,7 @@
         }
         server.zone.set(line.zone);
         server.cell.set(line.cell);
-        server.size.set(line.size);
+        server.size.set(if self.settings.sized { line.size } else { 1.0 });
         server.standing.set(line.standing);
         let present = self.table.iter().any(|other| Rc::ptr_eq(other, server));
         if line.standing == Standing::Ready && !present {
@@ -665,20 +667,18 @@
         let works = |server: &&Rc<Server>| !server.health.iter().all(|health| health.is_aside(self.now));
         let up = self.table.iter().filter(works);
         let part = up.map(|server| self.grown(server)).sum::<f64>().max(1.0) / self.settings.siblings;
-        self.window = self.window.clamp(WINDOW_LEAST * part, WINDOW_MOST * part);
+        // With far more nodes than servers a part is nothing at all: one job may always be out.
+        self.window = self.window.clamp(WINDOW_LEAST * part, WINDOW_MOST * part).max(1.0);
         for (worth, job) in ranked {
             let asks = self.asks > 0;
             if asks && self.now >= job.asked.get() + ASK_AGAIN_SHARE * self.profile(&job).contract_time {
                 self.inquire(&job, out);
             }
-            if asks && self.awaits(&job) {
-                self.waiting.push(job);
-                continue;
-            }
-            let open = self.settings.tier > 0 || asks || self.has_room(worth);
+            let waits = asks && self.awaits(&job);
+            let open = !waits && (asks || self.settings.tier > 0 || self.has_room(worth));
             if open && self.shoot(&job, asks.then_some(worth), out) {
                 job.waiting.set(false);
-            } else if self.now >= self.hold_until(&job) {
+            } else if !waits && self.now >= self.hold_until(&job) {
                 self.give_up(&job, out);
             } else {
                 self.waiting.push(job);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -31,7 +31,10 @@
     fn call_off(&mut self, job: u32, shot: u16) {
         self.0.push(format!("call-off {job} {shot}"));
     }
-    fn push_back(&mut self, job: u32, _: f64) {
+    fn push_back(&mut self, job: u32, wait: f64) {
+        if wait > 0.0 {
+            self.0.push(format!("advice {wait}"));
+        }
         self.0.push(format!("push-back {job}"));
     }
     fn forfeit(&mut self, job: u32) {
@@ -102,6 +105,11 @@
             "siblings" => settings.siblings = value,
             "cross" => settings.cross_zone_price = value,
             "probes" => settings.may_probe = value > 0.0,
+            "held" => settings.report = vec![Figure::Held],
+            "price" => (settings.may_probe, settings.probe_price) = (true, value),
+            "last-tier" => settings.last_tier = value > 0.0,
+            "keys" => settings.keys_met = value > 0.0,
+            "advice" => settings.longest_wait = value,
             "on-request" => settings.listed_on_request = value > 0.0,
             other => panic!("no setting {other:?}"),
         }
@@ -170,7 +178,8 @@
     /// All that was written for jobs since the last such line, in order; `?` stands for any server.
     fn expect(&mut self, wanted: &str, at: &str) {
         let mut written = std::mem::take(&mut self.written.0);
-        written.retain(|line| !["probe", "watch", "wake"].iter().any(|other| line.starts_with(other)));
+        written
+            .retain(|line| !["probe", "watch", "wake", "advice"].iter().any(|other| line.starts_with(other)));
         let wanted: Vec<&str> = wanted.split(',').map(str::trim).filter(|line| !line.is_empty()).collect();
         let same = |(line, wanted): (&String, &&str)| match wanted.strip_suffix('?') {
             Some(start) => line.starts_with(start),
@@ -245,6 +254,17 @@
                     }),
                     ["left", id] => self.round(|balancer| balancer.client_left(number(id) as u32)),
                     ["closing", at] => self.round(|balancer| balancer.closing(number(at))),
+                    ["keyed", first, last, after, key] => {
+                        let (first, last, key) =
+                            (number(first) as u32, number(last) as u32, number(key) as u64);
+                        let limit = limit(after);
+                        self.round(|balancer| {
+                            (first..=last).for_each(|id| balancer.job(id, 0, 0, Some(key), limit));
+                        });
+                    }
+                    ["probe", server, "none"] => {
+                        self.round(|balancer| balancer.probe_answered(address(server), true, &[], 1.0));
+                    }
                     ["probe", server, "lost"] => {
                         self.round(|balancer| balancer.probe_answered(address(server), false, &[], 50.0));
                     }
@@ -281,6 +301,7 @@
         siblings: 1.0,
         tier: 0,
         last_tier: false,
+        sized: false,
         zone: 0,
         round: ROUND,
         listed_on_request: false,
@@ -336,6 +357,15 @@
 #[test_case("crowded-home"; "a crowded home shares with an idle zone")]
 #[test_case("better-first"; "a small window keeps room for jobs of high gain")]
 #[test_case("long-job"; "a long job on a server that answers others gets no copy")]
+#[test_case("asks"; "a draw asks servers first")]
+#[test_case("price"; "where probes are dear nobody is asked")]
+#[test_case("too-busy-to-report"; "a server too busy to report does not look idle")]
+#[test_case("one-profile-fails"; "a server is set aside for the profile that it fails")]
+#[test_case("cold-asked"; "an idle cold server is not taken for a warm one")]
+#[test_case("crowded-asked"; "a job that no server promises is given up early and told when to come back")]
+#[test_case("keys"; "jobs of one key go to one server")]
+#[test_case("last-tier"; "errors of the last tier are its servers' own")]
+#[test_case("many-nodes"; "a lone job goes however many nodes there are")]
 #[test_case("overload"; "the window holds back a burst and pushes back early")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
