Parts of four where there are several locations; a server that gives no connection is set aside at once

Lines: strike(), near(). No connection now sets a server aside at once, as it proves nothing ran but costs 250 ms of 430; a part is two servers at home and two away, widened once one is left.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,7 +28,7 @@
 const ASK_MOST: f64 = 5.0; // Servers asked before a draw at the most, and
 const ASK_LEAST: f64 = 2.0; // at the least: one figure compares with nothing.
 const KEY_SAVES: f64 = 0.4; // Share of work saved where a key was met lately: a quarter to two thirds are.
-const KEPT: usize = 3; // Servers of its part that a node must be able to ask before it goes beyond it.
+const KEPT: usize = 2; // Servers of its part that a node must be able to ask before it goes beyond it.
 const ASK_PATIENCE: f64 = 0.05; // Share of the contract time a draw waits for answers: some are lost.
 const UNREPORTED: f64 = 1.0; // Least figure, jobs, of a busy server that gave none: others may be idle.
 const STRANGER: f64 = 1.0; // Jobs that the first connection to a server is worth: its work falls on the job.
@@ -363,7 +363,7 @@
     fn near(&self, part: usize, wanted: impl Fn(&Rc<Server>) -> bool) -> Vec<Rc<Server>> {
         // Its own zone and the others share the part.
         let mixed = self.table.iter().any(|server| server.zone.get() != self.settings.zone);
-        let mut left = [if mixed { part.div_ceil(2) } else { part }; 2];
+        let mut left = [if mixed { part / 2 } else { part }; 2];
         let fits = |server: &&Rc<Server>| {
             let left = &mut left[usize::from(server.zone.get() == self.settings.zone)];
             let fits = *left > 0 && wanted(server);
@@ -566,7 +566,8 @@
         let pause = TRIAL / jobs.max(f64::MIN_POSITIVE);
         server.failing_since.set(server.failing_since.get().min(now));
         for (place, health) in server.health.iter().enumerate() {
-            let strikes = health.strikes.get() + if error && place == profile { STRIKES } else { 1 };
+            let strikes = health.strikes.get()
+                + if server.unreached.get() || error && place == profile { STRIKES } else { 1 };
             health.strikes.set(strikes);
             if health.on_trial.replace(false) || strikes >= STRIKES && now >= health.back_at.get() {
                 let time = (health.aside.get() * 2.0).clamp(ASIDE_FIRST, ASIDE_LAST).max(pause);
