An idle server takes a job whatever it promises

Cause: after many late answers the reach is 0.3, its square 0.09 of the time left, which no server promises, so no timely answer could open it again (shoot()).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,6 +39,7 @@
 const REACH_GROW: f64 = 0.01; // grows by with an answer in time: some one in ten may be late.
 const BETTER: f64 = 0.5; // Power of the reach for jobs above mean worth, and
 const OTHERS: f64 = 2.0; // for others.
+const IDLE: f64 = 0.5; // Jobs held below which a server always takes one: else nobody would see a trouble end.
 const EDGE: f64 = 0.6; // Share of the reach that a promise has to take for its being late to count.
 const STRIKES: u32 = 3; // Failures in a row that set a server aside; an error is as many by itself.
 const TRIAL: f64 = 40.0; // Jobs of its own that a node sends between two trials of one server at the least.
@@ -816,7 +817,8 @@
         let promise = self.promise(job, figure);
         // What room there is under overload is for the better ones.
         let power = worth.map(|worth| if self.is_better(worth) { BETTER } else { OTHERS });
-        if power.is_some_and(|power| promise >= self.reach.powf(power)) {
+        let idle = server.figure.get().is_some_and(|held| held < IDLE);
+        if power.is_some_and(|power| !idle && promise >= self.reach.powf(power)) {
             return false;
         }
         if first {
