--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,9 +1,9 @@
 //! Every decision of pearfront; settings and the writer it answers through are in `interface.rs`.
 //!
 //! Make one `Balancer` for an instance and call `balancer.round(now, feed, out)` once a round: `feed` hands in
-//! what has come in (`job` to `list_failed`), then decisions are made and written to `out`. The mechanism is the
-//! load query variant of "Simulation of a distributed CORBA-based SCP", section 6.2; `docs/design.md` tells what
-//! is kept, what is changed and when each exception comes into play.
+//! what came in (`job` to `list_failed`), then decisions are made and written to `out`. The mechanism is the load
+//! query variant of "Simulation of a distributed CORBA-based SCP", section 6.2; `docs/design.md` tells what is
+//! kept, what is changed and when each exception comes into play.
 
 use crate::interface::{Address, Effect, Ending, Figure, Group, Listing};
 use crate::interface::{Profile, Settings, Standing, Writer};
@@ -39,7 +39,7 @@
 const REACH_GROW: f64 = 0.01; // grows by with an answer in time: some one in ten may be late.
 const BETTER: f64 = 0.5; // Power of the reach for jobs above mean worth, and
 const OTHERS: f64 = 2.0; // for others.
-const IDLE: f64 = 0.5; // Jobs held below which a server always takes one: else nobody would see a trouble end.
+const IDLE: f64 = 0.5; // Jobs held below which a server takes one: else nobody sees a trouble end.
 const EDGE: f64 = 0.6; // Share of the reach that a promise has to take for its being late to count.
 const STRIKES: u32 = 3; // Failures in a row that set a server aside; an error is as many by itself.
 const TRIAL: f64 = 40.0; // Jobs of its own that a node sends between two trials of one server at the least.
@@ -234,9 +234,8 @@
         self.now = now;
         feed(self)?;
         // A wake may come a hair early: taken for one still to come it would be the last, and jobs be lost.
-        if self.woken_for <= now + self.settings.round {
-            self.woken_for = f64::INFINITY;
-        }
+        let come = self.woken_for <= now + self.settings.round;
+        self.woken_for = if come { f64::INFINITY } else { self.woken_for };
         self.notes.drain(..).for_each(|line| out.log(&line));
         self.ask(out);
         self.probe(out);
@@ -549,9 +548,8 @@
 
     /// The window closes while recent jobs take much of their contract time, and opens as jobs are answered.
     fn pace(&mut self, share: f64) {
-        let now = self.now;
-        self.lateness.add(now, share);
-        let late = self.lateness.mean(now);
+        self.lateness.add(self.now, share);
+        let late = self.lateness.mean(self.now);
         if late > TARGET {
             self.window -= (SHRINK * self.window).max(SHRINK_LEAST);
         } else if self.out.value > self.window / 2.0 {
@@ -728,18 +726,17 @@
     /// What serving the job adds to the goal for each unit of work. The worst served profile and customer
     /// count by themselves there, so that one of low gain is not starved for the others.
     fn worth(&mut self, job: &Job, asked: f64, worst: [Option<usize>; 2]) -> f64 {
-        let now = self.now;
         let within = self.within_quota(job.customer);
         let mut part = self.settings.weight_whole / asked.max(f64::MIN_POSITIVE);
         let weights = [self.settings.weight_profile, self.settings.weight_customer];
         for (kind, place) in [job.profile, job.customer].into_iter().enumerate() {
             if worst[kind] == Some(place) && within {
-                part += weights[kind] / self.tallies[kind][place][0].total(now).1.max(f64::MIN_POSITIVE);
+                part += weights[kind] / self.tallies[kind][place][0].total(self.now).1.max(f64::MIN_POSITIVE);
             }
         }
         let excess = if within { 1.0 } else { self.settings.excess_gain };
         // What will hardly be answered in time is worth little more than nothing, however short the queue.
-        let left = job.arrived + self.profile(job).contract_time - now;
+        let left = job.arrived + self.profile(job).contract_time - self.now;
         let chance = (left / self.usual(job.profile)).clamp(0.0, 1.0).powf(SURE);
         part * excess * chance * self.gain(job.profile) / self.usual(job.profile)
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -366,6 +366,7 @@
 #[test_case("keys"; "jobs of one key go to one server")]
 #[test_case("last-tier"; "errors of the last tier are its servers' own")]
 #[test_case("many-nodes"; "a lone job goes however many nodes there are")]
+#[test_case("idle-takes"; "an idle server takes a job however late answers were")]
 #[test_case("overload"; "the window holds back a burst and pushes back early")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
