--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,9 +1,9 @@
 //! Every decision of pearfront; settings and the writer it answers through are in `interface.rs`.
 //!
-//! Make one `Balancer` for an instance and call `balancer.round(now, feed, out)` once a round: `feed` hands in
-//! what came in (`job` to `list_failed`), then decisions are made and written to `out`. The mechanism is the load
-//! query variant of "Simulation of a distributed CORBA-based SCP", section 6.2; `docs/design.md` tells what is
-//! kept, what is changed and when each exception comes into play.
+//! Make one `Balancer` for an instance and call `balancer.round(now, feed, out)` once a round: `feed` hands
+//! in what came in (`job` to `list_failed`), then decisions are made and written to `out`. The mechanism is
+//! the load query variant of "Simulation of a distributed CORBA-based SCP", section 6.2; `docs/design.md`
+//! tells what is kept, what is changed and when each exception comes into play.
 
 use crate::interface::{Address, Effect, Ending, Figure, Group, Listing};
 use crate::interface::{Profile, Settings, Standing, Writer};
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -67,7 +67,7 @@
 
 fn ending(word: &str) -> Ending {
     match word {
-        "honoured" => Ending::Honoured,
+        "honoured" | "slow" => Ending::Honoured,
         "error" => Ending::Error,
         "full" => Ending::Full,
         "timed-out" => Ending::TimedOut,
@@ -242,9 +242,10 @@
                         self.jobs([first, last], profile.first().unwrap_or(&"0"), limit(after));
                     }
                     ["end", id, shot, how, ref done @ ..] => {
+                        let slow = how == "slow";
                         let (id, shot, how) = (number(id) as u32, number(shot) as usize, ending(how));
                         let done = how == Ending::Honoured || done == ["done"];
-                        let took = if how == Ending::TimedOut { 1000.0 } else { QUICK };
+                        let took = if how == Ending::TimedOut || slow { 1400.0 } else { QUICK };
                         self.round(|balancer| balancer.shot_ended(id, shot, how, took, done));
                     }
                     ["ends", first, last, "honoured"] => self.round(|balancer| {
