Failures are judged sharply and by profile only where draws ask

Lines to blame: strike(), answered(): one error or failed connect set a server aside for forty own jobs, errors of other profiles added up for a profile with few jobs, and only its own success cleared them. Whole strikes, long times aside and health by profile now act only where draws ask, since there a failing server is seen idle at once; elsewhere all is as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -90,7 +90,7 @@
     probed: Cell<f64>,
     seen: Cell<f64>,
     out: Cell<u32>,
-    /// How each profile fares on it.
+    /// How each profile fares on it, or all of them where draws don't ask.
     health: Vec<Health>,
     /// Its last shot found no connection: no fault shared with others, and its line may be out of date.
     unreached: Cell<bool>,
@@ -335,7 +335,8 @@
             // Whoever comes to its address is another server.
             return self.known.remove(&line.server).iter().for_each(|old| old.standing.set(Standing::Gone));
         }
-        let (place, profiles) = (self.chance.random(), self.settings.profiles.len());
+        let (place, profiles) =
+            (self.chance.random(), if self.asks > 0 { self.settings.profiles.len() } else { 1 });
         let server =
             self.known.entry(line.server).or_insert_with(|| Rc::new(Server::new(line, place, profiles)));
         if line.started > server.started.get() {
@@ -354,8 +355,7 @@
 
     /// How many servers of a zone this node draws among: as many as its own jobs let it know.
     fn part(&mut self) -> usize {
-        let seen = self.now.clamp(1000.0, SPAN);
-        let rate = self.first_shots.total(self.now).0 / seen * 1000.0;
+        let rate = self.first_shots.total(self.now).0 / self.now.clamp(1000.0, SPAN) * 1000.0;
         (rate / ACQUAINTED).max(PART_LEAST).ceil() as usize
     }
 
@@ -419,9 +419,8 @@
             near[target].probed.set(self.now);
             out.probe(near[target].address);
         }
-        let jobs = self.first_shots.total(self.now).0 / SPAN * 1000.0;
         let each = (PROBE_SPEND / self.settings.probe_price.max(1e-9)).min(PROBE_MOST);
-        let rate = (jobs * each).max(PROBE_FLOOR);
+        let rate = (self.first_shots.total(self.now).0 / SPAN * 1000.0 * each).max(PROBE_FLOOR);
         self.next_probe = self.now - (1.0 - self.chance.random::<f64>()).ln() / rate * 1000.0;
     }
 
@@ -505,6 +504,8 @@
         if server.unreached.get() && self.ask_pause <= ASK_AGAIN && self.next_ask.is_finite() {
             (self.next_ask, self.ask_pause) = (now, 2.0 * ASK_AGAIN);
         }
+        // An error that most servers give now comes from the tier behind: it says nothing of this one.
+        let behind = !self.settings.last_tier && self.success() < SHARED;
         match ending {
             Ending::Honoured => {
                 self.endings.add(now, 1.0);
@@ -519,10 +520,7 @@
                     self.pace(took / self.profile(job).contract_time);
                 }
             }
-            // An error that most servers give now comes from the tier behind: it says nothing of this one.
-            Ending::Error if !self.settings.last_tier && self.success() < SHARED => {
-                self.endings.add(now, 0.0)
-            }
+            Ending::Error if behind => self.endings.add(now, 0.0),
             Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Broken => {
                 self.endings.add(now, 0.0);
                 self.strike(server, job.profile, ending == Ending::Error);
@@ -531,7 +529,7 @@
             Ending::CalledOff | Ending::NeverSent => {}
         }
         // A trial ends with its shot, however that ended.
-        server.health[job.profile].on_trial.set(false);
+        server.health(job.profile).on_trial.set(false);
     }
 
     /// A caller sends each server too little to know it soon: machines of one make are learned together.
@@ -549,8 +547,7 @@
     /// The window closes while recent jobs take much of their contract time, and opens as jobs are answered.
     fn pace(&mut self, share: f64) {
         self.lateness.add(self.now, share);
-        let late = self.lateness.mean(self.now);
-        if late > TARGET {
+        if self.lateness.mean(self.now) > TARGET {
             self.window -= (SHRINK * self.window).max(SHRINK_LEAST);
         } else if self.out.value > self.window / 2.0 {
             self.window += (1.0 / self.window).min(GROW_MOST);
@@ -561,12 +558,12 @@
     fn strike(&mut self, server: &Server, profile: usize, error: bool) {
         let now = self.now;
         let jobs = self.first_shots.total(now).0 / now.clamp(1000.0, SPAN);
-        // With few jobs a trial each second is many lost.
-        let pause = TRIAL / jobs.max(f64::MIN_POSITIVE);
+        // Who asks sees at once that a failing server is idle, and with few jobs each trial is one of many lost.
+        let pause = if self.asks > 0 { TRIAL / jobs.max(f64::MIN_POSITIVE) } else { 0.0 };
         server.failing_since.set(server.failing_since.get().min(now));
         for (place, health) in server.health.iter().enumerate() {
-            let strikes = health.strikes.get()
-                + if server.unreached.get() || error && place == profile { STRIKES } else { 1 };
+            let whole = self.asks > 0 && (server.unreached.get() || error && place == profile);
+            let strikes = health.strikes.get() + if whole { STRIKES } else { 1 };
             health.strikes.set(strikes);
             if health.on_trial.replace(false) || strikes >= STRIKES && now >= health.back_at.get() {
                 let time = (health.aside.get() * 2.0).clamp(ASIDE_FIRST, ASIDE_LAST).max(pause);
@@ -580,8 +577,8 @@
 
     /// Usual duration of a profile's shot, ms.
     fn usual(&mut self, profile: usize) -> f64 {
-        let guess = UNSEEN * self.settings.profiles[profile].contract_time;
-        self.durations[profile].mean_beside(self.now, 1.0, guess)
+        let contract_time = self.settings.profiles[profile].contract_time;
+        self.durations[profile].mean_beside(self.now, 1.0, UNSEEN * contract_time)
     }
 
     fn profile(&self, job: &Job) -> &Profile {
@@ -846,8 +843,7 @@
         let mut open = Vec::new();
         if self.asks > 0 {
             open = self.open(job, &group, |_, _| true);
-            let asked = |server: &Rc<Server>| server.seen.get() >= server.probed.get().max(job.asked.get());
-            open.retain(asked);
+            open.retain(|server| server.seen.get() >= server.probed.get().max(job.asked.get()));
         }
         if open.is_empty() {
             let part = self.part().min(self.table.len()).max(1);
@@ -858,8 +854,8 @@
             let multiple = (self.settings.cold_multiple - 1.0).max(0.0) * COLD_PART;
             let most = multiple * self.settings.cold_window / self.usual(job.profile);
             let least = |server: &Rc<Server>| (most * self.grown(server)).max(1.0);
-            let warm = |server: &Rc<Server>| self.grown(server) >= 1.0;
-            open.retain(|server| warm(server) || server.figure.get().unwrap_or(0.0) < least(server));
+            let bears = |server: &Rc<Server>| server.figure.get().unwrap_or(0.0) < least(server);
+            open.retain(|server| self.grown(server) >= 1.0 || bears(server));
         }
         let mut figures = self.figures(&open);
         if let Some(place) = self.favoured(job, &open) {
@@ -879,9 +875,9 @@
     ) -> Vec<Rc<Server>> {
         let part = self.part();
         let shots = job.shots.borrow();
-        let aside = |server: &Rc<Server>| server.health[job.profile].is_aside(self.now);
-        let shared = self.table.iter().filter(|server| aside(server)).count() as f64;
-        let shared = shared > self.table.len() as f64 * ASIDE_SHARE;
+        let aside = |server: &Rc<Server>| server.health(job.profile).is_aside(self.now);
+        let most = self.table.len() as f64 * ASIDE_SHARE;
+        let shared = self.table.iter().filter(|server| aside(server)).count() as f64 > most;
         let within = |server: &Rc<Server>| match (group, self.profile(job).group) {
             (Some(first), Group::Zone) => first.zone == server.zone,
             (Some(first), Group::Cell) => first.cell == server.cell,
@@ -966,11 +962,15 @@
         self.credit_at.set(now);
     }
 
+    fn health(&self, profile: usize) -> &Health {
+        &self.health[profile.min(self.health.len() - 1)]
+    }
+
     fn send(&self, profile: usize, now: f64) {
         self.out.set(self.out.get() + 1);
         self.cold_credit.set(self.cold_credit.get() - 1.0);
         // Back from its time aside it gets one shot, and the next when that was honoured.
-        let health = &self.health[profile];
+        let health = self.health(profile);
         health.on_trial.set(health.strikes.get() >= STRIKES && now >= health.back_at.get());
     }
 
@@ -982,12 +982,12 @@
     fn answered(&self, profile: usize, now: f64, cold_time: f64) {
         // Silent long enough to have restarted: it is cold until the list says better.
         let silent = now - self.failing_since.get() > SILENT && now - self.started.get() > cold_time;
-        let health = &self.health[profile];
+        let health = self.health(profile);
         if silent && self.health.iter().all(|health| health.strikes.get() >= STRIKES) {
             self.restarted(now, now);
         }
         health.strikes.set(0);
-        health.aside.set(health.aside.get() / 4.0);
+        health.aside.set(0.0);
         self.heard.set(now);
         self.failing_since.set(f64::INFINITY);
     }
