--- a/crates/pearfront-emulator/src/decide.rs
+++ b/crates/pearfront-emulator/src/decide.rs
@@ -123,7 +123,7 @@
 
 fn tell(balancer: &mut Balancer, word: Word) {
     match word {
-        Word::Job { id, profile, customer, limit } => balancer.job(id, profile, customer, None, limit),
+        Word::Job { id, profile, customer, limit } => balancer.job(id, profile, customer, limit),
         Word::ShotEnded { id, shot, ending, took, done } => balancer.shot_ended(id, shot, ending, took, done),
         Word::ProbeAnswered { server, good, report, took } => {
             balancer.probe_answered(server, good, &report, took);
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -15,10 +15,6 @@
 const CUSTOMER: HeaderName = HeaderName::from_static("x-customer");
 const TIME_LEFT: HeaderName = HeaderName::from_static("x-expires-in");
 const LABEL: HeaderName = HeaderName::from_static("idempotency-key");
-/// Further figures of a job, as `name=value,name=value`.
-const FIGURES: HeaderName = HeaderName::from_static("x-props");
-/// The one among them that jobs of one subject share.
-const KEY: &str = "item";
 const NEVER_RAN: HeaderName = HeaderName::from_static("x-never-ran");
 const REPORT: HeaderName = HeaderName::from_static("endpoint-load-metrics");
 /// Headers of one connection only, which no message carries on.
@@ -48,7 +44,6 @@
 pub struct Job {
     pub profile: usize,
     pub customer: usize,
-    pub key: Option<u64>,
     pub irreversible: bool,
     /// How long the caller will wait, ms.
     pub left: f64,
@@ -96,27 +91,16 @@
     let left = left.map(|seconds| seconds * 1000.0).filter(|left| left.is_finite() && *left < LONGEST_LEFT);
     let left = left.ok_or_else(|| format!("no time in {TIME_LEFT}"))?;
     let customer = decode_customer(&head.headers, around)?;
-    let key = text(&head.headers, &FIGURES).and_then(decode_key);
     let headers = end_to_end(head.headers);
     if !headers.contains_key(&ID) || headers.contains_key(&LABEL) != labelled {
         return Err("its own headers named as the connection's".into());
     }
     let (method, target) = (head.method, head.uri);
     let irreversible = effect == Effect::Irreversible;
-    let job = Job { profile, customer, key, irreversible, left, body: Bytes::new(), method, target, headers };
+    let job = Job { profile, customer, irreversible, left, body: Bytes::new(), method, target, headers };
     Ok(Call::Job(Box::new(job)))
 }
 
-/// Its text as a number: FNV-1a, the same at every node and in every build.
-fn decode_key(figures: &str) -> Option<u64> {
-    let pair = |figure: &str| {
-        figure.split_once('=').map(|(name, value)| (name.trim() == KEY, value.trim().to_string()))
-    };
-    let (_, value) = figures.split(',').filter_map(pair).find(|(is_key, _)| *is_key)?;
-    let step = |sum: u64, byte: u8| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    (!value.is_empty()).then(|| value.bytes().fold(0xcbf2_9ce4_8422_2325, step))
-}
-
 pub fn is_chunked(headers: &HeaderMap) -> bool {
     headers.contains_key(header::TRANSFER_ENCODING)
 }
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -114,7 +114,7 @@
         let (relay, answer) = Relay::new(self.book.clone());
         let number = self.numbered.get();
         self.numbered.set(number.wrapping_add(1));
-        let (profile, customer, key) = (job.profile, job.customer, job.key);
+        let (profile, customer) = (job.profile, job.customer);
         let held = Rc::new(Held {
             number,
             job,
@@ -127,7 +127,7 @@
         self.ids.borrow_mut().insert(held.job.id().clone());
         self.held.borrow_mut().insert(number, held.clone());
         self.book.taken.add();
-        self.inbox.tell(move |balancer| balancer.job(number, profile, customer, key, limit));
+        self.inbox.tell(move |balancer| balancer.job(number, profile, customer, limit));
         (held, answer)
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -50,8 +50,6 @@
     pub weight_whole: f64,
     pub weight_profile: f64,
     pub weight_customer: f64,
-    /// Servers do a job with less work if they met its key lately.
-    pub keys_met: bool,
     pub cross_zone_price: f64,
     pub probe_price: f64,
     pub most_shots: usize,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,7 +27,6 @@
 const ASK_SPEND: f64 = 0.01; // Points that the questions before a job's draw may cost; the price gives them.
 const ASK_MOST: f64 = 5.0; // Servers asked before a draw at the most, and
 const ASK_LEAST: f64 = 2.0; // at the least: one figure compares with nothing.
-const KEY_SAVES: f64 = 0.4; // Share of work saved where a key was met lately: a quarter to two thirds are.
 const KEPT: usize = 2; // Servers of its part that a node must be able to ask before it goes beyond it.
 const ASK_PATIENCE: f64 = 0.05; // Share of the contract time a draw waits for answers: some are lost.
 const UNREPORTED: f64 = 1.0; // Least figure, jobs, of a busy server that gave none: others may be idle.
@@ -50,6 +49,8 @@
 const REST: f64 = 4.0; // Usual durations that a full server rests: its queue should be down by then.
 const SILENT: f64 = 3000.0; // Silence, ms, after which a server that answers again may have restarted.
 const OVERDUE: f64 = 8.0; // Mean durations of its profile after which a shot is overdue: tails are long.
+const LOSSY: f64 = 0.05; // Share of recent shots never answered from which on answers are being lost.
+const OVERDUE_LOSSY: f64 = 4.0; // The same as `OVERDUE` while they are: what is out so long mostly is.
 const UNSEEN: f64 = 0.2; // Share of the contract time that stands for a mean duration not yet seen.
 const FURTHER: f64 = 0.2; // Further shots as a share of first ones, if all recent ones succeed.
 const FURTHER_FREE: f64 = 2.0; // Further shots free in each span: a lone failure may always go again.
@@ -129,8 +130,6 @@
     id: u32,
     profile: usize,
     customer: usize,
-    /// Jobs that share it are done with less work where one was done lately.
-    key: Option<u64>,
     arrived: f64,
     limit: f64,
     /// When servers were last asked for it.
@@ -178,6 +177,7 @@
     notes: Vec<String>,
     lateness: Recent,
     worths: Recent,
+    lost: Recent,
     makes: BTreeMap<usize, Recent>,
 }
 
@@ -219,6 +219,7 @@
             notes: Vec::new(),
             lateness: Recent::new(LATE_SPAN),
             worths: recent(),
+            lost: recent(),
             makes: BTreeMap::new(),
             settings,
         }
@@ -255,7 +256,7 @@
         Ok(())
     }
 
-    pub fn job(&mut self, id: u32, profile: usize, customer: usize, key: Option<u64>, limit: f64) {
+    pub fn job(&mut self, id: u32, profile: usize, customer: usize, limit: f64) {
         let now = self.now;
         let gain = self.gain(profile);
         self.tally(profile, customer, |[asked, _]| asked.add(now, gain));
@@ -263,7 +264,6 @@
             id,
             profile,
             customer,
-            key,
             arrived: now,
             limit,
             asked: Cell::new(f64::NEG_INFINITY),
@@ -436,9 +436,8 @@
     /// Probes the servers that the job may be drawn to, the paper's way: even draws and lowest entries.
     fn inquire(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         let mut near = self.open(job, &None, |_, _| true);
-        let mut favoured = self.favoured(job, &near);
         for _ in 0..self.asks.min(near.len()) {
-            let target = favoured.take().unwrap_or_else(|| self.target(&near));
+            let target = self.target(&near);
             let server = near.swap_remove(target);
             if server.probed.replace(self.now) < self.now {
                 out.probe(server.address);
@@ -448,12 +447,6 @@
         self.review(job, self.now + ASK_PATIENCE * self.profile(job).contract_time);
     }
 
-    /// The server that jobs of its key go to from here unless it is busier: there it may be less work.
-    fn favoured(&self, job: &Job, servers: &[Rc<Server>]) -> Option<usize> {
-        let key = job.key.filter(|_| self.settings.keys_met)?;
-        (0..servers.len()).max_by_key(|place| rank(key, servers[*place].address))
-    }
-
     /// Is the job's draw still waiting for answers?
     fn awaits(&self, job: &Job) -> bool {
         let patience = ASK_PATIENCE * self.profile(job).contract_time;
@@ -495,6 +488,11 @@
     fn judge(&mut self, server: &Rc<Server>, job: &Job, ending: Ending, took: f64) {
         let now = self.now;
         let usual = self.usual(job.profile);
+        let unanswered =
+            matches!(ending, Ending::TimedOut | Ending::CalledOff) && took > self.overdue() * usual;
+        if unanswered || ending == Ending::Honoured {
+            self.lost.add(now, f64::from(u8::from(unanswered)));
+        }
         // A server that loses its answers looks idle: they count with the time they were out.
         if ending != Ending::Honoured && took > OVERDUE * usual {
             self.compare(server, took / usual);
@@ -558,7 +556,7 @@
     fn strike(&mut self, server: &Server, profile: usize, error: bool) {
         let now = self.now;
         let jobs = self.first_shots.total(now).0 / now.clamp(1000.0, SPAN);
-        // Who asks sees at once that a failing server is idle, and with few jobs each trial is one of many lost.
+        // Who asks sees at once that a failing server is idle; with few jobs each trial is one of many lost.
         let pause = if self.asks > 0 { TRIAL / jobs.max(f64::MIN_POSITIVE) } else { 0.0 };
         server.failing_since.set(server.failing_since.get().min(now));
         for (place, health) in server.health.iter().enumerate() {
@@ -611,7 +609,8 @@
     }
 
     fn check_overdue(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
-        let usual = self.usual(job.profile) * OVERDUE;
+        let overdue = self.overdue();
+        let usual = self.usual(job.profile) * overdue;
         let mut next = f64::INFINITY;
         let mut late = None;
         for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none() && !shot.overdue) {
@@ -622,7 +621,7 @@
             }
             shot.overdue = true;
             // A server that has answered others since is not silent: its job is long, a copy is waste.
-            if shot.server.heard.get() < shot.sent {
+            if overdue < OVERDUE || shot.server.heard.get() < shot.sent {
                 late = Some(shot.server.clone());
             }
         }
@@ -632,6 +631,11 @@
         }
     }
 
+    /// Usual durations after which a shot is overdue; fewer while answers are lost on the way.
+    fn overdue(&mut self) -> f64 {
+        if self.lost.mean(self.now) > LOSSY { OVERDUE_LOSSY } else { OVERDUE }
+    }
+
     /// Has the job looked at again at `at`, or when its answer falls due.
     fn review(&mut self, job: &Rc<Job>, at: f64) {
         let at = at.min(self.last_call(job)).max(0.0);
@@ -827,7 +831,7 @@
         server.send(job.profile, self.now);
         self.out.change(self.now, 1.0);
         out.shoot(job.id, server.address, job.limit - self.now);
-        let usual = self.usual(job.profile) * OVERDUE;
+        let usual = self.usual(job.profile) * self.overdue();
         let at = self.now + server.patience(usual);
         job.shots.borrow_mut().push(Shot { server, sent: self.now, promise, ending: None, overdue: false });
         self.review(job, at);
@@ -857,10 +861,7 @@
             let bears = |server: &Rc<Server>| server.figure.get().unwrap_or(0.0) < least(server);
             open.retain(|server| self.grown(server) >= 1.0 || bears(server));
         }
-        let mut figures = self.figures(&open);
-        if let Some(place) = self.favoured(job, &open) {
-            figures[place] *= 1.0 - KEY_SAVES;
-        }
+        let figures = self.figures(&open);
         let weights = WeightedIndex::new(figures.iter().map(|figure| figure.powf(-K)));
         let place = weights.ok()?.sample(&mut self.chance);
         Some((open.get(place)?.clone(), figures[place]))
@@ -918,14 +919,6 @@
     }
 }
 
-/// A number of its own for each key and server, the same at all nodes.
-fn rank(key: u64, address: Address) -> u64 {
-    let mix = |mixed: u64, byte: &u8| {
-        (mixed ^ u64::from(*byte)).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(29)
-    };
-    address.iter().fold(key, mix).wrapping_mul(0xBF58_476D_1CE4_E5B9)
-}
-
 impl Job {
     /// Has every shot so far provably never run?
     fn proven_unrun(&self) -> bool {
