Operators' listener, one life of the process, drain, and the inherited socket

Where both the variable and the key name an operators' address the variable holds: at an upgrade two processes may share the file.

--- /dev/null
+++ b/crates/pearfront-node/src/admin.rs
@@ -0,0 +1,101 @@
+//! The operators' listener: one call to a connection, answered however busy the node is. It has its own address,
+//! descriptors and time limits, and waits for nothing that clients hold.
+
+use crate::lifecycle::Lifecycle;
+use crate::logger::Seldom;
+use crate::message::{self, AdminCall, Body};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// Calls open at once; one more has the oldest closed.
+const CALLS: usize = 12;
+/// Descriptors that no client, server or probe may have: the calls, the listener, and the call that comes on top.
+pub const DESCRIPTORS: usize = CALLS + 2;
+/// How long a call may take to come and be answered: callers wait for 1 s.
+const WHOLE_CALL: Duration = Duration::from_secs(2);
+/// Largest head, and largest body, that a call may have, bytes.
+const LARGEST: usize = 8 * 1024;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+
+pub struct Admin {
+    life: Rc<Lifecycle>,
+    open: RefCell<VecDeque<(u64, AbortHandle)>>,
+    numbered: Cell<u64>,
+    failing: Seldom,
+}
+
+impl Admin {
+    pub fn new(life: Rc<Lifecycle>) -> Rc<Self> {
+        let (open, numbered, failing) = (RefCell::default(), Cell::new(0), Seldom::default());
+        Rc::new(Self { life, open, numbered, failing })
+    }
+
+    /// Answers operators as long as the process runs.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.open(stream),
+                Err(error) => {
+                    self.failing.warn(format_args!("accepting an operator's call failed: {error}"));
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn open(self: &Rc<Self>, stream: TcpStream) {
+        let (number, admin) = (self.numbered.get(), self.clone());
+        self.numbered.set(number + 1);
+        let call = spawn_local(async move {
+            let _ = timeout(WHOLE_CALL, admin.call(stream)).await;
+            admin.open.borrow_mut().retain(|(other, _)| *other != number);
+        });
+        let mut open = self.open.borrow_mut();
+        // Callers that finish no call must not keep others out.
+        if open.len() >= CALLS
+            && let Some((_, oldest)) = open.pop_front()
+        {
+            oldest.abort();
+        }
+        open.push_back((number, call.abort_handle()));
+    }
+
+    async fn call(&self, stream: TcpStream) {
+        let service = service_fn(async |request| Ok::<_, Infallible>(self.answer(request).await));
+        let mut server = Builder::new();
+        server.keep_alive(false).half_close(true).max_buf_size(LARGEST);
+        // How it ended only its caller can care about.
+        let _ = server.serve_connection(TokioIo::new(stream), service).await;
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        if Limited::new(body, LARGEST).collect().await.is_err() {
+            return message::encode_malformed("a body that is too long or can't be read");
+        }
+        let yes = match message::decode_admin(&head) {
+            AdminCall::Unknown => return message::encode_no_call(None),
+            AdminCall::Only(method) => return message::encode_no_call(Some(method)),
+            AdminCall::Ready => self.life.is_ready(),
+            AdminCall::Drain => {
+                self.life.drain();
+                true
+            }
+            AdminCall::Resume => self.life.resume(),
+        };
+        message::encode_admin(yes, &self.life.state().to_string())
+    }
+}
--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -158,10 +158,11 @@
         !self.callers.borrow().is_empty()
     }
 
-    /// Has all idle callers closed.
-    pub fn close_all_idle(&self) {
+    /// Has all callers closed that have been idle for so long.
+    pub fn close_all_idle(&self, pause: Duration) {
         let callers = self.callers.borrow();
-        let idle = callers.values().filter(|caller| caller.can_be_spared() && !caller.wire.has_unread());
+        let spared = |caller: &&Rc<Caller>| caller.can_be_spared() && caller.since.get().elapsed() >= pause;
+        let idle = callers.values().filter(|caller| spared(caller) && !caller.wire.has_unread());
         idle.for_each(|caller| caller.close());
     }
 }
--- a/crates/pearfront-node/src/config.rs
+++ b/crates/pearfront-node/src/config.rs
@@ -6,17 +6,25 @@
 use pearfront_settings::{At, Surroundings};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 
 /// Memory, MB, and descriptors where the file has no limits: the least that any deployment gives.
 const MEMORY_MB: f64 = 192.0;
 const SOCKETS: f64 = 1024.0;
+pub const ADMIN: &str = "ROUTER_ADMIN";
+pub const INHERITED: &str = "ROUTER_INHERITED_FD";
 
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
+    /// The descriptor that the clients' listening socket was inherited as, if it was.
+    pub inherited: Option<RawFd>,
     pub discovery: SocketAddr,
     pub seed: u64,
     pub memory_mb: f64,
+    /// Descriptors, without those kept for operators.
     pub sockets: usize,
     pub known: List,
     pub settings: Settings,
@@ -26,14 +34,12 @@
 }
 
 pub fn read() -> Result<Config, String> {
-    let needed = |key: &str| {
-        let value = std::env::var(key).ok().filter(|value| !value.is_empty());
-        value.ok_or_else(|| format!("{key} is not set"))
-    };
-    let address = |key: &str| -> Result<SocketAddr, String> {
-        let value = needed(key)?;
+    let maybe = |key: &str| std::env::var(key).ok().filter(|value| !value.is_empty());
+    let needed = |key: &str| maybe(key).ok_or_else(|| format!("{key} is not set"));
+    let parsed = |key: &str, value: String| -> Result<SocketAddr, String> {
         value.parse().map_err(|_| format!("{key}: {value:?} is no address and port"))
     };
+    let address = |key: &str| parsed(key, needed(key)?);
     let (name, path) = (needed("ROUTER_NAME")?, needed("ROUTER_CONFIG")?);
     let (listen, discovery) = (address("ROUTER_LISTEN")?, address("ROUTER_DISCOVERY")?);
     let text = std::fs::read(&path).map_err(|error| format!("ROUTER_CONFIG: {path}: {error}"))?;
@@ -45,10 +51,21 @@
         Some(at) => at.text()?.parse().or_else(|_| at.problem("is no address and port"))?,
         None => discovery,
     };
+    // At an upgrade two processes may share the file, and each has variables of its own.
+    let admin = match (maybe(ADMIN), top.maybe("admin")) {
+        (Some(value), _) => Some(parsed(ADMIN, value)?),
+        (None, Some(at)) => Some(at.text()?.parse().or_else(|_| at.problem("is no address and port"))?),
+        (None, None) => None,
+    };
+    let number = |value: String| value.parse().ok().filter(|number| *number > 2);
+    let inherited = maybe(INHERITED)
+        .map(|value| number(value.clone()).ok_or(format!("{INHERITED}: {value:?} is no descriptor")))
+        .transpose()?;
     let seed = top.needed("seed")?;
     let limits = top.maybe("limits");
     let limit =
         |key: &str, default: f64| limits.as_ref().map_or(Ok(default), |at| at.number_or(key, default));
+    let kept = if admin.is_some() { crate::admin::DESCRIPTORS } else { 0 };
     let settings = top.needed("settings")?;
     let around = Surroundings::decode(&settings)?;
     let known = message::decode_known(&top.needed("known")?, &around)?;
@@ -58,10 +75,12 @@
     Ok(Config {
         name,
         listen,
+        admin,
+        inherited,
         discovery,
         seed: u64::from_str_radix(seed.text()?, 16).or_else(|_| seed.problem("is no hexadecimal number"))?,
         memory_mb: limit("memory_mb", MEMORY_MB)?,
-        sockets: limit("sockets", SOCKETS)? as usize,
+        sockets: (limit("sockets", SOCKETS)? as usize).saturating_sub(kept),
         known,
         settings: pearfront_settings::decode(&settings)?,
         around,
--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -123,6 +123,8 @@
     roster: RefCell<Roster>,
     version: Cell<u64>,
     watching: Cell<bool>,
+    /// Rung when a list has come from the service.
+    heard: Notify,
     unread: Seldom,
     failing: Seldom,
 }
@@ -149,6 +151,7 @@
             roster: RefCell::default(),
             version: Cell::new(0),
             watching: Cell::new(false),
+            heard: Notify::new(),
             unread: Seldom::default(),
             failing: Seldom::default(),
         })
@@ -170,11 +173,19 @@
         let (lines, stale) = self.roster.borrow_mut().update(list);
         stale.into_iter().for_each(|server| self.senders.forget(server));
         let unix_start = self.unix_start;
+        if !known {
+            self.heard.notify_waiters();
+        }
         self.inbox.tell(move |balancer| {
             balancer.listed(false, known, lines.iter().map(|line| listing(line, unix_start)));
         });
     }
 
+    /// Waits for the next list that the service gives.
+    pub async fn heard(&self) {
+        self.heard.notified().await;
+    }
+
     /// Begins a watch, unless one is on.
     pub fn watch(self: &Rc<Self>) {
         if !self.watching.replace(true) {
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -1,9 +1,12 @@
 //! One node: the decision module on real sockets, the same program before every tier.
 
+mod admin;
 mod admit;
 mod book;
 mod config;
 mod discovery;
+mod inherited;
+mod lifecycle;
 mod logger;
 mod message;
 mod probe;
@@ -13,25 +16,28 @@
 mod take_in;
 mod wire;
 
+use admin::Admin;
 use admit::Room;
 use book::Book;
 use config::Config;
 use discovery::Discovery;
+use lifecycle::Lifecycle;
 use logger::Seldom;
 use pearfront::policy::Balancer;
 use probe::Prober;
 use route::{Clock, Inbox, Route};
 use send::Senders;
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use take_in::TakeIn;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 /// Connections that the kernel accepts ahead of the node: a burst of all callers at once.
 const BACKLOG: u32 = 1024;
@@ -39,6 +45,8 @@
 /// `LONGEST_COUNTED` counts, and 700 ms.
 const AFTER_LIMIT: f64 = 500.0;
 const LONGEST_COUNTED: f64 = 3000.0;
+/// How long a node that may not be alone waits for its first list before it says that it is ready.
+const FIRST_LIST: Duration = Duration::from_millis(2500);
 /// Time, ms, between the module's last answers and the node's end: they have to be written.
 const LAST_ANSWERS: f64 = 100.0;
 
@@ -59,26 +67,46 @@
     LocalSet::new().block_on(&runtime, serve(config))
 }
 
-fn listen(config: &Config) -> Result<TcpListener, String> {
+/// Listens at an address; `key` is what it was told by.
+fn bind(key: &str, address: SocketAddr) -> Result<TcpListener, String> {
     let bind = || {
-        let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         socket.set_reuseaddr(true)?;
-        socket.bind(config.listen)?;
+        socket.bind(address)?;
         socket.listen(BACKLOG)
     };
-    bind().map_err(|error: std::io::Error| format!("ROUTER_LISTEN: {}: {error}", config.listen))
+    bind().map_err(|error: std::io::Error| format!("{key}: {address}: {error}"))
+}
+
+/// The clients' listener: the platform's, which further processes serve as well, or one of our own.
+fn listen(config: &Config) -> Result<TcpListener, String> {
+    match config.inherited {
+        None => bind("ROUTER_LISTEN", config.listen),
+        Some(number) => inherited::listener(number, config.listen)
+            .and_then(|listener| TcpListener::from_std(listener).map_err(|error| error.to_string()))
+            .map_err(|problem| format!("{}: {problem}", config::INHERITED)),
+    }
 }
 
 async fn serve(config: Config) -> Result<(), String> {
     let told = |kind| signal(kind).map_err(|error| format!("signals: {error}"));
     let (mut end, mut interrupt) = (told(SignalKind::terminate())?, told(SignalKind::interrupt())?);
     let (show, again) = (told(SignalKind::user_defined1())?, told(SignalKind::hangup())?);
+    // The operators' address first: if it can't be had, no client is accepted.
+    let operators = config.admin.map(|address| bind("admin", address)).transpose()?;
     let listener = listen(&config)?;
+    let life = Rc::new(Lifecycle::new());
+    let shared = config.inherited.is_some();
     let longest = config.around.longest_limit.min(LONGEST_COUNTED) + AFTER_LIMIT;
     let (name, address) = (config.name.clone(), config.listen);
     let settings = config.as_written.clone();
-    let (take_in, book, discovery) = build(config);
+    let (take_in, book, discovery) = build(config, life.clone());
     log::info!("node {name} listens on {address}");
+    if let Some(operators) = operators {
+        spawn_local(Admin::new(life.clone()).serve(operators));
+    }
+    spawn_local(take_in.clone().let_go());
+    spawn_local(start(shared, life.clone(), discovery.clone()));
     spawn_local(print_counters(show, book.clone(), take_in.room.clone()));
     spawn_local(read_again(again, settings, discovery, take_in.room.clone()));
     let (clock, last) = (take_in.route.clock, Cell::new(f64::INFINITY));
@@ -88,6 +116,9 @@
             _ = interrupt.recv() => {}
         }
         log::info!("told to end, {} jobs held", take_in.room.jobs());
+        // What waits at a socket that the platform holds is found there by whoever serves it next.
+        life.succeeded(shared);
+        life.end();
         last.set(clock.now() + longest);
         let answered = last.get() - LAST_ANSWERS;
         take_in.route.inbox.tell(move |balancer| balancer.closing(answered));
@@ -101,6 +132,16 @@
     Ok(())
 }
 
+/// Says that the node is ready: at once where it serves alone. Where others may serve the same socket they go on
+/// meanwhile, so the list that discovery has now comes first, if it comes soon: what is told counts from the yes on.
+async fn start(shared: bool, life: Rc<Lifecycle>, discovery: Rc<Discovery>) {
+    if shared {
+        discovery.watch();
+        let _ = timeout(FIRST_LIST, discovery.heard()).await;
+    }
+    life.ready();
+}
+
 async fn print_counters(mut show: Signal, book: Rc<Book>, room: Rc<Room>) {
     while show.recv().await.is_some() {
         log::info!("{book} {room}");
@@ -130,7 +171,7 @@
 }
 
 /// Puts the stages together and starts what runs by itself.
-fn build(config: Config) -> (Rc<TakeIn>, Rc<Book>, Rc<Discovery>) {
+fn build(config: Config, life: Rc<Lifecycle>) -> (Rc<TakeIn>, Rc<Book>, Rc<Discovery>) {
     let clock = Clock::start();
     let unix_start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
     let book = Rc::new(Book::default());
@@ -164,5 +205,5 @@
     spawn_local(senders.clone().sweep());
     spawn_local(room.clone().close_unfinished(book.clone()));
     spawn_local(route.clone().drive(Balancer::new(config.settings, config.seed), round));
-    (TakeIn::new(route, room, senders, around, effects, book.clone()), book, discovery)
+    (TakeIn::new(route, room, senders, around, effects, book.clone(), life), book, discovery)
 }
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -53,6 +53,41 @@
     headers: HeaderMap,
 }
 
+/// What an operator asks of a node.
+pub enum AdminCall {
+    /// Is this process ready to serve?
+    Ready,
+    Drain,
+    Resume,
+    /// A path that there is not.
+    Unknown,
+    /// A path that has this method only.
+    Only(Method),
+}
+
+pub fn decode_admin(head: &request::Parts) -> AdminCall {
+    let (call, method) = match head.uri.path() {
+        "/_ready" => (AdminCall::Ready, Method::GET),
+        "/_lameduck/on" => (AdminCall::Drain, Method::PUT),
+        "/_lameduck/off" => (AdminCall::Resume, Method::PUT),
+        _ => return AdminCall::Unknown,
+    };
+    if head.method == method { call } else { AdminCall::Only(method) }
+}
+
+/// What an operator is told who asked for what there is not.
+pub fn encode_no_call(only: Option<Method>) -> Response<Body> {
+    let Some(method) = only else { return plain(StatusCode::NOT_FOUND, "no such call\n") };
+    let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, format!("only {method}\n"));
+    answer.headers_mut().insert(header::ALLOW, HeaderValue::from_str(method.as_str()).expect("a method"));
+    answer
+}
+
+/// Yes or no to an operator, with the state that the process is in.
+pub fn encode_admin(yes: bool, state: &str) -> Response<Body> {
+    plain(if yes { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, format!("{state}\n"))
+}
+
 /// Decodes a call's head. The error says what is wrong with it. `lengths` tells whether a length may have stood in
 /// it: where chunks come as well, hyper drops the length, and the body may hide another job from one of two readers.
 pub fn decode_call(
@@ -218,7 +253,11 @@
 
 /// Whether the node is up.
 pub fn encode_up(up: bool) -> Response<Body> {
-    if up { plain(StatusCode::OK, "up\n") } else { plain(StatusCode::SERVICE_UNAVAILABLE, "shutting down\n") }
+    if up {
+        plain(StatusCode::OK, "up\n")
+    } else {
+        plain(StatusCode::SERVICE_UNAVAILABLE, "draining or ending\n")
+    }
 }
 
 /// How a shot ended that was answered so, its body whole.
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -3,6 +3,7 @@
 
 use crate::admit::{Caller, MOST_BODY, Place, Room};
 use crate::book::Book;
+use crate::lifecycle::Lifecycle;
 use crate::logger::Seldom;
 use crate::message::{self, Answer, Body, Call, Job};
 use crate::route::{Held, Route};
@@ -16,7 +17,6 @@
 use hyper::{Request, Response};
 use pearfront::interface::Effect;
 use pearfront_settings::Surroundings;
-use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,7 +43,7 @@
     around: Rc<Surroundings>,
     effects: Vec<Effect>,
     book: Rc<Book>,
-    ending: Cell<bool>,
+    life: Rc<Lifecycle>,
     malformed: Seldom,
     crowded: Seldom,
     accepting: Seldom,
@@ -57,6 +57,7 @@
         around: Rc<Surroundings>,
         effects: Vec<Effect>,
         book: Rc<Book>,
+        life: Rc<Lifecycle>,
     ) -> Rc<Self> {
         Rc::new(Self {
             route,
@@ -65,7 +66,7 @@
             around,
             effects,
             book,
-            ending: Cell::new(false),
+            life,
             malformed: Seldom::default(),
             crowded: Seldom::default(),
             accepting: Seldom::default(),
@@ -79,7 +80,6 @@
             never = self.accept_all(&listener) => never,
             answered = end => answered,
         };
-        self.ending.set(true);
         let _ = timeout(STILL_COMING, self.accept_all(&listener)).await;
         let callers_end = async {
             while self.room.has_callers() {
@@ -91,8 +91,10 @@
             () = sleep_until(self.route.clock.at(answered - LAST_SERVED)) => {}
             () = callers_end => {}
         }
-        // What the kernel has accepted counts as ours.
-        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+        // What the kernel has accepted counts as ours, unless another process serves the same socket.
+        while self.life.accepts()
+            && let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await
+        {
             self.open(stream);
         }
     }
@@ -102,7 +104,12 @@
             while self.room.is_waited_for() || !self.senders.make_place() {
                 self.room.freed().await;
             }
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                () = self.life.changed() => continue,
+                accepted = listener.accept(), if self.life.accepts() => accepted,
+            };
+            match accepted {
                 Ok((stream, _)) => self.open(stream),
                 Err(error) => {
                     self.book.accept_failed.add();
@@ -162,7 +169,7 @@
         let answer = self.call(caller, request).await;
         caller.end(length.map(|length| length as usize));
         // Behind chunks nobody here can tell the next head's bytes from the body's.
-        if chunked { answer.map(message::last_on_connection) } else { answer }
+        if chunked || !self.life.keeps_alive() { answer.map(message::last_on_connection) } else { answer }
     }
 
     async fn call(&self, caller: &Caller, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
@@ -171,7 +178,7 @@
         let lengths = caller.wire.may_have_length();
         let call = message::decode_call(head, &self.around, |profile| self.effects[profile], lengths);
         let problem = match call {
-            Ok(Call::Up) => return Ok(message::encode_up(!self.ending.get())),
+            Ok(Call::Up) => return Ok(message::encode_up(self.life.is_ready())),
             Ok(Call::Job(job)) => match self.job(*job, body, came).await? {
                 Ok(answer) => return Ok(answer),
                 Err(problem) => problem,
@@ -225,10 +232,20 @@
         Ok(Ok(answer.encode()))
     }
 
+    /// Closes idle callers whenever clients are let go, as long as the node runs.
+    pub async fn let_go(self: Rc<Self>) {
+        loop {
+            if let Some(pause) = self.life.spares_for() {
+                self.room.close_all_idle(pause);
+            }
+            sleep(ACCEPT_PAUSE).await;
+        }
+    }
+
     /// Closes idle callers and waits until the last has its answer.
     pub async fn finish(&self) {
         while self.room.has_callers() {
-            self.room.close_all_idle();
+            self.room.close_all_idle(Duration::ZERO);
             sleep(ACCEPT_PAUSE).await;
         }
     }
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -1,5 +1,6 @@
 //! The node as a program, between stand-ins for its callers, servers and discovery.
 
+mod days;
 mod stand_ins;
 
 use serde_json::json;
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -325,11 +326,51 @@
 /// A running node.
 pub struct Node {
     pub address: SocketAddr,
+    /// Where operators call it, if it was told.
+    pub admin: SocketAddr,
     pub discovery: Discovery,
     child: Option<Child>,
     file: PathBuf,
 }
 
+/// The platform's part of an upgrade: a listening socket that every process inherits as descriptor 7, and a folder
+/// that all share.
+pub struct Platform {
+    listener: TcpListener,
+    folder: PathBuf,
+}
+
+impl Platform {
+    pub fn new() -> Self {
+        let address = fresh_address();
+        let folder = std::env::temp_dir().join(format!("pearfront-{address}").replace([':', '.'], "-"));
+        std::fs::create_dir(&folder).unwrap();
+        Self { listener: TcpListener::bind(address).unwrap(), folder }
+    }
+
+    /// One more process of the node, told of operators' address by its variable.
+    pub fn start(&self, config: &Value) -> Node {
+        let (address, admin, discovery) =
+            (self.listener.local_addr().unwrap(), fresh_address(), Discovery::start());
+        let file = write_file(&config.to_string());
+        let node = command(address, discovery.address, &file);
+        let mut shell = Command::new("sh");
+        shell.args(["-c", "exec \"$0\" 7<&0 </dev/null"]).arg(node.get_program());
+        shell.envs(node.get_envs().filter_map(|(name, value)| Some((name, value?))));
+        shell.env("ROUTER_ADMIN", admin.to_string()).env("ROUTER_INHERITED_FD", "7");
+        shell.env("TMPDIR", &self.folder);
+        shell.stdin(OwnedFd::from(self.listener.try_clone().unwrap()));
+        shell.stdout(Stdio::null()).stderr(Stdio::piped());
+        Node { address, admin, discovery, child: Some(shell.spawn().unwrap()), file }
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.folder).unwrap();
+    }
+}
+
 /// A file that only this test has.
 fn write_file(text: &str) -> PathBuf {
     let address = fresh_address().to_string().replace([':', '.'], "-");
@@ -361,13 +402,22 @@
         Self::start_with(config, |_| {})
     }
 
+    /// A node that operators can call, told of it by its file.
+    pub fn start_for_operators(mut config: Value) -> Self {
+        let admin = fresh_address();
+        config["admin"] = json!(admin.to_string());
+        let mut node = Self::start(&config);
+        node.admin = admin;
+        node
+    }
+
     /// A node whose discovery has been told something before.
     pub fn start_with(config: &Value, before: impl Fn(&Discovery)) -> Self {
         let (address, discovery) = (fresh_address(), Discovery::start());
         before(&discovery);
         let file = write_file(&config.to_string());
         let child = command(address, discovery.address, &file).spawn().unwrap();
-        let node = Self { address, discovery, child: Some(child), file };
+        let node = Self { address, admin: fresh_address(), discovery, child: Some(child), file };
         for _ in 0..2000 {
             if TcpStream::connect(address).is_ok() {
                 assert_eq!(node.caller().ask("GET /up HTTP/1.1\r\n\r\n", &[]).status(), 200);
@@ -379,9 +429,35 @@
     }
 
     pub fn caller(&self) -> Caller {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Caller { reader: BufReader::new(stream.try_clone().unwrap()), stream }
+        Caller::new(TcpStream::connect(self.address).unwrap())
+    }
+
+    /// An operator's call, on a connection of its own: its status.
+    pub fn call(&self, call: &str) -> u16 {
+        let mut caller = self.operator();
+        caller.send(&format!("{call} HTTP/1.1\r\nHost: admin\r\n\r\n"), b"");
+        caller.answer().map_or(0, |answer| answer.status())
+    }
+
+    pub fn operator(&self) -> Caller {
+        for _ in 0..2000 {
+            if let Ok(stream) = TcpStream::connect(self.admin) {
+                return Caller::new(stream);
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("no operator was ever let in");
+    }
+
+    /// Waits until an operator's call is answered so.
+    pub fn wait_for_call(&self, call: &str, status: u16) {
+        for _ in 0..2000 {
+            if self.call(call) == status {
+                return;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("{call} was never answered {status}");
     }
 
     /// The most memory that it ever held, KiB.
@@ -447,6 +523,11 @@
 }
 
 impl Caller {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Self { reader: BufReader::new(stream.try_clone().unwrap()), stream }
+    }
+
     pub fn send(&mut self, head: &str, body: &[u8]) {
         self.stream.write_all(&[head.as_bytes(), body].concat()).unwrap();
     }
