--- a/crates/pearfront-node/src/config.rs
+++ b/crates/pearfront-node/src/config.rs
@@ -2,11 +2,12 @@
 //! Read, checked and given defaults here only; a problem is one line that names the faulty variable or key.
 
 use crate::message::{self, List};
-use pearfront::interface::Settings;
+use crate::terms::Terms;
 use pearfront_settings::{At, Surroundings};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
+use std::rc::Rc;
 
 /// Memory, MB, and descriptors where the file has no limits: the least that any deployment gives.
 const MEMORY_MB: f64 = 192.0;
@@ -27,12 +28,26 @@
     /// Descriptors, without those kept for operators.
     pub sockets: usize,
     pub known: List,
-    pub settings: Settings,
-    pub around: Surroundings,
-    /// The settings as they stand in the file, to tell whether a new file has others.
+    pub terms: Terms,
+    /// The file as it stands, which a new one is held against.
     pub as_written: Value,
 }
 
+/// The file again, for a node that runs by the one written so: one that lacks a key that this one had is no new
+/// configuration but a broken one, and so is one that asks for what only a new start can bring.
+pub fn read_again(before: &Value) -> Result<Config, String> {
+    let config = read()?;
+    if let Some(key) = pearfront_settings::missing_key(before, &config.as_written, "config") {
+        return Err(format!("{key} is missing"));
+    }
+    let fixed = ["tier", "layers", "discovery"];
+    let differs = |key: &&&str| before["settings"][**key] != config.as_written["settings"][**key];
+    match fixed.iter().find(differs) {
+        Some(key) => Err(format!("config.settings.{key} can only change with a new start")),
+        None => Ok(config),
+    }
+}
+
 pub fn read() -> Result<Config, String> {
     let maybe = |key: &str| std::env::var(key).ok().filter(|value| !value.is_empty());
     let needed = |key: &str| maybe(key).ok_or_else(|| format!("{key} is not set"));
@@ -63,8 +78,9 @@
         .transpose()?;
     let seed = top.needed("seed")?;
     let limits = top.maybe("limits");
-    let limit =
-        |key: &str, default: f64| limits.as_ref().map_or(Ok(default), |at| at.number_or(key, default));
+    let limit = |key: &str, default: f64| {
+        limits.as_ref().and_then(|at| at.maybe(key)).map_or(Ok(default), |at| at.above_0())
+    };
     let kept = if admin.is_some() { crate::admin::DESCRIPTORS } else { 0 };
     let settings = top.needed("settings")?;
     let around = Surroundings::decode(&settings)?;
@@ -82,8 +98,7 @@
         memory_mb: limit("memory_mb", MEMORY_MB)?,
         sockets: (limit("sockets", SOCKETS)? as usize).saturating_sub(kept),
         known,
-        settings: pearfront_settings::decode(&settings)?,
-        around,
-        as_written: json["settings"].clone(),
+        terms: Terms { settings: Rc::new(pearfront_settings::decode(&settings)?), around },
+        as_written: json,
     })
 }
--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -6,8 +6,8 @@
 use crate::message::{self, Line, List};
 use crate::route::{Inbox, ms};
 use crate::send::{Link, Senders};
+use crate::terms::InForce;
 use pearfront::interface::{Address, Listing, Standing};
-use pearfront_settings::Surroundings;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -115,7 +115,7 @@
     /// Rung when the service has moved.
     moved: Notify,
     unix_start: f64,
-    around: Rc<Surroundings>,
+    terms: Rc<InForce>,
     inbox: Rc<Inbox>,
     senders: Rc<Senders>,
     room: Rc<Room>,
@@ -133,7 +133,7 @@
     pub fn new(
         service: SocketAddr,
         unix_start: f64,
-        around: Rc<Surroundings>,
+        terms: Rc<InForce>,
         senders: Rc<Senders>,
         room: Rc<Room>,
         book: Rc<Book>,
@@ -143,7 +143,7 @@
             service: Cell::new(service),
             moved: Notify::new(),
             unix_start,
-            around,
+            terms,
             inbox,
             senders,
             room,
@@ -281,7 +281,7 @@
             return Err(format!("answered {}", head.status));
         }
         link.settle().await;
-        message::decode_list(&body, &self.around)
+        message::decode_list(&body, &self.terms.now().around)
     }
 }
 
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -14,6 +14,7 @@
 mod route;
 mod send;
 mod take_in;
+mod terms;
 mod wire;
 
 use admin::Admin;
@@ -33,6 +34,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use take_in::TakeIn;
+use terms::{InForce, Terms};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -88,7 +90,7 @@
     }
 }
 
-async fn serve(config: Config) -> Result<(), String> {
+async fn serve(mut config: Config) -> Result<(), String> {
     let told = |kind| signal(kind).map_err(|error| format!("signals: {error}"));
     let (mut end, mut interrupt) = (told(SignalKind::terminate())?, told(SignalKind::interrupt())?);
     let (show, again) = (told(SignalKind::user_defined1())?, told(SignalKind::hangup())?);
@@ -97,10 +99,10 @@
     let listener = listen(&config)?;
     let life = Rc::new(Lifecycle::new());
     let shared = config.inherited.is_some();
-    let longest = config.around.longest_limit.min(LONGEST_COUNTED) + AFTER_LIMIT;
     let (name, address) = (config.name.clone(), config.listen);
-    let settings = config.as_written.clone();
-    let (take_in, book, discovery) = build(config, life.clone());
+    let as_written = config.as_written.clone();
+    let terms = InForce::new(std::mem::take(&mut config.terms));
+    let (take_in, book, discovery) = build(config, &terms, life.clone());
     log::info!("node {name} listens on {address}");
     if let Some(operators) = operators {
         spawn_local(Admin::new(life.clone()).serve(operators));
@@ -108,7 +110,7 @@
     spawn_local(take_in.clone().let_go());
     spawn_local(start(shared, life.clone(), discovery.clone()));
     spawn_local(print_counters(show, book.clone(), take_in.room.clone()));
-    spawn_local(read_again(again, settings, discovery, take_in.room.clone()));
+    spawn_local(read_again(again, as_written, terms.clone(), discovery, take_in.clone()));
     let (clock, last) = (take_in.route.clock, Cell::new(f64::INFINITY));
     let ended = async {
         tokio::select! {
@@ -119,6 +121,7 @@
         // What waits at a socket that the platform holds is found there by whoever serves it next.
         life.succeeded(shared);
         life.end();
+        let longest = terms.now().around.longest_limit.min(LONGEST_COUNTED) + AFTER_LIMIT;
         last.set(clock.now() + longest);
         let answered = last.get() - LAST_ANSWERS;
         take_in.route.inbox.tell(move |balancer| balancer.closing(answered));
@@ -148,41 +151,53 @@
     }
 }
 
-/// Takes over a replaced configuration: where discovery is, and the limits. What the module was built with holds
-/// until the next start, and the list in the file is older than what the watch has told.
+/// Takes over a replaced configuration, whole or not at all: where discovery is, the limits and the settings. Only
+/// the list in the file is older than what the watch has told.
 async fn read_again(
     mut again: Signal,
-    settings: serde_json::Value,
+    mut as_written: serde_json::Value,
+    terms: Rc<InForce>,
     discovery: Rc<Discovery>,
-    room: Rc<Room>,
+    take_in: Rc<TakeIn>,
 ) {
     while again.recv().await.is_some() {
-        match config::read() {
+        match config::read_again(&as_written) {
             Ok(config) => {
                 discovery.move_to(config.discovery);
-                room.limit(config.sockets, config.memory_mb);
-                let rest =
-                    if config.as_written == settings { "" } else { "; its settings wait for a new start" };
-                log::info!("configuration read again, discovery at {}{rest}", config.discovery);
+                take_in.room.limit(config.sockets, config.memory_mb);
+                let same = config.as_written["settings"] == as_written["settings"];
+                let which = if same { "the same" } else { "new" };
+                log::info!("configuration read again, discovery at {}, {which} settings", config.discovery);
+                if !same {
+                    retune(&terms, config.terms, &take_in);
+                }
+                as_written = config.as_written;
             }
             Err(problem) => log::warn!("configuration stays as it was: {problem}"),
         }
     }
 }
 
+/// New terms: jobs whose head is read from now on come under them.
+fn retune(in_force: &InForce, terms: Terms, take_in: &TakeIn) {
+    let terms = Rc::new(terms);
+    in_force.swap(terms.clone());
+    take_in.route.inbox.tell(move |balancer| balancer.retune(terms.settings.clone()));
+}
+
 /// Puts the stages together and starts what runs by itself.
-fn build(config: Config, life: Rc<Lifecycle>) -> (Rc<TakeIn>, Rc<Book>, Rc<Discovery>) {
+fn build(config: Config, terms: &Rc<InForce>, life: Rc<Lifecycle>) -> (Rc<TakeIn>, Rc<Book>, Rc<Discovery>) {
     let clock = Clock::start();
     let unix_start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
     let book = Rc::new(Book::default());
-    let around = Rc::new(config.around);
+    let settings = terms.now().settings.clone();
     let room = Room::new(config.sockets, config.memory_mb);
     let inbox = Rc::new(Inbox::default());
-    let senders = Senders::new(around.clone(), room.clone(), book.clone());
+    let senders = Senders::new(terms.clone(), room.clone(), book.clone());
     let discovery = Discovery::new(
         config.discovery,
         unix_start,
-        around.clone(),
+        terms.clone(),
         senders.clone(),
         room.clone(),
         book.clone(),
@@ -191,19 +206,17 @@
     let prober = Rc::new(Prober {
         senders: senders.clone(),
         inbox: inbox.clone(),
-        around: around.clone(),
+        terms: terms.clone(),
         book: book.clone(),
         unread: Seldom::default(),
     });
     let route = Route::new(clock, inbox, senders.clone(), discovery.clone(), prober, book.clone());
     discovery.tell(config.known, true);
-    if !config.settings.listed_on_request {
+    if !settings.listed_on_request {
         spawn_local(discovery.clone().keep_watching());
     }
-    let round = config.settings.round;
-    let effects = config.settings.profiles.iter().map(|profile| profile.effect).collect();
     spawn_local(senders.clone().sweep());
     spawn_local(room.clone().close_unfinished(book.clone()));
-    spawn_local(route.clone().drive(Balancer::new(config.settings, config.seed), round));
-    (TakeIn::new(route, room, senders, around, effects, book.clone(), life), book, discovery)
+    spawn_local(route.clone().drive(Balancer::new((*settings).clone(), config.seed), terms.clone()));
+    (TakeIn::new(route, room, senders, terms.clone(), book.clone(), life), book, discovery)
 }
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -1,6 +1,7 @@
 //! The protocol's messages: each is decoded into a small typed value once and encoded once. Its names end here.
 
 use crate::send::ConnectionEnd;
+use crate::terms::Terms;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -10,6 +11,7 @@
 use pearfront_settings::{At, Surroundings};
 use serde_json::Value;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
 
 const ID: HeaderName = HeaderName::from_static("x-trace-id");
 const CUSTOMER: HeaderName = HeaderName::from_static("x-customer");
@@ -42,6 +44,8 @@
 
 /// A job's head, and its body once that has come whole.
 pub struct Job {
+    /// What it came under.
+    pub terms: Rc<Terms>,
     pub profile: usize,
     pub customer: usize,
     pub irreversible: bool,
@@ -90,12 +94,8 @@
 
 /// Decodes a call's head. The error says what is wrong with it. `lengths` tells whether a length may have stood in
 /// it: where chunks come as well, hyper drops the length, and the body may hide another job from one of two readers.
-pub fn decode_call(
-    head: request::Parts,
-    around: &Surroundings,
-    effect: impl Fn(usize) -> Effect,
-    lengths: bool,
-) -> Result<Call, String> {
+pub fn decode_call(head: request::Parts, terms: &Rc<Terms>, lengths: bool) -> Result<Call, String> {
+    let around = &terms.around;
     if lengths && is_chunked(&head.headers) {
         return Err("both a length and chunks".into());
     }
@@ -113,7 +113,7 @@
         return Err(format!("more than one {twice}"));
     }
     let labelled = head.headers.contains_key(&LABEL);
-    let effect = effect(profile);
+    let effect = terms.settings.profiles[profile].effect;
     let fits = match effect {
         Effect::Redoable => head.method == Method::GET,
         Effect::Labelled => head.method == Method::POST && labelled,
@@ -132,7 +132,9 @@
     }
     let (method, target) = (head.method, head.uri);
     let irreversible = effect == Effect::Irreversible;
-    let job = Job { profile, customer, irreversible, left, body: Bytes::new(), method, target, headers };
+    let terms = terms.clone();
+    let job =
+        Job { terms, profile, customer, irreversible, left, body: Bytes::new(), method, target, headers };
     Ok(Call::Job(Box::new(job)))
 }
 
--- a/crates/pearfront-node/src/probe.rs
+++ b/crates/pearfront-node/src/probe.rs
@@ -5,8 +5,8 @@
 use crate::message;
 use crate::route::Inbox;
 use crate::send::Senders;
+use crate::terms::InForce;
 use pearfront::interface::Address;
-use pearfront_settings::Surroundings;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +20,7 @@
 pub struct Prober {
     pub senders: Rc<Senders>,
     pub inbox: Rc<Inbox>,
-    pub around: Rc<Surroundings>,
+    pub terms: Rc<InForce>,
     pub book: Rc<Book>,
     pub unread: Seldom,
 }
@@ -48,12 +48,12 @@
     /// The server's load report, empty where there are none; nothing if the probe failed.
     async fn ask(&self, server: SocketAddr) -> Option<Result<Vec<f64>, String>> {
         let mut link = self.senders.link(server).await.ok()?;
-        let call = message::encode_probe(server, self.around.reports);
+        let call = message::encode_probe(server, self.terms.now().around.reports);
         let (head, body) = link.ask(call, MOST_REPORT).await.ok()?;
         self.senders.keep_link(server, link);
-        let report = || message::decode_report(&String::from_utf8_lossy(&body), &self.around);
+        let report = || message::decode_report(&String::from_utf8_lossy(&body), &self.terms.now().around);
         let well = head.status == hyper::StatusCode::OK;
-        well.then(|| if self.around.reports { report() } else { Ok(Vec::new()) })
+        well.then(|| if self.terms.now().around.reports { report() } else { Ok(Vec::new()) })
     }
 
     pub fn drop_report(&self, problem: &str) {
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -8,6 +8,7 @@
 use crate::probe::Prober;
 use crate::relay::Relay;
 use crate::send::{ConnectionEnd, Senders, Shot};
+use crate::terms::InForce;
 use hyper::header::HeaderValue;
 use pearfront::interface::{Address, Writer};
 use pearfront::policy::Balancer;
@@ -114,7 +115,7 @@
         let (relay, answer) = Relay::new(self.book.clone());
         let number = self.numbered.get();
         self.numbered.set(number.wrapping_add(1));
-        let (profile, customer) = (job.profile, job.customer);
+        let (terms, profile, customer) = (job.terms.clone(), job.profile, job.customer);
         let held = Rc::new(Held {
             number,
             job,
@@ -127,7 +128,8 @@
         self.ids.borrow_mut().insert(held.job.id().clone());
         self.held.borrow_mut().insert(number, held.clone());
         self.book.taken.add();
-        self.inbox.tell(move |balancer| balancer.job(number, profile, customer, limit));
+        self.inbox
+            .tell(move |balancer| balancer.job_under(&terms.settings, number, profile, customer, limit));
         (held, answer)
     }
 
@@ -200,7 +202,7 @@
     }
 
     /// Rounds, as long as the node runs: one once something came in or a wake is due, no two closer than `round`.
-    pub async fn drive(self: Rc<Self>, mut balancer: Balancer, round: f64) {
+    pub async fn drive(self: Rc<Self>, mut balancer: Balancer, terms: Rc<InForce>) {
         let mut wake = NEVER;
         loop {
             tokio::select! {
@@ -220,7 +222,7 @@
             let Ok(()) = balancer.round(now, feed, &mut decisions);
             wake = decisions.wake;
             self.book.rounds.add();
-            sleep_until(self.clock.at(now + round)).await;
+            sleep_until(self.clock.at(now + terms.now().settings.round)).await;
         }
     }
 }
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -6,6 +6,7 @@
 use crate::logger::Seldom;
 use crate::message::{self, Body, Reply};
 use crate::route::ms;
+use crate::terms::InForce;
 use crate::wire::{Socket, Wire};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -13,7 +14,6 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::http::response;
 use pearfront::interface::Ending;
-use pearfront_settings::Surroundings;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -154,18 +154,18 @@
     idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
     /// Share of recent shots on kept connections that broke before any answer.
     kept_broke: Cell<f64>,
-    around: Rc<Surroundings>,
+    terms: Rc<InForce>,
     room: Rc<Room>,
     book: Rc<Book>,
     crowded: Seldom,
 }
 
 impl Senders {
-    pub fn new(around: Rc<Surroundings>, room: Rc<Room>, book: Rc<Book>) -> Rc<Self> {
+    pub fn new(terms: Rc<InForce>, room: Rc<Room>, book: Rc<Book>) -> Rc<Self> {
         Rc::new(Self {
             idle: RefCell::default(),
             kept_broke: Cell::new(0.0),
-            around,
+            terms,
             room,
             book,
             crowded: Seldom::default(),
@@ -187,7 +187,9 @@
     async fn new_link(&self, server: SocketAddr) -> Result<Link, ()> {
         self.wait_for_place().await;
         self.book.connections.add();
-        timeout(ms(self.around.connect_timeout), Link::open(server, &self.room)).await.unwrap_or(Err(()))
+        timeout(ms(self.terms.now().around.connect_timeout), Link::open(server, &self.room))
+            .await
+            .unwrap_or(Err(()))
     }
 
     /// Takes a connection back whose message has been answered whole.
@@ -235,7 +237,7 @@
 
     /// Neither closed by its server nor idle for so long that it soon will be.
     fn is_fresh(&self, idle: &Idle) -> bool {
-        idle.link.is_usable() && idle.since.elapsed() < ms(self.around.conn_idle * IDLE_PART)
+        idle.link.is_usable() && idle.since.elapsed() < ms(self.terms.now().around.conn_idle * IDLE_PART)
     }
 
     /// Closes what has been idle for long, or was closed by its server.
@@ -300,7 +302,7 @@
     }
 
     fn read(&self, head: response::Parts, body: Bytes) -> Shot {
-        let report = message::decode_report_of(&head, &self.around);
+        let report = message::decode_report_of(&head, &self.terms.now().around);
         let end = message::decode_end(&head);
         let reply = (end == ConnectionEnd::Honoured).then(|| message::decode_reply(head, body));
         Shot { end, reply, report }
@@ -334,6 +336,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::terms::Terms;
+    use pearfront_settings::Surroundings;
     use std::io::Write;
     use std::net::TcpListener;
 
@@ -344,7 +348,8 @@
         let server = listener.local_addr().unwrap();
         let (book, room) = (Rc::new(Book::default()), Room::new(64, 1.0));
         let around = Surroundings { connect_timeout: 10_000.0, conn_idle: 1e6, ..Surroundings::default() };
-        let senders = Senders::new(Rc::new(around), room.clone(), book.clone());
+        let terms = Terms { around, ..Terms::default() };
+        let senders = Senders::new(InForce::new(terms), room.clone(), book.clone());
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let usable = |idle: &Vec<Idle>| idle.iter().any(|idle| idle.link.is_usable());
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -8,6 +8,7 @@
 use crate::message::{self, Answer, Body, Call, Job};
 use crate::route::{Held, Route};
 use crate::send::{BUFFER, Senders};
+use crate::terms::InForce;
 use crate::wire::{Socket, Wire};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -15,8 +16,6 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use pearfront::interface::Effect;
-use pearfront_settings::Surroundings;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,8 +39,7 @@
     pub route: Rc<Route>,
     pub room: Rc<Room>,
     senders: Rc<Senders>,
-    around: Rc<Surroundings>,
-    effects: Vec<Effect>,
+    terms: Rc<InForce>,
     book: Rc<Book>,
     life: Rc<Lifecycle>,
     malformed: Seldom,
@@ -54,8 +52,7 @@
         route: Rc<Route>,
         room: Rc<Room>,
         senders: Rc<Senders>,
-        around: Rc<Surroundings>,
-        effects: Vec<Effect>,
+        terms: Rc<InForce>,
         book: Rc<Book>,
         life: Rc<Lifecycle>,
     ) -> Rc<Self> {
@@ -63,8 +60,7 @@
             route,
             room,
             senders,
-            around,
-            effects,
+            terms,
             book,
             life,
             malformed: Seldom::default(),
@@ -176,7 +172,7 @@
         let came = self.route.clock.now();
         let (head, body) = request.into_parts();
         let lengths = caller.wire.may_have_length();
-        let call = message::decode_call(head, &self.around, |profile| self.effects[profile], lengths);
+        let call = message::decode_call(head, &self.terms.now(), lengths);
         let problem = match call {
             Ok(Call::Up) => return Ok(message::encode_up(self.life.is_ready())),
             Ok(Call::Job(job)) => match self.job(*job, body, came).await? {
--- a/crates/pearfront-node/tests/days/mod.rs
+++ b/crates/pearfront-node/tests/days/mod.rs
@@ -123,3 +123,76 @@
     assert_eq!((output.status.code(), bound), (Some(1), false));
     assert_eq!(said, format!("pearfront-node: {problem}\n"));
 }
+
+// Jobs end under the settings that they came under, and those that come after are taken by the new ones.
+#[test]
+fn new_settings_hold_for_new_jobs_and_old_ones_for_open_jobs() {
+    let server = Server::start(Act::Hold(b"fine".to_vec()));
+    let mut config = config(&[server.address]);
+    let node = Node::start(&config);
+    let (mut dropped, mut changed) = (node.caller(), node.caller());
+    // Half of its body comes after the settings have changed.
+    let half = head("pay", "60", 8);
+    dropped.send(&head("read", "60", 0), b"");
+    server.wait_for("job 1");
+    changed.send(&half, b"half");
+    // Another job's answer shows that what came before it has been read.
+    assert_eq!(node.caller().ask(UP, b"").status(), 200);
+    let profiles = config["settings"]["profiles"].as_array_mut().unwrap();
+    profiles.remove(0);
+    profiles[1]["effect"] = json!("safe");
+    profiles
+        .push(json!({"name": "look", "effect": "safe", "group": "cell", "window": 5e9, "contract_time": 3e9,
+        "outer_limit": 6e9, "gain": 1.0}));
+    config["settings"]["limits"]["most_shots"] = json!(1);
+    node.reload(&config.to_string());
+    // Its time is over: pushed back while the profile is there, turned down once it has gone.
+    node.wait_until(&head("read", "0", 0), 400);
+    let mut asked = node.caller();
+    // A POST of what is now safe does not fit any more, but the job that came before ends as it began.
+    assert_eq!(asked.ask(&head("pay", "5", 0), b"").status(), 400);
+    changed.send("", b"done");
+    server.wait_for("job 2");
+    let mut new = node.caller();
+    new.send(&head("read", "60", 0).replace("/read/", "/look/"), b"");
+    server.wait_for("job 3");
+    server.go_on();
+    for caller in [&mut dropped, &mut changed, &mut new] {
+        assert_eq!(caller.answer().unwrap().status(), 200);
+    }
+    let counters = node.end();
+    assert_eq!((counters["taken"], counters["honoured"]), (3, 3));
+}
+
+// Whatever is wrong with a file, nothing of it is taken over, and one line names the key.
+#[test_case("", "", "EOF while parsing a value"; "empty")]
+#[test_case("\"settings\":{", "...", "EOF while parsing"; "cut in the middle")]
+#[test_case("\"most_shots\":3", "\"most_shots\":0", "config.settings.limits.most_shots is not above 0"; "no attempts")]
+#[test_case("\"most_shots\":3", "\"most_shots\":-1", "config.settings.limits.most_shots is no number of at least 0"; "fewer than none")]
+#[test_case("\"outer_limit\":6000000000.0", "\"outer_limit\":0", "config.settings.profiles[0].outer_limit is not above 0"; "no limit")]
+#[test_case("\"outer_limit\":6000000000.0", "\"outer_limit\":\"6\"", "config.settings.profiles[0].outer_limit is no number"; "wrong type")]
+#[test_case("\"cancel\":true,", "", "config.settings.limits.cancel is missing"; "short of a key that has a default")]
+#[test_case("\"gain\":1.0,", "", "config.settings.profiles[0].gain is missing"; "short of a profile's key")]
+#[test_case("\"tip_multiple\":4.0", "\"tip\":4.0", "config.settings.rules.tip_multiple is missing"; "short of a rule")]
+#[test_case("\"sockets\":1024", "\"sockets\":0", "config.limits.sockets is not above 0"; "no descriptors")]
+fn a_broken_file_changes_nothing(was: &str, is: &str, problem: &str) {
+    let server = Server::start(Act::Honour(Vec::new()));
+    let config = config(&[server.address]);
+    let text = config.to_string();
+    assert!(text.contains(was), "{text}");
+    let node = Node::start(&config);
+    // Beside the fault it drops a profile.
+    let broken = match is {
+        "..." => text.split(was).next().unwrap().to_string(),
+        _ if was.is_empty() => String::new(),
+        _ => text.replacen(was, is, 1),
+    };
+    node.reload(&broken.replace("\"read\"", "\"other\""));
+    node.reload(&broken.replace("\"read\"", "\"other\""));
+    for _ in 0..20 {
+        assert_eq!(node.caller().ask(&head("read", "5", 0), b"").status(), 200);
+    }
+    node.signal("-TERM");
+    let log = node.log();
+    assert!(log.contains("configuration stays as it was: ") && log.contains(problem), "{log}");
+}
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -104,6 +104,8 @@
     Nonsense,
     /// No answer until the node closes the connection.
     Silence,
+    /// Honours it once it is told to go on.
+    Hold(Vec<u8>),
 }
 
 type Seen = Arc<(Mutex<Vec<String>>, Condvar)>;
@@ -157,11 +159,20 @@
     }
 
     pub fn wait_for(&self, what: &str) {
-        let (lock, changed) = &*self.seen;
-        let missing = |seen: &mut Vec<String>| !seen.iter().any(|seen| seen == what);
-        let (seen, _) = changed.wait_timeout_while(lock.lock().unwrap(), PATIENCE, missing).unwrap();
-        assert!(seen.iter().any(|seen| seen == what), "{what} never came, but {seen:?}");
+        wait_in(&self.seen, what);
     }
+
+    /// Lets a server that holds its jobs answer them.
+    pub fn go_on(&self) {
+        self.seen.0.lock().unwrap().push("go on".into());
+        self.seen.1.notify_all();
+    }
+}
+
+fn wait_in((lock, changed): &(Mutex<Vec<String>>, Condvar), what: &str) {
+    let missing = |seen: &mut Vec<String>| !seen.iter().any(|seen| seen == what);
+    let (seen, _) = changed.wait_timeout_while(lock.lock().unwrap(), PATIENCE, missing).unwrap();
+    assert!(seen.iter().any(|seen| seen == what), "{what} never came, but {seen:?}");
 }
 
 /// Notes what happened, and for the how many-th time.
@@ -198,6 +209,10 @@
             Act::Close => (Vec::new(), false),
             Act::Nonsense => (b"what do you mean?\r\n\r\n".to_vec(), false),
             Act::Silence => (Vec::new(), true),
+            Act::Hold(body) => {
+                wait_in(seen, "go on");
+                (whole("200 OK", body), true)
+            }
         };
         had_job = true;
         let _ = writer.write_all(&answer);
@@ -449,6 +464,12 @@
         panic!("no operator was ever let in");
     }
 
+    /// Waits until a job of this head is answered so.
+    pub fn wait_until(&self, head: &str, status: u16) {
+        let mut caller = self.caller();
+        assert!((0..2000).any(|_| caller.ask(head, b"").status() == status), "never {status}: {head}");
+    }
+
     /// Waits until an operator's call is answered so.
     pub fn wait_for_call(&self, call: &str, status: u16) {
         for _ in 0..2000 {
--- a/crates/pearfront-settings/src/lib.rs
+++ b/crates/pearfront-settings/src/lib.rs
@@ -43,6 +43,12 @@
         number.ok_or_else(|| format!("{} is no number of at least 0", self.path))
     }
 
+    /// Where 0 would leave no room for anything.
+    pub fn above_0(&self) -> Result<f64, String> {
+        let number = self.number()?;
+        if number > 0.0 { Ok(number) } else { self.problem("is not above 0") }
+    }
+
     pub fn ms(&self) -> Result<f64, String> {
         Ok(self.number()? / NS_PER_MS)
     }
@@ -87,6 +93,32 @@
     }
 }
 
+/// The first key that `now` lacks and `before` had. What has a default is no longer optional once it was named: a
+/// file cut short in the right place would change it without a word. Of a list's items each is held to what all had.
+pub fn missing_key(before: &Value, now: &Value, path: &str) -> Option<String> {
+    match (before, now) {
+        (Value::Object(before), Value::Object(now)) => before.iter().find_map(|(key, value)| {
+            let path = format!("{path}.{key}");
+            match now.get(key).filter(|now| !now.is_null() || value.is_null()) {
+                Some(now) => missing_key(value, now, &path),
+                None => Some(path),
+            }
+        }),
+        (Value::Array(before), Value::Array(now)) => {
+            let mut items = before.iter().filter_map(Value::as_object);
+            let first = items.next()?;
+            let rest: Vec<_> = items.collect();
+            let keys = first.keys().filter(|key| rest.iter().all(|item| item.contains_key(*key)));
+            let keys: Vec<_> = keys.collect();
+            now.iter().enumerate().find_map(|(at, item)| {
+                let missing = keys.iter().find(|key| item.get(key).is_none())?;
+                Some(format!("{path}[{at}].{missing}"))
+            })
+        }
+        _ => None,
+    }
+}
+
 /// Settings as text, as the bench's wire has them.
 pub fn parse(text: &[u8]) -> Result<Settings, String> {
     let json: Value = serde_json::from_slice(text).map_err(|error| format!("settings: {error}"))?;
@@ -123,7 +155,7 @@
         weight_customer: goal.number_or("worst_tenant", 0.0)?,
         cross_zone_price: prices.number_or("cross_zone", 0.0)?,
         probe_price: prices.number_or("probe", 0.0)?,
-        most_shots: limits.needed("most_shots")?.number()? as usize,
+        most_shots: limits.needed("most_shots")?.above_0()?.ceil() as usize,
         second_copies: limits.yes("parallel_tries")?,
         may_call_off: limits.yes("cancel")?,
         may_probe: limits.yes("probes")?,
@@ -164,10 +196,11 @@
         },
     };
     Ok(Profile {
+        name: at.maybe("name").map_or(Ok(at.path.as_str()), |at| at.text())?.to_string(),
         effect,
         group,
         window: at.ms_or("window", 0.0)?,
-        contract_time: at.needed("contract_time")?.ms()?,
+        contract_time: at.needed("contract_time")?.above_0()? / NS_PER_MS,
         gain: at.needed("gain")?.number()?,
     })
 }
@@ -206,9 +239,9 @@
         if limits.number_or("streams_per_conn", 1.0)? < 1.0 {
             return limits.needed("streams_per_conn")?.problem("is below 1");
         }
-        let outer_limit = |at: &At| at.needed("outer_limit")?.ms();
+        let outer_limit = |at: &At| Ok(at.needed("outer_limit")?.above_0()? / NS_PER_MS);
         let outer_limits: Vec<f64> =
-            top.needed("profiles")?.list()?.iter().map(outer_limit).collect::<Result<_, _>>()?;
+            top.needed("profiles")?.list()?.iter().map(outer_limit).collect::<Result<_, String>>()?;
         Ok(Self {
             profiles: top.names("profiles")?,
             customers: top.names("customers")?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -22,6 +22,8 @@
 
 #[derive(Debug, Clone)]
 pub struct Profile {
+    /// What is learned of a profile goes on under its name when the settings change.
+    pub name: String,
     pub effect: Effect,
     pub group: Group,
     pub window: f64,
@@ -29,7 +31,7 @@
     pub gain: f64,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Settings {
     pub siblings: f64,
     pub tier: usize,
@@ -83,7 +85,7 @@
 }
 
 /// One line of the server list.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Default, Clone, Copy)]
 pub struct Listing {
     pub server: Address,
     pub standing: Standing,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! pearfront: load balancing decisions for services that call services.
 
+pub mod chance;
 pub mod interface;
 pub mod policy;
 pub mod ring;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,12 +5,12 @@
 //! the load query variant of "Simulation of a distributed CORBA-based SCP", section 6.2; `docs/design.md`
 //! tells what is kept, what is changed and when each exception comes into play.
 
+use crate::chance::Chance;
 use crate::interface::{Address, Effect, Ending, Figure, Group, Listing};
 use crate::interface::{Profile, Settings, Standing, Writer};
 use crate::ring::{Level, Ring};
 use rand::distr::weighted::WeightedIndex;
-use rand::prelude::{Distribution, Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
+use rand::prelude::{Distribution, Rng};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::{Rc, Weak};
@@ -77,13 +77,9 @@
 
 #[derive(Default)]
 struct Server {
-    address: Address,
+    line: Cell<Listing>,
     /// By this the table is ordered; the first ones are those that this node draws among.
     place: f64,
-    standing: Cell<Standing>,
-    zone: Cell<u16>,
-    cell: Cell<u16>,
-    size: Cell<f64>,
     started: Cell<f64>,
     /// The load table's entry: the last report, if any.
     figure: Cell<Option<f64>>,
@@ -92,7 +88,7 @@
     seen: Cell<f64>,
     out: Cell<u32>,
     /// How each profile fares on it, or all of them where draws don't ask.
-    health: Vec<Health>,
+    health: RefCell<Vec<Rc<Health>>>,
     /// Its last shot found no connection: no fault shared with others, and its line may be out of date.
     unreached: Cell<bool>,
     /// When it last honoured a job.
@@ -102,7 +98,6 @@
     failing_since: Cell<f64>,
     slowness: Cell<f64>,
     relative: RefCell<Recent>,
-    make: usize,
     cold_credit: Cell<f64>,
     credit_at: Cell<f64>,
 }
@@ -128,6 +123,10 @@
 #[derive(Default)]
 struct Job {
     id: u32,
+    /// The settings that it came under, and its profile's place in them.
+    rules: Rc<Settings>,
+    place: usize,
+    /// Its profile's place in all that is kept by profile.
     profile: usize,
     customer: usize,
     arrived: f64,
@@ -143,9 +142,19 @@
 /// Gain asked for and honoured in time, for one profile or one customer.
 type Tally = [Recent; 2];
 
+fn fair() -> Tally {
+    [Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]
+}
+
+/// Whose group a job's further shots are held to, if any.
+type Bound = Option<Rc<Server>>;
+
+#[derive(Default)]
 pub struct Balancer {
-    settings: Settings,
-    chance: ChaCha8Rng,
+    settings: Rc<Settings>,
+    /// Names of all profiles met so far: their places hold through new settings.
+    names: Vec<String>,
+    chance: Chance,
     now: f64,
     jobs: HashMap<u32, Rc<Job>>,
     known: BTreeMap<Address, Rc<Server>>,
@@ -183,46 +192,35 @@
 
 impl Balancer {
     pub fn new(settings: Settings, salt: u64) -> Self {
-        let mut chance = ChaCha8Rng::seed_from_u64(salt);
+        let mut chance = Chance::seeded(salt);
         // All instances start alike: their first calls for the list are spread, or the service fails them.
-        let next_ask = chance.random::<f64>() * settings.ask_within * 0.3;
+        let next_ask = chance.0.random::<f64>() * settings.ask_within * 0.3;
         let recent = || Recent::new(SPAN);
         let tells = settings.may_probe && settings.report.contains(&Figure::Held);
         let asks = (ASK_SPEND / settings.probe_price.max(1e-9)).min(ASK_MOST);
-        Self {
+        let mut balancer = Self {
             chance,
-            now: 0.0,
-            jobs: HashMap::new(),
-            known: BTreeMap::new(),
-            table: Vec::new(),
-            pending: Vec::new(),
-            waiting: Vec::new(),
-            due: BTreeMap::new(),
+            // Utilisation is a mean over some time: only jobs held tell of the moment.
+            asks: if tells && asks >= ASK_LEAST { asks as usize } else { 0 },
             woken_for: f64::INFINITY,
             closing: f64::INFINITY,
-            next_probe: if settings.may_probe { 0.0 } else { f64::INFINITY },
             next_ask: if settings.listed_on_request { next_ask } else { f64::INFINITY },
+            next_probe: f64::INFINITY,
             ask_pause: ASK_AGAIN,
-            durations: settings.profiles.iter().map(|_| recent()).collect(),
-            tallies: [settings.profiles.len(), settings.quotas.len()]
-                .map(|n| vec![[Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]; n]),
-            admitted: settings.quotas.iter().map(|_| recent()).collect(),
             first_shots: recent(),
-            // Utilisation is a mean over some time: only jobs held tell of the moment.
-            asks: if tells && asks >= ASK_LEAST { asks as usize } else { 0 },
             reach: REACH_MOST,
             drawn: recent(),
             endings: recent(),
             further: recent(),
             out: Level::new(LATE_SPAN),
             window: f64::INFINITY,
-            notes: Vec::new(),
             lateness: Recent::new(LATE_SPAN),
             worths: recent(),
             lost: recent(),
-            makes: BTreeMap::new(),
-            settings,
-        }
+            ..Self::default()
+        };
+        balancer.retune(Rc::new(settings));
+        balancer
     }
 
     /// One round: takes in all that `feed` hands over, then decides.
@@ -238,7 +236,11 @@
         let come = self.woken_for <= now + self.settings.round;
         self.woken_for = if come { f64::INFINITY } else { self.woken_for };
         self.notes.drain(..).for_each(|line| out.log(&line));
-        self.ask(out);
+        if now >= self.next_ask {
+            out.watch();
+            // Its answer puts the next call off for good; this one stands in case none comes.
+            self.next_ask = now + self.settings.ask_within / 2.0;
+        }
         self.probe(out);
         while let Some(due) = self.due.first_entry().filter(|due| f64::from_bits(due.key().0) <= now) {
             self.pending.extend(due.remove().upgrade());
@@ -256,19 +258,45 @@
         Ok(())
     }
 
+    /// Other settings from now on: what is learned of a profile stays under its name, jobs keep their rules.
+    pub fn retune(&mut self, settings: Rc<Settings>) {
+        for profile in &settings.profiles {
+            self.slot(&profile.name);
+        }
+        if self.settings.quotas != settings.quotas {
+            self.tallies[1] = vec![fair(); settings.quotas.len()];
+            self.admitted = vec![Recent::new(SPAN); settings.quotas.len()];
+        }
+        if settings.may_probe != self.settings.may_probe {
+            self.next_probe = if settings.may_probe { self.now } else { f64::INFINITY };
+        }
+        self.settings = settings;
+    }
+
+    /// The place of a profile of that name.
+    fn slot(&mut self, name: &str) -> usize {
+        self.names.iter().position(|known| known == name).unwrap_or_else(|| {
+            self.names.push(name.into());
+            self.durations.push(Recent::new(SPAN));
+            self.tallies[0].push(fair());
+            if self.asks > 0 {
+                self.known.values().for_each(|server| server.health.borrow_mut().push(Rc::default()));
+            }
+            self.names.len() - 1
+        })
+    }
+
     pub fn job(&mut self, id: u32, profile: usize, customer: usize, limit: f64) {
-        let now = self.now;
-        let gain = self.gain(profile);
+        self.job_under(&self.settings.clone(), id, profile, customer, limit);
+    }
+
+    /// A job that came under these settings, which need no longer be the ones in force.
+    pub fn job_under(&mut self, rules: &Rc<Settings>, id: u32, place: usize, customer: usize, limit: f64) {
+        let (now, profile) = (self.now, self.slot(&rules.profiles[place].name));
+        let (rules, asked) = (rules.clone(), Cell::new(f64::NEG_INFINITY));
+        let job = Job { id, rules, place, profile, customer, arrived: now, limit, asked, ..Job::default() };
+        let (gain, job) = (self.gain(&job), Rc::new(job));
         self.tally(profile, customer, |[asked, _]| asked.add(now, gain));
-        let job = Rc::new(Job {
-            id,
-            profile,
-            customer,
-            arrived: now,
-            limit,
-            asked: Cell::new(f64::NEG_INFINITY),
-            ..Job::default()
-        });
         self.jobs.insert(id, job.clone());
         self.pending.push(job);
     }
@@ -310,11 +338,11 @@
     /// New lines of the list; `whole` if servers that it lacks are gone.
     pub fn listed(&mut self, whole: bool, cached: bool, lines: impl Iterator<Item = Listing>) {
         if whole {
-            self.known.values().for_each(|server| server.standing.set(Standing::Gone));
+            self.known.values().for_each(|server| server.stand(Standing::Gone));
         }
         lines.for_each(|line| self.list(line));
-        self.table.retain(|server| server.standing.get() == Standing::Ready);
-        self.known.retain(|_, server| server.standing.get() != Standing::Gone);
+        self.table.retain(|server| server.line.get().standing == Standing::Ready);
+        self.known.retain(|_, server| server.line.get().standing != Standing::Gone);
         if cached {
             self.window = WINDOW_LEAST * self.table.len() as f64 / self.settings.siblings;
         } else if self.settings.listed_on_request {
@@ -326,26 +354,22 @@
     pub fn list_failed(&mut self) {
         // A failed or broken watch leaves us blind to drains; spread by chance, as all others ask too.
         let most = self.settings.ask_within / 2.0;
-        self.next_ask = self.now + self.ask_pause.min(most) * self.chance.random_range(0.5..1.5);
+        self.next_ask = self.now + self.ask_pause.min(most) * self.chance.0.random_range(0.5..1.5);
         self.ask_pause = (self.ask_pause * 2.0).min(most);
     }
 
     fn list(&mut self, line: Listing) {
         if line.standing == Standing::Gone {
             // Whoever comes to its address is another server.
-            return self.known.remove(&line.server).iter().for_each(|old| old.standing.set(Standing::Gone));
+            return self.known.remove(&line.server).iter().for_each(|old| old.stand(Standing::Gone));
         }
-        let (place, profiles) =
-            (self.chance.random(), if self.asks > 0 { self.settings.profiles.len() } else { 1 });
+        let (place, profiles) = (self.chance.0.random(), if self.asks > 0 { self.names.len() } else { 1 });
         let server =
             self.known.entry(line.server).or_insert_with(|| Rc::new(Server::new(line, place, profiles)));
         if line.started > server.started.get() {
             server.restarted(line.started, self.now);
         }
-        server.zone.set(line.zone);
-        server.cell.set(line.cell);
-        server.size.set(if self.settings.sized { line.size } else { 1.0 });
-        server.standing.set(line.standing);
+        server.line.set(Listing { size: if self.settings.sized { line.size } else { 1.0 }, ..line });
         let present = self.table.iter().any(|other| Rc::ptr_eq(other, server));
         if line.standing == Standing::Ready && !present {
             let at = self.table.partition_point(|other| other.place < server.place);
@@ -362,10 +386,10 @@
     /// The first wanted servers of its own zone and of the others: of many it would know none.
     fn near(&self, part: usize, wanted: impl Fn(&Rc<Server>) -> bool) -> Vec<Rc<Server>> {
         // Its own zone and the others share the part.
-        let mixed = self.table.iter().any(|server| server.zone.get() != self.settings.zone);
+        let mixed = self.table.iter().any(|server| server.line.get().zone != self.settings.zone);
         let mut left = [if mixed { part / 2 } else { part }; 2];
         let fits = |server: &&Rc<Server>| {
-            let left = &mut left[usize::from(server.zone.get() == self.settings.zone)];
+            let left = &mut left[usize::from(server.line.get().zone == self.settings.zone)];
             let fits = *left > 0 && wanted(server);
             *left -= usize::from(fits);
             fits
@@ -392,7 +416,7 @@
                 // Jobs held have a size: the own ones are among them, and a cold or small server bears fewer.
                 let stranger = if server.heard.get() > 0.0 { 0.0 } else { STRANGER };
                 (report.max(out) + stranger + 1.0) * server.slowness.get()
-                    / (server.size.get() * self.grown(server))
+                    / (server.line.get().size * self.grown(server))
             } else {
                 report + step * server.slowness.get() * (out + 1.0)
             }
@@ -402,7 +426,7 @@
         // Crossing has a price: others count as busier than home by a margin that grows with it.
         let margin = 1.0 + ZONE_MARGIN * self.settings.cross_zone_price;
         for (figure, server) in figures.iter_mut().zip(servers) {
-            let away = server.zone.get() != self.settings.zone;
+            let away = server.line.get().zone != self.settings.zone;
             *figure = figure.max(floor) * if away { margin } else { 1.0 };
         }
         figures
@@ -417,17 +441,17 @@
             let near = self.near(part, |_| true);
             let target = self.target(&near);
             near[target].probed.set(self.now);
-            out.probe(near[target].address);
+            out.probe(near[target].line.get().server);
         }
         let each = (PROBE_SPEND / self.settings.probe_price.max(1e-9)).min(PROBE_MOST);
         let rate = (self.first_shots.total(self.now).0 / SPAN * 1000.0 * each).max(PROBE_FLOOR);
-        self.next_probe = self.now - (1.0 - self.chance.random::<f64>()).ln() / rate * 1000.0;
+        self.next_probe = self.now - (1.0 - self.chance.0.random::<f64>()).ln() / rate * 1000.0;
     }
 
     /// Where a probe goes: an even draw, or the lowest entry.
     fn target(&mut self, servers: &[Rc<Server>]) -> usize {
-        if self.chance.random::<f64>() < ALPHA {
-            return self.chance.random_range(0..servers.len());
+        if self.chance.0.random::<f64>() < ALPHA {
+            return self.chance.0.random_range(0..servers.len());
         }
         let figures = self.figures(servers);
         (0..figures.len()).min_by(|a, b| figures[*a].total_cmp(&figures[*b])).unwrap_or(0)
@@ -440,33 +464,18 @@
             let target = self.target(&near);
             let server = near.swap_remove(target);
             if server.probed.replace(self.now) < self.now {
-                out.probe(server.address);
+                out.probe(server.line.get().server);
             }
         }
         job.asked.set(self.now);
         self.review(job, self.now + ASK_PATIENCE * self.profile(job).contract_time);
     }
 
-    /// Is the job's draw still waiting for answers?
-    fn awaits(&self, job: &Job) -> bool {
-        let patience = ASK_PATIENCE * self.profile(job).contract_time;
-        let silent = |server: &Rc<Server>| server.seen.get() < server.probed.get();
-        self.now < job.asked.get() + patience && self.table.iter().any(silent)
-    }
-
     /// Share of the job's time left that a server of this figure will take, by what recent ones took.
     fn promise(&mut self, job: &Job, figure: f64) -> f64 {
         let left = job.arrived + self.profile(job).contract_time - self.now;
         let mean = self.drawn.mean_beside(self.now, 1.0, 1.0);
-        self.usual(job.profile) * figure / mean / left.max(f64::MIN_POSITIVE)
-    }
-
-    fn ask(&mut self, out: &mut impl Writer) {
-        if self.now >= self.next_ask {
-            out.watch();
-            // Its answer puts the next call off for good; this one stands in case none comes.
-            self.next_ask = self.now + self.settings.ask_within / 2.0;
-        }
+        self.usual(job) * figure / mean / left.max(f64::MIN_POSITIVE)
     }
 
     fn book_ending(&mut self, job: &Job, shot: usize, ending: Ending) -> Option<Rc<Server>> {
@@ -487,7 +496,7 @@
 
     fn judge(&mut self, server: &Rc<Server>, job: &Job, ending: Ending, took: f64) {
         let now = self.now;
-        let usual = self.usual(job.profile);
+        let usual = self.usual(job);
         let unanswered =
             matches!(ending, Ending::TimedOut | Ending::CalledOff) && took > self.overdue() * usual;
         if unanswered || ending == Ending::Honoured {
@@ -509,7 +518,7 @@
                 self.endings.add(now, 1.0);
                 server.answered(job.profile, now, self.settings.cold_time);
                 if now - job.arrived <= self.profile(job).contract_time {
-                    let gain = self.gain(job.profile);
+                    let gain = self.gain(job);
                     self.tally(job.profile, job.customer, |[_, honoured]| honoured.add(now, gain));
                 }
                 self.durations[job.profile].add(now, took);
@@ -523,7 +532,7 @@
                 self.endings.add(now, 0.0);
                 self.strike(server, job.profile, ending == Ending::Error);
             }
-            Ending::Full => server.rest_until.set(now + REST * self.usual(job.profile)),
+            Ending::Full => server.rest_until.set(now + REST * self.usual(job)),
             Ending::CalledOff | Ending::NeverSent => {}
         }
         // A trial ends with its shot, however that ended.
@@ -532,11 +541,11 @@
 
     /// A caller sends each server too little to know it soon: machines of one make are learned together.
     fn compare(&mut self, server: &Server, relative: f64) {
-        let make = self.makes.entry(server.make).or_insert_with(|| Recent::new(PACE_MEMORY));
+        let make = self.makes.entry(server.line.get().make).or_insert_with(|| Recent::new(PACE_MEMORY));
         make.add(self.now, relative);
         let like = make.mean_beside(self.now, PRIOR, 1.0);
         server.relative.borrow_mut().add(self.now, relative);
-        for other in self.table.iter().filter(|other| other.make == server.make) {
+        for other in self.table.iter().filter(|other| other.line.get().make == server.line.get().make) {
             // A few samples lean on the make's mean.
             other.slowness.set(other.relative.borrow_mut().mean_beside(self.now, PRIOR, like));
         }
@@ -559,7 +568,7 @@
         // Who asks sees at once that a failing server is idle; with few jobs each trial is one of many lost.
         let pause = if self.asks > 0 { TRIAL / jobs.max(f64::MIN_POSITIVE) } else { 0.0 };
         server.failing_since.set(server.failing_since.get().min(now));
-        for (place, health) in server.health.iter().enumerate() {
+        for (place, health) in server.health.borrow().iter().enumerate() {
             let whole = self.asks > 0 && (server.unreached.get() || error && place == profile);
             let strikes = health.strikes.get() + if whole { STRIKES } else { 1 };
             health.strikes.set(strikes);
@@ -567,20 +576,20 @@
                 let time = (health.aside.get() * 2.0).clamp(ASIDE_FIRST, ASIDE_LAST).max(pause);
                 health.aside.set(time);
                 health.back_at.set(now + time);
-                let [a, b, c, d, ..] = server.address;
+                let [a, b, c, d, ..] = server.line.get().server;
                 self.notes.push(format!("server {a}.{b}.{c}.{d} aside for {time:.0} ms, profile {place}"));
             }
         }
     }
 
     /// Usual duration of a profile's shot, ms.
-    fn usual(&mut self, profile: usize) -> f64 {
-        let contract_time = self.settings.profiles[profile].contract_time;
-        self.durations[profile].mean_beside(self.now, 1.0, UNSEEN * contract_time)
+    fn usual(&mut self, job: &Job) -> f64 {
+        let unseen = UNSEEN * self.profile(job).contract_time;
+        self.durations[job.profile].mean_beside(self.now, 1.0, unseen)
     }
 
-    fn profile(&self, job: &Job) -> &Profile {
-        &self.settings.profiles[job.profile]
+    fn profile<'a>(&self, job: &'a Job) -> &'a Profile {
+        &job.rules.profiles[job.place]
     }
 
     fn decide(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
@@ -610,11 +619,11 @@
 
     fn check_overdue(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         let overdue = self.overdue();
-        let usual = self.usual(job.profile) * overdue;
+        let usual = self.usual(job) * overdue;
         let mut next = f64::INFINITY;
         let mut late = None;
         for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none() && !shot.overdue) {
-            let at = shot.sent + shot.server.patience(usual);
+            let at = shot.sent + usual * shot.server.slowness.get().min(2.0);
             if at > self.now {
                 next = next.min(at);
                 continue;
@@ -626,7 +635,7 @@
             }
         }
         late.iter().for_each(|server| self.strike(server, job.profile, false));
-        if late.is_none() || !self.settings.second_copies || !self.shoot(job, None, out) {
+        if late.is_none() || !job.rules.second_copies || !self.shoot(job, None, out) {
             self.review(job, next);
         }
     }
@@ -665,7 +674,8 @@
         let mut ranked: Vec<_> = waiting.map(|job| (self.worth(&job, asked, worst), job)).collect();
         ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then(x.arrived.total_cmp(&y.arrived)));
         // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
-        let works = |server: &&Rc<Server>| !server.health.iter().all(|health| health.is_aside(self.now));
+        let works =
+            |server: &&Rc<Server>| !server.health.borrow().iter().all(|health| health.is_aside(self.now));
         let up = self.table.iter().filter(works);
         let part = up.map(|server| self.grown(server)).sum::<f64>().max(1.0) / self.settings.siblings;
         // With far more nodes than servers a part is nothing at all: one job may always be out.
@@ -675,7 +685,9 @@
             if asks && self.now >= job.asked.get() + ASK_AGAIN_SHARE * self.profile(&job).contract_time {
                 self.inquire(&job, out);
             }
-            let waits = asks && self.awaits(&job);
+            let patience = job.asked.get() + ASK_PATIENCE * self.profile(&job).contract_time;
+            let silent = |server: &Rc<Server>| server.seen.get() < server.probed.get();
+            let waits = asks && self.now < patience && self.table.iter().any(silent);
             let open = !waits && (asks || self.settings.tier > 0 || self.has_room(worth));
             if open && self.shoot(&job, asks.then_some(worth), out) {
                 job.waiting.set(false);
@@ -702,9 +714,9 @@
     }
 
     /// Gain of a job of this profile, in units that add up.
-    fn gain(&mut self, profile: usize) -> f64 {
-        let gain = self.settings.profiles[profile].gain;
-        if self.settings.gain_by_work { gain * self.usual(profile) } else { gain }
+    fn gain(&mut self, job: &Job) -> f64 {
+        let gain = self.profile(job).gain;
+        if job.rules.gain_by_work { gain * self.usual(job) } else { gain }
     }
 
     fn tally(&mut self, profile: usize, customer: usize, book: impl Fn(&mut Tally)) {
@@ -716,7 +728,11 @@
     fn served(&mut self) -> (f64, [Option<usize>; 2]) {
         let now = self.now;
         let asked = self.tallies[0].iter_mut().map(|[asked, _]| asked.total(now).1).sum();
-        let share = |[asked, honoured]: &mut Tally| honoured.total(now).1 / asked.total(now).1.max(1e-9);
+        // What nobody asks for, as a dropped profile, is not served worst.
+        let share = |[asked, honoured]: &mut Tally| match asked.total(now).1 {
+            0.0 => f64::INFINITY,
+            asked => honoured.total(now).1 / asked,
+        };
         let worst = self.tallies.each_mut().map(|tallies| {
             let shares = tallies.iter_mut().map(share).enumerate();
             shares.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place)
@@ -738,8 +754,8 @@
         let excess = if within { 1.0 } else { self.settings.excess_gain };
         // What will hardly be answered in time is worth little more than nothing, however short the queue.
         let left = job.arrived + self.profile(job).contract_time - self.now;
-        let chance = (left / self.usual(job.profile)).clamp(0.0, 1.0).powf(SURE);
-        part * excess * chance * self.gain(job.profile) / self.usual(job.profile)
+        let chance = (left / self.usual(job)).clamp(0.0, 1.0).powf(SURE);
+        part * excess * chance * self.gain(job) / self.usual(job)
     }
 
     /// The quota holds over all nodes, and clients ask again: this node's part is measured by what it let in.
@@ -749,9 +765,9 @@
     }
 
     /// The only gate to a further shot: where may the job go, if anywhere?
-    fn bounds(&self, job: &Job) -> Option<Option<Rc<Server>>> {
+    fn bounds(&self, job: &Job) -> Option<Bound> {
         let shots = job.shots.borrow();
-        if shots.len() >= self.settings.most_shots {
+        if shots.len() >= job.rules.most_shots {
             return None;
         }
         let Some(first) = shots.iter().find(|shot| !shot.ending.is_some_and(Ending::never_ran)) else {
@@ -780,7 +796,7 @@
     fn give_up(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         if self.may_push_back(job) {
             // All told the same would come back at once: the advice is spread.
-            let wait = BACK * self.profile(job).contract_time * self.chance.random_range(0.5..1.5);
+            let wait = BACK * self.profile(job).contract_time * self.chance.0.random_range(0.5..1.5);
             out.push_back(job.id, wait.min(self.settings.longest_wait));
         } else {
             out.forfeit(job.id);
@@ -793,7 +809,7 @@
     fn settle(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         let shots = job.shots.borrow();
         let still_out = || shots.iter().enumerate().filter(|(_, shot)| shot.ending.is_none());
-        if !job.settled.replace(true) && self.settings.may_call_off {
+        if !job.settled.replace(true) && job.rules.may_call_off {
             still_out().for_each(|(number, _)| out.call_off(job.id, number as u16));
         }
         if still_out().next().is_none() {
@@ -828,11 +844,15 @@
             self.further.add(self.now, 1.0);
         }
         self.drawn.add(self.now, figure);
-        server.send(job.profile, self.now);
+        server.out.set(server.out.get() + 1);
+        server.cold_credit.set(server.cold_credit.get() - 1.0);
+        // Back from its time aside it gets one shot, and the next when that was honoured.
+        let health = server.health(job.profile);
+        health.on_trial.set(health.strikes.get() >= STRIKES && self.now >= health.back_at.get());
         self.out.change(self.now, 1.0);
-        out.shoot(job.id, server.address, job.limit - self.now);
-        let usual = self.usual(job.profile) * self.overdue();
-        let at = self.now + server.patience(usual);
+        out.shoot(job.id, server.line.get().server, job.limit - self.now);
+        let usual = self.usual(job) * self.overdue();
+        let at = self.now + usual * server.slowness.get().min(2.0);
         job.shots.borrow_mut().push(Shot { server, sent: self.now, promise, ending: None, overdue: false });
         self.review(job, at);
         true
@@ -843,7 +863,7 @@
         self.endings.mean_beside(self.now, 1.0, 1.0)
     }
 
-    fn draw(&mut self, job: &Job, group: Option<Rc<Server>>) -> Option<(Rc<Server>, f64)> {
+    fn draw(&mut self, job: &Job, group: Bound) -> Option<(Rc<Server>, f64)> {
         let mut open = Vec::new();
         if self.asks > 0 {
             open = self.open(job, &group, |_, _| true);
@@ -856,32 +876,27 @@
         } else {
             // In the time in which a cold one falls over it is sent what it did and what it holds at the end.
             let multiple = (self.settings.cold_multiple - 1.0).max(0.0) * COLD_PART;
-            let most = multiple * self.settings.cold_window / self.usual(job.profile);
+            let most = multiple * self.settings.cold_window / self.usual(job);
             let least = |server: &Rc<Server>| (most * self.grown(server)).max(1.0);
             let bears = |server: &Rc<Server>| server.figure.get().unwrap_or(0.0) < least(server);
             open.retain(|server| self.grown(server) >= 1.0 || bears(server));
         }
         let figures = self.figures(&open);
         let weights = WeightedIndex::new(figures.iter().map(|figure| figure.powf(-K)));
-        let place = weights.ok()?.sample(&mut self.chance);
+        let place = weights.ok()?.sample(&mut self.chance.0);
         Some((open.get(place)?.clone(), figures[place]))
     }
 
     /// The servers of this node's part that may have the job.
-    fn open<M: Fn(&Self, &Server) -> bool>(
-        &mut self,
-        job: &Job,
-        group: &Option<Rc<Server>>,
-        more: M,
-    ) -> Vec<Rc<Server>> {
+    fn open(&mut self, job: &Job, group: &Bound, more: impl Fn(&Self, &Server) -> bool) -> Vec<Rc<Server>> {
         let part = self.part();
         let shots = job.shots.borrow();
         let aside = |server: &Rc<Server>| server.health(job.profile).is_aside(self.now);
         let most = self.table.len() as f64 * ASIDE_SHARE;
         let shared = self.table.iter().filter(|server| aside(server)).count() as f64 > most;
         let within = |server: &Rc<Server>| match (group, self.profile(job).group) {
-            (Some(first), Group::Zone) => first.zone == server.zone,
-            (Some(first), Group::Cell) => first.cell == server.cell,
+            (Some(first), Group::Zone) => first.line.get().zone == server.line.get().zone,
+            (Some(first), Group::Cell) => first.line.get().cell == server.line.get().cell,
             _ => true,
         };
         let fits = |server: &Rc<Server>| {
@@ -929,18 +944,13 @@
 impl Server {
     fn new(line: Listing, place: f64, profiles: usize) -> Self {
         Self {
-            address: line.server,
+            line: Cell::new(line),
             place,
-            standing: Cell::new(line.standing),
-            zone: Cell::new(line.zone),
-            cell: Cell::new(line.cell),
-            size: Cell::new(line.size),
             started: Cell::new(line.started),
-            health: (0..profiles).map(|_| Health::default()).collect(),
+            health: RefCell::new((0..profiles).map(|_| Rc::default()).collect()),
             failing_since: Cell::new(f64::INFINITY),
             slowness: Cell::new(1.0),
             relative: RefCell::new(Recent::new(PACE_MEMORY)),
-            make: line.make,
             credit_at: Cell::new(line.started.max(0.0)),
             ..Self::default()
         }
@@ -950,33 +960,25 @@
     fn restarted(&self, at: f64, now: f64) {
         self.started.set(at);
         self.figure.set(None);
-        self.health.iter().for_each(|health| health.strikes.set(0));
+        self.health.borrow().iter().for_each(|health| health.strikes.set(0));
         self.cold_credit.set(0.0);
         self.credit_at.set(now);
     }
 
-    fn health(&self, profile: usize) -> &Health {
-        &self.health[profile.min(self.health.len() - 1)]
-    }
-
-    fn send(&self, profile: usize, now: f64) {
-        self.out.set(self.out.get() + 1);
-        self.cold_credit.set(self.cold_credit.get() - 1.0);
-        // Back from its time aside it gets one shot, and the next when that was honoured.
-        let health = self.health(profile);
-        health.on_trial.set(health.strikes.get() >= STRIKES && now >= health.back_at.get());
+    fn stand(&self, standing: Standing) {
+        self.line.set(Listing { standing, ..self.line.get() });
     }
 
-    /// Time, ms, after which a shot on it is overdue.
-    fn patience(&self, usual: f64) -> f64 {
-        usual * self.slowness.get().min(2.0)
+    fn health(&self, profile: usize) -> Rc<Health> {
+        let health = self.health.borrow();
+        health[profile.min(health.len() - 1)].clone()
     }
 
     fn answered(&self, profile: usize, now: f64, cold_time: f64) {
         // Silent long enough to have restarted: it is cold until the list says better.
         let silent = now - self.failing_since.get() > SILENT && now - self.started.get() > cold_time;
         let health = self.health(profile);
-        if silent && self.health.iter().all(|health| health.strikes.get() >= STRIKES) {
+        if silent && self.health.borrow().iter().all(|health| health.strikes.get() >= STRIKES) {
             self.restarted(now, now);
         }
         health.strikes.set(0);
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -56,7 +56,7 @@
 }
 
 /// A level that changes now and then, and its mean over time.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Level<const SLOTS: usize> {
     pub value: f64,
     since: f64,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -6,6 +6,7 @@
 use pearfront::policy::Balancer;
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::rc::Rc;
 use test_case::test_case;
 
 /// Milliseconds between two rounds.
@@ -123,7 +124,8 @@
             other => panic!("no kind {other:?}"),
         };
         let (contract_time, window, gain) = (number(words[1]), number(words[2]), number(words[3]));
-        self.settings.profiles.push(Profile { effect, group, window, contract_time, gain });
+        let name = self.settings.profiles.len().to_string();
+        self.settings.profiles.push(Profile { name, effect, group, window, contract_time, gain });
     }
 
     fn round(&mut self, feed: impl FnOnce(&mut Balancer)) {
@@ -288,6 +290,48 @@
     assert!(asked(&scene).is_some_and(|delay| scene.now + delay >= due), "wrote {:?}", scene.written.0);
 }
 
+/// Under other settings, in another order, a job of the old ones may be told late; an open one keeps its effect, and
+/// a server stays aside for the profile of that name alone.
+#[test]
+fn new_settings_are_for_new_jobs_and_what_was_learned_stays_with_the_profiles_name() {
+    let mut scene = Scene::new();
+    scene.set("held", 1.0);
+    scene.set("price", 0.001);
+    scene.profile(&["redoable", "1000", "0", "1"]);
+    scene.profile(&["irreversible", "1000", "0", "1"]);
+    let old = Rc::new(scene.settings.clone());
+    let [a, b] = ["a", "b"].map(|name| listing(name, Standing::Ready));
+    scene.round(|balancer| balancer.listed(true, true, [a].into_iter()));
+    let answered = |scene: &mut Scene, name: &str| {
+        scene.round(|balancer| balancer.probe_answered(address(name), true, &[0.0], 1.0));
+    };
+    // Profile 0 fails on `a`, which sets it aside for that profile.
+    scene.round(|balancer| balancer.job(1, 0, 0, 700.0));
+    answered(&mut scene, "a");
+    scene.round(|balancer| balancer.shot_ended(1, 0, Ending::Error, QUICK, false));
+    // An irreversible job is out when the settings change: both profiles change places, and both are redoable.
+    scene.round(|balancer| balancer.job(2, 1, 0, 700.0));
+    answered(&mut scene, "a");
+    let mut new = (*old).clone();
+    new.profiles.swap(0, 1);
+    new.profiles[0].effect = Effect::Redoable;
+    new.most_shots = 1;
+    scene.round(|balancer| balancer.retune(Rc::new(new)));
+    scene.round(|balancer| balancer.shot_ended(2, 0, Ending::Error, QUICK, false));
+    assert!(scene.written.0.contains(&"forfeit 2".into()), "{:?}", scene.written.0);
+    // What came under the old settings, and is told late, still has its three shots and its profile.
+    scene.round(|balancer| balancer.listed(false, false, [b].into_iter()));
+    scene.round(|balancer| balancer.job_under(&old, 3, 0, 0, scene_limit()));
+    answered(&mut scene, "b");
+    assert!(scene.written.0.contains(&"shoot 3 b".into()), "{:?}", scene.written.0);
+    assert!(!scene.written.0.contains(&"shoot 3 a".into()), "{:?}", scene.written.0);
+}
+
+/// A limit far behind all that these tests play.
+fn scene_limit() -> f64 {
+    100_000.0
+}
+
 fn settings() -> Settings {
     Settings {
         siblings: 1.0,
