--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -24,10 +24,10 @@
 const WHOLE_HEAD: Duration = Duration::from_millis(2200);
 /// How often callers are looked through for that.
 const LOOK: Duration = Duration::from_millis(200);
+/// How long a caller may take nothing of its answer before it is cut off.
+const STALLED: Duration = Duration::from_secs(15);
 /// Share of the memory limit that bodies may take; the rest is for connections' buffers and answers.
 const BODIES: f64 = 0.3;
-/// Most bytes of a body, by the protocol.
-pub const MOST_BODY: usize = 64 * 1024;
 /// Least bytes a job counts for: its answer takes room as well.
 const LEAST_BODY: usize = 4 * 1024;
 
@@ -147,6 +147,7 @@
     pub async fn close_unfinished(self: Rc<Self>, book: Rc<Book>) {
         loop {
             sleep(LOOK).await;
+            self.callers.borrow().values().for_each(|caller| caller.cut_if_stalled());
             for caller in self.callers.borrow().values().filter(|caller| caller.is_unfinished()) {
                 book.cut_off.add();
                 caller.close();
@@ -171,13 +172,18 @@
 pub struct Caller {
     pub wire: Rc<Wire>,
     busy: Cell<bool>,
+    flowing: Cell<bool>,
     used: Cell<bool>,
     since: Cell<Instant>,
     closing: Cell<bool>,
     answered_early: Cell<bool>,
     /// When half a head was first seen on it.
     half: Cell<Option<Instant>>,
+    /// How much had moved on it, and when that was first seen.
+    moved: Cell<(usize, Instant)>,
     pub told: Notify,
+    /// Rung when it is to be cut off in the middle of what it does.
+    pub cut: Notify,
 }
 
 impl Caller {
@@ -185,12 +191,15 @@
         Self {
             wire,
             busy: Cell::new(false),
+            flowing: Cell::new(false),
             used: Cell::new(false),
             since: Cell::new(Instant::now()),
             closing: Cell::new(false),
             answered_early: Cell::new(false),
             half: Cell::new(None),
+            moved: Cell::new((0, Instant::now())),
             told: Notify::new(),
+            cut: Notify::new(),
         }
     }
 
@@ -219,13 +228,28 @@
         self.used.set(true);
     }
 
-    /// Answered, a job with a body of this length if that was told ahead.
-    pub fn end(&self, body: Option<usize>) {
-        self.wire.message_over(body);
+    /// Answered.
+    pub fn end(&self) {
         self.busy.set(false);
         self.since.set(Instant::now());
     }
 
+    /// With an answer under way on it, but nothing that moves: it holds what others could use.
+    fn cut_if_stalled(&self) {
+        let (moved, since) = self.moved.get();
+        if !self.flowing.get() || moved != self.wire.moved() {
+            self.moved.set((self.wire.moved(), Instant::now()));
+        } else if since.elapsed() > STALLED {
+            self.cut.notify_one();
+        }
+    }
+
+    /// An answer begins to flow to it; it is busy until what is returned has gone.
+    pub fn flow(self: &Rc<Self>) -> Flowing {
+        self.flowing.set(true);
+        Flowing(self.clone())
+    }
+
     /// What it sends was answered before its end, and is not read any further.
     pub fn answer_early(&self) {
         self.answered_early.set(true);
@@ -241,6 +265,16 @@
     }
 }
 
+/// A caller's answer on its way.
+pub struct Flowing(Rc<Caller>);
+
+impl Drop for Flowing {
+    fn drop(&mut self) {
+        self.0.flowing.set(false);
+        self.0.end();
+    }
+}
+
 impl std::fmt::Display for Room {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         write!(f, "connections_open={} jobs_held={}", self.open.get(), self.jobs.get())
@@ -282,13 +316,14 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::flow::MOST_WHOLE;
 
     #[test]
     fn room_is_given_back_and_never_overdrawn() {
         // Of 62 descriptors 24 are fixed and 7 the last resort.
         let room = Room::new(62, 1.0);
         // 0.3 MiB of bodies: four of the largest.
-        let bodies: Vec<Share> = std::iter::from_fn(|| room.job(MOST_BODY)).collect();
+        let bodies: Vec<Share> = std::iter::from_fn(|| room.job(MOST_WHOLE)).collect();
         assert_eq!(bodies.len(), 4);
         drop(bodies);
         // 31 connections: fifteen jobs that each need two. One more would leave a shot without any.
--- a/crates/pearfront-node/src/book.rs
+++ b/crates/pearfront-node/src/book.rs
@@ -44,6 +44,8 @@
     no_room,
     too_late,
     honoured,
+    flows,
+    flows_in,
     pushed_back,
     forfeited,
     turned_down,
--- /dev/null
+++ b/crates/pearfront-node/src/flow.rs
@@ -0,0 +1,199 @@
+//! Bodies that are too large to be kept: passed on in pieces, the next one read once the last was taken. The reader's
+//! pace holds back the writer, and a flow takes no more memory than a buffer or two.
+
+use bytes::{Buf, Bytes};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::any::Any;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::sync::mpsc::Receiver;
+use tokio::time::{Instant, Sleep, sleep, timeout};
+
+/// Most bytes that are kept whole.
+pub const MOST_WHOLE: usize = 64 * 1024;
+/// Most bytes of any body or answer.
+pub const MOST: u64 = 32 * 1024 * 1024;
+/// How long a flow may bring nothing before it is given up: far above any pause of a server that still gives.
+pub const STALLED: Duration = Duration::from_secs(15);
+
+/// The beginning of a body: all of it, or what came before it grew too large to be kept.
+pub enum Start {
+    Whole(Bytes),
+    Begun(Bytes, Incoming),
+}
+
+/// Why a body did not come as it should.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Broken {
+    /// Its connection broke, or brought what can't be read.
+    Cut,
+    TooLong,
+    Stalled,
+}
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str(match self {
+            Broken::Cut => "the body did not come whole",
+            Broken::TooLong => "a body of more than 33554432 bytes",
+            Broken::Stalled => "its body does not come",
+        })
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// Reads a body to its end, or until it is known to be more than `most`; no piece of it may take longer than `pause`.
+pub async fn start(mut body: Incoming, most: usize, pause: Duration) -> Result<Start, Broken> {
+    let least = body.size_hint().lower();
+    if least > MOST {
+        return Err(Broken::TooLong);
+    }
+    if least > most as u64 {
+        return Ok(Start::Begun(Bytes::new(), body));
+    }
+    let mut read = Vec::with_capacity(least as usize);
+    while let Some(frame) = timeout(pause, body.frame()).await.map_err(|_| Broken::Stalled)? {
+        if let Ok(data) = frame.map_err(|_| Broken::Cut)?.into_data() {
+            read.extend_from_slice(&data);
+            if read.len() > most {
+                return Ok(Start::Begun(read.into(), body));
+            }
+        }
+    }
+    Ok(Start::Whole(read.into()))
+}
+
+/// What a flow is fed with where its source is read elsewhere; without an end it is not whole.
+pub enum Piece {
+    Data(Bytes),
+    End,
+}
+
+enum Source {
+    Answer(Incoming),
+    Fed(Receiver<Piece>),
+    Over,
+}
+
+/// A body on its way through.
+pub struct Flow {
+    first: Bytes,
+    rest: Source,
+    /// Bytes to come, where that was told ahead.
+    left: Option<u64>,
+    most: u64,
+    stalled: Pin<Box<Sleep>>,
+    at_end: Option<Box<dyn FnOnce()>>,
+    kept: Vec<Rc<dyn Any>>,
+}
+
+impl Flow {
+    fn new(first: Bytes, rest: Source, left: Option<u64>) -> Self {
+        let stalled = Box::pin(sleep(STALLED));
+        Self { first, rest, left, most: MOST, stalled, at_end: None, kept: Vec::new() }
+    }
+
+    /// The rest of an answer, behind what was read of it.
+    pub fn answer(first: Bytes, rest: Incoming) -> Self {
+        let left = rest.size_hint().exact().map(|rest| rest + first.len() as u64);
+        Self::new(first, Source::Answer(rest), left)
+    }
+
+    /// A body of this length, if that was told, whose pieces come through a channel.
+    pub fn fed(first: Bytes, rest: Receiver<Piece>, length: Option<u64>) -> Self {
+        Self::new(first, Source::Fed(rest), length)
+    }
+
+    /// What is done once its last byte has been passed on, and not if it breaks.
+    pub fn at_end(&mut self, act: impl FnOnce() + 'static) {
+        self.at_end = Some(Box::new(act));
+    }
+
+    /// Keeps something as long as it lasts.
+    pub fn keep(&mut self, what: Rc<dyn Any>) {
+        self.kept.push(what);
+    }
+
+    fn poll_rest(&mut self, context: &mut Context) -> Poll<Option<Result<Bytes, Broken>>> {
+        loop {
+            let piece = match &mut self.rest {
+                Source::Over => None,
+                Source::Fed(pieces) => match ready!(pieces.poll_recv(context)) {
+                    Some(Piece::Data(data)) => Some(Ok(data)),
+                    Some(Piece::End) => None,
+                    None => Some(Err(Broken::Cut)),
+                },
+                Source::Answer(body) => match ready!(Pin::new(body).poll_frame(context)) {
+                    Some(Ok(frame)) => match frame.into_data() {
+                        Ok(data) => Some(Ok(data)),
+                        Err(_) => continue,
+                    },
+                    Some(Err(_)) => Some(Err(Broken::Cut)),
+                    None => None,
+                },
+            };
+            return Poll::Ready(piece);
+        }
+    }
+
+    fn poll_piece(&mut self, context: &mut Context) -> Poll<Option<Result<Bytes, Broken>>> {
+        if self.first.has_remaining() {
+            return Poll::Ready(Some(Ok(std::mem::take(&mut self.first))));
+        }
+        let Poll::Ready(piece) = self.poll_rest(context) else {
+            ready!(self.stalled.as_mut().poll(context));
+            return Poll::Ready(Some(Err(Broken::Stalled)));
+        };
+        self.stalled.as_mut().reset(Instant::now() + STALLED);
+        Poll::Ready(piece)
+    }
+}
+
+impl Body for Flow {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let piece = ready!(self.poll_piece(context));
+        Poll::Ready(match piece {
+            Some(Ok(data)) if data.len() as u64 > self.most => Some(Err(Broken::TooLong)),
+            Some(Ok(data)) => {
+                let length = data.len() as u64;
+                self.most -= length;
+                self.left = self.left.map(|left| left.saturating_sub(length));
+                // hyper does not ask again once a told length has been passed on.
+                if self.left == Some(0) {
+                    self.end();
+                }
+                Some(Ok(Frame::data(data)))
+            }
+            Some(Err(problem)) => Some(Err(problem)),
+            None => {
+                self.end();
+                None
+            }
+        })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left == Some(0)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
+
+impl Flow {
+    fn end(&mut self) {
+        self.rest = Source::Over;
+        self.at_end.take().into_iter().for_each(|act| act());
+    }
+}
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -5,6 +5,7 @@
 mod book;
 mod config;
 mod discovery;
+mod flow;
 mod inherited;
 mod lifecycle;
 mod logger;
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -1,17 +1,20 @@
 //! The protocol's messages: each is decoded into a small typed value once and encoded once. Its names end here.
 
+use crate::flow::{Flow, Piece, Start};
 use crate::send::ConnectionEnd;
 use crate::terms::Terms;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::{request, response};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use pearfront::interface::{Effect, Standing};
 use pearfront_settings::{At, Surroundings};
 use serde_json::Value;
+use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
+use tokio::sync::mpsc::Receiver;
 
 const ID: HeaderName = HeaderName::from_static("x-trace-id");
 const CUSTOMER: HeaderName = HeaderName::from_static("x-customer");
@@ -33,7 +36,7 @@
 /// Longest time left, ms, that a job may name: what says more is no time.
 const LONGEST_LEFT: f64 = 24.0 * 3_600_000.0;
 
-pub type Body = Full<Bytes>;
+pub type Body = Either<Full<Bytes>, Flow>;
 
 /// What a caller asks of a node.
 pub enum Call {
@@ -51,7 +54,7 @@
     pub irreversible: bool,
     /// How long the caller will wait, ms.
     pub left: f64,
-    pub body: Bytes,
+    pub body: JobBody,
     method: Method,
     target: Uri,
     headers: HeaderMap,
@@ -92,6 +95,16 @@
     plain(if yes { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, format!("{state}\n"))
 }
 
+pub enum JobBody {
+    Whole(Bytes),
+    /// Too large to be kept: what came first, and the rest for the first shot that asks for it.
+    Flowing {
+        first: Bytes,
+        rest: RefCell<Option<Receiver<Piece>>>,
+        length: Option<u64>,
+    },
+}
+
 /// Decodes a call's head. The error says what is wrong with it. `lengths` tells whether a length may have stood in
 /// it: where chunks come as well, hyper drops the length, and the body may hide another job from one of two readers.
 pub fn decode_call(head: request::Parts, terms: &Rc<Terms>, lengths: bool) -> Result<Call, String> {
@@ -133,8 +146,17 @@
     let (method, target) = (head.method, head.uri);
     let irreversible = effect == Effect::Irreversible;
     let terms = terms.clone();
-    let job =
-        Job { terms, profile, customer, irreversible, left, body: Bytes::new(), method, target, headers };
+    let job = Job {
+        terms,
+        profile,
+        customer,
+        irreversible,
+        left,
+        body: JobBody::Whole(Bytes::new()),
+        method,
+        target,
+        headers,
+    };
     Ok(Call::Job(Box::new(job)))
 }
 
@@ -191,21 +213,31 @@
         &self.headers[ID]
     }
 
-    /// The job as a shot that will be waited for so long.
-    pub fn encode(&self, wait: f64) -> Request<Body> {
-        let mut shot = Request::new(Full::new(self.body.clone()));
+    /// Is its body too large to be kept, so that it can be sent only once?
+    pub fn flows(&self) -> bool {
+        matches!(self.body, JobBody::Flowing { .. })
+    }
+
+    /// The job as a shot that will be waited for so long; none if its body has been sent and was not kept.
+    pub fn encode(&self, wait: f64) -> Option<Request<Body>> {
+        let mut shot = Request::new(match &self.body {
+            JobBody::Whole(body) => whole(body.clone()),
+            JobBody::Flowing { first, rest, length } => {
+                Either::Right(Flow::fed(first.clone(), rest.take()?, *length))
+            }
+        });
         *shot.method_mut() = self.method.clone();
         *shot.uri_mut() = self.target.clone();
         *shot.headers_mut() = self.headers.clone();
         let wait = HeaderValue::from_str(&format!("{:.3}", wait.max(0.0) / 1000.0));
         shot.headers_mut().insert(TIME_LEFT, wait.expect("digits make a header"));
-        shot
+        Some(shot)
     }
 }
 
 /// A node's one final answer to a job.
 pub enum Answer {
-    Honoured(Reply),
+    Honoured(Box<Reply>),
     /// With the advice to come back in so many ms; 0 is none.
     PushedBack(f64),
     Forfeited,
@@ -213,17 +245,21 @@
     TurnedDown,
 }
 
-/// A server's whole answer to a job.
+/// A server's answer to a job.
 pub struct Reply {
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Body,
+}
+
+fn whole(body: Bytes) -> Body {
+    Either::Left(Full::new(body))
 }
 
 impl Answer {
     pub fn encode(self) -> Response<Body> {
         match self {
             Answer::Honoured(reply) => {
-                let mut answer = Response::new(Full::new(reply.body));
+                let mut answer = Response::new(reply.body);
                 *answer.headers_mut() = reply.headers;
                 answer
             }
@@ -243,7 +279,7 @@
 }
 
 fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
-    let mut answer = Response::new(Full::new(text.into()));
+    let mut answer = Response::new(whole(text.into()));
     *answer.status_mut() = status;
     answer
 }
@@ -262,12 +298,13 @@
     }
 }
 
-/// How a shot ended that was answered so, its body whole.
+/// How a shot ended that was answered so, its body whole or on its way.
 pub fn decode_end(head: &response::Parts) -> ConnectionEnd {
     let framed = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
     match head.status.as_u16() {
-        // Without either, nobody can tell an answer that was cut off from a whole one.
         200 if framed.iter().any(|name| head.headers.contains_key(name)) => ConnectionEnd::Honoured,
+        // Without either it ends with its connection, if it says so; else nobody can tell that it was not cut off.
+        200 if ends_connection(head) => ConnectionEnd::Honoured,
         500 => ConnectionEnd::Error,
         // The protocol has none of these for a job that is as it should be.
         400..500 => ConnectionEnd::TurnedDown,
@@ -276,9 +313,21 @@
     }
 }
 
-pub fn decode_reply(head: response::Parts, body: Bytes) -> Reply {
+/// Does the sender say that its connection ends behind this?
+fn ends_connection(head: &response::Parts) -> bool {
+    let words = head.headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    let words: Vec<&str> = words.flat_map(|words| words.split(',')).map(str::trim).collect();
+    let says = |wanted: &str| words.iter().any(|word| word.eq_ignore_ascii_case(wanted));
+    says("close") || head.version == Version::HTTP_10 && !says("keep-alive")
+}
+
+pub fn decode_reply(head: response::Parts, body: Start) -> Reply {
     let mut headers = end_to_end(head.headers);
     headers.remove(REPORT);
+    let body = match body {
+        Start::Whole(body) => whole(body),
+        Start::Begun(first, rest) => Either::Right(Flow::answer(first, rest)),
+    };
     Reply { headers, body }
 }
 
@@ -327,7 +376,7 @@
 }
 
 fn get(target: String, host: &str) -> Request<Body> {
-    let mut call = Request::new(Body::default());
+    let mut call = Request::new(whole(Bytes::new()));
     *call.uri_mut() = target.parse().expect("targets are made of plain characters");
     call.headers_mut().insert(header::HOST, HeaderValue::from_str(host).expect("an address makes a header"));
     call
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -9,6 +9,7 @@
 use crate::relay::Relay;
 use crate::send::{ConnectionEnd, Senders, Shot};
 use crate::terms::InForce;
+use http_body_util::Either;
 use hyper::header::HeaderValue;
 use pearfront::interface::{Address, Writer};
 use pearfront::policy::Balancer;
@@ -71,7 +72,12 @@
 pub struct Held {
     number: u32,
     job: Job,
-    limit: f64,
+    /// Until then it is owed its answer; not known before its last byte has come.
+    limit: Cell<f64>,
+    /// When its last byte came.
+    came: Cell<f64>,
+    /// Rung when that is known.
+    whole: Notify,
     relay: Relay,
     /// One for each shot: rung when it is called off.
     shots: RefCell<Vec<Rc<Notify>>>,
@@ -110,7 +116,8 @@
         self.ids.borrow().contains(job.id())
     }
 
-    /// Takes a job on; its answer comes through the receiver, whatever happens.
+    /// Takes a job on; its answer comes through the receiver, whatever happens. Where the body is still coming there
+    /// is no limit yet.
     pub fn take(&self, job: Job, share: Share, limit: f64) -> (Rc<Held>, oneshot::Receiver<Answer>) {
         let (relay, answer) = Relay::new(self.book.clone());
         let number = self.numbered.get();
@@ -119,7 +126,9 @@
         let held = Rc::new(Held {
             number,
             job,
-            limit,
+            limit: Cell::new(limit),
+            came: Cell::new(0.0),
+            whole: Notify::new(),
             relay,
             shots: RefCell::default(),
             out: Cell::new(0),
@@ -133,6 +142,16 @@
         (held, answer)
     }
 
+    /// The last byte of a job has come: its times count from now on.
+    pub fn body_came(&self, held: &Held) {
+        let (number, now) = (held.number, self.clock.now());
+        let limit = now + held.job.left;
+        held.came.set(now);
+        held.limit.set(limit);
+        held.whole.notify_waiters();
+        self.inbox.tell(move |balancer| balancer.body_came(number, limit));
+    }
+
     /// The job's caller is gone, if it had no answer yet.
     pub fn left(&self, held: &Held) {
         if held.relay.close() {
@@ -172,19 +191,42 @@
             let until = route.clock.at(started + limit);
             let to = discovery::address(server);
             let wanted = || {
-                let left = held.limit - route.clock.now();
-                (held.relay.is_open() && left > 0.0 && route.discovery.is_ready(to)).then_some(left)
+                let left = (held.limit.get() - route.clock.now()).min(held.job.left);
+                let wanted = held.relay.is_open() && left > 0.0 && route.discovery.is_ready(to);
+                // From its first byte on it can't be sent again.
+                if wanted && held.job.flows() {
+                    route.inbox.tell(move |balancer| balancer.spent(number));
+                }
+                wanted.then_some(left)
             };
-            let shot = route.senders.shoot(to, &held.job, until, wanted, called_off.notified()).await;
-            route.shot_ended(&held, place, server, shot, route.clock.now() - started);
+            let over = route.over(&held, until);
+            let shot = route.senders.shoot(to, &held.job, over, wanted, called_off.notified()).await;
+            route.shot_ended(&held, place, server, shot, route.clock.now() - started.max(held.came.get()));
         });
     }
 
-    fn shot_ended(&self, held: &Held, place: usize, server: Address, shot: Shot, took: f64) {
+    /// Waits until a shot's time is over: its own, or what the job's last byte leaves it once that has come.
+    async fn over(&self, held: &Held, until: Instant) {
+        tokio::select! {
+            () = sleep_until(until) => {}
+            () = held.whole.notified() => sleep_until(self.clock.at(held.limit.get())).await,
+        }
+    }
+
+    fn shot_ended(&self, held: &Rc<Held>, place: usize, server: Address, mut shot: Shot, took: f64) {
+        // Its caller left in the middle of the body: the server is not to blame.
+        if shot.end == ConnectionEnd::BrokenBefore && !held.relay.is_open() {
+            shot.end = ConnectionEnd::CalledOffBefore;
+        }
         shot.end.count(&self.book);
         held.out.set(held.out.get() - 1);
-        if let Some(reply) = shot.reply {
-            held.relay.give(Answer::Honoured(reply));
+        if let Some(mut reply) = shot.reply {
+            // What flows counts as held to its last byte.
+            if let Either::Right(flow) = &mut reply.body {
+                self.book.flows.add();
+                flow.keep(held.clone());
+            }
+            held.relay.give(Answer::Honoured(Box::new(reply)));
         } else if shot.end == ConnectionEnd::TurnedDown {
             held.relay.give(Answer::TurnedDown);
         }
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -1,27 +1,29 @@
 //! First stage: callers' connections and what comes on them. A job is taken once its last byte is here; from then
 //! on it is owed one answer.
 
-use crate::admit::{Caller, MOST_BODY, Place, Room};
+use crate::admit::{Caller, Place, Room, Share};
 use crate::book::Book;
+use crate::flow::{self, Broken, MOST, MOST_WHOLE, Piece, Start};
 use crate::lifecycle::Lifecycle;
 use crate::logger::Seldom;
-use crate::message::{self, Answer, Body, Call, Job};
+use crate::message::{self, Answer, Body, Call, Job, JobBody};
 use crate::route::{Held, Route};
 use crate::send::{BUFFER, Senders};
 use crate::terms::InForce;
 use crate::wire::{Socket, Wire};
-use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Either};
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
+use std::cell::RefCell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{self, Sender};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Pause after a failed accept: what it lacked is back soon, and the loop must not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
@@ -32,8 +34,12 @@
 /// A caller that is to be closed, and has begun a head or not taken its answer, is cut off once nothing has moved
 /// on its connection for so long.
 const STUCK: Duration = Duration::from_millis(200);
-/// How long a body is waited for: with the head it is owed an error or a close within 3 s of connecting.
+/// How long a body may bring nothing: with the head it is owed an error or a close within 3 s of connecting.
+const NEXT_PIECE: Duration = Duration::from_millis(2500);
+/// A body may take this time, and for each byte what it takes at the slowest: 16 kB a second, a quarter of what slow
+/// callers are said to bring.
 const WHOLE_BODY: Duration = Duration::from_millis(2500);
+const SLOWEST: Duration = Duration::from_nanos(62_500);
 
 pub struct TakeIn {
     pub route: Rc<Route>,
@@ -122,7 +128,7 @@
     }
 
     async fn serve(self: Rc<Self>, stream: TcpStream, place: Place) {
-        let wire = Wire::new(stream, place);
+        let wire = Wire::from_caller(stream, place);
         let (number, caller) = self.room.enter(wire.clone());
         let service = service_fn(|request| self.answer(&caller, request));
         let mut connection =
@@ -141,6 +147,7 @@
                     }
                     break;
                 }
+                () = caller.cut.notified() => break,
                 () = caller.told.notified(), if closing.is_none() => {
                     closing = Some((wire.moved(), false));
                     connection.as_mut().graceful_shutdown();
@@ -158,30 +165,35 @@
         self.room.leave(number);
     }
 
-    async fn answer(&self, caller: &Caller, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    async fn answer(
+        &self,
+        caller: &Rc<Caller>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Broken> {
         caller.begin();
-        let chunked = message::is_chunked(request.headers());
-        let length = request.body().size_hint().exact();
-        let answer = self.call(caller, request).await;
-        caller.end(length.map(|length| length as usize));
-        // Behind chunks nobody here can tell the next head's bytes from the body's.
-        if chunked || !self.life.keeps_alive() { answer.map(message::last_on_connection) } else { answer }
+        let mut answer = self.call(caller, request).await;
+        match answer.as_mut().map(Response::body_mut) {
+            Ok(Either::Right(flow)) => flow.keep(Rc::new(caller.flow())),
+            _ => caller.end(),
+        }
+        if self.life.keeps_alive() { answer } else { answer.map(message::last_on_connection) }
     }
 
-    async fn call(&self, caller: &Caller, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
-        let came = self.route.clock.now();
+    async fn call(&self, caller: &Caller, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
         let (head, body) = request.into_parts();
-        let lengths = caller.wire.may_have_length();
+        let lengths = caller.wire.next_has_length();
         let call = message::decode_call(head, &self.terms.now(), lengths);
         let problem = match call {
             Ok(Call::Up) => return Ok(message::encode_up(self.life.is_ready())),
-            Ok(Call::Job(job)) => match self.job(*job, body, came).await? {
+            Ok(Call::Job(job)) => match self.job(*job, body).await {
                 Ok(answer) => return Ok(answer),
-                Err(problem) => problem,
+                Err(Problem::Gone) => return Err(Broken::Cut),
+                Err(Problem::Malformed(problem)) => problem,
             },
-            Err(problem) => match read(body, false).await? {
-                Ok(_) => return Ok(self.reject(&problem)),
-                Err(_) => problem,
+            Err(problem) => match read(body, MOST_WHOLE).await {
+                Ok(Start::Whole(_)) => return Ok(self.reject(&problem)),
+                Err(Broken::Cut) => return Err(Broken::Cut),
+                _ => problem,
             },
         };
         // Its body goes on: nothing that comes on the connection from now on is a job.
@@ -196,36 +208,69 @@
     }
 
     /// The answer to a job, or what is wrong with its body.
-    async fn job(
-        &self,
-        mut job: Job,
-        body: Incoming,
-        came: f64,
-    ) -> Result<Result<Response<Body>, String>, Cut> {
-        let length = body.size_hint().upper().map_or(MOST_BODY, |most| MOST_BODY.min(most as usize));
-        let share = self.room.job(length);
-        job.body = match read(body, share.is_some()).await? {
-            Ok(whole) => whole,
-            Err(problem) => return Ok(Err(problem)),
-        };
+    async fn job(&self, mut job: Job, body: Incoming) -> Result<Response<Body>, Problem> {
+        let length = body.size_hint().exact();
+        if length.is_some_and(|length| length > MOST) {
+            return Err(Broken::TooLong.into());
+        }
+        let kept = length.map_or(MOST_WHOLE, |length| MOST_WHOLE.min(length as usize));
+        let share = self.room.job(kept);
+        let start = read(body, MOST_WHOLE).await?;
         let Some(share) = share else {
             self.book.no_room.add();
             self.crowded.warn("no room for a job, pushed back");
-            return Ok(Ok(Answer::PushedBack(0.0).encode()));
+            return Ok(push_back(start));
         };
-        let limit = came + job.left;
-        if limit <= self.route.clock.now() {
+        if job.left <= 0.0 {
             self.book.too_late.add();
-            return Ok(Ok(Answer::PushedBack(0.0).encode()));
+            return Ok(push_back(start));
         }
         if self.route.has_open(&job) {
-            return Ok(Ok(self.reject("another job with its id is open")));
+            return match start {
+                Start::Whole(_) => Ok(self.reject("another job with its id is open")),
+                Start::Begun(..) => Err(Problem::Malformed("another job with its id is open".into())),
+            };
+        }
+        match start {
+            Start::Whole(body) => {
+                job.body = JobBody::Whole(body);
+                let limit = self.route.clock.now() + job.left;
+                let (held, answer) = self.route.take(job, share, limit);
+                let _guard = Guard { route: &self.route, held };
+                Ok(answer.await.unwrap_or(Answer::Forfeited).encode())
+            }
+            Start::Begun(first, rest) => {
+                let (pieces, source) = mpsc::channel(1);
+                job.body = JobBody::Flowing { first, rest: RefCell::new(Some(source)), length };
+                self.flow(job, share, rest, pieces).await
+            }
         }
-        let (held, answer) = self.route.take(job, share, limit);
-        let held = Guard { route: &self.route, held };
-        let answer = answer.await.unwrap_or(Answer::Forfeited);
-        drop(held);
-        Ok(Ok(answer.encode()))
+    }
+
+    /// The answer to a job whose body flows on to a server while it comes.
+    async fn flow(
+        &self,
+        job: Job,
+        share: Share,
+        mut body: Incoming,
+        pieces: Sender<Piece>,
+    ) -> Result<Response<Body>, Problem> {
+        self.book.flows_in.add();
+        let (held, mut answer) = self.route.take(job, share, f64::INFINITY);
+        let guard = Guard { route: &self.route, held };
+        let came = tokio::select! {
+            biased;
+            answer = &mut answer => {
+                // Answered at once; what still comes is read, so that the caller gets to see it.
+                drop(guard);
+                spawn_local(drain(body));
+                return Ok(answer.unwrap_or(Answer::Forfeited).encode());
+            }
+            came = pass_on(&mut body, &pieces) => came,
+        };
+        came?;
+        self.route.body_came(&guard.held);
+        Ok(answer.await.unwrap_or(Answer::Forfeited).encode())
     }
 
     /// Closes idle callers whenever clients are let go, as long as the node runs.
@@ -259,41 +304,61 @@
     }
 }
 
-/// The caller broke off, or its body did not come in time: the connection ends without an answer.
-#[derive(Debug)]
-struct Cut;
+/// Why a job is not taken.
+enum Problem {
+    /// Its caller broke off.
+    Gone,
+    Malformed(String),
+}
 
-impl std::fmt::Display for Cut {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        f.write_str("the body did not come whole")
+impl From<Broken> for Problem {
+    fn from(broken: Broken) -> Self {
+        match broken {
+            Broken::Cut => Problem::Gone,
+            other => Problem::Malformed(other.to_string()),
+        }
     }
 }
 
-impl std::error::Error for Cut {}
-
-/// Reads a body to its end, also one that is not kept, so that the answer is not lost in a reset; or tells why it
-/// is not waited for.
-async fn read(mut body: Incoming, keep: bool) -> Result<Result<Bytes, String>, Cut> {
-    let too_long = || Ok(Err(format!("a body of more than {MOST_BODY} bytes")));
-    let least = body.size_hint().lower();
-    if least > MOST_BODY as u64 {
-        return too_long();
+/// Pushes a job back of which no more was read than this; the rest is read without being kept.
+fn push_back(start: Start) -> Response<Body> {
+    if let Start::Begun(_, rest) = start {
+        spawn_local(drain(rest));
     }
-    let all = async {
-        let mut whole = Vec::with_capacity(if keep { least as usize } else { 0 });
-        let mut length = 0;
-        while let Some(frame) = body.frame().await {
-            if let Ok(data) = frame.map_err(|_| Cut)?.into_data() {
-                length += data.len();
-                if length > MOST_BODY {
-                    return too_long();
-                }
-                if keep {
-                    whole.extend_from_slice(&data);
-                }
-            }
+    Answer::PushedBack(0.0).encode()
+}
+
+/// Reads a body as far as it is kept whole. One that comes too slowly is given up.
+async fn read(body: Incoming, most: usize) -> Result<Start, Broken> {
+    let longest = WHOLE_BODY + SLOWEST * most as u32;
+    timeout(longest, flow::start(body, most, NEXT_PIECE)).await.unwrap_or(Err(Broken::Stalled))
+}
+
+/// Passes a body on as it comes, each piece once the last was taken; if nobody takes it any more it is still read to
+/// its end, as its answer may be on the way.
+async fn pass_on(body: &mut Incoming, pieces: &Sender<Piece>) -> Result<(), Broken> {
+    let begun = Instant::now();
+    let mut length = 0_u64;
+    // While a server takes nothing, its caller can bring nothing: only the waiting for the caller counts.
+    let mut held_back = Duration::ZERO;
+    while let Some(frame) = timeout(NEXT_PIECE, body.frame()).await.map_err(|_| Broken::Stalled)? {
+        let Ok(data) = frame.map_err(|_| Broken::Cut)?.into_data() else { continue };
+        length += data.len() as u64;
+        if length > MOST {
+            return Err(Broken::TooLong);
+        }
+        if begun.elapsed() > WHOLE_BODY + SLOWEST.mul_f64(length as f64) + held_back {
+            return Err(Broken::Stalled);
         }
-        Ok(Ok(whole.into()))
-    };
-    timeout(WHOLE_BODY, all).await.unwrap_or_else(|_| Ok(Err("its body does not come".into())))
+        let passed = Instant::now();
+        let _ = pieces.send(Piece::Data(data)).await;
+        held_back += passed.elapsed();
+    }
+    let _ = pieces.send(Piece::End).await;
+    Ok(())
+}
+
+/// Reads the rest of a body that nobody needs.
+async fn drain(mut body: Incoming) {
+    while let Ok(Some(Ok(_))) = timeout(NEXT_PIECE, body.frame()).await {}
 }
--- a/crates/pearfront-node/tests/days/mod.rs
+++ b/crates/pearfront-node/tests/days/mod.rs
@@ -1,6 +1,6 @@
 //! The operators' days on loopback: calls at the operators' address, a drain, an upgrade under load.
 
-use crate::stand_ins::{Act, Node, Platform, Server, config, head, run_faulty};
+use crate::stand_ins::{Act, Node, Platform, Server, config, entry, head, list, run_faulty};
 use serde_json::json;
 use test_case::test_case;
 
@@ -196,3 +196,168 @@
     let log = node.log();
     assert!(log.contains("configuration stays as it was: ") && log.contains(problem), "{log}");
 }
+
+/// The most that a body or an answer may have.
+const LARGEST: usize = 32 * 1024 * 1024;
+
+fn large(length: usize) -> Vec<u8> {
+    (0..length).map(|at| (at % 251) as u8).collect()
+}
+
+// Its first bytes go out before the last are there, a caller that does not read holds its own server back, and the
+// node holds next to nothing of either.
+#[test]
+fn an_answer_of_the_largest_size_flows_past_a_slow_reader() {
+    let body = large(LARGEST);
+    let head_of = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGEST}\r\n\r\n");
+    let (first, rest) = body.split_at(LARGEST - 1);
+    let server = Server::start(Act::Raw([head_of.as_bytes(), first].concat(), rest.to_vec()));
+    let node = Node::start(&config(&[server.address]));
+    let before = node.peak_memory();
+    let mut callers: Vec<_> = (0..8).map(|_| node.caller()).collect();
+    for caller in &mut callers {
+        caller.send(&head("read", "60", 0), b"");
+    }
+    server.wait_for("job 8");
+    // Others are served meanwhile.
+    assert_eq!(node.caller().ask(UP, b"").status(), 200);
+    let reader = &mut callers[0];
+    let mut read = Vec::new();
+    while read.len() < first.len() {
+        let some = reader.take(1024 * 1024);
+        assert!(!some.is_empty());
+        read.extend(some);
+        if read.len() >= LARGEST - 1024 {
+            server.go_on();
+        }
+    }
+    read.extend(reader.take(LARGEST));
+    assert!(read.ends_with(&body));
+    let grown = node.peak_memory() - before;
+    assert!(grown < 4 * 1024, "{grown} KiB for eight answers");
+    drop(callers);
+    node.end();
+}
+
+#[test]
+fn a_body_of_the_largest_size_flows_to_a_server_once() {
+    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let node = Node::start(&config(&[server.address]));
+    let before = node.peak_memory();
+    let body = large(LARGEST);
+    let mut caller = node.caller();
+    assert_eq!(caller.ask(&head("pay", "20", LARGEST), &body).status(), 200);
+    // In chunks with extensions and a trailer, and another job right behind it.
+    let chunked = head("book", "20", 0).replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    let chunks = body[..300_000]
+        .chunks(70_000)
+        .flat_map(|chunk| [format!("{:X};of=\"it\"\r\n", chunk.len()).as_bytes(), chunk, b"\r\n"].concat());
+    let chunks: Vec<u8> = chunks.chain(b"0\r\nX-Sum: 1\r\n\r\n".iter().copied()).collect();
+    caller.send(&chunked, &[chunks, head("read", "5", 0).into_bytes()].concat());
+    assert_eq!([caller.answer(), caller.answer()].map(|answer| answer.unwrap().status()), [200, 200]);
+    let jobs = server.jobs();
+    assert_eq!(jobs.len(), 3);
+    assert!(jobs[0].body == body && jobs[1].body == body[..300_000]);
+    let grown = node.peak_memory() - before;
+    assert!(grown < 4 * 1024, "{grown} KiB for a body");
+    let counters = node.end();
+    assert_eq!((counters["flows_in"], counters["shots"]), (2, 3));
+}
+
+// What has begun to flow is not there to be sent again; what never left is, also to a second server.
+#[test_case(Act::Error, 502; "it may have run")]
+#[test_case(Act::TurnAway, 503; "it never ran, and is not kept")]
+#[test_case(Act::TurnDown, 400; "nobody can use it")]
+fn a_body_that_flows_is_sent_once_whatever_becomes_of_it(act: Act, status: u16) {
+    let (odd, other) = (Server::start(act), Server::start(Act::Silence));
+    let node = Node::start(&config(&[odd.address]));
+    let mut caller = node.caller();
+    caller.send(&head("pay", "5", 200_000), &large(100_000));
+    node.discovery.publish(2, list(2, false, &[entry("other", other.address, "Ready")]));
+    node.discovery.wait_for(2);
+    assert_eq!(caller.ask("", &large(100_000)).status(), status);
+    let counters = node.end();
+    assert_eq!((odd.jobs().len(), other.jobs().len(), counters["shots"]), (1, 0, 1));
+}
+
+// Nothing of it has left where no connection came up: any job may go elsewhere then, also one that is not kept.
+#[test]
+fn a_body_that_flows_goes_elsewhere_if_nothing_of_it_was_sent() {
+    let good = Server::start(Act::Honour(b"fine".to_vec()));
+    let node = Node::start(&config(&[Server::nowhere(), good.address]));
+    let (mut caller, body) = (node.caller(), large(100_000));
+    for _ in 0..20 {
+        assert_eq!(caller.ask(&head("pay", "5", body.len()), &body).status(), 200);
+    }
+    assert!(node.end()["shot_unconnected"] > 0);
+}
+
+// A caller that stops in the middle of a body: no server is to blame, and nothing of it is held.
+#[test]
+fn a_body_that_stops_in_the_middle_is_given_up() {
+    let server = Server::start(Act::Honour(Vec::new()));
+    let node = Node::start(&config(&[server.address]));
+    let (mut stopped, mut left) = (node.caller(), node.caller());
+    stopped.send(&head("pay", "60", 400_000), &large(200_000));
+    left.send(&head("pay", "60", 400_000), &large(200_000));
+    left.stream.shutdown(std::net::Shutdown::Both).unwrap();
+    assert_eq!(stopped.answer().unwrap().status(), 400);
+    assert_eq!(node.caller().ask(&head("read", "5", 0), b"").status(), 200);
+    let counters = node.end();
+    assert_eq!((counters["taken"], counters["client_left"], counters["shot_unconnected"]), (3, 2, 0));
+}
+
+/// Two pieces of an answer with this head, and its body in this form.
+fn raw(head: &str, body: &[u8], at: usize) -> Act {
+    let all = [format!("{head}\r\n\r\n").as_bytes(), body].concat();
+    Act::Raw(all[..head.len() + 4 + at].to_vec(), all[head.len() + 4 + at..].to_vec())
+}
+
+// All forms that an answer may have are passed on whole, in whatever pieces they come.
+#[test_case("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4", b"fine", 2; "1xx ahead")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked", b"2;x=\"y\"\r\nfi\r\n2\r\nne\r\n0\r\nX-Sum: 1\r\n\r\n", 9; "chunks with extensions and a trailer")]
+#[test_case("HTTP/1.1 200 OK\r\nConnection: close", b"fine", 2; "ended by its connection")]
+#[test_case("HTTP/1.0 200 OK", b"fine", 2; "of an old version")]
+fn all_forms_of_an_answer_are_passed_on(form: &str, body: &[u8], at: usize) {
+    let server = Server::start(raw(form, body, at));
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    caller.send(&head("pay", "5", 0), b"");
+    server.wait_for("job 1");
+    server.go_on();
+    let answer = caller.answer().unwrap();
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"fine".as_slice()));
+}
+
+// Passed on in part, an answer must not look whole to its caller.
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 300000"; "with a length")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"; "in chunks")]
+fn an_answer_that_stops_midway_does_not_look_whole(form: &str) {
+    let part = if form.contains("chunked") {
+        [b"30D40\r\n".as_slice(), &large(200_000), b"\r\n"].concat()
+    } else {
+        large(200_000)
+    };
+    let server = Server::start(raw(form, &[part.as_slice(), b"1"].concat(), part.len()));
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    caller.send(&head("read", "5", 0), b"");
+    server.wait_for("job 1");
+    server.go_on();
+    let all = caller.take(1024 * 1024);
+    assert!(all.starts_with(b"HTTP/1.1 200 OK"));
+    assert!(all.len() < 250_000 && !all.ends_with(b"0\r\n\r\n"), "{} bytes", all.len());
+    assert_eq!(node.end()["honoured"], 1);
+}
+
+// Asked for, the word to go on comes before the body.
+#[test]
+fn a_caller_that_waits_for_the_word_to_go_on_gets_it() {
+    let server = Server::start(Act::Honour(Vec::new()));
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    caller.send(&head("pay", "5", 4).replace("Host:", "Expect: 100-continue\r\nHost:"), b"");
+    assert_eq!(caller.answer().unwrap().status(), 100);
+    assert_eq!(caller.ask("", b"body").status(), 200);
+    assert_eq!(server.jobs()[0].body, b"body");
+}
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -4,7 +4,7 @@
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
@@ -49,6 +49,10 @@
             let Some((name, value)) = line.split_once(':') else { break };
             message.headers.insert(name.to_lowercase(), value.trim().to_string());
         }
+        if message.headers.get("transfer-encoding").is_some_and(|coding| coding == "chunked") {
+            message.read_chunks(from)?;
+            return Some(message);
+        }
         let length = message.headers.get("content-length").map_or(0, |length| length.parse().unwrap());
         message.body = vec![0; length];
         from.read_exact(&mut message.body).ok()?;
@@ -56,6 +60,23 @@
     }
 }
 
+impl Message {
+    fn read_chunks(&mut self, from: &mut impl BufRead) -> Option<()> {
+        loop {
+            let size = line(from)?;
+            let size = usize::from_str_radix(size.split(';').next()?.trim(), 16).ok()?;
+            if size == 0 {
+                while !line(from)?.is_empty() {}
+                return Some(());
+            }
+            let begun = self.body.len();
+            self.body.resize(begun + size, 0);
+            from.read_exact(&mut self.body[begun..]).ok()?;
+            line(from)?;
+        }
+    }
+}
+
 fn line(from: &mut impl BufRead) -> Option<String> {
     let mut line = String::new();
     from.read_line(&mut line).ok()?;
@@ -106,6 +127,8 @@
     Silence,
     /// Honours it once it is told to go on.
     Hold(Vec<u8>),
+    /// These bytes as they are, and the same after it was told to go on; then the end, unless the first part is all.
+    Raw(Vec<u8>, Vec<u8>),
 }
 
 type Seen = Arc<(Mutex<Vec<String>>, Condvar)>;
@@ -209,6 +232,13 @@
             Act::Close => (Vec::new(), false),
             Act::Nonsense => (b"what do you mean?\r\n\r\n".to_vec(), false),
             Act::Silence => (Vec::new(), true),
+            Act::Raw(first, rest) => {
+                let _ = writer.write_all(first);
+                if !rest.is_empty() {
+                    wait_in(seen, "go on");
+                }
+                (rest.clone(), rest.is_empty())
+            }
             Act::Hold(body) => {
                 wait_in(seen, "go on");
                 (whole("200 OK", body), true)
@@ -553,6 +583,13 @@
         self.stream.write_all(&[head.as_bytes(), body].concat()).unwrap();
     }
 
+    /// So many bytes of what comes; fewer if the node closed the connection before.
+    pub fn take(&mut self, count: usize) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        let _ = (&mut self.reader).take(count as u64).read_to_end(&mut bytes);
+        bytes
+    }
+
     /// The answer; nothing if the node closed the connection without a whole one.
     pub fn answer(&mut self) -> Option<Message> {
         Message::read(&mut self.reader)
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -71,6 +71,7 @@
 const WINDOW_MOST: f64 = 8.0; // Jobs a server let in at the most: with more a small one turns slow.
 const FAIR_SPAN: f64 = 30_000.0; // Span, ms, over which the worst served are told: as long as troubles last.
 const ZONE_MARGIN: f64 = 26.0; // Share that raises an away server's figure for each point of crossing.
+const REVIEW: f64 = 60_000.0; // Longest, ms, before a job is looked at again, also one that has no limit yet.
 const ASK_AGAIN: f64 = 1000.0; // First and last pause, ms, before the list is asked for again.
 
 type Recent = Ring<10>;
@@ -129,8 +130,11 @@
     /// Its profile's place in all that is kept by profile.
     profile: usize,
     customer: usize,
-    arrived: f64,
-    limit: f64,
+    arrived: Cell<f64>,
+    /// Infinite while its body is coming.
+    limit: Cell<f64>,
+    /// Its body has been sent and was not kept.
+    spent: Cell<bool>,
     /// When servers were last asked for it.
     asked: Cell<f64>,
     shots: RefCell<Vec<Shot>>,
@@ -142,10 +146,6 @@
 /// Gain asked for and honoured in time, for one profile or one customer.
 type Tally = [Recent; 2];
 
-fn fair() -> Tally {
-    [Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]
-}
-
 /// Whose group a job's further shots are held to, if any.
 type Bound = Option<Rc<Server>>;
 
@@ -260,11 +260,9 @@
 
     /// Other settings from now on: what is learned of a profile stays under its name, jobs keep their rules.
     pub fn retune(&mut self, settings: Rc<Settings>) {
-        for profile in &settings.profiles {
-            self.slot(&profile.name);
-        }
+        settings.profiles.iter().for_each(|profile| _ = self.slot(&profile.name));
         if self.settings.quotas != settings.quotas {
-            self.tallies[1] = vec![fair(); settings.quotas.len()];
+            self.tallies[1] = vec![[Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]; settings.quotas.len()];
             self.admitted = vec![Recent::new(SPAN); settings.quotas.len()];
         }
         if settings.may_probe != self.settings.may_probe {
@@ -278,10 +276,9 @@
         self.names.iter().position(|known| known == name).unwrap_or_else(|| {
             self.names.push(name.into());
             self.durations.push(Recent::new(SPAN));
-            self.tallies[0].push(fair());
-            if self.asks > 0 {
-                self.known.values().for_each(|server| server.health.borrow_mut().push(Rc::default()));
-            }
+            self.tallies[0].push([Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]);
+            let servers = self.known.values().filter(|_| self.asks > 0);
+            servers.for_each(|server| server.health.borrow_mut().push(Rc::default()));
             self.names.len() - 1
         })
     }
@@ -294,13 +291,28 @@
     pub fn job_under(&mut self, rules: &Rc<Settings>, id: u32, place: usize, customer: usize, limit: f64) {
         let (now, profile) = (self.now, self.slot(&rules.profiles[place].name));
         let (rules, asked) = (rules.clone(), Cell::new(f64::NEG_INFINITY));
-        let job = Job { id, rules, place, profile, customer, arrived: now, limit, asked, ..Job::default() };
+        let (arrived, limit) = (Cell::new(now), Cell::new(limit));
+        let job = Job { id, rules, place, profile, customer, arrived, limit, asked, ..Job::default() };
         let (gain, job) = (self.gain(&job), Rc::new(job));
         self.tally(profile, customer, |[asked, _]| asked.add(now, gain));
         self.jobs.insert(id, job.clone());
         self.pending.push(job);
     }
 
+    /// The last byte of a job's body has come: its times, and those of its shot, count from now on.
+    pub fn body_came(&mut self, id: u32, limit: f64) {
+        let Some(job) = self.jobs.get(&id).cloned() else { return };
+        job.arrived.set(self.now);
+        job.limit.set(limit);
+        job.shots.borrow_mut().iter_mut().for_each(|shot| shot.sent = self.now);
+        self.pending.push(job);
+    }
+
+    /// A job's body is on its way and is not kept: there can be no further shot.
+    pub fn spent(&mut self, id: u32) {
+        self.jobs.get(&id).iter().for_each(|job| job.spent.set(true));
+    }
+
     pub fn shot_ended(&mut self, id: u32, shot: usize, ending: Ending, took: f64, done: bool) {
         let Some(job) = self.jobs.get(&id).cloned() else { return };
         let Some(server) = self.book_ending(&job, shot, ending) else { return };
@@ -471,19 +483,12 @@
         self.review(job, self.now + ASK_PATIENCE * self.profile(job).contract_time);
     }
 
-    /// Share of the job's time left that a server of this figure will take, by what recent ones took.
-    fn promise(&mut self, job: &Job, figure: f64) -> f64 {
-        let left = job.arrived + self.profile(job).contract_time - self.now;
-        let mean = self.drawn.mean_beside(self.now, 1.0, 1.0);
-        self.usual(job) * figure / mean / left.max(f64::MIN_POSITIVE)
-    }
-
     fn book_ending(&mut self, job: &Job, shot: usize, ending: Ending) -> Option<Rc<Server>> {
         let mut shots = job.shots.borrow_mut();
         let shot = shots.get_mut(shot).filter(|shot| shot.ending.is_none())?;
         shot.ending = Some(ending);
         // A late answer from where it was to be quick is chance, not crowding.
-        let late = self.now - job.arrived > self.profile(job).contract_time;
+        let late = self.now - job.arrived.get() > self.profile(job).contract_time;
         if late && shot.promise > EDGE * self.reach {
             self.reach = (self.reach * (1.0 - REACH_SHRINK)).max(REACH_LEAST);
         } else if ending == Ending::Honoured && !late {
@@ -512,12 +517,12 @@
             (self.next_ask, self.ask_pause) = (now, 2.0 * ASK_AGAIN);
         }
         // An error that most servers give now comes from the tier behind: it says nothing of this one.
-        let behind = !self.settings.last_tier && self.success() < SHARED;
+        let behind = !self.settings.last_tier && self.endings.mean_beside(now, 1.0, 1.0) < SHARED;
         match ending {
             Ending::Honoured => {
                 self.endings.add(now, 1.0);
                 server.answered(job.profile, now, self.settings.cold_time);
-                if now - job.arrived <= self.profile(job).contract_time {
+                if now - job.arrived.get() <= self.profile(job).contract_time {
                     let gain = self.gain(job);
                     self.tally(job.profile, job.customer, |[_, honoured]| honoured.add(now, gain));
                 }
@@ -614,7 +619,7 @@
 
     /// The last moment for an answer of our own: a round ahead, so that it leaves before the limit.
     fn last_call(&self, job: &Job) -> f64 {
-        job.limit.min(self.closing) - 2.0 * self.settings.round
+        job.limit.get().min(self.closing) - 2.0 * self.settings.round
     }
 
     fn check_overdue(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
@@ -622,7 +627,10 @@
         let usual = self.usual(job) * overdue;
         let mut next = f64::INFINITY;
         let mut late = None;
-        for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none() && !shot.overdue) {
+        // No server can be late with a job that has not come whole.
+        let whole = job.limit.get().is_finite();
+        let counts = |shot: &&mut Shot| whole && shot.ending.is_none() && !shot.overdue;
+        for shot in job.shots.borrow_mut().iter_mut().filter(counts) {
             let at = shot.sent + usual * shot.server.slowness.get().min(2.0);
             if at > self.now {
                 next = next.min(at);
@@ -647,7 +655,7 @@
 
     /// Has the job looked at again at `at`, or when its answer falls due.
     fn review(&mut self, job: &Rc<Job>, at: f64) {
-        let at = at.min(self.last_call(job)).max(0.0);
+        let at = at.min(self.last_call(job)).clamp(0.0, self.now + REVIEW);
         self.due.insert((at.to_bits(), job.id), Rc::downgrade(job));
     }
 
@@ -661,7 +669,7 @@
 
     fn hold_until(&self, job: &Job) -> f64 {
         let hold = if self.table.is_empty() { f64::INFINITY } else { HOLD };
-        self.last_call(job).min(job.arrived + hold * self.profile(job).contract_time)
+        self.last_call(job).min(job.arrived.get() + hold * self.profile(job).contract_time)
     }
 
     /// Lets waiting jobs go, best gain first, while the window has room.
@@ -672,7 +680,7 @@
         let waiting = std::mem::take(&mut self.waiting).into_iter().filter(|job| !job.closed.get());
         let (asked, worst) = self.served();
         let mut ranked: Vec<_> = waiting.map(|job| (self.worth(&job, asked, worst), job)).collect();
-        ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then(x.arrived.total_cmp(&y.arrived)));
+        ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then(x.arrived.get().total_cmp(&y.arrived.get())));
         // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
         let works =
             |server: &&Rc<Server>| !server.health.borrow().iter().all(|health| health.is_aside(self.now));
@@ -753,7 +761,7 @@
         }
         let excess = if within { 1.0 } else { self.settings.excess_gain };
         // What will hardly be answered in time is worth little more than nothing, however short the queue.
-        let left = job.arrived + self.profile(job).contract_time - self.now;
+        let left = job.arrived.get() + self.profile(job).contract_time - self.now;
         let chance = (left / self.usual(job)).clamp(0.0, 1.0).powf(SURE);
         part * excess * chance * self.gain(job) / self.usual(job)
     }
@@ -767,7 +775,7 @@
     /// The only gate to a further shot: where may the job go, if anywhere?
     fn bounds(&self, job: &Job) -> Option<Bound> {
         let shots = job.shots.borrow();
-        if shots.len() >= job.rules.most_shots {
+        if shots.len() >= job.rules.most_shots || job.spent.get() {
             return None;
         }
         let Some(first) = shots.iter().find(|shot| !shot.ending.is_some_and(Ending::never_ran)) else {
@@ -785,12 +793,9 @@
 
     /// May the client be told that trying again does no harm?
     fn may_push_back(&self, job: &Job) -> bool {
-        let profile = self.profile(job);
-        match profile.effect {
-            Effect::Redoable => true,
-            Effect::Labelled if profile.group == Group::All => true,
-            _ => job.proven_unrun(),
-        }
+        let Profile { effect, group, .. } = self.profile(job);
+        let harmless = *effect == Effect::Redoable || *effect == Effect::Labelled && *group == Group::All;
+        harmless || job.proven_unrun()
     }
 
     fn give_up(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
@@ -822,13 +827,16 @@
         let Some(group) = self.bounds(job) else { return false };
         let first = job.shots.borrow().is_empty();
         let further = !job.proven_unrun();
-        // Further shots follow the share of recent shots that succeeded, or retries would feed a jam.
-        let allowed = FURTHER_FREE + FURTHER * self.success() * self.first_shots.total(self.now).0;
+        // Further shots follow the share of recent shots that were honoured, or retries would feed a jam.
+        let honoured = self.endings.mean_beside(self.now, 1.0, 1.0);
+        let allowed = FURTHER_FREE + FURTHER * honoured * self.first_shots.total(self.now).0;
         if further && self.further.total(self.now).0 >= allowed {
             return false;
         }
         let Some((server, figure)) = self.draw(job, group) else { return false };
-        let promise = self.promise(job, figure);
+        // Share of the job's time left that a server of this figure will take, by what recent ones took.
+        let left = (job.arrived.get() + self.profile(job).contract_time - self.now).max(f64::MIN_POSITIVE);
+        let promise = self.usual(job) * figure / self.drawn.mean_beside(self.now, 1.0, 1.0) / left;
         // What room there is under overload is for the better ones.
         let power = worth.map(|worth| if self.is_better(worth) { BETTER } else { OTHERS });
         let idle = server.figure.get().is_some_and(|held| held < IDLE);
@@ -850,7 +858,7 @@
         let health = server.health(job.profile);
         health.on_trial.set(health.strikes.get() >= STRIKES && self.now >= health.back_at.get());
         self.out.change(self.now, 1.0);
-        out.shoot(job.id, server.line.get().server, job.limit - self.now);
+        out.shoot(job.id, server.line.get().server, job.limit.get() - self.now);
         let usual = self.usual(job) * self.overdue();
         let at = self.now + usual * server.slowness.get().min(2.0);
         job.shots.borrow_mut().push(Shot { server, sent: self.now, promise, ending: None, overdue: false });
@@ -858,11 +866,6 @@
         true
     }
 
-    /// Share of recent shots that were honoured.
-    fn success(&mut self) -> f64 {
-        self.endings.mean_beside(self.now, 1.0, 1.0)
-    }
-
     fn draw(&mut self, job: &Job, group: Bound) -> Option<(Rc<Server>, f64)> {
         let mut open = Vec::new();
         if self.asks > 0 {
