Two processes of one node share list, open ids and limits; bodies that never begin cost nothing

Hand-over: over a socket in $TMPDIR, versioned; missing, cut off, of another version or stale, each goes on as if alone. Tests: two processes where the new one's discovery is silent and the old one stands still or is killed in the middle of a job, six kinds of faulty hand-over, a new process that dies before its yes, an upgrade after an upgrade. Now a body flows once 64 KiB of it are here.

--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -31,7 +31,19 @@
 /// Least bytes a job counts for: its answer takes room as well.
 const LEAST_BODY: usize = 4 * 1024;
 
+/// What a process uses of the limits that all processes of a node share.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Use {
+    pub connections: usize,
+    pub bytes: usize,
+}
+
 pub struct Room {
+    /// The limits: descriptors that are left for connections, and bytes of memory.
+    sockets: Cell<usize>,
+    memory: Cell<usize>,
+    /// What other processes of this node use.
+    others: RefCell<Vec<Use>>,
     most_open: Cell<usize>,
     last_resort: Cell<usize>,
     open: Cell<usize>,
@@ -49,6 +61,9 @@
 impl Room {
     pub fn new(sockets: usize, memory_mb: f64) -> Rc<Self> {
         let room = Self {
+            sockets: Cell::new(0),
+            memory: Cell::new(0),
+            others: RefCell::default(),
             most_open: Cell::new(0),
             last_resort: Cell::new(0),
             open: Cell::new(0),
@@ -66,10 +81,35 @@
 
     /// The limits from now on; what is over them already is not cut off.
     pub fn limit(&self, sockets: usize, memory_mb: f64) {
-        let last_resort = (sockets / LAST_RESORT.0).min(LAST_RESORT.1);
+        self.sockets.set(sockets);
+        self.memory.set((memory_mb * 1024.0 * 1024.0 * BODIES) as usize);
+        self.divide();
+    }
+
+    /// Other processes of this node use this much of the same limits.
+    pub fn share(&self, others: &[Use]) {
+        others.clone_into(&mut self.others.borrow_mut());
+        self.divide();
+    }
+
+    pub fn uses(&self) -> Use {
+        Use { connections: self.open.get(), bytes: self.bytes.get() }
+    }
+
+    /// Each process has an equal part; what one has above it already is missing to the others.
+    fn divide(&self) {
+        let others = self.others.borrow();
+        let part = |all: usize, used: usize| {
+            let theirs = all / (others.len() + 1) * others.len();
+            all.saturating_sub(used.max(theirs))
+        };
+        let kept = FIXED * (others.len() + 1) + crate::admin::DESCRIPTORS * others.len();
+        let last_resort = (self.sockets.get() / LAST_RESORT.0).min(LAST_RESORT.1) / (others.len() + 1);
+        let connections = self.sockets.get().saturating_sub(kept + last_resort * (others.len() + 1));
+        let used = |what: fn(&Use) -> usize| others.iter().map(what).sum();
         self.last_resort.set(last_resort);
-        self.most_open.set(sockets.saturating_sub(FIXED + last_resort).max(CONNECTIONS));
-        self.most_bytes.set((memory_mb * 1024.0 * 1024.0 * BODIES) as usize);
+        self.most_open.set(part(connections, used(|other| other.connections)).max(CONNECTIONS));
+        self.most_bytes.set(part(self.memory.get(), used(|other| other.bytes)));
     }
 
     /// Room for one more connection.
@@ -336,4 +376,20 @@
         assert!(room.has_place());
         assert_eq!((room.to_string().as_str(), room.bytes.get()), ("connections_open=0 jobs_held=0", 0));
     }
+
+    // Two processes of one node must not use more than one may.
+    #[test]
+    fn limits_count_over_all_processes_of_a_node() {
+        let room = Room::new(162, 1.0);
+        let (alone, bytes) = (room.most_open.get(), room.most_bytes.get());
+        let other = |connections, bytes| Use { connections, bytes };
+        room.share(&[other(0, 0)]);
+        let part = room.most_open.get();
+        assert!(part * 2 <= alone - FIXED && room.most_bytes.get() <= bytes.div_ceil(2));
+        // The other one holds more than its part, from when it was alone.
+        room.share(&[other(alone - 10, bytes)]);
+        assert!(room.most_open.get() <= 10 && room.most_bytes.get() == 0);
+        room.share(&[]);
+        assert_eq!((room.most_open.get(), room.most_bytes.get()), (alone, bytes));
+    }
 }
--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -1,13 +1,15 @@
 //! Watches discovery's list, and turns its ids and addresses into what the module knows servers by.
 
-use crate::admit::Room;
 use crate::book::Book;
+use crate::handover::Peers;
 use crate::logger::Seldom;
 use crate::message::{self, Line, List};
 use crate::route::{Inbox, ms};
 use crate::send::{Link, Senders};
 use crate::terms::InForce;
 use pearfront::interface::{Address, Listing, Standing};
+use pearfront_settings::At;
+use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -118,8 +120,9 @@
     terms: Rc<InForce>,
     inbox: Rc<Inbox>,
     senders: Rc<Senders>,
-    room: Rc<Room>,
     book: Rc<Book>,
+    /// Other processes of this node.
+    pub peers: Rc<Peers>,
     roster: RefCell<Roster>,
     version: Cell<u64>,
     watching: Cell<bool>,
@@ -135,9 +138,9 @@
         unix_start: f64,
         terms: Rc<InForce>,
         senders: Rc<Senders>,
-        room: Rc<Room>,
         book: Rc<Book>,
         inbox: Rc<Inbox>,
+        peers: Rc<Peers>,
     ) -> Rc<Self> {
         Rc::new(Self {
             service: Cell::new(service),
@@ -146,8 +149,8 @@
             terms,
             inbox,
             senders,
-            room,
             book,
+            peers,
             roster: RefCell::default(),
             version: Cell::new(0),
             watching: Cell::new(false),
@@ -181,6 +184,21 @@
         });
     }
 
+    /// The whole list as last told, in discovery's form.
+    pub fn as_json(&self) -> Value {
+        let (roster, terms) = (self.roster.borrow(), self.terms.now());
+        message::encode_list(self.version.get(), roster.lines.values(), &terms.around)
+    }
+
+    /// Another process of this node has this list; what this one has been told since may be newer.
+    pub fn told_by_other(&self, list: &Value) -> Result<(), String> {
+        let list = message::decode_known(&At::top(list, "list"), &self.terms.now().around)?;
+        if list.version > self.version.get() {
+            self.tell(list, true);
+        }
+        Ok(())
+    }
+
     /// Waits for the next list that the service gives.
     pub async fn heard(&self) {
         self.heard.notified().await;
@@ -271,7 +289,7 @@
         let link = match place.take().filter(Link::is_usable) {
             Some(link) => place.insert(link),
             None => {
-                let opened = timeout(ms(PATIENCE), Link::open(service, &self.room)).await;
+                let opened = timeout(ms(PATIENCE), Link::open(service, &self.peers.room)).await;
                 place.insert(opened.ok().and_then(Result::ok).ok_or("no connection")?)
             }
         };
--- a/crates/pearfront-node/src/flow.rs
+++ b/crates/pearfront-node/src/flow.rs
@@ -46,16 +46,13 @@
 
 impl std::error::Error for Broken {}
 
-/// Reads a body to its end, or until it is known to be more than `most`; no piece of it may take longer than `pause`.
+/// Reads a body to its end, or until more than `most` is here: who sends none of it costs no server anything. No piece of it may take longer than `pause`.
 pub async fn start(mut body: Incoming, most: usize, pause: Duration) -> Result<Start, Broken> {
     let least = body.size_hint().lower();
     if least > MOST {
         return Err(Broken::TooLong);
     }
-    if least > most as u64 {
-        return Ok(Start::Begun(Bytes::new(), body));
-    }
-    let mut read = Vec::with_capacity(least as usize);
+    let mut read = Vec::with_capacity((least as usize).min(most));
     while let Some(frame) = timeout(pause, body.frame()).await.map_err(|_| Broken::Stalled)? {
         if let Ok(data) = frame.map_err(|_| Broken::Cut)?.into_data() {
             read.extend_from_slice(&data);
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod discovery;
 mod flow;
+mod handover;
 mod inherited;
 mod lifecycle;
 mod logger;
@@ -23,6 +24,7 @@
 use book::Book;
 use config::Config;
 use discovery::Discovery;
+use handover::Peers;
 use lifecycle::Lifecycle;
 use logger::Seldom;
 use pearfront::policy::Balancer;
@@ -31,6 +33,7 @@
 use send::Senders;
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -103,13 +106,14 @@
     let (name, address) = (config.name.clone(), config.listen);
     let as_written = config.as_written.clone();
     let terms = InForce::new(std::mem::take(&mut config.terms));
+    let place = if shared { Peers::place(&name) } else { None };
     let (take_in, book, discovery) = build(config, &terms, life.clone());
     log::info!("node {name} listens on {address}");
     if let Some(operators) = operators {
         spawn_local(Admin::new(life.clone()).serve(operators));
     }
     spawn_local(take_in.clone().let_go());
-    spawn_local(start(shared, life.clone(), discovery.clone()));
+    spawn_local(start(shared, place, life.clone(), discovery.clone()));
     spawn_local(print_counters(show, book.clone(), take_in.room.clone()));
     spawn_local(read_again(again, as_written, terms.clone(), discovery, take_in.clone()));
     let (clock, last) = (take_in.route.clock, Cell::new(f64::INFINITY));
@@ -119,8 +123,6 @@
             _ = interrupt.recv() => {}
         }
         log::info!("told to end, {} jobs held", take_in.room.jobs());
-        // What waits at a socket that the platform holds is found there by whoever serves it next.
-        life.succeeded(shared);
         life.end();
         let longest = terms.now().around.longest_limit.min(LONGEST_COUNTED) + AFTER_LIMIT;
         last.set(clock.now() + longest);
@@ -138,12 +140,21 @@
 
 /// Says that the node is ready: at once where it serves alone. Where others may serve the same socket they go on
 /// meanwhile, so the list that discovery has now comes first, if it comes soon: what is told counts from the yes on.
-async fn start(shared: bool, life: Rc<Lifecycle>, discovery: Rc<Discovery>) {
+async fn start(shared: bool, place: Option<PathBuf>, life: Rc<Lifecycle>, discovery: Rc<Discovery>) {
     if shared {
         discovery.watch();
-        let _ = timeout(FIRST_LIST, discovery.heard()).await;
+        let asking = async {
+            if let Some(place) = &place {
+                discovery.peers.call(place, &discovery).await;
+            }
+        };
+        let _ = tokio::join!(asking, timeout(FIRST_LIST, discovery.heard()));
     }
     life.ready();
+    discovery.peers.ready();
+    if let Some(place) = place {
+        discovery.peers.clone().serve(place, discovery).await;
+    }
 }
 
 async fn print_counters(mut show: Signal, book: Rc<Book>, room: Rc<Room>) {
@@ -195,14 +206,15 @@
     let room = Room::new(config.sockets, config.memory_mb);
     let inbox = Rc::new(Inbox::default());
     let senders = Senders::new(terms.clone(), room.clone(), book.clone());
+    let peers = Peers::new(room.clone(), life.clone());
     let discovery = Discovery::new(
         config.discovery,
         unix_start,
         terms.clone(),
         senders.clone(),
-        room.clone(),
         book.clone(),
         inbox.clone(),
+        peers.clone(),
     );
     let prober = Rc::new(Prober {
         senders: senders.clone(),
@@ -211,7 +223,7 @@
         book: book.clone(),
         unread: Seldom::default(),
     });
-    let route = Route::new(clock, inbox, senders.clone(), discovery.clone(), prober, book.clone());
+    let route = Route::new(clock, inbox, senders.clone(), discovery.clone(), prober, book.clone(), peers);
     discovery.tell(config.known, true);
     if !settings.listed_on_request {
         spawn_local(discovery.clone().keep_watching());
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -433,6 +433,24 @@
     Ok(List { version, whole: top.needed("reset")?.flag()?, lines, dropped })
 }
 
+/// A whole list in discovery's form.
+pub fn encode_list<'a>(version: u64, lines: impl Iterator<Item = &'a Line>, around: &Surroundings) -> Value {
+    let name = |names: &[String], place: usize| names.get(place).cloned().unwrap_or_default();
+    let line = |line: &Line| {
+        let lifecycle = match line.standing {
+            Standing::Ready => "Ready",
+            Standing::Draining => "Terminating",
+            Standing::Gone => "Gone",
+        };
+        serde_json::json!({"instanceId": line.id, "hostPort": line.address.to_string(),
+            "zone": name(&around.zones, line.zone.into()), "machineType": name(&around.makes, line.make),
+            "cell": line.cell, "lifecycle": lifecycle, "weight": line.size,
+            "startedAtMs": line.started.unwrap_or(0.0)})
+    };
+    let lines: Vec<Value> = lines.map(line).collect();
+    serde_json::json!({"generation": version, "reset": true, "instances": lines})
+}
+
 fn decode_line(at: &At, around: &Surroundings) -> Result<Line, String> {
     let lifecycle = at.needed("lifecycle")?;
     let standing = match lifecycle.text()? {
@@ -477,6 +495,25 @@
         }
     }
 
+    // What one process tells the next must be what it knows.
+    #[test]
+    fn a_list_is_read_as_it_was_written() {
+        let line = |id: &str, standing, started| Line {
+            id: id.into(),
+            address: "127.0.0.1:8443".parse().unwrap(),
+            standing,
+            cell: 3,
+            zone: 1,
+            make: 2,
+            size: 0.5,
+            started,
+        };
+        let lines = [line("a", Standing::Ready, Some(1500.5)), line("b", Standing::Draining, None)];
+        let list = encode_list(41, lines.iter(), &around());
+        let list = decode_known(&At::top(&list, "list"), &around()).unwrap();
+        assert_eq!((list.version, list.whole, list.lines.as_slice()), (41, true, lines.as_slice()));
+    }
+
     // A report with a gap would put one figure in another's place.
     #[test_case("TEXT inflight=7, queue=2, util=0.61", Some(vec![0.61, 2.0]); "in the order of the settings")]
     #[test_case("TEXT utilization=0.5,backlog=0", Some(vec![0.5, 0.0]); "by the settings' names")]
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -4,6 +4,7 @@
 use crate::admit::Share;
 use crate::book::Book;
 use crate::discovery::{self, Discovery};
+use crate::handover::Peers;
 use crate::message::{Answer, Job};
 use crate::probe::Prober;
 use crate::relay::Relay;
@@ -13,6 +14,7 @@
 use hyper::header::HeaderValue;
 use pearfront::interface::{Address, Writer};
 use pearfront::policy::Balancer;
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
@@ -68,6 +70,11 @@
     }
 }
 
+/// An id as processes tell it one another.
+fn text(id: &HeaderValue) -> Cow<'_, str> {
+    String::from_utf8_lossy(id.as_bytes())
+}
+
 /// A job from its taking in to the end of its last shot.
 pub struct Held {
     number: u32,
@@ -95,6 +102,7 @@
     held: RefCell<HashMap<u32, Rc<Held>>>,
     /// The ids of the jobs held.
     ids: RefCell<HashSet<HeaderValue>>,
+    peers: Rc<Peers>,
     numbered: Cell<u32>,
 }
 
@@ -106,14 +114,15 @@
         discovery: Rc<Discovery>,
         prober: Rc<Prober>,
         book: Rc<Book>,
+        peers: Rc<Peers>,
     ) -> Rc<Self> {
         let (held, ids, numbered) = (RefCell::default(), RefCell::default(), Cell::new(0));
-        Rc::new(Self { clock, inbox, senders, discovery, prober, book, held, ids, numbered })
+        Rc::new(Self { clock, inbox, senders, discovery, prober, book, held, ids, peers, numbered })
     }
 
-    /// Is another job with its id open, whoever sent that?
+    /// Is another job with its id open, whoever sent that, here or in another process of this node?
     pub fn has_open(&self, job: &Job) -> bool {
-        self.ids.borrow().contains(job.id())
+        self.ids.borrow().contains(job.id()) || self.peers.has_open(&text(job.id()))
     }
 
     /// Takes a job on; its answer comes through the receiver, whatever happens. Where the body is still coming there
@@ -135,6 +144,7 @@
             _share: share,
         });
         self.ids.borrow_mut().insert(held.job.id().clone());
+        self.peers.open(text(held.job.id()).into());
         self.held.borrow_mut().insert(number, held.clone());
         self.book.taken.add();
         self.inbox
@@ -175,6 +185,7 @@
         if held.out.get() == 0 && !held.relay.is_open() {
             self.held.borrow_mut().remove(&held.number);
             self.ids.borrow_mut().remove(held.job.id());
+            self.peers.over(&text(held.job.id()));
         }
     }
 
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -141,7 +141,10 @@
             flow.at_end(move || wire.last_chunk());
         }
         let (head, body) = self.send(call).await?;
-        let body = flow::start(body, MOST_WHOLE, flow::STALLED).await.map_err(|_| ())?;
+        // Said to be large, it flows from its first byte on.
+        let least = hyper::body::Body::size_hint(&body).lower();
+        let most = if least > MOST_WHOLE as u64 { 0 } else { MOST_WHOLE };
+        let body = flow::start(body, most, flow::STALLED).await.map_err(|_| ())?;
         Ok((head, body))
     }
 
--- a/crates/pearfront-node/tests/days/mod.rs
+++ b/crates/pearfront-node/tests/days/mod.rs
@@ -1,6 +1,6 @@
 //! The operators' days on loopback: calls at the operators' address, a drain, an upgrade under load.
 
-use crate::stand_ins::{Act, Node, Platform, Server, config, entry, head, list, run_faulty};
+use crate::stand_ins::{Act, Discovery, Node, Platform, Server, config, entry, head, list, run_faulty};
 use serde_json::json;
 use test_case::test_case;
 
@@ -361,3 +361,93 @@
     assert_eq!(caller.ask("", b"body").status(), 200);
     assert_eq!(server.jobs()[0].body, b"body");
 }
+
+// What the old process was told holds for the new one, which says yes only then; an id that is open at one is open at
+// both; and limits count over both.
+#[test]
+fn two_processes_are_one_node() {
+    let (gone, silent) = (Server::start(Act::Honour(Vec::new())), Server::start(Act::Silence));
+    let (platform, config) = (Platform::new(), config(&[gone.address]));
+    let old = platform.start(&config);
+    old.discovery.publish(2, list(2, true, &[entry("new", silent.address, "Ready")]));
+    old.discovery.wait_for(2);
+    old.wait_for_call("GET /_ready", 200);
+    let mut first = old.caller();
+    let job = head("pay", "60", 0);
+    first.send(&job, b"");
+    silent.wait_for("job 1");
+    // The discovery of the new one says nothing: it has the list from the old one alone.
+    let new = platform.start_with(&config, Discovery::fall_silent);
+    new.wait_for_call("GET /_ready", 200);
+    old.signal("-STOP");
+    let mut second = new.caller();
+    assert_eq!(second.ask(&job, b"").status(), 400);
+    second.send(&head("pay", "60", 0), b"");
+    silent.wait_for("job 2");
+    assert!(gone.jobs().is_empty());
+    // Killed outright in the middle of its job: what it had is free for the new one.
+    old.kill();
+    assert!(first.answer().is_none());
+    // Sent again by its client, its id is free once the end of the old process has been seen.
+    let mut third = new.caller();
+    let again = job.replace("X-Expires-In: 60", "X-Expires-In: 0");
+    while third.ask(&again, b"").status() == 400 {}
+    third.send(&job, b"");
+    silent.wait_for("job 3");
+}
+
+// Whatever stands where the other process should be, the node starts as if it were alone.
+#[test_case(None; "nothing")]
+#[test_case(Some(""); "one that hangs up")]
+#[test_case(Some("{\"hello\":{\"version\":2}}\n"); "one of another version")]
+#[test_case(Some("{\"hello\":{\"version\":1}}\n{\"list\":{\"generation\":9,\"res"); "a list cut off")]
+#[test_case(Some("{\"hello\":{\"version\":1}}\n{\"list\":{\"generation\":0,\"reset\":true,\"instances\":[]}}\n"); "a stale list")]
+#[test_case(Some("what do you mean?\n"); "noise")]
+fn a_hand_over_that_can_not_be_read_is_as_good_as_none(said: Option<&'static str>) {
+    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let platform = Platform::new();
+    if let Some(said) = said {
+        platform.say(said);
+    }
+    let node = platform.start(&config(&[server.address]));
+    node.wait_for_call("GET /_ready", 200);
+    assert_eq!(node.caller().ask(&head("pay", "5", 0), b"").status(), 200);
+    // The next one finds this one, and one more upgrade after that.
+    let next = platform.start(&config(&[server.address]));
+    next.wait_for_call("GET /_ready", 200);
+    node.end();
+    let last = platform.start(&config(&[server.address]));
+    last.wait_for_call("GET /_ready", 200);
+    next.end();
+    assert_eq!(last.caller().ask(&head("pay", "5", 0), b"").status(), 200);
+}
+
+// A new process that dies before its yes changes nothing for the old one.
+#[test]
+fn a_new_process_that_dies_before_its_yes_leaves_the_old_one_as_it_was() {
+    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let (platform, config) = (Platform::new(), config(&[server.address]));
+    let old = platform.start(&config);
+    old.wait_for_call("GET /_ready", 200);
+    let new = platform.start_with(&config, Discovery::fall_silent);
+    let _ = new.operator();
+    new.kill();
+    let mut client = old.caller();
+    assert_eq!(client.ask(&head("read", "5", 0), b"").status(), 200);
+    // With no other process on its socket it serves to its end.
+    old.signal("-TERM");
+    assert_eq!(old.caller().ask(&head("read", "5", 0), b"").status(), 200);
+    assert_eq!(old.ended()["honoured"], 2);
+}
+
+// Who says that much is coming and brings nothing has no part in what the module counts, and costs no server anything.
+#[test]
+fn a_large_body_that_never_begins_reaches_no_server() {
+    let server = Server::start(Act::Honour(Vec::new()));
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    caller.send(&head("pay", "60", 1_000_000), b"little");
+    assert_eq!(caller.answer().unwrap().status(), 400);
+    let counters = node.end();
+    assert_eq!((counters["taken"], counters["connections"], server.jobs().len()), (0, 0, 0));
+}
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -7,6 +7,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixListener;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -395,8 +396,14 @@
 
     /// One more process of the node, told of operators' address by its variable.
     pub fn start(&self, config: &Value) -> Node {
+        self.start_with(config, |_| {})
+    }
+
+    /// The same with its discovery told something before.
+    pub fn start_with(&self, config: &Value, before: impl Fn(&Discovery)) -> Node {
         let (address, admin, discovery) =
             (self.listener.local_addr().unwrap(), fresh_address(), Discovery::start());
+        before(&discovery);
         let file = write_file(&config.to_string());
         let node = command(address, discovery.address, &file);
         let mut shell = Command::new("sh");
@@ -410,6 +417,18 @@
     }
 }
 
+impl Platform {
+    /// Says this to the node's next process, as if another one were there.
+    pub fn say(&self, what: &'static str) {
+        let listener = UnixListener::bind(self.folder.join("pearfront-n0.sock")).unwrap();
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let _ = stream.write_all(what.as_bytes());
+            }
+        });
+    }
+}
+
 impl Drop for Platform {
     fn drop(&mut self) {
         std::fs::remove_dir_all(&self.folder).unwrap();
@@ -511,6 +530,13 @@
         panic!("{call} was never answered {status}");
     }
 
+    /// Kills it outright, as a platform does that has waited long enough.
+    pub fn kill(mut self) {
+        let mut child = self.child.take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
     /// The most memory that it ever held, KiB.
     pub fn peak_memory(&self) -> usize {
         let status = format!("/proc/{}/status", self.child.as_ref().unwrap().id());
