--- a/crates/pearfront-settings/src/moving.rs
+++ b/crates/pearfront-settings/src/moving.rs
@@ -11,6 +11,7 @@
         &[
             "name",
             "listen",
+            "admin",
             "discovery",
             "seed",
             "limits",
@@ -157,7 +158,7 @@
     let mut left = vec!["seed: each node has its own, the one given".to_string()];
     let mut file = old.clone();
     file["seed"] = json!(place.seed);
-    for key in ["name", "listen", "peer_listen", "peers", "peers_all"] {
+    for key in ["name", "listen", "admin", "peer_listen", "peers", "peers_all"] {
         drop_key(&mut file, key, &mut left, "belongs to the old node");
     }
     let mut kept = Vec::new();
@@ -226,7 +227,7 @@
     use test_case::test_case;
 
     fn old() -> Value {
-        json!({"seed": "8c1f", "known": {"generation": 1, "reset": true, "instances": [
+        json!({"seed": "8c1f", "admin": "127.0.0.1:15000", "known": {"generation": 1, "reset": true, "instances": [
                 {"instanceId": "s-1", "hostPort": "127.0.0.1:9001", "zone": "north"},
                 {"instanceId": "s-2", "hostPort": "127.0.0.1:9002", "zone": "old-room"}]},
             "settings": {"siblings": 4, "round": 4e6, "discovery": "on_request", "azs": ["old-room"], "me": 2,
@@ -247,10 +248,11 @@
         let settings = decode(&At::top(&moved.file["settings"], "settings")).unwrap();
         assert!(!settings.listed_on_request && !settings.second_copies);
         assert_eq!((settings.siblings, settings.zone), (300.0, 1));
-        assert_eq!(moved.file["seed"], "1f");
+        assert_eq!((&moved.file["seed"], moved.file.get("admin")), (&json!("1f"), None));
         assert_eq!(moved.file["known"]["instances"].as_array().unwrap().len(), 1);
         for key in [
             "seed",
+            "admin",
             "me",
             "ask_within",
             "parallel_tries",
