A list that stalls or breaks off is asked for again at once

What shows without it: the new test's list that breaks off is asked for again only after the module's pause of 0.5 to 1.5 s, with the watch counted as ended; one that stalls after 5.1 s. Ruled out: that part of such a list is taken over, which it never was (the body was always read whole before it was decoded). Lines at fault: call() in discovery.rs had one time limit for waiting and reading, follow() asked again only after silence. Now the rest of a list has 1 s from its head, and one cut list is followed at once by another call. Besides, tests of a job in single bytes, settings in the middle of a drain, a drain in the middle of an upgrade, an operators' address in use.

--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -26,13 +26,43 @@
 const PATIENCE: f64 = 2100.0;
 /// How long a call at the address where discovery was is waited for: it closes what is open there by then.
 const OLD_WATCH: Duration = Duration::from_secs(2);
-/// What is said of a call that had no answer in time.
-const SILENT: &str = "no answer in time";
+/// Longest between an answer's head and its end: it has the list by then, and only has to write it.
+const REST: Duration = Duration::from_secs(1);
 /// First and last pause before a watch that nobody asked for begins again after a failure.
 const AGAIN: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
 /// Longest body of a list, bytes: thousands of servers.
 const MOST_LIST: usize = 4 * 1024 * 1024;
 
+/// Why a call brought no list.
+enum Failure {
+    /// No answer in time: the way to it may be lost for this connection alone.
+    Silent(&'static str),
+    /// It has answered, but the list stalled or broke off: the next one may be well.
+    Cut(&'static str),
+    /// The service can't be reached, or says something else.
+    Refused(String),
+}
+
+impl Failure {
+    /// Is it worth asking again at once, after one that was asked again, or that was cut, before?
+    fn may_be_over(&self, tried_again: bool, cut: bool) -> bool {
+        match self {
+            Failure::Silent(_) => !tried_again,
+            Failure::Cut(_) => !cut,
+            Failure::Refused(_) => false,
+        }
+    }
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Failure::Silent(what) | Failure::Cut(what) => f.write_str(what),
+            Failure::Refused(what) => f.write_str(what),
+        }
+    }
+}
+
 /// The module's word for an address, which is the address itself.
 pub fn token(address: SocketAddrV4) -> Address {
     let ([a, b, c, d], [high, low]) = (address.ip().octets(), address.port().to_be_bytes());
@@ -253,19 +283,25 @@
         let mut wait = 0.0;
         let mut link = None;
         let mut at = self.service.get();
-        let mut tried_again = true;
+        let (mut tried_again, mut cut) = (true, false);
         loop {
             let answer = tokio::select! {
                 answer = self.call(&mut link, at, wait) => answer,
-                () = self.old_call_is_over() => Err("the service has moved".into()),
+                () = self.old_call_is_over() => Err(Failure::Silent("the service has moved")),
             };
             let moved = at != self.service.get();
             wait = if answer.is_ok() { HOLD } else { 0.0 };
             match answer {
-                Ok(list) => self.tell(list, false),
-                // The way to it may be lost for this connection alone; what it wrote there counts as told.
-                Err(problem) if !moved && (problem != SILENT || tried_again) => return problem,
-                Err(_) => {}
+                Ok(list) => {
+                    cut = false;
+                    self.tell(list, false);
+                }
+                // What it wrote counts as told.
+                Err(problem) if moved || problem.may_be_over(tried_again, cut) => {
+                    self.failing.warn(format_args!("list asked for again: {problem}"));
+                    cut = matches!(problem, Failure::Cut(_));
+                }
+                Err(problem) => return problem.to_string(),
             }
             tried_again = wait == 0.0 && !moved;
             if wait == 0.0 || moved {
@@ -279,27 +315,28 @@
         sleep(OLD_WATCH).await;
     }
 
-    async fn call(&self, link: &mut Option<Link>, service: SocketAddr, wait: f64) -> Result<List, String> {
-        timeout(ms(wait + PATIENCE), self.ask(link, service, wait))
-            .await
-            .unwrap_or_else(|_| Err(SILENT.into()))
-    }
-
-    async fn ask(&self, place: &mut Option<Link>, service: SocketAddr, wait: f64) -> Result<List, String> {
+    async fn call(&self, place: &mut Option<Link>, service: SocketAddr, wait: f64) -> Result<List, Failure> {
         let link = match place.take().filter(Link::is_usable) {
             Some(link) => place.insert(link),
             None => {
                 let opened = timeout(ms(PATIENCE), Link::open(service, &self.peers.room)).await;
-                place.insert(opened.ok().and_then(Result::ok).ok_or("no connection")?)
+                place
+                    .insert(opened.ok().and_then(Result::ok).ok_or(Failure::Refused("no connection".into()))?)
             }
         };
         let call = message::encode_watch(&service.to_string(), self.version.get(), wait);
-        let (head, body) = link.ask(call, MOST_LIST).await.map_err(|()| "connection broke")?;
+        let answer = timeout(ms(wait + PATIENCE), link.send(call)).await;
+        let answer = answer.map_err(|_| Failure::Silent("no answer in time"))?;
+        let (head, body) = answer.map_err(|()| Failure::Refused("connection broke".into()))?;
         if head.status != hyper::StatusCode::OK {
-            return Err(format!("answered {}", head.status));
+            return Err(Failure::Refused(format!("answered {}", head.status)));
         }
+        let body = timeout(REST, message::whole_of(body, MOST_LIST)).await;
+        let body = body.map_err(|_| Failure::Cut("a list that stalled"))?;
+        let body = body.map_err(|()| Failure::Cut("a list that broke off"))?;
+        let list = message::decode_list(&body, &self.terms.now().around).map_err(Failure::Refused)?;
         link.settle().await;
-        message::decode_list(&body, &self.terms.now().around)
+        Ok(list)
     }
 }
 
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -4,7 +4,8 @@
 use crate::send::ConnectionEnd;
 use crate::terms::Terms;
 use bytes::Bytes;
-use http_body_util::{Either, Full};
+use http_body_util::{BodyExt, Either, Full, Limited};
+use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::{request, response};
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
@@ -251,6 +252,11 @@
     pub body: Body,
 }
 
+/// An answer's whole body of at most so many bytes.
+pub async fn whole_of(body: Incoming, most: usize) -> Result<Bytes, ()> {
+    Ok(Limited::new(body, most).collect().await.map_err(|_| ())?.to_bytes())
+}
+
 fn whole(body: Bytes) -> Body {
     Either::Left(Full::new(body))
 }
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -10,7 +10,7 @@
 use crate::terms::InForce;
 use crate::wire::{Socket, Wire};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Either, Limited};
+use http_body_util::Either;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -130,8 +130,7 @@
     /// Sends a message and waits for its answer's head and whole body of at most so many bytes.
     pub async fn ask(&mut self, call: Request<Body>, most: usize) -> Result<(response::Parts, Bytes), ()> {
         let (head, body) = self.send(call).await?;
-        let body = Limited::new(body, most).collect().await.map_err(|_| ())?.to_bytes();
-        Ok((head, body))
+        Ok((head, message::whole_of(body, most).await?))
     }
 
     /// Sends a message and waits for its answer's head and as much of its body as is kept whole.
@@ -148,7 +147,8 @@
         Ok((head, body))
     }
 
-    async fn send(&mut self, call: Request<Body>) -> Result<(response::Parts, Incoming), ()> {
+    /// Sends a message and waits for its answer's head.
+    pub async fn send(&mut self, call: Request<Body>) -> Result<(response::Parts, Incoming), ()> {
         self.wire.expect(hyper::body::Body::size_hint(call.body()).exact());
         Ok(self.sender.send_request(call).await.map_err(|_| ())?.into_parts())
     }
--- a/crates/pearfront-node/tests/days/mod.rs
+++ b/crates/pearfront-node/tests/days/mod.rs
@@ -451,3 +451,79 @@
     let counters = node.end();
     assert_eq!((counters["taken"], counters["connections"], server.jobs().len()), (0, 0, 0));
 }
+
+// Half a whole list would say that the servers of its other half are gone. Asked for again at once, it is well.
+#[test_case(true; "breaks off")]
+#[test_case(false; "stalls")]
+fn a_list_that_stops_in_its_middle_is_taken_in_no_part_and_asked_for_again(ends: bool) {
+    let (old, new) =
+        (Server::start(Act::Honour(b"old".to_vec())), Server::start(Act::Honour(b"new".to_vec())));
+    let node = Node::start_with(&config(&[old.address]), |discovery| {
+        // The old server goes, and another one comes to where nobody was.
+        discovery.publish(2, list(2, true, &[entry("new", new.address, "Ready")]));
+        discovery.cut_next(ends);
+    });
+    node.discovery.wait_for(2);
+    assert_eq!(node.caller().ask(&head("pay", "5", 0), b"").body, b"new");
+    // No watch ended for it: the second call came without a pause.
+    assert_eq!(node.end()["lists_failed"], 0);
+}
+
+// In whatever pieces a job comes, it is one.
+#[test]
+fn a_job_that_comes_byte_by_byte_is_taken() {
+    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    caller.stream.set_nodelay(true).unwrap();
+    let job = [head("book", "5", 4).as_bytes(), b"body", head("read", "5", 0).as_bytes()].concat();
+    job.iter().for_each(|byte| caller.send("", &[*byte]));
+    assert_eq!([caller.answer(), caller.answer()].map(|answer| answer.unwrap().status()), [200, 200]);
+    assert_eq!(server.jobs()[0].body, b"body");
+}
+
+// Settings that come in the middle of a drain hold once it is taken back, and take nothing of it back themselves.
+#[test]
+fn new_settings_come_through_in_the_middle_of_a_drain() {
+    let server = Server::start(Act::Honour(Vec::new()));
+    let mut config = config(&[server.address]);
+    let node = Node::start_for_operators(config.clone());
+    config["admin"] = json!(node.admin.to_string());
+    assert_eq!(node.call("PUT /_lameduck/on"), 200);
+    config["settings"]["profiles"][0]["name"] = json!("look");
+    node.reload(&config.to_string());
+    node.wait_until(&head("read", "0", 0), 400);
+    assert_eq!(node.call("GET /_ready"), 503);
+    assert_eq!(node.call("PUT /_lameduck/off"), 200);
+    let mut caller = node.caller();
+    assert_eq!(caller.ask(&head("read", "5", 0).replace("/read/", "/look/"), b"").status(), 200);
+    assert_eq!(caller.ask(UP, b"").status(), 200);
+}
+
+// A drain is told to a process: in the middle of an upgrade the other one goes on.
+#[test]
+fn a_drain_in_the_middle_of_an_upgrade_is_the_old_ones_alone() {
+    let (platform, config) = (Platform::new(), config(&[]));
+    let old = platform.start(&config);
+    old.wait_for_call("GET /_ready", 200);
+    let new = platform.start(&config);
+    new.wait_for_call("GET /_ready", 200);
+    assert_eq!(old.call("PUT /_lameduck/on"), 200);
+    assert_eq!([&old, &new].map(|node| node.call("GET /_ready")), [503, 200]);
+    old.signal("-TERM");
+    assert_eq!(old.ended()["forfeited"], 0);
+    assert_eq!(new.caller().ask(UP, b"").status(), 200);
+}
+
+// Two nodes told of one operators' address: the second one lets no client in.
+#[test]
+fn an_operators_address_that_is_in_use_is_named() {
+    let node = Node::start_for_operators(config(&[]));
+    let address = node.admin.to_string();
+    let (output, bound) = run_faulty(&config(&[]).to_string(), |command| {
+        command.env("ROUTER_ADMIN", &address);
+    });
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert_eq!((output.status.code(), bound), (Some(1), false));
+    assert_eq!(said, format!("pearfront-node: admin: {address}: Address already in use (os error 98)\n"));
+}
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -262,6 +262,8 @@
     calls: Vec<String>,
     silent: bool,
     unanswered: usize,
+    /// How many bytes of the next list go out, and whether its connection ends behind them.
+    cut: Option<(usize, bool)>,
 }
 
 pub struct Discovery {
@@ -286,6 +288,12 @@
         self.listed.1.notify_all();
     }
 
+    /// The next list stops in its middle, and its connection ends there or stays.
+    pub fn cut_next(&self, ends: bool) {
+        let mut listed = self.listed.0.lock().unwrap();
+        listed.cut = Some((listed.body.len() / 2, ends));
+    }
+
     /// From now on no call is answered.
     pub fn fall_silent(&self) {
         self.listed.0.lock().unwrap().silent = true;
@@ -329,10 +337,19 @@
             continue;
         }
         let news = |listed: &mut Listed| listed.version <= from && !listed.silent;
-        let listed = changed.wait_timeout_while(listed, hold, news).unwrap().0;
+        let mut listed = changed.wait_timeout_while(listed, hold, news).unwrap().0;
         if listed.silent {
             continue;
         }
+        if let Some((length, ends)) = listed.cut.filter(|_| listed.version > from) {
+            listed.cut = None;
+            let answer = whole("200 OK", listed.body.as_bytes());
+            let _ = writer.write_all(&answer[..answer.len() - listed.body.len() + length]);
+            if ends {
+                return;
+            }
+            continue;
+        }
         let nothing = json!({"generation": from, "reset": false, "instances": []}).to_string();
         let body = if listed.version > from { listed.body.clone() } else { nothing };
         drop(listed);
@@ -515,8 +532,8 @@
 
     /// Waits until a job of this head is answered so.
     pub fn wait_until(&self, head: &str, status: u16) {
-        let mut caller = self.caller();
-        assert!((0..2000).any(|_| caller.ask(head, b"").status() == status), "never {status}: {head}");
+        // A connection each: one may be the last on its connection.
+        assert!((0..2000).any(|_| self.caller().ask(head, b"").status() == status), "never {status}: {head}");
     }
 
     /// Waits until an operator's call is answered so.
