A job whose body is still coming takes no place in the window

Ruled out: memory (6 of 48 MB), descriptors (120 of 1024), CPU (0.04 of a core). Line at fault: shoot() in policy.rs, which counted a shot as out when its body began to flow.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -71,7 +71,6 @@
 const WINDOW_MOST: f64 = 8.0; // Jobs a server let in at the most: with more a small one turns slow.
 const FAIR_SPAN: f64 = 30_000.0; // Span, ms, over which the worst served are told: as long as troubles last.
 const ZONE_MARGIN: f64 = 26.0; // Share that raises an away server's figure for each point of crossing.
-const REVIEW: f64 = 60_000.0; // Longest, ms, before a job is looked at again, also one that has no limit yet.
 const ASK_AGAIN: f64 = 1000.0; // First and last pause, ms, before the list is asked for again.
 
 type Recent = Ring<10>;
@@ -304,7 +303,10 @@
         let Some(job) = self.jobs.get(&id).cloned() else { return };
         job.arrived.set(self.now);
         job.limit.set(limit);
-        job.shots.borrow_mut().iter_mut().for_each(|shot| shot.sent = self.now);
+        for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none()) {
+            shot.sent = self.now;
+            self.out.change(self.now, 1.0);
+        }
         self.pending.push(job);
     }
 
@@ -350,7 +352,7 @@
     /// New lines of the list; `whole` if servers that it lacks are gone.
     pub fn listed(&mut self, whole: bool, cached: bool, lines: impl Iterator<Item = Listing>) {
         if whole {
-            self.known.values().for_each(|server| server.stand(Standing::Gone));
+            self.known.values().for_each(|server| server.gone());
         }
         lines.for_each(|line| self.list(line));
         self.table.retain(|server| server.line.get().standing == Standing::Ready);
@@ -373,11 +375,11 @@
     fn list(&mut self, line: Listing) {
         if line.standing == Standing::Gone {
             // Whoever comes to its address is another server.
-            return self.known.remove(&line.server).iter().for_each(|old| old.stand(Standing::Gone));
+            return self.known.remove(&line.server).iter().for_each(|old| old.gone());
         }
-        let (place, profiles) = (self.chance.0.random(), if self.asks > 0 { self.names.len() } else { 1 });
-        let server =
-            self.known.entry(line.server).or_insert_with(|| Rc::new(Server::new(line, place, profiles)));
+        let (place, lanes) = (self.chance.0.random(), if self.asks > 0 { self.names.len() } else { 1 });
+        let new = || Rc::new(Server::new(line, place, lanes));
+        let server = self.known.entry(line.server).or_insert_with(new);
         if line.started > server.started.get() {
             server.restarted(line.started, self.now);
         }
@@ -495,17 +497,16 @@
             self.reach = (self.reach * (1.0 + REACH_GROW)).min(REACH_MOST);
         }
         shot.server.out.set(shot.server.out.get() - 1);
-        self.out.change(self.now, -1.0);
+        self.out.change(self.now, -job.load());
         Some(shot.server.clone())
     }
 
     fn judge(&mut self, server: &Rc<Server>, job: &Job, ending: Ending, took: f64) {
         let now = self.now;
         let usual = self.usual(job);
-        let unanswered =
-            matches!(ending, Ending::TimedOut | Ending::CalledOff) && took > self.overdue() * usual;
-        if unanswered || ending == Ending::Honoured {
-            self.lost.add(now, f64::from(u8::from(unanswered)));
+        let lost = matches!(ending, Ending::TimedOut | Ending::CalledOff) && took > self.overdue() * usual;
+        if lost || ending == Ending::Honoured {
+            self.lost.add(now, f64::from(u8::from(lost)));
         }
         // A server that loses its answers looks idle: they count with the time they were out.
         if ending != Ending::Honoured && took > OVERDUE * usual {
@@ -628,8 +629,7 @@
         let mut next = f64::INFINITY;
         let mut late = None;
         // No server can be late with a job that has not come whole.
-        let whole = job.limit.get().is_finite();
-        let counts = |shot: &&mut Shot| whole && shot.ending.is_none() && !shot.overdue;
+        let counts = |shot: &&mut Shot| job.load() > 0.0 && shot.ending.is_none() && !shot.overdue;
         for shot in job.shots.borrow_mut().iter_mut().filter(counts) {
             let at = shot.sent + usual * shot.server.slowness.get().min(2.0);
             if at > self.now {
@@ -655,7 +655,7 @@
 
     /// Has the job looked at again at `at`, or when its answer falls due.
     fn review(&mut self, job: &Rc<Job>, at: f64) {
-        let at = at.min(self.last_call(job)).clamp(0.0, self.now + REVIEW);
+        let at = at.min(self.last_call(job)).clamp(0.0, self.now + SPAN);
         self.due.insert((at.to_bits(), job.id), Rc::downgrade(job));
     }
 
@@ -682,8 +682,7 @@
         let mut ranked: Vec<_> = waiting.map(|job| (self.worth(&job, asked, worst), job)).collect();
         ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then(x.arrived.get().total_cmp(&y.arrived.get())));
         // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
-        let works =
-            |server: &&Rc<Server>| !server.health.borrow().iter().all(|health| health.is_aside(self.now));
+        let works = |server: &&Rc<Server>| !server.health.borrow().iter().all(|own| own.is_aside(self.now));
         let up = self.table.iter().filter(works);
         let part = up.map(|server| self.grown(server)).sum::<f64>().max(1.0) / self.settings.siblings;
         // With far more nodes than servers a part is nothing at all: one job may always be out.
@@ -736,11 +735,8 @@
     fn served(&mut self) -> (f64, [Option<usize>; 2]) {
         let now = self.now;
         let asked = self.tallies[0].iter_mut().map(|[asked, _]| asked.total(now).1).sum();
-        // What nobody asks for, as a dropped profile, is not served worst.
-        let share = |[asked, honoured]: &mut Tally| match asked.total(now).1 {
-            0.0 => f64::INFINITY,
-            asked => honoured.total(now).1 / asked,
-        };
+        // What nobody asks for, as a dropped profile, has no share: without a sign that is above all others.
+        let share = |[asked, honoured]: &mut Tally| (honoured.total(now).1 / asked.total(now).1).abs();
         let worst = self.tallies.each_mut().map(|tallies| {
             let shares = tallies.iter_mut().map(share).enumerate();
             shares.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place)
@@ -857,7 +853,7 @@
         // Back from its time aside it gets one shot, and the next when that was honoured.
         let health = server.health(job.profile);
         health.on_trial.set(health.strikes.get() >= STRIKES && self.now >= health.back_at.get());
-        self.out.change(self.now, 1.0);
+        self.out.change(self.now, job.load());
         out.shoot(job.id, server.line.get().server, job.limit.get() - self.now);
         let usual = self.usual(job) * self.overdue();
         let at = self.now + usual * server.slowness.get().min(2.0);
@@ -938,6 +934,11 @@
 }
 
 impl Job {
+    /// Its part of the jobs out: before its last byte has come no server works on it.
+    fn load(&self) -> f64 {
+        f64::from(u8::from(self.limit.get().is_finite()))
+    }
+
     /// Has every shot so far provably never run?
     fn proven_unrun(&self) -> bool {
         self.shots.borrow().iter().all(|shot| shot.ending.is_some_and(Ending::never_ran))
@@ -968,8 +969,8 @@
         self.credit_at.set(now);
     }
 
-    fn stand(&self, standing: Standing) {
-        self.line.set(Listing { standing, ..self.line.get() });
+    fn gone(&self) {
+        self.line.update(|line| Listing { standing: Standing::Gone, ..line });
     }
 
     fn health(&self, profile: usize) -> Rc<Health> {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -327,6 +327,34 @@
     assert!(!scene.written.0.contains(&"shoot 3 a".into()), "{:?}", scene.written.0);
 }
 
+/// A job whose body comes slowly is no load yet: it takes no place from others, is not overdue, and is not sent twice.
+#[test]
+fn a_job_that_is_still_coming_counts_from_its_last_byte() {
+    let mut scene = Scene::new();
+    scene.set("siblings", 10.0);
+    scene.profile(&["redoable", "1000", "0", "1"]);
+    let [a, b] = ["a", "b"].map(|name| listing(name, Standing::Ready));
+    scene.round(|balancer| balancer.listed(true, true, [a, b].into_iter()));
+    let rules = Rc::new(scene.settings.clone());
+    let shots = |scene: &Scene, id: u32| {
+        let line = format!("shoot {id} ");
+        scene.written.0.iter().filter(|written| written.starts_with(&line)).count()
+    };
+    // The window of a tenth of two servers' ten is one job: two that come slowly leave it open.
+    scene.round(|balancer| (1..=2).for_each(|id| balancer.job_under(&rules, id, 0, 0, f64::INFINITY)));
+    scene.round(|balancer| [1, 2].into_iter().for_each(|id| balancer.spent(id)));
+    scene.now += 20_000.0;
+    scene.round(|balancer| balancer.job(3, 0, 0, 1e9));
+    assert_eq!([1, 2, 3].map(|id| shots(&scene, id)), [1, 1, 1], "{:?}", scene.written.0);
+    // With their last bytes they are out, overdue after a while, and can't go again.
+    let limit = scene.now + 5000.0;
+    scene.round(|balancer| balancer.body_came(1, limit));
+    scene.now += 2500.0;
+    scene.round(|balancer| balancer.shot_ended(1, 0, Ending::Error, QUICK, false));
+    assert_eq!(shots(&scene, 1), 1);
+    assert!(scene.written.0.contains(&"push-back 1".into()), "{:?}", scene.written.0);
+}
+
 /// A limit far behind all that these tests play.
 fn scene_limit() -> f64 {
     100_000.0
