Only profiles that the settings dropped are left out of the worst served

Guess: a profile or customer that nobody had asked for in 30 s no longer counted as the worst served, which is usual on nodes of few jobs.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -99,6 +99,13 @@
     pub started: f64,
 }
 
+impl Listing {
+    /// The line of a server that is not there any more.
+    pub fn gone(self) -> Self {
+        Self { standing: Standing::Gone, ..self }
+    }
+}
+
 /// How a shot ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -153,6 +153,8 @@
     settings: Rc<Settings>,
     /// Names of all profiles met so far: their places hold through new settings.
     names: Vec<String>,
+    /// The places of those that the settings have now.
+    in_force: Vec<usize>,
     chance: Chance,
     now: f64,
     jobs: HashMap<u32, Rc<Job>>,
@@ -179,7 +181,6 @@
     drawn: Recent,
     endings: Recent,
     further: Recent,
-    /// Shots out.
     out: Level<10>,
     window: f64,
     notes: Vec<String>,
@@ -259,7 +260,7 @@
 
     /// Other settings from now on: what is learned of a profile stays under its name, jobs keep their rules.
     pub fn retune(&mut self, settings: Rc<Settings>) {
-        settings.profiles.iter().for_each(|profile| _ = self.slot(&profile.name));
+        self.in_force = settings.profiles.iter().map(|profile| self.slot(&profile.name)).collect();
         if self.settings.quotas != settings.quotas {
             self.tallies[1] = vec![[Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]; settings.quotas.len()];
             self.admitted = vec![Recent::new(SPAN); settings.quotas.len()];
@@ -270,7 +271,6 @@
         self.settings = settings;
     }
 
-    /// The place of a profile of that name.
     fn slot(&mut self, name: &str) -> usize {
         self.names.iter().position(|known| known == name).unwrap_or_else(|| {
             self.names.push(name.into());
@@ -352,7 +352,7 @@
     /// New lines of the list; `whole` if servers that it lacks are gone.
     pub fn listed(&mut self, whole: bool, cached: bool, lines: impl Iterator<Item = Listing>) {
         if whole {
-            self.known.values().for_each(|server| server.gone());
+            self.known.values().for_each(|server| server.line.update(Listing::gone));
         }
         lines.for_each(|line| self.list(line));
         self.table.retain(|server| server.line.get().standing == Standing::Ready);
@@ -375,7 +375,7 @@
     fn list(&mut self, line: Listing) {
         if line.standing == Standing::Gone {
             // Whoever comes to its address is another server.
-            return self.known.remove(&line.server).iter().for_each(|old| old.gone());
+            return self.known.remove(&line.server).iter().for_each(|old| old.line.update(Listing::gone));
         }
         let (place, lanes) = (self.chance.0.random(), if self.asks > 0 { self.names.len() } else { 1 });
         let new = || Rc::new(Server::new(line, place, lanes));
@@ -735,12 +735,10 @@
     fn served(&mut self) -> (f64, [Option<usize>; 2]) {
         let now = self.now;
         let asked = self.tallies[0].iter_mut().map(|[asked, _]| asked.total(now).1).sum();
-        // What nobody asks for, as a dropped profile, has no share: without a sign that is above all others.
-        let share = |[asked, honoured]: &mut Tally| (honoured.total(now).1 / asked.total(now).1).abs();
-        let worst = self.tallies.each_mut().map(|tallies| {
-            let shares = tallies.iter_mut().map(share).enumerate();
-            shares.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place)
-        });
+        let [profiles, customers] = &mut self.tallies;
+        // A dropped profile is asked for no more, and would be the worst served for good.
+        let profiles = profiles.iter_mut().enumerate().filter(|(place, _)| self.in_force.contains(place));
+        let worst = [least_served(now, profiles), least_served(now, customers.iter_mut().enumerate())];
         (asked, worst)
     }
 
@@ -933,6 +931,12 @@
     }
 }
 
+fn least_served<'a>(now: f64, all: impl Iterator<Item = (usize, &'a mut Tally)>) -> Option<usize> {
+    let share = |[asked, honoured]: &mut Tally| honoured.total(now).1 / asked.total(now).1.max(1e-9);
+    let shares = all.map(|(place, tally)| (place, share(tally)));
+    shares.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place)
+}
+
 impl Job {
     /// Its part of the jobs out: before its last byte has come no server works on it.
     fn load(&self) -> f64 {
@@ -969,10 +973,6 @@
         self.credit_at.set(now);
     }
 
-    fn gone(&self) {
-        self.line.update(|line| Listing { standing: Standing::Gone, ..line });
-    }
-
     fn health(&self, profile: usize) -> Rc<Health> {
         let health = self.health.borrow();
         health[profile.min(health.len() - 1)].clone()
