--- a/crates/pearfront-node/src/lifecycle.rs
+++ b/crates/pearfront-node/src/lifecycle.rs
@@ -6,12 +6,12 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// How long clients' connections are kept as they are once they are to go: the front sends new ones for a while,
-/// and where there is no other node they have nowhere else to go.
+/// How long clients' connections are kept as they are in a drain: the front sends new ones for a while, and where there
+/// is no other node they have nowhere else to go.
 const KEPT: Duration = Duration::from_millis(1000);
-/// From when on idle ones are closed however short their pause is: 2 s after the word nothing new may come on them,
-/// as 4 s after it nothing that came in the 2 s before may be open.
-const ALL_IDLE: Duration = Duration::from_millis(1700);
+/// How much later idle ones are closed however short their pause is. In a drain nothing new may come on them 2 s after
+/// the word, as 4 s after it nothing that came in the 2 s before may be open.
+const ALL_IDLE: Duration = Duration::from_millis(700);
 /// Pause of a connection that is to go after which its client is taken to have nothing on the way.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -32,6 +32,8 @@
     started: Cell<bool>,
     /// Since when clients are let go.
     since: Cell<Instant>,
+    /// How long after that their connections are kept.
+    kept: Cell<Duration>,
     /// Another process serves the same socket: clients that are let go find it at once.
     succeeded: Cell<bool>,
     changed: Notify,
@@ -43,6 +45,7 @@
             state: Cell::new(State::Starting),
             started: Cell::new(false),
             since: Cell::new(Instant::now()),
+            kept: Cell::new(KEPT),
             succeeded: Cell::new(false),
             changed: Notify::new(),
         }
@@ -81,12 +84,17 @@
     /// Told to take clients again; false if it ends, which nothing takes back.
     pub fn resume(&self) -> bool {
         if self.state.get() == State::LameDuck {
+            self.kept.set(KEPT);
             self.go(if self.started.get() { State::Ready } else { State::Starting });
         }
         self.state.get() != State::Ending
     }
 
-    pub fn end(&self) {
+    /// Told to end, which leaves so much time to keep clients' connections; no more than a drain has left of its own.
+    pub fn end(&self, kept: Duration) {
+        if !matches!(self.state.get(), State::LameDuck | State::Ending) {
+            self.kept.set(kept);
+        }
         self.go(State::Ending);
     }
 
@@ -116,11 +124,12 @@
 
     /// How long a client's connection must have been idle to be closed, where clients are let go.
     pub fn spares_for(&self) -> Option<Duration> {
-        (!self.keeps_alive()).then(|| if self.left() < ALL_IDLE { PAUSE } else { Duration::ZERO })
+        (!self.keeps_alive())
+            .then(|| if self.left() < self.kept() + ALL_IDLE { PAUSE } else { Duration::ZERO })
     }
 
     fn kept(&self) -> Duration {
-        if self.succeeded.get() { Duration::ZERO } else { KEPT }
+        if self.succeeded.get() { Duration::ZERO } else { self.kept.get() }
     }
 
     fn left(&self) -> Duration {
@@ -155,7 +164,7 @@
             match word {
                 "ready" => life.ready(),
                 "on" => life.drain(),
-                "end" => life.end(),
+                "end" => life.end(KEPT),
                 _ => drop(life.resume()),
             }
         }
@@ -182,7 +191,7 @@
         let life = Lifecycle::new();
         assert!(!life.accepts());
         life.ready();
-        life.end();
+        life.end(KEPT);
         assert!(life.accepts() && life.keeps_alive());
         life.succeeded(true);
         assert!(!life.accepts() && !life.keeps_alive());
@@ -198,10 +207,28 @@
         assert!(life.keeps_alive() && life.spares_for().is_none());
         tokio::time::advance(KEPT).await;
         assert_eq!((life.keeps_alive(), life.spares_for()), (false, Some(PAUSE)));
-        tokio::time::advance(ALL_IDLE - KEPT).await;
+        tokio::time::advance(ALL_IDLE).await;
         // A second word doesn't begin the time anew.
         life.drain();
         assert_eq!(life.spares_for(), Some(Duration::ZERO));
         assert!(life.resume() && life.keeps_alive());
     }
+
+    // Told to end, the only node of its clients serves them on what they have as long as it can answer.
+    #[tokio::test(start_paused = true)]
+    async fn a_node_that_ends_alone_keeps_its_clients_longer_than_a_drain_would() {
+        let life = Lifecycle::new();
+        life.ready();
+        life.end(KEPT * 2);
+        tokio::time::advance(KEPT).await;
+        assert!(life.keeps_alive());
+        // Not so with another process on its socket, or behind a drain that has let them go already.
+        life.succeeded(true);
+        assert!(!life.keeps_alive());
+        let drained = Lifecycle::new();
+        drained.drain();
+        tokio::time::advance(KEPT).await;
+        drained.end(KEPT * 2);
+        assert!(!drained.keeps_alive());
+    }
 }
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -43,7 +43,7 @@
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Connections that the kernel accepts ahead of the node: a burst of all callers at once.
 const BACKLOG: u32 = 1024;
@@ -123,10 +123,10 @@
             _ = interrupt.recv() => {}
         }
         log::info!("told to end, {} jobs held", take_in.room.jobs());
-        life.end();
         let longest = terms.now().around.longest_limit.min(LONGEST_COUNTED) + AFTER_LIMIT;
         last.set(clock.now() + longest);
         let answered = last.get() - LAST_ANSWERS;
+        life.end(clock.at(answered - take_in::LAST_SERVED).saturating_duration_since(Instant::now()));
         take_in.route.inbox.tell(move |balancer| balancer.closing(answered));
         answered
     };
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -30,7 +30,7 @@
 /// How long new connections go on coming after SIGTERM, with some room: the protocol says 400 ms.
 const STILL_COMING: Duration = Duration::from_millis(500);
 /// Time, ms, before the module's last answers in which callers are closed: nearly all jobs are answered within it.
-const LAST_SERVED: f64 = 1000.0;
+pub const LAST_SERVED: f64 = 1000.0;
 /// A caller that is to be closed, and has begun a head or not taken its answer, is cut off once nothing has moved
 /// on its connection for so long.
 const STUCK: Duration = Duration::from_millis(200);
