A head that was not seen may have named a length beside its chunks

Found by reading: wire.rs looks at 256 bytes of a line. A length behind more blanks than that was taken for none that can be read, what followed was counted as its body, and a later head with both a length and chunks on that connection was taken for one with chunks alone: the job in its body would have reached a server. Seen with a test that sends just that: 200 instead of 400. Now a head that was not seen counts as one that may have a length.

--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -181,7 +181,7 @@
 
     async fn call(&self, caller: &Caller, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
         let (head, body) = request.into_parts();
-        let lengths = caller.wire.next_has_length();
+        let lengths = caller.wire.next_may_have_length();
         let call = message::decode_call(head, &self.terms.now(), lengths);
         let problem = match call {
             Ok(Call::Up) => return Ok(message::encode_up(self.life.is_ready())),
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -107,6 +107,10 @@
         };
     }
 
+    fn next_may_have_length(&mut self) -> bool {
+        self.heads.pop_front() != Some(false)
+    }
+
     fn head_over(&mut self) {
         self.heads.push_back(self.length.is_some());
         self.part = match self.length.take() {
@@ -224,9 +228,10 @@
         self.messages.as_ref().is_some_and(|messages| messages.borrow().begun)
     }
 
-    /// Did the next head that hyper hands out name a length? Asked once for each.
-    pub fn next_has_length(&self) -> bool {
-        self.messages.as_ref().is_some_and(|messages| messages.borrow_mut().heads.pop_front() == Some(true))
+    /// May the next head that hyper hands out have named a length? Asked once for each. One that was not seen, as
+    /// what came before it was read otherwise than by hyper, may have.
+    pub fn next_may_have_length(&self) -> bool {
+        self.messages.as_ref().is_some_and(|messages| messages.borrow_mut().next_may_have_length())
     }
 
     /// Ends the sending, and reads what still comes for a moment: closed with bytes unread, the kernel would tell
@@ -362,6 +367,17 @@
         }
     }
 
+    // A length that hyper reads and this does not: what follows may hide a job in its body, and is not taken for safe.
+    #[test]
+    fn a_head_that_was_not_seen_may_have_a_length() {
+        let padded = format!("POST /a HTTP/1.1\r\nContent-Length:{:300}1\r\n\r\n1", "");
+        let mut messages = Messages::default();
+        messages.read(padded.as_bytes());
+        messages
+            .read(b"POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n");
+        assert!(messages.next_may_have_length() && messages.next_may_have_length());
+    }
+
     // A body whose length is not told ahead is whole with the end of its chunks, and not before the last of them.
     #[test]
     fn a_message_in_chunks_is_whole_with_its_end_only() {
--- a/crates/pearfront-node/tests/days/mod.rs
+++ b/crates/pearfront-node/tests/days/mod.rs
@@ -527,3 +527,19 @@
     assert_eq!((output.status.code(), bound), (Some(1), false));
     assert_eq!(said, format!("pearfront-node: admin: {address}: Address already in use (os error 98)\n"));
 }
+
+// The same from outside, with a length too far into its line to be seen.
+#[test]
+fn a_job_hidden_behind_a_length_that_is_far_away_is_not_sent() {
+    let server = Server::start(Act::Honour(Vec::new()));
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    let far = format!("Content-Length:{:400}1", "");
+    assert_eq!(caller.ask(&head("pay", "5", 0).replace("Content-Length: 0", &far), b"1").status(), 200);
+    let both = "Transfer-Encoding: chunked\r\nContent-Length: 5";
+    let hidden = format!("0\r\n\r\n{}", head("pay", "5", 0));
+    let outer = head("pay", "5", 0).replace("Content-Length: 0", both);
+    assert_eq!(caller.ask(&outer, hidden.as_bytes()).status(), 400);
+    assert!(caller.answer().is_none());
+    assert_eq!(server.jobs().len(), 1);
+}
