Ids of open jobs are kept in one place, for this process and the others

Read through: route.rs and handover.rs each kept the ids that are open here. Behaviour is as before; its tests (an id that is open, here and in the other process) are the same.

--- a/crates/pearfront-node/src/handover.rs
+++ b/crates/pearfront-node/src/handover.rs
@@ -95,9 +95,10 @@
         Some(PathBuf::from(folder).join(format!("pearfront-{name}.sock")))
     }
 
-    /// Is a job of that id open in another process?
+    /// Is a job of that id open, here or in another process?
     pub fn has_open(&self, id: &str) -> bool {
-        self.others.borrow().iter().any(|other| other.ids.borrow().contains(id))
+        let there = |other: &Rc<Other>| other.ids.borrow().contains(id);
+        self.ids.borrow().contains(id) || self.others.borrow().iter().any(there)
     }
 
     pub fn open(&self, id: String) {
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -16,7 +16,7 @@
 use pearfront::policy::Balancer;
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -100,8 +100,7 @@
     prober: Rc<Prober>,
     book: Rc<Book>,
     held: RefCell<HashMap<u32, Rc<Held>>>,
-    /// The ids of the jobs held.
-    ids: RefCell<HashSet<HeaderValue>>,
+    /// The other processes of this node, and the ids of the jobs held here and there.
     peers: Rc<Peers>,
     numbered: Cell<u32>,
 }
@@ -116,13 +115,13 @@
         book: Rc<Book>,
         peers: Rc<Peers>,
     ) -> Rc<Self> {
-        let (held, ids, numbered) = (RefCell::default(), RefCell::default(), Cell::new(0));
-        Rc::new(Self { clock, inbox, senders, discovery, prober, book, held, ids, peers, numbered })
+        let (held, numbered) = (RefCell::default(), Cell::new(0));
+        Rc::new(Self { clock, inbox, senders, discovery, prober, book, held, peers, numbered })
     }
 
     /// Is another job with its id open, whoever sent that, here or in another process of this node?
     pub fn has_open(&self, job: &Job) -> bool {
-        self.ids.borrow().contains(job.id()) || self.peers.has_open(&text(job.id()))
+        self.peers.has_open(&text(job.id()))
     }
 
     /// Takes a job on; its answer comes through the receiver, whatever happens. Where the body is still coming there
@@ -143,7 +142,6 @@
             out: Cell::new(0),
             _share: share,
         });
-        self.ids.borrow_mut().insert(held.job.id().clone());
         self.peers.open(text(held.job.id()).into());
         self.held.borrow_mut().insert(number, held.clone());
         self.book.taken.add();
@@ -184,7 +182,6 @@
     fn forget(&self, held: &Held) {
         if held.out.get() == 0 && !held.relay.is_open() {
             self.held.borrow_mut().remove(&held.number);
-            self.ids.borrow_mut().remove(held.job.id());
             self.peers.over(&text(held.job.id()));
         }
     }
