--- a/crates/pearfront-node/tests/days/mod.rs
+++ b/crates/pearfront-node/tests/days/mod.rs
@@ -539,3 +539,18 @@
     assert!(caller.answer().is_none());
     assert_eq!(server.jobs().len(), 1);
 }
+
+// A list of thousands is read in one go; whoever calls meanwhile is answered behind it, and the list is taken whole.
+#[test]
+fn an_operator_is_answered_beside_a_large_list() {
+    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let node = Node::start_for_operators(config(&[]));
+    let nowhere = Server::nowhere();
+    let mut lines: Vec<_> = (0..5000).map(|at| entry(&format!("n{at}"), nowhere, "Terminating")).collect();
+    lines.push(entry("last", server.address, "Ready"));
+    node.discovery.publish(2, list(2, true, &lines));
+    while !node.discovery.is_known(2) {
+        assert_eq!(node.call("GET /_ready"), 200);
+    }
+    assert_eq!(node.caller().ask(&head("pay", "5", 0), b"").body, b"fine");
+}
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -308,6 +308,12 @@
         assert!(waited.0.unanswered >= count, "{:?}", waited.0.calls);
     }
 
+    /// Does a watch know this version?
+    pub fn is_known(&self, version: u64) -> bool {
+        let call = format!("from={version}&");
+        self.listed.0.lock().unwrap().calls.iter().any(|seen| seen.contains(&call))
+    }
+
     /// Waits until a watch knows this version: what it says is with the node then.
     pub fn wait_for(&self, version: u64) {
         let call = format!("from={version}&");
