--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -2,6 +2,7 @@
 //! module hears of it: nothing was sent, so trying again is harmless.
 
 use crate::book::Book;
+use crate::flow::STALLED;
 use crate::wire::Wire;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -24,8 +25,6 @@
 const WHOLE_HEAD: Duration = Duration::from_millis(2200);
 /// How often callers are looked through for that.
 const LOOK: Duration = Duration::from_millis(200);
-/// How long a caller may take nothing of its answer before it is cut off.
-const STALLED: Duration = Duration::from_secs(15);
 /// Share of the memory limit that bodies may take; the rest is for connections' buffers and answers.
 const BODIES: f64 = 0.3;
 /// Least bytes a job counts for: its answer takes room as well.
--- a/crates/pearfront-node/src/flow.rs
+++ b/crates/pearfront-node/src/flow.rs
@@ -16,7 +16,8 @@
 pub const MOST_WHOLE: usize = 64 * 1024;
 /// Most bytes of any body or answer.
 pub const MOST: u64 = 32 * 1024 * 1024;
-/// How long a flow may bring nothing before it is given up: far above any pause of a server that still gives.
+/// How long a flow may bring nothing, or its caller take nothing, before it is given up: far above any pause of a
+/// server that still gives.
 pub const STALLED: Duration = Duration::from_secs(15);
 
 /// The beginning of a body: all of it, or what came before it grew too large to be kept.
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -210,9 +210,6 @@
     /// The answer to a job, or what is wrong with its body.
     async fn job(&self, mut job: Job, body: Incoming) -> Result<Response<Body>, Problem> {
         let length = body.size_hint().exact();
-        if length.is_some_and(|length| length > MOST) {
-            return Err(Broken::TooLong.into());
-        }
         let kept = length.map_or(MOST_WHOLE, |length| MOST_WHOLE.min(length as usize));
         let share = self.room.job(kept);
         let start = read(body, MOST_WHOLE).await?;
