A body without room is again read without being kept

Found by reading the whole change: since bodies flow, a job that finds no room, or is malformed, had up to 64 KiB of its body kept while that was read, outside the memory budget; before, it was read without being kept. Now as before.

--- a/crates/pearfront-node/src/flow.rs
+++ b/crates/pearfront-node/src/flow.rs
@@ -48,16 +48,21 @@
 impl std::error::Error for Broken {}
 
 /// Reads a body to its end, or until more than `most` is here: who sends none of it costs no server anything. No piece of it may take longer than `pause`.
-pub async fn start(mut body: Incoming, most: usize, pause: Duration) -> Result<Start, Broken> {
+/// Without `keep` it is only read.
+pub async fn start(mut body: Incoming, most: usize, pause: Duration, keep: bool) -> Result<Start, Broken> {
     let least = body.size_hint().lower();
     if least > MOST {
         return Err(Broken::TooLong);
     }
-    let mut read = Vec::with_capacity((least as usize).min(most));
+    let mut read = Vec::with_capacity(if keep { (least as usize).min(most) } else { 0 });
+    let mut length = 0;
     while let Some(frame) = timeout(pause, body.frame()).await.map_err(|_| Broken::Stalled)? {
         if let Ok(data) = frame.map_err(|_| Broken::Cut)?.into_data() {
-            read.extend_from_slice(&data);
-            if read.len() > most {
+            length += data.len();
+            if keep {
+                read.extend_from_slice(&data);
+            }
+            if length > most {
                 return Ok(Start::Begun(read.into(), body));
             }
         }
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -143,7 +143,7 @@
         // Said to be large, it flows from its first byte on.
         let least = hyper::body::Body::size_hint(&body).lower();
         let most = if least > MOST_WHOLE as u64 { 0 } else { MOST_WHOLE };
-        let body = flow::start(body, most, flow::STALLED).await.map_err(|_| ())?;
+        let body = flow::start(body, most, flow::STALLED, true).await.map_err(|_| ())?;
         Ok((head, body))
     }
 
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -190,7 +190,7 @@
                 Err(Problem::Gone) => return Err(Broken::Cut),
                 Err(Problem::Malformed(problem)) => problem,
             },
-            Err(problem) => match read(body, MOST_WHOLE).await {
+            Err(problem) => match read(body, false).await {
                 Ok(Start::Whole(_)) => return Ok(self.reject(&problem)),
                 Err(Broken::Cut) => return Err(Broken::Cut),
                 _ => problem,
@@ -212,7 +212,7 @@
         let length = body.size_hint().exact();
         let kept = length.map_or(MOST_WHOLE, |length| MOST_WHOLE.min(length as usize));
         let share = self.room.job(kept);
-        let start = read(body, MOST_WHOLE).await?;
+        let start = read(body, share.is_some()).await?;
         let Some(share) = share else {
             self.book.no_room.add();
             self.crowded.warn("no room for a job, pushed back");
@@ -325,10 +325,10 @@
     Answer::PushedBack(0.0).encode()
 }
 
-/// Reads a body as far as it is kept whole. One that comes too slowly is given up.
-async fn read(body: Incoming, most: usize) -> Result<Start, Broken> {
-    let longest = WHOLE_BODY + SLOWEST * most as u32;
-    timeout(longest, flow::start(body, most, NEXT_PIECE)).await.unwrap_or(Err(Broken::Stalled))
+/// Reads a body as far as it is kept whole; without room for it, nothing of it is. One that comes too slowly is given up.
+async fn read(body: Incoming, keep: bool) -> Result<Start, Broken> {
+    let longest = WHOLE_BODY + SLOWEST * MOST_WHOLE as u32;
+    timeout(longest, flow::start(body, MOST_WHOLE, NEXT_PIECE, keep)).await.unwrap_or(Err(Broken::Stalled))
 }
 
 /// Passes a body on as it comes, each piece once the last was taken; if nobody takes it any more it is still read to
