--- a/crates/pearfront-settings/src/lib.rs
+++ b/crates/pearfront-settings/src/lib.rs
@@ -137,6 +137,8 @@
     if layers > 0 && tier >= layers {
         return top.needed("tier")?.problem(format!("is none of the {layers} layers"));
     }
+    // One of the two is enough to state a budget: without a number that is free it is a share alone.
+    let rationed = rules.maybe("budget_free").or(rules.maybe("extra_ratio")).is_some();
     Ok(Settings {
         siblings: top.needed("siblings")?.number()?.max(1.0),
         tier,
@@ -153,6 +155,8 @@
         weight_whole: goal.number_or("whole", 1.0)?,
         weight_profile: goal.number_or("worst_class", 0.0)?,
         weight_customer: goal.number_or("worst_tenant", 0.0)?,
+        weight_tail: goal.number_or("tail_part", 0.0)?,
+        tail_slack: share(&goal, "tail_slack")?,
         cross_zone_price: prices.number_or("cross_zone", 0.0)?,
         probe_price: prices.number_or("probe", 0.0)?,
         most_shots: limits.needed("most_shots")?.above_0()?.ceil() as usize,
@@ -164,10 +168,20 @@
         cold_share: rules.needed("cold_from")?.number()?,
         cold_multiple: rules.needed("tip_multiple")?.number()?,
         cold_window: rules.needed("overload_for")?.ms()?,
+        gone_may_serve: rules.yes("removal_not_binding")?,
+        further_free: rules.number_or("budget_free", if rationed { 0.0 } else { f64::INFINITY })?,
+        further_ratio: rules.number_or("extra_ratio", 0.0)?,
+        further_span: if rationed { rules.needed("resend_span")?.above_0()? / NS_PER_MS } else { 0.0 },
         report: top.needed("report")?.texts("fields")?.iter().map(|name| figure(name)).collect(),
     })
 }
 
+/// A share of a whole, 0 where it is not named.
+fn share(within: &At, key: &str) -> Result<f64, String> {
+    let share = within.number_or(key, 0.0)?;
+    if share <= 1.0 { Ok(share) } else { within.needed(key)?.problem("is above 1") }
+}
+
 /// Does the list say what servers bear? Weights that follow load would count it twice.
 fn sized(top: &At) -> Result<bool, String> {
     let Some(weights) = top.maybe("weights") else { return Ok(false) };
@@ -294,6 +308,29 @@
         assert!(new.last_tier && new.sized);
     }
 
+    #[test]
+    fn a_budget_of_further_shots_and_what_else_binds_are_read_and_bind_nothing_where_they_are_not_named() {
+        let old = parse(SETTINGS.as_bytes()).unwrap();
+        assert!(old.further_free.is_infinite() && !old.gone_may_serve && old.weight_tail == 0.0);
+        let named = SETTINGS.replace(
+            "\"rules\": {",
+            "\"rules\": {\"budget_free\": 3, \"extra_ratio\": 0.03, \
+            \"resend_span\": 5e9, \"removal_not_binding\": true, ",
+        );
+        let named =
+            named.replace("\"whole\": 1.0", "\"whole\": 0.8, \"tail_part\": 0.2, \"tail_slack\": 0.02");
+        let new = parse(named.as_bytes()).unwrap();
+        assert_eq!((new.further_free, new.further_ratio, new.further_span), (3.0, 0.03, 5000.0));
+        assert_eq!((new.gone_may_serve, new.weight_tail, new.tail_slack), (true, 0.2, 0.02));
+        let share_alone =
+            SETTINGS.replace("\"rules\": {", "\"rules\": {\"extra_ratio\": 0.1, \"resend_span\": 1e9, ");
+        assert_eq!(parse(share_alone.as_bytes()).unwrap().further_free, 0.0);
+    }
+
+    #[test_case("\"rules\": {", "\"rules\": {\"budget_free\": 3, ", "settings.rules.resend_span is missing"; "budget without a span")]
+    #[test_case("\"rules\": {", "\"rules\": {\"extra_ratio\": 0.1, \"resend_span\": 0, ", "settings.rules.resend_span is not above 0"; "span of nothing")]
+    #[test_case("\"rules\": {", "\"rules\": {\"removal_not_binding\": 1, ", "settings.rules.removal_not_binding is neither true nor false"; "no flag")]
+    #[test_case("\"whole\": 1.0", "\"tail_slack\": 2", "settings.objective_mix.tail_slack is above 1"; "more than all")]
     #[test_case("\"siblings\": 2", "\"siblings\": \"two\"", "settings.siblings is no number of at least 0"; "text")]
     #[test_case("\"cell\"", "\"shelf\"", "settings.profiles[0].group \"shelf\" is unknown"; "unknown group")]
     #[test_case("9.5", "null", "settings.customers[0].quota_per_s is missing"; "null is missing")]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -52,6 +52,9 @@
     pub weight_whole: f64,
     pub weight_profile: f64,
     pub weight_customer: f64,
+    /// What timely answers weigh by profile, and the share of late or failed jobs borne there.
+    pub weight_tail: f64,
+    pub tail_slack: f64,
     pub cross_zone_price: f64,
     pub probe_price: f64,
     pub most_shots: usize,
@@ -64,6 +67,13 @@
     pub cold_share: f64,
     pub cold_multiple: f64,
     pub cold_window: f64,
+    /// A server that is gone without having drained may still be sent to.
+    pub gone_may_serve: bool,
+    /// Shots beyond each job's first that are allowed within `further_span`, ms: so many, and a share of the jobs
+    /// taken in it. Infinite where no rule says so.
+    pub further_free: f64,
+    pub further_ratio: f64,
+    pub further_span: f64,
     /// The load report's values, in order.
     pub report: Vec<Figure>,
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -181,6 +181,9 @@
     drawn: Recent,
     endings: Recent,
     further: Recent,
+    /// Jobs taken and shots beyond the first, within the span of the budget where one is stated.
+    taken: Recent,
+    rationed: Recent,
     out: Level<10>,
     window: f64,
     notes: Vec<String>,
@@ -265,6 +268,13 @@
             self.tallies[1] = vec![[Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]; settings.quotas.len()];
             self.admitted = vec![Recent::new(SPAN); settings.quotas.len()];
         }
+        if self.settings.further_span != settings.further_span {
+            // Whole buckets: of jobs taken rather too few count, of further shots rather too many.
+            let used = self.rationed.total(self.now).1;
+            self.taken = Recent::new(settings.further_span);
+            self.rationed = Recent::new(settings.further_span * 10.0 / 9.0);
+            self.rationed.add(self.now, used);
+        }
         if settings.may_probe != self.settings.may_probe {
             self.next_probe = if settings.may_probe { self.now } else { f64::INFINITY };
         }
@@ -294,6 +304,7 @@
         let job = Job { id, rules, place, profile, customer, arrived, limit, asked, ..Job::default() };
         let (gain, job) = (self.gain(&job), Rc::new(job));
         self.tally(profile, customer, |[asked, _]| asked.add(now, gain));
+        self.taken.add(now, 1.0);
         self.jobs.insert(id, job.clone());
         self.pending.push(job);
     }
@@ -821,10 +832,7 @@
         let Some(group) = self.bounds(job) else { return false };
         let first = job.shots.borrow().is_empty();
         let further = !job.proven_unrun();
-        // Further shots follow the share of recent shots that were honoured, or retries would feed a jam.
-        let honoured = self.endings.mean_beside(self.now, 1.0, 1.0);
-        let allowed = FURTHER_FREE + FURTHER * honoured * self.first_shots.total(self.now).0;
-        if further && self.further.total(self.now).0 >= allowed {
+        if !first && !self.may_go_again(further) {
             return false;
         }
         let Some((server, figure)) = self.draw(job, group) else { return false };
@@ -842,8 +850,9 @@
             if let Some(recent) = self.admitted.get_mut(job.customer) {
                 recent.add(self.now, 1.0);
             }
-        } else if further {
-            self.further.add(self.now, 1.0);
+        } else {
+            self.further.add(self.now, f64::from(u8::from(further)));
+            self.rationed.add(self.now, 1.0);
         }
         self.drawn.add(self.now, figure);
         server.out.set(server.out.get() + 1);
@@ -860,6 +869,16 @@
         true
     }
 
+    /// Is there room for one more shot beyond a job's first, which may be for the second time that it runs?
+    fn may_go_again(&mut self, further: bool) -> bool {
+        let now = self.now;
+        // Further shots follow the share of recent shots that were honoured, or retries would feed a jam.
+        let honoured = self.endings.mean_beside(now, 1.0, 1.0);
+        let allowed = FURTHER_FREE + FURTHER * honoured * self.first_shots.total(now).0;
+        let budget = self.settings.further_free + self.settings.further_ratio * self.taken.total(now).0;
+        (!further || self.further.total(now).1 < allowed) && self.rationed.total(now).1 + 1.0 <= budget
+    }
+
     fn draw(&mut self, job: &Job, group: Bound) -> Option<(Rc<Server>, f64)> {
         let mut open = Vec::new();
         if self.asks > 0 {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -109,6 +109,9 @@
             "held" => settings.report = vec![Figure::Held],
             "price" => (settings.may_probe, settings.probe_price) = (true, value),
             "last-tier" => settings.last_tier = value > 0.0,
+            "further-free" => (settings.further_free, settings.further_span) = (value, 5000.0),
+            "further-ratio" => settings.further_ratio = value,
+            "gone-serves" => settings.gone_may_serve = value > 0.0,
             "advice" => settings.longest_wait = value,
             "on-request" => settings.listed_on_request = value > 0.0,
             other => panic!("no setting {other:?}"),
@@ -403,6 +406,8 @@
         weight_whole: 1.0,
         weight_profile: 0.0,
         weight_customer: 0.0,
+        weight_tail: 0.0,
+        tail_slack: 0.0,
         cross_zone_price: 0.0,
         probe_price: 0.01,
         most_shots: 3,
@@ -414,6 +419,10 @@
         cold_share: 0.2,
         cold_multiple: 2.0,
         cold_window: 1000.0,
+        gone_may_serve: false,
+        further_free: f64::INFINITY,
+        further_ratio: 0.0,
+        further_span: 0.0,
         report: vec![Figure::Utilisation],
     }
 }
@@ -458,6 +467,7 @@
 #[test_case("idle-takes"; "an idle server takes a job however late answers were")]
 #[test_case("no-connection"; "a server that gives no connection is set aside at once")]
 #[test_case("two-and-two"; "a node with few jobs sends to two servers at home and two away")]
+#[test_case("budget"; "shots beyond the first stay within their budget whatever ended the one before")]
 #[test_case("overload"; "the window holds back a burst and pushes back early")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
