--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod interface;
 pub mod policy;
 pub mod ring;
+pub mod window;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,7 +8,8 @@
 use crate::chance::Chance;
 use crate::interface::{Address, Effect, Ending, Figure, Group, Listing};
 use crate::interface::{Profile, Settings, Standing, Writer};
-use crate::ring::{Level, Ring};
+use crate::ring::Ring;
+use crate::window::Window;
 use rand::distr::weighted::WeightedIndex;
 use rand::prelude::{Distribution, Rng};
 use std::cell::{Cell, RefCell};
@@ -61,14 +62,6 @@
 const HOLD: f64 = 0.25; // Share of its contract time that a job waits at the most: queues here are short.
 const SURE: f64 = 3.0; // Power at which a job's worth falls where its usual duration is above the time left.
 const BACK: f64 = 0.25; // Advice on when to come back, share of the contract time: soon enough to be in time.
-const TARGET: f64 = 0.45; // Mean share of their contract time that jobs may take before fewer are let in.
-const SHRINK: f64 = 0.02; // The window shrinks by this share for each answer while they take more.
-const SHRINK_LEAST: f64 = 0.4; // Jobs it shrinks by at the least: a late answer must close one of a job.
-const GROW_MOST: f64 = 0.05; // Jobs by which it grows at the most, likewise.
-const SPREAD: f64 = 0.5; // Deviations between the means of jobs out for jobs above mean worth and others.
-const LATE_SPAN: f64 = 1000.0; // Span, ms, over which jobs out and lateness count: a jam takes a second.
-const WINDOW_LEAST: f64 = 5.0; // Jobs a server let in at the least and first: with fewer it grows slowly.
-const WINDOW_MOST: f64 = 8.0; // Jobs a server let in at the most: with more a small one turns slow.
 const FAIR_SPAN: f64 = 30_000.0; // Span, ms, over which the worst served are told: as long as troubles last.
 const ZONE_MARGIN: f64 = 26.0; // Share that raises an away server's figure for each point of crossing.
 const ASK_AGAIN: f64 = 1000.0; // First and last pause, ms, before the list is asked for again.
@@ -169,8 +162,6 @@
     next_probe: f64,
     next_ask: f64,
     ask_pause: f64,
-    /// Durations of honoured shots, by profile.
-    durations: Vec<Recent>,
     tallies: [Vec<Tally>; 2],
     admitted: Vec<Recent>,
     first_shots: Recent,
@@ -184,10 +175,8 @@
     /// Jobs taken and shots beyond the first, within the span of the budget where one is stated.
     taken: Recent,
     rationed: Recent,
-    out: Level<10>,
-    window: f64,
+    window: Window,
     notes: Vec<String>,
-    lateness: Recent,
     worths: Recent,
     lost: Recent,
     makes: BTreeMap<usize, Recent>,
@@ -215,9 +204,7 @@
             drawn: recent(),
             endings: recent(),
             further: recent(),
-            out: Level::new(LATE_SPAN),
-            window: f64::INFINITY,
-            lateness: Recent::new(LATE_SPAN),
+            window: Window::new(),
             worths: recent(),
             lost: recent(),
             ..Self::default()
@@ -284,7 +271,7 @@
     fn slot(&mut self, name: &str) -> usize {
         self.names.iter().position(|known| known == name).unwrap_or_else(|| {
             self.names.push(name.into());
-            self.durations.push(Recent::new(SPAN));
+            self.window.add_profile();
             self.tallies[0].push([Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]);
             let servers = self.known.values().filter(|_| self.asks > 0);
             servers.for_each(|server| server.health.borrow_mut().push(Rc::default()));
@@ -316,7 +303,7 @@
         job.limit.set(limit);
         for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none()) {
             shot.sent = self.now;
-            self.out.change(self.now, 1.0);
+            self.window.out.change(self.now, 1.0);
         }
         self.pending.push(job);
     }
@@ -369,7 +356,7 @@
         self.table.retain(|server| server.line.get().standing == Standing::Ready);
         self.known.retain(|_, server| server.line.get().standing != Standing::Gone);
         if cached {
-            self.window = WINDOW_LEAST * self.table.len() as f64 / self.settings.siblings;
+            self.window.begin(self.table.len() as f64 / self.settings.siblings);
         } else if self.settings.listed_on_request {
             self.next_ask = f64::INFINITY;
             self.ask_pause = ASK_AGAIN;
@@ -412,7 +399,11 @@
     fn near(&self, part: usize, wanted: impl Fn(&Rc<Server>) -> bool) -> Vec<Rc<Server>> {
         // Its own zone and the others share the part.
         let mixed = self.table.iter().any(|server| server.line.get().zone != self.settings.zone);
-        let mut left = [if mixed { part / 2 } else { part }; 2];
+        let mut left = match (mixed, self.asks) {
+            (true, 0) => [KEPT, part],
+            (true, _) => [part / 2; 2],
+            _ => [part; 2],
+        };
         let fits = |server: &&Rc<Server>| {
             let left = &mut left[usize::from(server.line.get().zone == self.settings.zone)];
             let fits = *left > 0 && wanted(server);
@@ -508,7 +499,7 @@
             self.reach = (self.reach * (1.0 + REACH_GROW)).min(REACH_MOST);
         }
         shot.server.out.set(shot.server.out.get() - 1);
-        self.out.change(self.now, -job.load());
+        self.window.out.change(self.now, -job.load());
         Some(shot.server.clone())
     }
 
@@ -538,10 +529,11 @@
                     let gain = self.gain(job);
                     self.tally(job.profile, job.customer, |[_, honoured]| honoured.add(now, gain));
                 }
-                self.durations[job.profile].add(now, took);
+                self.window.honoured(job.profile, now, took);
                 self.compare(server, took / usual);
                 if self.settings.tier == 0 {
-                    self.pace(took / self.profile(job).contract_time);
+                    let contract = self.profile(job).contract_time;
+                    self.window.follow(job.profile, now, took, contract);
                 }
             }
             Ending::Error if behind => self.endings.add(now, 0.0),
@@ -568,14 +560,13 @@
         }
     }
 
-    /// The window closes while recent jobs take much of their contract time, and opens as jobs are answered.
-    fn pace(&mut self, share: f64) {
-        self.lateness.add(self.now, share);
-        if self.lateness.mean(self.now) > TARGET {
-            self.window -= (SHRINK * self.window).max(SHRINK_LEAST);
-        } else if self.out.value > self.window / 2.0 {
-            self.window += (1.0 / self.window).min(GROW_MOST);
-        }
+    /// What servers of this node's part report of their utilisation, if that is what they report.
+    fn busy(&mut self) -> Option<f64> {
+        let part = self.part();
+        let told = self.settings.report.first() == Some(&Figure::Utilisation);
+        let figures: Vec<f64> =
+            self.near(part, |_| told).iter().filter_map(|server| server.figure.get()).collect();
+        (!figures.is_empty()).then(|| figures.iter().sum::<f64>() / figures.len() as f64)
     }
 
     /// Failures in a row set a server aside: quick errors would otherwise win traffic by a low figure.
@@ -602,7 +593,7 @@
     /// Usual duration of a profile's shot, ms.
     fn usual(&mut self, job: &Job) -> f64 {
         let unseen = UNSEEN * self.profile(job).contract_time;
-        self.durations[job.profile].mean_beside(self.now, 1.0, unseen)
+        self.window.usual(job.profile, self.now, unseen)
     }
 
     fn profile<'a>(&self, job: &'a Job) -> &'a Profile {
@@ -696,8 +687,8 @@
         let works = |server: &&Rc<Server>| !server.health.borrow().iter().all(|own| own.is_aside(self.now));
         let up = self.table.iter().filter(works);
         let part = up.map(|server| self.grown(server)).sum::<f64>().max(1.0) / self.settings.siblings;
-        // With far more nodes than servers a part is nothing at all: one job may always be out.
-        self.window = self.window.clamp(WINDOW_LEAST * part, WINDOW_MOST * part).max(1.0);
+        let busy = self.busy();
+        self.window.bound(self.now, part, busy);
         for (worth, job) in ranked {
             let asks = self.asks > 0;
             if asks && self.now >= job.asked.get() + ASK_AGAIN_SHARE * self.profile(&job).contract_time {
@@ -717,12 +708,9 @@
         }
     }
 
-    /// With more nodes than servers a part is a job or two: whole numbers would let in far more, so the
-    /// mean is held to it too. Few wait at a time: better ones may pass it a little, others stay below.
     fn has_room(&mut self, worth: f64) -> bool {
-        let better = f64::from(u8::from(self.is_better(worth)));
-        let most = self.window + (better - 0.5) * SPREAD * self.window.sqrt();
-        self.out.value < self.window + better / self.window.max(1.0) && self.out.mean(self.now) < most
+        let better = self.is_better(worth);
+        self.window.has_room(self.now, better)
     }
 
     /// Is it above the mean worth of jobs looked at lately?
@@ -860,7 +848,7 @@
         // Back from its time aside it gets one shot, and the next when that was honoured.
         let health = server.health(job.profile);
         health.on_trial.set(health.strikes.get() >= STRIKES && self.now >= health.back_at.get());
-        self.out.change(self.now, job.load());
+        self.window.out.change(self.now, job.load());
         out.shoot(job.id, server.line.get().server, job.limit.get() - self.now);
         let usual = self.usual(job) * self.overdue();
         let at = self.now + usual * server.slowness.get().min(2.0);
--- /dev/null
+++ b/tests/window.rs
@@ -0,0 +1,59 @@
+//! How many jobs may be out, as answers come in.
+
+use pearfront::window::{MOST, Window};
+
+/// Answers each `every` ms of `took(at, profile)` ms, two profiles in turn; then the most that may be out.
+fn after(every: f64, until: f64, took: impl Fn(f64, usize) -> f64) -> f64 {
+    let mut window = Window::new();
+    (0..2).for_each(|_| window.add_profile());
+    window.begin(1.0);
+    let mut now = 0.0;
+    while now < until {
+        for profile in 0..2 {
+            now += every / 2.0;
+            window.out.value = window.size();
+            window.honoured(profile, now, took(now, profile));
+            window.follow(profile, now, took(now, profile), 4000.0);
+            window.bound(now, 1.0, None);
+        }
+    }
+    window.size()
+}
+
+#[test]
+fn a_server_that_holds_jobs_long_by_itself_may_have_more_in_hand() {
+    let most = after(100.0, 20_000.0, |_, _| 1000.0);
+    assert!((20.0..=27.0).contains(&most), "{most} where 20 are in hand at this rate");
+}
+
+#[test]
+fn short_jobs_leave_few_in_hand() {
+    let most = after(100.0, 20_000.0, |_, _| 100.0);
+    assert!(most <= MOST, "{most}");
+}
+
+#[test]
+fn what_lengthens_all_jobs_is_crowding_and_lets_in_no_more() {
+    let most = after(400.0, 40_000.0, |at, _| if at < 15_000.0 { 300.0 } else { 1200.0 });
+    assert!(most <= MOST, "{most}");
+}
+
+#[test]
+fn a_profile_that_drags_by_itself_closes_nothing() {
+    let drags = |at: f64, profile: usize| if at > 15_000.0 && profile == 1 { 9000.0 } else { 1000.0 };
+    let most = after(200.0, 40_000.0, drags);
+    assert!(most >= 16.5, "{most}, where it was 16 without");
+}
+
+#[test]
+fn servers_that_are_busy_all_the_time_gain_nothing_by_more() {
+    let mut window = Window::new();
+    window.add_profile();
+    (0..200).for_each(|at| window.honoured(0, f64::from(at) * 50.0, 1000.0));
+    let mut bounded = |busy| {
+        window.begin(9.0);
+        window.bound(10_000.0, 1.0, busy);
+        window.size()
+    };
+    assert_eq!([bounded(Some(1.0)), bounded(None) - bounded(Some(0.4))], [MOST, 0.0]);
+}
