--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,6 +55,11 @@
 const UNSEEN: f64 = 0.2; // Share of the contract time that stands for a mean duration not yet seen.
 const FURTHER: f64 = 0.2; // Further shots as a share of first ones, if all recent ones succeed.
 const FURTHER_FREE: f64 = 2.0; // Further shots free in each span: a lone failure may always go again.
+const LONG: f64 = 2.0; // Usual durations after which a job counts as one that drags: one in ten does by chance.
+const FARE_SPAN: f64 = 5_000.0; // Span, ms, over which it counts how a profile fares.
+const HOPELESS: f64 = 0.4; // Share answered in time below which a profile is sent for trial only, and
+const WELL: f64 = 0.6; // share at which it goes again, or another profile fares well.
+const FARE_PRIOR: f64 = 2.0; // Jobs beside which failures have to count: a few are chance.
 const COLD_PART: f64 = 0.5; // Share of the cold limit that is used: works differ, and so do nodes.
 const SPAN: f64 = 10_000.0; // Span of measurements, ms: some dozen jobs on a server at usual rates.
 const PACE_MEMORY: f64 = 30_000.0; // Memory, ms, of how slow servers are: a caller has few samples.
@@ -131,10 +136,23 @@
     asked: Cell<f64>,
     shots: RefCell<Vec<Shot>>,
     closed: Cell<bool>,
+    /// When it has taken far longer than its profile usually does.
+    due: Cell<f64>,
+    told: Cell<bool>,
+    /// It takes no place in the window: it drags by itself.
+    apart: Cell<bool>,
     waiting: Cell<bool>,
     settled: Cell<bool>,
 }
 
+/// Share of a profile's jobs that are answered in time.
+struct Fare {
+    timely: Recent,
+    /// Hardly any is, while other profiles fare well: it drags or fails wherever it goes.
+    hopeless: bool,
+    trial: Weak<Job>,
+}
+
 /// Gain asked for and honoured in time, for one profile or one customer.
 type Tally = [Recent; 2];
 
@@ -171,6 +189,8 @@
     /// Figures of the servers that jobs were drawn to.
     drawn: Recent,
     endings: Recent,
+    /// How each profile's jobs fare.
+    fares: Vec<Fare>,
     further: Recent,
     /// Jobs taken and shots beyond the first, within the span of the budget where one is stated.
     taken: Recent,
@@ -272,6 +292,7 @@
         self.names.iter().position(|known| known == name).unwrap_or_else(|| {
             self.names.push(name.into());
             self.window.add_profile();
+            self.fares.push(Fare { timely: Recent::new(FARE_SPAN), hopeless: false, trial: Weak::new() });
             self.tallies[0].push([Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]);
             let servers = self.known.values().filter(|_| self.asks > 0);
             servers.for_each(|server| server.health.borrow_mut().push(Rc::default()));
@@ -530,6 +551,7 @@
                     self.tally(job.profile, job.customer, |[_, honoured]| honoured.add(now, gain));
                 }
                 self.window.honoured(job.profile, now, took);
+                self.tell(job, true);
                 self.compare(server, took / usual);
                 if self.settings.tier == 0 {
                     let contract = self.profile(job).contract_time;
@@ -544,10 +566,43 @@
             Ending::Full => server.rest_until.set(now + REST * self.usual(job)),
             Ending::CalledOff | Ending::NeverSent => {}
         }
+        if matches!(ending, Ending::Error | Ending::TimedOut | Ending::Broken) {
+            self.tell(job, false);
+        }
         // A trial ends with its shot, however that ended.
         server.health(job.profile).on_trial.set(false);
     }
 
+    /// Books whether a job was answered in time, once: at its contract time if nothing has come by then.
+    fn tell(&mut self, job: &Job, timely: bool) {
+        if job.shots.borrow().is_empty() || job.told.replace(true) {
+            return;
+        }
+        let now = self.now;
+        self.fares[job.profile].timely.add(now, f64::from(u8::from(timely)));
+        let others = self.fares.iter_mut().enumerate().filter(|(place, _)| *place != job.profile);
+        let best = others.map(|(_, fare)| fare.timely.mean_beside(now, 1.0, 1.0)).fold(0.0, f64::max);
+        let fare = &mut self.fares[job.profile];
+        let was = fare.hopeless;
+        let share = fare.timely.mean_beside(now, FARE_PRIOR, if was { HOPELESS } else { 1.0 });
+        fare.hopeless = share < if was { WELL } else { HOPELESS } && best > WELL;
+        if fare.hopeless != was {
+            fare.timely = Recent::new(FARE_SPAN);
+        }
+        if fare.hopeless {
+            // Those that are out hold places for as long as their clients wait: others may have them.
+            let held: Vec<_> = self.due.values().filter_map(Weak::upgrade).collect();
+            held.iter().filter(|other| other.profile == job.profile).for_each(|other| self.release(other));
+        }
+    }
+
+    /// A job that drags by itself says nothing of its servers and takes no place from others.
+    fn release(&mut self, job: &Job) {
+        let out = job.shots.borrow().iter().filter(|shot| shot.ending.is_none()).count();
+        self.window.out.change(self.now, -job.load() * out as f64);
+        job.apart.set(true);
+    }
+
     /// A caller sends each server too little to know it soon: machines of one make are learned together.
     fn compare(&mut self, server: &Server, relative: f64) {
         let make = self.makes.entry(server.line.get().make).or_insert_with(|| Recent::new(PACE_MEMORY));
@@ -601,6 +656,9 @@
     }
 
     fn decide(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
+        if self.now >= job.due.get() {
+            self.tell(job, false);
+        }
         if job.closed.get() {
             return self.settle(job, out);
         }
@@ -657,6 +715,7 @@
 
     /// Has the job looked at again at `at`, or when its answer falls due.
     fn review(&mut self, job: &Rc<Job>, at: f64) {
+        let at = if self.now < job.due.get() { at.min(job.due.get()) } else { at };
         let at = at.min(self.last_call(job)).clamp(0.0, self.now + SPAN);
         self.due.insert((at.to_bits(), job.id), Rc::downgrade(job));
     }
@@ -690,6 +749,15 @@
         let busy = self.busy();
         self.window.bound(self.now, part, busy);
         for (worth, job) in ranked {
+            // What is hardly ever answered in time, wherever it goes, would hold the places of all others.
+            let fare = &self.fares[job.profile];
+            if self.settings.tier == 0
+                && fare.hopeless
+                && fare.trial.upgrade().is_some_and(|job| !job.closed.get())
+            {
+                self.give_up(&job, out);
+                continue;
+            }
             let asks = self.asks > 0;
             if asks && self.now >= job.asked.get() + ASK_AGAIN_SHARE * self.profile(&job).contract_time {
                 self.inquire(&job, out);
@@ -700,6 +768,7 @@
             let open = !waits && (asks || self.settings.tier > 0 || self.has_room(worth));
             if open && self.shoot(&job, asks.then_some(worth), out) {
                 job.waiting.set(false);
+                self.fares[job.profile].trial = Rc::downgrade(&job);
             } else if !waits && self.now >= self.hold_until(&job) {
                 self.give_up(&job, out);
             } else {
@@ -850,6 +919,10 @@
         health.on_trial.set(health.strikes.get() >= STRIKES && self.now >= health.back_at.get());
         self.window.out.change(self.now, job.load());
         out.shoot(job.id, server.line.get().server, job.limit.get() - self.now);
+        if first {
+            let long = LONG * self.usual(job);
+            job.due.set(self.now + long.min(self.profile(job).contract_time));
+        }
         let usual = self.usual(job) * self.overdue();
         let at = self.now + usual * server.slowness.get().min(2.0);
         job.shots.borrow_mut().push(Shot { server, sent: self.now, promise, ending: None, overdue: false });
@@ -947,7 +1020,7 @@
 impl Job {
     /// Its part of the jobs out: before its last byte has come no server works on it.
     fn load(&self) -> f64 {
-        f64::from(u8::from(self.limit.get().is_finite()))
+        f64::from(u8::from(self.limit.get().is_finite() && !self.apart.get()))
     }
 
     /// Has every shot so far provably never run?
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -468,6 +468,7 @@
 #[test_case("no-connection"; "a server that gives no connection is set aside at once")]
 #[test_case("two-and-two"; "a node with few jobs sends to two servers at home and two away")]
 #[test_case("budget"; "shots beyond the first stay within their budget whatever ended the one before")]
+#[test_case("drags"; "a profile that drags wherever it goes takes no place from others")]
 #[test_case("overload"; "the window holds back a burst and pushes back early")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
