--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,6 +55,7 @@
 const UNSEEN: f64 = 0.2; // Share of the contract time that stands for a mean duration not yet seen.
 const FURTHER: f64 = 0.2; // Further shots as a share of first ones, if all recent ones succeed.
 const FURTHER_FREE: f64 = 2.0; // Further shots free in each span: a lone failure may always go again.
+const AGAIN_LEAST: f64 = 0.3; // Share of shots after an error that must be honoured, or none is sent: three that fail.
 const LONG: f64 = 2.0; // Usual durations after which a job counts as one that drags: one in ten does by chance.
 const FARE_SPAN: f64 = 5_000.0; // Span, ms, over which it counts how a profile fares.
 const HOPELESS: f64 = 0.4; // Share answered in time below which a profile is sent for trial only, and
@@ -191,6 +192,8 @@
     endings: Recent,
     /// How each profile's jobs fare.
     fares: Vec<Fare>,
+    /// Share of the shots after an error that were honoured, by customer.
+    again: Vec<Recent>,
     further: Recent,
     /// Jobs taken and shots beyond the first, within the span of the budget where one is stated.
     taken: Recent,
@@ -223,6 +226,7 @@
             reach: REACH_MOST,
             drawn: recent(),
             endings: recent(),
+            again: vec![recent()],
             further: recent(),
             window: Window::new(),
             worths: recent(),
@@ -274,6 +278,7 @@
         if self.settings.quotas != settings.quotas {
             self.tallies[1] = vec![[Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]; settings.quotas.len()];
             self.admitted = vec![Recent::new(SPAN); settings.quotas.len()];
+            self.again = vec![Recent::new(SPAN); settings.quotas.len().max(1)];
         }
         if self.settings.further_span != settings.further_span {
             // Whole buckets: of jobs taken rather too few count, of further shots rather too many.
@@ -540,6 +545,13 @@
         if server.unreached.get() && self.ask_pause <= ASK_AGAIN && self.next_ask.is_finite() {
             (self.next_ask, self.ask_pause) = (now, 2.0 * ASK_AGAIN);
         }
+        // Does it help to send a job that got an error again? Some get one wherever they go.
+        let errors = job.errors();
+        if errors > usize::from(ending == Ending::Error) && matches!(ending, Ending::Error | Ending::Honoured)
+        {
+            let place = job.customer.min(self.again.len() - 1);
+            self.again[place].add(now, f64::from(u8::from(ending == Ending::Honoured)));
+        }
         // An error that most servers give now comes from the tier behind: it says nothing of this one.
         let behind = !self.settings.last_tier && self.endings.mean_beside(now, 1.0, 1.0) < SHARED;
         match ending {
@@ -558,6 +570,7 @@
                     self.window.follow(job.profile, now, took, contract);
                 }
             }
+            Ending::Error if self.is_own_fault(job) => {}
             Ending::Error if behind => self.endings.add(now, 0.0),
             Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Broken => {
                 self.endings.add(now, 0.0);
@@ -596,6 +609,13 @@
         }
     }
 
+    /// Do jobs of its customer that got an error get one from others too? Then it is no fault of a server's, and
+    /// worth no further shot.
+    fn is_own_fault(&mut self, job: &Job) -> bool {
+        let place = job.customer.min(self.again.len() - 1);
+        job.errors() > 0 && self.again[place].mean_beside(self.now, 1.0, 1.0) < AGAIN_LEAST
+    }
+
     /// A job that drags by itself says nothing of its servers and takes no place from others.
     fn release(&mut self, job: &Job) {
         let out = job.shots.borrow().iter().filter(|shot| shot.ending.is_none()).count();
@@ -889,7 +909,7 @@
         let Some(group) = self.bounds(job) else { return false };
         let first = job.shots.borrow().is_empty();
         let further = !job.proven_unrun();
-        if !first && !self.may_go_again(further) {
+        if !first && (self.is_own_fault(job) || !self.may_go_again(further)) {
             return false;
         }
         let Some((server, figure)) = self.draw(job, group) else { return false };
@@ -1023,6 +1043,10 @@
         f64::from(u8::from(self.limit.get().is_finite() && !self.apart.get()))
     }
 
+    fn errors(&self) -> usize {
+        self.shots.borrow().iter().filter(|shot| shot.ending == Some(Ending::Error)).count()
+    }
+
     /// Has every shot so far provably never run?
     fn proven_unrun(&self) -> bool {
         self.shots.borrow().iter().all(|shot| shot.ending.is_some_and(Ending::never_ran))
--- a/src/window.rs
+++ b/src/window.rs
@@ -14,8 +14,9 @@
 const LATE_SPAN: f64 = 1000.0; // Span, ms, over which jobs out and lateness count: a jam takes a second.
 const LEAST: f64 = 5.0; // Jobs a server let in at the least and first: with fewer it grows slowly.
 pub const MOST: f64 = 8.0; // Jobs a server let in at the most while nothing tells that they don't crowd it.
-const WAITING: f64 = 6.0; // Jobs a server that may wait beyond the uncrowded ones: enough to keep it at work.
-const BUSY: f64 = 0.4; // Utilisation above which servers gain less and less by more jobs in hand.
+const WAITING: f64 = 5.0; // Jobs a server that may wait beyond the uncrowded ones: enough to keep it at work.
+const IDLE: f64 = 0.3; // Utilisation above which servers gain less and less by more jobs in hand, and
+const BUSY: f64 = 0.8; // from which on nothing.
 const SPAN: f64 = 10_000.0; // Span, ms, of durations: some dozen jobs of a profile at usual rates.
 const EASE_MEMORY: f64 = 300_000.0; // Memory, ms, of the least durations: longer than any jam.
 const EASE_SAMPLES: f64 = 12.0; // Samples that a mean duration needs to be told.
@@ -57,7 +58,7 @@
 
     /// A node that begins with so many servers as its part.
     pub fn begin(&mut self, servers: f64) {
-        self.size = LEAST * servers;
+        self.size = MOST * servers;
     }
 
     /// Usual duration of a profile's shot, ms, beside one that took `unseen`.
@@ -88,7 +89,7 @@
     /// that is nothing at all: one job may always be out. `busy` is what servers report of their utilisation, if
     /// they do: more in hand gains a busy one nothing.
     pub fn bound(&mut self, now: f64, part: f64, busy: Option<f64>) {
-        let idle = busy.map_or(1.0, |busy| ((1.0 - busy) / (1.0 - BUSY)).clamp(0.0, 1.0));
+        let idle = busy.map_or(1.0, |busy| ((BUSY - busy) / (BUSY - IDLE)).clamp(0.0, 1.0));
         let most = (self.uncrowded(now) + WAITING * part) * idle;
         self.size = self.size.clamp(LEAST * part, most.max(MOST * part)).max(1.0);
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -362,7 +362,7 @@
 #[test]
 fn a_dropped_profile_is_not_the_worst_served() {
     let mut scene = Scene::new();
-    scene.set("siblings", 10.0);
+    scene.set("siblings", 16.0);
     scene.set("shots", 1.0);
     (scene.settings.weight_whole, scene.settings.weight_profile) = (0.0, 1.0);
     (0..3).for_each(|_| scene.profile(&["redoable", "1000", "0", "1"]));
@@ -469,6 +469,7 @@
 #[test_case("two-and-two"; "a node with few jobs sends to two servers at home and two away")]
 #[test_case("budget"; "shots beyond the first stay within their budget whatever ended the one before")]
 #[test_case("drags"; "a profile that drags wherever it goes takes no place from others")]
+#[test_case("fails-anywhere"; "jobs that fail wherever they go have one shot each and are no fault of a server")]
 #[test_case("overload"; "the window holds back a burst and pushes back early")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
