--- a/src/interface.rs
+++ b/src/interface.rs
@@ -48,13 +48,6 @@
     pub quotas: Vec<f64>,
     pub excess_gain: f64,
     pub gain_by_work: bool,
-    /// What the whole, the worst served profile and the worst served customer weigh in the goal.
-    pub weight_whole: f64,
-    pub weight_profile: f64,
-    pub weight_customer: f64,
-    /// What timely answers weigh by profile, and the share of late or failed jobs borne there.
-    pub weight_tail: f64,
-    pub tail_slack: f64,
     pub cross_zone_price: f64,
     pub probe_price: f64,
     pub most_shots: usize,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,7 +20,8 @@
 const ALPHA: f64 = 0.5; // Share of probes with an even draw: busy entries must be seen again too.
 const FLOOR: f64 = 0.2; // Lowest figure, as a share of the table's mean (from the design page).
 const ACQUAINTED: f64 = 8.0; // Jobs a second to each server of the part: else it can't tell how they fare.
-const PART_LEAST: f64 = 5.0; // Servers in the part at the least: one slow one must not matter much.
+const PART_LEAST: f64 = 5.0; // Servers in the part at the least: one slow one must not matter much, and
+const PART_HELD: f64 = 8.0; // where they report jobs held, which compare without a node's own learning.
 const STEP_UNIT: f64 = 0.1; // Least mean the step is taken of: a tenth of a core or a tenth of a waiting job.
 const PROBE_FLOOR: f64 = 0.2; // Probes a second at the least: idle callers see servers within a minute.
 const PROBE_SPEND: f64 = 0.002; // Points that a tier's probes may cost; the price gives probes a job.
@@ -68,7 +69,6 @@
 const HOLD: f64 = 0.25; // Share of its contract time that a job waits at the most: queues here are short.
 const SURE: f64 = 3.0; // Power at which a job's worth falls where its usual duration is above the time left.
 const BACK: f64 = 0.25; // Advice on when to come back, share of the contract time: soon enough to be in time.
-const FAIR_SPAN: f64 = 30_000.0; // Span, ms, over which the worst served are told: as long as troubles last.
 const ZONE_MARGIN: f64 = 26.0; // Share that raises an away server's figure for each point of crossing.
 const ASK_AGAIN: f64 = 1000.0; // First and last pause, ms, before the list is asked for again.
 
@@ -154,9 +154,6 @@
     trial: Weak<Job>,
 }
 
-/// Gain asked for and honoured in time, for one profile or one customer.
-type Tally = [Recent; 2];
-
 /// Whose group a job's further shots are held to, if any.
 type Bound = Option<Rc<Server>>;
 
@@ -165,8 +162,6 @@
     settings: Rc<Settings>,
     /// Names of all profiles met so far: their places hold through new settings.
     names: Vec<String>,
-    /// The places of those that the settings have now.
-    in_force: Vec<usize>,
     chance: Chance,
     now: f64,
     jobs: HashMap<u32, Rc<Job>>,
@@ -181,7 +176,6 @@
     next_probe: f64,
     next_ask: f64,
     ask_pause: f64,
-    tallies: [Vec<Tally>; 2],
     admitted: Vec<Recent>,
     first_shots: Recent,
     /// Servers that a draw asks first: between two jobs of its own a node's figures get too old to tell much.
@@ -202,7 +196,6 @@
     notes: Vec<String>,
     worths: Recent,
     lost: Recent,
-    makes: BTreeMap<usize, Recent>,
 }
 
 impl Balancer {
@@ -274,9 +267,7 @@
 
     /// Other settings from now on: what is learned of a profile stays under its name, jobs keep their rules.
     pub fn retune(&mut self, settings: Rc<Settings>) {
-        self.in_force = settings.profiles.iter().map(|profile| self.slot(&profile.name)).collect();
         if self.settings.quotas != settings.quotas {
-            self.tallies[1] = vec![[Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]; settings.quotas.len()];
             self.admitted = vec![Recent::new(SPAN); settings.quotas.len()];
             self.again = vec![Recent::new(SPAN); settings.quotas.len().max(1)];
         }
@@ -298,7 +289,6 @@
             self.names.push(name.into());
             self.window.add_profile();
             self.fares.push(Fare { timely: Recent::new(FARE_SPAN), hopeless: false, trial: Weak::new() });
-            self.tallies[0].push([Recent::new(FAIR_SPAN), Recent::new(FAIR_SPAN)]);
             let servers = self.known.values().filter(|_| self.asks > 0);
             servers.for_each(|server| server.health.borrow_mut().push(Rc::default()));
             self.names.len() - 1
@@ -315,8 +305,7 @@
         let (rules, asked) = (rules.clone(), Cell::new(f64::NEG_INFINITY));
         let (arrived, limit) = (Cell::new(now), Cell::new(limit));
         let job = Job { id, rules, place, profile, customer, arrived, limit, asked, ..Job::default() };
-        let (gain, job) = (self.gain(&job), Rc::new(job));
-        self.tally(profile, customer, |[asked, _]| asked.add(now, gain));
+        let job = Rc::new(job);
         self.taken.add(now, 1.0);
         self.jobs.insert(id, job.clone());
         self.pending.push(job);
@@ -418,7 +407,8 @@
     /// How many servers of a zone this node draws among: as many as its own jobs let it know.
     fn part(&mut self) -> usize {
         let rate = self.first_shots.total(self.now).0 / self.now.clamp(1000.0, SPAN) * 1000.0;
-        (rate / ACQUAINTED).max(PART_LEAST).ceil() as usize
+        let held = self.asks == 0 && self.settings.report.contains(&Figure::Held);
+        (rate / ACQUAINTED).max(if held { PART_HELD } else { PART_LEAST }).ceil() as usize
     }
 
     /// The first wanted servers of its own zone and of the others: of many it would know none.
@@ -558,10 +548,6 @@
             Ending::Honoured => {
                 self.endings.add(now, 1.0);
                 server.answered(job.profile, now, self.settings.cold_time);
-                if now - job.arrived.get() <= self.profile(job).contract_time {
-                    let gain = self.gain(job);
-                    self.tally(job.profile, job.customer, |[_, honoured]| honoured.add(now, gain));
-                }
                 self.window.honoured(job.profile, now, took);
                 self.tell(job, true);
                 self.compare(server, took / usual);
@@ -623,16 +609,11 @@
         job.apart.set(true);
     }
 
-    /// A caller sends each server too little to know it soon: machines of one make are learned together.
+    /// How slow a server is beside the others; a few samples lean on them.
     fn compare(&mut self, server: &Server, relative: f64) {
-        let make = self.makes.entry(server.line.get().make).or_insert_with(|| Recent::new(PACE_MEMORY));
-        make.add(self.now, relative);
-        let like = make.mean_beside(self.now, PRIOR, 1.0);
-        server.relative.borrow_mut().add(self.now, relative);
-        for other in self.table.iter().filter(|other| other.line.get().make == server.line.get().make) {
-            // A few samples lean on the make's mean.
-            other.slowness.set(other.relative.borrow_mut().mean_beside(self.now, PRIOR, like));
-        }
+        let mut recent = server.relative.borrow_mut();
+        recent.add(self.now, relative);
+        server.slowness.set(recent.mean_beside(self.now, PRIOR, 1.0));
     }
 
     /// What servers of this node's part report of their utilisation, if that is what they report.
@@ -759,8 +740,7 @@
             return;
         }
         let waiting = std::mem::take(&mut self.waiting).into_iter().filter(|job| !job.closed.get());
-        let (asked, worst) = self.served();
-        let mut ranked: Vec<_> = waiting.map(|job| (self.worth(&job, asked, worst), job)).collect();
+        let mut ranked: Vec<_> = waiting.map(|job| (self.worth(&job), job)).collect();
         ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then(x.arrived.get().total_cmp(&y.arrived.get())));
         // A lost zone's jobs would come on top of the others' own and tip them: what was borne is by server.
         let works = |server: &&Rc<Server>| !server.health.borrow().iter().all(|own| own.is_aside(self.now));
@@ -808,44 +788,15 @@
         worth > self.worths.mean(self.now) * (1.0 + f64::EPSILON.sqrt())
     }
 
-    /// Gain of a job of this profile, in units that add up.
-    fn gain(&mut self, job: &Job) -> f64 {
-        let gain = self.profile(job).gain;
-        if job.rules.gain_by_work { gain * self.usual(job) } else { gain }
-    }
-
-    fn tally(&mut self, profile: usize, customer: usize, book: impl Fn(&mut Tally)) {
-        let [profiles, customers] = &mut self.tallies;
-        profiles.get_mut(profile).into_iter().chain(customers.get_mut(customer)).for_each(book);
-    }
-
-    /// Gain asked for by all, and the worst served profile and customer.
-    fn served(&mut self) -> (f64, [Option<usize>; 2]) {
-        let now = self.now;
-        let asked = self.tallies[0].iter_mut().map(|[asked, _]| asked.total(now).1).sum();
-        let [profiles, customers] = &mut self.tallies;
-        // A dropped profile is asked for no more, and would be the worst served for good.
-        let profiles = profiles.iter_mut().enumerate().filter(|(place, _)| self.in_force.contains(place));
-        let worst = [least_served(now, profiles), least_served(now, customers.iter_mut().enumerate())];
-        (asked, worst)
-    }
-
-    /// What serving the job adds to the goal for each unit of work. The worst served profile and customer
-    /// count by themselves there, so that one of low gain is not starved for the others.
-    fn worth(&mut self, job: &Job, asked: f64, worst: [Option<usize>; 2]) -> f64 {
+    /// What serving the job gains for each unit of work.
+    fn worth(&mut self, job: &Job) -> f64 {
         let within = self.within_quota(job.customer);
-        let mut part = self.settings.weight_whole / asked.max(f64::MIN_POSITIVE);
-        let weights = [self.settings.weight_profile, self.settings.weight_customer];
-        for (kind, place) in [job.profile, job.customer].into_iter().enumerate() {
-            if worst[kind] == Some(place) && within {
-                part += weights[kind] / self.tallies[kind][place][0].total(self.now).1.max(f64::MIN_POSITIVE);
-            }
-        }
         let excess = if within { 1.0 } else { self.settings.excess_gain };
         // What will hardly be answered in time is worth little more than nothing, however short the queue.
         let left = job.arrived.get() + self.profile(job).contract_time - self.now;
         let chance = (left / self.usual(job)).clamp(0.0, 1.0).powf(SURE);
-        part * excess * chance * self.gain(job) / self.usual(job)
+        let work = if job.rules.gain_by_work { 1.0 } else { self.usual(job) };
+        excess * chance * self.profile(job).gain / work
     }
 
     /// The quota holds over all nodes, and clients ask again: this node's part is measured by what it let in.
@@ -1031,12 +982,6 @@
     }
 }
 
-fn least_served<'a>(now: f64, all: impl Iterator<Item = (usize, &'a mut Tally)>) -> Option<usize> {
-    let share = |[asked, honoured]: &mut Tally| honoured.total(now).1 / asked.total(now).1.max(1e-9);
-    let shares = all.map(|(place, tally)| (place, share(tally)));
-    shares.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place)
-}
-
 impl Job {
     /// Its part of the jobs out: before its last byte has come no server works on it.
     fn load(&self) -> f64 {
