--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod interface;
 pub mod policy;
 pub mod ring;
+mod state;
 pub mod window;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,11 +8,11 @@
 use crate::chance::Chance;
 use crate::interface::{Address, Effect, Ending, Figure, Group, Listing};
 use crate::interface::{Profile, Settings, Standing, Writer};
-use crate::ring::Ring;
+use crate::state::{Fare, Health, Job, Recent, Server, Shot};
 use crate::window::Window;
 use rand::distr::weighted::WeightedIndex;
 use rand::prelude::{Distribution, Rng};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::{Rc, Weak};
 
@@ -56,15 +56,14 @@
 const UNSEEN: f64 = 0.2; // Share of the contract time that stands for a mean duration not yet seen.
 const FURTHER: f64 = 0.2; // Further shots as a share of first ones, if all recent ones succeed.
 const FURTHER_FREE: f64 = 2.0; // Further shots free in each span: a lone failure may always go again.
-const AGAIN_LEAST: f64 = 0.3; // Share of shots after an error that must be honoured, or none is sent: three that fail.
-const LONG: f64 = 2.0; // Usual durations after which a job counts as one that drags: one in ten does by chance.
+const AGAIN_LEAST: f64 = 0.3; // Share of shots after an error to be honoured, or none goes: three that fail.
+const LONG: f64 = 2.0; // Usual durations after which a job counts as dragging: one in ten by chance.
 const FARE_SPAN: f64 = 5_000.0; // Span, ms, over which it counts how a profile fares.
 const HOPELESS: f64 = 0.4; // Share answered in time below which a profile is sent for trial only, and
 const WELL: f64 = 0.6; // share at which it goes again, or another profile fares well.
 const FARE_PRIOR: f64 = 2.0; // Jobs beside which failures have to count: a few are chance.
 const COLD_PART: f64 = 0.5; // Share of the cold limit that is used: works differ, and so do nodes.
 const SPAN: f64 = 10_000.0; // Span of measurements, ms: some dozen jobs on a server at usual rates.
-const PACE_MEMORY: f64 = 30_000.0; // Memory, ms, of how slow servers are: a caller has few samples.
 const PRIOR: f64 = 3.0; // Samples that the mean duration stands for when a server is compared with it.
 const HOLD: f64 = 0.25; // Share of its contract time that a job waits at the most: queues here are short.
 const SURE: f64 = 3.0; // Power at which a job's worth falls where its usual duration is above the time left.
@@ -72,88 +71,6 @@
 const ZONE_MARGIN: f64 = 26.0; // Share that raises an away server's figure for each point of crossing.
 const ASK_AGAIN: f64 = 1000.0; // First and last pause, ms, before the list is asked for again.
 
-type Recent = Ring<10>;
-
-#[derive(Default)]
-struct Server {
-    line: Cell<Listing>,
-    /// By this the table is ordered; the first ones are those that this node draws among.
-    place: f64,
-    started: Cell<f64>,
-    /// The load table's entry: the last report, if any.
-    figure: Cell<Option<f64>>,
-    /// When it was last probed, and when it last answered that.
-    probed: Cell<f64>,
-    seen: Cell<f64>,
-    out: Cell<u32>,
-    /// How each profile fares on it, or all of them where draws don't ask.
-    health: RefCell<Vec<Rc<Health>>>,
-    /// Its last shot found no connection: no fault shared with others, and its line may be out of date.
-    unreached: Cell<bool>,
-    /// When it last honoured a job.
-    heard: Cell<f64>,
-    /// Full a moment ago: it would turn the next shot away too, and quickly, as if it were idle.
-    rest_until: Cell<f64>,
-    failing_since: Cell<f64>,
-    slowness: Cell<f64>,
-    relative: RefCell<Recent>,
-    cold_credit: Cell<f64>,
-    credit_at: Cell<f64>,
-}
-
-/// How one profile's shots fare on a server: some fail one profile and serve the others.
-#[derive(Default)]
-struct Health {
-    strikes: Cell<u32>,
-    aside: Cell<f64>,
-    back_at: Cell<f64>,
-    on_trial: Cell<bool>,
-}
-
-struct Shot {
-    server: Rc<Server>,
-    sent: f64,
-    /// Share of the job's time left that it was to take.
-    promise: f64,
-    ending: Option<Ending>,
-    overdue: bool,
-}
-
-#[derive(Default)]
-struct Job {
-    id: u32,
-    /// The settings that it came under, and its profile's place in them.
-    rules: Rc<Settings>,
-    place: usize,
-    /// Its profile's place in all that is kept by profile.
-    profile: usize,
-    customer: usize,
-    arrived: Cell<f64>,
-    /// Infinite while its body is coming.
-    limit: Cell<f64>,
-    /// Its body has been sent and was not kept.
-    spent: Cell<bool>,
-    /// When servers were last asked for it.
-    asked: Cell<f64>,
-    shots: RefCell<Vec<Shot>>,
-    closed: Cell<bool>,
-    /// When it has taken far longer than its profile usually does.
-    due: Cell<f64>,
-    told: Cell<bool>,
-    /// It takes no place in the window: it drags by itself.
-    apart: Cell<bool>,
-    waiting: Cell<bool>,
-    settled: Cell<bool>,
-}
-
-/// Share of a profile's jobs that are answered in time.
-struct Fare {
-    timely: Recent,
-    /// Hardly any is, while other profiles fare well: it drags or fails wherever it goes.
-    hopeless: bool,
-    trial: Weak<Job>,
-}
-
 /// Whose group a job's further shots are held to, if any.
 type Bound = Option<Rc<Server>>;
 
@@ -595,7 +512,7 @@
         }
     }
 
-    /// Do jobs of its customer that got an error get one from others too? Then it is no fault of a server's, and
+    /// Do jobs of its customer that got an error get one from others too? Then no server is at fault, and it is
     /// worth no further shot.
     fn is_own_fault(&mut self, job: &Job) -> bool {
         let place = job.customer.min(self.again.len() - 1);
@@ -982,51 +899,7 @@
     }
 }
 
-impl Job {
-    /// Its part of the jobs out: before its last byte has come no server works on it.
-    fn load(&self) -> f64 {
-        f64::from(u8::from(self.limit.get().is_finite() && !self.apart.get()))
-    }
-
-    fn errors(&self) -> usize {
-        self.shots.borrow().iter().filter(|shot| shot.ending == Some(Ending::Error)).count()
-    }
-
-    /// Has every shot so far provably never run?
-    fn proven_unrun(&self) -> bool {
-        self.shots.borrow().iter().all(|shot| shot.ending.is_some_and(Ending::never_ran))
-    }
-}
-
 impl Server {
-    fn new(line: Listing, place: f64, profiles: usize) -> Self {
-        Self {
-            line: Cell::new(line),
-            place,
-            started: Cell::new(line.started),
-            health: RefCell::new((0..profiles).map(|_| Rc::default()).collect()),
-            failing_since: Cell::new(f64::INFINITY),
-            slowness: Cell::new(1.0),
-            relative: RefCell::new(Recent::new(PACE_MEMORY)),
-            credit_at: Cell::new(line.started.max(0.0)),
-            ..Self::default()
-        }
-    }
-
-    /// A new start: nothing known of it holds, and it is cold.
-    fn restarted(&self, at: f64, now: f64) {
-        self.started.set(at);
-        self.figure.set(None);
-        self.health.borrow().iter().for_each(|health| health.strikes.set(0));
-        self.cold_credit.set(0.0);
-        self.credit_at.set(now);
-    }
-
-    fn health(&self, profile: usize) -> Rc<Health> {
-        let health = self.health.borrow();
-        health[profile.min(health.len() - 1)].clone()
-    }
-
     fn answered(&self, profile: usize, now: f64, cold_time: f64) {
         // Silent long enough to have restarted: it is cold until the list says better.
         let silent = now - self.failing_since.get() > SILENT && now - self.started.get() > cold_time;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,136 @@
+//! What a node remembers of servers and jobs, for `policy.rs`, which alone decides by it.
+
+use crate::interface::{Ending, Listing, Settings};
+use crate::ring::Ring;
+use std::cell::{Cell, RefCell};
+use std::rc::{Rc, Weak};
+
+const PACE_MEMORY: f64 = 30_000.0; // Memory, ms, of how slow servers are: a caller has few samples.
+
+pub(crate) type Recent = Ring<10>;
+
+#[derive(Default)]
+pub(crate) struct Server {
+    pub(crate) line: Cell<Listing>,
+    /// By this the table is ordered; the first ones are those that this node draws among.
+    pub(crate) place: f64,
+    pub(crate) started: Cell<f64>,
+    /// The load table's entry: the last report, if any.
+    pub(crate) figure: Cell<Option<f64>>,
+    /// When it was last probed, and when it last answered that.
+    pub(crate) probed: Cell<f64>,
+    pub(crate) seen: Cell<f64>,
+    pub(crate) out: Cell<u32>,
+    /// How each profile fares on it, or all of them where draws don't ask.
+    pub(crate) health: RefCell<Vec<Rc<Health>>>,
+    /// Its last shot found no connection: no fault shared with others, and its line may be out of date.
+    pub(crate) unreached: Cell<bool>,
+    /// When it last honoured a job.
+    pub(crate) heard: Cell<f64>,
+    /// Full a moment ago: it would turn the next shot away too, and quickly, as if it were idle.
+    pub(crate) rest_until: Cell<f64>,
+    pub(crate) failing_since: Cell<f64>,
+    pub(crate) slowness: Cell<f64>,
+    pub(crate) relative: RefCell<Recent>,
+    pub(crate) cold_credit: Cell<f64>,
+    pub(crate) credit_at: Cell<f64>,
+}
+
+/// How one profile's shots fare on a server: some fail one profile and serve the others.
+#[derive(Default)]
+pub(crate) struct Health {
+    pub(crate) strikes: Cell<u32>,
+    pub(crate) aside: Cell<f64>,
+    pub(crate) back_at: Cell<f64>,
+    pub(crate) on_trial: Cell<bool>,
+}
+
+pub(crate) struct Shot {
+    pub(crate) server: Rc<Server>,
+    pub(crate) sent: f64,
+    /// Share of the job's time left that it was to take.
+    pub(crate) promise: f64,
+    pub(crate) ending: Option<Ending>,
+    pub(crate) overdue: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Job {
+    pub(crate) id: u32,
+    /// The settings that it came under, and its profile's place in them.
+    pub(crate) rules: Rc<Settings>,
+    pub(crate) place: usize,
+    /// Its profile's place in all that is kept by profile.
+    pub(crate) profile: usize,
+    pub(crate) customer: usize,
+    pub(crate) arrived: Cell<f64>,
+    /// Infinite while its body is coming.
+    pub(crate) limit: Cell<f64>,
+    /// Its body has been sent and was not kept.
+    pub(crate) spent: Cell<bool>,
+    /// When servers were last asked for it.
+    pub(crate) asked: Cell<f64>,
+    pub(crate) shots: RefCell<Vec<Shot>>,
+    pub(crate) closed: Cell<bool>,
+    /// When it has taken far longer than its profile usually does.
+    pub(crate) due: Cell<f64>,
+    pub(crate) told: Cell<bool>,
+    /// It takes no place in the window: it drags by itself.
+    pub(crate) apart: Cell<bool>,
+    pub(crate) waiting: Cell<bool>,
+    pub(crate) settled: Cell<bool>,
+}
+
+/// Share of a profile's jobs that are answered in time.
+pub(crate) struct Fare {
+    pub(crate) timely: Recent,
+    /// Hardly any is, while other profiles fare well: it drags or fails wherever it goes.
+    pub(crate) hopeless: bool,
+    pub(crate) trial: Weak<Job>,
+}
+
+impl Job {
+    /// Its part of the jobs out: before its last byte has come no server works on it.
+    pub(crate) fn load(&self) -> f64 {
+        f64::from(u8::from(self.limit.get().is_finite() && !self.apart.get()))
+    }
+
+    pub(crate) fn errors(&self) -> usize {
+        self.shots.borrow().iter().filter(|shot| shot.ending == Some(Ending::Error)).count()
+    }
+
+    /// Has every shot so far provably never run?
+    pub(crate) fn proven_unrun(&self) -> bool {
+        self.shots.borrow().iter().all(|shot| shot.ending.is_some_and(Ending::never_ran))
+    }
+}
+
+impl Server {
+    pub(crate) fn new(line: Listing, place: f64, profiles: usize) -> Self {
+        Self {
+            line: Cell::new(line),
+            place,
+            started: Cell::new(line.started),
+            health: RefCell::new((0..profiles).map(|_| Rc::default()).collect()),
+            failing_since: Cell::new(f64::INFINITY),
+            slowness: Cell::new(1.0),
+            relative: RefCell::new(Recent::new(PACE_MEMORY)),
+            credit_at: Cell::new(line.started.max(0.0)),
+            ..Self::default()
+        }
+    }
+
+    /// A new start: nothing known of it holds, and it is cold.
+    pub(crate) fn restarted(&self, at: f64, now: f64) {
+        self.started.set(at);
+        self.figure.set(None);
+        self.health.borrow().iter().for_each(|health| health.strikes.set(0));
+        self.cold_credit.set(0.0);
+        self.credit_at.set(now);
+    }
+
+    pub(crate) fn health(&self, profile: usize) -> Rc<Health> {
+        let health = self.health.borrow();
+        health[profile.min(health.len() - 1)].clone()
+    }
+}
--- a/src/window.rs
+++ b/src/window.rs
@@ -1,11 +1,11 @@
-//! How many jobs a node of the clients' own tier may have out. `policy.rs` tells it of answers and of jobs out.
+//! How many jobs a node of the clients' own tier may have out; `policy.rs` tells it of answers and jobs out.
 //!
 //! A server has in hand what it would have if nobody waited there, its rate times the time that jobs take by
-//! themselves, and a few that wait. The first differs by deployment, as servers hold jobs while inner tiers work.
+//! themselves, and a few that wait. The first differs by deployment: servers hold jobs while inner tiers work.
 
 use crate::ring::{Level, Ring};
 
-const TARGET: f64 = 0.35; // Mean share of the contract time beyond their plain one that jobs may take, or fewer go.
+const TARGET: f64 = 0.35; // Share of the contract time beyond their plain one that jobs may take in the mean.
 const ROOM_LEAST: f64 = 0.2; // Share of the contract time that counts as beyond it at the least.
 const SHRINK: f64 = 0.02; // The window shrinks by this share for each answer while they take more.
 const SHRINK_LEAST: f64 = 0.4; // Jobs it shrinks by at the least: a late answer must close one of a job.
@@ -20,7 +20,7 @@
 const SPAN: f64 = 10_000.0; // Span, ms, of durations: some dozen jobs of a profile at usual rates.
 const EASE_MEMORY: f64 = 300_000.0; // Memory, ms, of the least durations: longer than any jam.
 const EASE_SAMPLES: f64 = 12.0; // Samples that a mean duration needs to be told.
-const DRAG: f64 = 0.6; // Stretch, as a logarithm, by which a profile that drags by itself is beyond the others.
+const DRAG: f64 = 0.6; // Stretch, as a logarithm, from which a profile drags by itself beside the others.
 const SCATTER: f64 = 1.0; // Deviation of a duration's logarithm: what so few samples may show by chance.
 const CROWDING_MOST: f64 = 4.0; // Most that crowding is held to lengthen jobs by: beyond it something fails.
 
@@ -72,8 +72,8 @@
         pace.logs.add(now, took.max(1.0).ln());
     }
 
-    /// Closes while recent jobs take much of what their contract time leaves beside their own, opens as they are
-    /// answered. Only what crowding adds counts: a job that is long by itself is no sign of it.
+    /// Closes while recent jobs take much of what their contract time leaves beside their own, opens as they
+    /// are answered. Only what crowding adds counts: a job that is long by itself is no sign of it.
     pub fn follow(&mut self, profile: usize, now: f64, took: f64, contract: f64) {
         self.learn_ease(now);
         let plain = self.plain(profile, now);
@@ -85,9 +85,9 @@
         }
     }
 
-    /// Keeps the window to what this node's part of the servers, `part`, bears. With far more nodes than servers
-    /// that is nothing at all: one job may always be out. `busy` is what servers report of their utilisation, if
-    /// they do: more in hand gains a busy one nothing.
+    /// Keeps the window to what this node's part of the servers, `part`, bears. With far more nodes than
+    /// servers that is nothing at all: one job may always be out. `busy` is what servers report of their
+    /// utilisation, if they do: more in hand gains a busy one nothing.
     pub fn bound(&mut self, now: f64, part: f64, busy: Option<f64>) {
         let idle = busy.map_or(1.0, |busy| ((BUSY - busy) / (BUSY - IDLE)).clamp(0.0, 1.0));
         let most = (self.uncrowded(now) + WAITING * part) * idle;
