--- a/src/policy.rs
+++ b/src/policy.rs
@@ -512,8 +512,8 @@
         }
     }
 
-    /// Do jobs of its customer that got an error get one from others too? Then no server is at fault, and it is
-    /// worth no further shot.
+    /// Do jobs of its customer that got an error get one from others too? Then no server is at fault, and
+    /// it is worth no further shot.
     fn is_own_fault(&mut self, job: &Job) -> bool {
         let place = job.customer.min(self.again.len() - 1);
         job.errors() > 0 && self.again[place].mean_beside(self.now, 1.0, 1.0) < AGAIN_LEAST
