--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,6 +31,8 @@
 const ASK_LEAST: f64 = 2.0; // at the least: one figure compares with nothing.
 const KEPT: usize = 2; // Servers of its part that a node must be able to ask before it goes beyond it.
 const ASK_PATIENCE: f64 = 0.05; // Share of the contract time a draw waits for answers: some are lost.
+const LAG: f64 = 1000.0; // Most, ms, that reports lag where nothing is wrong with them, and
+const DOUBT: f64 = 20_000.0; // time, ms, for which none that says idle is believed of a server that was not.
 const UNREPORTED: f64 = 1.0; // Least figure, jobs, of a busy server that gave none: others may be idle.
 const STRANGER: f64 = 1.0; // Jobs that the first connection to a server is worth: its work falls on the job.
 const ASK_AGAIN_SHARE: f64 = 0.1; // Share of the contract time after which an unpromised job asks again.
@@ -257,8 +259,17 @@
         let Some(server) = self.known.get(&address).cloned() else { return };
         server.seen.set(self.now);
         let highest = || self.table.iter().filter_map(|server| server.figure.get()).fold(0.0, f64::max);
-        server.figure.set(match self.read(report) {
+        let told = self.read(report);
+        // It says that it holds nothing while it has held a job of ours for longer than a report may lag.
+        let idle =
+            good && self.settings.report.contains(&Figure::Held) && told.is_some_and(|held| held < IDLE);
+        if idle && server.out.get() > 0 && self.now - server.taken.get() > LAG {
+            server.untrue.set(self.now + DOUBT);
+        }
+        server.figure.set(match told {
             _ if !good => Some(highest()),
+            // What is known to be untrue counts as unheard.
+            Some(_) if idle && self.now < server.untrue.get() => None,
             Some(figure) => Some(figure),
             None if self.settings.report.is_empty() => Some(took),
             // A cold one has nothing to report yet; a warm one is too busy to, and may not win traffic.
@@ -800,7 +811,9 @@
             self.rationed.add(self.now, 1.0);
         }
         self.drawn.add(self.now, figure);
-        server.out.set(server.out.get() + 1);
+        if server.out.replace(server.out.get() + 1) == 0 {
+            server.taken.set(self.now);
+        }
         server.cold_credit.set(server.cold_credit.get() - 1.0);
         // Back from its time aside it gets one shot, and the next when that was honoured.
         let health = server.health(job.profile);
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,6 +21,9 @@
     pub(crate) probed: Cell<f64>,
     pub(crate) seen: Cell<f64>,
     pub(crate) out: Cell<u32>,
+    /// Since when it has held a job of this node's, and until when no report that says idle is believed.
+    pub(crate) taken: Cell<f64>,
+    pub(crate) untrue: Cell<f64>,
     /// How each profile fares on it, or all of them where draws don't ask.
     pub(crate) health: RefCell<Vec<Rc<Health>>>,
     /// Its last shot found no connection: no fault shared with others, and its line may be out of date.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -439,6 +439,7 @@
 #[test_case("budget"; "shots beyond the first stay within their budget whatever ended the one before")]
 #[test_case("drags"; "a profile that drags wherever it goes takes no place from others")]
 #[test_case("fails-anywhere"; "jobs that fail wherever they go have one shot each and are no fault of a server")]
+#[test_case("untrue-report"; "a server that reports to be idle while it holds own jobs is not believed")]
 #[test_case("overload"; "the window holds back a burst and pushes back early")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
