--- a/src/policy.rs
+++ b/src/policy.rs
@@ -122,7 +122,6 @@
         let mut chance = Chance::seeded(salt);
         // All instances start alike: their first calls for the list are spread, or the service fails them.
         let next_ask = chance.0.random::<f64>() * settings.ask_within * 0.3;
-        let recent = || Recent::new(SPAN);
         let tells = settings.may_probe && settings.report.contains(&Figure::Held);
         let asks = (ASK_SPEND / settings.probe_price.max(1e-9)).min(ASK_MOST);
         let mut balancer = Self {
@@ -134,15 +133,9 @@
             next_ask: if settings.listed_on_request { next_ask } else { f64::INFINITY },
             next_probe: f64::INFINITY,
             ask_pause: ASK_AGAIN,
-            first_shots: recent(),
             reach: REACH_MOST,
-            drawn: recent(),
-            endings: recent(),
-            again: vec![recent()],
-            further: recent(),
+            again: vec![Recent::default()],
             window: Window::new(),
-            worths: recent(),
-            lost: recent(),
             ..Self::default()
         };
         balancer.retune(Rc::new(settings));
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -50,8 +50,9 @@
 }
 
 impl<const SLOTS: usize> Default for Ring<SLOTS> {
+    /// Ten seconds, the span of most measurements: some dozen jobs on a server at usual rates.
     fn default() -> Self {
-        Self::new(1000.0)
+        Self::new(10_000.0)
     }
 }
 
