--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -516,3 +516,32 @@
     assert_eq!(node.caller().ask(&head("read", "2", 0), b"").status(), 503);
     assert_eq!(silent.iter().map(|server| server.jobs().len()).sum::<usize>(), 1);
 }
+
+/// What the standing test of the fleet asks of the program: linked dynamically, so that a library can be loaded into
+/// it, and serving in one process, without a ring of its own in the kernel.
+#[test]
+fn the_node_names_an_interpreter_and_serves_in_one_process() {
+    let program = std::fs::read(env!("CARGO_BIN_EXE_pearfront-node")).unwrap();
+    let at = |place: usize, bytes: usize| {
+        program[place..place + bytes].iter().rev().fold(0, |number, byte| number << 8 | usize::from(*byte))
+    };
+    let (headers, size, count) = (at(32, 8), at(54, 2), at(56, 2));
+    const INTERPRETER: usize = 3;
+    let named = (0..count).map(|number| headers + number * size).find(|place| at(*place, 4) == INTERPRETER);
+    let named = named.expect("linked statically");
+    let name = &program[at(named + 8, 8)..at(named + 8, 8) + at(named + 32, 8)];
+    assert!(String::from_utf8_lossy(name).contains("ld-linux"), "{name:?}");
+
+    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let node = Node::start(&config(&[server.address]));
+    assert_eq!(node.caller().ask(&head("read", "5", 0), b"").status(), 200);
+    let proc = format!("/proc/{}", node.pid());
+    for task in std::fs::read_dir(format!("{proc}/task")).unwrap() {
+        let children = std::fs::read_to_string(task.unwrap().path().join("children")).unwrap();
+        assert_eq!(children, "", "it started a process");
+    }
+    let open = std::fs::read_dir(format!("{proc}/fd")).unwrap();
+    let links = open.filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok());
+    let own: Vec<_> = links.filter(|link| link.to_string_lossy().contains("io_uring")).collect();
+    assert!(own.is_empty(), "{own:?}");
+}
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -574,8 +574,12 @@
         self.signal("-HUP");
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
     pub fn signal(&self, signal: &str) {
-        let id = self.child.as_ref().unwrap().id().to_string();
+        let id = self.pid().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
