--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint and run. `.ci/run` is all but the last.
-.PHONY: build test lint run rehearse bench-node bench-model
+.PHONY: build test lint run rehearse bench-node bench-model standing
 
 build:
 	cargo build --release --locked
@@ -32,3 +32,7 @@
 # What a play in simulated time costs with size; some minutes.
 bench-model:
 	cargo bench --locked -p pearfront-emulator --bench model
+
+# The standing test of the whole fleet, its quick days; bench and site are not part of this repository.
+standing:
+	$(BENCH) score $(SITE) --quick --why "$(or $(WHY),Standing test at the end of a sitting)"
