--- a/crates/pearfront-emulator/tests/plays.rs
+++ b/crates/pearfront-emulator/tests/plays.rs
@@ -272,3 +272,13 @@
         .filter(|answered| answered.answer == Answer::Honoured);
     assert!(honoured.count() > 1000);
 }
+
+// Three hundred nodes with few jobs each, as shipped: what each does alone adds up over the fleet.
+#[test_case(include_str!("../../../rehearsals/fleet-zone-cut.toml"), 0.97; "a zone cut off for six seconds")]
+#[test_case(include_str!("../../../rehearsals/fleet-release.toml"), 0.95; "front nodes killed, inner servers replaced cold")]
+fn a_fleet_of_three_hundred_nodes_keeps_the_rules_and_most_of_its_service(file: &str, service: f64) {
+    let scenario = Scenario::parse(file).unwrap();
+    let verdict = run(&scenario, Policy::Module, None).1;
+    assert!(broken(&verdict).is_empty(), "{:?}", verdict.broken);
+    assert!(verdict.service > service, "{}", verdict.line());
+}
