--- a/tests/window.rs
+++ b/tests/window.rs
@@ -57,3 +57,28 @@
     };
     assert_eq!([bounded(Some(1.0)), bounded(None) - bounded(Some(0.2))], [MOST, 0.0]);
 }
+
+#[test]
+fn a_job_in_a_hundred_that_costs_thirty_times_the_work_closes_nothing() {
+    let heavy = |at: f64, _: usize| if (at / 100.0).round() as u64 % 100 == 0 { 30_000.0 } else { 1000.0 };
+    let most = after(100.0, 30_000.0, heavy);
+    assert!(most >= 20.0, "{most} where 20 are in hand at this rate");
+}
+
+#[test]
+fn a_mix_that_turns_to_the_heavy_profile_for_good_is_let_in() {
+    let mut window = Window::new();
+    (0..2).for_each(|_| window.add_profile());
+    window.begin(1.0);
+    // Nine in ten are light, and after 15 s nine in ten heavy; each takes what it always did.
+    for number in 0..800 {
+        let now = f64::from(number) * 50.0;
+        let heavy = (number % 10 == 0) == (now < 15_000.0);
+        let took = if heavy { 1200.0 } else { 300.0 };
+        window.out.value = window.size();
+        window.honoured(usize::from(heavy), now, took);
+        window.follow(usize::from(heavy), now, took, 4000.0);
+        window.bound(now, 1.0, None);
+    }
+    assert!(window.size() >= 22.0, "{} where 22 are in hand", window.size());
+}
