--- a/tests/window.rs
+++ b/tests/window.rs
@@ -60,7 +60,8 @@
 
 #[test]
 fn a_job_in_a_hundred_that_costs_thirty_times_the_work_closes_nothing() {
-    let heavy = |at: f64, _: usize| if (at / 100.0).round() as u64 % 100 == 0 { 30_000.0 } else { 1000.0 };
+    let heavy =
+        |at: f64, _: usize| if ((at / 100.0).round() as u64).is_multiple_of(100) { 30_000.0 } else { 1000.0 };
     let most = after(100.0, 30_000.0, heavy);
     assert!(most >= 20.0, "{most} where 20 are in hand at this rate");
 }
