Slow bodies are not taken for a dragging profile; one span, one look, one share each

A job's time to count as dragging ran from its first shot, also while its body was still coming, so slow uploads had their profile sent for trial only: the new test failed before (1 of 5 jobs went). It runs from the last byte now, and a job that was let go of the window takes no place when its body comes, which was never given back.

As before, but told once: the span of measurements (ring.rs, twice more in policy.rs and window.rs), the share of shots after an error by customer, what a job's first shot settles. The table is no longer looked through for utilisation at each admission where none is reported.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,6 +8,7 @@
 use crate::chance::Chance;
 use crate::interface::{Address, Effect, Ending, Figure, Group, Listing};
 use crate::interface::{Profile, Settings, Standing, Writer};
+use crate::ring::SPAN;
 use crate::state::{Fare, Health, Job, Recent, Server, Shot};
 use crate::window::Window;
 use rand::distr::weighted::WeightedIndex;
@@ -65,7 +66,6 @@
 const WELL: f64 = 0.6; // share at which it goes again, or another profile fares well.
 const FARE_PRIOR: f64 = 2.0; // Jobs beside which failures have to count: a few are chance.
 const COLD_PART: f64 = 0.5; // Share of the cold limit that is used: works differ, and so do nodes.
-const SPAN: f64 = 10_000.0; // Span of measurements, ms: some dozen jobs on a server at usual rates.
 const PRIOR: f64 = 3.0; // Samples that the mean duration stands for when a server is compared with it.
 const HOLD: f64 = 0.25; // Share of its contract time that a job waits at the most: queues here are short.
 const SURE: f64 = 3.0; // Power at which a job's worth falls where its usual duration is above the time left.
@@ -230,8 +230,9 @@
         job.limit.set(limit);
         for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none()) {
             shot.sent = self.now;
-            self.window.out.change(self.now, 1.0);
+            self.window.out.change(self.now, job.load());
         }
+        self.expect(&job);
         self.pending.push(job);
     }
 
@@ -457,11 +458,9 @@
             (self.next_ask, self.ask_pause) = (now, 2.0 * ASK_AGAIN);
         }
         // Does it help to send a job that got an error again? Some get one wherever they go.
-        let errors = job.errors();
-        if errors > usize::from(ending == Ending::Error) && matches!(ending, Ending::Error | Ending::Honoured)
-        {
-            let place = job.customer.min(self.again.len() - 1);
-            self.again[place].add(now, f64::from(u8::from(ending == Ending::Honoured)));
+        let before = job.errors() - usize::from(ending == Ending::Error);
+        if before > 0 && matches!(ending, Ending::Error | Ending::Honoured) {
+            self.again(job).add(now, f64::from(u8::from(ending == Ending::Honoured)));
         }
         // An error that most servers give now comes from the tier behind: it says nothing of this one.
         let behind = !self.settings.last_tier && self.endings.mean_beside(now, 1.0, 1.0) < SHARED;
@@ -493,6 +492,12 @@
         server.health(job.profile).on_trial.set(false);
     }
 
+    /// Settles from when on a job counts as dragging: never while its body is coming.
+    fn expect(&mut self, job: &Job) {
+        let long = (LONG * self.usual(job)).min(self.profile(job).contract_time);
+        job.due.set(if job.limit.get().is_finite() { self.now + long } else { f64::INFINITY });
+    }
+
     /// Books whether a job was answered in time, once: at its contract time if nothing has come by then.
     fn tell(&mut self, job: &Job, timely: bool) {
         if job.shots.borrow().is_empty() || job.told.replace(true) {
@@ -519,8 +524,14 @@
     /// Do jobs of its customer that got an error get one from others too? Then no server is at fault, and
     /// it is worth no further shot.
     fn is_own_fault(&mut self, job: &Job) -> bool {
+        let now = self.now;
+        job.errors() > 0 && self.again(job).mean_beside(now, 1.0, 1.0) < AGAIN_LEAST
+    }
+
+    /// How shots after an error fare for its customer; where there are no customers, for all.
+    fn again(&mut self, job: &Job) -> &mut Recent {
         let place = job.customer.min(self.again.len() - 1);
-        job.errors() > 0 && self.again[place].mean_beside(self.now, 1.0, 1.0) < AGAIN_LEAST
+        &mut self.again[place]
     }
 
     /// A job that drags by itself says nothing of its servers and takes no place from others.
@@ -539,11 +550,13 @@
 
     /// What servers of this node's part report of their utilisation, if that is what they report.
     fn busy(&mut self) -> Option<f64> {
+        if self.settings.report.first() != Some(&Figure::Utilisation) {
+            return None;
+        }
         let part = self.part();
-        let told = self.settings.report.first() == Some(&Figure::Utilisation);
-        let figures: Vec<f64> =
-            self.near(part, |_| told).iter().filter_map(|server| server.figure.get()).collect();
-        (!figures.is_empty()).then(|| figures.iter().sum::<f64>() / figures.len() as f64)
+        let near = self.near(part, |_| true);
+        let figures = || near.iter().filter_map(|server| server.figure.get());
+        (figures().count() > 0).then(|| figures().sum::<f64>() / figures().count() as f64)
     }
 
     /// Failures in a row set a server aside: quick errors would otherwise win traffic by a low figure.
@@ -672,10 +685,8 @@
         for (worth, job) in ranked {
             // What is hardly ever answered in time, wherever it goes, would hold the places of all others.
             let fare = &self.fares[job.profile];
-            if self.settings.tier == 0
-                && fare.hopeless
-                && fare.trial.upgrade().is_some_and(|job| !job.closed.get())
-            {
+            let tried = fare.hopeless && fare.trial.upgrade().is_some_and(|job| !job.closed.get());
+            if self.settings.tier == 0 && tried {
                 self.give_up(&job, out);
                 continue;
             }
@@ -795,6 +806,7 @@
             return false;
         }
         if first {
+            self.expect(job);
             self.first_shots.add(self.now, 1.0);
             if let Some(recent) = self.admitted.get_mut(job.customer) {
                 recent.add(self.now, 1.0);
@@ -813,10 +825,6 @@
         health.on_trial.set(health.strikes.get() >= STRIKES && self.now >= health.back_at.get());
         self.window.out.change(self.now, job.load());
         out.shoot(job.id, server.line.get().server, job.limit.get() - self.now);
-        if first {
-            let long = LONG * self.usual(job);
-            job.due.set(self.now + long.min(self.profile(job).contract_time));
-        }
         let usual = self.usual(job) * self.overdue();
         let at = self.now + usual * server.slowness.get().min(2.0);
         job.shots.borrow_mut().push(Shot { server, sent: self.now, promise, ending: None, overdue: false });
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -1,5 +1,8 @@
 //! Fixed buckets of time, used again in a ring.
 
+/// Span of measurements, ms, where nothing else is said: some dozen jobs on a server at usual rates.
+pub const SPAN: f64 = 10_000.0;
+
 /// Counts and sums over the last `SLOTS` buckets; all times in milliseconds.
 #[derive(Debug, Clone)]
 pub struct Ring<const SLOTS: usize> {
@@ -50,9 +53,8 @@
 }
 
 impl<const SLOTS: usize> Default for Ring<SLOTS> {
-    /// Ten seconds, the span of most measurements: some dozen jobs on a server at usual rates.
     fn default() -> Self {
-        Self::new(10_000.0)
+        Self::new(SPAN)
     }
 }
 
--- a/src/window.rs
+++ b/src/window.rs
@@ -3,7 +3,7 @@
 //! A server has in hand what it would have if nobody waited there, its rate times the time that jobs take
 //! by themselves, and a few that wait. The first differs by deployment: servers hold jobs for inner tiers.
 
-use crate::ring::{Level, Ring};
+use crate::ring::{Level, Ring, SPAN};
 
 const TARGET: f64 = 0.35; // Share of the contract time beyond their plain one that jobs may take in the mean.
 const ROOM_LEAST: f64 = 0.2; // Share of the contract time that counts as beyond it at the least.
@@ -17,7 +17,6 @@
 const WAITING: f64 = 5.0; // Jobs a server that may wait beyond the uncrowded ones: enough to keep it at work.
 const IDLE: f64 = 0.2; // Utilisation above which servers gain less and less by more jobs in hand, and
 const BUSY: f64 = 0.6; // from which on nothing.
-const SPAN: f64 = 10_000.0; // Span, ms, of durations: some dozen jobs of a profile at usual rates.
 const EASE_MEMORY: f64 = 300_000.0; // Memory, ms, of the least durations: longer than any jam.
 const EASE_SAMPLES: f64 = 12.0; // Samples that a mean duration needs to be told.
 const DRAG: f64 = 0.6; // Stretch, as a logarithm, from which a profile drags by itself beside the others.
@@ -48,8 +47,7 @@
     }
 
     pub fn add_profile(&mut self) {
-        let recent = || Ring::new(SPAN);
-        self.paces.push(Pace { times: recent(), logs: recent(), ease: f64::INFINITY });
+        self.paces.push(Pace { times: Ring::default(), logs: Ring::default(), ease: f64::INFINITY });
     }
 
     pub fn size(&self) -> f64 {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -358,6 +358,28 @@
     assert!(scene.written.0.contains(&"push-back 1".into()), "{:?}", scene.written.0);
 }
 
+/// Bodies that come slowly are no dragging profile: none is given up for it, and their places come back.
+#[test]
+fn a_profile_whose_bodies_come_slowly_is_not_taken_to_drag() {
+    let mut scene = Scene::new();
+    (0..2).for_each(|_| scene.profile(&["redoable", "1000", "0", "1"]));
+    let a = listing("a", Standing::Ready);
+    scene.round(|balancer| balancer.listed(true, true, [a].into_iter()));
+    let rules = Rc::new(scene.settings.clone());
+    scene.round(|balancer| balancer.job(9, 0, 0, 9000.0));
+    scene.round(|balancer| balancer.shot_ended(9, 0, Ending::Honoured, QUICK, true));
+    scene.round(|balancer| (1..=8).for_each(|id| balancer.job_under(&rules, id, 1, 0, f64::INFINITY)));
+    scene.advance(8000.0);
+    // Their last bytes come, and they are answered: more of them go, as many as before.
+    scene.round(|balancer| (1..=8).for_each(|id| balancer.body_came(id, 60_000.0)));
+    scene.round(|balancer| (1..=8).for_each(|id| balancer.shot_ended(id, 0, Ending::Honoured, QUICK, true)));
+    scene.advance(10_000.0);
+    scene.written.0.clear();
+    scene.round(|balancer| (11..=15).for_each(|id| balancer.job(id, 1, 0, 60_000.0)));
+    let shots = scene.written.0.iter().filter(|line| line.starts_with("shoot")).count();
+    assert_eq!(shots, 5, "{:?}", scene.written.0);
+}
+
 /// A limit far behind all that these tests play.
 fn scene_limit() -> f64 {
     100_000.0
