Membership among processes: a pure core, played by seed in simulated time

Need: many processes that know who is there while peers drop, links stall and processes stand still. `pearfront-membership` is a core after SWIM and Lifeguard without sockets, clock or runtime; `docs/design/membership.md` says what differs and which failure is behind it. Nothing that runs uses it yet.

`cores::membership` plays up to 1,000 of them in one thread, with loss, delay, copies, pauses, kills, cuts either way, restarts and names given twice, and looks after every step whether anyone who runs is held to be gone, a datagram is too long or an incarnation falls back. `pearfront prove membership` prints the first seed that fails and replays it.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint and run. `.ci/run` is all but the last.
-.PHONY: build test lint run rehearse bench-node bench-model standing
+.PHONY: build test lint run rehearse bench-node bench-model prove-membership standing
 
 build:
 	cargo build --release --locked
@@ -33,6 +33,17 @@
 bench-model:
 	cargo bench --locked -p pearfront-emulator --bench model
 
+# Membership by seed in simulated time: storms at three sizes, and how soon a killed process is found. Some ten minutes.
+SEEDS ?= 1000
+prove-membership:
+	cargo build --release --locked -p pearfront-cli
+	for instances in 5 16 32; do \
+		target/release/pearfront prove membership --seeds $(SEEDS) --instances $$instances || exit; done
+	for instances in 5 16 32 100; do \
+		target/release/pearfront prove membership --calm --seeds 100 --instances $$instances || exit; \
+		target/release/pearfront prove membership --calm --proof --seeds 100 --instances $$instances || exit; done
+	target/release/pearfront prove membership --calm --seeds 3 --instances 1000
+
 # The standing test of the whole fleet, its quick days; bench and site are not part of this repository.
 standing:
 	$(BENCH) score $(SITE) --quick --why "$(or $(WHY),Standing test at the end of a sitting)"
--- a/crates/pearfront-cli/src/main.rs
+++ b/crates/pearfront-cli/src/main.rs
@@ -6,6 +6,7 @@
 mod compare;
 mod log_form;
 mod plot;
+mod prove;
 mod rehearse;
 mod results;
 
@@ -38,6 +39,7 @@
     Compare(compare::Compare),
     Plot(plot::Plot),
     Move(carry::Move),
+    Prove(prove::Prove),
 }
 
 /// Why a command did not end well.
@@ -60,6 +62,7 @@
         Command::Compare(compare) => compare.run(),
         Command::Plot(plot) => plot.run(),
         Command::Move(carry) => carry.run(),
+        Command::Prove(prove) => prove.run(),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/pearfront-cli/src/prove.rs
@@ -0,0 +1,144 @@
+//! `pearfront prove`: cores of many processes in simulated time, seed by seed, until one shows what must never be.
+
+use crate::Trouble;
+use hdrhistogram::Histogram;
+use pearfront_emulator::cores::membership::Trouble as Befalls;
+use pearfront_emulator::cores::membership::{Findings, Plan, Weather, World, play};
+use pearfront_membership::Times;
+
+/// Play cores of many processes in simulated time under weather and kills, and look at what must always hold after every
+/// step. The first seed that fails is played again, step by step.
+#[derive(clap::Args)]
+pub struct Prove {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(clap::Subcommand)]
+enum What {
+    Membership(Members),
+}
+
+/// A minute of 20 % loss, delays to 500 ms and pauses to 3 s, one in ten killed: no running process is held to be gone,
+/// every killed one is found by all.
+#[derive(clap::Args)]
+struct Members {
+    /// Seeds to play, one after another.
+    #[arg(long, default_value_t = 100, value_parser = clap::value_parser!(u64).range(1..=1_000_000))]
+    seeds: u64,
+    /// The first of them.
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    /// Processes in each play.
+    #[arg(long, default_value_t = 16, value_parser = clap::value_parser!(u64).range(2..=1000))]
+    instances: u64,
+    /// Quiet weather instead, in which one process is killed: how soon is it found?
+    #[arg(long)]
+    calm: bool,
+    /// In quiet weather: the kernels at the other ends of its links say that it is gone.
+    #[arg(long, requires = "calm")]
+    proof: bool,
+    /// Show a play step by step; only for one seed.
+    #[arg(long)]
+    steps: bool,
+}
+
+/// Steps before a failure that are shown.
+const SHOWN: usize = 60;
+
+impl Prove {
+    pub fn run(self) -> Result<(), Trouble> {
+        let What::Membership(members) = self.what;
+        members.run()
+    }
+}
+
+impl Members {
+    fn plan(&self, seed: u64) -> Plan {
+        let instances = self.instances as usize;
+        if !self.calm {
+            return Plan::storm(instances, seed);
+        }
+        let kill = Befalls::Kill { who: instances - 1, proof: self.proof };
+        let troubles = vec![(20_000.0 + seed as f64 % 200.0, kill)];
+        let times = Times::default();
+        Plan { instances, length: 40_000.0, weather: Weather::CALM, links: self.proof, times, troubles }
+    }
+
+    fn run(self) -> Result<(), Trouble> {
+        if self.steps {
+            return self.steps(self.first);
+        }
+        let mut first = histogram()?;
+        let (mut half, mut last, mut agreed) = (first.clone(), first.clone(), first.clone());
+        let mut sums = Findings::default();
+        for seed in self.first..self.first.saturating_add(self.seeds) {
+            let found = play(self.plan(seed), seed);
+            let wrong = found.broken.clone().or_else(|| {
+                (found.not_found > 0)
+                    .then(|| format!("{} killed ones were not found by all", found.not_found))
+            });
+            if let Some(what) = wrong {
+                println!("seed={seed} instances={}: {what}", self.instances);
+                self.steps(seed)?;
+                return Err(Trouble::RuleBroken);
+            }
+            for (one, other, all) in &found.found {
+                first.saturating_record(*one as u64);
+                half.saturating_record(*other as u64);
+                last.saturating_record(*all as u64);
+            }
+            if let Some(after) = found.agreed_after {
+                agreed.saturating_record(after as u64);
+            }
+            sums.suspicions += found.suspicions;
+            sums.refutations += found.refutations;
+            sums.datagrams += found.datagrams;
+            sums.frames += found.frames;
+            sums.bytes += found.bytes;
+            sums.most_datagrams = sums.most_datagrams.max(found.most_datagrams);
+        }
+        let seeds = self.seeds as f64;
+        for (what, times) in [("first", &first), ("half", &half), ("all", &last), ("agreed", &agreed)] {
+            let at = |quantile| times.value_at_quantile(quantile);
+            println!(
+                "{what:7} n={} p50_ms={} p99_ms={} most_ms={}",
+                times.len(),
+                at(0.5),
+                at(0.99),
+                times.max()
+            );
+        }
+        println!(
+            "seeds={} instances={} false_deaths=0 suspicions={} refutations={} datagrams_per_s={:.1} frames_per_s={:.2} \
+             bytes_per_s={:.0} most_datagrams_per_s={:.1}",
+            self.seeds,
+            self.instances,
+            sums.suspicions,
+            sums.refutations,
+            sums.datagrams / seeds,
+            sums.frames / seeds,
+            sums.bytes / seeds,
+            sums.most_datagrams
+        );
+        Ok(())
+    }
+
+    /// The last steps of that seed's play.
+    fn steps(&self, seed: u64) -> Result<(), Trouble> {
+        let mut shown = std::collections::VecDeque::new();
+        let (found, _) = World::new(self.plan(seed), seed).play(&mut |at, what| {
+            if shown.len() == SHOWN {
+                shown.pop_front();
+            }
+            shown.push_back(format!("{:10.3} {what}", at / 1000.0));
+        });
+        shown.iter().for_each(|line| println!("{line}"));
+        println!("seed={seed} {}", found.broken.as_deref().unwrap_or("nothing broken"));
+        Ok(())
+    }
+}
+
+fn histogram() -> Result<Histogram<u64>, Trouble> {
+    Histogram::new_with_bounds(1, 600_000, 3).map_err(|error| Trouble::Undone(error.to_string()))
+}
--- a/crates/pearfront-emulator/src/lib.rs
+++ b/crates/pearfront-emulator/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod again;
 pub mod agenda;
 pub mod asks;
+pub mod cores;
 pub mod decide;
 pub mod judge;
 pub mod list;
--- /dev/null
+++ b/crates/pearfront-membership/src/member.rs
@@ -0,0 +1,122 @@
+//! A member as others know it, and which of two pieces of news about it counts.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The ladder that the rest of the program builds on, in the order in which news of one incarnation count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Standing {
+    Alive,
+    /// It did not answer; nothing is taken from it for that.
+    Suspect,
+    /// Not heard in any way for the stated time, by those who tried: no proof of anything.
+    Silent,
+    /// Its kernel said that the process is gone: proof.
+    Ended,
+    /// It said so itself.
+    Left,
+}
+
+impl Standing {
+    /// Is it held to be there?
+    pub fn is_here(self) -> bool {
+        matches!(self, Standing::Alive | Standing::Suspect)
+    }
+
+    pub fn word(self) -> &'static str {
+        match self {
+            Standing::Alive => "alive",
+            Standing::Suspect => "suspect",
+            Standing::Silent => "silent",
+            Standing::Ended => "ended",
+            Standing::Left => "left",
+        }
+    }
+}
+
+/// Who a process is. `life` is drawn at its start and tells two processes of one name apart.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Card {
+    pub name: String,
+    pub zone: String,
+    /// Where others reach it.
+    pub address: SocketAddr,
+    pub incarnation: u64,
+    pub life: u64,
+}
+
+/// What is said about a member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    pub card: Card,
+    pub standing: Standing,
+    /// Who suspects it, of a suspicion: several who do are more than one that is repeated.
+    pub by: Option<String>,
+}
+
+impl News {
+    pub fn of(card: &Card, standing: Standing) -> Self {
+        Self { card: card.clone(), standing, by: None }
+    }
+
+    /// Does it count more than what is known? The higher incarnation does; within one life and incarnation the later
+    /// word of the ladder. Two lives of one incarnation (a name that was given twice while a cut lay between) are
+    /// decided by the smaller number, so that all choose alike.
+    pub fn beats(&self, known: &Card, standing: Standing) -> bool {
+        if self.card.incarnation != known.incarnation {
+            return self.card.incarnation > known.incarnation;
+        }
+        if self.card.life != known.life {
+            return self.card.life < known.life;
+        }
+        self.standing > standing
+    }
+}
+
+/// A member and what this process has of it.
+#[derive(Debug, Clone)]
+pub struct Member {
+    pub card: Card,
+    pub standing: Standing,
+    /// When it came to stand so, on this process's clock.
+    pub since: f64,
+    /// When anything fresh was heard from itself, by datagram or link; negative infinity if never.
+    pub heard: f64,
+    /// When another said to have heard it, less the age of that. Kept apart from `heard` and never passed on: else it
+    /// would go round and grow younger by each way it takes.
+    pub vouched: f64,
+    /// When it last answered a question of ours.
+    pub answered: f64,
+    /// Smoothed round trip, ms; 0 if none was measured yet.
+    pub round_trip: f64,
+    /// Highest number of its datagrams: a copy or an old one is no sign of life.
+    pub(crate) number: u64,
+    /// Who told that it stands so, if it was not seen here.
+    pub told_by: Option<String>,
+}
+
+impl Member {
+    pub(crate) fn new(card: Card, standing: Standing, now: f64) -> Self {
+        let never = f64::NEG_INFINITY;
+        Self {
+            card,
+            standing,
+            since: now,
+            heard: never,
+            vouched: never,
+            answered: never,
+            round_trip: 0.0,
+            number: 0,
+            told_by: None,
+        }
+    }
+
+    pub fn is_here(&self) -> bool {
+        self.standing.is_here()
+    }
+
+    /// Its news, as it stands.
+    pub fn news(&self) -> News {
+        News::of(&self.card, self.standing)
+    }
+}
--- /dev/null
+++ b/crates/pearfront-membership/src/table.rs
@@ -0,0 +1,90 @@
+//! Everyone else that this process knows of, in the order of names, bounded.
+
+use crate::member::{Card, Member, News, Standing};
+use crate::times::MOST_MEMBERS;
+use rand::seq::{IteratorRandom, SliceRandom};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+#[derive(Default)]
+pub(crate) struct Table {
+    members: BTreeMap<String, Member>,
+}
+
+impl Table {
+    pub fn get(&self, name: &str) -> Option<&Member> {
+        self.members.get(name)
+    }
+
+    pub fn get_mut(&mut self, name: &str) -> Option<&mut Member> {
+        self.members.get_mut(name)
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    pub fn here(&self) -> impl Iterator<Item = &Member> {
+        self.all().filter(|member| member.is_here())
+    }
+
+    /// How many are held to be there, and this process.
+    pub fn size(&self) -> usize {
+        1 + self.here().count()
+    }
+
+    /// Is there room for one more? Whoever has been gone the longest makes it.
+    fn room(&mut self) -> bool {
+        if self.members.len() < MOST_MEMBERS {
+            return true;
+        }
+        let gone = self.all().filter(|member| !member.is_here());
+        let oldest = gone.min_by(|a, b| a.since.total_cmp(&b.since)).map(|member| member.card.name.clone());
+        oldest.is_some_and(|name| self.members.remove(&name).is_some())
+    }
+
+    /// Takes in a member that was not known; false if there is no room.
+    pub fn add(&mut self, member: Member) -> bool {
+        let room = self.room();
+        if room {
+            self.members.insert(member.card.name.clone(), member);
+        }
+        room
+    }
+
+    /// Forgets those that have been gone for so long.
+    pub fn forget(&mut self, before: f64) {
+        self.members.retain(|_, member| member.is_here() || member.since > before);
+    }
+
+    /// Some of those that fit, at random.
+    pub fn some(&self, chance: &mut ChaCha8Rng, count: usize, fits: impl Fn(&Member) -> bool) -> Vec<Card> {
+        let all = self.all().filter(|member| fits(member));
+        let mut cards: Vec<Card> =
+            all.map(|member| &member.card).choose_multiple(chance, count).into_iter().cloned().collect();
+        cards.shuffle(chance);
+        cards
+    }
+
+    /// The sum of what two processes have to agree on: who is here, under which incarnation. Those gone are left out:
+    /// each forgets them at its own time.
+    pub fn sum(&self, me: &Card, here: bool) -> u32 {
+        let one = |sum: u32, card: &Card| {
+            let sum = crc32c::crc32c_append(sum, card.name.as_bytes());
+            let sum = crc32c::crc32c_append(sum, &card.incarnation.to_le_bytes());
+            crc32c::crc32c_append(sum, &card.life.to_le_bytes())
+        };
+        let mut cards: Vec<&Card> = self.here().map(|member| &member.card).collect();
+        if here {
+            let place = cards.partition_point(|card| card.name < me.name);
+            cards.insert(place, me);
+        }
+        cards.into_iter().fold(0, one)
+    }
+
+    /// All there is to say, with those gone: the other may still hold them to be there.
+    pub fn view(&self, me: &Card, standing: Standing) -> Vec<News> {
+        let own = News::of(me, standing);
+        std::iter::once(own).chain(self.all().map(Member::news)).collect()
+    }
+}
--- /dev/null
+++ b/crates/pearfront-membership/src/times.rs
@@ -0,0 +1,60 @@
+//! All times and sizes of the core in one place, ms unless said otherwise.
+
+/// Times that an operator may set; `Default` is what the figures in `docs/design/membership.md` are measured with.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Times {
+    /// Each process probes one other in this time: 5 probes and 5 answers a second bear the cost at any size.
+    pub period: f64,
+    /// Shortest wait for an answer before others are asked to try: far above a round trip inside a site.
+    pub answer: f64,
+    /// Shortest time from suspicion to the last call, where enough others agree: a pause of 3 s is borne, less the
+    /// period in which the first probe failed.
+    pub suspicion: f64,
+    /// Time between two comparisons of the whole view with another process: what news missed is found so.
+    pub compare: f64,
+    /// Time between two questions to one that is held to be gone: heals a cut in some of these.
+    pub ask_again: f64,
+    /// How long those that are gone are remembered, so that old news can't bring them back: an hour.
+    pub remember: f64,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            period: 200.0,
+            answer: 80.0,
+            suspicion: 2800.0,
+            compare: 5000.0,
+            ask_again: 1000.0,
+            remember: 3_600_000.0,
+        }
+    }
+}
+
+/// Others that are asked to try where a probe stays unanswered (SWIM's k).
+pub const HELPERS: usize = 3;
+/// Others that must share a suspicion for its time to be the shortest (Lifeguard's K).
+pub const CONFIRMATIONS: usize = 3;
+/// How much longer a suspicion lasts that nobody shares.
+pub const UNSHARED: f64 = 3.0;
+/// Highest doubt in one's own health (Lifeguard's S): answers are waited for up to 1 + this times as long.
+pub const HEALTH_WORST: u32 = 8;
+/// Own timers this late, as a share of the period, count against one's own health.
+pub const LATE: f64 = 0.5;
+/// Timers this late mean that the process stood still: what it believes is old until somebody has confirmed it.
+pub const STOOD_STILL: f64 = 1000.0;
+/// Own probes in a row without any sign of anyone after which a process takes itself to be deaf.
+pub const DEAF_AFTER: u32 = 4;
+/// How many times the shortest suspicion a deaf process puts off its verdicts: then it says what it sees, nobody.
+pub const DEAF_PATIENCE: f64 = 3.0;
+/// Each piece of news goes out this many times the logarithm (base 2) of the size: all have it with near certainty, and
+/// the comparison of views finds the rest.
+pub const SPREAD: f64 = 3.0;
+/// Pause between two tries to join, and the longest that it grows to.
+pub const JOIN_AGAIN: f64 = 500.0;
+pub const JOIN_SELDOM: f64 = 4000.0;
+/// Members, with those gone, that are held at the most; further new ones are refused and counted.
+pub const MOST_MEMBERS: usize = 4096;
+/// Texts in a card, bytes: a name and a zone must leave room for news in a datagram.
+pub const LONGEST_NAME: usize = 64;
+pub const LONGEST_ZONE: usize = 32;
--- /dev/null
+++ b/crates/pearfront-membership/tests/wire.rs
@@ -0,0 +1,109 @@
+//! What comes by the wire is taken on trust by nobody: cut, changed, foreign, old and doubled packets.
+
+use pearfront_membership::{
+    Identity, LONGEST_DATAGRAM, Membership, Out, Refusal, Standing, State, Times, decode,
+};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7000))
+}
+
+fn core(number: u8, installation: &str, seeds: Vec<SocketAddr>) -> Membership {
+    let identity = Identity {
+        installation: installation.into(),
+        name: format!("n{number}"),
+        zone: "z".into(),
+        address: address(number),
+        life: u64::from(number) + 100,
+        kept: 0,
+    };
+    Membership::new(identity, seeds, Times::default(), u64::from(number), 0.0).expect("a name that fits")
+}
+
+fn bytes(out: Vec<Out>) -> Vec<Vec<u8>> {
+    let sent = |out| match out {
+        Out::Datagram { bytes, .. } | Out::Frame { bytes, .. } => Some(bytes),
+        _ => None,
+    };
+    out.into_iter().filter_map(sent).collect()
+}
+
+/// Two that know each other, and a datagram from the second.
+fn pair() -> (Membership, Membership, Vec<u8>) {
+    let (mut one, mut other) = (core(1, "shop", vec![]), core(2, "shop", vec![address(1)]));
+    other.tick(0.0);
+    for join in bytes(other.take_out()) {
+        one.heard(&join, 1.0).expect("a join");
+    }
+    for view in bytes(one.take_out()) {
+        other.heard(&view, 2.0).expect("a view");
+    }
+    assert_eq!((one.state(), other.state()), (&State::Member, &State::Member));
+    other.tick(300.0);
+    let ping = bytes(other.take_out()).into_iter().find(|bytes| bytes.len() < LONGEST_DATAGRAM);
+    (one, other, ping.expect("a ping"))
+}
+
+#[test]
+fn a_packet_of_another_installation_is_dropped_and_counted() {
+    let (mut one, _, ping) = pair();
+    assert_eq!(decode(&ping, "other").err(), Some(Refusal::Elsewhere));
+    let mut stranger = core(3, "other", vec![address(1)]);
+    stranger.tick(0.0);
+    let join = bytes(stranger.take_out()).remove(0);
+    assert_eq!(one.heard(&join, 10.0), Err(Refusal::Elsewhere));
+    assert_eq!((one.counts().elsewhere, one.members().count()), (1, 1));
+}
+
+#[test]
+fn a_copy_of_a_datagram_is_no_sign_of_life() {
+    let (mut one, _, ping) = pair();
+    one.heard(&ping, 300.0).expect("whole");
+    let heard = one.member("n2").expect("known").heard;
+    for again in 1..50 {
+        one.heard(&ping, 300.0 + 100.0 * f64::from(again)).expect("whole");
+    }
+    assert_eq!(one.member("n2").expect("known").heard, heard);
+    assert!(one.counts().outdated >= 49);
+}
+
+#[test]
+fn a_datagram_of_a_life_that_is_over_brings_nobody_back() {
+    let (mut one, _, ping) = pair();
+    one.ended("n2", 102, 400.0);
+    assert_eq!(one.member("n2").expect("known").standing, Standing::Ended);
+    one.heard(&ping, 500.0).expect("whole");
+    assert_eq!(one.member("n2").expect("known").standing, Standing::Ended);
+    // Nor does proof of another life end this one.
+    let (mut one, ..) = pair();
+    one.ended("n2", 999, 400.0);
+    assert_eq!(one.member("n2").expect("known").standing, Standing::Alive);
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_bring_the_decoder_down(bytes in proptest::collection::vec(any::<u8>(), 0..1400)) {
+        let mut marked = vec![b'p', b'm', 1];
+        marked.extend(crc32c::crc32c(&bytes).to_le_bytes());
+        marked.extend(&bytes);
+        // With a mark and a sum that fit, too: what is inside is garbage all the same.
+        let _ = decode(&marked, "shop");
+        prop_assert!(decode(&bytes, "shop").is_err());
+    }
+
+    #[test]
+    fn a_changed_or_cut_packet_is_refused(at in 0usize..2000, bit in 0u8..8, cut in any::<bool>()) {
+        let (mut one, _, ping) = pair();
+        let mut changed = ping.clone();
+        if cut {
+            changed.truncate(at % ping.len());
+        } else {
+            changed[at % ping.len()] ^= 1 << bit;
+        }
+        let before = one.sum();
+        prop_assert!(one.heard(&changed, 300.0).is_err());
+        prop_assert_eq!(one.sum(), before);
+    }
+}
