--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,12 @@
 		target/release/pearfront prove membership --calm --proof --seeds 100 --instances $$instances || exit; done
 	target/release/pearfront prove membership --calm --seeds 3 --instances 1000
 
+# Real processes with faults between them, one scenario after another; some five minutes.
+.PHONY: prove-cluster
+prove-cluster: build
+	for file in rehearsals/cluster/*.toml; do \
+		target/release/pearfront rehearse $$file --play processes || exit; done
+
 # The standing test of the whole fleet, its quick days; bench and site are not part of this repository.
 standing:
 	$(BENCH) score $(SITE) --quick --why "$(or $(WHY),Standing test at the end of a sitting)"
--- /dev/null
+++ b/crates/pearfront-cli/src/among.rs
@@ -0,0 +1,72 @@
+//! `pearfront rehearse --play processes`: several node programs of one installation, and what stands between them.
+
+use crate::Trouble;
+use pearfront_emulator::processes::player::{Played, play};
+use pearfront_emulator::processes::scenario::Scenario;
+use pearfront_emulator::processes::{picture, run};
+use pearfront_emulator::sockets::NodeCommand;
+use std::fmt::Write;
+use std::path::Path;
+
+/// Reads a file of `rehearsals/cluster/`.
+pub fn read(file: &Path) -> Result<Scenario, Trouble> {
+    let wrong = |what: String| Trouble::Input(format!("{}: {what}", file.display()));
+    let text = std::fs::read_to_string(file).map_err(|error| wrong(error.to_string()))?;
+    Scenario::parse(&text).map_err(|mistake| wrong(mistake.to_string()))
+}
+
+/// Plays one seed and tells what came of it; false if something was broken.
+pub fn rehearse(
+    scenario: &Scenario,
+    seed: u64,
+    command: &NodeCommand,
+    out: Option<&Path>,
+) -> Result<bool, Trouble> {
+    let played = run(play(scenario, seed, command)).map_err(Trouble::Undone)?;
+    for finding in &played.verdict.broken {
+        println!("broken: at {:.1} s: {}", finding.at / 1000.0, finding.what);
+    }
+    println!("seed={seed} {}", line(&played));
+    if let Some(folder) = out {
+        write(folder, &played).map_err(|error| Trouble::Undone(format!("{}: {error}", folder.display())))?;
+        println!("{}", folder.join("report.html").display());
+    }
+    if played.void {
+        return Err(Trouble::Undone("the machine was late: the play is void".into()));
+    }
+    Ok(played.verdict.broken.is_empty())
+}
+
+fn line(played: &Played) -> String {
+    let verdict = &played.verdict;
+    let mut found: Vec<f64> = verdict.found.iter().flat_map(|(_, times)| times.iter().copied()).collect();
+    found.sort_by(f64::total_cmp);
+    let at = |share: f64| found.get((found.len() as f64 * share) as usize).or(found.last()).copied();
+    let shown = |ms: Option<f64>| ms.map_or("-".into(), |ms| format!("{ms:.0}"));
+    format!(
+        "broken={} found={} found_p50_ms={} found_most_ms={} agreed_after_ms={} suspicions={} late_p99_us={} void={}",
+        verdict.broken.len(),
+        found.len(),
+        shown(at(0.5)),
+        shown(found.last().copied()),
+        shown(played.agreed_after),
+        played.suspicions,
+        verdict.late_p99_us,
+        played.void
+    )
+}
+
+fn write(folder: &Path, played: &Played) -> std::io::Result<()> {
+    std::fs::create_dir_all(folder)?;
+    let svg = picture::picture(&played.records).map_err(std::io::Error::other)?;
+    let mut page = String::from("<!doctype html><meta charset=utf-8><title>Processes</title>");
+    let _ = write!(page, "<p>{}</p>{svg}<pre>", line(played));
+    for finding in &played.verdict.broken {
+        let _ = writeln!(page, "broken: at {:.1} s: {}", finding.at / 1000.0, finding.what);
+    }
+    for (at, act) in &played.records.acts {
+        let _ = writeln!(page, "{:9.3} {act:?}", at / 1000.0);
+    }
+    page.push_str("</pre>");
+    std::fs::write(folder.join("report.html"), page)
+}
--- a/crates/pearfront-cli/src/main.rs
+++ b/crates/pearfront-cli/src/main.rs
@@ -1,10 +1,12 @@
 //! The `pearfront` command line: one subcommand a file. Exit codes: 0 kept, 1 could not be done, 2 bad input, 3 a rule
 //! was broken.
 
+mod among;
 mod carry;
 mod check;
 mod compare;
 mod log_form;
+mod members;
 mod plot;
 mod prove;
 mod rehearse;
@@ -40,6 +42,7 @@
     Plot(plot::Plot),
     Move(carry::Move),
     Prove(prove::Prove),
+    Members(members::Members),
 }
 
 /// Why a command did not end well.
@@ -63,6 +66,7 @@
         Command::Plot(plot) => plot.run(),
         Command::Move(carry) => carry.run(),
         Command::Prove(prove) => prove.run(),
+        Command::Members(members) => members.run(),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/pearfront-cli/src/members.rs
@@ -0,0 +1,136 @@
+//! `pearfront members`: who is there, as one process sees it.
+
+use crate::Trouble;
+use serde_json::Value;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// Longest wait for a process's answer.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Time between two looks with `--watch`.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// Ask a process who else is there, at its address for operators.
+#[derive(clap::Args)]
+pub struct Members {
+    /// The process's `admin` address.
+    address: SocketAddr,
+    /// As it came, in JSON.
+    #[arg(long)]
+    json: bool,
+    /// Again every second, until it is ended.
+    #[arg(long)]
+    watch: bool,
+}
+
+impl Members {
+    pub fn run(self) -> Result<(), Trouble> {
+        loop {
+            let text = ask(self.address, "/_members")?;
+            if self.json {
+                println!("{}", text.trim_end());
+            } else {
+                let view: Value = serde_json::from_str(&text)
+                    .map_err(|error| Trouble::Undone(format!("{}: no view: {error}", self.address)))?;
+                println!("{}", table(&view));
+            }
+            if !self.watch {
+                return Ok(());
+            }
+            std::thread::sleep(LOOK);
+        }
+    }
+}
+
+/// The body of an answer of an operators' address.
+pub fn ask(address: SocketAddr, path: &str) -> Result<String, Trouble> {
+    let told = |what: String| Trouble::Undone(format!("{address}: {what}"));
+    let mut stream =
+        TcpStream::connect_timeout(&address, PATIENCE).map_err(|error| told(error.to_string()))?;
+    let call = format!("GET {path} HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n");
+    let mut answer = String::new();
+    let asked = stream
+        .set_read_timeout(Some(PATIENCE))
+        .and_then(|()| stream.write_all(call.as_bytes()))
+        .and_then(|()| stream.read_to_string(&mut answer));
+    asked.map_err(|error| told(error.to_string()))?;
+    let (head, body) = answer.split_once("\r\n\r\n").ok_or_else(|| told("no answer".into()))?;
+    match head.split(' ').nth(1) {
+        Some("200") => Ok(body.to_string()),
+        Some("404") => Err(told(format!("has no {path}: its file lacks the key `cluster`"))),
+        status => Err(told(format!("answered {}", status.unwrap_or("nothing")))),
+    }
+}
+
+fn table(view: &Value) -> String {
+    let text = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_string);
+    let seconds = |value: &Value| value.as_f64().map_or("-".into(), |s| format!("{s:.1} s"));
+    let sure = if view["sure"] == true { "sure" } else { "not sure: it does not act on this" };
+    let mut lines = vec![format!(
+        "{} of {} in {}, {} under incarnation {}, {sure}; sum {}, doubt in own health {} of 8",
+        text(&view["name"]),
+        text(&view["installation"]),
+        text(&view["zone"]),
+        text(&view["state"]),
+        view["incarnation"],
+        text(&view["sum"]),
+        view["health"]
+    )];
+    if let Some(by) = view["barred_by"].as_str() {
+        lines.push(format!("its name is that of a process at {by}: it takes no part"));
+    }
+    if !view["deaf_s"].is_null() {
+        lines.push(format!("it has heard nobody for {}", seconds(&view["deaf_s"])));
+    }
+    let head = ["name", "zone", "state", "since", "incarnation", "round trip", "heard", "link", "told by"];
+    let mut rows = vec![head.map(str::to_string)];
+    for member in view["members"].as_array().into_iter().flatten() {
+        let trip = member["round_trip_ms"].as_f64().map_or("-".into(), |ms| format!("{ms:.2} ms"));
+        let suspected: Vec<String> =
+            member["suspected_by"].as_array().into_iter().flatten().map(text).collect();
+        let told = if suspected.is_empty() {
+            member["told_by"].as_str().unwrap_or("-").into()
+        } else {
+            suspected.join(" ")
+        };
+        rows.push([
+            text(&member["name"]),
+            text(&member["zone"]),
+            text(&member["state"]),
+            seconds(&member["since_s"]),
+            member["incarnation"].to_string(),
+            trip,
+            seconds(&member["heard_s"]),
+            text(&member["link"]),
+            told,
+        ]);
+    }
+    let widths: Vec<usize> =
+        (0..head.len()).map(|place| rows.iter().map(|row| row[place].len()).max().unwrap_or(0)).collect();
+    for row in rows {
+        let cells: Vec<String> =
+            row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}")).collect();
+        lines.push(cells.join("  ").trim_end().to_string());
+    }
+    lines.join("\n")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn a_view_is_shown_with_who_suspects_whom() {
+        let member = json!({"name": "n1", "zone": "b", "state": "suspect", "since_s": 1.25, "incarnation": 3,
+            "round_trip_ms": 0.4, "heard_s": null, "link": "stalled", "told_by": null, "suspected_by": ["n0", "n2"]});
+        let view = json!({"name": "n0", "installation": "shop", "zone": "a", "state": "member", "incarnation": 1,
+            "sure": false, "sum": "0a", "health": 2, "barred_by": null, "deaf_s": 3.0, "members": [member]});
+        let shown = table(&view);
+        let lines: Vec<&str> = shown.lines().collect();
+        assert!(lines[0].contains("not sure") && lines[1] == "it has heard nobody for 3.0 s", "{shown}");
+        let cells: Vec<&str> = lines[3].split("  ").map(str::trim).filter(|cell| !cell.is_empty()).collect();
+        assert_eq!(cells, ["n1", "b", "suspect", "1.2 s", "3", "0.40 ms", "-", "stalled", "n0 n2"]);
+    }
+}
--- a/crates/pearfront-cli/src/rehearse.rs
+++ b/crates/pearfront-cli/src/rehearse.rs
@@ -1,6 +1,6 @@
 //! `pearfront rehearse`: plays a scenario and says what came of it.
 
-use crate::{Trouble, check, results};
+use crate::{Trouble, among, check, results};
 use indicatif::{ProgressBar, ProgressStyle};
 use pearfront_emulator::decide::Policy;
 use pearfront_emulator::judge::{Verdict, judge};
@@ -19,6 +19,8 @@
     Model,
     /// Real time: node programs on loopback addresses, between emulated servers, callers and discovery.
     Sockets,
+    /// Real time: several node programs of one installation, with relays between them; files in `rehearsals/cluster/`.
+    Processes,
 }
 
 /// Play a scenario. The last line of the output is for machines: service, rules, latencies.
@@ -52,6 +54,9 @@
 
 impl Rehearse {
     pub fn run(self) -> Result<(), Trouble> {
+        if self.play == Play::Processes {
+            return self.processes();
+        }
         let scenario = check::read(&self.scenario)?;
         let first = self.seed.unwrap_or(scenario.seed);
         let mut kept = true;
@@ -86,6 +91,18 @@
         if kept { Ok(()) } else { Err(Trouble::RuleBroken) }
     }
 
+    /// Several processes of one installation: their scenarios have a form of their own.
+    fn processes(self) -> Result<(), Trouble> {
+        let scenario = among::read(&self.scenario)?;
+        let first = self.seed.unwrap_or(scenario.seed);
+        let mut kept = true;
+        for seed in first..first.saturating_add(self.seeds) {
+            let out = self.out.as_ref().map(|out| out.join(format!("seed-{seed}")));
+            kept &= among::rehearse(&scenario, seed, &self.command(seed)?, out.as_deref())?;
+        }
+        if kept { Ok(()) } else { Err(Trouble::RuleBroken) }
+    }
+
     /// How nodes are started, and a folder for their files: beside the results, else a fresh one that is kept.
     fn command(&self, seed: u64) -> Result<NodeCommand, Trouble> {
         if self.policy != Policy::Module {
@@ -112,6 +129,8 @@
                 let options = model::Options { seed, policy: self.policy, fault: None };
                 Ok(model::play(scenario, options, &mut progress))
             }
+            // It has a form of its own, and went its own way before this.
+            Play::Processes => Err(Trouble::Undone("processes are played by their own scenarios".into())),
             Play::Sockets => {
                 let command = self.command(seed)?;
                 sockets::play(scenario, seed, &command, &mut progress).map_err(Trouble::Undone)
--- /dev/null
+++ b/crates/pearfront-cluster/src/folder.rs
@@ -0,0 +1,57 @@
+//! What a process has to know after a restart: the incarnation that it used last. One small file, replaced whole.
+
+use std::fs::{File, rename};
+use std::io::{ErrorKind, Write};
+use std::path::{Path, PathBuf};
+
+const FILE: &str = "incarnation";
+
+fn file(folder: &Path) -> PathBuf {
+    folder.join(FILE)
+}
+
+/// The incarnation kept there; 0 if there is none yet.
+///
+/// # Errors
+/// The file and what is wrong with it: a folder that can't be read is not one that is empty.
+pub(crate) fn read(folder: &Path) -> Result<u64, String> {
+    let path = file(folder);
+    match std::fs::read_to_string(&path) {
+        Ok(text) => text.trim().parse().map_err(|_| format!("{}: holds no number", path.display())),
+        Err(error) if error.kind() == ErrorKind::NotFound => Ok(0),
+        Err(error) => Err(format!("{}: {error}", path.display())),
+    }
+}
+
+/// Replaces it: written, synced, renamed, folder synced, so that a cut of power leaves the old or the new one.
+///
+/// # Errors
+/// The file and what went wrong.
+pub(crate) fn write(folder: &Path, incarnation: u64) -> Result<(), String> {
+    let (path, new) = (file(folder), folder.join(format!("{FILE}.new")));
+    let put = || {
+        let mut file = File::create(&new)?;
+        writeln!(file, "{incarnation}")?;
+        file.sync_all()?;
+        rename(&new, &path)?;
+        File::open(folder)?.sync_all()
+    };
+    put().map_err(|error: std::io::Error| format!("{}: {error}", path.display()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_written_is_read_and_a_broken_file_is_no_empty_one() {
+        let folder = std::env::temp_dir().join(format!("pearfront-folder-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        assert_eq!(read(&folder), Ok(0));
+        write(&folder, 7).unwrap();
+        assert_eq!(read(&folder), Ok(7));
+        std::fs::write(file(&folder), "7x").unwrap();
+        assert!(read(&folder).is_err_and(|problem| problem.ends_with("holds no number")));
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/crates/pearfront-emulator/src/lib.rs
+++ b/crates/pearfront-emulator/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod list;
 pub mod model;
 pub mod platform;
+pub mod processes;
 pub mod record;
 pub mod repeats;
 pub mod report;
--- /dev/null
+++ b/crates/pearfront-emulator/src/processes/ground.rs
@@ -0,0 +1,646 @@
+//! Starts the programs, stands between them and does to them what a scenario or a test says. All of it runs on one thread
+//! of its own runtime; programs are ended with it.
+
+use super::relay::{Relay, Way, Weather};
+use crate::sockets::NodeCommand;
+use hdrhistogram::Histogram;
+use rand::prelude::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// Time between two looks at a process's view.
+const LOOK: Duration = Duration::from_millis(100);
+/// Longest that an operator's call may take.
+const CALL: Duration = Duration::from_secs(1);
+/// Longest that a program may take to be up, and to end after SIGTERM.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Addresses on the last part of an IP address.
+const PORTS: usize = 200;
+/// Most processes of a ground.
+pub const MOST: usize = 32;
+
+/// The file of a node without its cluster: nothing is asked of it here.
+const FILE: &str = include_str!("../../../../deploy/example.json");
+
+/// Kinds of places.
+const CLUSTER: usize = 0;
+const MOVED: usize = 1;
+const ADMIN: usize = 2;
+const LISTEN: usize = 3;
+const DISCOVERY: usize = 4;
+const RELAY: usize = 5;
+
+/// What a program is started with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Start {
+    /// Its folder as it left it.
+    Kept,
+    /// Its folder as it was when `Ground::copy_folder` was called.
+    Older,
+    /// An empty folder.
+    Empty,
+}
+
+/// How many, and with what.
+#[derive(Debug, Clone)]
+pub struct Program {
+    pub command: NodeCommand,
+    pub count: usize,
+    pub zones: usize,
+    /// Put over the `cluster` of each process's file.
+    pub cluster: Value,
+}
+
+/// One member in one process's view, as its operators' address tells it.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+pub struct Member {
+    pub name: String,
+    pub address: String,
+    pub state: String,
+    pub incarnation: u64,
+    pub life: String,
+    pub link: String,
+}
+
+impl Member {
+    pub fn is_here(&self) -> bool {
+        self.state == "alive" || self.state == "suspect"
+    }
+}
+
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+pub struct View {
+    pub name: String,
+    pub life: String,
+    pub state: String,
+    pub barred_by: Option<String>,
+    pub sure: bool,
+    pub deaf_s: Option<f64>,
+    pub sum: String,
+    pub incarnation: u64,
+    pub members: Vec<Member>,
+    pub counts: std::collections::BTreeMap<String, u64>,
+}
+
+impl View {
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.members.iter().find(|member| member.name == name)
+    }
+
+    /// Names that it holds to be here, its own with them.
+    pub fn here(&self) -> Vec<&str> {
+        let mut names: Vec<&str> = self
+            .members
+            .iter()
+            .filter(|member| member.is_here())
+            .map(|member| member.name.as_str())
+            .collect();
+        names.push(&self.name);
+        names.sort_unstable();
+        names
+    }
+}
+
+/// What was done, and what was seen, ms from the start.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Act {
+    Started {
+        who: usize,
+        life: String,
+    },
+    Killed {
+        who: usize,
+    },
+    Ended {
+        who: usize,
+    },
+    Stopped {
+        who: usize,
+    },
+    Continued {
+        who: usize,
+    },
+    /// The weather of a way has changed.
+    Way {
+        from: usize,
+        to: usize,
+        weather: Weather,
+    },
+    Note(String),
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Records {
+    pub names: Vec<String>,
+    pub acts: Vec<(f64, Act)>,
+    /// When whose view was what; only where it changed.
+    pub views: Vec<(f64, usize, View)>,
+    /// How late the ground itself was, us.
+    pub late: Option<Histogram<u64>>,
+    pub length: f64,
+}
+
+struct Seat {
+    name: String,
+    child: RefCell<Option<Child>>,
+    /// The process itself, not a shell before it.
+    pid: Cell<u32>,
+    running: watch::Sender<bool>,
+    /// Its true address for the others.
+    cluster: Rc<Cell<SocketAddr>>,
+    stopped: Cell<bool>,
+    /// Another's name, which its file gives it.
+    called: RefCell<Option<String>>,
+    view: RefCell<Option<View>>,
+    /// When that view was told; negative infinity if by no process that runs now.
+    seen: Cell<f64>,
+}
+
+pub struct Ground {
+    program: Program,
+    network: (u8, u8),
+    start: Instant,
+    seats: Vec<Rc<Seat>>,
+    /// By who uses it and whom it leads to.
+    ways: Vec<Vec<Rc<Way>>>,
+    records: RefCell<Records>,
+    late: RefCell<Histogram<u64>>,
+}
+
+static GROUNDS: AtomicU32 = AtomicU32::new(0);
+
+/// Runs work that needs a ground on a runtime of its own.
+///
+/// # Errors
+/// What the work could not do.
+pub fn run<T>(work: impl Future<Output = Result<T, String>>) -> Result<T, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.map_err(|error| format!("runtime: {error}"))?, work)
+}
+
+impl Ground {
+    /// Puts relays between all, starts nothing yet.
+    ///
+    /// # Errors
+    /// What could not be bound or written.
+    pub fn new(program: Program, seed: u64) -> Result<Rc<Self>, String> {
+        if !(2..=MOST).contains(&program.count) {
+            return Err(format!("{} processes, not 2 to {MOST}", program.count));
+        }
+        let number = GROUNDS.fetch_add(1, Ordering::Relaxed);
+        let mixed = std::process::id().wrapping_mul(0x9e37_79b1) ^ number.wrapping_mul(0x85eb_ca6b);
+        let [.., high, low] = mixed.to_be_bytes();
+        let network = (64 | (high & 0x3f), low);
+        let chance = Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(seed)));
+        let seat = |place: usize| {
+            Rc::new(Seat {
+                name: format!("n{place}"),
+                child: RefCell::default(),
+                pid: Cell::new(0),
+                running: watch::Sender::new(false),
+                cluster: Rc::new(Cell::new(place_at(network, CLUSTER, place))),
+                stopped: Cell::new(false),
+                called: RefCell::default(),
+                view: RefCell::default(),
+                seen: Cell::new(f64::NEG_INFINITY),
+            })
+        };
+        let ways = || (0..program.count).map(|_| Way::new()).collect();
+        let late = Histogram::new_with_bounds(1, 60_000_000, 3).map_err(|error| error.to_string())?;
+        let ground = Rc::new(Self {
+            network,
+            start: Instant::now(),
+            seats: (0..program.count).map(seat).collect(),
+            ways: (0..program.count).map(|_| ways()).collect(),
+            records: RefCell::default(),
+            late: RefCell::new(late),
+            program,
+        });
+        let names = ground.seats.iter().map(|seat| seat.name.clone()).collect();
+        ground.records.borrow_mut().names = names;
+        std::fs::create_dir_all(&ground.program.command.folder)
+            .map_err(|error| format!("{}: {error}", ground.program.command.folder.display()))?;
+        for from in 0..ground.count() {
+            for to in (0..ground.count()).filter(|to| *to != from) {
+                let relay = Relay {
+                    at: ground.place(RELAY, from * MOST + to),
+                    target: ground.seats[to].cluster.clone(),
+                    there: ground.ways[from][to].clone(),
+                    back: ground.ways[to][from].clone(),
+                    running: ground.seats[to].running.subscribe(),
+                    chance: chance.clone(),
+                };
+                relay.start()?;
+            }
+        }
+        for place in 0..ground.count() {
+            spawn_local(ground.clone().watch(place));
+        }
+        Ok(ground)
+    }
+
+    pub fn count(&self) -> usize {
+        self.seats.len()
+    }
+
+    /// Milliseconds since the start.
+    pub fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn place(&self, kind: usize, number: usize) -> SocketAddr {
+        place_at(self.network, kind, number)
+    }
+
+    /// Where operators call a process.
+    pub fn operators(&self, who: usize) -> SocketAddr {
+        self.place(ADMIN, who)
+    }
+
+    /// Where jobs come to it.
+    pub fn listens(&self, who: usize) -> SocketAddr {
+        self.place(LISTEN, who)
+    }
+
+    /// Its true address for the others, behind all relays.
+    pub fn cluster(&self, who: usize) -> SocketAddr {
+        self.seats[who].cluster.get()
+    }
+
+    fn act(&self, act: Act) {
+        let at = self.now();
+        self.records.borrow_mut().acts.push((at, act));
+    }
+
+    pub fn note(&self, what: impl Into<String>) {
+        self.act(Act::Note(what.into()));
+    }
+
+    // ---- processes ----
+
+    fn folder(&self, who: usize) -> PathBuf {
+        self.program.command.folder.join(format!("{}.folder", self.seats[who].name))
+    }
+
+    fn file(&self, who: usize) -> Result<Value, String> {
+        let mut file: Value = serde_json::from_str(FILE).map_err(|error| error.to_string())?;
+        let peers = (0..self.count()).filter(|other| *other != who);
+        let peers = peers.map(|other| (self.seats[other].name.clone(), json!(self.reached_by(who, other))));
+        let peers: serde_json::Map<String, Value> = peers.collect();
+        let mut cluster = json!({
+            "installation": "ground", "zone": format!("z{}", who % self.program.zones.max(1)),
+            "listen": self.cluster(who), "peers": peers, "folder": self.folder(who),
+        });
+        if let (Some(cluster), Some(over)) = (cluster.as_object_mut(), self.program.cluster.as_object()) {
+            cluster.extend(over.clone());
+        }
+        if let Some(name) = self.seats[who].called.borrow().as_ref() {
+            cluster["name"] = json!(name);
+        }
+        file["admin"] = json!(self.operators(who));
+        file["cluster"] = cluster;
+        file["known"]["instances"] = json!([]);
+        Ok(file)
+    }
+
+    fn reached_by(&self, who: usize, other: usize) -> SocketAddr {
+        self.place(RELAY, who * MOST + other)
+    }
+
+    /// Starts one, and waits until it tells its view.
+    ///
+    /// # Errors
+    /// It could not be started, or did not come up in time.
+    pub async fn start(self: &Rc<Self>, who: usize, with: Start) -> Result<(), String> {
+        let seat = &self.seats[who];
+        let folder = self.folder(who);
+        let told = |error: std::io::Error| format!("{}: {error}", folder.display());
+        match with {
+            Start::Kept => {}
+            Start::Empty => drop(std::fs::remove_dir_all(&folder)),
+            Start::Older => {
+                drop(std::fs::remove_dir_all(&folder));
+                copy(&folder.with_extension("older"), &folder).map_err(told)?;
+            }
+        }
+        let base = &self.program.command.folder;
+        let file = base.join(format!("{}.json", seat.name));
+        std::fs::write(&file, self.file(who)?.to_string()).map_err(told)?;
+        let log = base.join(format!("{}.log", seat.name));
+        let log = std::fs::File::options().create(true).append(true).open(log).map_err(told)?;
+        let child = Command::new("/bin/sh")
+            .arg("-c")
+            .arg(&self.program.command.run)
+            .env("ROUTER_NAME", &seat.name)
+            .env("ROUTER_LISTEN", self.listens(who).to_string())
+            .env("ROUTER_DISCOVERY", self.place(DISCOVERY, who).to_string())
+            .env("ROUTER_CONFIG", &file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|error| format!("{}: {error}", self.program.command.run))?;
+        seat.pid.set(child.id().unwrap_or(0));
+        seat.child.replace(Some(child));
+        seat.stopped.set(false);
+        *seat.view.borrow_mut() = None;
+        seat.running.send_replace(true);
+        let up = self.until(PATIENCE, |ground| ground.view(who).is_some()).await;
+        if !up {
+            return Err(format!("{} did not come up", seat.name));
+        }
+        let life = self.view(who).map(|view| view.life).unwrap_or_default();
+        self.act(Act::Started { who, life });
+        Ok(())
+    }
+
+    /// Starts all at once.
+    ///
+    /// # Errors
+    /// The first that did not come up.
+    pub async fn start_all(self: &Rc<Self>) -> Result<(), String> {
+        let starts: Vec<_> = (0..self.count())
+            .map(|who| {
+                let ground = self.clone();
+                spawn_local(async move { ground.start(who, Start::Kept).await })
+            })
+            .collect();
+        for start in starts {
+            start.await.map_err(|error| error.to_string())??;
+        }
+        Ok(())
+    }
+
+    /// Keeps a copy of its folder, for `Start::Older`.
+    ///
+    /// # Errors
+    /// What can't be read or written.
+    pub fn copy_folder(&self, who: usize) -> Result<(), String> {
+        let folder = self.folder(who);
+        copy(&folder, &folder.with_extension("older"))
+            .map_err(|error| format!("{}: {error}", folder.display()))
+    }
+
+    pub async fn kill(&self, who: usize) {
+        let child = self.seats[who].child.take();
+        if let Some(mut child) = child {
+            // Stamped before: whoever knows of it earlier than this would be a seer.
+            self.act(Act::Killed { who });
+            if let Err(error) = child.kill().await {
+                log::warn!("{}: kill: {error}", self.seats[who].name);
+            }
+            self.over(who);
+        }
+    }
+
+    /// SIGTERM, and its end.
+    pub async fn terminate(&self, who: usize) {
+        let child = self.seats[who].child.take();
+        if let Some(mut child) = child {
+            self.act(Act::Ended { who });
+            self.signal(who, Signal::TERM);
+            if timeout(PATIENCE, child.wait()).await.is_err() {
+                drop(child.kill().await);
+            }
+            self.over(who);
+        }
+    }
+
+    fn over(&self, who: usize) {
+        let seat = &self.seats[who];
+        seat.running.send_replace(false);
+        seat.pid.set(0);
+        *seat.view.borrow_mut() = None;
+    }
+
+    pub fn stop(&self, who: usize) {
+        self.seats[who].stopped.set(true);
+        self.act(Act::Stopped { who });
+        self.signal(who, Signal::STOP);
+    }
+
+    pub fn go_on(&self, who: usize) {
+        self.signal(who, Signal::CONT);
+        self.seats[who].stopped.set(false);
+        self.act(Act::Continued { who });
+    }
+
+    fn signal(&self, who: usize, signal: Signal) {
+        let pid = rustix::process::Pid::from_raw(self.seats[who].pid.get() as i32);
+        if let Some(Err(error)) = pid.map(|pid| rustix::process::kill_process(pid, signal)) {
+            log::warn!("{}: signal: {error}", self.seats[who].name);
+        }
+    }
+
+    pub fn runs(&self, who: usize) -> bool {
+        self.seats[who].child.borrow().is_some()
+    }
+
+    /// Its process, as the kernel numbers it; 0 if it does not run.
+    pub fn pid(&self, who: usize) -> u32 {
+        self.seats[who].pid.get()
+    }
+
+    /// From its next start on its file gives it the name of that one.
+    pub fn call_like(&self, who: usize, other: usize) {
+        *self.seats[who].called.borrow_mut() = Some(self.seats[other].name.clone());
+    }
+
+    /// From its next start on it is at another address; the relays follow it.
+    pub fn move_to_new_address(&self, who: usize) {
+        self.seats[who].cluster.set(self.place(MOVED, who));
+    }
+
+    // ---- what stands between ----
+
+    /// Changes the weather of the ways from any of these to any of those.
+    pub fn weather(&self, from: &[usize], to: &[usize], change: impl Fn(&mut Weather)) {
+        for (from, to) in from.iter().flat_map(|from| to.iter().map(move |to| (*from, *to))) {
+            if from != to {
+                let mut weather = self.ways[from][to].weather();
+                change(&mut weather);
+                self.ways[from][to].set(weather);
+                self.act(Act::Way { from, to, weather });
+            }
+        }
+    }
+
+    /// Nothing passes from these to those; the other way it does.
+    pub fn cut(&self, from: &[usize], to: &[usize]) {
+        self.weather(from, to, |weather| *weather = Weather::CUT);
+    }
+
+    /// All ways are fine again.
+    pub fn heal(&self) {
+        let all: Vec<usize> = (0..self.count()).collect();
+        self.weather(&all, &all, |weather| *weather = Weather::FINE);
+    }
+
+    /// Streams between these and those end at once, without any process having ended.
+    pub fn reset(&self, from: &[usize], to: &[usize]) {
+        for (from, to) in from.iter().flat_map(|from| to.iter().map(move |to| (*from, *to))) {
+            if from != to {
+                self.ways[from][to].reset();
+            }
+        }
+        self.note("streams reset");
+    }
+
+    // ---- what is seen ----
+
+    /// The last view that a running process told.
+    pub fn view(&self, who: usize) -> Option<View> {
+        self.seats[who].view.borrow().clone()
+    }
+
+    /// One's standing in another's view; nothing if that is not known.
+    pub fn standing(&self, at: usize, of: usize) -> Option<String> {
+        let view = self.seats[at].view.borrow();
+        view.as_ref()?.member(&self.seats[of].name).map(|member| member.state.clone())
+    }
+
+    /// Do all that run hold just those that run to be here, under the same incarnations, and are sure of it?
+    pub fn agreed(&self) -> bool {
+        let running: Vec<usize> = (0..self.count()).filter(|who| self.runs(*who)).collect();
+        let names: Vec<&str> = running.iter().map(|who| self.seats[*who].name.as_str()).collect();
+        let mut sums = Vec::new();
+        for who in &running {
+            let view = self.seats[*who].view.borrow();
+            let Some(view) = view.as_ref().filter(|view| view.sure && view.state == "member") else {
+                return false;
+            };
+            let mut here = view.here();
+            here.sort_unstable();
+            let mut wanted = names.clone();
+            wanted.sort_unstable();
+            if here != wanted {
+                return false;
+            }
+            sums.push(view.sum.clone());
+        }
+        sums.windows(2).all(|pair| pair[0] == pair[1])
+    }
+
+    /// Waits for an event; false if it did not come in a generous time.
+    pub async fn until(self: &Rc<Self>, patience: Duration, event: impl Fn(&Self) -> bool) -> bool {
+        let end = Instant::now() + patience;
+        while !event(self) {
+            if Instant::now() >= end {
+                return false;
+            }
+            let due = Instant::now() + Duration::from_millis(20);
+            sleep_until(due).await;
+            self.note_late(due);
+        }
+        true
+    }
+
+    fn note_late(&self, due: Instant) {
+        let late = Instant::now().saturating_duration_since(due).as_micros() as u64;
+        self.late.borrow_mut().saturating_record(late);
+    }
+
+    async fn watch(self: Rc<Self>, who: usize) {
+        loop {
+            let due = Instant::now() + LOOK;
+            sleep_until(due).await;
+            self.note_late(due);
+            let seat = &self.seats[who];
+            if !self.runs(who) || seat.stopped.get() {
+                continue;
+            }
+            let pid = seat.pid.get();
+            let Some(text) = call(self.operators(who), "GET", "/_members").await else { continue };
+            let Ok(view) = serde_json::from_str::<View>(&text) else { continue };
+            // It may have been ended, and started again, while it was asked.
+            if seat.pid.get() != pid {
+                continue;
+            }
+            let at = self.now();
+            let mut last = seat.view.borrow_mut();
+            let same = last.as_ref().is_some_and(|last| alike(last, &view));
+            if !same {
+                self.records.borrow_mut().views.push((at, who, view.clone()));
+            }
+            seat.seen.set(at);
+            *last = Some(view);
+        }
+    }
+
+    /// Ends all programs; what was done and seen.
+    pub async fn end(&self) -> Records {
+        // Taken first: those that are ended last would be seen to hold those before them to be gone.
+        let mut records = self.records.take();
+        records.length = self.now();
+        for who in 0..self.count() {
+            let child = self.seats[who].child.take();
+            if let Some(mut child) = child {
+                drop(child.kill().await);
+            }
+            self.over(who);
+        }
+        records.late = Some(self.late.borrow().clone());
+        records
+    }
+}
+
+fn place_at((high, low): (u8, u8), kind: usize, number: usize) -> SocketAddr {
+    let last = 1 + (number / PORTS) as u8;
+    let port = 22_000 + (kind * PORTS + number % PORTS) as u16;
+    SocketAddr::from((Ipv4Addr::new(127, high, low, last), port))
+}
+
+/// Nothing but times and counts is different.
+fn alike(one: &View, other: &View) -> bool {
+    let key = |view: &View| {
+        (view.life.clone(), view.state.clone(), view.sure, view.deaf_s.is_some(), view.incarnation)
+    };
+    key(one) == key(other) && one.members == other.members
+}
+
+fn copy(from: &std::path::Path, to: &std::path::Path) -> std::io::Result<()> {
+    std::fs::create_dir_all(to)?;
+    for entry in std::fs::read_dir(from)? {
+        let entry = entry?;
+        std::fs::copy(entry.path(), to.join(entry.file_name()))?;
+    }
+    Ok(())
+}
+
+/// One call to an operators' address; its body, if it was answered with 200 in time.
+pub async fn call(address: SocketAddr, method: &str, path: &str) -> Option<String> {
+    let asked = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: node\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.ok()?;
+        let (head, body) = answer.split_once("\r\n\r\n")?;
+        head.starts_with("HTTP/1.1 200").then(|| body.to_string())
+    };
+    timeout(CALL, asked).await.ok().flatten()
+}
+
+/// Sleeps by the ground's own clock.
+pub async fn wait(ms: f64) {
+    sleep(Duration::from_secs_f64(ms.max(0.0) / 1000.0)).await;
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/processes/judge.rs
@@ -0,0 +1,194 @@
+//! What must hold of the views that processes told, held against what was truly done to them. It reads the records and
+//! nothing else.
+
+use super::ground::{Act, Records};
+use std::collections::BTreeMap;
+
+/// Longest stand-still of a process, ms, for which nobody may hold it to be gone, and how long the news of a longer one
+/// may still be on their way.
+const BORNE: f64 = 2500.0;
+const EXCUSED: f64 = 10_000.0;
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Finding {
+    pub at: f64,
+    pub what: String,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Verdict {
+    pub broken: Vec<Finding>,
+    /// For each life that was killed: when each that ran on first held it to be gone, ms after.
+    pub found: Vec<(String, Vec<f64>)>,
+    /// The ground itself was late at the hundredth by so much, us.
+    pub late_p99_us: u64,
+}
+
+/// One start of a process to its end.
+struct Life {
+    who: usize,
+    from: f64,
+    /// When it was ended, and whether it was killed.
+    to: Option<(f64, bool)>,
+    /// When it stood still for longer than must be borne, to the end of what is excused.
+    still: Vec<(f64, f64)>,
+}
+
+/// Looks at all views. `cuts_excuse` says that ways were cut for so long that silence was true: then only the end counts.
+pub fn judge(records: &Records, cuts_excuse: bool) -> Verdict {
+    let lives = lives(records);
+    let mut verdict = Verdict::default();
+    let mut gone: BTreeMap<(usize, String), f64> = BTreeMap::new();
+    let mut told: Vec<(usize, String)> = Vec::new();
+    for (at, who, view) in &records.views {
+        for member in &view.members {
+            let Some(life) = lives.get(&member.life) else { continue };
+            let key = (*who, member.life.clone());
+            if !member.is_here() {
+                gone.entry(key.clone()).or_insert(*at);
+                let runs = life.to.is_none_or(|(to, _)| *at < to);
+                let excused = life.still.iter().any(|(from, to)| (*from..*to).contains(at)) || cuts_excuse;
+                if runs && !excused && !told.contains(&key) {
+                    told.push(key);
+                    let what =
+                        format!("{} holds {}, which runs, to be {}", view.name, member.name, member.state);
+                    verdict.broken.push(Finding { at: *at, what });
+                }
+            } else if gone.contains_key(&key)
+                && life.to.is_some_and(|(to, _)| *at > to)
+                && !told.contains(&key)
+            {
+                told.push(key);
+                let what = format!("{} brings back {}, a life that is over", view.name, member.name);
+                verdict.broken.push(Finding { at: *at, what });
+            }
+        }
+    }
+    at_the_end(records, &lives, &mut verdict);
+    for (name, life) in &lives {
+        if let Some((to, true)) = life.to {
+            // Whoever was cut off may have held it to be gone before.
+            let times =
+                gone.iter().filter(|((_, of), at)| of == name && **at >= to).map(|(_, at)| at - to).collect();
+            verdict.found.push((records.names[life.who].clone(), times));
+        }
+    }
+    if let Some(late) = &records.late {
+        verdict.late_p99_us = late.value_at_quantile(0.99);
+    }
+    verdict
+}
+
+/// Nobody who runs is held to be gone for good, nobody who does not to be here.
+fn at_the_end(records: &Records, lives: &BTreeMap<String, Life>, verdict: &mut Verdict) {
+    let mut last = BTreeMap::new();
+    for (_, who, view) in &records.views {
+        last.insert(*who, view);
+    }
+    for (who, view) in last {
+        let own = lives.get(&view.life);
+        if own.is_none_or(|life| life.to.is_some() || life.who != who) {
+            continue;
+        }
+        for member in &view.members {
+            let Some(life) = lives.get(&member.life) else { continue };
+            if life.to.is_none() != member.is_here() {
+                let what = format!("{} holds {} to be {} at the end", view.name, member.name, member.state);
+                verdict.broken.push(Finding { at: records.length, what });
+            }
+        }
+    }
+}
+
+fn lives(records: &Records) -> BTreeMap<String, Life> {
+    let mut lives: BTreeMap<String, Life> = BTreeMap::new();
+    let mut stopped: BTreeMap<usize, f64> = BTreeMap::new();
+    for (at, act) in &records.acts {
+        let (who, killed) = match act {
+            Act::Started { who, life } => {
+                let new = Life { who: *who, from: *at, to: None, still: Vec::new() };
+                lives.insert(life.clone(), new);
+                continue;
+            }
+            Act::Stopped { who } => {
+                stopped.insert(*who, *at);
+                continue;
+            }
+            Act::Continued { who } => {
+                let since = stopped.remove(who).filter(|since| at - since > BORNE);
+                if let (Some(since), Some(life)) = (since, last_of(&mut lives, *who)) {
+                    life.still.push((since, at + EXCUSED));
+                }
+                continue;
+            }
+            Act::Killed { who } => (*who, true),
+            Act::Ended { who } => (*who, false),
+            Act::Way { .. } | Act::Note(_) => continue,
+        };
+        if let Some(life) = last_of(&mut lives, who) {
+            life.to = Some((*at, killed));
+        }
+    }
+    lives
+}
+
+fn last_of(lives: &mut BTreeMap<String, Life>, who: usize) -> Option<&mut Life> {
+    let of = lives.values_mut().filter(|life| life.who == who);
+    of.max_by(|a, b| a.from.total_cmp(&b.from))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::ground::{Member, View};
+    use super::*;
+    use test_case::test_case;
+
+    fn view(state: &str) -> View {
+        let member = Member {
+            name: "n1".into(),
+            address: String::new(),
+            state: state.into(),
+            incarnation: 1,
+            life: "b".into(),
+            link: "up".into(),
+        };
+        View {
+            name: "n0".into(),
+            life: "a".into(),
+            state: "member".into(),
+            barred_by: None,
+            sure: true,
+            deaf_s: None,
+            sum: String::new(),
+            incarnation: 1,
+            members: vec![member],
+            counts: BTreeMap::new(),
+        }
+    }
+
+    fn broken(acts: Vec<(f64, Act)>, seen: &[(f64, &str)]) -> Vec<String> {
+        let started = |who, life: &str| (0.0, Act::Started { who, life: life.into() });
+        let acts = [vec![started(0, "a"), started(1, "b")], acts].concat();
+        let views = seen.iter().map(|(at, state)| (*at, 0, view(state))).collect();
+        let names = vec!["n0".into(), "n1".into()];
+        let records = Records { names, acts, views, late: None, length: 99_000.0 };
+        judge(&records, false).broken.into_iter().map(|finding| finding.what).collect()
+    }
+
+    const KILLED: Act = Act::Killed { who: 1 };
+    const STOPPED: Act = Act::Stopped { who: 1 };
+    const CONTINUED: Act = Act::Continued { who: 1 };
+
+    // Each is what a program with one fault would leave behind.
+    #[test_case(vec![], &[(5.0, "suspect"), (9.0, "alive")], &[]; "a suspicion is nothing")]
+    #[test_case(vec![], &[(5.0, "silent"), (9.0, "alive")], &["n0 holds n1, which runs, to be silent"]; "buried alive")]
+    #[test_case(vec![(4.0, KILLED)], &[(5.0, "silent")], &[]; "found")]
+    #[test_case(vec![(4.0, KILLED)], &[(3.0, "ended")], &["n0 holds n1, which runs, to be ended"]; "known before it was")]
+    #[test_case(vec![(4.0, KILLED)], &[(5.0, "alive")], &["n0 holds n1 to be alive at the end"]; "not found")]
+    #[test_case(vec![(4.0, KILLED)], &[(5.0, "ended"), (6.0, "alive"), (7.0, "ended")], &["n0 brings back n1, a life that is over"]; "brought back")]
+    #[test_case(vec![(4.0, STOPPED), (2004.0, CONTINUED)], &[(2000.0, "silent"), (3000.0, "alive")], &["n0 holds n1, which runs, to be silent"]; "a pause that must be borne")]
+    #[test_case(vec![(4.0, STOPPED), (20_004.0, CONTINUED)], &[(9000.0, "silent"), (21_000.0, "alive")], &[]; "a pause that is too long")]
+    fn faults_are_found(acts: Vec<(f64, Act)>, seen: &[(f64, &str)], wanted: &[&str]) {
+        assert_eq!(broken(acts, seen), wanted);
+    }
+}
--- /dev/null
+++ b/crates/pearfront-emulator/src/processes/mod.rs
@@ -0,0 +1,11 @@
+//! The proving ground: several node programs of one installation, a relay of ours at each direction of each link between
+//! them, and what is done to both. What came of it is read from records that are stamped by the machine's one clock.
+
+pub mod ground;
+pub mod judge;
+pub mod picture;
+pub mod player;
+pub mod relay;
+pub mod scenario;
+
+pub use ground::{Ground, Program, Start, run};
--- /dev/null
+++ b/crates/pearfront-emulator/src/processes/player.rs
@@ -0,0 +1,142 @@
+//! Plays a scenario among processes: each trouble at its time, then until all agree or patience ends.
+
+use super::ground::{Ground, Program, Records, Start, wait};
+use super::judge::{Finding, Verdict, judge};
+use super::scenario::{Folder, Scenario, Trouble, What};
+use crate::sockets::NodeCommand;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+
+/// Lateness of the ground itself at the hundredth, us, beyond which a play says nothing of the programs.
+pub const LATE: u64 = 100_000;
+/// Longest that all may take to come together at the start.
+const JOIN: Duration = Duration::from_secs(60);
+
+pub struct Played {
+    pub records: Records,
+    pub verdict: Verdict,
+    /// From the last trouble's end until all agreed for good, ms; none if they did not.
+    pub agreed_after: Option<f64>,
+    pub suspicions: u64,
+    pub void: bool,
+}
+
+/// # Errors
+/// What could not be started.
+pub async fn play(scenario: &Scenario, seed: u64, command: &NodeCommand) -> Result<Played, String> {
+    let program = Program {
+        command: command.clone(),
+        count: scenario.processes,
+        zones: scenario.zones,
+        cluster: scenario.cluster.clone(),
+    };
+    let ground = Ground::new(program, seed)?;
+    ground.start_all().await?;
+    if !ground.until(JOIN, Ground::agreed).await {
+        ground.end().await;
+        return Err("the processes did not come together".into());
+    }
+    for who in 0..ground.count() {
+        ground.copy_folder(who)?;
+    }
+    ground.note("all agree: troubles begin");
+    let began = ground.now();
+    let troubles: Vec<_> = scenario
+        .troubles
+        .iter()
+        .map(|trouble| spawn_local(befall(ground.clone(), trouble.clone(), began)))
+        .collect();
+    for trouble in troubles {
+        trouble.await.map_err(|error| error.to_string())??;
+    }
+    let over = ground.now();
+    let agreed = ground.until(Duration::from_secs_f64(scenario.patience_s), Ground::agreed).await;
+    let agreed_after = agreed.then(|| ground.now() - over);
+    let count = |view: super::ground::View| view.counts.get("suspicions").copied().unwrap_or(0);
+    let suspicions = (0..ground.count()).filter_map(|who| ground.view(who)).map(count).sum();
+    let records = ground.end().await;
+    let mut verdict = judge(&records, scenario.expect.cuts_excuse);
+    expected(scenario, agreed_after, suspicions, &mut verdict);
+    let void = verdict.late_p99_us > LATE;
+    Ok(Played { records, verdict, agreed_after, suspicions, void })
+}
+
+/// What the scenario expects beside what always must hold.
+fn expected(scenario: &Scenario, agreed_after: Option<f64>, suspicions: u64, verdict: &mut Verdict) {
+    let expect = &scenario.expect;
+    let mut say = |what: String| verdict.broken.push(Finding { at: f64::NAN, what });
+    match (agreed_after, expect.agreed_within_s) {
+        (None, _) => say(format!("not all agreed {} s after the last trouble", scenario.patience_s)),
+        (Some(after), Some(within)) if after > within * 1000.0 => {
+            say(format!("all agreed {:.1} s after the last trouble, not within {within}", after / 1000.0));
+        }
+        _ => {}
+    }
+    if let Some(most) = expect.suspicions_most.filter(|most| suspicions > *most) {
+        say(format!("{suspicions} suspicions, not at most {most}"));
+    }
+    let slow: Vec<String> = verdict
+        .found
+        .iter()
+        .filter_map(|(name, times)| {
+            let last = times.iter().copied().fold(0.0, f64::max) / 1000.0;
+            let within = expect.found_within_s.filter(|within| last > *within)?;
+            Some(format!("{name} was found by all after {last:.1} s, not within {within}"))
+        })
+        .collect();
+    slow.into_iter().for_each(say);
+}
+
+async fn befall(ground: Rc<Ground>, trouble: Trouble, began: f64) -> Result<(), String> {
+    wait(began + trouble.at_s * 1000.0 - ground.now()).await;
+    let lasts = trouble.for_s.map(|s| s * 1000.0);
+    if let Some(weather) = trouble.weather() {
+        strike(&ground, &trouble, |way| *way = weather);
+        wait(lasts.unwrap_or(0.0)).await;
+        strike(&ground, &trouble, |way| *way = super::relay::Weather::FINE);
+        return Ok(());
+    }
+    match trouble.what {
+        What::Reset => ground.reset(&trouble.from, &trouble.to),
+        What::Stop => {
+            trouble.who.iter().for_each(|who| ground.stop(*who));
+            wait(lasts.unwrap_or(0.0)).await;
+            trouble.who.iter().for_each(|who| ground.go_on(*who));
+        }
+        What::Roll => {
+            for (step, who) in trouble.who.iter().enumerate() {
+                wait(began + trouble.at_s * 1000.0 + step as f64 * lasts.unwrap_or(0.0) - ground.now()).await;
+                ground.terminate(*who).await;
+                ground.start(*who, Start::Kept).await?;
+            }
+        }
+        _ => {
+            for who in &trouble.who {
+                if trouble.what == What::Kill {
+                    ground.kill(*who).await
+                } else {
+                    ground.terminate(*who).await
+                }
+            }
+            let Some(lasts) = lasts else { return Ok(()) };
+            wait(lasts).await;
+            let with = match trouble.folder {
+                Folder::Kept => Start::Kept,
+                Folder::Older => Start::Older,
+                Folder::Empty => Start::Empty,
+            };
+            for who in &trouble.who {
+                ground.start(*who, with).await?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn strike(ground: &Ground, trouble: &Trouble, change: impl Fn(&mut super::relay::Weather)) {
+    ground.weather(&trouble.from, &trouble.to, &change);
+    if trouble.both {
+        ground.weather(&trouble.to, &trouble.from, &change);
+    }
+}
--- a/crates/pearfront-emulator/src/scenario.rs
+++ b/crates/pearfront-emulator/src/scenario.rs
@@ -2,6 +2,7 @@
 //! seconds, in `_ms` milliseconds; keys that are not known are refused. `Scenario::parse` is the only way in.
 
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 
 /// A mistake in a scenario file: which key, at which line, and what is wrong with it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -496,20 +497,7 @@
 impl Scenario {
     /// Reads and checks a file's text; the first mistake is told with its key and line.
     pub fn parse(text: &str) -> Result<Self, Mistake> {
-        let line_at = |at: usize| 1 + text[..at.min(text.len())].matches('\n').count();
-        let mistake = |path: String, error: &toml::de::Error| Mistake {
-            key: if path == "." { "file".into() } else { path },
-            line: error.span().map_or(1, |span| line_at(span.start)),
-            what: error.message().replace('\n', ", "),
-        };
-        let reader = toml::Deserializer::parse(text).map_err(|error| mistake("file".into(), &error))?;
-        let scenario: Scenario = serde_path_to_error::deserialize(reader)
-            .map_err(|error| mistake(error.path().to_string(), error.inner()))?;
-        scenario.check().map_err(|(key, what)| {
-            let line = place(text, &key).map_or(1, line_at);
-            Mistake { key, line, what }
-        })?;
-        Ok(scenario)
+        read(text, Self::check)
     }
 
     pub fn length(&self) -> f64 {
@@ -729,12 +717,33 @@
     }
 }
 
-fn within(key: &str, value: f64, least: f64, most: f64) -> Result<(), (String, String)> {
+/// Reads and checks a file's text; the first mistake is told with its key and line.
+pub(crate) fn read<T: DeserializeOwned>(
+    text: &str,
+    check: impl Fn(&T) -> Result<(), (String, String)>,
+) -> Result<T, Mistake> {
+    let line_at = |at: usize| 1 + text[..at.min(text.len())].matches('\n').count();
+    let mistake = |path: String, error: &toml::de::Error| Mistake {
+        key: if path == "." { "file".into() } else { path },
+        line: error.span().map_or(1, |span| line_at(span.start)),
+        what: error.message().replace('\n', ", "),
+    };
+    let reader = toml::Deserializer::parse(text).map_err(|error| mistake("file".into(), &error))?;
+    let scenario: T = serde_path_to_error::deserialize(reader)
+        .map_err(|error| mistake(error.path().to_string(), error.inner()))?;
+    check(&scenario).map_err(|(key, what)| {
+        let line = place(text, &key).map_or(1, line_at);
+        Mistake { key, line, what }
+    })?;
+    Ok(scenario)
+}
+
+pub(crate) fn within(key: &str, value: f64, least: f64, most: f64) -> Result<(), (String, String)> {
     let fits = value >= least && value <= most;
     if fits { Ok(()) } else { Err((key.into(), format!("{value} is not between {least} and {most}"))) }
 }
 
-fn above(key: &str, value: f64, least: f64, most: f64) -> Result<(), (String, String)> {
+pub(crate) fn above(key: &str, value: f64, least: f64, most: f64) -> Result<(), (String, String)> {
     let fits = value > least && value <= most;
     if fits { Ok(()) } else { Err((key.into(), format!("{value} is not above {least} and at most {most}"))) }
 }
--- a/crates/pearfront-membership/src/core.rs
+++ b/crates/pearfront-membership/src/core.rs
@@ -50,12 +50,14 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct To {
     pub name: Option<String>,
+    /// The process that is meant, if it is known: two may claim one name.
+    pub life: Option<u64>,
     pub address: SocketAddr,
 }
 
 impl To {
     pub(crate) fn card(card: &Card) -> Self {
-        Self { name: Some(card.name.clone()), address: card.address }
+        Self { name: Some(card.name.clone()), life: Some(card.life), address: card.address }
     }
 }
 
@@ -504,7 +506,7 @@
         self.join_pause = (self.join_pause * 1.5).min(JOIN_SELDOM);
         for address in self.seeds.clone() {
             let question = self.next_question();
-            self.send_frame(&To { name: None, address }, Body::Join { question });
+            self.send_frame(&To { name: None, life: None, address }, Body::Join { question });
         }
     }
 
--- a/crates/pearfront-node/src/admin.rs
+++ b/crates/pearfront-node/src/admin.rs
@@ -10,6 +10,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use pearfront_cluster::Cluster;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -32,15 +33,17 @@
 
 pub struct Admin {
     life: Rc<Lifecycle>,
+    /// The other processes, where there may be any.
+    cluster: Option<Rc<Cluster>>,
     open: RefCell<VecDeque<(u64, AbortHandle)>>,
     numbered: Cell<u64>,
     failing: Seldom,
 }
 
 impl Admin {
-    pub fn new(life: Rc<Lifecycle>) -> Rc<Self> {
+    pub fn new(life: Rc<Lifecycle>, cluster: Option<Rc<Cluster>>) -> Rc<Self> {
         let (open, numbered, failing) = (RefCell::default(), Cell::new(0), Seldom::default());
-        Rc::new(Self { life, open, numbered, failing })
+        Rc::new(Self { life, cluster, open, numbered, failing })
     }
 
     /// Answers operators as long as the process runs.
@@ -89,6 +92,11 @@
         let yes = match message::decode_admin(&head) {
             AdminCall::Unknown => return message::encode_no_call(None),
             AdminCall::Only(method) => return message::encode_no_call(Some(method)),
+            AdminCall::Members => {
+                let cluster = self.cluster.as_ref();
+                return cluster
+                    .map_or_else(|| message::encode_no_call(None), |one| message::encode_view(&one.view()));
+            }
             AdminCall::Ready => self.life.is_ready(),
             AdminCall::Drain => {
                 self.life.drain();
--- a/crates/pearfront-node/src/config.rs
+++ b/crates/pearfront-node/src/config.rs
@@ -3,6 +3,7 @@
 
 use crate::message::{self, List};
 use crate::terms::Terms;
+use pearfront_cluster::Cluster;
 use pearfront_settings::{At, Surroundings};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -28,6 +29,8 @@
     /// Descriptors, without those kept for operators.
     pub sockets: usize,
     pub known: List,
+    /// Other processes that this one may talk to; on the platform there are none.
+    pub cluster: Option<pearfront_cluster::Settings>,
     pub terms: Terms,
     /// The file as it stands, which a new one is held against.
     pub as_written: Value,
@@ -40,6 +43,9 @@
     if let Some(key) = pearfront_settings::missing_key(before, &config.as_written, "config") {
         return Err(format!("{key} is missing"));
     }
+    if before["cluster"] != config.as_written["cluster"] {
+        return Err("config.cluster can only change with a new start".into());
+    }
     let fixed = ["tier", "layers", "discovery"];
     let differs = |key: &&&str| before["settings"][**key] != config.as_written["settings"][**key];
     match fixed.iter().find(differs) {
@@ -82,6 +88,8 @@
         limits.as_ref().and_then(|at| at.maybe(key)).map_or(Ok(default), |at| at.above_0())
     };
     let kept = if admin.is_some() { crate::admin::DESCRIPTORS } else { 0 };
+    let cluster = top.maybe("cluster").map(|_| cluster(&json["cluster"])).transpose()?;
+    let kept = kept + if cluster.is_some() { Cluster::descriptors() } else { 0 };
     let settings = top.needed("settings")?;
     let around = Surroundings::decode(&settings)?;
     let known = message::decode_known(&top.needed("known")?, &around)?;
@@ -98,7 +106,19 @@
         memory_mb: limit("memory_mb", MEMORY_MB)?,
         sockets: (limit("sockets", SOCKETS)? as usize).saturating_sub(kept),
         known,
+        cluster,
         terms: Terms { settings: Rc::new(pearfront_settings::decode(&settings)?), around },
         as_written: json,
     })
 }
+
+/// What the file says of other processes.
+fn cluster(value: &Value) -> Result<pearfront_cluster::Settings, String> {
+    let settings: pearfront_cluster::Settings =
+        serde_path_to_error::deserialize(value).map_err(|error| match error.path().to_string().as_str() {
+            "." => format!("config.cluster: {}", error.inner()),
+            path => format!("config.cluster.{path}: {}", error.inner()),
+        })?;
+    settings.check().map_err(|problem| format!("config.cluster.{problem}"))?;
+    Ok(settings)
+}
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -28,6 +28,7 @@
 use lifecycle::Lifecycle;
 use logger::Seldom;
 use pearfront::policy::Balancer;
+use pearfront_cluster::Cluster;
 use probe::Prober;
 use route::{Clock, Inbox, Route};
 use send::Senders;
@@ -104,17 +105,19 @@
     let life = Rc::new(Lifecycle::new());
     let shared = config.inherited.is_some();
     let (name, address) = (config.name.clone(), config.listen);
+    let cluster = config.cluster.take().map(|settings| Cluster::start(settings, &name)).transpose();
+    let cluster = cluster.map_err(|problem| format!("config.cluster.{problem}"))?;
     let as_written = config.as_written.clone();
     let terms = InForce::new(std::mem::take(&mut config.terms));
     let place = if shared { Peers::place(&name) } else { None };
     let (take_in, book, discovery) = build(config, &terms, life.clone());
     log::info!("node {name} listens on {address}");
     if let Some(operators) = operators {
-        spawn_local(Admin::new(life.clone()).serve(operators));
+        spawn_local(Admin::new(life.clone(), cluster.clone()).serve(operators));
     }
     spawn_local(take_in.clone().let_go());
     spawn_local(start(shared, place, life.clone(), discovery.clone()));
-    spawn_local(print_counters(show, book.clone(), take_in.room.clone()));
+    spawn_local(print_counters(show, book.clone(), take_in.room.clone(), cluster.clone()));
     spawn_local(read_again(again, as_written, terms.clone(), discovery, take_in.clone()));
     let (clock, last) = (take_in.route.clock, Cell::new(f64::INFINITY));
     let ended = async {
@@ -134,7 +137,10 @@
     if timeout_at(clock.at(last.get()), take_in.finish()).await.is_err() {
         log::warn!("ended with {} jobs unanswered", take_in.room.jobs());
     }
-    log::info!("{book} {}", take_in.room);
+    log::info!("{book} {}{}", take_in.room, beside(cluster.as_ref()));
+    if let Some(cluster) = cluster {
+        cluster.leave();
+    }
     Ok(())
 }
 
@@ -157,9 +163,15 @@
     }
 }
 
-async fn print_counters(mut show: Signal, book: Rc<Book>, room: Rc<Room>) {
+/// The cluster's counters, behind the others.
+fn beside(cluster: Option<&Rc<Cluster>>) -> String {
+    let counters = cluster.map(|cluster| cluster.counters()).unwrap_or_default();
+    counters.iter().map(|(name, value)| format!(" {name}={value}")).collect()
+}
+
+async fn print_counters(mut show: Signal, book: Rc<Book>, room: Rc<Room>, cluster: Option<Rc<Cluster>>) {
     while show.recv().await.is_some() {
-        log::info!("{book} {room}");
+        log::info!("{book} {room}{}", beside(cluster.as_ref()));
     }
 }
 
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -65,6 +65,8 @@
 pub enum AdminCall {
     /// Is this process ready to serve?
     Ready,
+    /// Who else is there, as this process sees it.
+    Members,
     Drain,
     Resume,
     /// A path that there is not.
@@ -76,6 +78,7 @@
 pub fn decode_admin(head: &request::Parts) -> AdminCall {
     let (call, method) = match head.uri.path() {
         "/_ready" => (AdminCall::Ready, Method::GET),
+        "/_members" => (AdminCall::Members, Method::GET),
         "/_lameduck/on" => (AdminCall::Drain, Method::PUT),
         "/_lameduck/off" => (AdminCall::Resume, Method::PUT),
         _ => return AdminCall::Unknown,
@@ -96,6 +99,14 @@
     plain(if yes { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, format!("{state}\n"))
 }
 
+/// A view for an operator, as JSON.
+pub fn encode_view(view: &impl serde::Serialize) -> Response<Body> {
+    let text = serde_json::to_string(view).unwrap_or_default();
+    let mut answer = plain(StatusCode::OK, format!("{text}\n"));
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
 pub enum JobBody {
     Whole(Bytes),
     /// Too large to be kept: what came first, and the rest for the first shot that asks for it.
--- /dev/null
+++ b/crates/pearfront-node/tests/cluster.rs
@@ -0,0 +1,388 @@
+//! Several node programs of one installation with the proving ground between them. What is waited for is an event; the
+//! judge reads what was done and what each told, by one clock. A play on a machine that was late is void and played again.
+
+use pearfront_emulator::again::{Play, in_time};
+use pearfront_emulator::processes::ground::wait;
+use pearfront_emulator::processes::judge::judge;
+use pearfront_emulator::processes::relay::Weather;
+use pearfront_emulator::processes::{Ground, Program, Start, run};
+use pearfront_emulator::sockets::NodeCommand;
+use serde_json::{Value, json};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Plays that may be void.
+const PLAYS: usize = 5;
+/// Lateness of the ground itself at the hundredth, us, beyond which a play says nothing: a tenth of the shortest time
+/// that a process has to answer a probe through others.
+const LATE: u64 = 100_000;
+/// How long an event is waited for: far longer than it takes on the slowest machine.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+fn program(what: &str, count: usize, cluster: Value) -> Program {
+    let folder = std::env::temp_dir().join(format!("pearfront-cluster-{what}-{}", std::process::id()));
+    // What an earlier play of this test left is not this one's.
+    drop(std::fs::remove_dir_all(&folder));
+    let run = format!("exec '{}'", env!("CARGO_BIN_EXE_pearfront-node"));
+    Program { command: NodeCommand { run, folder }, count, zones: 3, cluster }
+}
+
+/// Plays what `script` does to so many processes that agree, until the machine was in time for it.
+fn played<F: Future<Output = Result<(), String>>>(
+    what: &str,
+    count: usize,
+    cuts_excuse: bool,
+    script: impl Fn(Rc<Ground>) -> F,
+) {
+    played_with(program(what, count, json!({})), cuts_excuse, script);
+}
+
+fn played_with<F: Future<Output = Result<(), String>>>(
+    program: Program,
+    cuts_excuse: bool,
+    script: impl Fn(Rc<Ground>) -> F,
+) {
+    let shown = in_time(PLAYS, |number| {
+        drop(std::fs::remove_dir_all(&program.command.folder));
+        run(async {
+            let ground = Ground::new(program.clone(), number as u64)?;
+            ground.start_all().await?;
+            let joined = ground.until(PATIENCE, Ground::agreed).await;
+            let done =
+                if joined { script(ground.clone()).await } else { Err("they did not come together".into()) };
+            let records = ground.end().await;
+            let verdict = judge(&records, cuts_excuse);
+            if verdict.late_p99_us > LATE {
+                return Ok(Play::Void(format!("{} us late", verdict.late_p99_us)));
+            }
+            Ok(Play::InTime((done, verdict)))
+        })
+    });
+    let (done, verdict) = shown.unwrap();
+    let logs = program.command.folder.display();
+    assert_eq!((done, &verdict.broken), (Ok(()), &vec![]), "logs in {logs}");
+    drop(std::fs::remove_dir_all(&program.command.folder));
+}
+
+async fn event(ground: &Rc<Ground>, what: &str, event: impl Fn(&Ground) -> bool) -> Result<(), String> {
+    if ground.until(PATIENCE, event).await { Ok(()) } else { Err(format!("not seen: {what}")) }
+}
+
+fn all_but(count: usize, who: usize) -> Vec<usize> {
+    (0..count).filter(|other| *other != who).collect()
+}
+
+fn held(ground: &Ground, by: &[usize], of: usize, state: &str) -> bool {
+    by.iter().all(|at| ground.standing(*at, of).is_some_and(|standing| standing == state))
+}
+
+#[test]
+fn a_killed_process_is_known_to_have_ended_and_comes_back_as_the_same_member() {
+    played("killed", 5, false, async |ground| {
+        ground.kill(3).await;
+        event(&ground, "all know that n3 ended", |ground| held(ground, &all_but(5, 3), 3, "ended")).await?;
+        ground.start(3, Start::Kept).await?;
+        event(&ground, "all agree again", Ground::agreed).await?;
+        let incarnation = ground.view(3).map(|view| view.incarnation);
+        if incarnation.is_none_or(|incarnation| incarnation < 2) {
+            return Err(format!("came back under {incarnation:?}"));
+        }
+        ground.terminate(2).await;
+        event(&ground, "all know that n2 left", |ground| held(ground, &all_but(5, 2), 2, "left")).await
+    });
+}
+
+// Silence without proof: streams stay open, as when a machine loses its power, and the process says nothing.
+#[test]
+fn one_that_stands_still_is_silent_not_ended_and_finds_out_when_it_goes_on() {
+    played("still", 5, false, async |ground| {
+        ground.stop(1);
+        event(&ground, "all hold n1 silent", |ground| held(ground, &all_but(5, 1), 1, "silent")).await?;
+        // One dies meanwhile: it must not be brought back by what n1 believes.
+        ground.kill(4).await;
+        event(&ground, "n4 has ended", |ground| held(ground, &[0, 2, 3], 4, "ended")).await?;
+        ground.go_on(1);
+        event(&ground, "all agree again", Ground::agreed).await?;
+        let refuted = ground.view(1).is_some_and(|view| view.counts["refutations"] > 0);
+        if refuted { Ok(()) } else { Err("n1 did not find out".into()) }
+    });
+}
+
+#[test]
+fn a_pause_of_two_seconds_costs_nobody_its_place() {
+    played("pause", 5, false, async |ground| {
+        for who in [1, 3] {
+            ground.stop(who);
+            wait(2000.0).await;
+            ground.go_on(who);
+            event(&ground, "all agree again", Ground::agreed).await?;
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_link_that_is_cut_one_way_costs_nobody_its_place() {
+    played("one-way", 5, false, async |ground| {
+        ground.cut(&[0], &[1]);
+        // Longer than any suspicion lasts.
+        wait(12_000.0).await;
+        ground.heal();
+        event(&ground, "all agree again", Ground::agreed).await
+    });
+}
+
+#[test]
+fn one_that_hears_nobody_buries_nobody_for_the_others() {
+    played("deaf", 5, true, async |ground| {
+        let others = all_but(5, 2);
+        ground.cut(&others, &[2]);
+        event(&ground, "n2 knows that it is deaf", |ground| {
+            ground.view(2).is_some_and(|view| view.deaf_s.is_some())
+        })
+        .await?;
+        wait(6000.0).await;
+        for at in &others {
+            for of in others.iter().filter(|of| *of != at) {
+                if ground
+                    .standing(*at, *of)
+                    .is_none_or(|standing| standing != "alive" && standing != "suspect")
+                {
+                    return Err(format!("n{at} holds n{of} to be {:?}", ground.standing(*at, *of)));
+                }
+            }
+        }
+        ground.heal();
+        event(&ground, "all agree again", Ground::agreed).await
+    });
+}
+
+#[test]
+fn halves_that_were_cut_come_together_again() {
+    played("halves", 6, true, async |ground| {
+        let (here, there) = ([0, 1, 2], [3, 4, 5]);
+        ground.cut(&here, &there);
+        ground.cut(&there, &here);
+        event(&ground, "each half holds the other to be silent", |ground| {
+            there.iter().all(|of| held(ground, &here, *of, "silent"))
+                && here.iter().all(|of| held(ground, &there, *of, "silent"))
+        })
+        .await?;
+        ground.kill(5).await;
+        event(&ground, "n5 has ended", |ground| held(ground, &[3, 4], 5, "ended")).await?;
+        ground.heal();
+        event(&ground, "all agree again", Ground::agreed).await
+    });
+}
+
+// Streams that stall while datagrams pass, the reverse, and streams that are reset: none is a death.
+#[test]
+fn a_way_that_carries_half_of_what_it_should_costs_nobody_its_place() {
+    played("stalled", 4, false, async |ground| {
+        let all = [0, 1, 2, 3];
+        ground.weather(&[0], &all, |weather| weather.no_streams = true);
+        event(&ground, "a link is seen to be stalled", |ground| {
+            ground.view(0).is_some_and(|view| view.members.iter().any(|member| member.link == "stalled"))
+        })
+        .await?;
+        ground.heal();
+        ground.weather(&[1], &all, |weather| weather.no_datagrams = true);
+        wait(8000.0).await;
+        ground.heal();
+        ground.reset(&all, &all);
+        event(&ground, "all agree, by links that are up", |ground| {
+            let up = |view: pearfront_emulator::processes::ground::View| {
+                view.members.iter().all(|member| member.link == "up")
+            };
+            ground.agreed() && all.iter().all(|who| ground.view(*who).is_some_and(up))
+        })
+        .await
+    });
+}
+
+#[test]
+fn loss_copies_and_delays_cost_nobody_its_place() {
+    played("weather", 8, false, async |ground| {
+        let all: Vec<usize> = (0..8).collect();
+        ground.weather(&all, &all, |weather| {
+            *weather = Weather { loss: 0.2, doubled: 0.1, delay: (1.0, 60.0), ..Weather::FINE };
+        });
+        wait(15_000.0).await;
+        ground.heal();
+        event(&ground, "all agree again", Ground::agreed).await
+    });
+}
+
+#[test]
+fn a_name_may_come_back_at_another_address() {
+    played("moved", 4, false, async |ground| {
+        ground.kill(3).await;
+        ground.move_to_new_address(3);
+        ground.start(3, Start::Empty).await?;
+        event(&ground, "all agree again", Ground::agreed).await?;
+        let (address, wanted) = (ground.view(0), ground.cluster(3).to_string());
+        match address.and_then(|view| view.member("n3").map(|member| member.address.clone())) {
+            Some(address) if address == wanted => Ok(()),
+            other => Err(format!("n0 knows it at {other:?}, not {wanted}")),
+        }
+    });
+}
+
+#[test]
+fn of_two_with_one_name_the_later_takes_no_part_and_both_are_told() {
+    played("double", 4, false, async |ground| {
+        ground.terminate(3).await;
+        event(&ground, "n3 has left", |ground| held(ground, &[0, 1, 2], 3, "left")).await?;
+        ground.call_like(3, 1);
+        ground.start(3, Start::Empty).await?;
+        event(&ground, "the later one is barred", |ground| {
+            ground.view(3).is_some_and(|view| view.state == "barred" && !view.sure)
+        })
+        .await?;
+        let by = ground.view(3).and_then(|view| view.barred_by);
+        let holder = ground.cluster(1).to_string();
+        if by.as_ref() != Some(&holder) {
+            return Err(format!("told of {by:?}, not of {holder}"));
+        }
+        // Its holder goes: then the name is free.
+        ground.kill(1).await;
+        event(&ground, "it takes part now", |ground| ground.view(3).is_some_and(|view| view.sure)).await?;
+        // It is another process's name that n3 has now: the judge's view of who runs is by lives.
+        event(&ground, "the others see it", |ground| held(ground, &[0, 2], 1, "alive")).await
+    });
+}
+
+// Whoever is asked to join may be down: those that are up come together, and the others later.
+#[test]
+fn processes_that_are_asked_first_may_be_down() {
+    let program = program("seeds", 4, json!({}));
+    let shown = in_time(PLAYS, |number| {
+        drop(std::fs::remove_dir_all(&program.command.folder));
+        run(async {
+            let ground = Ground::new(program.clone(), number as u64)?;
+            ground.start(3, Start::Kept).await?;
+            ground.start(2, Start::Kept).await?;
+            event(&ground, "two come together", Ground::agreed).await?;
+            ground.start(0, Start::Kept).await?;
+            ground.start(1, Start::Kept).await?;
+            event(&ground, "all come together", Ground::agreed).await?;
+            Ok(Play::InTime(judge(&ground.end().await, false).broken))
+        })
+    });
+    assert_eq!(shown, Ok(vec![]));
+    drop(std::fs::remove_dir_all(&program.command.folder));
+}
+
+/// Seconds of the processor that a process has had.
+fn cpu_s(pid: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let after = stat.rsplit_once(')').map_or("", |(_, after)| after);
+    let ticks: f64 =
+        after.split_whitespace().skip(11).take(2).filter_map(|word| word.parse::<f64>().ok()).sum();
+    ticks / rustix::param::clock_ticks_per_second() as f64
+}
+
+// Fifty thousand a second of what is no packet: the rest of the node must not pay for it.
+#[test]
+fn a_flood_costs_a_bounded_part_of_the_processor_and_nobody_its_place() {
+    const FLOOD: Duration = Duration::from_secs(4);
+    played("flood", 3, false, async |ground| {
+        let (at, before) = (ground.cluster(0), cpu_s(ground.pid(0)));
+        let flood = std::thread::spawn(move || {
+            let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
+            let (start, mut sent) = (std::time::Instant::now(), 0u64);
+            while start.elapsed() < FLOOD {
+                let wanted = start.elapsed().as_micros() as u64 / 20;
+                while sent < wanted {
+                    sent += 1;
+                    // With the mark of a packet, every other one.
+                    let garbage =
+                        [if sent.is_multiple_of(2) { b'p' } else { 0 }, b'm', 1, 2, 3, 4, 5, 6, 7, 8];
+                    let _ = socket.send_to(&garbage, at);
+                }
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            sent
+        });
+        wait(FLOOD.as_secs_f64() * 1000.0).await;
+        let sent = flood.join().map_err(|_| "the flood ended early".to_string())?;
+        let used = (cpu_s(ground.pid(0)) - before) / FLOOD.as_secs_f64();
+        event(&ground, "all agree", Ground::agreed).await?;
+        let counts = ground.view(0).map(|view| view.counts).unwrap_or_default();
+        if counts["over_budget"] == 0 || counts["garbled"] + counts["foreign"] == 0 {
+            return Err(format!("of {sent} nothing was refused: {counts:?}"));
+        }
+        // Reading all of them would cost a third of a core and more.
+        if used < 0.15 { Ok(()) } else { Err(format!("{used:.2} of a core went into the flood")) }
+    });
+}
+
+/// Sockets and threads of a node whose file has this beside the usual.
+fn held_open(what: &str, cluster: Option<Value>) -> (usize, usize) {
+    let mut file: Value = serde_json::from_str(include_str!("../../../deploy/example.json")).unwrap();
+    let free = || std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (listen, admin) = (free(), free());
+    file["admin"] = json!(admin);
+    if let Some(mut cluster) = cluster {
+        cluster["listen"] = json!(free());
+        file["cluster"] = cluster;
+    }
+    let path = std::env::temp_dir().join(format!("pearfront-open-{what}-{}.json", std::process::id()));
+    std::fs::write(&path, file.to_string()).unwrap();
+    let mut node = std::process::Command::new(env!("CARGO_BIN_EXE_pearfront-node"))
+        .envs([("ROUTER_NAME", "n0"), ("ROUTER_DISCOVERY", "127.0.0.1:1")])
+        .envs([("ROUTER_LISTEN", listen.to_string()), ("ROUTER_CONFIG", path.display().to_string())])
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .unwrap();
+    while std::net::TcpStream::connect(listen).is_err() {
+        assert!(node.try_wait().unwrap().is_none(), "it ended");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let entries = |what: &str| std::fs::read_dir(format!("/proc/{}/{what}", node.id())).unwrap().flatten();
+    let is_listening = |entry: &std::fs::DirEntry| {
+        std::fs::read_link(entry.path()).is_ok_and(|link| link.to_string_lossy().starts_with("socket:"))
+    };
+    // The connection that looked whether it is up may still be open: only those that were there before it count.
+    let mut sockets = usize::MAX;
+    for _ in 0..20 {
+        sockets = sockets.min(entries("fd").filter(is_listening).count());
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let threads = entries("task").count();
+    node.kill().unwrap();
+    node.wait().unwrap();
+    std::fs::remove_file(path).unwrap();
+    (sockets, threads)
+}
+
+#[test]
+fn without_the_key_nothing_of_it_is_there() {
+    let (without, threads) = held_open("without", None);
+    let (with, threads_with) = held_open("with", Some(json!({"installation": "shop"})));
+    assert_eq!((with - without, threads, threads_with), (2, 1, 1), "{without} sockets without");
+}
+
+// The judge has to fail a program that buries after a moment, or it says nothing of the others.
+#[test]
+fn the_judge_finds_processes_that_bury_after_a_moment() {
+    let hasty = program("hasty", 4, json!({"times": {"suspicion_ms": 250.0}}));
+    let folder = hasty.command.folder.clone();
+    let broken = in_time(PLAYS, |_| {
+        run(async {
+            let ground = Ground::new(hasty.clone(), 1)?;
+            ground.start_all().await?;
+            ground.stop(1);
+            wait(2000.0).await;
+            ground.go_on(1);
+            event(&ground, "all agree again", Ground::agreed).await?;
+            Ok(Play::InTime(judge(&ground.end().await, false).broken))
+        })
+    });
+    let broken = broken.unwrap();
+    assert!(
+        broken.iter().any(|finding| finding.what.ends_with("holds n1, which runs, to be silent")),
+        "{broken:?}"
+    );
+    drop(std::fs::remove_dir_all(folder));
+}
