--- a/crates/pearfront-emulator/src/cores/consensus.rs
+++ b/crates/pearfront-emulator/src/cores/consensus.rs
@@ -2,14 +2,14 @@
 //! network that delays, loses, doubles and cuts; voters that are killed and stand still. What must always hold is looked at
 //! after every step.
 
+use crate::agenda::Agenda;
 use pearfront_consensus::{
     Entry, Kept, Message, Out, Record, Role, Times, Voter, decode, decode_record, recover,
 };
 use pearfront_store::{Fault, SimDisk, Store, StoreError};
 use rand::prelude::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Applied entries after which a voter takes a snapshot, and bytes of the store's log after which that begins anew.
 const SNAPSHOT: u64 = 40;
@@ -88,29 +88,6 @@
     Empty,
 }
 
-struct Due {
-    at: f64,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> Ordering {
-        other.at.total_cmp(&self.at).then(other.order.cmp(&self.order))
-    }
-}
-
 struct Seat {
     name: String,
     voter: Option<Voter>,
@@ -136,8 +113,9 @@
 pub struct World {
     plan: Plan,
     seats: Vec<Seat>,
-    events: BinaryHeap<Due>,
-    order: u64,
+    events: Agenda<Event>,
+    /// Cuts so far, which number them.
+    cut: u64,
     chance: ChaCha8Rng,
     now: f64,
     cuts: Vec<(u64, BTreeSet<usize>, BTreeSet<usize>)>,
@@ -171,8 +149,8 @@
         };
         let mut world = Self {
             seats: (0..plan.voters).map(seat).collect(),
-            events: BinaryHeap::new(),
-            order: 0,
+            events: Agenda::default(),
+            cut: 0,
             chance: ChaCha8Rng::seed_from_u64(seed),
             now: 0.0,
             cuts: Vec::new(),
@@ -196,8 +174,7 @@
     }
 
     fn put(&mut self, at: f64, event: Event) {
-        self.order += 1;
-        self.events.push(Due { at, order: self.order, event });
+        self.events.put(at, event);
     }
 
     fn broken(&mut self, what: String) {
@@ -398,7 +375,7 @@
     // ---- time ----
 
     pub fn step(&mut self) -> bool {
-        let Some(Due { at, event, .. }) = self.events.pop().filter(|due| due.at <= self.plan.length) else {
+        let Some((at, event)) = self.events.next(self.plan.length) else {
             return false;
         };
         self.now = at;
@@ -527,8 +504,8 @@
                 }
             }
             _ => {
-                self.order += 1;
-                let (number, all) = (self.order, 0..self.seats.len());
+                self.cut += 1;
+                let (number, all) = (self.cut, 0..self.seats.len());
                 let (one, rest): (BTreeSet<usize>, BTreeSet<usize>) = all.partition(|seat| *seat == who);
                 let sides = match self.chance.random_range(0..3) {
                     0 => vec![(one, rest)],
--- a/crates/pearfront-emulator/src/cores/membership.rs
+++ b/crates/pearfront-emulator/src/cores/membership.rs
@@ -1,11 +1,11 @@
 //! Membership by seed: up to a thousand cores, a network with weather between them, kills, pauses, cuts and restarts.
 
+use crate::agenda::Agenda;
 use pearfront_membership::{Change, Identity, LONGEST_DATAGRAM, Membership, Out, Standing, State, Times, To};
 use rand::prelude::{Rng, SeedableRng};
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
-use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 
 /// Datagrams that wait for one that stands still; the kernel drops further ones.
@@ -145,29 +145,6 @@
     Look,
 }
 
-struct Due {
-    at: f64,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> Ordering {
-        other.at.total_cmp(&self.at).then(other.order.cmp(&self.order))
-    }
-}
-
 struct Process {
     core: Membership,
     name: String,
@@ -189,8 +166,7 @@
     by_address: BTreeMap<SocketAddr, usize>,
     cuts: Vec<(BTreeSet<usize>, BTreeSet<usize>)>,
     ever_cut: bool,
-    events: BinaryHeap<Due>,
-    order: u64,
+    events: Agenda<Event>,
     chance: ChaCha8Rng,
     now: f64,
     killed: BTreeMap<usize, (f64, BTreeMap<usize, f64>)>,
@@ -214,8 +190,7 @@
             by_address: BTreeMap::new(),
             cuts: Vec::new(),
             ever_cut: false,
-            events: BinaryHeap::new(),
-            order: 0,
+            events: Agenda::default(),
             chance: ChaCha8Rng::seed_from_u64(seed),
             now: 0.0,
             killed: BTreeMap::new(),
@@ -272,8 +247,7 @@
     }
 
     fn put(&mut self, at: f64, event: Event) {
-        self.order += 1;
-        self.events.push(Due { at, order: self.order, event });
+        self.events.put(at, event);
     }
 
     fn next_pause(&mut self, who: usize) {
@@ -390,7 +364,7 @@
 
     /// Goes one event further; false at the end. `shows` hears what it was.
     pub fn step(&mut self, shows: &mut dyn FnMut(f64, String)) -> bool {
-        let Some(Due { at, event, .. }) = self.events.pop().filter(|due| due.at <= self.plan.length) else {
+        let Some((at, event)) = self.events.next(self.plan.length) else {
             return false;
         };
         self.now = at;
