Nodes hold duties for commands: voters in the program, pearfront duty, rehearsals

Three or five nodes named in the file keep the replicated log on disk and decide; the rest asks them over the kept links. pearfront duty runs a command while its node holds the duty and ends it, with all that it forked, before the lease can be another's. Without voters nothing of it is there.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,14 @@
 	for only in word kill silence; do \
 		target/release/pearfront prove duties --seeds 300 --only $$only || exit; done
 
+# The same among real processes, 200 seeds of a minute each in four plays beside each other; some fifty minutes.
+.PHONY: prove-duties-processes
+prove-duties-processes: build
+	for first in 1 51 101 151; do \
+		target/release/pearfront prove processes --seeds 50 --first $$first \
+			--voters $$(( first % 100 == 1 ? 3 : 5 )) & all="$$all $$!"; done; \
+	for one in $$all; do wait $$one || exit; done
+
 # Real processes with faults between them, one scenario after another; some five minutes.
 .PHONY: prove-cluster
 prove-cluster: build
--- a/crates/pearfront-cli/src/among.rs
+++ b/crates/pearfront-cli/src/among.rs
@@ -43,9 +43,21 @@
     let silent = sorted(&verdict.silent);
     let half = |times: &[f64]| times.get(times.len() / 2).copied();
     let shown = |ms: Option<f64>| ms.map_or("-".into(), |ms| format!("{ms:.0}"));
+    let duty = played.duty.as_ref().map_or(String::new(), |held| {
+        let mut gaps = held.gaps.clone();
+        gaps.sort_by(f64::total_cmp);
+        format!(
+            " acts={} turns={} gaps={} gap_p50_ms={} gap_most_ms={}",
+            held.acts,
+            held.turns,
+            gaps.len(),
+            shown(half(&gaps)),
+            shown(gaps.last().copied())
+        )
+    });
     format!(
         "broken={} found={} found_p50_ms={} found_most_ms={} silent={} silent_p50_ms={} \
-         silent_most_ms={} agreed_after_ms={} suspicions={} late_p99_us={} void={}",
+         silent_most_ms={} agreed_after_ms={} suspicions={} late_p99_us={} void={}{duty}",
         verdict.broken.len(),
         found.len(),
         shown(half(&found)),
--- a/crates/pearfront-cli/src/main.rs
+++ b/crates/pearfront-cli/src/main.rs
@@ -5,6 +5,8 @@
 mod carry;
 mod check;
 mod compare;
+mod duties;
+mod duty;
 mod log_form;
 mod members;
 mod plot;
@@ -44,6 +46,10 @@
     Move(carry::Move),
     Prove(prove::Prove),
     Members(members::Members),
+    Duties(duties::Duties),
+    Duty(duty::Duty),
+    #[command(hide = true)]
+    DutyChild(duty::Child),
     Store(store::Store),
 }
 
@@ -56,6 +62,8 @@
     Input(String),
     /// It was done, and a rule was broken.
     RuleBroken,
+    /// An exit code of the command's own, and what there is to say.
+    Code(u8, String),
 }
 
 fn main() -> ExitCode {
@@ -69,6 +77,9 @@
         Command::Move(carry) => carry.run(),
         Command::Prove(prove) => prove.run(),
         Command::Members(members) => members.run(),
+        Command::Duties(duties) => duties.run(),
+        Command::Duty(duty) => duty.run(),
+        Command::DutyChild(child) => child.run(),
         Command::Store(store) => store.run(),
     };
     match done {
@@ -76,6 +87,8 @@
         Err(Trouble::Undone(what)) => told(&what, 1),
         Err(Trouble::Input(what)) => told(&what, 2),
         Err(Trouble::RuleBroken) => ExitCode::from(3),
+        Err(Trouble::Code(code, what)) if what.is_empty() => ExitCode::from(code),
+        Err(Trouble::Code(code, what)) => told(&what, code),
     }
 }
 
--- a/crates/pearfront-cli/src/members.rs
+++ b/crates/pearfront-cli/src/members.rs
@@ -45,10 +45,20 @@
 
 /// The body of an answer of an operators' address.
 pub fn ask(address: SocketAddr, path: &str) -> Result<String, Trouble> {
+    call(address, "GET", path)
+}
+
+/// The same, of a call that changes something.
+pub fn put(address: SocketAddr, path: &str) -> Result<String, Trouble> {
+    call(address, "PUT", path)
+}
+
+fn call(address: SocketAddr, method: &str, path: &str) -> Result<String, Trouble> {
     let told = |what: String| Trouble::Undone(format!("{address}: {what}"));
     let mut stream =
         TcpStream::connect_timeout(&address, PATIENCE).map_err(|error| told(error.to_string()))?;
-    let call = format!("GET {path} HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n");
+    let call =
+        format!("{method} {path} HTTP/1.1\r\nHost: node\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     let mut answer = String::new();
     let asked = stream
         .set_read_timeout(Some(PATIENCE))
@@ -58,7 +68,10 @@
     let (head, body) = answer.split_once("\r\n\r\n").ok_or_else(|| told("no answer".into()))?;
     match head.split(' ').nth(1) {
         Some("200") => Ok(body.to_string()),
-        Some("404") => Err(told(format!("has no {path}: its file lacks the key `cluster`"))),
+        Some("404") => {
+            Err(told(format!("has no {path}: its file lacks the key `cluster` or what is asked for in it")))
+        }
+        Some("409") => Err(told(body.trim_end().into())),
         status => Err(told(format!("answered {}", status.unwrap_or("nothing")))),
     }
 }
@@ -84,7 +97,7 @@
         lines.push(format!("it has heard nobody for {}", seconds(&view["deaf_s"])));
     }
     let head = ["name", "zone", "state", "since", "incarnation", "round trip", "heard", "link", "told by"];
-    let mut rows = vec![head.map(str::to_string)];
+    let mut rows = vec![head.map(str::to_string).to_vec()];
     for member in view["members"].as_array().into_iter().flatten() {
         let trip = member["round_trip_ms"].as_f64().map_or("-".into(), |ms| format!("{ms:.2} ms"));
         let suspected: Vec<String> =
@@ -94,7 +107,7 @@
         } else {
             suspected.join(" ")
         };
-        rows.push([
+        rows.push(vec![
             text(&member["name"]),
             text(&member["zone"]),
             text(&member["state"]),
@@ -106,16 +119,23 @@
             told,
         ]);
     }
-    let widths: Vec<usize> =
-        (0..head.len()).map(|place| rows.iter().map(|row| row[place].len()).max().unwrap_or(0)).collect();
-    for row in rows {
-        let cells: Vec<String> =
-            row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}")).collect();
-        lines.push(cells.join("  ").trim_end().to_string());
-    }
+    lines.extend(self::rows(&rows));
     lines.join("\n")
 }
 
+/// Rows in columns as wide as they have to be.
+pub fn rows(rows: &[Vec<String>]) -> Vec<String> {
+    let count = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width =
+        |place: usize| rows.iter().filter_map(|row| row.get(place)).map(String::len).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..count).map(width).collect();
+    let line = |row: &Vec<String>| {
+        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+        cells.collect::<Vec<_>>().join("  ").trim_end().to_string()
+    };
+    rows.iter().map(line).collect()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/pearfront-cli/src/prove.rs
+++ b/crates/pearfront-cli/src/prove.rs
@@ -2,9 +2,13 @@
 
 use crate::Trouble;
 use hdrhistogram::Histogram;
+use pearfront_emulator::again::{Play, in_time};
 use pearfront_emulator::cores::membership::Trouble as Befalls;
 use pearfront_emulator::cores::membership::{Findings, Plan, Weather, World, play};
 use pearfront_emulator::cores::{consensus, duties};
+use pearfront_emulator::processes::scenario::Scenario;
+use pearfront_emulator::processes::{player, run};
+use pearfront_emulator::sockets::NodeCommand;
 use pearfront_membership::Times;
 
 /// Play cores of many processes in simulated time under weather and kills, and look at what must always hold after every
@@ -20,6 +24,7 @@
     Membership(Members),
     Consensus(Log),
     Duties(Duties),
+    Processes(Storms),
 }
 
 /// A minute of 20 % loss, delays to 500 ms and pauses to 3 s, one in ten killed: no running process is held to be gone,
@@ -55,6 +60,7 @@
             What::Membership(members) => members.run(),
             What::Consensus(log) => log.run(),
             What::Duties(duties) => duties.run(),
+            What::Processes(storms) => storms.run(),
         }
     }
 }
@@ -290,6 +296,70 @@
     }
 }
 
+/// Real node programs, three or five of them voters and as many again beside which somebody wants a duty, in a minute of
+/// kills, stops, cuts and stalled streams by seed: no act comes under an old token, and in the end all is well again.
+#[derive(clap::Args)]
+struct Storms {
+    /// Seeds to play, one after another.
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(1..=1_000_000))]
+    seeds: u64,
+    /// The first of them.
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(3..=5))]
+    voters: u64,
+    /// The node program.
+    #[arg(long, default_value = "target/release/pearfront-node")]
+    node: std::path::PathBuf,
+}
+
+/// Plays of one seed that may be void.
+const PLAYS: usize = 5;
+
+impl Storms {
+    fn run(self) -> Result<(), Trouble> {
+        let node = std::path::absolute(&self.node).map_err(|error| Trouble::Input(error.to_string()))?;
+        if !node.exists() {
+            return Err(Trouble::Input(format!("{}: is no program", node.display())));
+        }
+        let (mut gaps, mut acts, mut turns, mut void) = (histogram()?, 0, 0, 0);
+        for seed in self.first..self.first.saturating_add(self.seeds) {
+            let scenario = Scenario::storm(seed, self.voters as usize);
+            let folder = std::env::temp_dir().join(format!("pearfront-storm-{seed}-{}", std::process::id()));
+            let command = NodeCommand { run: format!("exec '{}'", node.display()), folder: folder.clone() };
+            let played = in_time(PLAYS, |_| {
+                drop(std::fs::remove_dir_all(&folder));
+                let played = run(player::play(&scenario, seed, &command))?;
+                void += usize::from(played.void);
+                Ok(if played.void { Play::Void("the machine was late".into()) } else { Play::InTime(played) })
+            });
+            let played = played.map_err(Trouble::Undone)?;
+            for finding in &played.verdict.broken {
+                println!("seed={seed} voters={}: {}", self.voters, finding.what);
+            }
+            if !played.verdict.broken.is_empty() {
+                println!("logs in {}", folder.display());
+                return Err(Trouble::RuleBroken);
+            }
+            drop(std::fs::remove_dir_all(&folder));
+            let Some(held) = played.duty else { continue };
+            held.gaps.iter().for_each(|ms| gaps.saturating_record(*ms as u64));
+            acts += held.acts;
+            turns += held.turns;
+        }
+        println!(
+            "seeds={} voters={} broken=0 acts={acts} turns={turns} void={void} gaps n={} p50_ms={} p99_ms={} most_ms={}",
+            self.seeds,
+            self.voters,
+            gaps.len(),
+            gaps.value_at_quantile(0.5),
+            gaps.value_at_quantile(0.99),
+            gaps.max()
+        );
+        Ok(())
+    }
+}
+
 fn histogram() -> Result<Histogram<u64>, Trouble> {
     Histogram::new_with_bounds(1, 600_000_000, 3).map_err(|error| Trouble::Undone(error.to_string()))
 }
--- a/crates/pearfront-cluster/src/drive.rs
+++ b/crates/pearfront-cluster/src/drive.rs
@@ -1,12 +1,18 @@
 //! Drives the core of membership: one task for datagrams and timers, one for who dials in, and the folder.
 
+use crate::board::{Board, Sent};
 use crate::clock::Clock;
+use crate::disk;
 use crate::folder;
 use crate::link::{Event, Greeting, Word};
 use crate::links::{Condition, Links, MOST};
+use crate::seat::Seat;
 use crate::settings::Settings;
 use crate::view::{CountsView, MemberView, View, state_word};
+use pearfront_consensus::Kept;
+use pearfront_duties::Who;
 use pearfront_membership::{Change, Identity, LONGEST_DATAGRAM, Member, Membership, Out, State, To};
+use pearfront_store::{Folder, Store};
 use rand::RngCore;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -15,8 +21,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
-use tokio::sync::mpsc::{self, Receiver};
-use tokio::sync::watch;
+use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::sync::{Notify, watch};
 use tokio::task::{spawn_blocking, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -40,15 +46,19 @@
 const DESCRIPTORS: usize = MOST + 8;
 
 pub struct Cluster {
-    settings: Settings,
+    pub(crate) settings: Settings,
     name: String,
-    clock: Clock,
+    pub(crate) clock: Clock,
     core: RefCell<Membership>,
     socket: UdpSocket,
     links: Rc<Links>,
     /// The incarnation that the folder should have.
     keep: watch::Sender<u64>,
     over_budget: Cell<u64>,
+    /// Duties, where there are voters.
+    pub(crate) board: Option<RefCell<Board>>,
+    /// Something has come of them.
+    pub(crate) news: Notify,
 }
 
 /// Everything bound and read, before anything is said.
@@ -84,6 +94,10 @@
             }
             None => 0,
         };
+        // Read before anything is bound: a voter whose folder is damaged must not be there at all.
+        let voter = settings.voter_folder(&name)?;
+        let voter = voter.map(|folder| disk::open(&folder).map_err(|problem| format!("folder: {problem}")));
+        let voter = voter.transpose()?;
         let Bound { socket, listener } = bind(settings.listen)?;
         let mut chance = rand::rng();
         let (life, seed) = (chance.next_u64(), chance.next_u64());
@@ -101,6 +115,8 @@
             .map_err(|problem| format!("name: {problem}"))?;
         let (events, heard) = mpsc::channel(EVENTS);
         let greeting = Greeting::new(&settings.installation, &name, life);
+        let me = Who { name: name.clone(), life };
+        let board = board(&settings, me, voter, &events, (chance.next_u64(), clock.now()));
         let links = Links::new(greeting, clock, events);
         let (keep, wanted) = watch::channel(kept);
         if let Some(folder) = settings.folder.clone() {
@@ -120,6 +136,8 @@
             links,
             keep,
             over_budget,
+            board: board.map(RefCell::new),
+            news: Notify::new(),
         });
         spawn_local(cluster.links.clone().accept(listener));
         spawn_local(cluster.clone().look_at_links());
@@ -139,6 +157,7 @@
         self.call(|core, now| core.tick(now));
         loop {
             let due = self.core.borrow().due();
+            let duty = self.board.as_ref().map_or(f64::INFINITY, |board| board.borrow().due());
             tokio::select! {
                 event = events.recv() => {
                     let Some(event) = event else { return };
@@ -159,6 +178,9 @@
                 }
                 () = sleep_until(reads_from), if Instant::now() < reads_from => {}
                 () = sleep_until(self.clock.at(due)) => self.call(|core, now| core.tick(now)),
+                () = sleep_until(self.clock.at(duty)), if duty.is_finite() => {
+                    self.on_board(Board::tick);
+                }
             }
         }
     }
@@ -190,6 +212,30 @@
         value
     }
 
+    /// Calls what has to do with duties, and sends what it wants sent; nothing without voters.
+    pub(crate) fn on_board<T>(&self, call: impl FnOnce(&mut Board, f64) -> T) -> Option<T> {
+        let board = self.board.as_ref()?;
+        let (value, sent, news) = {
+            let mut board = board.borrow_mut();
+            let value = call(&mut board, self.clock.now());
+            (value, board.take_sent(), std::mem::take(&mut board.news))
+        };
+        // One that was barred, or was not taken in yet, has no say.
+        let member = *self.core.borrow().state() == State::Member;
+        sent.into_iter().filter(|_| member).for_each(|sent| self.send(sent));
+        if news {
+            self.news.notify_waiters();
+        }
+        Some(value)
+    }
+
+    fn send(&self, Sent { to, life, word }: Sent) {
+        let core = self.core.borrow();
+        if let Some(life) = life.or_else(|| core.member(&to).map(|member| member.card.life)) {
+            self.links.send(life, word);
+        }
+    }
+
     fn carry(self: &Rc<Self>, out: Out) {
         match out {
             Out::Datagram { to, bytes } => {
@@ -220,7 +266,13 @@
                     spawn_local(self.links.clone().verify(other.name, other.life, self.reached(&to)));
                 }
             }
-            Event::Ended { name, life } => self.call(|core, now| core.ended(&name, life, now)),
+            Event::Ended { name, life } => {
+                self.call(|core, now| core.ended(&name, life, now));
+                self.on_board(|board, now| board.ended(&name, life, now));
+            }
+            Event::Stored(stored) => {
+                self.on_board(|board, now| board.stored(stored, now));
+            }
         }
     }
 
@@ -240,6 +292,10 @@
                     let _ = core.heard(&bytes, now);
                 });
             }
+            word => {
+                self.links.used(from.life);
+                self.on_board(|board, now| board.heard(&from.name, word, now));
+            }
         }
     }
 
@@ -249,12 +305,19 @@
             let partners = self.partners();
             let lives: Vec<u64> = partners.iter().map(|(_, life, _)| *life).collect();
             // One of a pair dials, or there were two links.
-            let dials = partners.into_iter().filter(|(name, ..)| self.name < *name);
+            let dials = partners.into_iter().filter(|(name, ..)| self.name < *name || self.asks_only(name));
             let dials: Vec<_> = dials.collect();
             self.links.look(&dials, &lives);
         }
     }
 
+    /// Is that a voter to which this process only turns, and which keeps no link of its own?
+    fn asks_only(&self, name: &str) -> bool {
+        let voters = &self.settings.voters;
+        let is_voter = |name: &str| voters.iter().any(|voter| voter == name);
+        is_voter(name) && !is_voter(&self.name) && self.core.borrow().members().count() > PARTNERS
+    }
+
     /// Those to whom a link is kept.
     fn partners(&self) -> Vec<(String, u64, SocketAddr)> {
         let core = self.core.borrow();
@@ -270,7 +333,8 @@
         let near = |place: usize| {
             // Steps from this process to that place and back, in the circle of names with this process in it.
             let ahead = (place + here.len() - own) % here.len().max(1) + 1;
-            here.len() <= PARTNERS || ahead <= PARTNERS / 2 || ahead > here.len() - PARTNERS / 2
+            let voter = self.settings.voters.contains(&here[place].card.name);
+            here.len() <= PARTNERS || voter || ahead <= PARTNERS / 2 || ahead > here.len() - PARTNERS / 2
         };
         let near = here.iter().enumerate().filter(|(place, _)| near(*place));
         near.map(|(_, member)| (member.card.name.clone(), member.card.life, reached(member))).collect()
@@ -385,6 +449,26 @@
     }
 }
 
+/// Duties, and this process's own seat among the voters, if its file names any.
+fn board(
+    settings: &Settings,
+    me: Who,
+    voter: Option<(Store<Folder>, Kept)>,
+    events: &Sender<Event>,
+    (seed, now): (u64, f64),
+) -> Option<Board> {
+    if settings.voters.is_empty() {
+        return None;
+    }
+    let (log, duties) = (settings.times.log(), settings.times.duties());
+    let seat = voter.map(|(store, kept)| {
+        let (groups, wanted) = mpsc::unbounded_channel();
+        spawn_local(disk::keep(store, wanted, events.clone()));
+        Seat::new(&me.name, &settings.voters, kept, (log, duties), groups, seed, now)
+    });
+    Some(Board::new(me, &settings.voters, duties, seat))
+}
+
 /// Keeps the folder at the last incarnation; a slow disk delays nothing else, and what is not kept the others tell.
 async fn keep_incarnation(folder: PathBuf, mut wanted: watch::Receiver<u64>) {
     while wanted.changed().await.is_ok() {
--- a/crates/pearfront-cluster/src/link.rs
+++ b/crates/pearfront-cluster/src/link.rs
@@ -38,6 +38,11 @@
     Beat(u64),
     Echo(u64),
     Frame(Vec<u8>),
+    /// Between voters, to a voter, and from one; in front a sum over who the voters are: of two installations' files that
+    /// differ in it none may count the other's votes.
+    Log(u32, Vec<u8>),
+    Ask(u32, Vec<u8>),
+    Told(u32, Vec<u8>),
 }
 
 pub(crate) struct Link {
@@ -95,6 +100,8 @@
         name: String,
         life: u64,
     },
+    /// That group of a voter's records is on disk, or why nothing is any more.
+    Stored(Result<u64, String>),
 }
 
 type Stream = Framed<TcpStream, LengthDelimitedCodec>;
--- a/crates/pearfront-cluster/src/links.rs
+++ b/crates/pearfront-cluster/src/links.rs
@@ -182,6 +182,18 @@
         });
     }
 
+    /// One word to a life to which a link stands; without one it is lost, as it may be on any way.
+    pub fn send(&self, life: u64, word: Word) {
+        let mut all = self.open.borrow_mut();
+        let sent = all.get_mut(&life).is_some_and(|open| {
+            open.used = self.clock.now();
+            open.words.try_send(word).is_ok()
+        });
+        if !sent {
+            self.dropped.set(self.dropped.get() + 1);
+        }
+    }
+
     pub fn echo(&self, life: u64, number: u64) {
         if let Some(open) = self.open.borrow().get(&life) {
             let _ = open.words.try_send(Word::Echo(number));
--- a/crates/pearfront-cluster/src/settings.rs
+++ b/crates/pearfront-cluster/src/settings.rs
@@ -32,6 +32,43 @@
     pub folder: Option<PathBuf>,
     #[serde(default)]
     pub times: Times,
+    /// Names of the three or five processes that decide together who holds what; the same in every file. Without them there
+    /// are no duties.
+    #[serde(default)]
+    pub voters: Vec<String>,
+    /// Duties that are not as any other: one holder, a lease of 10 s.
+    #[serde(default)]
+    pub duties: BTreeMap<String, DutySettings>,
+}
+
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DutySettings {
+    /// How many may hold it at a time.
+    pub holders: u32,
+    /// How long its holder may be silent, ms.
+    pub lease_ms: f64,
+    /// Zones in the order in which they are to have it; those that are not named come after.
+    pub zones: Vec<String>,
+    /// How gladly this process has it, 0 before 1 and so on.
+    pub wish: u8,
+}
+
+impl Default for DutySettings {
+    fn default() -> Self {
+        Self { holders: 1, lease_ms: 10_000.0, zones: Vec::new(), wish: 0 }
+    }
+}
+
+/// Shortest and longest lease, ms.
+const LEASE: (f64, f64) = (1000.0, 600_000.0);
+/// Holders that a duty may have.
+const HOLDERS: (u32, u32) = (1, 1024);
+
+/// What a duty may be called: it goes into paths and logs as it is.
+pub(crate) fn is_duty_name(name: &str) -> bool {
+    let fits = |letter: char| letter.is_ascii_alphanumeric() || "._:-".contains(letter);
+    (1..=64).contains(&name.len()) && name.chars().all(fits)
 }
 
 /// Times in ms; each has the default that the core was measured with.
@@ -44,8 +81,18 @@
     pub compare_ms: Option<f64>,
     pub ask_again_ms: Option<f64>,
     pub remember_ms: Option<f64>,
+    /// Among voters: how often a leader tells that it is there, and after how long without it another stands.
+    pub beat_ms: Option<f64>,
+    pub election_ms: Option<f64>,
+    /// How long a better candidate, and a holder, have to have been there before a duty is moved.
+    pub steady_ms: Option<f64>,
 }
 
+/// Times among voters, ms: real processes share their processors with others, and an election that a busy machine brings
+/// about helps nobody.
+const BEAT: f64 = 100.0;
+const ELECTION: f64 = 500.0;
+
 impl Settings {
     /// # Errors
     /// The first key that can't be as it is, and why.
@@ -62,9 +109,48 @@
         if self.reached_at().ip().is_unspecified() {
             return Err("advertise is needed where listen names no address of its own".into());
         }
+        self.check_duties()?;
         self.times.check()
     }
 
+    fn check_duties(&self) -> Result<(), String> {
+        let mut voters = self.voters.clone();
+        voters.sort();
+        voters.dedup();
+        if voters.len() != self.voters.len() {
+            return Err("voters names one twice".into());
+        }
+        if ![0, 3, 5].contains(&voters.len()) {
+            return Err(format!("voters are {}, not 3 or 5", voters.len()));
+        }
+        if voters.is_empty() && !self.duties.is_empty() {
+            return Err("duties need voters".into());
+        }
+        for (name, duty) in &self.duties {
+            let (least, most) = LEASE;
+            if !is_duty_name(name) {
+                return Err(format!("duties.{name}: a name has 1 to 64 letters, digits and . _ : -"));
+            }
+            if !(least..=most).contains(&duty.lease_ms) {
+                return Err(format!("duties.{name}.lease_ms is {}, not {least} to {most}", duty.lease_ms));
+            }
+            if !(HOLDERS.0..=HOLDERS.1).contains(&duty.holders) {
+                return Err(format!("duties.{name}.holders is {}, not 1 to {}", duty.holders, HOLDERS.1));
+            }
+        }
+        Ok(())
+    }
+
+    /// # Errors
+    /// A voter has to keep what it promised.
+    pub(crate) fn voter_folder(&self, own: &str) -> Result<Option<PathBuf>, String> {
+        if !self.voters.iter().any(|name| name == own) {
+            return Ok(None);
+        }
+        let folder = self.folder.as_ref().ok_or("folder is needed by a voter")?;
+        Ok(Some(folder.join("voter")))
+    }
+
     /// Where others reach this process.
     pub fn reached_at(&self) -> SocketAddr {
         self.advertise.unwrap_or(self.listen)
@@ -78,7 +164,7 @@
 }
 
 impl Times {
-    fn pairs(&self) -> [(&'static str, Option<f64>); 6] {
+    fn pairs(&self) -> [(&'static str, Option<f64>); 9] {
         [
             ("period_ms", self.period_ms),
             ("answer_ms", self.answer_ms),
@@ -86,6 +172,9 @@
             ("compare_ms", self.compare_ms),
             ("ask_again_ms", self.ask_again_ms),
             ("remember_ms", self.remember_ms),
+            ("beat_ms", self.beat_ms),
+            ("election_ms", self.election_ms),
+            ("steady_ms", self.steady_ms),
         ]
     }
 
@@ -96,6 +185,12 @@
                 return Err(format!("times.{key} is {value}, not {least} to {most}"));
             }
         }
+        let log = self.log();
+        if log.election < 2.0 * log.beat {
+            return Err(
+                "times.election_ms is below two of times.beat_ms: a lost beat would be an election".into()
+            );
+        }
         let core = self.core();
         if core.suspicion < core.period {
             return Err("times.suspicion_ms is below times.period_ms: nobody could answer in it".into());
@@ -103,6 +198,16 @@
         Ok(())
     }
 
+    pub(crate) fn log(&self) -> pearfront_consensus::Times {
+        let (beat, election) = (self.beat_ms.unwrap_or(BEAT), self.election_ms.unwrap_or(ELECTION));
+        pearfront_consensus::Times { beat, election }
+    }
+
+    pub(crate) fn duties(&self) -> pearfront_duties::Times {
+        let usual = pearfront_duties::Times::default();
+        pearfront_duties::Times { steady: self.steady_ms.unwrap_or(usual.steady), ..usual }
+    }
+
     pub(crate) fn core(&self) -> pearfront_membership::Times {
         let usual = pearfront_membership::Times::default();
         pearfront_membership::Times {
@@ -136,7 +241,13 @@
     #[test_case(json!({"listen": "0.0.0.0:7000"}), "advertise is needed where listen names no address of its own"; "any address")]
     #[test_case(json!({"times": {"period_ms": 0}}), "times.period_ms is 0, not 10 to 86400000"; "no period")]
     #[test_case(json!({"times": {"period_ms": 500, "suspicion_ms": 100}}), "times.suspicion_ms is below times.period_ms: nobody could answer in it"; "hasty")]
-    #[test_case(json!({"seed": []}), "unknown field `seed`, expected one of `installation`, `name`, `zone`, `listen`, `advertise`, `seeds`, `peers`, `folder`, `times`"; "unknown key")]
+    #[test_case(json!({"seed": []}), "unknown field `seed`, expected one of `installation`, `name`, `zone`, `listen`, `advertise`, `seeds`, `peers`, `folder`, `times`, `voters`, `duties`"; "unknown key")]
+    #[test_case(json!({"voters": ["a", "b"]}), "voters are 2, not 3 or 5"; "two voters")]
+    #[test_case(json!({"voters": ["a", "b", "a"]}), "voters names one twice"; "one voter twice")]
+    #[test_case(json!({"duties": {"export": {}}}), "duties need voters"; "nobody decides")]
+    #[test_case(json!({"voters": ["a", "b", "c"], "duties": {"export": {"lease_ms": 5}}}), "duties.export.lease_ms is 5, not 1000 to 600000"; "no lease")]
+    #[test_case(json!({"voters": ["a", "b", "c"], "duties": {"a/b": {}}}), "duties.a/b: a name has 1 to 64 letters, digits and . _ : -"; "no name")]
+    #[test_case(json!({"times": {"beat_ms": 300}}), "times.election_ms is below two of times.beat_ms: a lost beat would be an election"; "few beats")]
     fn a_fault_is_told_by_its_key(change: serde_json::Value, wanted: &str) {
         assert_eq!(told(change), wanted);
     }
--- a/crates/pearfront-consensus/src/lib.rs
+++ b/crates/pearfront-consensus/src/lib.rs
@@ -12,6 +12,6 @@
 mod times;
 mod voter;
 
-pub use message::{Entry, Message, Record, decode, decode_record};
+pub use message::{Entry, Message, Record, decode, decode_record, pack, unpack};
 pub use times::Times;
 pub use voter::{Kept, Out, Role, Voter, recover};
--- a/crates/pearfront-consensus/src/message.rs
+++ b/crates/pearfront-consensus/src/message.rs
@@ -128,3 +128,25 @@
 pub fn decode_record(bytes: &[u8]) -> Option<Record> {
     postcard::from_bytes(bytes).ok()
 }
+
+/// Records in one piece, for a store that puts all it has into a snapshot.
+pub fn pack(records: &[Record]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for record in records {
+        let record = record.encode();
+        bytes.extend((record.len() as u32).to_le_bytes());
+        bytes.extend(record);
+    }
+    bytes
+}
+
+/// The records of such a piece.
+pub fn unpack(bytes: &[u8]) -> Vec<Record> {
+    let (mut records, mut rest) = (Vec::new(), bytes);
+    while let Some((length, more)) = rest.split_first_chunk::<4>() {
+        let (one, more) = more.split_at((u32::from_le_bytes(*length) as usize).min(more.len()));
+        records.extend(decode_record(one));
+        rest = more;
+    }
+    records
+}
--- a/crates/pearfront-consensus/src/voter.rs
+++ b/crates/pearfront-consensus/src/voter.rs
@@ -17,6 +17,17 @@
     pub entries: Vec<Entry>,
 }
 
+impl Kept {
+    /// As few records as bring it back.
+    pub fn records(self) -> Vec<Record> {
+        let Self { term, voted, snapshot, entries } = self;
+        let mut all = vec![Record::Term { term, voted }];
+        all.extend(snapshot.map(|(index, term, bytes)| Record::Snapshot { index, term, bytes }));
+        all.extend(entries.into_iter().map(Record::Entry));
+        all
+    }
+}
+
 /// Puts records together again, in their order.
 pub fn recover(records: impl IntoIterator<Item = Record>) -> Kept {
     let mut kept = Kept::default();
--- a/crates/pearfront-duties/src/state.rs
+++ b/crates/pearfront-duties/src/state.rs
@@ -114,6 +114,11 @@
         self.tokens
     }
 
+    /// Goes on so far above the last token: where others may have been given that nobody here knows of.
+    pub fn skip_tokens(&mut self, count: u64) {
+        self.tokens += count;
+    }
+
     pub fn get(&self, duty: &str) -> Option<&Duty> {
         self.duties.get(duty)
     }
--- a/crates/pearfront-emulator/src/cores/consensus.rs
+++ b/crates/pearfront-emulator/src/cores/consensus.rs
@@ -5,7 +5,7 @@
 use super::duties::{Happens, Upper};
 use crate::agenda::Agenda;
 use pearfront_consensus::{
-    Entry, Kept, Message, Out, Record, Role, Times, Voter, decode, decode_record, recover,
+    Entry, Message, Out, Record, Role, Times, Voter, decode, decode_record, pack, recover, unpack,
 };
 use pearfront_duties::{Desk, DeskOut, Duties};
 use pearfront_store::{Fault, SimDisk, Store, StoreError};
@@ -255,7 +255,7 @@
             }
             Err(error) => return self.broken(format!("{names:?} {who}: {error}")),
         };
-        let records = recovered.snapshot.into_iter().flat_map(|entry| records(&entry.bytes));
+        let records = recovered.snapshot.into_iter().flat_map(|entry| unpack(&entry.bytes));
         let behind = recovered.entries.into_iter().filter_map(|entry| decode_record(&entry.bytes));
         let kept = recover(records.chain(behind));
         if self.plan.fault == Some(Faulty::AllDisksLie) {
@@ -751,37 +751,17 @@
     }
 }
 
-fn records(bytes: &[u8]) -> Vec<Record> {
-    let mut records = Vec::new();
-    let mut rest = bytes;
-    while let Some((length, more)) = rest.split_first_chunk::<4>() {
-        let (one, more) = more.split_at((u32::from_le_bytes(*length) as usize).min(more.len()));
-        records.extend(decode_record(one));
-        rest = more;
-    }
-    records
-}
-
 /// Puts what a store has into one snapshot of it.
 fn compact(store: &mut Store<SimDisk>) {
     let upto = store.synced();
     let Ok(found) = pearfront_store::check(store.disk()) else { return };
-    let old = found.snapshot.iter().flat_map(|entry| records(&entry.bytes));
+    let old = found.snapshot.iter().flat_map(|entry| unpack(&entry.bytes));
     let new = found
         .entries
         .iter()
         .filter(|entry| entry.index <= upto)
         .filter_map(|entry| decode_record(&entry.bytes));
-    let Kept { term, voted, snapshot, entries } = recover(old.chain(new));
-    let mut all = vec![Record::Term { term, voted }];
-    all.extend(snapshot.map(|(index, term, bytes)| Record::Snapshot { index, term, bytes }));
-    all.extend(entries.into_iter().map(Record::Entry));
-    let mut bytes = Vec::new();
-    for record in all {
-        let record = record.encode();
-        bytes.extend((record.len() as u32).to_le_bytes());
-        bytes.extend(record);
-    }
+    let bytes = pack(&recover(old.chain(new)).records());
     // A store that could not is dead, and the next sync tells.
     let _ = store.snapshot(upto, &bytes);
 }
--- a/crates/pearfront-emulator/src/processes/ground.rs
+++ b/crates/pearfront-emulator/src/processes/ground.rs
@@ -168,8 +168,6 @@
     /// Another's name, which its file gives it.
     called: RefCell<Option<String>>,
     view: RefCell<Option<View>>,
-    /// When that view was told; negative infinity if by no process that runs now.
-    seen: Cell<f64>,
 }
 
 pub struct Ground {
@@ -218,7 +216,6 @@
                 stopped: Cell::new(false),
                 called: RefCell::default(),
                 view: RefCell::default(),
-                seen: Cell::new(f64::NEG_INFINITY),
             })
         };
         let ways = || (0..program.count).map(|_| Way::new()).collect();
@@ -294,7 +291,8 @@
 
     // ---- processes ----
 
-    fn folder(&self, who: usize) -> PathBuf {
+    /// Its folder.
+    pub fn folder(&self, who: usize) -> PathBuf {
         self.program.command.folder.join(format!("{}.folder", self.seats[who].name))
     }
 
@@ -398,6 +396,24 @@
             .map_err(|error| format!("{}: {error}", folder.display()))
     }
 
+    /// Turns a bit of a file in its folder.
+    ///
+    /// # Errors
+    /// What can't be read or written.
+    pub fn spoil_folder(&self, who: usize, file: &str, at: usize) -> Result<(), String> {
+        let path = self.folder(who).join(file);
+        let told = |error: std::io::Error| format!("{}: {error}", path.display());
+        let mut bytes = std::fs::read(&path).map_err(told)?;
+        *bytes.get_mut(at).ok_or_else(|| format!("{} has no byte {at}", path.display()))? ^= 1;
+        std::fs::write(&path, bytes).map_err(told)
+    }
+
+    /// What it has logged, in all its lives.
+    pub fn log(&self, who: usize) -> String {
+        let log = self.program.command.folder.join(format!("{}.log", self.seats[who].name));
+        std::fs::read_to_string(log).unwrap_or_default()
+    }
+
     pub async fn kill(&self, who: usize) {
         let child = self.seats[who].child.take();
         if let Some(mut child) = child {
@@ -579,7 +595,6 @@
             if !same {
                 self.records.borrow_mut().views.push((at, who, view.clone()));
             }
-            seat.seen.set(at);
             *last = Some(view);
         }
     }
@@ -619,7 +634,12 @@
     std::fs::create_dir_all(to)?;
     for entry in std::fs::read_dir(from)? {
         let entry = entry?;
-        std::fs::copy(entry.path(), to.join(entry.file_name()))?;
+        let (from, to) = (entry.path(), to.join(entry.file_name()));
+        if from.is_dir() {
+            copy(&from, &to)?;
+        } else {
+            std::fs::copy(from, to)?;
+        }
     }
     Ok(())
 }
--- a/crates/pearfront-emulator/src/processes/mod.rs
+++ b/crates/pearfront-emulator/src/processes/mod.rs
@@ -2,10 +2,13 @@
 //! them, and what is done to both. What came of it is read from records that are stamped by the machine's one clock.
 
 pub mod ground;
+pub mod holders;
 pub mod judge;
 pub mod picture;
 pub mod player;
 pub mod relay;
 pub mod scenario;
+pub mod storm;
+pub mod trial;
 
 pub use ground::{Ground, Program, Start, run};
--- a/crates/pearfront-emulator/src/processes/player.rs
+++ b/crates/pearfront-emulator/src/processes/player.rs
@@ -1,9 +1,11 @@
 //! Plays a scenario among processes: each trouble at its time, then until all agree or patience ends.
 
 use super::ground::{Ground, Program, Records, Start, wait};
+use super::holders::{Holder, Receiver};
 use super::judge::{Finding, Verdict, judge};
 use super::scenario::{Folder, Scenario, Trouble, What};
 use crate::sockets::NodeCommand;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -19,9 +21,20 @@
     /// From the last trouble's end until all agreed for good, ms; none if they did not.
     pub agreed_after: Option<f64>,
     pub suspicions: u64,
+    /// What came of the duty, where there was one.
+    pub duty: Option<Held>,
     pub void: bool,
 }
 
+/// How a duty was held.
+pub struct Held {
+    pub acts: u64,
+    /// How often it went on under another token.
+    pub turns: usize,
+    /// Times in which nobody acted, ms.
+    pub gaps: Vec<f64>,
+}
+
 /// # Errors
 /// What could not be started.
 pub async fn play(scenario: &Scenario, seed: u64, command: &NodeCommand) -> Result<Played, String> {
@@ -40,6 +53,12 @@
     for who in 0..ground.count() {
         ground.copy_folder(who)?;
     }
+    let place = Rc::new(RefCell::new(Receiver::default()));
+    let holders: Vec<_> = scenario
+        .holders
+        .iter()
+        .map(|who| Holder::start(&ground, &scenario.duty, *who, &place, true))
+        .collect();
     ground.note("all agree: troubles begin");
     let began = ground.now();
     let troubles: Vec<_> = scenario
@@ -53,13 +72,42 @@
     let over = ground.now();
     let agreed = ground.until(Duration::from_secs_f64(scenario.patience_s), Ground::agreed).await;
     let agreed_after = agreed.then(|| ground.now() - over);
+    let held = duty(scenario, &ground, &place, over).await;
+    holders.iter().for_each(|holder| holder.end());
     let count = |view: super::ground::View| view.counts.get("suspicions").copied().unwrap_or(0);
     let suspicions = (0..ground.count()).filter_map(|who| ground.view(who)).map(count).sum();
     let records = ground.end().await;
     let mut verdict = judge(&records, scenario.expect.cuts_excuse);
     expected(scenario, agreed_after, suspicions, &mut verdict);
+    let (held, broken) = held;
+    verdict.broken.extend(broken.into_iter().map(|what| Finding { at: f64::NAN, what }));
     let void = verdict.late_p99_us > LATE;
-    Ok(Played { records, verdict, agreed_after, suspicions, void })
+    Ok(Played { records, verdict, agreed_after, suspicions, duty: held, void })
+}
+
+/// How the duty was held, and what must not have been: two at one instant, a token of two, nobody when all is well again.
+async fn duty(
+    scenario: &Scenario,
+    ground: &Rc<Ground>,
+    place: &RefCell<Receiver>,
+    over: f64,
+) -> (Option<Held>, Vec<String>) {
+    if scenario.holders.is_empty() {
+        return (None, Vec::new());
+    }
+    let patience = Duration::from_secs_f64(scenario.patience_s);
+    let acts = |_: &Ground| place.borrow().last.is_some_and(|act| act.at > over);
+    let acted = ground.until(patience, acts).await;
+    let place = place.borrow();
+    let mut broken = place.broken.clone();
+    if place.refused > 0 {
+        broken.push(format!("{} acts came under an old token: two held the duty at once", place.refused));
+    }
+    if !acted {
+        broken.push(format!("nobody acts {} s after the last trouble", scenario.patience_s));
+    }
+    let held = Held { acts: place.acts, turns: place.turns.len(), gaps: place.gaps.clone() };
+    (Some(held), broken)
 }
 
 /// What the scenario expects beside what always must hold.
--- a/crates/pearfront-emulator/src/processes/scenario.rs
+++ b/crates/pearfront-emulator/src/processes/scenario.rs
@@ -24,6 +24,12 @@
     /// Put over the key `cluster` of each process's file.
     #[serde(default)]
     pub cluster: Value,
+    /// Processes beside which somebody wants the duty meanwhile, as a command of the operators' would; `cluster` has to
+    /// name voters.
+    #[serde(default)]
+    pub holders: Vec<usize>,
+    #[serde(default = "export")]
+    pub duty: String,
     #[serde(default)]
     pub expect: Expect,
     #[serde(default)]
@@ -109,6 +115,9 @@
 fn three() -> usize {
     3
 }
+fn export() -> String {
+    super::storm::DUTY.into()
+}
 fn sixty() -> f64 {
     60.0
 }
@@ -157,6 +166,12 @@
         if !(self.cluster.is_null() || self.cluster.is_object()) {
             return Err(("cluster".into(), "is no table".into()));
         }
+        if let Some(who) = self.holders.iter().find(|who| **who >= self.processes) {
+            return Err(("holders".into(), format!("there is no process {who}")));
+        }
+        if !self.holders.is_empty() && !self.cluster["voters"].is_array() {
+            return Err(("holders".into(), "need cluster.voters".into()));
+        }
         for (at, trouble) in self.troubles.iter().enumerate() {
             let key = |name: &str| format!("troubles[{at}].{name}");
             within(&key("at_s"), trouble.at_s, 0.0, 86_400.0)?;
@@ -188,6 +203,8 @@
 
     #[test_case("processes = 6", "processes = 1", "processes: 1 is not between 2 and 32"; "one process")]
     #[test_case("from = [0, 1, 2]", "from = [0, 9]", "troubles[0].from: there is no process 9"; "nobody")]
+    #[test_case("processes = 6", "processes = 6\nholders = [9]", "holders: there is no process 9"; "nobody to hold")]
+    #[test_case("processes = 6", "processes = 6\nholders = [1]", "holders: need cluster.voters"; "nobody to decide")]
     #[test_case("what = \"cut\"", "what = \"stop\"\nlength = 3", "troubles[0].length: unknown field `length`, expected one of `what`, `at_s`, `for_s`, `who`, `from`, `to`, `both`, `loss`, `doubled`, `delay_ms`, `folder`"; "unknown key")]
     fn a_mistake_is_told_by_its_key(was: &str, is: &str, wanted: &str) {
         assert!(FILE.contains(was));
--- /dev/null
+++ b/crates/pearfront-emulator/src/processes/trial.rs
@@ -0,0 +1,63 @@
+//! One play of a test on the proving ground: processes that agree, a script that does something to them, a judge. A play on
+//! a machine that was late is void and played again.
+
+use super::ground::{Ground, Program, run};
+use super::judge::{Verdict, judge};
+use super::player::LATE;
+use crate::again::{Play, in_time};
+use crate::sockets::NodeCommand;
+use serde_json::Value;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Plays that may be void.
+const PLAYS: usize = 5;
+/// How long an event is waited for: far longer than it takes on the slowest machine.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// So many programs of that path, in a folder named after the test; `cluster` is put over their files' key.
+pub fn program(path: &str, what: &str, count: usize, cluster: Value) -> Program {
+    let folder = std::env::temp_dir().join(format!("pearfront-cluster-{what}-{}", std::process::id()));
+    // What an earlier play of this test left is not this one's.
+    drop(std::fs::remove_dir_all(&folder));
+    let run = format!("exec '{path}'");
+    Program { command: NodeCommand { run, folder }, count, zones: 3, cluster }
+}
+
+/// What came of it, in time: the script's own word, and the judge's.
+pub type Trial = (Result<(), String>, Verdict);
+
+/// Plays what `script` does to processes that agree, until the machine was in time for it.
+///
+/// # Errors
+/// What could not be started, or that no play was in time.
+pub fn play<F: Future<Output = Result<(), String>>>(
+    program: &Program,
+    cuts_excuse: bool,
+    script: impl Fn(Rc<Ground>) -> F,
+) -> Result<Trial, String> {
+    in_time(PLAYS, |number| {
+        drop(std::fs::remove_dir_all(&program.command.folder));
+        run(async {
+            let ground = Ground::new(program.clone(), number as u64)?;
+            ground.start_all().await?;
+            let joined = ground.until(PATIENCE, Ground::agreed).await;
+            let done =
+                if joined { script(ground.clone()).await } else { Err("they did not come together".into()) };
+            let records = ground.end().await;
+            let verdict = judge(&records, cuts_excuse);
+            if verdict.late_p99_us > LATE {
+                return Ok(Play::Void(format!("{} us late", verdict.late_p99_us)));
+            }
+            Ok(Play::InTime((done, verdict)))
+        })
+    })
+}
+
+/// Waits for an event.
+///
+/// # Errors
+/// It did not come in a generous time.
+pub async fn event(ground: &Rc<Ground>, what: &str, event: impl Fn(&Ground) -> bool) -> Result<(), String> {
+    if ground.until(PATIENCE, event).await { Ok(()) } else { Err(format!("not seen: {what}")) }
+}
--- a/crates/pearfront-node/src/admin.rs
+++ b/crates/pearfront-node/src/admin.rs
@@ -97,6 +97,16 @@
                 return cluster
                     .map_or_else(|| message::encode_no_call(None), |one| message::encode_view(&one.view()));
             }
+            call @ (AdminCall::Duties
+            | AdminCall::Hold(_)
+            | AdminCall::GiveUp { .. }
+            | AdminCall::Move { .. }) => {
+                let cluster = self.cluster.clone().filter(|cluster| cluster.has_duties());
+                return match cluster {
+                    None => message::encode_no_call(None),
+                    Some(cluster) => duties(&cluster, call).await,
+                };
+            }
             AdminCall::Ready => self.life.is_ready(),
             AdminCall::Drain => {
                 self.life.drain();
@@ -107,3 +117,24 @@
         message::encode_admin(yes, &self.life.state().to_string())
     }
 }
+
+async fn duties(cluster: &Rc<Cluster>, call: AdminCall) -> Response<Body> {
+    match call {
+        AdminCall::Hold(hold) => match cluster.hold(&hold).await {
+            Ok(view) => message::encode_view(&view),
+            Err(problem) => message::encode_conflict(&problem),
+        },
+        AdminCall::GiveUp { duty, client, well } => {
+            if cluster.give_up(&duty, &client, well) {
+                message::encode_view(&"given up")
+            } else {
+                message::encode_conflict("that command does not want it")
+            }
+        }
+        AdminCall::Move { duty, to } => match cluster.order(&duty, to.as_deref()).await {
+            Ok(told) => message::encode_view(&told),
+            Err(problem) => message::encode_conflict(&problem),
+        },
+        _ => message::encode_view(&cluster.duties().await),
+    }
+}
--- a/crates/pearfront-node/tests/cluster.rs
+++ b/crates/pearfront-node/tests/cluster.rs
@@ -5,26 +5,17 @@
 use pearfront_emulator::processes::ground::{View, wait};
 use pearfront_emulator::processes::judge::judge;
 use pearfront_emulator::processes::relay::Weather;
+use pearfront_emulator::processes::trial::{self, event};
 use pearfront_emulator::processes::{Ground, Program, Start, run};
-use pearfront_emulator::sockets::NodeCommand;
 use serde_json::{Value, json};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Plays that may be void.
 const PLAYS: usize = 5;
-/// Lateness of the ground itself at the hundredth, us, beyond which a play says nothing: a tenth of the shortest time
-/// that a process has to answer a probe through others.
-const LATE: u64 = 100_000;
-/// How long an event is waited for: far longer than it takes on the slowest machine.
-const PATIENCE: Duration = Duration::from_secs(60);
 
 fn program(what: &str, count: usize, cluster: Value) -> Program {
-    let folder = std::env::temp_dir().join(format!("pearfront-cluster-{what}-{}", std::process::id()));
-    // What an earlier play of this test left is not this one's.
-    drop(std::fs::remove_dir_all(&folder));
-    let run = format!("exec '{}'", env!("CARGO_BIN_EXE_pearfront-node"));
-    Program { command: NodeCommand { run, folder }, count, zones: 3, cluster }
+    trial::program(env!("CARGO_BIN_EXE_pearfront-node"), what, count, cluster)
 }
 
 /// Plays what `script` does to so many processes that agree, until the machine was in time for it.
@@ -34,40 +25,13 @@
     cuts_excuse: bool,
     script: impl Fn(Rc<Ground>) -> F,
 ) {
-    played_with(program(what, count, json!({})), cuts_excuse, script);
-}
-
-fn played_with<F: Future<Output = Result<(), String>>>(
-    program: Program,
-    cuts_excuse: bool,
-    script: impl Fn(Rc<Ground>) -> F,
-) {
-    let shown = in_time(PLAYS, |number| {
-        drop(std::fs::remove_dir_all(&program.command.folder));
-        run(async {
-            let ground = Ground::new(program.clone(), number as u64)?;
-            ground.start_all().await?;
-            let joined = ground.until(PATIENCE, Ground::agreed).await;
-            let done =
-                if joined { script(ground.clone()).await } else { Err("they did not come together".into()) };
-            let records = ground.end().await;
-            let verdict = judge(&records, cuts_excuse);
-            if verdict.late_p99_us > LATE {
-                return Ok(Play::Void(format!("{} us late", verdict.late_p99_us)));
-            }
-            Ok(Play::InTime((done, verdict)))
-        })
-    });
-    let (done, verdict) = shown.unwrap();
+    let program = program(what, count, json!({}));
+    let (done, verdict) = trial::play(&program, cuts_excuse, script).unwrap();
     let logs = program.command.folder.display();
     assert_eq!((done, &verdict.broken), (Ok(()), &vec![]), "logs in {logs}");
     drop(std::fs::remove_dir_all(&program.command.folder));
 }
 
-async fn event(ground: &Rc<Ground>, what: &str, event: impl Fn(&Ground) -> bool) -> Result<(), String> {
-    if ground.until(PATIENCE, event).await { Ok(()) } else { Err(format!("not seen: {what}")) }
-}
-
 fn all_but(count: usize, who: usize) -> Vec<usize> {
     (0..count).filter(|other| *other != who).collect()
 }
