A holder that hears no answer loses its duty; nodes take a permit before they drain

A rehearsal with the way to a holder cut showed a duty that nobody acted on for as long as the cut lasted: its asks came, so the leader renewed it.

cluster.drain_permit: so many nodes of a zone drain at a time, refused with who is away; one that loses its permit takes jobs again. Among real processes: four nodes of a zone, the one that is away cut off, back, killed; by force.

A rehearsal with jobs ends and starts all nodes in turn.

--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 	for voters in 3 5; do \
 		target/release/pearfront prove duties --seeds $(SEEDS) --voters $$voters || exit; \
 		target/release/pearfront prove duties --seeds $(SEEDS) --voters $$voters --disks || exit; done
-	for only in word kill silence; do \
+	for only in word kill silence deaf; do \
 		target/release/pearfront prove duties --seeds 300 --only $$only || exit; done
 
 # The same among real processes, 200 seeds of a minute each in four plays beside each other; some fifty minutes.
--- a/crates/pearfront-cli/src/prove.rs
+++ b/crates/pearfront-cli/src/prove.rs
@@ -231,6 +231,7 @@
     Word,
     Kill,
     Silence,
+    Deaf,
 }
 
 impl Duties {
@@ -241,6 +242,7 @@
             Some(Befallen::Word) => duties::Only::Word,
             Some(Befallen::Kill) => duties::Only::Kill,
             Some(Befallen::Silence) => duties::Only::Silence,
+            Some(Befallen::Deaf) => duties::Only::Deaf,
         };
         duties::Plan::handover(voters, agents, only)
     }
--- a/crates/pearfront-cluster/src/board.rs
+++ b/crates/pearfront-cluster/src/board.rs
@@ -249,6 +249,21 @@
         self.ordered.as_ref()
     }
 
+    /// This process itself wants a duty from now on.
+    pub fn want(&mut self, want: Want, now: f64) {
+        self.agent.want(want, now);
+        self.run(now);
+    }
+
+    pub fn unwant(&mut self, duty: &str, now: f64) {
+        self.agent.unwant(duty, now);
+        self.run(now);
+    }
+
+    pub fn holds(&self, duty: &str, now: f64) -> bool {
+        self.agent.may_act(duty, now).is_some()
+    }
+
     /// A command wants a duty, and calls so again and again while it does. False if another command here has it.
     pub fn rent(&mut self, client: &str, want: Want, now: f64) -> bool {
         let duty = want.duty.clone();
--- a/crates/pearfront-cluster/src/duties.rs
+++ b/crates/pearfront-cluster/src/duties.rs
@@ -35,24 +35,26 @@
 
     async fn list(&self) {
         self.on_board(|board, now| board.ask_for_list(now));
-        self.until(|cluster| cluster.on_board(|board, _| board.listed().is_some()).unwrap_or(true)).await;
+        self.soon(|cluster| cluster.on_board(|board, _| board.listed().is_some()).unwrap_or(true)).await;
     }
 
-    /// Waits until something is so, or the time for it is up.
-    async fn until(&self, is: impl Fn(&Self) -> bool) {
-        let waiting = async {
-            loop {
-                // Told from here on: what comes between the look and the wait is not missed.
-                let news = self.news.notified();
-                tokio::pin!(news);
-                news.as_mut().enable();
-                if is(self) {
-                    return;
-                }
-                news.await;
+    /// Waits until something is so.
+    pub(crate) async fn until(&self, is: impl Fn(&Self) -> bool) {
+        loop {
+            // Told from here on: what comes between the look and the wait is not missed.
+            let news = self.news.notified();
+            tokio::pin!(news);
+            news.as_mut().enable();
+            if is(self) {
+                return;
             }
-        };
-        let _ = timeout(WAIT, waiting).await;
+            news.await;
+        }
+    }
+
+    /// The same, for as long as a call may wait.
+    async fn soon(&self, is: impl Fn(&Self) -> bool) {
+        let _ = timeout(WAIT, self.until(is)).await;
     }
 
     /// A command wants a duty, or wants to go on with it: how things stand, as soon as it holds it or time is up.
@@ -74,7 +76,7 @@
         };
         // One that holds it already only asks how long it may go on.
         if !known {
-            self.until(held).await;
+            self.soon(held).await;
         }
         self.on_board(|board, now| board.rented(duty, now)).ok_or_else(|| "there are no voters".into())
     }
@@ -111,7 +113,7 @@
         if !self.on_board(|board, now| board.order(duty, to, now)).unwrap_or(false) {
             return Err(format!("nobody holds {duty}"));
         }
-        self.until(|cluster| cluster.on_board(|board, _| board.ordered().is_some()).unwrap_or(true)).await;
+        self.soon(|cluster| cluster.on_board(|board, _| board.ordered().is_some()).unwrap_or(true)).await;
         let told = self.on_board(|board, _| board.ordered().and_then(|told| told.first().cloned()));
         told.flatten().ok_or_else(|| "no leader answers".into())
     }
--- a/crates/pearfront-cluster/src/settings.rs
+++ b/crates/pearfront-cluster/src/settings.rs
@@ -39,6 +39,22 @@
     /// Duties that are not as any other: one holder, a lease of 10 s.
     #[serde(default)]
     pub duties: BTreeMap<String, DutySettings>,
+    /// Only so many nodes of a zone drain or end at a time; without it they do as they are told.
+    pub drain_permit: Option<PermitSettings>,
+}
+
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PermitSettings {
+    pub at_most: u32,
+    /// How long a node may be away before its permit is another's: its restart has to fit in.
+    pub restart_ms: f64,
+}
+
+impl Default for PermitSettings {
+    fn default() -> Self {
+        Self { at_most: 1, restart_ms: 30_000.0 }
+    }
 }
 
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -126,8 +142,22 @@
         if voters.is_empty() && !self.duties.is_empty() {
             return Err("duties need voters".into());
         }
+        let (least, most) = LEASE;
+        if let Some(permit) = &self.drain_permit {
+            if voters.is_empty() {
+                return Err("drain_permit needs voters".into());
+            }
+            if !(least..=most).contains(&permit.restart_ms) {
+                return Err(format!(
+                    "drain_permit.restart_ms is {}, not {least} to {most}",
+                    permit.restart_ms
+                ));
+            }
+            if !(HOLDERS.0..=HOLDERS.1).contains(&permit.at_most) {
+                return Err(format!("drain_permit.at_most is {}, not 1 to {}", permit.at_most, HOLDERS.1));
+            }
+        }
         for (name, duty) in &self.duties {
-            let (least, most) = LEASE;
             if !is_duty_name(name) {
                 return Err(format!("duties.{name}: a name has 1 to 64 letters, digits and . _ : -"));
             }
@@ -241,7 +271,9 @@
     #[test_case(json!({"listen": "0.0.0.0:7000"}), "advertise is needed where listen names no address of its own"; "any address")]
     #[test_case(json!({"times": {"period_ms": 0}}), "times.period_ms is 0, not 10 to 86400000"; "no period")]
     #[test_case(json!({"times": {"period_ms": 500, "suspicion_ms": 100}}), "times.suspicion_ms is below times.period_ms: nobody could answer in it"; "hasty")]
-    #[test_case(json!({"seed": []}), "unknown field `seed`, expected one of `installation`, `name`, `zone`, `listen`, `advertise`, `seeds`, `peers`, `folder`, `times`, `voters`, `duties`"; "unknown key")]
+    #[test_case(json!({"seed": []}), "unknown field `seed`, expected one of `installation`, `name`, `zone`, `listen`, `advertise`, `seeds`, `peers`, `folder`, `times`, `voters`, `duties`, `drain_permit`"; "unknown key")]
+    #[test_case(json!({"drain_permit": {}}), "drain_permit needs voters"; "nobody gives permits")]
+    #[test_case(json!({"voters": ["a", "b", "c"], "drain_permit": {"at_most": 0}}), "drain_permit.at_most is 0, not 1 to 1024"; "nobody may drain")]
     #[test_case(json!({"voters": ["a", "b"]}), "voters are 2, not 3 or 5"; "two voters")]
     #[test_case(json!({"voters": ["a", "b", "a"]}), "voters names one twice"; "one voter twice")]
     #[test_case(json!({"duties": {"export": {}}}), "duties need voters"; "nobody decides")]
--- a/crates/pearfront-duties/src/agent.rs
+++ b/crates/pearfront-duties/src/agent.rs
@@ -251,6 +251,7 @@
         let ask = Ask {
             from: self.me.clone(),
             number: self.number,
+            answered: self.answered,
             holds,
             wants: self.wants.values().cloned().collect(),
             over: over.collect(),
--- a/crates/pearfront-duties/src/desk.rs
+++ b/crates/pearfront-duties/src/desk.rs
@@ -4,7 +4,7 @@
 
 use crate::message::{Answer, Ask, Held, Listed, Order, Over, Standing, Taken, Told, Waits, Want};
 use crate::state::{Change, Command, Duties, Entry, Grantee, Holder, Who};
-use crate::times::Times;
+use crate::times::{ASKS, DEAF, Times};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Debug, Clone, PartialEq)]
@@ -41,6 +41,13 @@
     to: Option<String>,
 }
 
+/// One whose asks come may not hear the answers: it does not act then, and must not keep others from it.
+struct Unheard {
+    life: u64,
+    number: u64,
+    at: f64,
+}
+
 struct Lead {
     term: u64,
     /// When each token's lease is over.
@@ -54,6 +61,8 @@
     wanted: BTreeMap<String, Vec<String>>,
     /// Operators took it from them: not theirs again before then.
     taken: BTreeMap<(String, String), f64>,
+    /// The first answer to each process that it has not said it heard.
+    unheard: BTreeMap<String, Unheard>,
     collecting: Vec<Ask>,
     reading: Option<(u64, Vec<Ask>)>,
 }
@@ -108,6 +117,7 @@
             candidates: BTreeMap::new(),
             wanted: BTreeMap::new(),
             taken: BTreeMap::new(),
+            unheard: BTreeMap::new(),
             collecting: Vec::new(),
             reading: None,
         });
@@ -217,6 +227,10 @@
         let waits = ask.wants.iter().filter(|want| !held.iter().any(|held| held.duty == want.duty));
         let waits = waits.map(|want| self.waits(&want.duty, duties, now)).collect();
         let list = ask.list.then(|| self.list(duties, now));
+        if let Some(lead) = &mut self.lead {
+            let unheard = Unheard { life: ask.from.life, number: ask.number, at: now };
+            lead.unheard.entry(ask.from.name.clone()).or_insert(unheard);
+        }
         self.tell(&ask.from, ask.number, Answer::Stands { held, waits, list, orders });
     }
 
@@ -228,9 +242,10 @@
             let Some(holder) = duty.holders.iter().find(|holder| holder.who == *who) else { continue };
             let (token, lease) = (holder.token, holder.lease);
             let going = lead.going.get(&token);
+            let hears = !lead.is_deaf(&who.name, lease, now);
             // One that is told to leave has a lease's time for that, or it would never have to.
-            let renewed =
-                !lead.ending.contains(&token) && going.is_none_or(|going| now < going.asked + lease);
+            let stays = going.is_none_or(|going| now < going.asked + lease);
+            let renewed = hears && stays && !lead.ending.contains(&token);
             if renewed {
                 lead.until.insert(token, (name.clone(), now + lease));
             }
@@ -402,9 +417,18 @@
 }
 
 impl Lead {
+    /// It has been answered for longer than from one ask to the next, and has not said that it heard.
+    fn is_deaf(&self, name: &str, lease: f64, now: f64) -> bool {
+        self.unheard.get(name).is_some_and(|unheard| now - unheard.at > lease / ASKS + DEAF)
+    }
+
     /// What one wants now.
     fn note(&mut self, ask: &Ask, now: f64) {
         let name = &ask.from.name;
+        let heard = |unheard: &Unheard| unheard.life != ask.from.life || ask.answered >= unheard.number;
+        if self.unheard.get(name).is_some_and(heard) {
+            self.unheard.remove(name);
+        }
         let names: Vec<String> = ask.wants.iter().map(|want| want.duty.clone()).collect();
         let before = self.wanted.insert(name.clone(), names.clone()).unwrap_or_default();
         for duty in before.iter().filter(|duty| !names.contains(duty)) {
@@ -430,6 +454,7 @@
     }
 
     fn forget(&mut self, who: &Who) {
+        self.unheard.remove(&who.name);
         self.candidates.values_mut().for_each(|all| all.retain(|_, one| one.who != *who));
         self.candidates.retain(|_, all| !all.is_empty());
     }
@@ -438,6 +463,7 @@
     fn here(&self, duty: &str, now: f64) -> impl Iterator<Item = &Candidate> {
         let all = self.candidates.get(duty).into_iter().flat_map(|all| all.values());
         all.filter(move |one| now - one.heard <= one.want.lease)
+            .filter(move |one| !self.is_deaf(&one.who.name, one.want.lease, now))
     }
 
     /// Who is best placed of those that could have it: the one named, if it is there, else by standing and name.
--- a/crates/pearfront-duties/src/message.rs
+++ b/crates/pearfront-duties/src/message.rs
@@ -48,6 +48,8 @@
 pub struct Ask {
     pub from: Who,
     pub number: u64,
+    /// Number of the last of its asks whose answer it heard.
+    pub answered: u64,
     pub holds: Vec<(String, u64)>,
     pub wants: Vec<Want>,
     pub over: Vec<Over>,
@@ -181,7 +183,7 @@
         };
         let (holds, over, orders) = (vec![("a".into(), 3)], Vec::new(), Vec::new());
         let from = Who { name: "n0".into(), life: 7 };
-        Ask { from, number: 1, holds, wants: vec![want], over, orders, list: false }
+        Ask { from, number: 1, answered: 0, holds, wants: vec![want], over, orders, list: false }
     }
 
     #[test]
--- a/crates/pearfront-duties/src/times.rs
+++ b/crates/pearfront-duties/src/times.rs
@@ -17,6 +17,8 @@
 pub const REMEMBERED: usize = 16;
 /// Asks in a lease: one that is lost leaves time for two more.
 pub const ASKS: f64 = 4.0;
+/// One that is answered and does not say so in its next ask, nor in one repeated after that, hears nothing.
+pub const DEAF: f64 = 500.0;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Times {
--- a/crates/pearfront-emulator/src/cores/consensus.rs
+++ b/crates/pearfront-emulator/src/cores/consensus.rs
@@ -659,19 +659,24 @@
         }
     }
 
+    /// Nothing passes from these to those until then.
+    pub(super) fn cut_way(&mut self, from: BTreeSet<usize>, to: BTreeSet<usize>, until: f64) {
+        self.cut += 1;
+        self.cuts.push((self.cut, from, to));
+        self.put(until, Event::Heal(self.cut));
+    }
+
     /// Cuts one off from all others until then, one way or both.
     pub(super) fn cut_off(&mut self, who: usize, until: f64) {
-        self.cut += 1;
         let above = self.upper.as_ref().map_or(0, |upper| upper.seats.len());
-        let (number, all) = (self.cut, 0..self.seats.len() + above);
+        let all = 0..self.seats.len() + above;
         let (one, rest): (BTreeSet<usize>, BTreeSet<usize>) = all.partition(|seat| *seat == who);
         let sides = match self.chance.random_range(0..3) {
             0 => vec![(one, rest)],
             1 => vec![(rest, one)],
             _ => vec![(one.clone(), rest.clone()), (rest, one)],
         };
-        self.cuts.extend(sides.into_iter().map(|(from, to)| (number, from, to)));
-        self.put(until, Event::Heal(number));
+        sides.into_iter().for_each(|(from, to)| self.cut_way(from, to, until));
     }
 
     fn all_well(&self) -> bool {
--- a/crates/pearfront-emulator/src/cores/duties.rs
+++ b/crates/pearfront-emulator/src/cores/duties.rs
@@ -39,6 +39,8 @@
     Word,
     Kill,
     Silence,
+    /// It is heard, and hears nobody.
+    Deaf,
 }
 
 /// A holder with one fault, or a leader.
@@ -575,6 +577,10 @@
                 self.put(until, Event::Above(Happens::Start { who }));
             }
             Only::Silence => self.stop_post(who, until),
+            Only::Deaf => {
+                let voters = (0..self.seats.len()).collect();
+                self.cut_way(voters, [self.seats.len() + who].into(), until);
+            }
         }
     }
 
--- a/crates/pearfront-emulator/src/processes/ground.rs
+++ b/crates/pearfront-emulator/src/processes/ground.rs
@@ -646,10 +646,15 @@
 
 /// One call to an operators' address; its body, if it was answered with 200 in time.
 pub async fn call(address: SocketAddr, method: &str, path: &str) -> Option<String> {
+    call_with(address, method, path, "").await
+}
+
+/// The same with further lines in its head, each with its end.
+pub async fn call_with(address: SocketAddr, method: &str, path: &str, lines: &str) -> Option<String> {
     let asked = async {
         let mut stream = TcpStream::connect(address).await.ok()?;
         let head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: node\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+            "{method} {path} HTTP/1.1\r\nHost: node\r\n{lines}Content-Length: 0\r\nConnection: close\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).await.ok()?;
         let mut answer = String::new();
--- a/crates/pearfront-emulator/src/processes/judge.rs
+++ b/crates/pearfront-emulator/src/processes/judge.rs
@@ -2,7 +2,7 @@
 //! nothing else.
 
 use super::ground::{Act, Records};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Longest stand-still of a process, ms, for which nobody may hold it to be gone, and how long the news of a longer one
 /// may still be on their way.
@@ -41,14 +41,19 @@
     let lives = lives(records);
     let mut verdict = Verdict::default();
     let mut gone: BTreeMap<(usize, String), f64> = BTreeMap::new();
+    let mut over: BTreeSet<(usize, String)> = BTreeSet::new();
     let mut told: Vec<(usize, String)> = Vec::new();
     for (at, who, view) in &records.views {
         for member in &view.members {
             let Some(life) = lives.get(&member.life) else { continue };
             let key = (*who, member.life.clone());
             if !member.is_here() {
-                gone.entry(key.clone()).or_insert(*at);
                 let runs = life.to.is_none_or(|(to, _)| *at < to);
+                gone.entry(key.clone()).or_insert(*at);
+                // Who was held silent while it ran may say so and die before its word has come to all.
+                if !runs || member.state != "silent" {
+                    over.insert(key.clone());
+                }
                 let excused = life.still.iter().any(|(from, to)| (*from..*to).contains(at)) || cuts_excuse;
                 if runs && !excused && !told.contains(&key) {
                     told.push(key);
@@ -56,10 +61,7 @@
                         format!("{} holds {}, which runs, to be {}", view.name, member.name, member.state);
                     verdict.broken.push(Finding { at: *at, what });
                 }
-            } else if gone.contains_key(&key)
-                && life.to.is_some_and(|(to, _)| *at > to)
-                && !told.contains(&key)
-            {
+            } else if over.contains(&key) && life.to.is_some_and(|(to, _)| *at > to) && !told.contains(&key) {
                 told.push(key);
                 let what = format!("{} brings back {}, a life that is over", view.name, member.name);
                 verdict.broken.push(Finding { at: *at, what });
@@ -195,6 +197,8 @@
     #[test_case(vec![(4.0, KILLED)], &[(3.0, "ended")], &["n0 holds n1, which runs, to be ended"]; "known before it was")]
     #[test_case(vec![(4.0, KILLED)], &[(5.0, "alive")], &["n0 holds n1 to be alive at the end"]; "not found")]
     #[test_case(vec![(4.0, KILLED)], &[(5.0, "ended"), (6.0, "alive"), (7.0, "ended")], &["n0 brings back n1, a life that is over"]; "brought back")]
+    #[test_case(vec![(4.0, STOPPED), (20_004.0, CONTINUED), (20_100.0, KILLED)], &[(9000.0, "silent"), (20_200.0, "alive"), (20_300.0, "ended")], &[]; "its last word comes after its end")]
+    #[test_case(vec![(4.0, STOPPED), (20_004.0, CONTINUED), (20_100.0, KILLED)], &[(9000.0, "silent"), (20_200.0, "silent"), (20_300.0, "alive"), (20_400.0, "ended")], &["n0 brings back n1, a life that is over"]; "brought back after its end was seen")]
     #[test_case(vec![(4.0, STOPPED), (2004.0, CONTINUED)], &[(2000.0, "silent"), (3000.0, "alive")], &["n0 holds n1, which runs, to be silent"]; "a pause that must be borne")]
     #[test_case(vec![(4.0, STOPPED), (20_004.0, CONTINUED)], &[(9000.0, "silent"), (21_000.0, "alive")], &[]; "a pause that is too long")]
     fn faults_are_found(acts: Vec<(f64, Act)>, seen: &[(f64, &str)], wanted: &[&str]) {
--- a/crates/pearfront-emulator/tests/duties.rs
+++ b/crates/pearfront-emulator/tests/duties.rs
@@ -33,6 +33,8 @@
 #[test_case(Only::Word, 50.0; "by word")]
 #[test_case(Only::Kill, 1000.0; "killed")]
 #[test_case(Only::Silence, 2500.0; "silent")]
+// Its asks come, and it hears no answer: the leader must not renew for ever what is not acted on.
+#[test_case(Only::Deaf, 3500.0; "heard, and deaf")]
 fn the_next_holder_acts_soon(only: Only, most: f64) {
     let mut all: Vec<f64> =
         kept(&Plan::handover(3, 6, only)).into_iter().flat_map(|found| found.without).collect();
--- a/crates/pearfront-node/src/admin.rs
+++ b/crates/pearfront-node/src/admin.rs
@@ -1,7 +1,7 @@
 //! The operators' listener: one call to a connection, answered however busy the node is. It has its own address,
 //! descriptors and time limits, and waits for nothing that clients hold.
 
-use crate::lifecycle::Lifecycle;
+use crate::lifecycle::{Lifecycle, State};
 use crate::logger::Seldom;
 use crate::message::{self, AdminCall, Body};
 use http_body_util::{BodyExt, Limited};
@@ -26,6 +26,8 @@
 pub const DESCRIPTORS: usize = CALLS + 2;
 /// How long a call may take to come and be answered: callers wait for 1 s.
 const WHOLE_CALL: Duration = Duration::from_secs(2);
+/// How long the permit to drain may take to come.
+const PERMIT: Duration = Duration::from_millis(700);
 /// Largest head, and largest body, that a call may have, bytes.
 const LARGEST: usize = 8 * 1024;
 /// Pause after a failed accept.
@@ -84,6 +86,28 @@
         let _ = server.serve_connection(TokioIo::new(stream), service).await;
     }
 
+    /// The permit to drain, where one is needed. Without it, once it is lost, the node takes jobs again: another is to go.
+    async fn permit(&self, force: bool) -> Result<(), String> {
+        let Some(cluster) = self.cluster.clone().filter(|cluster| cluster.needs_permit()) else {
+            return Ok(());
+        };
+        if force {
+            log::warn!("drains without a permit: told to by force");
+            return Ok(());
+        }
+        cluster.take_permit(PERMIT).await?;
+        let life = self.life.clone();
+        spawn_local(async move {
+            cluster.permit_lost().await;
+            if life.state() == State::LameDuck {
+                life.resume();
+                log::warn!("takes jobs again: the permit to drain is held no more");
+            }
+            cluster.give_up_permit();
+        });
+        Ok(())
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         if Limited::new(body, LARGEST).collect().await.is_err() {
@@ -108,11 +132,20 @@
                 };
             }
             AdminCall::Ready => self.life.is_ready(),
-            AdminCall::Drain => {
+            AdminCall::Drain { force } => {
+                if let Err(problem) = self.permit(force).await {
+                    return message::encode_conflict(&problem);
+                }
                 self.life.drain();
                 true
             }
-            AdminCall::Resume => self.life.resume(),
+            AdminCall::Resume => {
+                let resumed = self.life.resume();
+                if let Some(cluster) = self.cluster.as_ref().filter(|_| resumed) {
+                    cluster.give_up_permit();
+                }
+                resumed
+            }
         };
         message::encode_admin(yes, &self.life.state().to_string())
     }
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -52,6 +52,9 @@
 /// `LONGEST_COUNTED` counts, and 700 ms.
 const AFTER_LIMIT: f64 = 500.0;
 const LONGEST_COUNTED: f64 = 3000.0;
+/// How long the permit to be away may take to come where the node is told to end: the end comes in any case, within what
+/// the platform gives. Without the key nothing is waited for.
+const PERMIT: Duration = Duration::from_millis(100);
 /// How long a node that may not be alone waits for its first list before it says that it is ready.
 const FIRST_LIST: Duration = Duration::from_millis(2500);
 /// Time, ms, between the module's last answers and the node's end: they have to be written.
@@ -126,6 +129,11 @@
             _ = interrupt.recv() => {}
         }
         log::info!("told to end, {} jobs held", take_in.room.jobs());
+        if let Some(cluster) = &cluster
+            && let Err(problem) = cluster.take_permit(PERMIT).await
+        {
+            log::warn!("ends without a permit: {problem}");
+        }
         let longest = terms.now().around.longest_limit.min(LONGEST_COUNTED) + AFTER_LIMIT;
         last.set(clock.now() + longest);
         let answered = last.get() - LAST_ANSWERS;
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -24,6 +24,8 @@
 const LABEL: HeaderName = HeaderName::from_static("idempotency-key");
 const NEVER_RAN: HeaderName = HeaderName::from_static("x-never-ran");
 const REPORT: HeaderName = HeaderName::from_static("endpoint-load-metrics");
+/// On an operator's call: drain without a permit.
+const FORCE: HeaderName = HeaderName::from_static("x-force");
 /// Headers of one connection only, which no message carries on.
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -83,7 +85,10 @@
         duty: String,
         to: Option<String>,
     },
-    Drain,
+    /// Let clients go; `force` where no permit is to be asked for.
+    Drain {
+        force: bool,
+    },
     Resume,
     /// A path that there is not.
     Unknown,
@@ -95,7 +100,7 @@
     let (call, method) = match head.uri.path() {
         "/_ready" => (AdminCall::Ready, Method::GET),
         "/_members" => (AdminCall::Members, Method::GET),
-        "/_lameduck/on" => (AdminCall::Drain, Method::PUT),
+        "/_lameduck/on" => (AdminCall::Drain { force: head.headers.contains_key(FORCE) }, Method::PUT),
         "/_lameduck/off" => (AdminCall::Resume, Method::PUT),
         "/_duties" => (AdminCall::Duties, Method::GET),
         path => match path.strip_prefix("/_duties/").and_then(|rest| duty_call(rest, head.uri.query())) {
--- a/crates/pearfront-node/tests/duties.rs
+++ b/crates/pearfront-node/tests/duties.rs
@@ -2,7 +2,7 @@
 //! the order in which acts came. It refuses an act under an old token, and only acts that were made late on purpose may be
 //! refused: any other is one of two that held the duty at one instant.
 
-use pearfront_emulator::processes::ground::{call, wait};
+use pearfront_emulator::processes::ground::{call, call_with, wait};
 use pearfront_emulator::processes::holders::{Holder, Receiver};
 use pearfront_emulator::processes::trial::{self, event};
 use pearfront_emulator::processes::{Ground, Start};
@@ -16,6 +16,9 @@
 
 type Place = Rc<RefCell<Receiver>>;
 
+/// So many nodes drain at once, and how long one may be away, ms.
+const AWAY: f64 = 3000.0;
+
 /// Plays a script, and what came to the receiver must be in order; so many acts may be refused.
 fn played<F: Future<Output = Result<(), String>>>(
     what: &str,
@@ -24,6 +27,7 @@
     script: impl Fn(Rc<Ground>, Place) -> F,
 ) {
     let cluster = json!({
+        "zone": "a", "drain_permit": {"restart_ms": AWAY},
         "voters": ["n0", "n1", "n2"], "duties": {DUTY: {"lease_ms": LEASE}}, "times": {"steady_ms": 60_000},
     });
     let program =
@@ -274,6 +278,65 @@
     });
 }
 
+async fn drains(ground: &Ground, who: usize) -> bool {
+    call(ground.operators(who), "PUT", "/_lameduck/on").await.is_some()
+}
+
+async fn is_ready(ground: &Ground, who: usize) -> bool {
+    call(ground.operators(who), "GET", "/_ready").await.is_some()
+}
+
+/// The first of these that is let drain, each asked in turn until one is.
+async fn one_drains(ground: &Ground, of: &[usize]) -> Result<usize, String> {
+    for round in 0..600 {
+        let who = of[round % of.len()];
+        if drains(ground, who).await {
+            return Ok(who);
+        }
+        wait(50.0).await;
+    }
+    Err("none of them may drain".into())
+}
+
+#[test]
+fn of_a_zone_only_one_drains_at_a_time_and_one_that_loses_its_permit_takes_jobs_again() {
+    played("drain", 4, 0, async |ground, _| {
+        let first = one_drains(&ground, &[0, 1, 2, 3]).await?;
+        let others = |who: usize| (0..4).filter(|other| *other != who).collect::<Vec<_>>();
+        for who in others(first) {
+            if drains(&ground, who).await || !is_ready(&ground, who).await {
+                return Err(format!("n{who} drains beside n{first}"));
+            }
+        }
+        // By force it goes without.
+        let forced = others(first)[0];
+        let force = "X-Force: yes\r\n";
+        call_with(ground.operators(forced), "PUT", "/_lameduck/on", force)
+            .await
+            .ok_or("force was refused")?;
+        call(ground.operators(forced), "PUT", "/_lameduck/off").await.ok_or("it stays away")?;
+        // Cut off, it can't know who is away: before another may go it is back.
+        let rest = others(first);
+        ground.cut(&[first], &rest);
+        ground.cut(&rest, &[first]);
+        let second = one_drains(&ground, &rest).await?;
+        if !is_ready(&ground, first).await {
+            return Err(format!("n{first} and n{second} are away at once"));
+        }
+        ground.heal();
+        event(&ground, "all agree again", Ground::agreed).await?;
+        // Back by word, the next may go at once; ended, it is away for as long as a restart may take.
+        call(ground.operators(second), "PUT", "/_lameduck/off").await.ok_or("it stays away")?;
+        let third = one_drains(&ground, &others(second)).await?;
+        ground.kill(third).await;
+        let since = ground.now();
+        let left = others(third);
+        one_drains(&ground, &left).await?;
+        let took = ground.now() - since;
+        if took > 0.5 * AWAY { Ok(()) } else { Err(format!("the next one went {took:.0} ms after a kill")) }
+    });
+}
+
 // The receiver has to find a holder that does not look at its clock, or it says nothing of the others.
 #[test]
 fn a_holder_that_never_looks_is_found() {
--- a/crates/pearfront-node/tests/rehearsal.rs
+++ b/crates/pearfront-node/tests/rehearsal.rs
@@ -92,7 +92,12 @@
 what = "restart-nodes"
 at_s = 4
 for_s = 0.5
-count = 1
+zone = "east"
+[[troubles]]
+what = "restart-nodes"
+at_s = 7
+for_s = 0.5
+zone = "west"
 [[troubles]]
 what = "kill-nodes"
 at_s = 1.5
@@ -141,7 +146,9 @@
     assert!(back(&records).is_some(), "one that came back");
     assert!(back_is_used(&records));
     let starts = |name| records.nodes.iter().filter(|life| life.name == name).count();
-    assert_eq!(starts("n0") + starts("n1"), 4);
+    // One was killed, and both were ended and started again, one after the other, while jobs came in.
+    assert_eq!(starts("n0") + starts("n1"), 5);
+    assert!(starts("n0") >= 2 && starts("n1") >= 2);
     let answers = || records.jobs.iter().flat_map(|job| &job.answers);
     let honoured = answers().filter(|answered| answered.answer == Answer::Honoured).count();
     assert!(honoured * 2 > answers().count(), "{}", verdict.line());
