--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 	for voters in 3 5; do \
 		target/release/pearfront prove consensus --seeds $(SEEDS) --voters $$voters || exit; \
 		target/release/pearfront prove consensus --seeds $(SEEDS) --voters $$voters --disks || exit; done
+	target/release/pearfront prove every
 
 # Duties above that log by seed, in storms and with one thing after another befalling the holder. Some minutes.
 .PHONY: prove-duties
--- a/crates/pearfront-cli/src/prove.rs
+++ b/crates/pearfront-cli/src/prove.rs
@@ -3,6 +3,7 @@
 use crate::Trouble;
 use hdrhistogram::Histogram;
 use pearfront_emulator::again::{Play, in_time};
+use pearfront_emulator::cores::exhaustive::{Bounds, check};
 use pearfront_emulator::cores::membership::Trouble as Befalls;
 use pearfront_emulator::cores::membership::{Findings, Plan, Weather, World, play};
 use pearfront_emulator::cores::{consensus, duties};
@@ -25,6 +26,7 @@
     Consensus(Log),
     Duties(Duties),
     Processes(Storms),
+    Every(Every),
 }
 
 /// A minute of 20 % loss, delays to 500 ms and pauses to 3 s, one in ten killed: no running process is held to be gone,
@@ -61,6 +63,7 @@
             What::Consensus(log) => log.run(),
             What::Duties(duties) => duties.run(),
             What::Processes(storms) => storms.run(),
+            What::Every(every) => every.run(),
         }
     }
 }
@@ -362,6 +365,44 @@
     }
 }
 
+/// Every order of messages, time-outs, syncs and crashes among three voters, up to so many states: from nothing, from a
+/// leader, with a crash, and with a voter that forgets everything.
+#[derive(clap::Args)]
+struct Every {
+    #[arg(long, default_value_t = 200_000, value_parser = clap::value_parser!(u64).range(1..=100_000_000))]
+    states: u64,
+}
+
+impl Every {
+    fn run(self) -> Result<(), Trouble> {
+        let from_nothing = Bounds {
+            depth: usize::MAX,
+            states: self.states as usize,
+            terms: 2,
+            proposals: 4,
+            crashes: 0,
+            led: false,
+            forgets: false,
+            all_forgot: false,
+        };
+        let led = Bounds { led: true, ..from_nothing };
+        let crash = Bounds { crashes: 1, ..led };
+        let forgets = Bounds { forgets: true, ..crash };
+        for (what, bounds) in
+            [("from nothing", from_nothing), ("led", led), ("a crash", crash), ("one forgets", forgets)]
+        {
+            let found = check(&bounds);
+            if let Some((broken, steps)) = found.broken {
+                steps.iter().for_each(|step| println!("{step}"));
+                println!("{what}: {broken}");
+                return Err(Trouble::RuleBroken);
+            }
+            println!("{what}: states={} broken=0, all up to {} steps", found.states, found.depth);
+        }
+        Ok(())
+    }
+}
+
 fn histogram() -> Result<Histogram<u64>, Trouble> {
     Histogram::new_with_bounds(1, 600_000_000, 3).map_err(|error| Trouble::Undone(error.to_string()))
 }
--- a/crates/pearfront-consensus/src/proof.rs
+++ b/crates/pearfront-consensus/src/proof.rs
@@ -8,6 +8,7 @@
 use crate::voter::{Role, Voter};
 use std::collections::BTreeMap;
 
+#[derive(Debug, Clone)]
 pub(crate) enum Proof {
     Given,
     /// Goes on asking until it has caught up; what each said last: how far it is, its term, whether it has nothing. One
--- a/crates/pearfront-consensus/src/voter.rs
+++ b/crates/pearfront-consensus/src/voter.rs
@@ -95,12 +95,14 @@
     pub piece: Option<(u64, u64)>,
 }
 
+#[derive(Debug, Clone)]
 pub(crate) struct Read {
     pub read: u64,
     pub index: u64,
     pub round: u64,
 }
 
+#[derive(Clone)]
 pub struct Voter {
     pub(crate) me: String,
     pub(crate) others: Vec<String>,
@@ -236,6 +238,21 @@
         Some(Place { term: entry.term, index })
     }
 
+    /// Everything that decides what it does next, times as they are to now: two voters with the same do the same but for
+    /// chance. For checks that go through all that may happen.
+    pub fn shown(&self, now: f64) -> String {
+        let beats = |since: f64| ((now - since) / self.times.beat).min(1000.0) as i64;
+        let known: Vec<_> = self
+            .known
+            .iter()
+            .map(|(name, one)| (name, one.stored, one.next, one.round, one.piece, beats(one.heard)))
+            .collect();
+        let own = (self.term, &self.voted, self.role, &self.leader, self.commit, self.hears_leader(now));
+        let log = (&self.log, self.base, self.own_stored, &self.votes, self.round, &self.reads);
+        let disk = (self.written, self.stored, &self.held, &self.brought, &self.writing, &self.coming);
+        format!("{own:?}{log:?}{known:?}{disk:?}{:?}", self.proof)
+    }
+
     /// When it wants to be called at the latest, ms.
     pub fn due(&self) -> f64 {
         let beat = if self.role == Role::Leader { self.beat_at } else { f64::INFINITY };
--- /dev/null
+++ b/crates/pearfront-emulator/src/cores/exhaustive.rs
@@ -0,0 +1,338 @@
+//! All that may happen to three voters, up to a depth: every order of messages, each delivered never, once or again; every
+//! time-out, sync and crash. The cores are those that run, not a copy; a state that was seen is not gone through again.
+
+use pearfront_consensus::{Kept, Message, Out, Record, Role, Times, Voter, decode, recover};
+use pearfront_duties::{Command, Duties, Entry, Grantee, Who};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// A time after which every time-out has come, ms.
+const LONG: f64 = 10_000.0;
+
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Steps from the beginning.
+    pub depth: usize,
+    /// States that are gone through, whatever the depth.
+    pub states: usize,
+    /// Terms that may begin.
+    pub terms: u64,
+    /// Grants that may be proposed: of two duties in turn, to two processes.
+    pub proposals: u8,
+    /// Voters that may crash; what was not synced is lost. Without any a sync comes at once: to come later is the same as
+    /// a message that does.
+    pub crashes: u8,
+    /// Begin with a leader, and with so many grants that it has proposed.
+    pub led: bool,
+    /// A broken driver: says that records are stored, and loses all of them at a crash.
+    pub forgets: bool,
+    /// Begin after all have forgotten everything: more than any voters bear, which has to be found.
+    pub all_forgot: bool,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Found {
+    pub states: usize,
+    /// All states up to so many steps were gone through.
+    pub depth: usize,
+    /// What must never be, and the steps to it.
+    pub broken: Option<(String, Vec<String>)>,
+}
+
+#[derive(Clone)]
+struct Seat {
+    voter: Voter,
+    now: f64,
+    /// Groups that are not synced, and what is.
+    waiting: VecDeque<(u64, Vec<Record>)>,
+    stable: Vec<Record>,
+    applied: u64,
+    duties: Duties,
+}
+
+#[derive(Clone)]
+struct World {
+    seats: Vec<Seat>,
+    /// All that was ever sent: a network may lose, delay and double.
+    sent: BTreeSet<Vec<u8>>,
+    leaders: BTreeMap<u64, usize>,
+    committed: BTreeMap<u64, (u64, Vec<u8>)>,
+    proposals: u8,
+    crashes: u8,
+    broken: Option<String>,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Deliver(Vec<u8>),
+    TimeOut(usize),
+    Beat(usize),
+    Propose(usize),
+    Sync(usize),
+    Crash(usize),
+}
+
+impl Step {
+    fn shown(&self) -> String {
+        match self {
+            Self::Deliver(bytes) => match decode(bytes) {
+                Some(message) => format!("{message:?}"),
+                None => "nothing".into(),
+            },
+            other => format!("{other:?}"),
+        }
+    }
+}
+
+fn names() -> Vec<String> {
+    ["v0", "v1", "v2"].map(str::to_string).to_vec()
+}
+
+impl World {
+    fn new(bounds: &Bounds) -> Self {
+        let seat = |place: usize| {
+            let names = names();
+            let voter = Voter::new(&names[place], &names, Kept::default(), Times::default(), 1, 0.0);
+            let (waiting, stable, duties) = (VecDeque::new(), Vec::new(), Duties::default());
+            Seat { voter, now: 0.0, waiting, stable, applied: 0, duties }
+        };
+        let mut world = Self {
+            seats: (0..3).map(seat).collect(),
+            sent: BTreeSet::new(),
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            proposals: bounds.proposals,
+            crashes: bounds.crashes,
+            broken: None,
+        };
+        // All have told one another that they have nothing: from here on anything may happen.
+        (0..3).for_each(|place| world.act(place, true, |voter, now| voter.tick(now)));
+        world.deliver_all();
+        if bounds.led {
+            world.seats[0].now += LONG;
+            world.act(0, true, |voter, now| voter.tick(now));
+            world.deliver_all();
+        }
+        if bounds.all_forgot {
+            world.sent.clear();
+            world.crashes += 3;
+            (0..3).for_each(|who| world.crash(who, true));
+            world.deliver_all();
+        }
+        world.sent.clear();
+        world
+    }
+
+    fn deliver_all(&mut self) {
+        let mut seen = BTreeSet::new();
+        while let Some(bytes) = self.sent.iter().find(|bytes| !seen.contains(*bytes)).cloned() {
+            seen.insert(bytes.clone());
+            self.deliver(&bytes, true);
+        }
+    }
+
+    fn deliver(&mut self, bytes: &[u8], syncs: bool) {
+        let Some(message) = decode(bytes) else { return };
+        let Some(to) = names().iter().position(|name| *name == message.to) else { return };
+        self.act(to, syncs, |voter, now| voter.heard(message, now));
+    }
+
+    /// Does what the voter wants done, and looks at what must hold.
+    fn act(&mut self, who: usize, syncs: bool, call: impl FnOnce(&mut Voter, f64)) {
+        let now = self.seats[who].now;
+        call(&mut self.seats[who].voter, now);
+        loop {
+            let out = self.seats[who].voter.take_out();
+            if out.is_empty() {
+                break;
+            }
+            out.into_iter().for_each(|out| self.carry(who, out));
+            if syncs {
+                self.sync(who);
+            }
+        }
+        let voter = &self.seats[who].voter;
+        if voter.role() == Role::Leader && *self.leaders.entry(voter.term()).or_insert(who) != who {
+            self.broken = Some(format!("two leaders in term {}", voter.term()));
+        }
+    }
+
+    fn carry(&mut self, who: usize, out: Out) {
+        match out {
+            Out::Store { number, records } => self.seats[who].waiting.push_back((number, records)),
+            Out::Send(message) => self.send(&message),
+            Out::Commit(entry) => {
+                let seat = &mut self.seats[who];
+                seat.duties.apply(&entry.bytes);
+                let follows = entry.index == seat.applied + 1;
+                seat.applied = entry.index;
+                let is = (entry.term, entry.bytes);
+                let known = self.committed.entry(entry.index).or_insert(is.clone());
+                if *known != is || !follows {
+                    self.broken = Some(format!("v{who} commits another entry at {}", entry.index));
+                }
+            }
+            Out::Restore { .. } | Out::Read { .. } | Out::NoRead { .. } => {}
+        }
+    }
+
+    fn send(&mut self, message: &Message) {
+        self.sent.insert(message.encode());
+    }
+
+    /// The next group is on disk.
+    fn sync(&mut self, who: usize) {
+        let seat = &mut self.seats[who];
+        let Some((number, records)) = seat.waiting.pop_front() else { return };
+        seat.stable.extend(records);
+        self.act(who, false, |voter, now| voter.stored(number, now));
+    }
+
+    fn crash(&mut self, who: usize, forgets: bool) {
+        self.crashes -= 1;
+        let names = names();
+        let seat = &mut self.seats[who];
+        seat.waiting.clear();
+        if forgets {
+            seat.stable.clear();
+        }
+        let kept = recover(seat.stable.iter().cloned());
+        seat.now += LONG;
+        seat.voter = Voter::new(&names[who], &names, kept, Times::default(), 1, seat.now);
+        (seat.applied, seat.duties) = (0, Duties::default());
+        self.act(who, false, |voter, now| voter.tick(now));
+    }
+
+    fn propose(&mut self, who: usize) {
+        self.proposals -= 1;
+        let number = u64::from(self.proposals);
+        let to = Grantee {
+            who: Who { name: format!("n{}", number / 2 % 2), life: 1 },
+            lease: 1000.0,
+            outlives: false,
+            most: 1,
+        };
+        let command = Command::Grant { duty: format!("d{}", number % 2), to };
+        let bytes = Entry { at: 0.0, command }.encode();
+        self.act(who, self.crashes == 0, |voter, now| {
+            voter.propose(bytes, now);
+        });
+    }
+
+    fn steps(&self, bounds: &Bounds) -> Vec<Step> {
+        let mut steps: Vec<Step> = self.sent.iter().cloned().map(Step::Deliver).collect();
+        for (who, seat) in self.seats.iter().enumerate() {
+            if seat.voter.role() == Role::Leader {
+                steps.push(Step::Beat(who));
+                if self.proposals > 0 {
+                    steps.push(Step::Propose(who));
+                }
+            } else if seat.voter.term() < bounds.terms && seat.voter.stands() {
+                steps.push(Step::TimeOut(who));
+            }
+            if !seat.waiting.is_empty() {
+                steps.push(Step::Sync(who));
+            }
+            if self.crashes > 0 {
+                steps.push(Step::Crash(who));
+            }
+        }
+        steps
+    }
+
+    fn after(&self, step: &Step, bounds: &Bounds) -> Self {
+        let mut next = self.clone();
+        let syncs = bounds.crashes == 0;
+        match step {
+            Step::Deliver(bytes) => next.deliver(bytes, syncs),
+            Step::TimeOut(who) => {
+                next.seats[*who].now += LONG;
+                next.act(*who, syncs, |voter, now| voter.tick(now));
+            }
+            Step::Beat(who) => {
+                next.seats[*who].now += Times::default().beat;
+                next.act(*who, syncs, |voter, now| voter.tick(now));
+            }
+            Step::Propose(who) => next.propose(*who),
+            Step::Sync(who) => next.sync(*who),
+            Step::Crash(who) => next.crash(*who, bounds.forgets),
+        }
+        next.look();
+        next
+    }
+
+    /// Those who have applied as much hold the same, and no duty has two holders.
+    fn look(&mut self) {
+        for one in &self.seats {
+            for other in &self.seats {
+                if one.applied == other.applied && one.duties != other.duties {
+                    self.broken = Some(format!("two voters differ at entry {}", one.applied));
+                }
+            }
+            if one.duties.all().any(|(_, duty)| duty.holders.len() > 1) {
+                self.broken = Some("a duty has two holders".into());
+            }
+        }
+    }
+
+    /// What tells this state from others.
+    fn key(&self) -> u128 {
+        let half = |salt: u8| {
+            let mut hasher = DefaultHasher::new();
+            salt.hash(&mut hasher);
+            for seat in &self.seats {
+                seat.voter.shown(seat.now).hash(&mut hasher);
+                format!("{:?}{:?}", seat.waiting, seat.stable).hash(&mut hasher);
+            }
+            self.sent.hash(&mut hasher);
+            self.leaders.hash(&mut hasher);
+            self.committed.hash(&mut hasher);
+            (self.proposals, self.crashes).hash(&mut hasher);
+            hasher.finish()
+        };
+        u128::from(half(0)) << 64 | u128::from(half(1))
+    }
+}
+
+/// Goes through all states, the nearest first, until the depth or the number of states is reached or something is broken.
+pub fn check(bounds: &Bounds) -> Found {
+    let begin = World::new(bounds);
+    let mut seen = BTreeSet::from([begin.key()]);
+    // How each state was come to: the one before it, and the step.
+    let mut ways: Vec<(usize, String)> = vec![(0, String::new())];
+    let mut open = VecDeque::from([(begin, 0, 0)]);
+    let mut found = Found { states: 1, ..Found::default() };
+    while let Some((world, place, depth)) = open.pop_front() {
+        found.depth = depth;
+        if depth == bounds.depth || found.states >= bounds.states {
+            return found;
+        }
+        for step in world.steps(bounds) {
+            let next = world.after(&step, bounds);
+            if !seen.insert(next.key()) {
+                continue;
+            }
+            found.states += 1;
+            ways.push((place, step.shown()));
+            if let Some(what) = &next.broken {
+                found.broken = Some((what.clone(), way(&ways)));
+                return found;
+            }
+            open.push_back((next, ways.len() - 1, depth + 1));
+        }
+    }
+    // There is nothing further.
+    found.depth = bounds.depth;
+    found
+}
+
+/// The steps to the last state.
+fn way(ways: &[(usize, String)]) -> Vec<String> {
+    let (mut steps, mut at) = (Vec::new(), ways.len() - 1);
+    while at > 0 {
+        steps.push(ways[at].1.clone());
+        at = ways[at].0;
+    }
+    steps.reverse();
+    steps
+}
--- a/crates/pearfront-emulator/src/cores/mod.rs
+++ b/crates/pearfront-emulator/src/cores/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod consensus;
 pub mod duties;
+pub mod exhaustive;
 pub mod history;
 pub mod membership;
