A candidate that is gone, or was deaf, does not count as steady

Found by a table of both sides of a duty (nine tests, no log below): one that wanted a duty, wanted it no more and wanted it again took it from its holder after 12 s instead of never, since nothing told the leader that it was gone when nothing else was wanted; one that had heard nothing got its duty back at once when it heard again. A process that wants less says so in one more ask, and steadiness begins anew behind deafness.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,11 @@
 bench-model:
 	cargo bench --locked -p pearfront-emulator --bench model
 
+# What a thousand duties cost whoever leads; some seconds.
+.PHONY: bench-duties
+bench-duties:
+	cargo bench --locked -p pearfront-emulator --bench duties
+
 # Membership by seed in simulated time: storms at three sizes, and how soon a killed process is found. Some ten minutes.
 SEEDS ?= 1000
 prove-membership:
--- a/crates/pearfront-duties/src/agent.rs
+++ b/crates/pearfront-duties/src/agent.rs
@@ -75,6 +75,9 @@
     over: BTreeMap<String, u64>,
     orders: Vec<Order>,
     list: bool,
+    /// It wants something no more, said in the ask of that number if in any, and no leader has heard it: a candidate that
+    /// is gone must not count as steady.
+    less: Option<Option<u64>>,
     sent: VecDeque<Sent>,
     number: u64,
     /// Number of the last ask that was answered: what answers an older one is out of date.
@@ -102,6 +105,7 @@
             over: BTreeMap::new(),
             orders: Vec::new(),
             list: false,
+            less: None,
             sent: VecDeque::new(),
             number: 0,
             answered: 0,
@@ -131,6 +135,7 @@
         self.waits.remove(duty);
         if self.wants.remove(duty).is_some() {
             self.give_up(duty, false, now);
+            self.less = Some(None);
             self.ask_at = now;
         }
     }
@@ -239,10 +244,11 @@
         self.ask_at = f64::INFINITY;
         self.answer_by = f64::INFINITY;
         let idle = self.wants.is_empty() && self.grips.is_empty() && self.orders.is_empty();
-        if (idle && !self.list) || self.voters.is_empty() {
+        if (idle && !self.list && self.less.is_none()) || self.voters.is_empty() {
             return;
         }
         self.number += 1;
+        self.less = self.less.map(|said| Some(said.unwrap_or(self.number)));
         let live = self.grips.iter().filter(|(_, grip)| grip.over.is_none());
         let holds: Vec<(String, u64)> = live.map(|(duty, grip)| (duty.clone(), grip.token)).collect();
         let over = self.grips.iter().filter_map(|(duty, grip)| {
@@ -290,6 +296,7 @@
             }
             Answer::Stands { held, waits, list, orders } => {
                 self.answered = told.number;
+                self.less = self.less.filter(|said| said.is_none_or(|said| said > told.number));
                 self.leader = Some(told.from);
                 self.sent_on = 0;
                 if told.number == self.number {
--- a/crates/pearfront-duties/src/desk.rs
+++ b/crates/pearfront-duties/src/desk.rs
@@ -425,6 +425,8 @@
     /// What one wants now.
     fn note(&mut self, ask: &Ask, now: f64) {
         let name = &ask.from.name;
+        let wants = ask.wants.iter().map(|want| want.lease);
+        let was_deaf = self.is_deaf(name, wants.fold(0.0, f64::max), now);
         let heard = |unheard: &Unheard| unheard.life != ask.from.life || ask.answered >= unheard.number;
         if self.unheard.get(name).is_some_and(heard) {
             self.unheard.remove(name);
@@ -446,7 +448,8 @@
                 continue;
             }
             let steady = before
-                .filter(|one| now - one.heard <= one.want.lease && want.standing <= one.want.standing)
+                .filter(|one| !was_deaf && now - one.heard <= one.want.lease)
+                .filter(|one| want.standing <= one.want.standing)
                 .map_or(now, |one| one.since);
             let (who, want, number) = (ask.from.clone(), want.clone(), ask.number);
             all.insert(name.clone(), Candidate { who, want, number, heard: now, since: steady });
--- a/crates/pearfront-node/tests/duties.rs
+++ b/crates/pearfront-node/tests/duties.rs
@@ -3,7 +3,7 @@
 //! refused: any other is one of two that held the duty at one instant.
 
 use pearfront_emulator::processes::ground::{call, call_with, wait};
-use pearfront_emulator::processes::holders::{Holder, Receiver};
+use pearfront_emulator::processes::holders::{Act, Holder, Receiver};
 use pearfront_emulator::processes::trial::{self, event};
 use pearfront_emulator::processes::{Ground, Start};
 use serde_json::{Value, json};
@@ -104,6 +104,37 @@
     });
 }
 
+/// Takes the duty and gives it up, again and again, until it has changed hands so often.
+async fn contends(ground: Rc<Ground>, who: usize, place: Place, turns: usize) {
+    let (hold, over) =
+        (format!("/_duties/{DUTY}/hold?client=c"), format!("/_duties/{DUTY}/give-up?client=c"));
+    while place.borrow().turns.len() < turns {
+        let told = call(ground.operators(who), "PUT", &hold).await.unwrap_or_default();
+        let told: Value = serde_json::from_str(&told).unwrap_or_default();
+        if let Some(token) = told["held"]["token"].as_u64() {
+            place.borrow_mut().take(Act { at: ground.now(), who, token });
+            call(ground.operators(who), "PUT", &over).await;
+        }
+    }
+}
+
+#[test]
+fn candidates_at_once_get_it_one_by_one_hundreds_of_times() {
+    played("contend", 5, 0, async |ground, place| {
+        let all =
+            (0..5).map(|who| tokio::task::spawn_local(contends(ground.clone(), who, place.clone(), 300)));
+        let all: Vec<_> = all.collect();
+        event(&ground, "it changed hands 300 times", |_| place.borrow().turns.len() >= 300).await?;
+        for one in all {
+            one.await.map_err(|error| error.to_string())?;
+        }
+        let turns = &place.borrow().turns;
+        let shares = (0..5).map(|who| turns.iter().filter(|act| act.who == who).count());
+        let least = shares.min().unwrap_or(0);
+        if least > 0 { Ok(()) } else { Err("one of them never had it".into()) }
+    });
+}
+
 // It looks, stands still for longer than its lease, and acts: the clock can't tell, the token does.
 #[test]
 fn an_act_that_comes_after_the_lease_is_refused_by_its_token() {
