Processes that began in islands find one another: members compare with their seeds

A test among real processes failed once: four programs started in the same instant had taken in one another by pairs, and stayed two pairs for good. Seen in their logs: two joined at 4 ms, each with one other, and nobody asks an address that is nobody's as far as it knows (ask_to_join ends with the first answer; ask_again asks the dead only). Ruled out: the machine (others joined beside them), a cut (none).

Every 5 s a member compares its view with one of its seeds, whoever that is. Small test in simulated time, which fails without it.

--- a/crates/pearfront-emulator/benches/duties.rs
+++ b/crates/pearfront-emulator/benches/duties.rs
@@ -11,8 +11,8 @@
 /// Processes that want each duty.
 const WANT: usize = 3;
 const LEASE: f64 = 10_000.0;
-/// Simulated time before the figures, and that they are of, ms.
-const BEFORE: f64 = 20_000.0;
+/// Simulated time before the figures, in which duties go to the best placed, and that they are of, ms.
+const BEFORE: f64 = 80_000.0;
 const LENGTH: f64 = 120_000.0;
 
 enum Word {
--- a/crates/pearfront-emulator/tests/membership.rs
+++ b/crates/pearfront-emulator/tests/membership.rs
@@ -239,3 +239,22 @@
     assert_eq!(one(3), one(3));
     assert_ne!(one(3), one(4));
 }
+
+// Several begin at once and take in one another by pairs: nobody asks those whom nobody knows, unless seeds are asked
+// again. Four node programs that were started in the same instant stayed two pairs for good.
+#[test]
+fn islands_that_were_joined_apart_find_one_another() {
+    let (here, there) = (vec![0, 2], vec![1, 3]);
+    let cut = |from: &Vec<usize>, to: &Vec<usize>| (2.0, Trouble::Cut { from: from.clone(), to: to.clone() });
+    for seed in SEEDS {
+        let mut troubles: Vec<_> = (0..4).map(|who| (1.0, kill(who))).collect();
+        troubles.extend([cut(&here, &there), cut(&there, &here), (8.0, Trouble::Heal)]);
+        troubles.extend((0..4).map(|who| (3.0, Trouble::Start { who, kept: false, moved: false })));
+        let (found, world) = shown(plan(4, 30.0, troubles), seed);
+        assert_eq!(found.false_deaths, 0);
+        for place in 0..4 {
+            let here = world.core(place).members().filter(|member| member.is_here()).count();
+            assert_eq!(here, 3, "seed {seed}: p{place}");
+        }
+    }
+}
--- a/crates/pearfront-membership/src/core.rs
+++ b/crates/pearfront-membership/src/core.rs
@@ -452,6 +452,7 @@
             if let Some(card) = self.table.some(&mut self.chance, 1, Member::is_here).pop() {
                 self.compare(&card);
             }
+            self.ask_a_seed();
         }
         if now >= self.next_ask_again {
             self.next_ask_again = now + self.times.ask_again * (0.75 + 0.5 * self.chance.random::<f64>());
@@ -459,6 +460,17 @@
         }
     }
 
+    /// Compares with one of the seeds, whoever that is: of several that begin at once, or behind a cut, some may have taken
+    /// in one another and know nothing of the rest. Nobody asks those whom nobody knows.
+    fn ask_a_seed(&mut self) {
+        if self.seeds.is_empty() {
+            return;
+        }
+        let address = self.seeds[self.chance.random_range(0..self.seeds.len())];
+        let (question, sum) = (self.next_question(), self.sum());
+        self.send_frame(&To { name: None, life: None, address }, Body::Compare { question, sum });
+    }
+
     /// Asks one of those gone: a cut may be over, or a word about it may have been wrong. It hears what is held of it.
     /// Whoever is held silent is asked before those of whom there is proof, or the word.
     fn ask_again(&mut self) {
