One way to start a program, to call operators' addresses, and to draw seeds

Read over once more: starting a node program stood in the plays on sockets and in the proving ground, a call to an operators' address in the proving ground and twice in the command line, seeds and the spread of times three times in prove. Each stands once now (NodeCommand::spawn, operators::ask, Seeds and spread); how often a void play is played again is one number.

--- a/crates/pearfront-cli/src/duty.rs
+++ b/crates/pearfront-cli/src/duty.rs
@@ -1,7 +1,8 @@
 //! `pearfront duty`: runs a command while its node holds a duty for it, and ends the command before the lease can be
 //! another's, whatever becomes of the node, the way to it or the command.
 
-use crate::Trouble;
+use crate::{Trouble, runtime};
+use pearfront_emulator::operators;
 use rustix::process::{Pid, Signal, getpgrp, getppid, kill_process_group};
 use rustix::time::{ClockId, clock_gettime};
 use serde::Deserialize;
@@ -9,12 +10,9 @@
 use std::os::unix::process::ExitStatusExt;
 use std::process::ExitStatus;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::process::{Child as Running, Command};
-use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal as Told, SignalKind, signal};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Exit codes; all below are the command's own.
 const HELD: u8 = 120;
@@ -165,11 +163,6 @@
     }
 }
 
-fn runtime() -> Result<Runtime, Trouble> {
-    let runtime = Builder::new_current_thread().enable_all().build();
-    runtime.map_err(|error| Trouble::Undone(format!("runtime: {error}")))
-}
-
 impl Duty {
     pub fn run(self) -> Result<(), Trouble> {
         runtime()?.block_on(self.hold())
@@ -410,24 +403,9 @@
     }
 
     async fn call(&self, method: &str, path: &str) -> Result<(u16, String), String> {
-        let asked = async {
-            let mut stream = TcpStream::connect(self.node).await?;
-            let head = format!(
-                "{method} {path} HTTP/1.1\r\nHost: node\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-            );
-            stream.write_all(head.as_bytes()).await?;
-            let mut answer = String::new();
-            stream.read_to_string(&mut answer).await?;
-            Ok::<_, std::io::Error>(answer)
-        };
-        let answer = timeout(Duration::from_secs_f64(ANSWER / 1e3), asked).await;
-        let answer = answer
-            .map_err(|_| "no answer in time".to_string())
-            .and_then(|answer| answer.map_err(|error| error.to_string()));
-        let answer = answer.map_err(|error| format!("{}: {error}", self.node))?;
-        let (head, body) = answer.split_once("\r\n\r\n").ok_or("no answer")?;
-        let status = head.split(' ').nth(1).and_then(|word| word.parse().ok()).ok_or("no answer")?;
-        Ok((status, body.trim_end().to_string()))
+        let patience = Duration::from_secs_f64(ANSWER / 1e3);
+        let answer = operators::ask(self.node, method, path, "", patience).await;
+        answer.map_err(|problem| format!("{}: {problem}", self.node))
     }
 
     async fn ask(&self) -> Result<Stands, Refusal> {
@@ -437,9 +415,9 @@
             Ok((200, body)) => {
                 serde_json::from_str(&body).map_err(|error| Refusal::NoAnswer(error.to_string()))
             }
-            Ok((409, body)) => Err(Refusal::Now(body)),
+            Ok((409, body)) => Err(Refusal::Now(body.trim_end().into())),
             Ok((404, _)) => Err(Refusal::Never(format!("{}: its file names no voters", self.node))),
-            Ok((status, body)) => Err(Refusal::NoAnswer(format!("{status} {body}"))),
+            Ok((status, body)) => Err(Refusal::NoAnswer(format!("{status} {}", body.trim_end()))),
             Err(problem) => Err(Refusal::NoAnswer(problem)),
         }
     }
--- a/crates/pearfront-cli/src/main.rs
+++ b/crates/pearfront-cli/src/main.rs
@@ -17,6 +17,7 @@
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
+use tokio::runtime::{Builder, Runtime};
 
 /// Rehearse what may happen to a fleet of services, see what the nodes before it make of it, and move their files.
 #[derive(Parser)]
@@ -92,6 +93,12 @@
     }
 }
 
+/// For what waits for programs or the network.
+pub fn runtime() -> Result<Runtime, Trouble> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|error| Trouble::Undone(format!("runtime: {error}")))
+}
+
 fn told(what: &str, code: u8) -> ExitCode {
     eprintln!("pearfront: {what}");
     ExitCode::from(code)
--- a/crates/pearfront-cli/src/members.rs
+++ b/crates/pearfront-cli/src/members.rs
@@ -1,9 +1,9 @@
 //! `pearfront members`: who is there, as one process sees it.
 
-use crate::Trouble;
+use crate::{Trouble, runtime};
+use pearfront_emulator::operators;
 use serde_json::Value;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Longest wait for a process's answer.
@@ -55,24 +55,14 @@
 
 fn call(address: SocketAddr, method: &str, path: &str) -> Result<String, Trouble> {
     let told = |what: String| Trouble::Undone(format!("{address}: {what}"));
-    let mut stream =
-        TcpStream::connect_timeout(&address, PATIENCE).map_err(|error| told(error.to_string()))?;
-    let call =
-        format!("{method} {path} HTTP/1.1\r\nHost: node\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
-    let mut answer = String::new();
-    let asked = stream
-        .set_read_timeout(Some(PATIENCE))
-        .and_then(|()| stream.write_all(call.as_bytes()))
-        .and_then(|()| stream.read_to_string(&mut answer));
-    asked.map_err(|error| told(error.to_string()))?;
-    let (head, body) = answer.split_once("\r\n\r\n").ok_or_else(|| told("no answer".into()))?;
-    match head.split(' ').nth(1) {
-        Some("200") => Ok(body.to_string()),
-        Some("404") => {
+    let answer = runtime()?.block_on(operators::ask(address, method, path, "", PATIENCE)).map_err(told)?;
+    match answer {
+        (200, body) => Ok(body),
+        (404, _) => {
             Err(told(format!("has no {path}: its file lacks the key `cluster` or what is asked for in it")))
         }
-        Some("409") => Err(told(body.trim_end().into())),
-        status => Err(told(format!("answered {}", status.unwrap_or("nothing")))),
+        (409, body) => Err(told(body.trim_end().into())),
+        (status, _) => Err(told(format!("answered {status}"))),
     }
 }
 
--- a/crates/pearfront-cli/src/prove.rs
+++ b/crates/pearfront-cli/src/prove.rs
@@ -2,7 +2,7 @@
 
 use crate::Trouble;
 use hdrhistogram::Histogram;
-use pearfront_emulator::again::{Play, in_time};
+use pearfront_emulator::again::{PLAYS, Play, in_time};
 use pearfront_emulator::cores::exhaustive::{Bounds, check};
 use pearfront_emulator::cores::membership::Trouble as Befalls;
 use pearfront_emulator::cores::membership::{Findings, Plan, Weather, World, play};
@@ -29,16 +29,28 @@
     Every(Every),
 }
 
-/// A minute of 20 % loss, delays to 500 ms and pauses to 3 s, one in ten killed: no running process is held to be gone,
-/// every killed one is found by all.
 #[derive(clap::Args)]
-struct Members {
+struct Seeds {
     /// Seeds to play, one after another.
     #[arg(long, default_value_t = 100, value_parser = clap::value_parser!(u64).range(1..=1_000_000))]
     seeds: u64,
     /// The first of them.
     #[arg(long, default_value_t = 1)]
     first: u64,
+}
+
+impl Seeds {
+    fn all(&self) -> std::ops::Range<u64> {
+        self.first..self.first.saturating_add(self.seeds)
+    }
+}
+
+/// A minute of 20 % loss, delays to 500 ms and pauses to 3 s, one in ten killed: no running process is held to be gone,
+/// every killed one is found by all.
+#[derive(clap::Args)]
+struct Members {
+    #[command(flatten)]
+    seeds: Seeds,
     /// Processes in each play.
     #[arg(long, default_value_t = 16, value_parser = clap::value_parser!(u64).range(2..=1000))]
     instances: u64,
@@ -82,12 +94,12 @@
 
     fn run(self) -> Result<(), Trouble> {
         if self.steps {
-            return self.steps(self.first);
+            return self.steps(self.seeds.first);
         }
         let mut first = histogram()?;
         let (mut half, mut last, mut agreed) = (first.clone(), first.clone(), first.clone());
         let mut sums = Findings::default();
-        for seed in self.first..self.first.saturating_add(self.seeds) {
+        for seed in self.seeds.all() {
             let found = play(self.plan(seed), seed);
             let wrong = found.broken.clone().or_else(|| {
                 (found.not_found > 0)
@@ -113,21 +125,14 @@
             sums.bytes += found.bytes;
             sums.most_datagrams = sums.most_datagrams.max(found.most_datagrams);
         }
-        let seeds = self.seeds as f64;
+        let seeds = self.seeds.seeds as f64;
         for (what, times) in [("first", &first), ("half", &half), ("all", &last), ("agreed", &agreed)] {
-            let at = |quantile| times.value_at_quantile(quantile);
-            println!(
-                "{what:7} n={} p50_ms={} p99_ms={} most_ms={}",
-                times.len(),
-                at(0.5),
-                at(0.99),
-                times.max()
-            );
+            println!("{what:7} n={} {}", times.len(), spread(times));
         }
         println!(
             "seeds={} instances={} false_deaths=0 suspicions={} refutations={} datagrams_per_s={:.1} frames_per_s={:.2} \
              bytes_per_s={:.0} most_datagrams_per_s={:.1}",
-            self.seeds,
+            self.seeds.seeds,
             self.instances,
             sums.suspicions,
             sums.refutations,
@@ -158,12 +163,8 @@
 /// nothing committed is lost or changed, reads see all that was committed before them.
 #[derive(clap::Args)]
 struct Log {
-    /// Seeds to play, one after another.
-    #[arg(long, default_value_t = 100, value_parser = clap::value_parser!(u64).range(1..=1_000_000))]
-    seeds: u64,
-    /// The first of them.
-    #[arg(long, default_value_t = 1)]
-    first: u64,
+    #[command(flatten)]
+    seeds: Seeds,
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(3..=7))]
     voters: u64,
     /// Folders come back older or empty, one at a time.
@@ -176,7 +177,7 @@
         let plan = consensus::Plan::storm(self.voters as usize, self.disks);
         let (mut without, mut able) = (histogram()?, histogram()?);
         let (mut committed, mut reads, mut terms, mut forgot) = (0, 0, 0, 0);
-        for seed in self.first..self.first.saturating_add(self.seeds) {
+        for seed in self.seeds.all() {
             let found = consensus::play(plan.clone(), seed);
             if let Some(what) = found.broken {
                 println!("seed={seed} voters={}: {what}", self.voters);
@@ -191,16 +192,12 @@
         }
         println!(
             "seeds={} voters={} broken=0 committed={committed} reads={reads} terms={terms} forgot={forgot} \
-             leaderless n={} p50_ms={} p99_ms={} most_ms={} while_able p50_ms={} p99_ms={} most_ms={}",
-            self.seeds,
+             leaderless n={} {} while_able {}",
+            self.seeds.seeds,
             self.voters,
             without.len(),
-            without.value_at_quantile(0.5),
-            without.value_at_quantile(0.99),
-            without.max(),
-            able.value_at_quantile(0.5),
-            able.value_at_quantile(0.99),
-            able.max()
+            spread(&without),
+            spread(&able)
         );
         Ok(())
     }
@@ -210,12 +207,8 @@
 /// act on a duty than may, no token is given twice, and each history is that of one place.
 #[derive(clap::Args)]
 struct Duties {
-    /// Seeds to play, one after another.
-    #[arg(long, default_value_t = 100, value_parser = clap::value_parser!(u64).range(1..=1_000_000))]
-    seeds: u64,
-    /// The first of them.
-    #[arg(long, default_value_t = 1)]
-    first: u64,
+    #[command(flatten)]
+    seeds: Seeds,
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(3..=7))]
     voters: u64,
     /// Processes that want duties.
@@ -253,7 +246,7 @@
     fn run(self) -> Result<(), Trouble> {
         let (plan, mut without) = (self.plan(), histogram()?);
         let mut sums = duties::Findings::default();
-        for seed in self.first..self.first.saturating_add(self.seeds) {
+        for seed in self.seeds.all() {
             let found = duties::play(&plan, seed);
             if let Some(what) = found.log.broken {
                 println!("seed={seed} voters={} agents={}: {what}", self.voters, self.agents);
@@ -273,7 +266,7 @@
         println!(
             "seeds={} voters={} agents={} broken=0 granted={} renewed={} asks={} acts={} refused={} committed={} \
              terms={} forgot={} calls_checked={}",
-            self.seeds,
+            self.seeds.seeds,
             self.voters,
             self.agents,
             sums.granted,
@@ -318,9 +311,6 @@
     node: std::path::PathBuf,
 }
 
-/// Plays of one seed that may be void.
-const PLAYS: usize = 5;
-
 impl Storms {
     fn run(self) -> Result<(), Trouble> {
         let node = std::path::absolute(&self.node).map_err(|error| Trouble::Input(error.to_string()))?;
@@ -353,13 +343,11 @@
             turns += held.turns;
         }
         println!(
-            "seeds={} voters={} broken=0 acts={acts} turns={turns} void={void} gaps n={} p50_ms={} p99_ms={} most_ms={}",
+            "seeds={} voters={} broken=0 acts={acts} turns={turns} void={void} gaps n={} {}",
             self.seeds,
             self.voters,
             gaps.len(),
-            gaps.value_at_quantile(0.5),
-            gaps.value_at_quantile(0.99),
-            gaps.max()
+            spread(&gaps)
         );
         Ok(())
     }
@@ -403,6 +391,12 @@
     }
 }
 
+/// Times as they lie, ms.
+fn spread(times: &Histogram<u64>) -> String {
+    let (half, most) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
+    format!("p50_ms={half} p99_ms={most} most_ms={}", times.max())
+}
+
 fn histogram() -> Result<Histogram<u64>, Trouble> {
     Histogram::new_with_bounds(1, 600_000_000, 3).map_err(|error| Trouble::Undone(error.to_string()))
 }
--- a/crates/pearfront-emulator/src/again.rs
+++ b/crates/pearfront-emulator/src/again.rs
@@ -1,6 +1,9 @@
 //! Plays of processes on a machine that has other work: one that came late says so and is played again, and none is
 //! judged by what the machine did. All tests that start processes go through here.
 
+/// Plays that may be void: a machine may be busy for a while, not for as long as these take.
+pub const PLAYS: usize = 5;
+
 /// What came of one play.
 #[derive(Debug)]
 pub enum Play<T> {
--- a/crates/pearfront-emulator/src/cores/duties.rs
+++ b/crates/pearfront-emulator/src/cores/duties.rs
@@ -403,9 +403,7 @@
         let (duty, ..) = DUTIES[self.chance.random_range(0..DUTIES.len())];
         match self.chance.random_range(0..4) {
             0 => {
-                let now = self.post_now(who);
-                let held = self.post(who).agent.as_ref().and_then(|agent| agent.may_act(duty, now));
-                self.remember_giving_up(who, duty, held.map(|(token, _)| token));
+                self.remember_giving_up(who, duty);
                 self.do_at(who, |agent, now| agent.unwant(duty, now));
             }
             1 => self.give_up(who, duty, true),
@@ -414,15 +412,19 @@
     }
 
     fn give_up(&mut self, who: usize, duty: &str, well: bool) {
-        let now = self.post_now(who);
-        let held = self.post(who).agent.as_ref().and_then(|agent| agent.may_act(duty, now));
-        self.remember_giving_up(who, duty, held.map(|(token, _)| token));
+        self.remember_giving_up(who, duty);
         self.do_at(who, |agent, now| agent.give_up(duty, well, now));
     }
 
-    fn remember_giving_up(&mut self, who: usize, duty: &str, token: Option<u64>) {
+    /// The token under which it may act now.
+    fn token(&self, who: usize, duty: &str) -> Option<u64> {
+        let agent = self.post(who).agent.as_ref()?;
+        agent.may_act(duty, self.post_now(who)).map(|(token, _)| token)
+    }
+
+    fn remember_giving_up(&mut self, who: usize, duty: &str) {
         let at = self.now;
-        if let Some(token) = token {
+        if let Some(token) = self.token(who, duty) {
             let post = self.post_mut(who);
             post.given_up.insert(duty.into(), (token, at));
             post.believes.remove(duty);
@@ -438,11 +440,7 @@
         if self.post(who).until > self.now {
             return;
         }
-        let now = self.post_now(who);
-        let Some((token, _)) = self.post(who).agent.as_ref().and_then(|agent| agent.may_act(duty, now))
-        else {
-            return;
-        };
+        let Some(token) = self.token(who, duty) else { return };
         self.above().findings.acts += 1;
         let mut at = self.now + ACT_TAKES * self.chance.random::<f64>();
         if self.above().only.is_none() && self.chance.random::<f64>() < 0.002 {
--- a/crates/pearfront-emulator/src/lib.rs
+++ b/crates/pearfront-emulator/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod judge;
 pub mod list;
 pub mod model;
+pub mod operators;
 pub mod platform;
 pub mod processes;
 pub mod record;
--- a/crates/pearfront-emulator/src/processes/ground.rs
+++ b/crates/pearfront-emulator/src/processes/ground.rs
@@ -2,6 +2,7 @@
 //! of its own runtime; programs are ended with it.
 
 use super::relay::{Relay, Way, Weather};
+use crate::operators;
 use crate::sockets::NodeCommand;
 use hdrhistogram::Histogram;
 use rand::prelude::SeedableRng;
@@ -13,13 +14,10 @@
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::Stdio;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
+use tokio::process::Child;
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -337,24 +335,8 @@
                 copy(&folder.with_extension("older"), &folder).map_err(told)?;
             }
         }
-        let base = &self.program.command.folder;
-        let file = base.join(format!("{}.json", seat.name));
-        std::fs::write(&file, self.file(who)?.to_string()).map_err(told)?;
-        let log = base.join(format!("{}.log", seat.name));
-        let log = std::fs::File::options().create(true).append(true).open(log).map_err(told)?;
-        let child = Command::new("/bin/sh")
-            .arg("-c")
-            .arg(&self.program.command.run)
-            .env("ROUTER_NAME", &seat.name)
-            .env("ROUTER_LISTEN", self.listens(who).to_string())
-            .env("ROUTER_DISCOVERY", self.place(DISCOVERY, who).to_string())
-            .env("ROUTER_CONFIG", &file)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .kill_on_drop(true)
-            .spawn()
-            .map_err(|error| format!("{}: {error}", self.program.command.run))?;
+        let (listen, discovery) = (self.listens(who), self.place(DISCOVERY, who));
+        let child = self.program.command.spawn(&seat.name, listen, discovery, &self.file(who)?)?;
         seat.pid.set(child.id().unwrap_or(0));
         seat.child.replace(Some(child));
         seat.stopped.set(false);
@@ -651,18 +633,8 @@
 
 /// The same with further lines in its head, each with its end.
 pub async fn call_with(address: SocketAddr, method: &str, path: &str, lines: &str) -> Option<String> {
-    let asked = async {
-        let mut stream = TcpStream::connect(address).await.ok()?;
-        let head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: node\r\n{lines}Content-Length: 0\r\nConnection: close\r\n\r\n"
-        );
-        stream.write_all(head.as_bytes()).await.ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).await.ok()?;
-        let (head, body) = answer.split_once("\r\n\r\n")?;
-        head.starts_with("HTTP/1.1 200").then(|| body.to_string())
-    };
-    timeout(CALL, asked).await.ok().flatten()
+    let told = operators::ask(address, method, path, lines, CALL).await.ok();
+    told.filter(|(status, _)| *status == 200).map(|(_, body)| body)
 }
 
 /// Sleeps by the ground's own clock.
--- a/crates/pearfront-emulator/src/processes/trial.rs
+++ b/crates/pearfront-emulator/src/processes/trial.rs
@@ -4,14 +4,12 @@
 use super::ground::{Ground, Program, run};
 use super::judge::{Verdict, judge};
 use super::player::LATE;
-use crate::again::{Play, in_time};
+use crate::again::{PLAYS, Play, in_time};
 use crate::sockets::NodeCommand;
 use serde_json::Value;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Plays that may be void.
-const PLAYS: usize = 5;
 /// How long an event is waited for: far longer than it takes on the slowest machine.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 
--- a/crates/pearfront-emulator/src/sockets/processes.rs
+++ b/crates/pearfront-emulator/src/sockets/processes.rs
@@ -2,7 +2,7 @@
 
 use super::NodeCommand;
 use serde_json::Value;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::process::Stdio;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -28,28 +28,29 @@
     Hup,
 }
 
-impl Process {
-    pub fn start(
-        command: &NodeCommand,
+impl NodeCommand {
+    /// Starts a program under that name; its file and its log, which goes on over its lives, are in the folder.
+    pub fn spawn(
+        &self,
         name: &str,
-        address: SocketAddrV4,
-        discovery: SocketAddrV4,
+        listen: SocketAddr,
+        discovery: SocketAddr,
         config: &Value,
-    ) -> Result<Self, String> {
-        let file = command.folder.join(format!("{name}.json"));
+    ) -> Result<Child, String> {
+        let file = self.folder.join(format!("{name}.json"));
         let problem = |what: &std::path::Path, error: std::io::Error| format!("{}: {error}", what.display());
         std::fs::write(&file, config.to_string()).map_err(|error| problem(&file, error))?;
-        let log = command.folder.join(format!("{name}.log"));
+        let log = self.folder.join(format!("{name}.log"));
         let log = std::fs::File::options()
             .create(true)
             .append(true)
             .open(&log)
             .map_err(|error| problem(&log, error))?;
-        let child = Command::new("/bin/sh")
+        Command::new("/bin/sh")
             .arg("-c")
-            .arg(&command.run)
+            .arg(&self.run)
             .env("ROUTER_NAME", name)
-            .env("ROUTER_LISTEN", address.to_string())
+            .env("ROUTER_LISTEN", listen.to_string())
             .env("ROUTER_DISCOVERY", discovery.to_string())
             .env("ROUTER_CONFIG", &file)
             .stdin(Stdio::null())
@@ -57,7 +58,19 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()
-            .map_err(|error| format!("{}: {error}", command.run))?;
+            .map_err(|error| format!("{}: {error}", self.run))
+    }
+}
+
+impl Process {
+    pub fn start(
+        command: &NodeCommand,
+        name: &str,
+        address: SocketAddrV4,
+        discovery: SocketAddrV4,
+        config: &Value,
+    ) -> Result<Self, String> {
+        let child = command.spawn(name, address.into(), discovery.into(), config)?;
         Ok(Self { name: name.into(), child, address })
     }
 
--- a/crates/pearfront-node/tests/cluster.rs
+++ b/crates/pearfront-node/tests/cluster.rs
@@ -1,7 +1,7 @@
 //! Several node programs of one installation with the proving ground between them. What is waited for is an event; the
 //! judge reads what was done and what each told, by one clock. A play on a machine that was late is void and played again.
 
-use pearfront_emulator::again::{Play, in_time};
+use pearfront_emulator::again::{PLAYS, Play, in_time};
 use pearfront_emulator::processes::ground::{View, wait};
 use pearfront_emulator::processes::judge::judge;
 use pearfront_emulator::processes::relay::Weather;
@@ -11,9 +11,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Plays that may be void.
-const PLAYS: usize = 5;
-
 fn program(what: &str, count: usize, cluster: Value) -> Program {
     trial::program(env!("CARGO_BIN_EXE_pearfront-node"), what, count, cluster)
 }
--- a/crates/pearfront-node/tests/rehearsal.rs
+++ b/crates/pearfront-node/tests/rehearsal.rs
@@ -1,16 +1,13 @@
 //! The node program in a short play on sockets, through silence, errors at once, a drain, a node killed and one told to
 //! end: the judge, who knows only what servers, callers and discovery saw, finds the rules kept.
 
-use pearfront_emulator::again::{Play, in_time};
+use pearfront_emulator::again::{PLAYS, Play, in_time};
 use pearfront_emulator::judge::judge;
 use pearfront_emulator::record::{Answer, Records, ShotEnd};
 use pearfront_emulator::scenario::Scenario;
 use pearfront_emulator::sockets::{NodeCommand, play_until};
 use test_case::test_case;
 
-/// Plays that may be void: the machine may be busy for a while, not for as long as these take.
-const PLAYS: usize = 5;
-
 // Limits are long and slack is wide: the tests beside this one may take the machine for a while. The length is the end
 // of patience only. A cold server is drawn seldom beside three warm ones: with 67 calls a node in 4 s it had no shot in
 // half of the plays, and the test failed by chance.
