A job whose caller has left goes nowhere, whatever lies unread behind it

Cause, first read and then seen on sockets: the module hears of a caller's leaving only through hyper, which looks for the end of a connection only while its buffer is empty and the body is read. With bytes behind the job, or a flowing body that its server holds back (`pass_on` waits in `pieces.send`), the end went unseen: the job was held for its whole limit and sent on whenever a server came. A shot that waited for its connection where the settings allow no cancels waited on for a job that was over.

Change: `Wire::ended` waits for the kernel's word that the other side has ended its sending or reset, which it tells beside unread bytes; the one wait for an answer (`answered`, and `flow`) ends with it. A caller that only ends its sending counts as gone, as before: nothing tells it from one that closed. A shot whose last byte is not written ends with its job, cancels or none: no server can have begun it.

--- a/crates/pearfront-node/src/relay.rs
+++ b/crates/pearfront-node/src/relay.rs
@@ -4,18 +4,20 @@
 use crate::message::Answer;
 use std::cell::RefCell;
 use std::rc::Rc;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 /// Where a job's answer goes; takes the first one only.
 pub struct Relay {
     caller: RefCell<Option<oneshot::Sender<Answer>>>,
+    /// Rung when it has its answer, or its caller has left.
+    closed: Notify,
     book: Rc<Book>,
 }
 
 impl Relay {
     pub fn new(book: Rc<Book>) -> (Self, oneshot::Receiver<Answer>) {
         let (caller, answer) = oneshot::channel();
-        (Self { caller: RefCell::new(Some(caller)), book }, answer)
+        (Self { caller: RefCell::new(Some(caller)), closed: Notify::new(), book }, answer)
     }
 
     /// Still without an answer, and its caller still there.
@@ -23,13 +25,26 @@
         self.caller.borrow().is_some()
     }
 
+    /// Waits until no answer is owed any more.
+    pub async fn closed(&self) {
+        while self.is_open() {
+            self.closed.notified().await;
+        }
+    }
+
+    fn take(&self) -> Option<oneshot::Sender<Answer>> {
+        let caller = self.caller.take();
+        self.closed.notify_waiters();
+        caller
+    }
+
     /// The caller has left: no answer is owed any more.
     pub fn close(&self) -> bool {
-        self.caller.take().is_some()
+        self.take().is_some()
     }
 
     pub fn give(&self, answer: Answer) {
-        let Some(caller) = self.caller.take() else { return };
+        let Some(caller) = self.take() else { return };
         match answer {
             Answer::Honoured(_) => self.book.honoured.add(),
             Answer::PushedBack(_) => self.book.pushed_back.add(),
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -208,7 +208,8 @@
                 wanted.then_some(left)
             };
             let over = route.over(&held, until);
-            let shot = route.senders.shoot(to, &held.job, over, wanted, called_off.notified()).await;
+            let (closed, called_off) = (held.relay.closed(), called_off.notified());
+            let shot = route.senders.shoot(to, &held.job, over, closed, wanted, called_off).await;
             route.shot_ended(&held, place, server, shot, route.clock.now() - started.max(held.came.get()));
         });
     }
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -16,8 +16,9 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::http::response;
 use pearfront::interface::Ending;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -270,31 +271,42 @@
         }
     }
 
-    /// One shot: how its connection ended, with the reply if the job was honoured. `over` ends it; `wanted` tells right before
-    /// the first byte whether the job still wants it, and for how long, ms.
+    /// One shot: how its connection ended, with the reply if the job was honoured. `over` ends it, and `closed`, the end of
+    /// its job, as long as its last byte is not written: what no server can have begun is never a shot to be called off,
+    /// which some deployments don't allow. `wanted` tells right before the first byte whether the job still wants it, and
+    /// for how long, ms.
     pub async fn shoot(
         self: &Rc<Self>,
         server: SocketAddr,
         job: &message::Job,
         over: impl Future<Output = ()>,
+        closed: impl Future<Output = ()>,
         wanted: impl Fn() -> Option<f64>,
         called_off: impl Future<Output = ()>,
     ) -> Shot {
-        let mut link = None;
-        let attempt = self.attempt(&mut link, server, job, wanted);
+        let (mut link, wire) = (None, OnceCell::new());
+        let written = || wire.get().is_some_and(|wire: &Rc<Wire>| wire.whole_written());
+        let attempt = self.attempt(&mut link, &wire, server, job, wanted);
+        let closed_before = async {
+            closed.await;
+            if written() {
+                pending().await
+            }
+        };
         let (before, after) = tokio::select! {
             biased;
             shot = attempt => return self.finish(server, link, shot),
             () = called_off => (ConnectionEnd::CalledOffBefore, ConnectionEnd::CalledOffAfter),
             () = over => (ConnectionEnd::TooLateBefore, ConnectionEnd::TooLateAfter),
+            () = closed_before => (ConnectionEnd::CalledOffBefore, ConnectionEnd::CalledOffBefore),
         };
-        let written = link.is_some_and(|link| link.wire.whole_written());
-        Shot::ended(if written { after } else { before })
+        Shot::ended(if written() { after } else { before })
     }
 
     async fn attempt(
         &self,
         place: &mut Option<Link>,
+        wire: &OnceCell<Rc<Wire>>,
         server: SocketAddr,
         job: &message::Job,
         wanted: impl Fn() -> Option<f64>,
@@ -306,6 +318,7 @@
         let Ok(link) = link else { return Shot::ended(ConnectionEnd::NeverUp) };
         // What was written on it before belongs to another message.
         link.wire.expect(Some(0));
+        wire.get_or_init(|| link.wire.clone());
         let link = place.insert(link);
         let Some(call) = wanted().and_then(|wait| job.encode(wait)) else {
             return Shot::ended(ConnectionEnd::NotSent);
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -22,6 +22,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, Sender};
+use tokio::sync::oneshot::Receiver;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -185,7 +186,7 @@
         let call = message::decode_call(head, &self.terms.now(), lengths);
         let problem = match call {
             Ok(Call::Up) => return Ok(message::encode_up(self.life.is_ready())),
-            Ok(Call::Job(job)) => match self.job(*job, body).await {
+            Ok(Call::Job(job)) => match self.job(caller, *job, body).await {
                 Ok(answer) => return Ok(answer),
                 Err(Problem::Gone) => return Err(Broken::Cut),
                 Err(Problem::Malformed(problem)) => problem,
@@ -208,7 +209,7 @@
     }
 
     /// The answer to a job, or what is wrong with its body.
-    async fn job(&self, mut job: Job, body: Incoming) -> Result<Response<Body>, Problem> {
+    async fn job(&self, caller: &Caller, mut job: Job, body: Incoming) -> Result<Response<Body>, Problem> {
         let length = body.size_hint().exact();
         let kept = length.map_or(MOST_WHOLE, |length| MOST_WHOLE.min(length as usize));
         let share = self.room.job(kept);
@@ -234,12 +235,12 @@
                 let limit = self.route.clock.now() + job.left;
                 let (held, answer) = self.route.take(job, share, limit);
                 let _guard = Guard { route: &self.route, held };
-                Ok(answer.await.unwrap_or(Answer::Forfeited).encode())
+                answered(caller, answer).await
             }
             Start::Begun(first, rest) => {
                 let (pieces, source) = mpsc::channel(1);
                 job.body = JobBody::Flowing { first, rest: RefCell::new(Some(source)), length };
-                self.flow(job, share, rest, pieces).await
+                self.flow(caller, job, share, rest, pieces).await
             }
         }
     }
@@ -247,6 +248,7 @@
     /// The answer to a job whose body flows on to a server while it comes.
     async fn flow(
         &self,
+        caller: &Caller,
         job: Job,
         share: Share,
         mut body: Incoming,
@@ -263,11 +265,13 @@
                 spawn_local(drain(body));
                 return Ok(answer.unwrap_or(Answer::Forfeited).encode());
             }
+            // While a server takes nothing, nobody reads the body, and its end is not seen there.
+            () = caller.wire.ended() => Err(Broken::Cut),
             came = pass_on(&mut body, &pieces) => came,
         };
         came?;
         self.route.body_came(&guard.held);
-        Ok(answer.await.unwrap_or(Answer::Forfeited).encode())
+        answered(caller, answer).await
     }
 
     /// Closes idle callers whenever clients are let go, as long as the node runs.
@@ -289,6 +293,16 @@
     }
 }
 
+/// The answer to a job that has come whole, as long as its caller is there for it. One that has left is not waited for
+/// whatever else came on its connection: its job must not go on to a server.
+async fn answered(caller: &Caller, answer: Receiver<Answer>) -> Result<Response<Body>, Problem> {
+    tokio::select! {
+        biased;
+        answer = answer => Ok(answer.unwrap_or(Answer::Forfeited).encode()),
+        () = caller.wire.ended() => Err(Problem::Gone),
+    }
+}
+
 /// Tells the module that the caller left, if it goes before the answer.
 struct Guard<'a> {
     route: &'a Route,
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -253,6 +254,14 @@
         let _ = timeout(LINGER, all).await;
     }
 
+    /// Waits until the other side has ended its sending or reset the connection, whatever of it is still unread. hyper
+    /// sees that only once it has read all that came before, and it reads nothing while a job with bytes behind it is
+    /// open, or while a body is held back. The kernel tells it beside unread bytes; to ask for what is urgent waits for
+    /// that alone, as nothing urgent is ever told here.
+    pub async fn ended(&self) {
+        let _ = self.stream.ready(Interest::PRIORITY).await;
+    }
+
     /// Bytes that have gone either way: while they grow, the connection is in use.
     pub fn moved(&self) -> usize {
         self.moved.get()
--- /dev/null
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -0,0 +1,209 @@
+//! What is still owed at the instant in which something ends: both orders of each crossing, held open on purpose.
+//! `docs/design/endings.md` lists the ways.
+
+use crate::stand_ins::{Act, Caller, Node, Server, config, entry, head, list};
+use serde_json::{Value, json};
+use socket2::SockRef;
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::thread::sleep;
+use std::time::Duration;
+use test_case::test_case;
+
+/// How a caller leaves.
+#[derive(Debug, Clone, Copy)]
+enum Leaving {
+    Closes,
+    /// With bytes behind its job that nobody has read.
+    ClosesBehindMore,
+    EndsSendingBehindMore,
+    ResetsBehindMore,
+}
+
+/// Half of another job: more than nothing, and no whole message that would be answered.
+const MORE: &str = "GET /read/it HTTP/1.1\r\nX-Tra";
+
+/// Sends a job and leaves, as far as that is not undone by its connection's coming back here: it is open then still.
+fn leave(mut caller: Caller, job: &str, body: &[u8], how: Leaving) -> Option<Caller> {
+    caller.send(job, body);
+    if !matches!(how, Leaving::Closes) {
+        caller.send(MORE, b"");
+    }
+    match how {
+        Leaving::Closes | Leaving::ClosesBehindMore => None,
+        Leaving::EndsSendingBehindMore => {
+            caller.stream.shutdown(Shutdown::Write).unwrap();
+            Some(caller)
+        }
+        Leaving::ResetsBehindMore => {
+            SockRef::from(&caller.stream).set_linger(Some(Duration::ZERO)).unwrap();
+            None
+        }
+    }
+}
+
+/// A node's file where no shot may be called off: there only what was never sent may end with its caller.
+fn without_cancels(config: &Value) -> Value {
+    let mut config = config.clone();
+    config["settings"]["limits"]["cancel"] = json!(false);
+    config
+}
+
+// A job that is held goes nowhere once its caller has left, whatever lies unread behind it. The list that would let it
+// go comes after the leaving, and the other caller's job behind it tells that all of that was seen.
+#[test_case(Leaving::Closes, 0; "closed")]
+#[test_case(Leaving::ClosesBehindMore, 0; "closed with bytes unread")]
+#[test_case(Leaving::EndsSendingBehindMore, 0; "only its sending, with bytes unread")]
+#[test_case(Leaving::ResetsBehindMore, 0; "reset with bytes unread")]
+#[test_case(Leaving::ClosesBehindMore, 1000; "closed with bytes unread behind a body")]
+fn a_job_that_is_held_ends_with_its_caller(how: Leaving, length: usize) {
+    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let node = Node::start(&config(&[]));
+    let job = head("pay", "60", length);
+    let _open = leave(node.caller(), &job, &vec![b'x'; length], how);
+    let mut other = node.caller();
+    other.send(&head("pay", "60", 0), b"");
+    node.discovery.publish(2, list(2, true, &[entry("s0", server.address, "Ready")]));
+    assert_eq!(other.answer().unwrap().status(), 200);
+    assert_eq!(server.jobs().len(), 1, "{:?}", server.jobs());
+    // One that had left before it was read is not even taken.
+    let counters = node.end();
+    assert_eq!((counters["taken"], counters["honoured"]), (counters["client_left"] + 1, 1));
+}
+
+// The same in one sweep of a node that stands still meanwhile: its job, what is behind it and the end are there at once.
+#[test]
+fn a_job_whose_caller_has_left_before_it_is_read_goes_nowhere() {
+    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let node = Node::start(&config(&[server.address]));
+    let mut other = node.caller();
+    assert_eq!(other.ask("GET /up HTTP/1.1\r\n\r\n", b"").status(), 200);
+    node.signal("-STOP");
+    for how in [Leaving::Closes, Leaving::ClosesBehindMore, Leaving::ResetsBehindMore] {
+        leave(node.caller(), &head("pay", "60", 0), b"", how);
+    }
+    node.signal("-CONT");
+    assert_eq!(other.ask(&head("pay", "60", 0), b"").status(), 200);
+    node.end();
+    assert_eq!(server.jobs().len(), 1, "{:?}", server.jobs());
+}
+
+// A shot that is out is called off although bytes behind the job hide the end of the connection.
+#[test_case(Leaving::ClosesBehindMore; "closed")]
+#[test_case(Leaving::EndsSendingBehindMore; "only its sending")]
+#[test_case(Leaving::ResetsBehindMore; "reset")]
+fn a_shot_is_called_off_whatever_lies_behind_the_job(how: Leaving) {
+    let server = Server::start(Act::Silence);
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    let job = head("read", "60", 0);
+    caller.send(&job, b"");
+    server.wait_for("job 1");
+    let _open = leave(caller, "", b"", how);
+    server.wait_for("closed 1");
+    let counters = node.end();
+    assert_eq!((counters["client_left"], counters["shot_called_off"]), (1, 1));
+}
+
+// Between two shots: where nothing may be called off the first goes on, and its error comes behind the leaving.
+#[test_case(Leaving::Closes; "closed")]
+#[test_case(Leaving::ClosesBehindMore; "closed with bytes unread")]
+fn an_error_behind_the_leaving_is_followed_by_no_further_shot(how: Leaving) {
+    let odd = Server::start(Act::Raw(Vec::new(), b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_vec()));
+    let good = Server::start(Act::Honour(Vec::new()));
+    let node = Node::start(&without_cancels(&config(&[odd.address])));
+    let mut caller = node.caller();
+    caller.send(&head("read", "60", 0), b"");
+    odd.wait_for("job 1");
+    node.discovery.publish(2, list(2, false, &[entry("good", good.address, "Ready")]));
+    node.discovery.wait_for(2);
+    leave(caller, "", b"", how);
+    // Its leaving is at the node before the error is; a call behind both tells that they were seen.
+    odd.go_on();
+    odd.wait_for("closed 1");
+    assert_eq!(node.caller().ask("GET /up HTTP/1.1\r\n\r\n", b"").status(), 200);
+    let counters = node.end();
+    assert_eq!((good.jobs().len(), counters["client_left"], counters["shots"]), (0, 1, 1));
+}
+
+/// Waits until somebody tries to connect to that address.
+fn wait_for_connecting(address: SocketAddr) {
+    let SocketAddr::V4(address) = address else { panic!("no such addresses here") };
+    let remote = format!("{:08X}:{:04X} 02 ", u32::from_le_bytes(address.ip().octets()), address.port());
+    for _ in 0..2000 {
+        if std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&remote) {
+            return;
+        }
+        sleep(Duration::from_millis(10));
+    }
+    panic!("nobody connects to {address}");
+}
+
+// A connection that comes up late finds the job over: nothing of it is written, also where nothing may be called off.
+#[test]
+fn a_connection_that_comes_up_behind_the_leaving_brings_nothing() {
+    let (address, listener, queued) = Server::vanished();
+    let mut config = without_cancels(&config(&[address]));
+    config["settings"]["limits"]["connect_timeout"] = json!(60e9);
+    let node = Node::start(&config);
+    let mut caller = node.caller();
+    caller.send(&head("pay", "60", 0), b"");
+    wait_for_connecting(address);
+    leave(caller, "", b"", Leaving::ClosesBehindMore);
+    // The way is free again, and the end waits for nobody: a node that went on connecting would send, or hold the job.
+    drop(queued);
+    let counters = node.end();
+    drop(listener);
+    assert_eq!((counters["client_left"], counters["shot_never_sent"]), (1, 1), "{counters:?}");
+}
+
+// A body that flows, held back by its server: nobody reads it, and only the connection itself tells that its caller is
+// gone. Neither its place nor the server's is held for the rest of its time.
+#[test]
+fn a_body_that_is_held_back_ends_with_its_caller() {
+    // Connections come up in the kernel, which takes the beginning of what is sent; nobody ever reads it.
+    let stuck = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Node::start(&without_cancels(&config(&[stuck.local_addr().unwrap()])));
+    let mut caller = node.caller();
+    caller.send(&head("pay", "60", 32 * 1024 * 1024), b"");
+    // Until nothing moves any more.
+    caller.stream.set_write_timeout(Some(Duration::from_millis(500))).unwrap();
+    let piece = vec![b'x'; 64 * 1024];
+    while caller.stream.write_all(&piece).is_ok() {}
+    SockRef::from(&caller.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(caller);
+    let counters = node.end();
+    assert_eq!((counters["client_left"], counters["shot_never_sent"]), (1, 1), "{counters:?}");
+}
+
+// Hundreds that send and go: held, with their shot out, in the middle of a body. Nothing of theirs is sent on later, and
+// all room is given back.
+#[test]
+fn a_thousand_callers_that_left_have_nothing_sent_on() {
+    let (silent, good) = (Server::start(Act::Silence), Server::start(Act::Honour(Vec::new())));
+    let node = Node::start(&config(&[silent.address]));
+    let ways = [Leaving::Closes, Leaving::ClosesBehindMore, Leaving::ResetsBehindMore];
+    let profiles = ["pay", "read", "book"];
+    let turn = |number: usize| (ways[number % ways.len()], profiles[number / 3 % profiles.len()]);
+    for number in 0..300 {
+        let (how, profile) = turn(number);
+        let mut caller = node.caller();
+        caller.send(&head(profile, "60", 0), b"");
+        silent.wait_for(&format!("job {}", number + 1));
+        leave(caller, "", b"", how);
+    }
+    silent.wait_for("closed 300");
+    node.discovery.publish(2, list(2, true, &[]));
+    node.discovery.wait_for(2);
+    for number in 0..700 {
+        let (how, profile) = turn(number);
+        let length = if number % 5 == 0 { 2000 } else { 0 };
+        leave(node.caller(), &head(profile, "60", length), &vec![b'x'; length / 2], how);
+    }
+    node.discovery.publish(3, list(3, true, &[entry("good", good.address, "Ready")]));
+    node.discovery.wait_for(3);
+    assert_eq!(node.caller().ask(&head("pay", "60", 0), b"").status(), 200);
+    let counters = node.end();
+    assert_eq!((good.jobs().len(), silent.jobs().len()), (1, 300), "{counters:?}");
+    assert_eq!(counters["taken"], counters["client_left"] + 1, "{counters:?}");
+}
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -1,6 +1,7 @@
 //! The node as a program, between stand-ins for its callers, servers and discovery.
 
 mod days;
+mod endings;
 mod stand_ins;
 
 use serde_json::json;
