Where lists are pushed a broken watch opens again before the grace of a drain is over

Cause, read and then forced on sockets: `keep_watching` paused 0.5 s after any end of a watch, doubling to 4 s while discovery was down, whatever the deployment's grace (0.35 to 3 s). Asked-for lists are not concerned: there a node is held to its own calls, and the module asks again within `ask_within`.

Change: a watch that had brought lists for 0.5 s opens again at once; else the pause grows from 20 ms to a quarter of `rules.drain_grace`, 4 s at most. The settings had the figure; the node had not read it.

A play whose machine was late is void and played again.

--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// How long a call of a watch may wait for news, ms: servers come and go within seconds, and only a call that has
 /// no answer shows that discovery, or the way to it, has gone silent. Calls that go on with a watch cost it little.
@@ -28,8 +28,12 @@
 const OLD_WATCH: Duration = Duration::from_secs(2);
 /// Longest between an answer's head and its end: it has the list by then, and only has to write it.
 const REST: Duration = Duration::from_secs(1);
-/// First and last pause before a watch that nobody asked for begins again after a failure.
-const AGAIN: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
+/// First and last pause before a watch that nobody asked for begins again after a failure, ms, and the last as a share
+/// of the grace of drains if that is less: what the service has counts as told all the while, also at its return.
+const AGAIN: (f64, f64) = (20.0, 4000.0);
+const AGAIN_PART: f64 = 0.25;
+/// A watch that has brought lists for so long begins again at once: it was cut off by chance.
+const LASTED: Duration = Duration::from_millis(500);
 /// Longest body of a list, bytes: thousands of servers.
 const MOST_LIST: usize = 4 * 1024 * 1024;
 
@@ -252,12 +256,17 @@
         self.watching.set(true);
         let mut pause = AGAIN.0;
         loop {
-            let lists = self.book.lists.value();
+            let (lists, begun) = (self.book.lists.value(), Instant::now());
             let problem = self.follow().await;
             self.note_failure(&problem);
-            pause = if self.book.lists.value() > lists { AGAIN.0 } else { (pause * 2).min(AGAIN.1) };
+            if self.book.lists.value() > lists && begun.elapsed() > LASTED {
+                pause = AGAIN.0;
+                continue;
+            }
+            let longest = AGAIN.1.min(self.terms.now().around.drain_grace * AGAIN_PART);
+            pause = (pause * 2.0).min(longest).max(AGAIN.0);
             tokio::select! {
-                () = sleep(pause) => {}
+                () = sleep(ms(pause)) => {}
                 () = self.moved.notified() => {}
             }
         }
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -1,13 +1,13 @@
 //! What is still owed at the instant in which something ends: both orders of each crossing, held open on purpose.
 //! `docs/design/endings.md` lists the ways.
 
-use crate::stand_ins::{Act, Caller, Node, Server, config, entry, head, list};
+use crate::stand_ins::{Act, Caller, Discovery, Node, Server, config, entry, head, in_time, list};
 use serde_json::{Value, json};
 use socket2::SockRef;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use test_case::test_case;
 
 /// How a caller leaves.
@@ -207,3 +207,94 @@
     assert_eq!((good.jobs().len(), silent.jobs().len()), (1, 300), "{counters:?}");
     assert_eq!(counters["taken"], counters["client_left"] + 1, "{counters:?}");
 }
+
+/// What befalls the watch right before a server begins to drain.
+#[derive(Debug, Clone, Copy)]
+enum Watch {
+    /// It is reset, and a new one would be answered.
+    Reset,
+    /// It says nothing more, while a new one would be answered.
+    Silent,
+    /// Discovery is down for so long, ms, and has the drain to tell at its return.
+    Down(u64),
+    /// It is reset, and discovery moves to another address, which the node is told by SIGHUP.
+    Moved,
+}
+
+/// When the drain counts as told, ms after it is there to be told, where lists are pushed.
+fn pushed_by(watch: Watch) -> u64 {
+    match watch {
+        // What the agent has counts at once.
+        Watch::Reset | Watch::Down(_) => 0,
+        Watch::Silent => 6000,
+        Watch::Moved => 4000,
+    }
+}
+
+/// Plays a drain behind that trouble. After the grace, with the 50 ms that the protocol gives, no job may go there.
+fn drain_behind(watch: Watch, pushed: bool, grace: u64) -> Result<(), String> {
+    const ASK_WITHIN: u64 = 2000;
+    let honours = || Server::start(Act::Honour(Vec::new()));
+    let (draining, stays) = (honours(), honours());
+    let servers = [draining.address, stays.address];
+    let mut config = config(&servers);
+    config["settings"]["discovery"] = json!(if pushed { "pushed" } else { "on_request" });
+    config["settings"]["rules"]["drain_grace"] = json!(grace * 1_000_000);
+    config["settings"]["rules"]["ask_within"] = json!(ASK_WITHIN * 1_000_000);
+    let node = Node::start(&config);
+    node.discovery.publish(2, list(2, false, &[]));
+    node.discovery.wait_for(2);
+    let mut caller = node.caller();
+    let mut ask = || assert_eq!(caller.ask(&head("read", "5", 0), b"").status(), 200);
+    while draining.jobs().is_empty() {
+        ask();
+    }
+    let drain = list(3, false, &[entry("s0", draining.address, "Terminating")]);
+    let elsewhere = Discovery::start();
+    match watch {
+        Watch::Reset => node.discovery.reset_open(false),
+        Watch::Silent => node.discovery.silence_open(),
+        Watch::Down(time) => {
+            node.discovery.reset_open(true);
+            sleep(Duration::from_millis(time));
+            node.discovery.come_back(2, list(2, false, &[]));
+        }
+        Watch::Moved => {
+            node.discovery.reset_open(true);
+            config["discovery"] = json!(elsewhere.address.to_string());
+            elsewhere.publish(3, &drain);
+            node.reload(&config.to_string());
+        }
+    }
+    node.discovery.publish(3, &drain);
+    let told = Instant::now();
+    // Without a watch the node is held to its list for so long from its last call, of which each had an answer.
+    let by = if pushed { pushed_by(watch) } else { pushed_by(watch).max(ASK_WITHIN) };
+    let over = Duration::from_millis(by + grace + 50);
+    while told.elapsed() < over {
+        ask();
+        sleep(Duration::from_millis(5));
+    }
+    let before = draining.jobs().len();
+    (0..300).for_each(|_| ask());
+    let after = draining.jobs().len();
+    node.end();
+    if after == before { Ok(()) } else { Err(format!("{} jobs after the grace", after - before)) }
+}
+
+// Whatever becomes of the watch, a drain is known by when it counts as told and the grace is over: where lists are pushed,
+// while nobody listens, too.
+#[test_case(Watch::Reset, true, 400; "reset, pushed, short grace")]
+#[test_case(Watch::Reset, true, 3000; "reset, pushed, long grace")]
+#[test_case(Watch::Reset, false, 400; "reset, asked, short grace")]
+#[test_case(Watch::Silent, true, 400; "silent, pushed, short grace")]
+#[test_case(Watch::Silent, false, 400; "silent, asked, short grace")]
+#[test_case(Watch::Silent, false, 3000; "silent, asked, long grace")]
+#[test_case(Watch::Down(4000), true, 400; "down and back, pushed, short grace")]
+#[test_case(Watch::Down(8000), true, 3000; "down and back, pushed, long grace")]
+#[test_case(Watch::Down(3000), false, 400; "down and back, asked, short grace")]
+#[test_case(Watch::Moved, true, 400; "reset and moved, pushed, short grace")]
+#[test_case(Watch::Moved, false, 400; "reset and moved, asked, short grace")]
+fn nothing_new_goes_to_a_draining_server(watch: Watch, pushed: bool, grace: u64) {
+    in_time(|| drain_behind(watch, pushed, grace));
+}
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest anything is waited for that must come: only a broken node needs it.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -262,6 +262,11 @@
     calls: Vec<String>,
     silent: bool,
     unanswered: usize,
+    /// Connections that came before the so many-th get nothing more.
+    silent_before: usize,
+    /// Each connection is reset as it comes.
+    down: bool,
+    connections: Vec<TcpStream>,
     /// How many bytes of the next list go out, and whether its connection ends behind them.
     cut: Option<(usize, bool)>,
 }
@@ -280,6 +285,26 @@
         Self { address, listed }
     }
 
+    /// All connections that are open now say nothing any more; new ones are answered.
+    pub fn silence_open(&self) {
+        let mut listed = self.listed.0.lock().unwrap();
+        listed.silent_before = listed.connections.len();
+        self.listed.1.notify_all();
+    }
+
+    /// All connections that are open now are reset; as long as it is down, so are those that come.
+    pub fn reset_open(&self, down: bool) {
+        let mut listed = self.listed.0.lock().unwrap();
+        listed.down = down;
+        listed.connections.drain(..).for_each(reset);
+    }
+
+    /// Answers again, and has this to tell from the first moment on.
+    pub fn come_back(&self, version: u64, body: impl ToString) {
+        self.publish(version, body);
+        self.listed.0.lock().unwrap().down = false;
+    }
+
     /// Publishes a body as version `version`, answered to calls that know less.
     pub fn publish(&self, version: u64, body: impl ToString) {
         let mut listed = self.listed.0.lock().unwrap();
@@ -325,7 +350,22 @@
     }
 }
 
+/// Ends a connection at once, whoever else holds it.
+fn reset(stream: TcpStream) {
+    let socket = socket2::SockRef::from(&stream);
+    let _ = socket.set_linger(Some(Duration::ZERO));
+    let _ = socket.shutdown(std::net::Shutdown::Both);
+}
+
 fn watch(stream: TcpStream, (lock, changed): &(Mutex<Listed>, Condvar)) {
+    let place = {
+        let mut listed = lock.lock().unwrap();
+        if listed.down {
+            return reset(stream);
+        }
+        listed.connections.push(stream.try_clone().unwrap());
+        listed.connections.len()
+    };
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     let mut writer = stream;
     while let Some(call) = Message::read(&mut reader) {
@@ -339,12 +379,13 @@
         listed.calls.push(call.start.clone());
         listed.unanswered += usize::from(listed.silent);
         changed.notify_all();
-        if listed.silent {
+        let is_silent = |listed: &Listed| listed.silent || place <= listed.silent_before;
+        if is_silent(&listed) {
             continue;
         }
-        let news = |listed: &mut Listed| listed.version <= from && !listed.silent;
+        let news = |listed: &mut Listed| listed.version <= from && !is_silent(listed);
         let mut listed = changed.wait_timeout_while(listed, hold, news).unwrap().0;
-        if listed.silent {
+        if is_silent(&listed) {
             continue;
         }
         if let Some((length, ends)) = listed.cut.filter(|_| listed.version > from) {
@@ -363,6 +404,35 @@
     }
 }
 
+/// Longest that a sleep of 5 ms may take longer for the machine to count as in time.
+const LATE: Duration = Duration::from_millis(40);
+
+/// Plays something whose verdict hangs on times. Where it fails and the machine was late, the play is void, and is
+/// played again.
+pub fn in_time(play: impl Fn() -> Result<(), String>) {
+    const MOST: usize = 20;
+    for _ in 0..MOST {
+        let (over, latest) = (Arc::new(Mutex::new(false)), Arc::new(Mutex::new(Duration::ZERO)));
+        let (ended, worst) = (over.clone(), latest.clone());
+        let watcher = thread::spawn(move || {
+            while !*ended.lock().unwrap() {
+                let begun = Instant::now();
+                thread::sleep(Duration::from_millis(5));
+                let mut worst = worst.lock().unwrap();
+                *worst = begun.elapsed().saturating_sub(Duration::from_millis(5)).max(*worst);
+            }
+        });
+        let verdict = play();
+        *over.lock().unwrap() = true;
+        watcher.join().unwrap();
+        match verdict {
+            Ok(()) => return,
+            Err(problem) => assert!(*latest.lock().unwrap() > LATE, "{problem}"),
+        }
+    }
+    panic!("void {MOST} times: the machine was late in each");
+}
+
 /// A line of discovery's list.
 pub fn entry(id: &str, address: SocketAddr, lifecycle: &str) -> Value {
     json!({"instanceId": id, "hostPort": address.to_string(), "zone": "a", "machineType": "m", "cell": 1,
--- a/crates/pearfront-settings/src/lib.rs
+++ b/crates/pearfront-settings/src/lib.rs
@@ -11,6 +11,8 @@
 const CONNECT_TIMEOUT: f64 = 500.0;
 /// Time, ms, after which a server closes an idle connection where the settings name none.
 const CONN_IDLE: f64 = 10_000.0;
+/// Grace of drains where the settings don't tell it, ms: the least that any deployment gives.
+const DRAIN_GRACE: f64 = 300.0;
 
 /// A place in a JSON document, and its name for messages.
 pub struct At<'a> {
@@ -240,6 +242,8 @@
     pub reports_in_answers: bool,
     pub connect_timeout: f64,
     pub conn_idle: f64,
+    /// How long after its drain was told a server may still be sent something new, ms.
+    pub drain_grace: f64,
     /// The longest that any profile's client waits.
     pub longest_limit: f64,
 }
@@ -265,6 +269,7 @@
             reports_in_answers: via == "answers",
             connect_timeout: limits.ms_or("connect_timeout", CONNECT_TIMEOUT)?,
             conn_idle: limits.ms_or("conn_idle", CONN_IDLE)?,
+            drain_grace: top.needed("rules")?.ms_or("drain_grace", DRAIN_GRACE)?,
             longest_limit: outer_limits.into_iter().fold(0.0, f64::max),
         })
     }
