A kept connection rests 10 ms behind an answer: a second one may come late

Need: servers may send a second answer some milliseconds late. A connection that was judged quiet and used again before that took it for the next job's answer, and its caller was served another's.

Change: idle connections are used again once they were quiet for 10 ms; a shot that finds only resting ones opens a new one and takes what is there first, and from eight resting ones to a server on the longest quiet is used.

--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -20,11 +20,12 @@
 use std::collections::BTreeMap;
 use std::future::pending;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// Share of the time after which servers close idle connections for which ours are kept: they close by then.
 const IDLE_PART: f64 = 0.8;
@@ -32,6 +33,12 @@
 const KEPT_WEIGHT: f64 = 0.02;
 /// That share from which on an irreversible job gets a new connection: one break counts for some thirty shots.
 const KEPT_RISK: f64 = 0.01;
+/// How long a kept connection has to have been quiet behind an answer: a server may send more some milliseconds late, and
+/// on the next shot that would be taken for its answer.
+const QUIET: Duration = Duration::from_millis(10);
+/// So many connections to a server may be resting at once; a node that needs more of them than that uses the one that has
+/// been quiet longest.
+const MOST_RESTING: usize = 8;
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Largest buffer of a connection, bytes: a head fits, and a body goes through in pieces.
@@ -169,6 +176,12 @@
     since: Instant,
 }
 
+impl Idle {
+    fn is_quiet(&self) -> bool {
+        self.since.elapsed() >= QUIET
+    }
+}
+
 /// Connections to servers, the idle ones kept for the next shot.
 pub struct Senders {
     idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
@@ -192,16 +205,49 @@
         })
     }
 
-    /// A connection to the server: the idle one used last, or a new one.
-    pub async fn link(&self, server: SocketAddr) -> Result<Link, ()> {
-        while let Some(mut idle) = self.idle.borrow_mut().get_mut(&server).and_then(Vec::pop) {
+    /// The idle connection to the server that was used last, of those that have been quiet for long enough and are still
+    /// open.
+    fn rested(&self, server: SocketAddr) -> Option<Link> {
+        loop {
+            let mut idle = {
+                let mut idle = self.idle.borrow_mut();
+                let links = idle.get_mut(&server)?;
+                let rested = links.iter().rposition(Idle::is_quiet);
+                let longest = (links.len() >= MOST_RESTING).then_some(0);
+                links.remove(rested.or(longest)?)
+            };
             if self.is_fresh(&idle) {
                 self.book.connections_reused.add();
                 idle.link.kept = true;
-                return Ok(idle.link);
+                return Some(idle.link);
+            }
+        }
+    }
+
+    /// When the next one will have been.
+    fn next_rested(&self, server: SocketAddr) -> Option<Instant> {
+        Some(self.idle.borrow().get(&server)?.first()?.since + QUIET)
+    }
+
+    /// A connection to the server: an idle one, or a new one. Where one is only resting it is what comes first: a new one
+    /// may come up late.
+    pub async fn link(&self, server: SocketAddr) -> Result<Link, ()> {
+        if let Some(link) = self.rested(server) {
+            return Ok(link);
+        }
+        let mut new = pin!(self.new_link(server));
+        while let Some(at) = self.next_rested(server) {
+            tokio::select! {
+                biased;
+                link = new.as_mut() => return link,
+                () = sleep_until(at) => {
+                    if let Some(link) = self.rested(server) {
+                        return Ok(link);
+                    }
+                }
             }
         }
-        self.new_link(server).await
+        new.await
     }
 
     async fn new_link(&self, server: SocketAddr) -> Result<Link, ()> {
@@ -398,7 +444,7 @@
         let senders = Senders::new(InForce::new(terms), room.clone(), book.clone());
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         tokio::task::LocalSet::new().block_on(&runtime, async {
-            let usable = |idle: &Vec<Idle>| idle.iter().any(|idle| idle.link.is_usable());
+            let usable = |idle: &Vec<Idle>| idle.iter().any(|idle| idle.is_quiet() && idle.link.is_usable());
             let until = async |wanted| {
                 while senders.idle.borrow().get(&server).is_some_and(usable) != wanted {
                     tokio::time::sleep(Duration::from_millis(1)).await;
@@ -423,4 +469,41 @@
         drop(senders);
         assert_eq!(room.to_string(), "connections_open=0 jobs_held=0");
     }
+
+    // What a server sends behind an answer, some milliseconds late, must not meet the next shot: until then the connection
+    // rests, unless so many of them do that the node would hold more and more of the server's.
+    #[test]
+    fn a_connection_rests_behind_an_answer() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let server = listener.local_addr().unwrap();
+        let (book, room) = (Rc::new(Book::default()), Room::new(64, 1.0));
+        let around = Surroundings { connect_timeout: 10_000.0, conn_idle: 1e6, ..Surroundings::default() };
+        let terms = Terms { around, ..Terms::default() };
+        let senders = Senders::new(InForce::new(terms), room.clone(), book.clone());
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let kept = || senders.idle.borrow().get(&server).map_or(0, Vec::len);
+            let give_back = async |link| {
+                let before = kept();
+                senders.keep_link(server, link);
+                while kept() == before {
+                    tokio::task::yield_now().await;
+                }
+            };
+            give_back(senders.link(server).await.unwrap()).await;
+            tokio::time::advance(QUIET - Duration::from_millis(1)).await;
+            let second = senders.link(server).await.unwrap();
+            assert_eq!((book.connections.value(), book.connections_reused.value()), (2, 0));
+            tokio::time::advance(Duration::from_millis(1)).await;
+            give_back(senders.link(server).await.unwrap()).await;
+            assert_eq!((book.connections.value(), book.connections_reused.value()), (2, 1));
+            give_back(second).await;
+            for _ in 2..MOST_RESTING {
+                give_back(senders.new_link(server).await.unwrap()).await;
+            }
+            drop(senders.link(server).await.unwrap());
+            assert_eq!((book.connections.value(), kept()), (MOST_RESTING as u64, MOST_RESTING - 1));
+        });
+    }
 }
