A new connection for an irreversible job takes an idle one's place, where keeping is at fault

And the share of broken ones was held against nothing: resets under requests break new connections as well.

Change: such a new connection closes the one to its server that was idle longest; new ones are only taken where kept ones break more often than new ones do.

--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -29,9 +29,11 @@
 
 /// Share of the time after which servers close idle connections for which ours are kept: they close by then.
 const IDLE_PART: f64 = 0.8;
-/// Weight of one shot on a kept connection in the share of those that broke before any answer: some fifty count.
-const KEPT_WEIGHT: f64 = 0.02;
-/// That share from which on an irreversible job gets a new connection: one break counts for some thirty shots.
+/// Weight of one shot on a kept connection, or a new one, in the share of those that broke before any answer: some fifty
+/// count.
+const BROKE_WEIGHT: f64 = 0.02;
+/// By how much more kept ones break from which on an irreversible job gets a new connection: one break counts for some
+/// thirty shots.
 const KEPT_RISK: f64 = 0.01;
 /// How long a kept connection has to have been quiet behind an answer: a server may send more some milliseconds late, and
 /// on the next shot that would be taken for its answer.
@@ -182,11 +184,30 @@
     }
 }
 
+/// How often connections break under a shot before any answer.
+#[derive(Default)]
+struct Wear {
+    /// Share of recent shots on kept connections, and of those on new ones: what breaks them alike is no fault of the
+    /// keeping, and a new connection would be no safer.
+    kept: Cell<f64>,
+    new: Cell<f64>,
+}
+
+impl Wear {
+    fn note(&self, kept: bool, broke: bool) {
+        let share = if kept { &self.kept } else { &self.new };
+        share.set(share.get() + BROKE_WEIGHT * (f64::from(u8::from(broke)) - share.get()));
+    }
+
+    fn is_of_keeping(&self) -> bool {
+        self.kept.get() > KEPT_RISK + self.new.get()
+    }
+}
+
 /// Connections to servers, the idle ones kept for the next shot.
 pub struct Senders {
     idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
-    /// Share of recent shots on kept connections that broke before any answer.
-    kept_broke: Cell<f64>,
+    wear: Wear,
     terms: Rc<InForce>,
     room: Rc<Room>,
     book: Rc<Book>,
@@ -197,7 +218,7 @@
     pub fn new(terms: Rc<InForce>, room: Rc<Room>, book: Rc<Book>) -> Rc<Self> {
         Rc::new(Self {
             idle: RefCell::default(),
-            kept_broke: Cell::new(0.0),
+            wear: Wear::default(),
             terms,
             room,
             book,
@@ -250,6 +271,17 @@
         new.await
     }
 
+    /// A new connection in the place of the one to this server that has been idle longest: where none of those is used, one
+    /// more would stay with each shot, until the server takes no further ones.
+    async fn renewed_link(&self, server: SocketAddr) -> Result<Link, ()> {
+        if let Some(links) = self.idle.borrow_mut().get_mut(&server)
+            && !links.is_empty()
+        {
+            links.remove(0);
+        }
+        self.new_link(server).await
+    }
+
     async fn new_link(&self, server: SocketAddr) -> Result<Link, ()> {
         self.wait_for_place().await;
         self.book.connections.add();
@@ -359,8 +391,8 @@
     ) -> Shot {
         // A server may have closed a kept connection without our knowing yet. Where that happens, a job that could
         // not go again must not be what finds out.
-        let new = job.irreversible && self.kept_broke.get() > KEPT_RISK;
-        let link = if new { self.new_link(server).await } else { self.link(server).await };
+        let new = job.irreversible && self.wear.is_of_keeping();
+        let link = if new { self.renewed_link(server).await } else { self.link(server).await };
         let Ok(link) = link else { return Shot::ended(ConnectionEnd::NeverUp) };
         // What was written on it before belongs to another message.
         link.wire.expect(Some(0));
@@ -370,10 +402,7 @@
             return Shot::ended(ConnectionEnd::NotSent);
         };
         let answer = link.begin(call).await;
-        if link.kept {
-            let broke = f64::from(u8::from(answer.is_err() && !link.wire.has_begun()));
-            self.kept_broke.set(self.kept_broke.get() + KEPT_WEIGHT * (broke - self.kept_broke.get()));
-        }
+        self.wear.note(link.kept, answer.is_err() && !link.wire.has_begun());
         match answer {
             Ok((head, body)) => self.read(head, body),
             Err(_) if !link.wire.whole_written() => Shot::ended(ConnectionEnd::BrokenBefore),
@@ -470,6 +499,19 @@
         assert_eq!(room.to_string(), "connections_open=0 jobs_held=0");
     }
 
+    #[test]
+    fn what_breaks_kept_and_new_connections_alike_is_not_laid_to_the_keeping() {
+        let wear = Wear::default();
+        wear.note(true, true);
+        assert!(wear.is_of_keeping());
+        wear.note(false, true);
+        assert!(!wear.is_of_keeping());
+        (0..100).for_each(|_| wear.note(false, false));
+        assert!(wear.is_of_keeping());
+        (0..50).for_each(|_| wear.note(true, false));
+        assert!(!wear.is_of_keeping());
+    }
+
     // What a server sends behind an answer, some milliseconds late, must not meet the next shot: until then the connection
     // rests, unless so many of them do that the node would hold more and more of the server's.
     #[test]
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -298,3 +298,123 @@
 fn nothing_new_goes_to_a_draining_server(watch: Watch, pushed: bool, grace: u64) {
     in_time(|| drain_behind(watch, pushed, grace));
 }
+
+// A second answer that comes behind the next job, on a connection that was quiet when that was sent, is not its answer:
+// the caller would get another's. The connection has to have been quiet for a while.
+#[test]
+fn an_answer_that_comes_again_is_nobodys() {
+    in_time(|| {
+        let server = Server::start(Act::SayTwice);
+        let mut config = config(&[server.address]);
+        config["settings"]["limits"]["probes"] = json!(false);
+        let node = Node::start(&config);
+        let mut caller = node.caller();
+        for number in 1..=5 {
+            let answer = caller.ask(&head("read", "5", 0), b"");
+            if answer.body != number.to_string().as_bytes() {
+                return Err(format!("job {number} got {answer:?}"));
+            }
+        }
+        node.end();
+        Ok(())
+    });
+}
+
+// Where kept connections break, an irreversible job gets a new one: in an idle one's place, or a server whose jobs nearly
+// all are irreversible would hold more and more of them until it takes no further ones.
+#[test]
+fn new_connections_for_irreversible_jobs_take_the_place_of_idle_ones() {
+    let server = Server::start(Act::HonourOnce);
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    let mut ask = |what| caller.ask(&head(what, "5", 0), b"").status();
+    // A redoable one finds out.
+    while ask("read") != 503 {}
+    assert!((0..40).all(|_| ask("pay") == 200));
+    let counters = node.end();
+    assert!(counters["connections"] > 40, "{counters:?}");
+    // The watch's, and those that rested when the breaking began.
+    assert!(counters["connections_open"] <= 1 + 8, "{counters:?}");
+}
+
+/// What a caller saw that goes on as long as it may.
+#[derive(Default)]
+struct Told {
+    sent: usize,
+    answered: usize,
+    lost: Vec<String>,
+}
+
+/// Asks again and again on one connection, and on new ones as long as `more` says so.
+fn go_on(address: SocketAddr, more: impl Fn() -> bool) -> Told {
+    let mut told = Told::default();
+    while more() {
+        let Some(mut caller) = Caller::connect(address) else { break };
+        let mut used = false;
+        loop {
+            let profile = ["read", "pay", "book"][told.sent % 3];
+            if caller.stream.write_all(head(profile, "0.6", 0).as_bytes()).is_err() {
+                break;
+            }
+            told.sent += 1;
+            match caller.answer() {
+                Some(answer) => {
+                    told.answered += 1;
+                    used = true;
+                    if answer.headers.get("connection").is_some_and(|word| word == "close") {
+                        break;
+                    }
+                }
+                None => {
+                    // On one that had an answer the close may cross the job, which is asked again on another then.
+                    if !used {
+                        told.lost.push(format!("job {} on a new connection", told.sent));
+                    }
+                    break;
+                }
+            }
+        }
+    }
+    told
+}
+
+// The end with all servers hanging and little time: callers come again at once on what they have, and on new connections
+// for as long as the front still sends some. Each job that was taken has one answer, and the node is gone before the kill.
+// Further words to it change nothing.
+#[test]
+fn an_end_with_hanging_servers_and_short_limits_leaves_nothing_unanswered() {
+    const LIMIT: u64 = 600;
+    const FRONT: Duration = Duration::from_millis(400);
+    const KILL: Duration = Duration::from_millis(LIMIT + 700);
+    in_time(|| {
+        let servers = [Server::start(Act::Silence), Server::start(Act::Silence)];
+        let mut config = config(&servers.each_ref().map(|server| server.address));
+        for profile in config["settings"]["profiles"].as_array_mut().unwrap() {
+            profile["contract_time"] = json!(LIMIT * 500_000);
+            profile["outer_limit"] = json!(LIMIT * 1_000_000);
+        }
+        let node = Node::start(&config);
+        let address = node.address;
+        let until = std::sync::Mutex::new(None);
+        let more = || until.lock().unwrap().is_none_or(|until| Instant::now() < until);
+        let (told, took, counters) = std::thread::scope(|scope| {
+            let callers: Vec<_> = (0..12).map(|_| scope.spawn(|| go_on(address, more))).collect();
+            servers[0].wait_for("job 3");
+            let begun = Instant::now();
+            *until.lock().unwrap() = Some(begun + FRONT);
+            ["-TERM", "-TERM", "-HUP", "-TERM"].iter().for_each(|word| node.signal(word));
+            let counters = node.ended();
+            let took = begun.elapsed();
+            (callers.into_iter().map(|caller| caller.join().unwrap()).collect::<Vec<_>>(), took, counters)
+        });
+        let sum = |what: fn(&Told) -> usize| told.iter().map(what).sum::<usize>();
+        let (answered, lost) = (sum(|told| told.answered), told.iter().flat_map(|told| &told.lost));
+        let lost: Vec<_> = lost.collect();
+        let given =
+            ["honoured", "pushed_back", "forfeited", "too_late", "no_room"].map(|what| counters[what]);
+        if !lost.is_empty() || given.iter().sum::<u64>() != answered as u64 || counters["client_left"] > 0 {
+            return Err(format!("{lost:?}, {answered} of {} answered: {counters:?}", sum(|told| told.sent)));
+        }
+        if took > KILL { Err(format!("killed: {took:?}")) } else { Ok(()) }
+    });
+}
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -122,6 +122,9 @@
     Close,
     /// Honours the first job on a connection, and closes it at the next.
     HonourOnce,
+    /// Honours each job with how many have come, and says the last answer again on the connection that it went out on
+    /// right before the next one.
+    SayTwice,
     /// An answer that is none.
     Nonsense,
     /// No answer until the node closes the connection.
@@ -134,6 +137,9 @@
 
 type Seen = Arc<(Mutex<Vec<String>>, Condvar)>;
 
+/// The last answer of a server that says it twice, and where it went.
+type Said = Mutex<Option<(TcpStream, Vec<u8>)>>;
+
 pub struct Server {
     pub address: SocketAddr,
     jobs: Arc<Mutex<Vec<Message>>>,
@@ -147,9 +153,10 @@
         let address = fresh_address();
         let server = Self { address, jobs: Arc::default(), seen: Seen::default() };
         let (jobs, seen) = (server.jobs.clone(), server.seen.clone());
+        let said = Said::default();
         listen(address, move |stream| {
             // A probe's connection may end at any time: it is not what a test waits for.
-            if serve(stream, &act, &jobs, &seen) {
+            if serve(stream, &act, &jobs, &seen, &said) {
                 tell(&seen, "closed");
             }
         });
@@ -208,7 +215,7 @@
 }
 
 /// Serves a connection to its end; whether a job ever came on it.
-fn serve(stream: TcpStream, act: &Act, jobs: &Mutex<Vec<Message>>, seen: &Seen) -> bool {
+fn serve(stream: TcpStream, act: &Act, jobs: &Mutex<Vec<Message>>, seen: &Seen, said: &Said) -> bool {
     let mut had_job = false;
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     let mut writer = stream;
@@ -228,6 +235,14 @@
             Act::Unproven => (whole("503 Full", b""), true),
             Act::Cut => (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec(), false),
             Act::Unframed => (b"HTTP/1.1 200 OK\r\n\r\nall?".to_vec(), false),
+            Act::SayTwice => {
+                let answer = whole("200 OK", jobs.lock().unwrap().len().to_string().as_bytes());
+                let last = said.lock().unwrap().replace((writer.try_clone().unwrap(), answer.clone()));
+                if let Some((mut at, again)) = last {
+                    let _ = at.write_all(&again);
+                }
+                (answer, true)
+            }
             Act::HonourOnce if had_job => (Vec::new(), false),
             Act::HonourOnce => (whole("200 OK", b""), true),
             Act::Close => (Vec::new(), false),
@@ -702,6 +717,11 @@
         Self { reader: BufReader::new(stream.try_clone().unwrap()), stream }
     }
 
+    /// A connection, if one is to be had.
+    pub fn connect(address: SocketAddr) -> Option<Self> {
+        TcpStream::connect(address).ok().map(Self::new)
+    }
+
     pub fn send(&mut self, head: &str, body: &[u8]) {
         self.stream.write_all(&[head.as_bytes(), body].concat()).unwrap();
     }
