--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -462,15 +462,20 @@
     use std::io::Write;
     use std::net::TcpListener;
 
-    // What a server closed while idle must not cost a job its only shot.
-    #[test]
-    fn a_connection_that_its_server_closed_is_not_used_again() {
+    /// A server's socket, its address, and what sends there.
+    fn stage() -> (TcpListener, SocketAddr, Rc<Senders>) {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let server = listener.local_addr().unwrap();
-        let (book, room) = (Rc::new(Book::default()), Room::new(64, 1.0));
         let around = Surroundings { connect_timeout: 10_000.0, conn_idle: 1e6, ..Surroundings::default() };
-        let terms = Terms { around, ..Terms::default() };
-        let senders = Senders::new(InForce::new(terms), room.clone(), book.clone());
+        let terms = InForce::new(Terms { around, ..Terms::default() });
+        (listener, server, Senders::new(terms, Room::new(64, 1.0), Rc::default()))
+    }
+
+    // What a server closed while idle must not cost a job its only shot.
+    #[test]
+    fn a_connection_that_its_server_closed_is_not_used_again() {
+        let (listener, server, senders) = stage();
+        let (book, room) = (senders.book.clone(), senders.room.clone());
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let usable = |idle: &Vec<Idle>| idle.iter().any(|idle| idle.is_quiet() && idle.link.is_usable());
@@ -516,12 +521,8 @@
     // rests, unless so many of them do that the node would hold more and more of the server's.
     #[test]
     fn a_connection_rests_behind_an_answer() {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let server = listener.local_addr().unwrap();
-        let (book, room) = (Rc::new(Book::default()), Room::new(64, 1.0));
-        let around = Surroundings { connect_timeout: 10_000.0, conn_idle: 1e6, ..Surroundings::default() };
-        let terms = Terms { around, ..Terms::default() };
-        let senders = Senders::new(InForce::new(terms), room.clone(), book.clone());
+        let (_listener, server, senders) = stage();
+        let book = senders.book.clone();
         let runtime =
             tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
         tokio::task::LocalSet::new().block_on(&runtime, async {
