--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -29,7 +29,7 @@
 fn leave(caller: Caller, job: &str, body: &[u8], how: Leaving) -> Option<Caller> {
     let (own, node) = (caller.stream.local_addr().unwrap(), caller.stream.peer_addr().unwrap());
     let open = leave_unseen(caller, job, body, how);
-    wait_for_table(&format!("{} {} 01 ", in_table(node), in_table(own)), false);
+    wait_for_table(&format!("{} {} {ESTABLISHED} ", in_table(node), in_table(own)), false);
     open
 }
 
