Tests of private parts in files of their own

32 files under src held `mod tests { }`. Each block is now a file beside its module, named by `#[cfg(test)] mod tests;`, with four columns of indentation less; text literals are as they were, as one test counts the columns of one. No assertion changed; three paths of `include_str!` go one folder further up. Names of all tests are the same before and after.

--- /dev/null
+++ b/crates/pearfront-duties/src/state/tests.rs
@@ -0,0 +1,74 @@
+use super::*;
+
+fn grantee(name: &str, life: u64, most: u32) -> Grantee {
+    Grantee { who: Who { name: name.into(), life }, lease: 8000.0, outlives: false, most }
+}
+
+fn apply(duties: &mut Duties, at: f64, command: Command) -> Vec<Change> {
+    duties.apply(&Entry { at, command }.encode())
+}
+
+fn grant(duties: &mut Duties, duty: &str, to: Grantee) -> Option<u64> {
+    match &apply(duties, 0.0, Command::Grant { duty: duty.into(), to })[..] {
+        [Change::Granted { holder, .. }] => Some(holder.token),
+        _ => None,
+    }
+}
+
+fn end(duty: &str, token: u64, next: Option<Grantee>, well: bool) -> Command {
+    Command::End { duty: duty.into(), token, next, well }
+}
+
+#[test]
+fn one_has_it_and_the_next_only_after_it_under_a_higher_token() {
+    let mut duties = Duties::default();
+    assert_eq!(grant(&mut duties, "export", grantee("a", 1, 1)), Some(1));
+    assert_eq!(grant(&mut duties, "export", grantee("b", 2, 1)), None);
+    // The end of a token that is over takes nothing from whoever has it now.
+    let changes = apply(&mut duties, 5.0, end("export", 1, Some(grantee("b", 2, 1)), false));
+    assert!(
+        matches!(&changes[..], [Change::Ended { .. }, Change::Granted { holder, .. }] if holder.token == 2)
+    );
+    assert_eq!(apply(&mut duties, 6.0, end("export", 1, Some(grantee("a", 1, 1)), false)), []);
+    assert_eq!(duties.holders("export")[0].who.name, "b");
+}
+
+#[test]
+fn a_duty_that_is_forgotten_goes_on_above_its_old_tokens() {
+    let mut duties = Duties::default();
+    grant(&mut duties, "export", grantee("a", 1, 1));
+    apply(&mut duties, 1.0, end("export", 1, None, false));
+    assert!(duties.get("export").is_none());
+    assert_eq!(grant(&mut duties, "export", grantee("a", 1, 1)), Some(2));
+}
+
+#[test]
+fn so_many_may_hold_a_permit_each_once() {
+    let mut duties = Duties::default();
+    assert_eq!(grant(&mut duties, "drain/a", grantee("a", 1, 2)), Some(1));
+    assert_eq!(grant(&mut duties, "drain/a", grantee("a", 1, 2)), None);
+    assert_eq!(grant(&mut duties, "drain/a", grantee("b", 2, 2)), Some(2));
+    assert_eq!(grant(&mut duties, "drain/a", grantee("c", 3, 2)), None);
+}
+
+#[test]
+fn a_run_that_ended_well_is_remembered_with_the_logs_time_which_never_goes_back() {
+    let mut duties = Duties::default();
+    grant(&mut duties, "export", grantee("a", 1, 1));
+    apply(&mut duties, 500.0, Command::Time);
+    apply(&mut duties, 100.0, end("export", 1, None, true));
+    assert_eq!(duties.get("export").unwrap().ran, Some(Ran { at: 500.0, by: "a".into() }));
+    let back = Duties::decode(&duties.encode());
+    assert_eq!(back, Some(duties));
+}
+
+#[test]
+fn what_is_no_entry_changes_nothing() {
+    let mut duties = Duties::default();
+    grant(&mut duties, "export", grantee("a", 1, 1));
+    let before = duties.clone();
+    assert_eq!(duties.apply(&[]), []);
+    assert_eq!(duties.apply(&[255; 9]), []);
+    assert_eq!(duties, before);
+    assert_eq!(Duties::decode(b"no"), None);
+}
--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -353,42 +353,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::flow::MOST_WHOLE;
-
-    #[test]
-    fn room_is_given_back_and_never_overdrawn() {
-        // Of 62 descriptors 24 are fixed and 7 the last resort.
-        let room = Room::new(62, 1.0);
-        // 0.3 MiB of bodies: four of the largest.
-        let bodies: Vec<Share> = std::iter::from_fn(|| room.job(MOST_WHOLE)).collect();
-        assert_eq!(bodies.len(), 4);
-        drop(bodies);
-        // 31 connections: fifteen jobs that each need two. One more would leave a shot without any.
-        let small: Vec<Share> = std::iter::from_fn(|| room.job(0)).collect();
-        assert_eq!(small.len(), 15);
-        drop(small);
-        let places: Vec<Place> = (0..31).map(|_| room.place()).collect();
-        assert!(!room.has_place() && room.has_last_place());
-        drop(places);
-        assert!(room.has_place());
-        assert_eq!((room.to_string().as_str(), room.bytes.get()), ("connections_open=0 jobs_held=0", 0));
-    }
-
-    // Two processes of one node must not use more than one may.
-    #[test]
-    fn limits_count_over_all_processes_of_a_node() {
-        let room = Room::new(162, 1.0);
-        let (alone, bytes) = (room.most_open.get(), room.most_bytes.get());
-        let other = |connections, bytes| Use { connections, bytes };
-        room.share(&[other(0, 0)]);
-        let part = room.most_open.get();
-        assert!(part * 2 <= alone - FIXED && room.most_bytes.get() <= bytes.div_ceil(2));
-        // The other one holds more than its part, from when it was alone.
-        room.share(&[other(alone - 10, bytes)]);
-        assert!(room.most_open.get() <= 10 && room.most_bytes.get() == 0);
-        room.share(&[]);
-        assert_eq!((room.most_open.get(), room.most_bytes.get()), (alone, bytes));
-    }
-}
+mod tests;
