KNOWN-RED.txt: at most three tests that may fail, each with its cause and issue

It runs all tests but the listed ones, prints these and runs each by itself, and says so if one passes. Red: an unlisted test that fails, a line of another form, a fourth line, a name listed twice, a name that is no test or that of several.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 	cargo build --release --locked
 	cargo build --release --locked -p pearfront-cli
 
+# `cargo test --workspace --locked`, but for what KNOWN-RED.txt lists.
 test:
-	cargo test --workspace --locked
+	.ci/known-red
 
 lint:
 	cargo fmt --all --check
--- /dev/null
+++ b/tests/known_red.rs
@@ -0,0 +1,121 @@
+//! `.ci/known-red` against a cargo that is a few lines of shell: what it runs, what it says, and what it refuses.
+
+use std::fs;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use test_case::test_case;
+
+/// Lists three tests; `--exact NAME` and everything else end as the files `failing` and `rest_fails` say.
+const CARGO: &str = r#"#!/usr/bin/env bash
+here=$(dirname "$0")
+echo "$*" >>"$here/calls"
+case "$*" in
+*--list) printf '%s\n' 'tests::first: test' 'second: test' 'tests::second: test' 'both: test' 'both: test' ;;
+*--skip*) [ ! -e "$here/rest_fails" ] ;;
+*--exact*) ! grep -qFx -- "${!#}" "$here/failing" ;;
+*) [ ! -e "$here/rest_fails" ] ;;
+esac
+"#;
+
+const ALL: &str = "test --workspace --locked";
+
+struct Root {
+    folder: PathBuf,
+}
+
+impl Root {
+    /// A root of its own with that list; of its tests these fail.
+    fn new(name: &str, list: Option<&str>, failing: &str) -> Self {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("known-red-{name}"));
+        drop(fs::remove_dir_all(&folder));
+        fs::create_dir_all(folder.join(".ci")).unwrap();
+        let script = Path::new(env!("CARGO_MANIFEST_DIR")).join(".ci/known-red");
+        fs::copy(script, folder.join(".ci/known-red")).unwrap();
+        fs::write(folder.join("cargo"), CARGO).unwrap();
+        fs::set_permissions(folder.join("cargo"), fs::Permissions::from_mode(0o755)).unwrap();
+        fs::write(folder.join("failing"), failing).unwrap();
+        if let Some(list) = list {
+            fs::write(folder.join("KNOWN-RED.txt"), list).unwrap();
+        }
+        Root { folder }
+    }
+
+    /// Whether CI would be green, what was said, and what cargo was asked for.
+    fn run(&self) -> (bool, String, Vec<String>) {
+        let script = self.folder.join(".ci/known-red");
+        let done = Command::new("bash").arg(script).env("CARGO", self.folder.join("cargo")).output().unwrap();
+        let said = [done.stdout, done.stderr].concat();
+        let calls = fs::read_to_string(self.folder.join("calls")).unwrap_or_default();
+        let calls = calls.lines().map(String::from).collect();
+        (done.status.success(), String::from_utf8(said).unwrap(), calls)
+    }
+}
+
+#[test]
+fn an_empty_list_is_the_plain_run_of_all_tests() {
+    let root = Root::new("empty", Some(""), "");
+    assert_eq!(root.run(), (true, String::new(), vec![ALL.into()]));
+}
+
+#[test_case("", "plain"; "with an empty list")]
+#[test_case("second | late | 7\n", "listed"; "with a listed test")]
+fn a_test_that_is_not_listed_and_fails_is_red(list: &str, name: &str) {
+    let root = Root::new(&format!("rest-{name}"), Some(list), "second\n");
+    fs::write(root.folder.join("rest_fails"), "").unwrap();
+    let (green, said, _) = root.run();
+    assert!(!green, "{said}");
+}
+
+#[test]
+fn listed_tests_are_left_out_printed_and_run_by_themselves() {
+    let root =
+        Root::new("listed", Some("second | late at times | 7\ntests::first | no mend | 8\n"), "second\n");
+    let (green, said, calls) = root.run();
+    assert!(green, "{said}");
+    assert_eq!(
+        said.lines().collect::<Vec<_>>(),
+        [
+            "known red: second | late at times | 7",
+            "known red: second fails as listed",
+            "known red: tests::first | no mend | 8",
+            "known red: tests::first PASSES now",
+        ]
+    );
+    let rest = format!("{ALL} -- --exact --skip second --skip tests::first");
+    let one = |name: &str| format!("{ALL} -- --exact {name}");
+    assert_eq!(calls, [format!("{ALL} -- --list"), rest, one("second"), one("tests::first")]);
+}
+
+#[test_case(None, "is not there"; "no list")]
+#[test_case(Some("second\n"), "no `test | cause | issue`: second"; "a name alone")]
+#[test_case(Some("second | | 7\n"), "no `test | cause | issue`: second | | 7"; "no cause")]
+#[test_case(Some("second | late | \n"), "no `test | cause | issue`: second | late | "; "no issue")]
+#[test_case(Some("second | late | 7\n\n"), "no `test | cause | issue`: "; "an empty line")]
+#[test_case(Some("third | late | 7\n"), "third is the name of 0 tests"; "no test")]
+#[test_case(Some("econd | late | 7"), "econd is the name of 0 tests"; "a part of a name, without an end of line")]
+#[test_case(Some("both | late | 7\n"), "both is the name of 2 tests"; "two tests of one name")]
+#[test_case(Some("second | late | 7\nsecond | late | 7\n"), "second is listed twice"; "twice")]
+#[test_case(Some("a | b | 1\nb | b | 1\nc | b | 1\nd | b | 1\n"), "4 lines, 3 at most"; "four lines")]
+fn a_wrong_list_is_red_and_no_test_runs(list: Option<&str>, why: &str) {
+    let name: String = why.chars().filter(char::is_ascii_alphanumeric).collect();
+    let root = Root::new(&format!("wrong-{name}"), list, "");
+    let (green, said, calls) = root.run();
+    assert!(!green && said.starts_with("KNOWN-RED.txt: ") && said.contains(why), "{said}");
+    assert!(calls.iter().all(|call| call.ends_with("--list")), "{calls:?}");
+}
+
+// The script leans on this: with `--exact` a name that is left out takes no other with it.
+#[test]
+fn a_test_that_is_left_out_takes_no_other_with_it() {
+    let listed = |args: &[&str]| {
+        let list = Command::new(std::env::current_exe().unwrap()).arg("--list").args(args).output().unwrap();
+        let list = String::from_utf8(list.stdout).unwrap();
+        list.lines().filter(|line| line.ends_with(": test")).count()
+    };
+    let whole = "a_test_that_is_left_out_takes_no_other_with_it";
+    let all = listed(&[]);
+    assert_eq!(listed(&["--exact", "--skip", whole]), all - 1);
+    assert_eq!(listed(&["--exact", "--skip", "a_test"]), all);
+    assert_eq!(listed(&["--exact", whole]), 1);
+}
