--- a/crates/pearfront-emulator/src/judge.rs
+++ b/crates/pearfront-emulator/src/judge.rs
@@ -1,7 +1,7 @@
 //! What came of a play, from the records of servers, callers and discovery alone: the four rules, the gain honoured in
 //! time, the work done for nothing. It knows neither the nodes nor how they decide.
 
-use crate::record::{Answer, Answered, Ask, Job, NodeEnd, Records, Shot, ShotEnd};
+use crate::record::{Answer, Answered, Ask, Job, NodeEnd, Records, ServerLife, Shot, ShotEnd};
 use crate::scenario::{Effect, Group, Scenario};
 use crate::server::grown;
 use hdrhistogram::Histogram;
@@ -20,6 +20,8 @@
 const KNOWING: f64 = 2.0 / 3.0;
 /// Longest latency that is told apart, us: an hour.
 const LATENCY_MOST: u64 = 3_600_000_000;
+/// Times (root of N + 1) that a cold server may get beyond N by chance.
+const CHANCE: f64 = 2.0;
 /// Cases of each broken rule that are told in words.
 const EXAMPLES: usize = 5;
 
@@ -133,6 +135,60 @@
     cases: [Vec<String>; 4],
 }
 
+/// What all nodes together sent to a server while it was cold, at its worst, in requests of mean work.
+#[derive(Debug, Clone, Copy)]
+pub struct ColdLoad {
+    /// Sent within the rules' window, and the N that the rules allow then.
+    pub sent: f64,
+    pub may: f64,
+    /// All that it got while cold, as a share of all that it was allowed.
+    pub mean_share: f64,
+}
+
+impl ColdLoad {
+    /// N + 2 x root of N + 2: beyond N only that is put down to chance.
+    pub fn limit(&self) -> f64 {
+        self.may + CHANCE * (self.may.sqrt() + 1.0)
+    }
+
+    pub fn of_limit(&self) -> f64 {
+        self.sent / self.limit()
+    }
+}
+
+/// The worst window of each server that started cold.
+pub fn cold_loads(scenario: &Scenario, records: &Records) -> Vec<ColdLoad> {
+    let lives = records.servers.iter().enumerate().filter(|(_, life)| life.started.is_finite());
+    lives.map(|(server, life)| cold_load(scenario, life, server, records)).collect()
+}
+
+fn cold_load(scenario: &Scenario, life: &ServerLife, server: usize, records: &Records) -> ColdLoad {
+    let habits = &scenario.tiers[life.tier].server;
+    let (warm_up, window) = (habits.warm_up_s * 1000.0, scenario.rules.tip_window_s * 1000.0);
+    let mean_work = scenario.mean_work_at(life.tier);
+    let may = |at: f64| {
+        scenario.rules.tip_multiple * life.cores * life.speed * grown(life.started, habits, at) * window
+            / mean_work
+    };
+    let of_it = |shot: &&Shot| shot.server == server && shot.came < life.started + warm_up;
+    let mut shots: Vec<&Shot> = records.shots.iter().filter(of_it).collect();
+    shots.sort_by(|a, b| a.came.total_cmp(&b.came));
+    let mut worst = ColdLoad { sent: 0.0, may: may(life.started), mean_share: 0.0 };
+    let (mut sent, mut first) = (0.0, 0);
+    for shot in &shots {
+        sent += shot.work / mean_work;
+        while shots[first].came < shot.came - window {
+            sent -= shots[first].work / mean_work;
+            first += 1;
+        }
+        let load = ColdLoad { sent, may: may(shot.came), ..worst };
+        worst = if load.of_limit() > worst.of_limit() { load } else { worst };
+    }
+    let all = shots.iter().map(|shot| shot.work).sum::<f64>() / mean_work;
+    let mean_may = (may(life.started) + may(life.started + warm_up)) / 2.0 * warm_up / window;
+    ColdLoad { mean_share: all / mean_may, ..worst }
+}
+
 pub fn judge(scenario: &Scenario, records: &Records) -> Verdict {
     let mut shots = ShotsOf::new();
     for shot in &records.shots {
@@ -296,6 +352,7 @@
         let life = &self.records.servers[server];
         let habits = &self.scenario.tiers[life.tier].server;
         let window = self.scenario.rules.tip_window_s * 1000.0;
+        let mean_work = self.scenario.mean_work_at(life.tier);
         let (mut sum, mut known, mut first) = (0.0, 0.0, 0);
         for shot in shots {
             let share = grown(life.started, habits, shot.came);
@@ -309,7 +366,7 @@
                 known -= if knowing(shots[first]) { shots[first].work } else { 0.0 };
                 first += 1;
             }
-            let budget = self.scenario.rules.tip_multiple * life.cores * life.speed * share * window;
+            let budget = self.scenario.rules.cold_budget(life.cores * life.speed * share, mean_work);
             if sum > budget && known >= KNOWING * sum {
                 let since = (shot.came - life.started) / 1000.0;
                 return Some(format!(
--- a/crates/pearfront-emulator/src/model/hosts.rs
+++ b/crates/pearfront-emulator/src/model/hosts.rs
@@ -359,7 +359,8 @@
         drop(server);
         self.watch_host(&host);
         let hop = self.hop(host.zone, node.zone);
-        let answer = Event::ProbeAnswered(node.clone(), address, true, vec![report.utilisation], sent);
+        let figure = if self.scenario.nodes.told_held { report.held } else { report.utilisation };
+        let answer = Event::ProbeAnswered(node.clone(), address, true, vec![figure], sent);
         self.agenda.put(self.now + hop, answer);
     }
 }
--- a/crates/pearfront-emulator/src/model/script.rs
+++ b/crates/pearfront-emulator/src/model/script.rs
@@ -154,6 +154,7 @@
         let habits = &scenario.tiers[host.tier].server;
         let mut server = Server::new(&scenario.kinds[host.kind], habits, &scenario.rules, self.now, self.now);
         server.pace = host.struck.pace();
+        server.mean_work = scenario.mean_work_at(host.tier);
         *host.server.borrow_mut() = server;
         self.record_life(host);
         if host.tier + 1 < scenario.tiers.len() {
--- a/crates/pearfront-emulator/src/platform.rs
+++ b/crates/pearfront-emulator/src/platform.rs
@@ -32,7 +32,7 @@
         "deductions": {"cross_zone": nodes.cross_zone_price, "probe": nodes.probe_price},
         "objective_mix": {"whole": scenario.goal.whole, "worst_class": scenario.goal.worst_profile,
             "worst_tenant": scenario.goal.worst_customer},
-        "report": {"fields": ["utilization"], "via": if nodes.probes { "probe" } else { "none" }},
+        "report": {"fields": [if nodes.told_held { "outstanding" } else { "utilization" }], "via": if nodes.probes { "probe" } else { "none" }},
         "rules": {"ask_within": ns(scenario.discovery.ask_within_s * 1000.0), "cold": ns(habits.warm_up_s * 1000.0),
             "cold_from": habits.cold_from, "tip_multiple": scenario.rules.tip_multiple,
             "overload_for": ns(scenario.rules.tip_window_s * 1000.0)},
--- a/crates/pearfront-emulator/src/server.rs
+++ b/crates/pearfront-emulator/src/server.rs
@@ -73,8 +73,9 @@
     speed: f64,
     slots: usize,
     habits: ServerHabits,
-    tip_multiple: f64,
-    tip_window: f64,
+    rules: Rules,
+    /// Mean work of a request, ms, of which the rules' part for chance is taken.
+    pub mean_work: f64,
     /// Negative infinity if it is long warm.
     started: f64,
     now: f64,
@@ -100,8 +101,8 @@
             speed: kind.speed,
             slots: (kind.cores * habits.slots).ceil() as usize,
             habits: habits.clone(),
-            tip_multiple: rules.tip_multiple,
-            tip_window: rules.tip_window_s * 1000.0,
+            rules: rules.clone(),
+            mean_work: 0.0,
             started,
             now,
             held: Vec::new(),
@@ -341,11 +342,12 @@
             return false;
         }
         self.sent.push_back((self.now, work));
-        while self.sent.front().is_some_and(|sent| sent.0 < self.now - self.tip_window) {
+        let window = self.rules.tip_window_s * 1000.0;
+        while self.sent.front().is_some_and(|sent| sent.0 < self.now - window) {
             self.sent.pop_front();
         }
         let sent: f64 = self.sent.iter().map(|sent| sent.1).sum();
-        sent > self.tip_multiple * self.cores * self.speed * grown * self.tip_window
+        sent > self.rules.cold_budget(self.cores * self.speed * grown, self.mean_work)
     }
 }
 
--- a/crates/pearfront-emulator/src/sockets/fleet.rs
+++ b/crates/pearfront-emulator/src/sockets/fleet.rs
@@ -368,6 +368,7 @@
         host.draining.set(false);
         let mut server = Server::new(&scenario.kinds[host.kind], habits, &scenario.rules, now, now);
         server.pace = host.struck.pace();
+        server.mean_work = scenario.mean_work_at(host.tier);
         *host.server.borrow_mut() = server;
         self.record_life(host);
         let was_down = host.state.replace(State::Up) == State::Down;
