--- /dev/null
+++ b/crates/pearfront-emulator/tests/cold.rs
@@ -0,0 +1,49 @@
+//! Cold servers under the sum of what all nodes send: beyond the N requests that the settings allow only
+//! 2 x root of N + 2 are put down to chance. `benches/cold.rs` sweeps the same rehearsal.
+
+use pearfront_emulator::judge::{cold_loads, judge};
+use pearfront_emulator::model::{Options, play};
+use pearfront_emulator::scenario::Scenario;
+use test_case::test_case;
+
+const FILE: &str = include_str!("../../../rehearsals/cold-starts.toml");
+
+/// The rehearsal with so many nodes that ask servers for the jobs they hold before each draw, cut where the first
+/// windows of the cold servers are over.
+fn scenario(nodes: usize, probe_price: f64) -> Scenario {
+    let mut scenario = Scenario::parse(FILE).unwrap_or_else(|mistake| panic!("{mistake}"));
+    scenario.length_s = 15.0;
+    scenario.nodes.count = nodes;
+    scenario.nodes.told_held = true;
+    scenario.nodes.probe_price = probe_price;
+    scenario
+}
+
+// All nodes see at the same moment that a cold server is idle: each alone kept within what it could know of.
+#[test_case(100, 0.002; "a hundred nodes that ask first")]
+#[test_case(30, 0.002; "thirty nodes that ask first")]
+#[test_case(30, 0.03; "thirty nodes that do not ask")]
+fn all_nodes_together_keep_within_what_cold_servers_bear(nodes: usize, probe_price: f64) {
+    let scenario = scenario(nodes, probe_price);
+    let records = play(&scenario, Options::new(1), &mut |_| {});
+    let loads = cold_loads(&scenario, &records);
+    assert_eq!(loads.len(), 4);
+    for load in &loads {
+        assert!(load.sent <= load.limit(), "{:.1} sent, N is {:.1}: {load:?}", load.sent, load.may);
+        // Where reports of jobs held are seen at once, idle ones are not left idle either.
+        assert!(probe_price > 0.01 || load.mean_share > 0.05, "{load:?}");
+    }
+    let verdict = judge(&scenario, &records);
+    assert!(verdict.broken.iter().all(|finding| finding.rule != "cold-servers"), "{:?}", verdict.broken);
+    assert!(records.servers.iter().all(|life| life.fell.is_none()));
+}
+
+// The judge and the server count by the same figure: N alone, or with what the file puts down to chance.
+#[test]
+fn what_counts_as_chance_is_added_to_what_the_settings_allow() {
+    let mut rules = scenario(2, 0.03).rules;
+    // Two cores at 0.3 bear 2 x 0.6 x 1500 ms of work: 45 requests of 40 ms.
+    assert!((rules.cold_budget(0.6, 40.0) - (1800.0 + 2.0 * (45f64.sqrt() + 1.0) * 40.0)).abs() < 1e-6);
+    rules.tip_chance = 0.0;
+    assert!((rules.cold_budget(0.6, 40.0) - 1800.0).abs() < 1e-6);
+}
