No attempt is written for a client that has gone, however late the node comes to look

Seen: with the node stopped while a connection to a server came up and then its client closed, the job was written all the same at the node's return, 0.1 s and more behind the close, in all five orders (closed, behind a body, with bytes unread, only its sending, reset). Cause: an attempt is handed to its connection's task once the connection is up, and that task writes it before the task that waits for the client's end has its turn: both ends are known to the runtime in one look at the kernel, and whoever was woken first runs first (send.rs attempt, take_in.rs answered). The longer a round or the queue behind it takes, the longer ago the close may be; a node on a small part of a core stands still again and again.

Ruled out as causes: timers.

Change: right before the first byte of a job's message is written, in the write itself, the kernel is asked whether its caller has gone (a peek; with unread bytes in front, what the runtime knows). If so nothing is written, the attempt counts as never sent and the job as left by its client. Operators' connections get TCP_NODELAY as all others have it.

--- a/crates/pearfront-node/src/admin.rs
+++ b/crates/pearfront-node/src/admin.rs
@@ -80,6 +80,8 @@
 
     async fn call(&self, stream: TcpStream) {
         let service = service_fn(async |request| Ok::<_, Infallible>(self.answer(request).await));
+        // Small writes that the system holds back would go with a reset.
+        let _ = stream.set_nodelay(true);
         let mut server = Builder::new();
         server.keep_alive(false).half_close(true).max_buf_size(LARGEST);
         // How it ended only its caller can care about.
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -10,6 +10,7 @@
 use crate::relay::Relay;
 use crate::send::{ConnectionEnd, Senders, Shot};
 use crate::terms::InForce;
+use crate::wire::Wire;
 use http_body_util::Either;
 use hyper::header::HeaderValue;
 use pearfront::interface::{Address, Writer};
@@ -18,7 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
@@ -86,6 +87,8 @@
     /// Rung when that is known.
     whole: Notify,
     relay: Relay,
+    /// The connection that it came on; not kept open by it.
+    caller: Weak<Wire>,
     /// One for each shot: rung when it is called off.
     shots: RefCell<Vec<Rc<Notify>>>,
     out: Cell<usize>,
@@ -126,7 +129,13 @@
 
     /// Takes a job on; its answer comes through the receiver, whatever happens. Where the body is still coming there
     /// is no limit yet.
-    pub fn take(&self, job: Job, share: Share, limit: f64) -> (Rc<Held>, oneshot::Receiver<Answer>) {
+    pub fn take(
+        &self,
+        caller: &Rc<Wire>,
+        job: Job,
+        share: Share,
+        limit: f64,
+    ) -> (Rc<Held>, oneshot::Receiver<Answer>) {
         let (relay, answer) = Relay::new(self.book.clone());
         let number = self.numbered.get();
         self.numbered.set(number.wrapping_add(1));
@@ -138,6 +147,7 @@
             came: Cell::new(0.0),
             whole: Notify::new(),
             relay,
+            caller: Rc::downgrade(caller),
             shots: RefCell::default(),
             out: Cell::new(0),
             _share: share,
@@ -205,11 +215,14 @@
                 if wanted && held.job.flows() {
                     route.inbox.tell(move |balancer| balancer.spent(number));
                 }
-                wanted.then_some(left)
+                wanted.then(|| (left, held.caller.clone()))
             };
             let over = route.over(&held, until);
             let (closed, called_off) = (held.relay.closed(), called_off.notified());
             let shot = route.senders.shoot(to, &held.job, over, closed, wanted, called_off).await;
+            if shot.end == ConnectionEnd::CallerGone {
+                route.left(&held);
+            }
             route.shot_ended(&held, place, server, shot, route.clock.now() - started.max(held.came.get()));
         });
     }
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -21,7 +21,7 @@
 use std::future::pending;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
@@ -72,6 +72,8 @@
     CalledOffAfter,
     /// Before anything was written the job was over, or its server drained or gone.
     NotSent,
+    /// The first byte was to be written, and the job's caller had gone; the connection goes with it.
+    CallerGone,
 }
 
 impl ConnectionEnd {
@@ -86,7 +88,7 @@
             Self::TooLateAfter => Ending::TimedOut,
             // Over without anything learned of the server.
             Self::CalledOffAfter | Self::TurnedDown => Ending::CalledOff,
-            Self::CalledOffBefore | Self::NotSent => Ending::NeverSent,
+            Self::CalledOffBefore | Self::NotSent | Self::CallerGone => Ending::NeverSent,
         }
     }
 
@@ -351,15 +353,15 @@
 
     /// One shot: how its connection ended, with the reply if the job was honoured. `over` ends it, and `closed`, the end of
     /// its job, as long as its last byte is not written: what no server can have begun is never a shot to be called off,
-    /// which some deployments don't allow. `wanted` tells right before the first byte whether the job still wants it, and
-    /// for how long, ms.
+    /// which some deployments don't allow. `wanted` tells right before the first byte whether the job still wants it,
+    /// for how long, ms, and the caller without whom nothing of it is written.
     pub async fn shoot(
         self: &Rc<Self>,
         server: SocketAddr,
         job: &message::Job,
         over: impl Future<Output = ()>,
         closed: impl Future<Output = ()>,
-        wanted: impl Fn() -> Option<f64>,
+        wanted: impl Fn() -> Option<(f64, Weak<Wire>)>,
         called_off: impl Future<Output = ()>,
     ) -> Shot {
         let (mut link, wire) = (None, OnceCell::new());
@@ -387,7 +389,7 @@
         wire: &OnceCell<Rc<Wire>>,
         server: SocketAddr,
         job: &message::Job,
-        wanted: impl Fn() -> Option<f64>,
+        wanted: impl Fn() -> Option<(f64, Weak<Wire>)>,
     ) -> Shot {
         // A server may have closed a kept connection without our knowing yet. Where that happens, a job that could
         // not go again must not be what finds out.
@@ -398,10 +400,15 @@
         link.wire.expect(Some(0));
         wire.get_or_init(|| link.wire.clone());
         let link = place.insert(link);
-        let Some(call) = wanted().and_then(|wait| job.encode(wait)) else {
+        let call = wanted().and_then(|(wait, caller)| Some((job.encode(wait)?, caller)));
+        let Some((call, caller)) = call else {
             return Shot::ended(ConnectionEnd::NotSent);
         };
+        link.wire.write_for(caller);
         let answer = link.begin(call).await;
+        if link.wire.is_withheld() {
+            return Shot::ended(ConnectionEnd::CallerGone);
+        }
         self.wear.note(link.kept, answer.is_err() && !link.wire.has_begun());
         match answer {
             Ok((head, body)) => self.read(head, body),
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -233,7 +233,7 @@
             Start::Whole(body) => {
                 job.body = JobBody::Whole(body);
                 let limit = self.route.clock.now() + job.left;
-                let (held, answer) = self.route.take(job, share, limit);
+                let (held, answer) = self.route.take(&caller.wire, job, share, limit);
                 let _guard = Guard { route: &self.route, held };
                 answered(caller, answer).await
             }
@@ -255,7 +255,7 @@
         pieces: Sender<Piece>,
     ) -> Result<Response<Body>, Problem> {
         self.book.flows_in.add();
-        let (held, mut answer) = self.route.take(job, share, f64::INFINITY);
+        let (held, mut answer) = self.route.take(&caller.wire, job, share, f64::INFINITY);
         let guard = Guard { route: &self.route, held };
         let came = tokio::select! {
             biased;
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -7,9 +7,9 @@
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
-use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::pin::{Pin, pin};
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -144,6 +144,10 @@
     moved: Cell<usize>,
     /// Has anything come since a message was expected to be written?
     answered: Cell<bool>,
+    /// Whose message is about to be written, until the kernel has taken the first byte of it.
+    caller: RefCell<Option<Weak<Wire>>>,
+    /// Was nothing of it written, as that caller had gone?
+    withheld: Cell<bool>,
     /// What a caller sends; nothing on a connection to a server.
     messages: Option<RefCell<Messages>>,
     _place: Place,
@@ -172,6 +176,8 @@
             last_chunk: Cell::new(false),
             moved: Cell::new(0),
             answered: Cell::new(false),
+            caller: RefCell::default(),
+            withheld: Cell::new(false),
             messages,
             _place: place,
         })
@@ -184,6 +190,25 @@
         self.body_left.set(body);
         self.last_chunk.set(false);
         self.answered.set(false);
+        self.withheld.set(false);
+    }
+
+    /// The message that is about to be written is this caller's: not a byte of it is, if it has gone by then.
+    pub fn write_for(&self, caller: Weak<Wire>) {
+        self.caller.replace(Some(caller));
+    }
+
+    /// Was nothing written, as the caller had gone?
+    pub fn is_withheld(&self) -> bool {
+        self.withheld.get()
+    }
+
+    /// Looked at right before a write, as much may wait its turn between the choice of a connection and its first byte.
+    fn may_write(&self) -> bool {
+        let left = |caller: &Weak<Wire>| caller.upgrade().is_none_or(|caller| caller.has_ended());
+        let left = self.caller.borrow().as_ref().is_some_and(left);
+        self.withheld.set(left);
+        !left
     }
 
     /// Of a body of unknown length nothing more than its end is to be written.
@@ -262,6 +287,16 @@
         let _ = self.stream.ready(Interest::PRIORITY).await;
     }
 
+    /// The same asked at once: the kernel may know more than the runtime has been told. Behind unread bytes only what the
+    /// runtime has been told counts.
+    pub fn has_ended(&self) -> bool {
+        match socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => true,
+            Ok(_) => pin!(self.ended()).poll(&mut Context::from_waker(Waker::noop())).is_ready(),
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Bytes that have gone either way: while they grow, the connection is in use.
     pub fn moved(&self) -> usize {
         self.moved.get()
@@ -322,8 +357,12 @@
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.stream.poll_write_ready(context))?;
+            if !self.0.may_write() {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
             match self.0.stream.try_write_vectored(parts) {
                 Ok(count) => {
+                    self.0.caller.take();
                     self.0.moved.set(self.0.moved.get() + count);
                     let mut left = count;
                     for part in parts {
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -35,6 +35,8 @@
     pub start: String,
     pub headers: BTreeMap<String, String>,
     pub body: Vec<u8>,
+    /// When its first line was here.
+    pub came: Option<Instant>,
 }
 
 impl Message {
@@ -44,7 +46,7 @@
 
     /// Reads one; nothing where the other side ended before it was whole.
     fn read(from: &mut impl BufRead) -> Option<Message> {
-        let mut message = Message { start: line(from)?, ..Message::default() };
+        let mut message = Message { start: line(from)?, came: Some(Instant::now()), ..Message::default() };
         loop {
             let line = line(from)?;
             let Some((name, value)) = line.split_once(':') else { break };
@@ -127,6 +129,8 @@
     /// Honours each job with how many have come; if that is within `AGAIN` of its last answer, it first says that again on
     /// the connection that it went out on.
     SayTwice,
+    /// Honours jobs at once; questions how it is only once it is told to go on.
+    HoldProbes,
     /// An answer that is none.
     Nonsense,
     /// No answer until the node closes the connection.
@@ -223,6 +227,20 @@
     seen.1.notify_all();
 }
 
+/// Waits with a question's answer until the server is told to go on, or the node gives the question up.
+fn hold_probe(reader: &mut BufReader<TcpStream>, seen: &Seen) {
+    tell(seen, "probe");
+    reader.get_ref().set_read_timeout(Some(Duration::from_millis(5))).unwrap();
+    let told = || seen.0.lock().unwrap().iter().any(|seen| seen == "go on");
+    while !told() {
+        if reader.fill_buf().is_ok_and(<[u8]>::is_empty) {
+            tell(seen, "probe over");
+            break;
+        }
+    }
+    reader.get_ref().set_read_timeout(None).unwrap();
+}
+
 /// Serves a connection to its end; whether a job ever came on it.
 fn serve(stream: TcpStream, act: &Act, jobs: &Mutex<Vec<Message>>, seen: &Seen, said: &Said) -> bool {
     let mut had_job = false;
@@ -230,6 +248,9 @@
     let mut writer = stream;
     while let Some(message) = Message::read(&mut reader) {
         if message.start.contains(" /metrics/load ") {
+            if matches!(act, Act::HoldProbes) {
+                hold_probe(&mut reader, seen);
+            }
             let _ = writer.write_all(&whole("200 OK", b"TEXT inflight=1, util=0.50"));
             continue;
         }
@@ -237,6 +258,7 @@
         tell(seen, "job");
         let (answer, goes_on) = match act {
             Act::Honour(body) => (whole("200 OK", body), true),
+            Act::HoldProbes => (whole("200 OK", b""), true),
             Act::Report(report) => (whole(&format!("200 OK\r\nEndpoint-Load-Metrics: {report}"), b""), true),
             Act::Error => (whole("500 Oops", b""), true),
             Act::TurnDown => (whole("400 Bad Request", b""), true),
@@ -715,6 +737,19 @@
         self.child.as_ref().unwrap().id()
     }
 
+    /// Waits until it stands still.
+    pub fn wait_until_stopped(&self) {
+        let state = format!("/proc/{}/stat", self.pid());
+        let stopped = || std::fs::read_to_string(&state).unwrap().contains(") T ");
+        for _ in 0..4000 {
+            if stopped() {
+                return;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        panic!("it never stood still");
+    }
+
     pub fn signal(&self, signal: &str) {
         let id = self.pid().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
