--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -35,8 +35,6 @@
     pub start: String,
     pub headers: BTreeMap<String, String>,
     pub body: Vec<u8>,
-    /// When its first line was here.
-    pub came: Option<Instant>,
 }
 
 impl Message {
@@ -46,7 +44,7 @@
 
     /// Reads one; nothing where the other side ended before it was whole.
     fn read(from: &mut impl BufRead) -> Option<Message> {
-        let mut message = Message { start: line(from)?, came: Some(Instant::now()), ..Message::default() };
+        let mut message = Message { start: line(from)?, ..Message::default() };
         loop {
             let line = line(from)?;
             let Some((name, value)) = line.split_once(':') else { break };
