--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,11 @@
 bench-node: build
 	cargo bench --locked -p pearfront-emulator --bench node
 
+# How soon a process is ready, by what discovery does, alone, thirty at once, behind a kill and in a hand-over; some minutes.
+.PHONY: bench-readiness
+bench-readiness: build
+	cargo bench --locked -p pearfront-emulator --bench readiness
+
 # What a play in simulated time costs with size; some minutes.
 bench-model:
 	cargo bench --locked -p pearfront-emulator --bench model
