--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -2,6 +2,7 @@
 
 mod days;
 mod endings;
+mod readiness;
 mod stand_ins;
 
 use serde_json::json;
--- /dev/null
+++ b/crates/pearfront-node/tests/readiness/mod.rs
@@ -0,0 +1,61 @@
+//! How soon a process that was just started is ready, whatever discovery does meanwhile. The whole distribution is
+//! `make bench-readiness`; here each way is played once.
+
+use crate::stand_ins::{Act, Discovery, Node, Platform, Server, config, head, in_time};
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// Nothing on the way to the first yes may take longer; nine in ten restarted processes have 10 s on a fifth of a core.
+const AT_MOST: Duration = Duration::from_secs(3);
+
+fn there(_: &Discovery) {}
+
+fn is_down(discovery: &Discovery) {
+    discovery.reset_open(true);
+}
+
+fn within(begun: Instant) -> Result<(), String> {
+    let took = begun.elapsed();
+    if took <= AT_MOST { Ok(()) } else { Err(format!("ready after {took:?}")) }
+}
+
+// Alone it says yes and serves from the list in its file, without waiting for discovery.
+#[test_case(there; "there")]
+#[test_case(Discovery::fall_silent; "silent")]
+#[test_case(is_down; "down")]
+fn a_process_alone_is_ready_and_serves_whatever_discovery_does(before: fn(&Discovery)) {
+    let server = Server::start(Act::Honour(Vec::new()));
+    in_time(|| {
+        let begun = Instant::now();
+        let node = Node::start_with(&config(&[server.address]), before);
+        assert_eq!(node.caller().ask(&head("read", "5", 0), b"").status(), 200);
+        let took = within(begun);
+        node.end();
+        took
+    });
+}
+
+// Where another process may serve the same listener, the list comes first, but it is not waited for without end: behind the
+// process before it, and without one.
+#[test_case(there, false; "there")]
+#[test_case(Discovery::fall_silent, false; "silent")]
+#[test_case(is_down, false; "down")]
+#[test_case(there, true; "there, in a hand-over")]
+#[test_case(Discovery::fall_silent, true; "silent, in a hand-over")]
+#[test_case(is_down, true; "down, in a hand-over")]
+fn a_process_on_a_shared_listener_is_ready_whatever_discovery_does(before: fn(&Discovery), hand_over: bool) {
+    let server = Server::start(Act::Honour(Vec::new()));
+    in_time(|| {
+        let platform = Platform::new();
+        let old = hand_over.then(|| platform.start(&config(&[server.address])));
+        old.iter().for_each(|old| old.wait_for_call("GET /_ready", 200));
+        let begun = Instant::now();
+        let new = platform.start_with(&config(&[server.address]), before);
+        new.wait_for_call("GET /_ready", 200);
+        let took = within(begun);
+        old.into_iter().for_each(|old| drop(old.end()));
+        assert_eq!(new.caller().ask(&head("read", "5", 0), b"").status(), 200);
+        new.end();
+        took
+    });
+}
