--- a/crates/pearfront-emulator/benches/readiness.rs
+++ b/crates/pearfront-emulator/benches/readiness.rs
@@ -188,6 +188,10 @@
         Self { program, file, folder }
     }
 
+    fn address(&self, number: u16) -> SocketAddrV4 {
+        place(24_000 + number)
+    }
+
     fn start(
         &self,
         number: u16,
@@ -196,7 +200,7 @@
         inherited: Option<&TcpListener>,
     ) -> Started {
         // Two in a hand-over need an operators' address each.
-        let (address, admin) = (place(24_000 + number), place(27_000 + 2 * number + u16::from(second)));
+        let (address, admin) = (self.address(number), place(27_000 + 2 * number + u16::from(second)));
         let mut command = match inherited {
             None => Command::new(&self.program),
             Some(listener) => {
@@ -239,6 +243,20 @@
     std::str::from_utf8(&start[9..]).ok()?.parse().ok()
 }
 
+/// A call whose connection the process closes first: its port stays in TIME_WAIT.
+fn leave_behind(at: SocketAddrV4) {
+    let mut stream = TcpStream::connect(at).expect("it is ready");
+    stream.write_all(b"GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").expect("it reads");
+    stream.read_to_end(&mut Vec::new()).expect("it ends the connection");
+}
+
+/// How many connections to this address the kernel keeps in TIME_WAIT.
+fn in_time_wait(at: SocketAddrV4) -> usize {
+    let line = format!(": {:08X}:{:04X} ", u32::from_le_bytes(at.ip().octets()), at.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the kernel's table");
+    table.lines().filter(|connection| connection.contains(&line) && connection.contains(" 06 ")).count()
+}
+
 /// How long after its start a process gave its first 200; none within `PATIENCE`.
 fn first(begun: Instant, at: SocketAddrV4, message: impl Fn() -> String) -> Option<Duration> {
     while begun.elapsed() < PATIENCE {
@@ -280,9 +298,13 @@
             times(&before, Way::Alone);
             // Answered with the end of the connection, which the process closes first.
             for _ in 0..LEFT {
-                let _ = call(before.address, "GET / HTTP/1.0\r\nConnection: close\r\n\r\n");
+                leave_behind(before.address);
             }
             drop(before);
+            assert!(
+                in_time_wait(stage.address(number)) >= LEFT,
+                "connections in TIME_WAIT are what this is about"
+            );
             times(&stage.start(number, true, discovery, None), way)
         }
         Way::Inherited | Way::HandOver => {
@@ -334,11 +356,16 @@
         "| way, discovery, lists | starts | ready p50 s | p90 | most | job p50 s | p90 | most | ready in 10 s |"
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    // One way alone, as in `cargo bench ... -- BehindKill`.
+    let only = std::env::args().skip(1).find(|word| !word.starts_with('-'));
+    let ways = [Way::Alone, Way::BehindKill, Way::Inherited, Way::HandOver];
+    let ways: Vec<Way> =
+        ways.into_iter().filter(|way| only.as_ref().is_none_or(|only| *only == format!("{way:?}"))).collect();
     let mut number = 0;
     for pushed in [true, false] {
         let stage = Stage::new(pushed, server);
         let lists = if pushed { "pushed" } else { "asked for" };
-        for way in [Way::Alone, Way::BehindKill, Way::Inherited, Way::HandOver] {
+        for way in ways.iter().copied() {
             for (kind, discovery) in &discoveries {
                 let mut all = Vec::new();
                 for _ in 0..SINGLE {
@@ -348,7 +375,7 @@
                 row(&format!("{way:?}, {kind:?}, {lists}"), &all);
             }
         }
-        for way in [Way::Alone, Way::BehindKill, Way::Inherited, Way::HandOver] {
+        for way in ways.iter().copied() {
             for (kind, discovery) in &discoveries {
                 let all: Vec<Times> = std::thread::scope(|scope| {
                     let one = |number| {
