Callers leave a part of all connections to servers and probes; discovery has its own place

Seen: with all descriptors that clients can get held for 8 s of a discovery that is down, by idle clients, half heads, readers of nothing and slow senders of bodies, 64 and 256 descriptors, lists pushed and asked. On the text before the drain at discovery's return was with the node within 0.3 s in all of them, operators were answered within 0.1 s, and at most 40 of 64 descriptors were used: the call never waited for room. What failed: slow senders of bodies are busy, so nobody closes them, they fill the last resort as well, and probes find no place in their 250 ms (both cases failed there). Beside it: an accept that waits while all callers are younger than 150 ms was rung by the places of discovery's own failed calls, by accident; without those it waited 2.2 s for the look at heads.

Change: callers get at most three quarters of the connections and the last resort, and where servers use more than their quarter one stays free for a probe; jobs leave that one as well. The watch has a place of its own among the fixed ones and counts nowhere. `Room::freed` looks again after 150 ms.

--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Descriptors kept for what is no caller, server or probe: standard streams, listener, poll, signals, discovery.
 const FIXED: usize = 24;
@@ -18,6 +18,11 @@
 const LAST_RESORT: (usize, usize) = (8, 64);
 /// Connections that a job takes at the least: its caller's and a server's.
 const CONNECTIONS: usize = 2;
+/// Part of the connections that callers leave to servers and probes, whatever they do: after a list that replaces many
+/// servers new connections are needed at once.
+const SERVERS_PART: usize = 4;
+/// Connections that are left beside those of jobs and callers: a probe's, where answers are never read.
+const PROBES: usize = 1;
 /// How long a connection that has brought nothing yet is left alone.
 const FIRST_JOB: Duration = Duration::from_millis(150);
 /// How long a caller may take for its first head, or for the rest of one: it is owed an error or a close within 3 s
@@ -46,6 +51,8 @@
     most_open: Cell<usize>,
     last_resort: Cell<usize>,
     open: Cell<usize>,
+    /// Callers' ones among them.
+    callers_open: Cell<usize>,
     most_bytes: Cell<usize>,
     bytes: Cell<usize>,
     /// Jobs taken in, or being read, and not answered.
@@ -66,6 +73,7 @@
             most_open: Cell::new(0),
             last_resort: Cell::new(0),
             open: Cell::new(0),
+            callers_open: Cell::new(0),
             most_bytes: Cell::new(0),
             bytes: Cell::new(0),
             jobs: Cell::new(0),
@@ -123,7 +131,35 @@
 
     pub fn place(self: &Rc<Self>) -> Place {
         self.open.set(self.open.get() + 1);
-        Place(self.clone())
+        Place { room: Some(self.clone()), caller: false }
+    }
+
+    pub fn caller_place(self: &Rc<Self>) -> Place {
+        self.callers_open.set(self.callers_open.get() + 1);
+        let mut place = self.place();
+        place.caller = true;
+        place
+    }
+
+    /// A place of the node's own, one of `FIXED`: nobody else can take it.
+    pub fn own_place(&self) -> Place {
+        Place { room: None, caller: false }
+    }
+
+    /// Most callers beside the last resort: servers have a part of their own, and where they use more of it one is left.
+    fn most_callers(&self) -> usize {
+        let servers = self.open.get() - self.callers_open.get() + PROBES;
+        self.most_open.get().saturating_sub(servers.max(self.most_open.get() / SERVERS_PART))
+    }
+
+    /// Room for one more caller.
+    pub fn has_caller_place(&self) -> bool {
+        self.callers_open.get() < self.most_callers()
+    }
+
+    /// The same for one whose jobs are pushed back, or who stands in for one that is being closed.
+    pub fn has_last_caller_place(&self) -> bool {
+        self.callers_open.get() < self.most_callers() + self.last_resort.get()
     }
 
     pub fn is_waited_for(&self) -> bool {
@@ -136,15 +172,16 @@
         Waiting(self.clone())
     }
 
-    /// Waits until some connection, or some wait for one, has ended.
+    /// Waits until some connection, or some wait for one, has ended, or a caller may have become one that can be spared:
+    /// nothing rings for that.
     pub async fn freed(&self) {
-        self.freed.notified().await;
+        let _ = timeout(FIRST_JOB, self.freed.notified()).await;
     }
 
     /// Takes room for a job whose body has this length; none if bodies or connections would not fit.
     pub fn job(self: &Rc<Self>, body: usize) -> Option<Share> {
         let bytes = body.max(LEAST_BODY);
-        let connected = (self.jobs.get() + 1) * CONNECTIONS <= self.most_open.get();
+        let connected = (self.jobs.get() + 1) * CONNECTIONS + PROBES <= self.most_open.get();
         (connected && self.bytes.get() + bytes <= self.most_bytes.get()).then(|| {
             self.bytes.set(self.bytes.get() + bytes);
             self.jobs.set(self.jobs.get() + 1);
@@ -320,13 +357,19 @@
     }
 }
 
-/// One open connection; gives its place back when dropped.
-pub struct Place(Rc<Room>);
+/// One open connection; gives its place back when dropped. One of the node's own is counted nowhere.
+pub struct Place {
+    room: Option<Rc<Room>>,
+    caller: bool,
+}
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        self.0.freed.notify_waiters();
+        if let Some(room) = &self.room {
+            room.open.set(room.open.get() - 1);
+            room.callers_open.set(room.callers_open.get() - usize::from(self.caller));
+            room.freed.notify_waiters();
+        }
     }
 }
 
--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -328,7 +328,7 @@
         let link = match place.take().filter(Link::is_usable) {
             Some(link) => place.insert(link),
             None => {
-                let opened = timeout(ms(PATIENCE), Link::open(service, &self.peers.room)).await;
+                let opened = timeout(ms(PATIENCE), Link::open(service, self.peers.room.own_place())).await;
                 place
                     .insert(opened.ok().and_then(Result::ok).ok_or(Failure::Refused("no connection".into()))?)
             }
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -1,7 +1,7 @@
 //! Fourth stage: connections to servers and the shots on them. Nothing here sends a shot twice: a connection
 //! carries one shot at a time, and whatever ends it is told as what it was.
 
-use crate::admit::Room;
+use crate::admit::{Place, Room};
 use crate::book::Book;
 use crate::flow::{self, MOST_WHOLE, Start};
 use crate::logger::Seldom;
@@ -124,8 +124,7 @@
 }
 
 impl Link {
-    pub async fn open(address: SocketAddr, room: &Rc<Room>) -> Result<Self, ()> {
-        let place = room.place();
+    pub async fn open(address: SocketAddr, place: Place) -> Result<Self, ()> {
         let stream = TcpStream::connect(address).await.map_err(|_| ())?;
         let wire = Wire::to_server(stream, place);
         let handshake = Builder::new().max_buf_size(BUFFER).handshake(Socket(wire.clone())).await;
@@ -285,7 +284,7 @@
     async fn new_link(&self, server: SocketAddr) -> Result<Link, ()> {
         self.wait_for_place().await;
         self.book.connections.add();
-        timeout(ms(self.terms.now().around.connect_timeout), Link::open(server, &self.room))
+        timeout(ms(self.terms.now().around.connect_timeout), Link::open(server, self.room.place()))
             .await
             .unwrap_or(Err(()))
     }
@@ -306,15 +305,25 @@
         self.idle.borrow_mut().remove(&server);
     }
 
-    /// Room for one more connection; if need be idle ones are closed for it, servers' first unless callers hold most.
-    pub fn make_place(&self) -> bool {
+    /// Room for one more connection to a server; if need be idle ones are closed for it.
+    fn make_place(&self) -> bool {
+        self.make(Room::has_place, Room::has_last_place)
+    }
+
+    /// The same for one more caller.
+    pub fn make_caller_place(&self) -> bool {
+        self.make(Room::has_caller_place, Room::has_last_caller_place)
+    }
+
+    /// Servers' idle connections go first unless callers hold most.
+    fn make(&self, has_place: impl Fn(&Room) -> bool, has_last_place: impl Fn(&Room) -> bool) -> bool {
         let crowding = || self.room.callers_crowd() && self.room.close_idle();
-        if self.room.has_place() || !crowding() && self.close_one() {
+        if has_place(&self.room) || !crowding() && self.close_one() {
             return true;
         }
         // Where callers crowd this is a second one: with one alone more of the servers' connections had to go.
         self.room.close_idle();
-        self.room.has_last_place()
+        has_last_place(&self.room)
     }
 
     /// Jobs are let in only as far as there can be connections for them: one is free in a moment.
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -104,7 +104,7 @@
 
     async fn accept_all(self: &Rc<Self>, listener: &TcpListener) -> ! {
         loop {
-            while self.room.is_waited_for() || !self.senders.make_place() {
+            while self.room.is_waited_for() || !self.senders.make_caller_place() {
                 self.room.freed().await;
             }
             let accepted = tokio::select! {
@@ -125,7 +125,7 @@
 
     fn open(self: &Rc<Self>, stream: TcpStream) {
         self.book.callers.add();
-        spawn_local(self.clone().serve(stream, self.room.place()));
+        spawn_local(self.clone().serve(stream, self.room.caller_place()));
     }
 
     async fn serve(self: Rc<Self>, stream: TcpStream, place: Place) {
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -1,6 +1,8 @@
 //! What is still owed at the instant in which something ends: both orders of each crossing, held open on purpose.
 //! `docs/design/endings.md` lists the ways.
 
+mod room;
+
 use crate::stand_ins::{Act, Caller, Discovery, Node, Platform, Server, config, entry, head, in_time, list};
 use crate::stand_ins::{ESTABLISHED, in_table, wait_for_table};
 use serde_json::{Value, json};
--- /dev/null
+++ b/crates/pearfront-node/tests/endings/room.rs
@@ -0,0 +1,144 @@
+//! Clients that hold all the descriptors that they can get, each kind in its own way, while discovery is down.
+
+use crate::stand_ins::{Act, Node, Server, config, entry, head, in_time, list};
+use serde_json::json;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::{scope, sleep};
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// What the clients do that hold them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Client {
+    Idle,
+    HalfAHead,
+    /// Asks for an answer of 8 MiB and reads nothing of it.
+    ReadsNothing,
+    /// Sends a body of which nothing is kept, a byte at a time.
+    SendsSlowly,
+}
+
+use Client::*;
+
+impl Client {
+    fn begin(self, address: SocketAddr) -> Option<TcpStream> {
+        let mut stream = TcpStream::connect(address).ok()?;
+        let first = match self {
+            Idle => String::new(),
+            HalfAHead => "GET /read/it HTTP/1.1\r\nX-Tra".to_string(),
+            ReadsNothing => head("read", "6", 0),
+            SendsSlowly => head("book", "6", 60_000),
+        };
+        stream.write_all(first.as_bytes()).ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some(stream)
+    }
+
+    /// Does what it does, as long as the node lets it.
+    fn goes_on(self, stream: &mut TcpStream) -> bool {
+        if self == SendsSlowly && stream.write(b"x").is_err() {
+            return false;
+        }
+        if self == ReadsNothing {
+            // What it does not read can't be looked at for its end: the node's kernel closes it.
+            return stream.take_error().is_ok_and(|error| error.is_none());
+        }
+        match stream.peek(&mut [0]) {
+            Ok(length) => length > 0,
+            Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
+/// Holds so many connections until it is over, each opened anew as the node closes it.
+fn hold(address: SocketAddr, client: Client, count: usize, over: &AtomicBool) {
+    let mut open: Vec<TcpStream> = Vec::new();
+    while !over.load(Ordering::Relaxed) {
+        open.retain_mut(|stream| client.goes_on(stream));
+        let missing = count - open.len();
+        open.extend((0..missing).filter_map(|_| client.begin(address)));
+        sleep(Duration::from_millis(10));
+    }
+}
+
+fn descriptors(pid: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
+}
+
+/// How long discovery is down.
+const DOWN: Duration = Duration::from_secs(8);
+/// From its return on, until a drain has to be with the node.
+const KNOWN: Duration = Duration::from_secs(1);
+/// Longest that an operator waits, and a probe's caller.
+const OPERATOR: Duration = Duration::from_secs(1);
+
+// All descriptors that clients can get are held, and discovery is down for 8 s. At its return the node knows of a drain
+// within the second; operators are answered and servers probed all the while, and it never has more than it may.
+#[test_case(Idle, 64, true; "idle, 64, pushed")]
+#[test_case(Idle, 64, false; "idle, 64, asked")]
+#[test_case(Idle, 256, true; "idle, 256, pushed")]
+#[test_case(HalfAHead, 64, true; "half a head, 64, pushed")]
+#[test_case(HalfAHead, 64, false; "half a head, 64, asked")]
+#[test_case(ReadsNothing, 64, true; "reads nothing, 64, pushed")]
+#[test_case(ReadsNothing, 64, false; "reads nothing, 64, asked")]
+#[test_case(ReadsNothing, 256, true; "reads nothing, 256, pushed")]
+#[test_case(SendsSlowly, 64, true; "sends slowly, 64, pushed")]
+#[test_case(SendsSlowly, 64, false; "sends slowly, 64, asked")]
+fn clients_take_nothing_that_discovery_servers_operators_and_probes_need(
+    client: Client,
+    sockets: usize,
+    pushed: bool,
+) {
+    in_time(|| {
+        let large = Server::start(Act::Honour(vec![b'x'; 8 * 1024 * 1024]));
+        let mut config = config(&[large.address]);
+        config["limits"]["sockets"] = json!(sockets);
+        config["settings"]["discovery"] = json!(if pushed { "pushed" } else { "on_request" });
+        config["settings"]["rules"]["drain_grace"] = json!(400_000_000);
+        // Each probe on a connection of its own.
+        config["settings"]["limits"]["conn_idle"] = json!(1_000_000);
+        let node = Node::start_for_operators(config);
+        node.discovery.publish(2, list(2, false, &[]));
+        node.discovery.wait_for(2);
+        let (over, most) = (AtomicBool::new(false), AtomicUsize::new(0));
+        let played = scope(|scope| {
+            scope.spawn(|| hold(node.address, client, sockets + 20, &over));
+            scope.spawn(|| {
+                while !over.load(Ordering::Relaxed) {
+                    most.fetch_max(descriptors(node.pid()), Ordering::Relaxed);
+                    sleep(Duration::from_millis(5));
+                }
+            });
+            sleep(Duration::from_secs(1));
+            node.discovery.reset_open(true);
+            let down = Instant::now();
+            let mut slowest = Duration::ZERO;
+            while down.elapsed() < DOWN {
+                let asked = Instant::now();
+                assert_eq!(node.call("GET /_ready"), 200);
+                slowest = slowest.max(asked.elapsed());
+                sleep(Duration::from_millis(200));
+            }
+            let back = Instant::now();
+            node.discovery.come_back(3, list(3, false, &[entry("s0", large.address, "Terminating")]));
+            while !node.discovery.is_known(3) && back.elapsed() < DOWN {
+                sleep(Duration::from_millis(5));
+            }
+            let known = back.elapsed();
+            over.store(true, Ordering::Relaxed);
+            (known, slowest)
+        });
+        let counters = node.end();
+        let (known, slowest) = played;
+        let most = most.into_inner();
+        println!(
+            "{client:?} {sockets} {pushed}: known {known:?}, operators {slowest:?}, {most} descriptors, {counters:?}"
+        );
+        if known > KNOWN || slowest > OPERATOR || most > sockets || counters["probes_failed"] > 0 {
+            return Err(format!("known {known:?}, operators {slowest:?}, {most} descriptors, {counters:?}"));
+        }
+        if counters["probes"] == 0 { Err("no probe".into()) } else { Ok(()) }
+    });
+}
