One deadline for what discovery has: holds, time-outs and pauses follow from it

Seen: a call held in silence 5.1 s, a second one 2.1 s, a connection that does not come up 2.1 s of its own, then a pause: each had its own constant. Lines to blame: `HOLD`, `PATIENCE`, `AGAIN` in discovery.rs, which know nothing of one another, and `list_failed` of the module, which pauses up to 0.75 of `ask_within`.

Change: `watch.rs` keeps the time by which discovery has to be heard again and works all others out from it, in both modes; the node asks again by itself, and the module's `list_failed` is left to the simulator, whose rules know no such clock. A list that can't be read is asked for again at once, the first time, as one that breaks off: what was written counts as told.

The eight tests on sockets that failed before pass; `what_a_service_that_moved_has_is_known_in_time` (no way in) passed before as well.

Tried and dropped: waiting for half of what is left in calls that are not held; a discovery with too many callers works through calls in turn for up to 2 s, and such calls stood in line again and again.

--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -4,9 +4,11 @@
 use crate::handover::Peers;
 use crate::logger::Seldom;
 use crate::message::{self, Line, List};
-use crate::route::{Inbox, ms};
+use crate::route::Inbox;
 use crate::send::{Link, Senders};
 use crate::terms::InForce;
+use crate::watch::{self, Failure, Pauses, Service};
+use pearfront::chance::Chance;
 use pearfront::interface::{Address, Listing, Standing};
 use pearfront_settings::At;
 use serde_json::Value;
@@ -17,56 +19,21 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::timeout;
 
-/// How long a call of a watch may wait for news, ms: servers come and go within seconds, and only a call that has
-/// no answer shows that discovery, or the way to it, has gone silent. Calls that go on with a watch cost it little.
-const HOLD: f64 = 3000.0;
-/// Longest a call may take beside what it waits for news, ms.
-const PATIENCE: f64 = 2100.0;
-/// How long a call at the address where discovery was is waited for: it closes what is open there by then.
-const OLD_WATCH: Duration = Duration::from_secs(2);
 /// Longest between an answer's head and its end: it has the list by then, and only has to write it.
 const REST: Duration = Duration::from_secs(1);
-/// First and last pause before a watch that nobody asked for begins again after a failure, ms, and the last as a share
-/// of the grace of drains if that is less: what the service has counts as told all the while, also at its return.
-const AGAIN: (f64, f64) = (20.0, 4000.0);
-const AGAIN_PART: f64 = 0.25;
-/// A watch that has brought lists for so long begins again at once: it was cut off by chance.
-const LASTED: Duration = Duration::from_millis(500);
+/// Pauses behind failed calls, ms. Where lists are asked for, the first, and the longest as a share of the time for which
+/// the settings let a node go by an old list.
+const ASKED_FIRST: f64 = 1500.0;
+const ASKED_PART: f64 = 0.75;
+/// Where lists come by themselves, the first, and the longest as a share of the grace of drains: what the service has counts
+/// as told all the while, also at its return.
+const PUSHED_FIRST: f64 = 20.0;
+const PUSHED_PART: f64 = 0.25;
 /// Longest body of a list, bytes: thousands of servers.
 const MOST_LIST: usize = 4 * 1024 * 1024;
 
-/// Why a call brought no list.
-enum Failure {
-    /// No answer in time: the way to it may be lost for this connection alone.
-    Silent(&'static str),
-    /// It has answered, but the list stalled or broke off: the next one may be well.
-    Cut(&'static str),
-    /// The service can't be reached, or says something else.
-    Refused(String),
-}
-
-impl Failure {
-    /// Is it worth asking again at once, after one that was asked again, or that was cut, before?
-    fn may_be_over(&self, tried_again: bool, cut: bool) -> bool {
-        match self {
-            Failure::Silent(_) => !tried_again,
-            Failure::Cut(_) => !cut,
-            Failure::Refused(_) => false,
-        }
-    }
-}
-
-impl std::fmt::Display for Failure {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        match self {
-            Failure::Silent(what) | Failure::Cut(what) => f.write_str(what),
-            Failure::Refused(what) => f.write_str(what),
-        }
-    }
-}
-
 /// The module's word for an address, which is the address itself.
 pub fn token(address: SocketAddrV4) -> Address {
     let ([a, b, c, d], [high, low]) = (address.ip().octets(), address.port().to_be_bytes());
@@ -159,7 +126,10 @@
     pub peers: Rc<Peers>,
     roster: RefCell<Roster>,
     version: Cell<u64>,
-    watching: Cell<bool>,
+    /// The watch's connection between its calls.
+    link: RefCell<Option<Link>>,
+    /// What spreads the watch's pauses, until it begins.
+    chance: Cell<Option<Chance>>,
     /// Rung when a list has come from the service.
     heard: Notify,
     unread: Seldom,
@@ -187,7 +157,8 @@
             peers,
             roster: RefCell::default(),
             version: Cell::new(0),
-            watching: Cell::new(false),
+            link: RefCell::default(),
+            chance: Cell::new(Some(Chance::default())),
             heard: Notify::new(),
             unread: Seldom::default(),
             failing: Seldom::default(),
@@ -238,37 +209,18 @@
         self.heard.notified().await;
     }
 
-    /// Begins a watch, unless one is on.
-    pub fn watch(self: &Rc<Self>) {
-        if !self.watching.replace(true) {
-            let discovery = self.clone();
-            spawn_local(async move {
-                let problem = discovery.follow().await;
-                discovery.watching.set(false);
-                discovery.note_failure(&problem);
-                discovery.inbox.tell(|balancer| balancer.list_failed());
-            });
+    /// The watch's pauses are spread by this chance, if it has not begun.
+    pub fn spread_by(&self, chance: Chance) {
+        if self.chance.take().is_some() {
+            self.chance.set(Some(chance));
         }
     }
 
-    /// Watches all the time, for a deployment where changes are to come by themselves.
-    pub async fn keep_watching(self: Rc<Self>) {
-        self.watching.set(true);
-        let mut pause = AGAIN.0;
-        loop {
-            let (lists, begun) = (self.book.lists.value(), Instant::now());
-            let problem = self.follow().await;
-            self.note_failure(&problem);
-            if self.book.lists.value() > lists && begun.elapsed() > LASTED {
-                pause = AGAIN.0;
-                continue;
-            }
-            let longest = AGAIN.1.min(self.terms.now().around.drain_grace * AGAIN_PART);
-            pause = (pause * 2.0).min(longest).max(AGAIN.0);
-            tokio::select! {
-                () = sleep(ms(pause)) => {}
-                () = self.moved.notified() => {}
-            }
+    /// Begins the watch, unless it is on: from then on it goes on by itself, whether lists come so or are asked for.
+    pub fn watch(self: &Rc<Self>) {
+        if let Some(chance) = self.chance.take() {
+            let discovery = self.clone();
+            spawn_local(async move { watch::keep(&*discovery, chance).await });
         }
     }
 
@@ -281,71 +233,59 @@
         }
     }
 
-    fn note_failure(&self, problem: &str) {
-        self.book.lists_failed.add();
-        self.failing.warn(format_args!("watch on discovery ended: {problem}"));
+    /// The connection that the watch had, or a new one.
+    async fn connection(&self, anew: bool) -> Result<Link, Failure> {
+        match self.link.take().filter(|link| !anew && link.is_usable()) {
+            Some(link) => Ok(link),
+            None => Link::open(self.service.get(), self.peers.room.own_place())
+                .await
+                .map_err(|()| Failure::Refused("no connection".into())),
+        }
     }
+}
 
-    /// One call after the other until one fails; says why.
-    async fn follow(&self) -> String {
-        // The first asks only what has changed since, so that the module is answered at once.
-        let mut wait = 0.0;
-        let mut link = None;
-        let mut at = self.service.get();
-        let (mut tried_again, mut cut) = (true, false);
-        loop {
-            let answer = tokio::select! {
-                answer = self.call(&mut link, at, wait) => answer,
-                () = self.old_call_is_over() => Err(Failure::Silent("the service has moved")),
-            };
-            let moved = at != self.service.get();
-            wait = if answer.is_ok() { HOLD } else { 0.0 };
-            match answer {
-                Ok(list) => {
-                    cut = false;
-                    self.tell(list, false);
-                }
-                // What it wrote counts as told.
-                Err(problem) if moved || problem.may_be_over(tried_again, cut) => {
-                    self.failing.warn(format_args!("list asked for again: {problem}"));
-                    cut = matches!(problem, Failure::Cut(_));
-                }
-                Err(problem) => return problem.to_string(),
-            }
-            tried_again = wait == 0.0 && !moved;
-            if wait == 0.0 || moved {
-                (link, at) = (None, self.service.get());
-            }
+impl Service for Discovery {
+    async fn call(&self, anew: bool, hold: f64) -> Result<(), Failure> {
+        let mut link = self.connection(anew).await?;
+        let call = message::encode_watch(&self.service.get().to_string(), self.version.get(), hold);
+        let (head, body) = link.send(call).await.map_err(|()| Failure::Refused("connection broke".into()))?;
+        if head.status != hyper::StatusCode::OK {
+            return Err(Failure::Refused(format!("answered {}", head.status)));
         }
+        let body = timeout(REST, message::whole_of(body, MOST_LIST)).await;
+        let body = body.map_err(|_| Failure::Cut("a list that stalled".into()))?;
+        let body = body.map_err(|()| Failure::Cut("a list that broke off".into()))?;
+        let list = message::decode_list(&body, &self.terms.now().around).map_err(Failure::Cut)?;
+        self.tell(list, false);
+        if link.settle().await {
+            self.link.replace(Some(link));
+        }
+        Ok(())
     }
 
-    async fn old_call_is_over(&self) {
+    async fn moved(&self) {
         self.moved.notified().await;
-        sleep(OLD_WATCH).await;
     }
 
-    async fn call(&self, place: &mut Option<Link>, service: SocketAddr, wait: f64) -> Result<List, Failure> {
-        let link = match place.take().filter(Link::is_usable) {
-            Some(link) => place.insert(link),
-            None => {
-                let opened = timeout(ms(PATIENCE), Link::open(service, self.peers.room.own_place())).await;
-                place
-                    .insert(opened.ok().and_then(Result::ok).ok_or(Failure::Refused("no connection".into()))?)
+    fn pauses(&self) -> Pauses {
+        let terms = self.terms.now();
+        if terms.settings.listed_on_request {
+            Pauses { first: ASKED_FIRST, longest: terms.settings.ask_within * ASKED_PART }
+        } else {
+            Pauses {
+                first: PUSHED_FIRST,
+                longest: (terms.around.drain_grace * PUSHED_PART).max(PUSHED_FIRST),
             }
-        };
-        let call = message::encode_watch(&service.to_string(), self.version.get(), wait);
-        let answer = timeout(ms(wait + PATIENCE), link.send(call)).await;
-        let answer = answer.map_err(|_| Failure::Silent("no answer in time"))?;
-        let (head, body) = answer.map_err(|()| Failure::Refused("connection broke".into()))?;
-        if head.status != hyper::StatusCode::OK {
-            return Err(Failure::Refused(format!("answered {}", head.status)));
         }
-        let body = timeout(REST, message::whole_of(body, MOST_LIST)).await;
-        let body = body.map_err(|_| Failure::Cut("a list that stalled"))?;
-        let body = body.map_err(|()| Failure::Cut("a list that broke off"))?;
-        let list = message::decode_list(&body, &self.terms.now().around).map_err(Failure::Refused)?;
-        link.settle().await;
-        Ok(list)
+    }
+
+    fn failed(&self, problem: &Failure, again: bool) {
+        if again {
+            self.failing.warn(format_args!("list asked for again: {problem}"));
+        } else {
+            self.book.lists_failed.add();
+            self.failing.warn(format_args!("watch on discovery ended: {problem}"));
+        }
     }
 }
 
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -17,6 +17,7 @@
 mod send;
 mod take_in;
 mod terms;
+mod watch;
 mod wire;
 
 use admin::Admin;
@@ -27,6 +28,7 @@
 use handover::Peers;
 use lifecycle::Lifecycle;
 use logger::Seldom;
+use pearfront::chance::Chance;
 use pearfront::policy::Balancer;
 use pearfront_cluster::Cluster;
 use probe::Prober;
@@ -236,6 +238,10 @@
         inbox.clone(),
         peers.clone(),
     );
+    // The module's seed, and another stream of it.
+    let mut chance = Chance::seeded(config.seed);
+    chance.0.set_stream(1);
+    discovery.spread_by(chance);
     let prober = Rc::new(Prober {
         senders: senders.clone(),
         inbox: inbox.clone(),
@@ -246,7 +252,7 @@
     let route = Route::new(clock, inbox, senders.clone(), discovery.clone(), prober, book.clone(), peers);
     discovery.tell(config.known, true);
     if !settings.listed_on_request {
-        spawn_local(discovery.clone().keep_watching());
+        discovery.watch();
     }
     spawn_local(senders.clone().sweep());
     spawn_local(room.clone().close_unfinished(book.clone()));
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -2,6 +2,7 @@
 //! `docs/design/endings.md` lists the ways.
 
 mod room;
+mod watch;
 
 use crate::stand_ins::{Act, Caller, Discovery, Node, Platform, Server, config, entry, head, in_time, list};
 use crate::stand_ins::{ESTABLISHED, in_table, wait_for_table};
--- /dev/null
+++ b/crates/pearfront-node/tests/endings/watch.rs
@@ -0,0 +1,202 @@
+//! Orders of calls to discovery that fail, each in its own way, on sockets: the list behind them has to be with the node by
+//! when it counts as told.
+
+use crate::stand_ins::{Message, Node, Server, config, in_table, in_time, list, wait_for_table};
+use serde_json::json;
+use socket2::{Domain, Socket, Type};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// What befalls a call; those behind the last one are answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Silent,
+    /// Half a list, and nothing more.
+    Stalled,
+    /// 503, and the end.
+    Refused,
+    /// It finds no way in. The way is free soon, but not for this connection.
+    NotConnected,
+}
+
+use Fate::*;
+
+/// From when on a connection that found no way in does not matter: its next try comes after 1 s, which the kernel says.
+const WAY_FREE: Duration = Duration::from_millis(300);
+/// The kernel's word for a connection that is coming up.
+const CONNECTING: &str = "02";
+
+#[derive(Default)]
+struct Told {
+    /// What it has, and the fates of the calls to come.
+    version: u64,
+    fates: Vec<Fate>,
+    /// Calls: the version that their caller knew, and when they came.
+    calls: Vec<(u64, Instant)>,
+    connections: usize,
+    /// Connections that came before the so many-th get nothing more.
+    silent_before: usize,
+}
+
+/// A discovery whose calls fare as told.
+struct Service {
+    address: SocketAddr,
+    told: Arc<(Mutex<Told>, Condvar)>,
+}
+
+impl Service {
+    fn start(version: u64, fates: &[Fate]) -> Self {
+        let address = Server::nowhere();
+        let told = Told { version, fates: fates.to_vec(), ..Told::default() };
+        let told: Arc<(Mutex<Told>, Condvar)> = Arc::new((Mutex::new(told), Condvar::new()));
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&address.into()).unwrap();
+        socket.listen(1).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let (shared, listener): (_, TcpListener) = (told.clone(), socket.into());
+        thread::spawn(move || {
+            loop {
+                if shared.0.lock().unwrap().fates.first() == Some(&NotConnected) {
+                    shut_out(&listener, address);
+                    shared.0.lock().unwrap().fates.remove(0);
+                }
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let shared = shared.clone();
+                        stream.set_nonblocking(false).unwrap();
+                        thread::spawn(move || serve(stream, &shared));
+                    }
+                    Err(_) => thread::sleep(Duration::from_millis(2)),
+                }
+            }
+        });
+        Self { address, told }
+    }
+
+    /// Waits for a call of one that knows this version; when it came.
+    fn wait_for(&self, version: u64) -> Instant {
+        let known = |told: &Told| told.calls.iter().find(|(from, _)| *from >= version).map(|(_, at)| *at);
+        let missing = |told: &mut Told| known(told).is_none();
+        let patience = Duration::from_secs(30);
+        let told = self.told.1.wait_timeout_while(self.told.0.lock().unwrap(), patience, missing).unwrap().0;
+        known(&told).expect("a call behind the list")
+    }
+
+    /// It falls silent on what is open, has this to tell from now on, and the calls to come fare so. Says when that was.
+    fn change(&self, version: u64, fates: &[Fate]) -> Instant {
+        let mut told = self.told.0.lock().unwrap();
+        (told.version, told.fates, told.silent_before) = (version, fates.to_vec(), told.connections);
+        Instant::now()
+    }
+}
+
+/// Keeps the way full until a connection has tried it.
+fn shut_out(listener: &TcpListener, address: SocketAddr) {
+    let mut queued = Vec::new();
+    loop {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        match socket.connect_timeout(&address.into(), Duration::from_millis(200)) {
+            Ok(()) => queued.push(socket),
+            Err(_) => break,
+        }
+    }
+    wait_for_table(&format!("{} {CONNECTING} ", in_table(address)), true);
+    thread::sleep(WAY_FREE);
+    queued.iter().for_each(|_| drop(listener.accept().unwrap()));
+}
+
+fn serve(stream: TcpStream, (lock, changed): &(Mutex<Told>, Condvar)) {
+    let place = {
+        let mut told = lock.lock().unwrap();
+        told.connections += 1;
+        told.connections
+    };
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    let mut writer = stream;
+    while let Some(call) = Message::read(&mut reader) {
+        let number = |key: &str| -> u64 {
+            call.start.split_once(key).unwrap().1.split(['&', ' ']).next().unwrap().parse().unwrap()
+        };
+        let (from, hold) = (number("from="), Duration::from_millis(number("hold_ms=")));
+        let mut told = lock.lock().unwrap();
+        told.calls.push((from, Instant::now()));
+        changed.notify_all();
+        let fate = (!told.fates.is_empty()).then(|| told.fates.remove(0));
+        let news = |told: &mut Told| told.version <= from && place > told.silent_before;
+        let told = changed.wait_timeout_while(told, hold, news).unwrap().0;
+        if place <= told.silent_before {
+            continue;
+        }
+        let body = list(told.version, false, &[]).to_string();
+        drop(told);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        match fate {
+            None => drop(writer.write_all(&[head.as_bytes(), body.as_bytes()].concat())),
+            Some(Silent | NotConnected) => {}
+            Some(Stalled) => {
+                let _ = writer.write_all(&[head.as_bytes(), &body.as_bytes()[..body.len() / 2]].concat());
+            }
+            Some(Refused) => {
+                let _ =
+                    writer.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+                return;
+            }
+        }
+    }
+}
+
+/// A node's file with this discovery.
+fn file(pushed: bool, discovery: SocketAddr) -> serde_json::Value {
+    let mut config = config(&[]);
+    config["settings"]["discovery"] = json!(if pushed { "pushed" } else { "on_request" });
+    config["settings"]["rules"]["ask_within"] = json!(10_000_000_000_u64);
+    config["settings"]["rules"]["drain_grace"] = json!(400_000_000);
+    config["discovery"] = json!(discovery.to_string());
+    config
+}
+
+fn in_allowed(took: Duration, allowed: u64) -> Result<(), String> {
+    if took <= Duration::from_millis(allowed) { Ok(()) } else { Err(format!("known after {took:?}")) }
+}
+
+// The call that is held has no answer, and those behind it fare so: 6 s later the change is there.
+#[test_case(true, &[Silent]; "silent, pushed")]
+#[test_case(false, &[Silent]; "silent, asked")]
+#[test_case(true, &[NotConnected]; "no way in, pushed")]
+#[test_case(false, &[NotConnected]; "no way in, asked")]
+#[test_case(true, &[Stalled, Refused]; "stalled and refused, pushed")]
+#[test_case(false, &[Stalled, Refused]; "stalled and refused, asked")]
+fn a_change_is_known_in_time_whatever_befell_the_calls(pushed: bool, fates: &[Fate]) {
+    in_time(|| {
+        // The first call has its answer at once, and the one behind it is held when it falls silent.
+        let service = Service::start(2, &[]);
+        let node = Node::start(&file(pushed, service.address));
+        service.wait_for(2);
+        let silent = service.change(3, fates);
+        let known = service.wait_for(3);
+        node.end();
+        in_allowed(known - silent, 6000)
+    });
+}
+
+// The service has moved while a call is out, and the first call at the new place fares so: 4 s behind SIGHUP.
+#[test_case(true, Silent; "silent, pushed")]
+#[test_case(false, Silent; "silent, asked")]
+#[test_case(true, NotConnected; "no way in, pushed")]
+#[test_case(false, NotConnected; "no way in, asked")]
+fn what_a_service_that_moved_has_is_known_in_time(pushed: bool, fate: Fate) {
+    in_time(|| {
+        let (old, new) = (Service::start(2, &[]), Service::start(3, &[fate]));
+        let node = Node::start(&file(pushed, old.address));
+        old.wait_for(2);
+        let told = old.change(2, &[]);
+        node.reload(&file(pushed, new.address).to_string());
+        let known = new.wait_for(3);
+        node.end();
+        in_allowed(known - told, 4000)
+    });
+}
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -43,7 +43,7 @@
     }
 
     /// Reads one; nothing where the other side ended before it was whole.
-    fn read(from: &mut impl BufRead) -> Option<Message> {
+    pub fn read(from: &mut impl BufRead) -> Option<Message> {
         let mut message = Message { start: line(from)?, ..Message::default() };
         loop {
             let line = line(from)?;
