--- a/src/policy.rs
+++ b/src/policy.rs
@@ -86,9 +86,6 @@
     jobs: HashMap<u32, Rc<Job>>,
     known: BTreeMap<Address, Rc<Server>>,
     table: Vec<Rc<Server>>,
-    /// Most servers that were ready at a time: what is left of them bears no more each when others are gone.
-    most_listed: usize,
-    lots: Chance,
     pending: Vec<Rc<Job>>,
     waiting: Vec<Rc<Job>>,
     /// Jobs to look at again, by when (positive, so the bits order as the time does) and which.
@@ -129,7 +126,6 @@
         let asks = (ASK_SPEND / settings.probe_price.max(1e-9)).min(ASK_MOST);
         let mut balancer = Self {
             chance,
-            lots: Chance::seeded(!salt),
             // Utilisation is a mean over some time: only jobs held tell of the moment.
             asks: if tells && asks >= ASK_LEAST { asks as usize } else { 0 },
             woken_for: f64::INFINITY,
@@ -219,8 +215,8 @@
     pub fn job_under(&mut self, rules: &Rc<Settings>, id: u32, place: usize, customer: usize, limit: f64) {
         let (now, profile) = (self.now, self.slot(&rules.profiles[place].name));
         let (rules, asked) = (rules.clone(), Cell::new(f64::NEG_INFINITY));
-        let (arrived, limit, lot) = (Cell::new(now), Cell::new(limit), self.lots.0.random());
-        let job = Job { id, rules, place, profile, customer, arrived, limit, asked, lot, ..Job::default() };
+        let (arrived, limit) = (Cell::new(now), Cell::new(limit));
+        let job = Job { id, rules, place, profile, customer, arrived, limit, asked, ..Job::default() };
         let job = Rc::new(job);
         self.taken.add(now, 1.0);
         self.jobs.insert(id, job.clone());
@@ -296,7 +292,6 @@
         lines.for_each(|line| self.list(line));
         self.table.retain(|server| server.line.get().standing == Standing::Ready);
         self.known.retain(|_, server| server.line.get().standing != Standing::Gone);
-        self.most_listed = self.most_listed.max(self.table.len());
         if cached {
             self.window.begin(self.table.len() as f64 / self.settings.siblings);
         } else if self.settings.listed_on_request {
@@ -318,7 +313,7 @@
             return self.known.remove(&line.server).iter().for_each(|old| old.line.update(Listing::gone));
         }
         let (place, lanes) = (self.chance.0.random(), if self.asks > 0 { self.names.len() } else { 1 });
-        let new = || Rc::new(Server::new(line, place, lanes, self.now));
+        let new = || Rc::new(Server::new(line, place, lanes));
         let server = self.known.entry(line.server).or_insert_with(new);
         if line.started > server.started.get() {
             server.restarted(line.started, self.now);
@@ -338,19 +333,15 @@
         (rate / ACQUAINTED).max(if held { PART_HELD } else { PART_LEAST }).ceil() as usize
     }
 
-    /// Other zones' places in the part and its own zone's.
-    fn places(&self, part: usize) -> [usize; 2] {
+    /// The first wanted servers of its own zone and of the others: of many it would know none.
+    fn near(&self, part: usize, wanted: impl Fn(&Rc<Server>) -> bool) -> Vec<Rc<Server>> {
+        // Its own zone and the others share the part.
         let mixed = self.table.iter().any(|server| server.line.get().zone != self.settings.zone);
-        match (mixed, self.asks) {
+        let mut left = match (mixed, self.asks) {
             (true, 0) => [KEPT, part],
             (true, _) => [part / 2; 2],
-            _ => [0, part],
-        }
-    }
-
-    /// The first wanted servers of its own zone and of the others: of many it would know none.
-    fn near(&self, part: usize, wanted: impl Fn(&Rc<Server>) -> bool) -> Vec<Rc<Server>> {
-        let mut left = self.places(part);
+            _ => [part; 2],
+        };
         let fits = |server: &&Rc<Server>| {
             let left = &mut left[usize::from(server.line.get().zone == self.settings.zone)];
             let fits = *left > 0 && wanted(server);
@@ -422,7 +413,7 @@
 
     /// Probes the servers that the job may be drawn to, the paper's way: even draws and lowest entries.
     fn inquire(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
-        let mut near = self.open(job, &None);
+        let mut near = self.open(job, &None, |_, _| true);
         for _ in 0..self.asks.min(near.len()) {
             let target = self.target(&near);
             let server = near.swap_remove(target);
@@ -828,6 +819,7 @@
         if server.out.replace(server.out.get() + 1) == 0 {
             server.taken.set(self.now);
         }
+        server.cold_credit.set(server.cold_credit.get() - 1.0);
         // Back from its time aside it gets one shot, and the next when that was honoured.
         let health = server.health(job.profile);
         health.on_trial.set(health.strikes.get() >= STRIKES && self.now >= health.back_at.get());
@@ -851,21 +843,31 @@
     }
 
     fn draw(&mut self, job: &Job, group: Bound) -> Option<(Rc<Server>, f64)> {
-        let (part, mut open) = (self.part(), self.open(job, &group));
-        let told = |server: &Rc<Server>| server.seen.get() >= server.probed.get().max(job.asked.get());
-        if self.asks > 0 && open.iter().any(told) {
-            open.retain(told);
+        let mut open = Vec::new();
+        if self.asks > 0 {
+            open = self.open(job, &group, |_, _| true);
+            open.retain(|server| server.seen.get() >= server.probed.get().max(job.asked.get()));
+        }
+        if open.is_empty() {
+            let part = self.part().min(self.table.len()).max(1);
+            let rate = self.first_shots.total(self.now).0 / SPAN / part as f64;
+            open = self.open(job, &group, |me, server| me.has_credit(server, rate));
+        } else {
+            // In the time in which a cold one falls over it is sent what it did and what it holds at the end.
+            let multiple = (self.settings.cold_multiple - 1.0).max(0.0) * COLD_PART;
+            let most = multiple * self.settings.cold_window / self.usual(job);
+            let least = |server: &Rc<Server>| (most * self.grown(server)).max(1.0);
+            let bears = |server: &Rc<Server>| server.figure.get().unwrap_or(0.0) < least(server);
+            open.retain(|server| self.grown(server) >= 1.0 || bears(server));
         }
         let figures = self.figures(&open);
-        // What is open to few jobs has to win nearly all of these: it is held to its share by them.
-        let weigh = |(figure, server): (&f64, _)| figure.powf(-K) / self.cold_chance(server, part).powi(2);
-        let weights = WeightedIndex::new(figures.iter().zip(&open).map(weigh));
+        let weights = WeightedIndex::new(figures.iter().map(|figure| figure.powf(-K)));
         let place = weights.ok()?.sample(&mut self.chance.0);
         Some((open.get(place)?.clone(), figures[place]))
     }
 
     /// The servers of this node's part that may have the job.
-    fn open(&mut self, job: &Job, group: &Bound) -> Vec<Rc<Server>> {
+    fn open(&mut self, job: &Job, group: &Bound, more: impl Fn(&Self, &Server) -> bool) -> Vec<Rc<Server>> {
         let part = self.part();
         let shots = job.shots.borrow();
         let aside = |server: &Rc<Server>| server.health(job.profile).is_aside(self.now);
@@ -881,21 +883,16 @@
                 && self.now >= server.rest_until.get()
                 && (shared && !server.unreached.get() || !aside(server))
                 && !shots.iter().any(|shot| Rc::ptr_eq(&shot.server, server))
+                && more(self, server)
         };
-        let warm = |server: &Rc<Server>| self.grown(server) >= 1.0;
-        let near = self.near(part, |_| true).into_iter().filter(&fits);
-        let (kept, cold): (Vec<_>, Vec<_>) = near.partition(warm);
-        // What waited for it would come all at once.
-        let fresh = cold.into_iter().filter(|server| job.arrived.get() >= server.met.get());
-        let lucky = |one: &Rc<Server>| (job.lot + one.phase).fract() < self.cold_chance(one, part);
-        let fits = |server: &Rc<Server>| warm(server) && fits(server);
         // Each further server would have to be met, and learned of by jobs lost; a few are enough to ask.
-        let open = match (self.asks, kept.len()) {
+        let mut kept = if self.asks > 0 { self.near(part, |_| true) } else { Vec::new() };
+        kept.retain(&fits);
+        match (self.asks, kept.len()) {
             (0, _) => self.near(part, fits),
             (_, 0..KEPT) => self.near(KEPT, fits),
             _ => kept,
-        };
-        open.into_iter().chain(fresh.filter(lucky)).collect()
+        }
     }
 
     /// Share of its capacity that a server has at least, by the time since its start.
@@ -904,12 +901,15 @@
         (self.settings.cold_share + (1.0 - self.settings.cold_share) * part.max(0.0)).min(1.0)
     }
 
-    /// Chance that one of this node's jobs is open to a server of its part, once for all its waits and shots: cold
-    /// ones get their share of all jobs then, however these are spread over nodes and whenever nodes start.
-    fn cold_chance(&self, server: &Rc<Server>, part: usize) -> f64 {
-        let places = self.places(part).iter().sum::<usize>().min(self.most_listed) as f64;
-        let share = COLD_PART * self.settings.cold_multiple * self.grown(server) / places;
-        if self.grown(server) >= 1.0 { 1.0 } else { share.min(1.0) }
+    /// Cold servers take only their part of what warm ones bear, or all nodes together push them over.
+    fn has_credit(&self, server: &Server, rate: f64) -> bool {
+        let grown = self.grown(server);
+        let refill = rate * COLD_PART * self.settings.cold_multiple * grown;
+        let most = (refill * self.settings.cold_window).max(1.0);
+        let credit = server.cold_credit.get() + refill * (self.now - server.credit_at.get());
+        server.cold_credit.set(credit.min(most));
+        server.credit_at.set(self.now);
+        grown >= 1.0 || server.cold_credit.get() >= 1.0
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,8 +7,6 @@
 
 const PACE_MEMORY: f64 = 30_000.0; // Memory, ms, of how slow servers are: a caller has few samples.
 
-const APART: f64 = 1e6; // Parts the phases of servers whose places in the table are near.
-
 pub(crate) type Recent = Ring<10>;
 
 #[derive(Default)]
@@ -16,11 +14,7 @@
     pub(crate) line: Cell<Listing>,
     /// By this the table is ordered; the first ones are those that this node draws among.
     pub(crate) place: f64,
-    /// Added to a job's lot, modulo 1, it gives the job's lot for this server.
-    pub(crate) phase: f64,
     pub(crate) started: Cell<f64>,
-    /// When this node learned of the start.
-    pub(crate) met: Cell<f64>,
     /// The load table's entry: the last report, if any.
     pub(crate) figure: Cell<Option<f64>>,
     /// When it was last probed, and when it last answered that.
@@ -41,6 +35,8 @@
     pub(crate) failing_since: Cell<f64>,
     pub(crate) slowness: Cell<f64>,
     pub(crate) relative: RefCell<Recent>,
+    pub(crate) cold_credit: Cell<f64>,
+    pub(crate) credit_at: Cell<f64>,
 }
 
 /// How one profile's shots fare on a server: some fail one profile and serve the others.
@@ -70,8 +66,6 @@
     /// Its profile's place in all that is kept by profile.
     pub(crate) profile: usize,
     pub(crate) customer: usize,
-    /// Drawn evenly from 0 to 1 once: by it the job is open to a cold server or not.
-    pub(crate) lot: f64,
     pub(crate) arrived: Cell<f64>,
     /// Infinite while its body is coming.
     pub(crate) limit: Cell<f64>,
@@ -115,17 +109,16 @@
 }
 
 impl Server {
-    pub(crate) fn new(line: Listing, place: f64, profiles: usize, now: f64) -> Self {
+    pub(crate) fn new(line: Listing, place: f64, profiles: usize) -> Self {
         Self {
             line: Cell::new(line),
             place,
-            phase: (APART * place).fract(),
             started: Cell::new(line.started),
-            met: Cell::new(now),
             health: RefCell::new((0..profiles).map(|_| Rc::default()).collect()),
             failing_since: Cell::new(f64::INFINITY),
             slowness: Cell::new(1.0),
             relative: RefCell::new(Recent::new(PACE_MEMORY)),
+            credit_at: Cell::new(line.started.max(0.0)),
             ..Self::default()
         }
     }
@@ -133,9 +126,10 @@
     /// A new start: nothing known of it holds, and it is cold.
     pub(crate) fn restarted(&self, at: f64, now: f64) {
         self.started.set(at);
-        self.met.set(now);
         self.figure.set(None);
         self.health.borrow().iter().for_each(|health| health.strikes.set(0));
+        self.cold_credit.set(0.0);
+        self.credit_at.set(now);
     }
 
     pub(crate) fn health(&self, profile: usize) -> Rc<Health> {
