--- a/src/policy.rs
+++ b/src/policy.rs
@@ -228,7 +228,7 @@
         let Some(job) = self.jobs.get(&id).cloned() else { return };
         job.arrived.set(self.now);
         job.limit.set(limit);
-        for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.ending.is_none()) {
+        for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.is_out()) {
             shot.sent = self.now;
             self.window.out.change(self.now, job.load());
         }
@@ -427,7 +427,7 @@
 
     fn book_ending(&mut self, job: &Job, shot: usize, ending: Ending) -> Option<Rc<Server>> {
         let mut shots = job.shots.borrow_mut();
-        let shot = shots.get_mut(shot).filter(|shot| shot.ending.is_none())?;
+        let shot = shots.get_mut(shot).filter(|shot| shot.is_out())?;
         shot.ending = Some(ending);
         // A late answer from where it was to be quick is chance, not crowding.
         let late = self.now - job.arrived.get() > self.profile(job).contract_time;
@@ -536,7 +536,7 @@
 
     /// A job that drags by itself says nothing of its servers and takes no place from others.
     fn release(&mut self, job: &Job) {
-        let out = job.shots.borrow().iter().filter(|shot| shot.ending.is_none()).count();
+        let out = job.shots.borrow().iter().filter(|shot| shot.is_out()).count();
         self.window.out.change(self.now, -job.load() * out as f64);
         job.apart.set(true);
     }
@@ -603,7 +603,7 @@
         if job.waiting.get() || self.settings.tier == 0 && job.shots.borrow().is_empty() {
             return self.hold(job);
         }
-        if job.shots.borrow().iter().all(|shot| shot.ending.is_some()) {
+        if job.shots.borrow().iter().all(|shot| !shot.is_out()) {
             if self.shoot(job, None, out) {
                 return;
             }
@@ -624,7 +624,7 @@
         let mut next = f64::INFINITY;
         let mut late = None;
         // No server can be late with a job that has not come whole.
-        let counts = |shot: &&mut Shot| job.load() > 0.0 && shot.ending.is_none() && !shot.overdue;
+        let counts = |shot: &&mut Shot| job.load() > 0.0 && shot.is_out() && !shot.overdue;
         for shot in job.shots.borrow_mut().iter_mut().filter(counts) {
             let at = shot.sent + usual * shot.server.slowness.get().min(2.0);
             if at > self.now {
@@ -743,7 +743,7 @@
         if shots.len() >= job.rules.most_shots || job.spent.get() {
             return None;
         }
-        let Some(first) = shots.iter().find(|shot| !shot.ending.is_some_and(Ending::never_ran)) else {
+        let Some(first) = shots.iter().find(|shot| !shot.never_ran()) else {
             return Some(None);
         };
         let profile = self.profile(job);
@@ -778,7 +778,7 @@
     /// Ends what is still out for a closed job and forgets it when nothing is.
     fn settle(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         let shots = job.shots.borrow();
-        let still_out = || shots.iter().enumerate().filter(|(_, shot)| shot.ending.is_none());
+        let still_out = || shots.iter().enumerate().filter(|(_, shot)| shot.is_out());
         if !job.settled.replace(true) && job.rules.may_call_off {
             still_out().for_each(|(number, _)| out.call_off(job.id, number as u16));
         }
@@ -827,7 +827,7 @@
         out.shoot(job.id, server.line.get().server, job.limit.get() - self.now);
         let usual = self.usual(job) * self.overdue();
         let at = self.now + usual * server.slowness.get().min(2.0);
-        job.shots.borrow_mut().push(Shot { server, sent: self.now, promise, ending: None, overdue: false });
+        job.shots.borrow_mut().push(Shot::new(server, self.now, promise));
         self.review(job, at);
         true
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -104,7 +104,22 @@
 
     /// Has every shot so far provably never run?
     pub(crate) fn proven_unrun(&self) -> bool {
-        self.shots.borrow().iter().all(|shot| shot.ending.is_some_and(Ending::never_ran))
+        self.shots.borrow().iter().all(Shot::never_ran)
+    }
+}
+
+impl Shot {
+    pub(crate) fn new(server: Rc<Server>, sent: f64, promise: f64) -> Self {
+        Self { server, sent, promise, ending: None, overdue: false }
+    }
+
+    pub(crate) fn is_out(&self) -> bool {
+        self.ending.is_none()
+    }
+
+    /// Has it ended with proof that the job did not run by it?
+    pub(crate) fn never_ran(&self) -> bool {
+        self.ending.is_some_and(Ending::never_ran)
     }
 }
 
