pearfront scale: what each part costs by size, slopes, and where each row fails

Figures by size stood in four places, each at one size, so nothing told what a fleet of 22,000 would cost. A crate of its own measures the module, lists, membership, duties and the log at several sizes, each point in a process of its own; slopes are by least squares with range and error; a plan in TOML holds them against budgets and orders what fails by the fleet size at which it does.

The bench of a thousand duties is the same code now and moved to the new crate; its figures have other names, and processor time is the thread's, not the clock's.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 # What a thousand duties cost whoever leads; some seconds.
 .PHONY: bench-duties
 bench-duties:
-	cargo bench --locked -p pearfront-emulator --bench duties
+	cargo bench --locked -p pearfront-scale --bench duties
 
 # Membership by seed in simulated time: storms at three sizes, and how soon a killed process is found. Some ten minutes.
 SEEDS ?= 1000
@@ -97,3 +97,12 @@
 		for seed in $(SEEDS_OF_VARIANTS); do \
 			$(BENCH) score $$site --panel brink --seed $$seed \
 				--why "$(or $(WHY),Our own deployments at the end of a sitting)" || exit; done; done
+
+# What each part costs by size, its slopes, and the fleet size at which each row fails: the tables of docs/CAPACITY.md. Some
+# minutes on one core; not part of the tests.
+.PHONY: scale
+PLAN ?= rehearsals/scale/fleet.toml
+OUT ?= target/scale
+scale:
+	cargo build --release --locked -p pearfront-cli
+	target/release/pearfront scale $(PLAN) --out $(OUT)
--- a/crates/pearfront-cli/src/main.rs
+++ b/crates/pearfront-cli/src/main.rs
@@ -13,6 +13,7 @@
 mod prove;
 mod rehearse;
 mod results;
+mod scale;
 mod store;
 
 use clap::{Parser, Subcommand};
@@ -52,6 +53,9 @@
     #[command(hide = true)]
     DutyChild(duty::Child),
     Store(store::Store),
+    Scale(scale::Scale),
+    #[command(hide = true)]
+    ScalePoint(scale::PointOf),
 }
 
 /// Why a command did not end well.
@@ -82,6 +86,8 @@
         Command::Duty(duty) => duty.run(),
         Command::DutyChild(child) => child.run(),
         Command::Store(store) => store.run(),
+        Command::Scale(scale) => scale.run(),
+        Command::ScalePoint(point) => point.run(),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/pearfront-emulator/benches/duties.rs
+++ b/crates/pearfront-scale/src/measure/duties.rs
@@ -1,19 +1,18 @@
-//! What a thousand duties cost that three hundred processes hold and want: renewals, syncs, bytes, and the processor's time
-//! of whoever leads. Three voters and all processes in one thread, the network at once; `make bench-duties`.
+//! What duties cost whoever leads, by holders: renewals, syncs, bytes, processor time. Three voters and all processes in
+//! one thread, the network at once.
 
+use crate::Point;
+use crate::clock::{Meter, memory_mb};
 use pearfront_consensus::{Kept, Message, Out, Times, Voter};
 use pearfront_duties::{Agent, AgentOut, Ask, Desk, DeskOut, Duties, Standing, Told, Want, Who, encode};
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
 
-const DUTIES: usize = 1000;
-const PROCESSES: usize = 300;
+const VOTERS: usize = 3;
 /// Processes that want each duty.
 const WANT: usize = 3;
 const LEASE: f64 = 10_000.0;
-/// Simulated time before the figures, in which duties go to the best placed, and that they are of, ms.
+/// Simulated time before the figures, in which duties go to the best placed, ms.
 const BEFORE: f64 = 80_000.0;
-const LENGTH: f64 = 120_000.0;
 
 enum Word {
     Log(Message),
@@ -27,27 +26,29 @@
     duties: Duties,
 }
 
-#[derive(Default, Clone)]
+#[derive(Default, Clone, Copy)]
 struct Counts {
     asks: u64,
     renewed: u64,
     syncs: u64,
     log_bytes: u64,
     duty_bytes: u64,
-    spent: Duration,
 }
 
-struct World {
+/// Voters and processes that want duties.
+pub struct World {
     seats: Vec<Seat>,
     agents: Vec<Agent>,
     words: VecDeque<(usize, Word)>,
     now: f64,
     counts: Counts,
+    meter: Meter,
 }
 
 impl World {
-    fn new() -> Self {
-        let names: Vec<String> = (0..3).map(|place| format!("v{place}")).collect();
+    /// So many duties, each wanted by three of so many processes.
+    pub fn new(duties: usize, processes: usize) -> Self {
+        let names: Vec<String> = (0..VOTERS).map(|place| format!("v{place}")).collect();
         let seat = |place: usize| Seat {
             voter: Voter::new(&names[place], &names, Kept::default(), Times::default(), place as u64, 0.0),
             desk: Desk::new(&names[place], pearfront_duties::Times::default()),
@@ -57,16 +58,22 @@
             let me = Who { name: format!("n{place}"), life: place as u64 };
             Agent::new(me, &names, pearfront_duties::Times::default())
         };
-        let (seats, agents) = ((0..3).map(seat).collect(), (0..PROCESSES).map(agent).collect());
-        let mut world = Self { seats, agents, words: VecDeque::new(), now: 0.0, counts: Counts::default() };
-        for duty in 0..DUTIES {
-            for next in 0..WANT {
+        let mut world = Self {
+            seats: (0..VOTERS).map(seat).collect(),
+            agents: (0..processes).map(agent).collect(),
+            words: VecDeque::new(),
+            now: 0.0,
+            counts: Counts::default(),
+            meter: Meter::default(),
+        };
+        for duty in 0..duties {
+            for next in 0..WANT.min(processes) {
                 let standing = Standing { zone: next as u8, load: 0, wish: 0 };
-                let duty_name = format!("duty{duty}");
+                let name = format!("duty{duty}");
                 let want =
-                    Want { duty: duty_name, most: 1, lease: LEASE, outlives: false, once_per: 0.0, standing };
+                    Want { duty: name, most: 1, lease: LEASE, outlives: false, once_per: 0.0, standing };
                 // Not all at one instant.
-                world.agents[(duty + next) % PROCESSES].want(want, (duty % 97) as f64);
+                world.agents[(duty + next) % processes].want(want, (duty % 97) as f64);
             }
         }
         world
@@ -74,44 +81,13 @@
 
     /// One voter's turn: what it wants done is done, and the time is the leader's if it leads.
     fn turn(&mut self, place: usize, call: impl FnOnce(&mut Seat, f64)) {
-        let (now, begin) = (self.now, Instant::now());
-        call(&mut self.seats[place], now);
-        let mut sent = Vec::new();
-        let mut quiet = false;
-        while !quiet {
-            let seat = &mut self.seats[place];
-            let out = seat.voter.take_out();
-            quiet = out.is_empty();
-            for out in out {
-                match out {
-                    Out::Store { number, .. } => {
-                        self.counts.syncs += 1;
-                        seat.voter.stored(number, now);
-                    }
-                    Out::Send(message) => sent.push(Word::Log(message)),
-                    Out::Commit(entry) => {
-                        let changes = seat.duties.apply(&entry.bytes);
-                        seat.desk.applied(changes, &seat.duties, now);
-                    }
-                    Out::Read { read, .. } => seat.desk.read(read, true, &seat.duties, now),
-                    Out::NoRead { read } => seat.desk.read(read, false, &seat.duties, now),
-                    Out::Restore { .. } => {}
-                }
-            }
-            let term = seat.voter.settled().then(|| seat.voter.term());
-            seat.desk.leads(term, &seat.duties, now);
-            for out in seat.desk.take_out() {
-                quiet = false;
-                match out {
-                    DeskOut::Propose(bytes) => drop(seat.voter.propose(bytes, now)),
-                    DeskOut::Read(read) => seat.voter.read(read, now),
-                    DeskOut::Tell(told) => sent.push(Word::Told(told)),
-                }
-            }
-        }
-        if self.seats[place].desk.leading() {
-            self.counts.spent += begin.elapsed();
-        }
+        let (now, leads) = (self.now, self.seats[place].desk.leading());
+        let (seat, counts) = (&mut self.seats[place], &mut self.counts);
+        let work = || {
+            call(seat, now);
+            settle(seat, counts, now)
+        };
+        let sent = if leads { self.meter.take(work) } else { work() };
         sent.into_iter().for_each(|word| self.send(word));
     }
 
@@ -153,7 +129,7 @@
         }
     }
 
-    fn run_to(&mut self, end: f64) {
+    pub fn run_to(&mut self, end: f64) {
         while self.now < end {
             while let Some((to, word)) = self.words.pop_front() {
                 match word {
@@ -183,29 +159,70 @@
             }
         }
     }
+
+    /// Duties that somebody holds now.
+    pub fn held(&self) -> usize {
+        self.agents.iter().map(|agent| agent.held(self.now).len()).sum()
+    }
+}
+
+/// Does what both sides of a voter want done until neither wants more; disks store at once.
+fn settle(seat: &mut Seat, counts: &mut Counts, now: f64) -> Vec<Word> {
+    let (mut sent, mut quiet) = (Vec::new(), false);
+    while !quiet {
+        let out = seat.voter.take_out();
+        quiet = out.is_empty();
+        for out in out {
+            match out {
+                Out::Store { number, .. } => {
+                    counts.syncs += 1;
+                    seat.voter.stored(number, now);
+                }
+                Out::Send(message) => sent.push(Word::Log(message)),
+                Out::Commit(entry) => {
+                    let changes = seat.duties.apply(&entry.bytes);
+                    seat.desk.applied(changes, &seat.duties, now);
+                }
+                Out::Read { read, .. } => seat.desk.read(read, true, &seat.duties, now),
+                Out::NoRead { read } => seat.desk.read(read, false, &seat.duties, now),
+                Out::Restore { .. } => {}
+            }
+        }
+        let term = seat.voter.settled().then(|| seat.voter.term());
+        seat.desk.leads(term, &seat.duties, now);
+        for out in seat.desk.take_out() {
+            quiet = false;
+            match out {
+                DeskOut::Propose(bytes) => drop(seat.voter.propose(bytes, now)),
+                DeskOut::Read(read) => seat.voter.read(read, now),
+                DeskOut::Tell(told) => sent.push(Word::Told(told)),
+            }
+        }
+    }
+    sent
+}
+
+/// As many duties as processes; all figures a second, once all is where it belongs.
+pub fn by_holders(point: &mut Point, holders: usize, seconds: f64, _: u64) {
+    measure(point, World::new(holders, holders), seconds, holders as f64);
 }
 
-fn main() {
-    let mut world = World::new();
+/// Figures of a world over so many seconds.
+pub fn measure(point: &mut Point, mut world: World, seconds: f64, processes: f64) {
+    let memory = memory_mb().0;
     world.run_to(BEFORE);
-    let held: usize = world.agents.iter().map(|agent| agent.held(world.now).len()).sum();
-    let before = world.counts.clone();
-    world.run_to(BEFORE + LENGTH);
-    let (after, seconds) = (world.counts, LENGTH / 1000.0);
-    let rate = |now: u64, then: u64| (now - then) as f64 / seconds;
-    println!("duties={DUTIES} processes={PROCESSES} lease_ms={LEASE} held={held}");
-    println!(
-        "a second: asks={:.1} renewals={:.1} syncs={:.2} bytes among voters={:.0}, of each process={:.0}",
-        rate(after.asks, before.asks),
-        rate(after.renewed, before.renewed),
-        rate(after.syncs, before.syncs),
-        rate(after.log_bytes, before.log_bytes),
-        rate(after.duty_bytes, before.duty_bytes) / PROCESSES as f64
-    );
-    let spent = (after.spent - before.spent).as_secs_f64();
-    println!(
-        "the leader's core: {:.2} %, {:.1} us an ask",
-        100.0 * spent / seconds,
-        1e6 * spent / (after.asks - before.asks) as f64
-    );
+    let (before, spent) = (world.counts, world.meter.spent());
+    world.run_to(BEFORE + seconds * 1000.0);
+    let rate = |of: fn(&Counts) -> u64| (of(&world.counts) - of(&before)) as f64 / seconds;
+    let asks = rate(|counts| counts.asks);
+    let cpu = (world.meter.spent() - spent) / seconds;
+    point.set("held", world.held() as f64);
+    point.set("asks_a_second", asks);
+    point.set("renewals_a_second", rate(|counts| counts.renewed));
+    point.set("syncs_a_second", rate(|counts| counts.syncs));
+    point.set("voters_bytes_a_second", rate(|counts| counts.log_bytes));
+    point.set("bytes_a_second", rate(|counts| counts.duty_bytes) / processes);
+    point.set("leader_cpu_share", cpu * 100.0);
+    point.set("leader_cpu_us_an_ask", if asks > 0.0 { cpu * 1e6 / asks } else { 0.0 });
+    point.set("memory_kb", ((memory_mb().0 - memory) * 1024.0).max(0.0));
 }
