--- a/crates/pearfront-cli/src/scale.rs
+++ b/crates/pearfront-cli/src/scale.rs
@@ -20,10 +20,10 @@
     /// Folder for result.json, scale.md and a plot of each row.
     #[arg(long)]
     out: Option<PathBuf>,
-    /// Only series of this measurement.
-    #[arg(long)]
+    /// Only this measurement; with `--from`, this one anew beside the others as they were.
+    #[arg(long, value_name = "MEASUREMENT")]
     only: Option<String>,
-    /// Measure nothing: tables of a result that was written before, held against the plan as it is now.
+    /// Points of a result that was written before, held against the plan as it is now.
     #[arg(long, value_name = "RESULT")]
     from: Option<PathBuf>,
 }
@@ -41,14 +41,16 @@
     pub fn run(self) -> Result<(), Trouble> {
         let mut plan = Plan::parse(&text(&self.plan)?)
             .map_err(|mistake| Trouble::Input(format!("{}: {mistake}", self.plan.display())))?;
-        if let Some(only) = &self.only {
-            let wanted = measurement(only)?;
-            plan.series.retain(|series| series.measure == wanted);
+        let only = self.only.as_deref().map(measurement).transpose()?;
+        let old = self.from.as_deref().map(read).transpose()?;
+        if old.is_none() {
+            plan.series.retain(|series| only.is_none_or(|only| series.measure == only));
         }
-        let measured = match &self.from {
-            Some(result) => taken_from(result, &plan)?,
-            None => plan.series.iter().map(measure).collect::<Result<_, _>>()?,
+        let points = |series: &Series| match &old {
+            Some(old) if only != Some(series.measure) => Ok(taken_from(old, series)),
+            _ => measure(series),
         };
+        let measured = plan.series.iter().map(points).collect::<Result<_, _>>()?;
         let outcome = Outcome { plan, measured };
         let page = show::markdown(&outcome).map_err(Trouble::Undone)?;
         println!("{page}");
@@ -108,7 +110,7 @@
     let own = std::env::current_exe().map_err(|error| undone(error.to_string()))?;
     let name = serde_json::to_value(series.measure).map_err(|error| undone(error.to_string()))?;
     let ended = Command::new(own)
-        .args(["scale-point", name.as_str().unwrap_or_default()])
+        .args(["--log-level", "error", "scale-point", name.as_str().unwrap_or_default()])
         .args([size.to_string(), series.seconds.to_string(), seed.to_string()])
         .stderr(Stdio::inherit())
         .output()
@@ -119,17 +121,16 @@
     serde_json::from_slice(&ended.stdout).map_err(|error| undone(error.to_string()))
 }
 
-/// Points of a result, by measurement and sizes: rows, budgets and targets may have changed since.
-fn taken_from(path: &Path, plan: &Plan) -> Result<Vec<Vec<Point>>, Trouble> {
-    let wrong = |what: String| Trouble::Input(format!("{}: {what}", path.display()));
-    let old: Outcome = serde_json::from_str(&text(path)?).map_err(|error| wrong(error.to_string()))?;
-    let points = |series: &Series| {
-        let same = |other: &Series| (other.measure, &other.sizes) == (series.measure, &series.sizes);
-        let place = old.plan.series.iter().position(same);
-        let points = place.and_then(|place| old.measured.get(place)).cloned();
-        points.ok_or_else(|| wrong(format!("has no points of {:?} at these sizes", series.by)))
-    };
-    plan.series.iter().map(points).collect()
+fn read(path: &Path) -> Result<Outcome, Trouble> {
+    serde_json::from_str(&text(path)?).map_err(|error| Trouble::Input(format!("{}: {error}", path.display())))
+}
+
+/// Points of a result, by measurement and sizes: rows, budgets and targets may have changed since. What it has not was not
+/// measured.
+fn taken_from(old: &Outcome, series: &Series) -> Vec<Point> {
+    let same = |other: &Series| (other.measure, &other.sizes) == (series.measure, &series.sizes);
+    let place = old.plan.series.iter().position(same);
+    place.and_then(|place| old.measured.get(place)).cloned().unwrap_or_default()
 }
 
 fn write(folder: &Path, outcome: &Outcome, page: &str) -> Result<(), Trouble> {
--- a/crates/pearfront-scale/src/show.rs
+++ b/crates/pearfront-scale/src/show.rs
@@ -77,7 +77,7 @@
         line(format_args!("{}", slope(told)));
     }
     for row in result.void() {
-        line(format_args!("| {} ({}) | void: too few points came in time |", row.name, row.unit));
+        line(format_args!("| {} ({}) | void or not measured |", row.name, row.unit));
     }
     line(format_args!("\n## Ranking\n"));
     line(format_args!("| place | row | fails from a fleet of | why | carried by |"));
