Distribution of configuration and lists: the pure core, with tests of its own

Cause: a change of configuration is a file and a signal at each node; nothing knows what is in force everywhere. No socket, clock or thread.

--- /dev/null
+++ b/crates/pearfront-distribute/src/form.rs
@@ -0,0 +1,73 @@
+//! A change set as operators write it, in JSON: what is not named stays, `null` takes away (as in RFC 7396). Unknown keys
+//! are refused, each by its path.
+
+use crate::service::{ChangeSet, Server, ServiceChange, State};
+use crate::times::LONGEST_SET;
+use serde::{Deserialize, Deserializer};
+use std::collections::BTreeMap;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Form {
+    number: String,
+    services: BTreeMap<String, ServiceForm>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ServiceForm {
+    expected: Option<u64>,
+    #[serde(default)]
+    remove: bool,
+    /// Absent is not `null` here.
+    #[serde(default, deserialize_with = "named")]
+    limit: Option<Option<u32>>,
+    settings: Option<String>,
+    #[serde(default)]
+    servers: BTreeMap<String, Option<ServerForm>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ServerForm {
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default = "serving")]
+    state: State,
+    limit: Option<u32>,
+}
+
+fn serving() -> State {
+    State::Serving
+}
+
+fn named<'a, D: Deserializer<'a>>(from: D) -> Result<Option<Option<u32>>, D::Error> {
+    Option::deserialize(from).map(Some)
+}
+
+/// A change set from its text.
+///
+/// # Errors
+/// The key that can't be as it is, and why.
+pub fn parse(text: &[u8]) -> Result<ChangeSet, String> {
+    if text.len() > LONGEST_SET {
+        return Err(format!("the change has {} bytes, not up to {LONGEST_SET}", text.len()));
+    }
+    let mut read = serde_json::Deserializer::from_slice(text);
+    let form: Form = serde_path_to_error::deserialize(&mut read)
+        .map_err(|error| format!("{}: {}", error.path(), error.inner()))?;
+    read.end().map_err(|error| error.to_string())?;
+    let server = |one: ServerForm| {
+        let ServerForm { address, zone, state, limit } = one;
+        Server { address, zone, state, limit }
+    };
+    let service = |(name, one): (String, ServiceForm)| {
+        let ServiceForm { expected, remove, limit, settings, servers } = one;
+        let servers = servers.into_iter().map(|(name, one)| (name, one.map(server))).collect();
+        (name, ServiceChange { expected, remove, limit, settings, servers })
+    };
+    let set = ChangeSet { number: form.number, services: form.services.into_iter().map(service).collect() };
+    set.check()?;
+    Ok(set)
+}
--- /dev/null
+++ b/crates/pearfront-distribute/src/message.rs
@@ -0,0 +1,255 @@
+//! What goes between voters, distributors and nodes. `decode` is the only way in, and takes nothing on trust.
+
+use crate::catalog::Outcome;
+use crate::service::{ChangeSet, Restriction, ServiceUpdate};
+use crate::tally::Lag;
+use crate::times::{LONGEST_NAME, LONGEST_REASON, MOST_INTERESTS};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One life of a process: after a restart it is another.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Who {
+    pub name: String,
+    pub life: u64,
+}
+
+/// From a node to its distributor. `session` counts a life's subscriptions: what is of another one is void.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ToDistributor {
+    Subscribe {
+        installation: String,
+        who: Who,
+        session: u64,
+        /// The version that it has of all services but those in `fresh`.
+        held: Option<u64>,
+        services: Vec<String>,
+        fresh: BTreeSet<String>,
+    },
+    /// That version is in force.
+    Acknowledge {
+        session: u64,
+        version: u64,
+    },
+    /// That version is not, and what was before it is.
+    Refuse {
+        session: u64,
+        version: u64,
+        reason: String,
+    },
+    /// What narrowed up to there is in force.
+    Restricted {
+        session: u64,
+        version: u64,
+    },
+    Beat {
+        session: u64,
+    },
+    /// The node ends, and decides nothing any more.
+    Leave {
+        session: u64,
+    },
+}
+
+/// Leads from version `from`, from nothing if there is none, to version `to`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Update {
+    pub from: Option<u64>,
+    pub to: u64,
+    pub services: BTreeMap<String, ServiceUpdate>,
+}
+
+/// Why a distributor does not serve a node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum No {
+    /// It belongs to another installation.
+    Installation,
+    /// It has nothing itself, or is behind the node.
+    Behind { version: u64 },
+    /// It has as many as it can serve.
+    Full,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ToSubscriber {
+    /// `age`: the time, ms, since version `to` was the newest for certain.
+    Update {
+        session: u64,
+        update: Update,
+        age: f64,
+    },
+    /// What narrowed up to that version, ahead of the update.
+    Restrict {
+        session: u64,
+        to: u64,
+        all: Vec<Restriction>,
+    },
+    /// Nothing of the node's changed from the first version to the second, if they are there; `age` as above.
+    Beat {
+        session: u64,
+        through: Option<(u64, u64)>,
+        age: f64,
+    },
+    No {
+        session: u64,
+        why: No,
+    },
+}
+
+/// A node, as its distributor tells the voters.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    pub life: u64,
+    pub session: u64,
+    /// The version that it has in force for certain, if that is not the distributor's.
+    pub lags: Option<u64>,
+    /// A version that it refused, and why.
+    pub refused: Option<(u64, String)>,
+    /// Is there a link to it?
+    pub linked: bool,
+}
+
+/// What changed since the report with number `after`, or everything if that is none.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    pub number: u64,
+    pub after: Option<u64>,
+    /// The last beat that came.
+    pub echo: u64,
+    pub version: u64,
+    /// None: it left, or was not heard for the stated time.
+    pub nodes: BTreeMap<String, Option<Line>>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ToVoter {
+    Follow {
+        installation: String,
+        who: Who,
+        version: Option<u64>,
+    },
+    Followed {
+        version: u64,
+    },
+    Report(Report),
+    Submit(ChangeSet),
+    /// How far is what, and who lags?
+    Look,
+}
+
+/// What operators are shown.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    pub version: u64,
+    /// None: not known, because this leader has not heard all distributors yet.
+    pub in_force: Option<u64>,
+    pub nodes: usize,
+    pub lags: Vec<Lag>,
+    /// Distributors and their versions; none: not heard yet.
+    pub distributors: BTreeMap<String, Option<u64>>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum FromVoter {
+    /// Another voter leads, or nobody that this one knows of.
+    Elsewhere {
+        leader: Option<String>,
+    },
+    /// It is of another installation, or from the future.
+    No {
+        why: No,
+    },
+    Whole {
+        catalog: Vec<u8>,
+    },
+    /// Sets that lead to version `to`, each one version.
+    Sets {
+        to: u64,
+        sets: Vec<ChangeSet>,
+    },
+    /// `version` is the newest; what is in force everywhere, if that is known.
+    Beat {
+        number: u64,
+        version: u64,
+        in_force: Option<u64>,
+    },
+    ReportTaken {
+        number: u64,
+    },
+    /// It did not fit what came before: all of it is needed.
+    ReportAll,
+    Outcome {
+        number: String,
+        outcome: Outcome,
+    },
+    View(View),
+}
+
+/// Bytes of a message, with a sum in front.
+pub fn encode(message: &impl Serialize) -> Vec<u8> {
+    let body = postcard::to_stdvec(message).unwrap_or_default();
+    let mut bytes = crc32c::crc32c(&body).to_le_bytes().to_vec();
+    bytes.extend(body);
+    bytes
+}
+
+/// A message of that kind from its bytes; none if they are not one, whole and within bounds.
+pub fn decode<T: DeserializeOwned + Bounded>(bytes: &[u8]) -> Option<T> {
+    let (sum, body) = bytes.split_first_chunk::<4>()?;
+    if crc32c::crc32c(body) != u32::from_le_bytes(*sum) {
+        return None;
+    }
+    let (message, left): (T, _) = postcard::take_from_bytes(body).ok()?;
+    (left.is_empty() && message.is_bounded()).then_some(message)
+}
+
+pub trait Bounded {
+    fn is_bounded(&self) -> bool;
+}
+
+fn is_name(name: &str) -> bool {
+    (1..=LONGEST_NAME).contains(&name.len())
+}
+
+impl Bounded for ToDistributor {
+    fn is_bounded(&self) -> bool {
+        match self {
+            Self::Subscribe { installation, who, services, fresh, .. } => {
+                let few = services.len() <= MOST_INTERESTS && fresh.len() <= services.len();
+                few && is_name(installation)
+                    && is_name(&who.name)
+                    && services.iter().all(|name| is_name(name))
+            }
+            Self::Refuse { reason, .. } => reason.len() <= LONGEST_REASON,
+            _ => true,
+        }
+    }
+}
+
+impl Bounded for ToSubscriber {
+    fn is_bounded(&self) -> bool {
+        match self {
+            Self::Beat { age, .. } => age.is_finite() && *age >= 0.0,
+            Self::Update { update, age, .. } => age.is_finite() && update.services.len() <= MOST_INTERESTS,
+            _ => true,
+        }
+    }
+}
+
+impl Bounded for ToVoter {
+    fn is_bounded(&self) -> bool {
+        match self {
+            Self::Follow { installation, who, .. } => is_name(installation) && is_name(&who.name),
+            Self::Report(report) => report.nodes.keys().all(|name| is_name(name)),
+            Self::Submit(set) => set.check().is_ok(),
+            _ => true,
+        }
+    }
+}
+
+impl Bounded for FromVoter {
+    fn is_bounded(&self) -> bool {
+        true
+    }
+}
--- /dev/null
+++ b/crates/pearfront-distribute/tests/wire.rs
@@ -0,0 +1,55 @@
+//! Messages come back whole or not at all, and in pieces as they were.
+
+use pearfront_distribute::{Assembler, ToDistributor, ToSubscriber, Who, decode, encode, split};
+use std::collections::BTreeSet;
+
+fn subscribe() -> ToDistributor {
+    ToDistributor::Subscribe {
+        installation: "shop".into(),
+        who: Who { name: "n1".into(), life: 7 },
+        session: 1,
+        held: Some(4),
+        services: vec!["cart".into(), "user".into()],
+        fresh: BTreeSet::from(["user".to_string()]),
+    }
+}
+
+#[test]
+fn a_message_comes_back_whole_or_not_at_all() {
+    let bytes = encode(&subscribe());
+    assert_eq!(decode(&bytes), Some(subscribe()));
+    for place in 0..bytes.len() {
+        let mut spoilt = bytes.clone();
+        spoilt[place] ^= 1;
+        assert_eq!(decode::<ToDistributor>(&spoilt), None);
+        assert_eq!(decode::<ToDistributor>(&bytes[..place]), None);
+    }
+}
+
+#[test]
+fn what_is_out_of_bounds_is_not_taken() {
+    let ToDistributor::Subscribe { installation, who, session, held, fresh, .. } = subscribe() else {
+        panic!()
+    };
+    let services = vec!["cart".to_string(); 1025];
+    let many = ToDistributor::Subscribe { installation, who, session, held, services, fresh };
+    assert_eq!(decode::<ToDistributor>(&encode(&many)), None);
+    let long = ToDistributor::Refuse { session: 1, version: 1, reason: "x".repeat(257) };
+    assert_eq!(decode::<ToDistributor>(&encode(&long)), None);
+    let beat = ToSubscriber::Beat { session: 1, through: None, age: f64::NAN };
+    assert_eq!(decode::<ToSubscriber>(&encode(&beat)), None);
+}
+
+#[test]
+fn a_message_in_pieces_is_put_together_again() {
+    let mut lane = Assembler::default();
+    for length in [0_usize, 1, 16 * 1024, 16 * 1024 + 1, 100_000] {
+        let message: Vec<u8> = (0..length).map(|place| place as u8).collect();
+        let frames = split(&message);
+        assert_eq!(frames.len(), length.div_ceil(16 * 1024).max(1));
+        let (last, first) = frames.split_last().unwrap();
+        assert!(first.iter().all(|frame| lane.take(frame) == Ok(None)));
+        assert_eq!(lane.take(last), Ok(Some(message)));
+    }
+    assert!(lane.take(&[]).is_err() && lane.take(&[7, 1]).is_err());
+}
