Scale: a distributor's subscribers, hollow members on real links, chains of real nodes

`distribution` plays one distributor and its subscribers with the cores of pearfront-distribute: the herd at a start, standing by, six changes a second, all links broken at once. `hollow` runs the real links of membership, many in one process, with two real nodes among them; `chain` sends calls through real nodes one before the other. Both are void where the rig was late; small ones of all are tests, which judge no time.

--- /dev/null
+++ b/crates/pearfront-node/tests/scale.rs
@@ -0,0 +1,42 @@
+//! The measurements on real sockets, small: what they must always find, whatever the machine does. Times are not judged; a
+//! rig that was late makes the play void and it is played again.
+
+use pearfront_emulator::again::{PLAYS, Play, in_time};
+use pearfront_scale::Point;
+use pearfront_scale::measure::chain::{self, Asked};
+use pearfront_scale::measure::hollow;
+use std::path::Path;
+
+/// Lateness at the hundredth, ms, above which a call may fail for the machine alone: a deadline is 3 s.
+const LATE: f64 = 250.0;
+
+fn node() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_pearfront-node"))
+}
+
+fn played(play: impl Fn(&mut Point) -> Result<(), String>) -> Point {
+    let point = in_time(PLAYS, |_| {
+        let mut point = Point::default();
+        play(&mut point)?;
+        let late = point.figures["rig_late_ms_p99"];
+        Ok(if late > LATE { Play::Void(format!("{late:.0} ms late")) } else { Play::InTime(point) })
+    });
+    point.unwrap()
+}
+
+#[test]
+fn hollow_processes_and_real_nodes_agree_and_know_of_one_that_is_killed() {
+    let point = played(|point| hollow::by_members(point, 4, 2.0, node()));
+    let figure = |name: &str| point.figures.get(name).copied();
+    assert!(figure("killed_known_all_ms").is_some(), "{point:?}");
+    // Six members: a link to each other one at both ends of it, beside two sockets of each, and no more than a few on their way.
+    assert!(figure("hollow_descriptors").is_some_and(|held| (2.0..20.0).contains(&held)), "{point:?}");
+    assert!(figure("bytes_a_second").is_some_and(|bytes| bytes > 0.0), "{point:?}");
+}
+
+#[test]
+fn every_call_comes_through_a_chain_of_nodes() {
+    let point = played(|point| chain::by_depth(point, 3, 2.0, 1, Asked::Middle, node()));
+    assert_eq!(point.figures["failed"], 0.0, "{point:?}");
+    assert!(point.figures["calls"] > 50.0 && point.figures["added_ms_p50"].is_finite(), "{point:?}");
+}
--- a/crates/pearfront-scale/src/measure/hollow.rs
+++ b/crates/pearfront-scale/src/measure/hollow.rs
@@ -39,7 +39,7 @@
 "rules": {"ask_within": 10000000000, "cold": 9000000000, "cold_from": 0.3, "tip_multiple": 4.0,
 "overload_for": 2000000000}}}"#;
 
-/// Kinds of places: a member's address, a real node's for jobs, discovery that is not there.
+/// Kinds of places, none that another measurement has: a member's address, a real node's for jobs, discovery that is not there.
 const MEMBER: u16 = 1;
 const JOBS: u16 = 20;
 const DISCOVERY: u16 = 21;
--- a/crates/pearfront-scale/src/measure/mod.rs
+++ b/crates/pearfront-scale/src/measure/mod.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod chain;
 pub mod decision;
+pub mod distribution;
 pub mod duties;
 pub mod hollow;
 pub mod membership;
@@ -39,6 +40,8 @@
     Regions,
     /// Commits over three regions, by changes a second.
     Commits,
+    /// One distributor, by its subscribers.
+    Distribution,
     /// Hollow processes on real links with two real nodes among them, by members.
     Hollow,
     /// What a chain of real nodes adds to half of the calls, by depth.
@@ -66,6 +69,7 @@
             Measurement::Duties => duties::by_holders(&mut point, size, seconds, seed),
             Measurement::Regions => voters::by_round_trip(&mut point, size, seconds, seed),
             Measurement::Commits => voters::by_rate(&mut point, size, seconds, seed),
+            Measurement::Distribution => distribution::by_subscribers(&mut point, size, seconds, seed)?,
             Measurement::Hollow => hollow::by_members(&mut point, size, seconds, &rig::program()?)?,
             Measurement::ChainMiddle | Measurement::ChainHundredth => {
                 let middle = self == Measurement::ChainMiddle;
--- a/crates/pearfront-scale/tests/small.rs
+++ b/crates/pearfront-scale/tests/small.rs
@@ -64,6 +64,9 @@
                 let agreed = figure(&format!("{what}_agreed_ms"));
                 assert_eq!(cost.is_some(), agreed.is_some(), "{what} {point:?}");
             }
+            // Nobody is told of what it does not call, and each is served again.
+            assert!(figure("again_bytes_a_node").is_none_or(|bytes| bytes < 100.0), "{point:?}");
+            assert!(figure("standing_bytes_a_second").is_none_or(|bytes| bytes < 1000.0), "{point:?}");
             assert!(figure("held").is_none_or(|held| held == point.size), "{point:?}");
         }
     }
