--- a/crates/pearfront-scale/src/show.rs
+++ b/crates/pearfront-scale/src/show.rs
@@ -112,13 +112,15 @@
         Some(size) if size <= 1.0 => "any fleet".into(),
         Some(size) => number(size),
     };
+    // Two points are a line by themselves: they say nothing of how far off it is.
+    let share = |share: f64| if fit.points > 2 { format!("{:.0} %", share * 100.0) } else { "-".into() };
     format!(
-        "| {} ({}), x = {} | {formula} | {:.0} % | {:.0} % | {:.2} | {} to {}, {} points | {} at {} | {} | x {} | {fails} | {} |",
+        "| {} ({}), x = {} | {formula} | {} | {} | {:.2} | {} to {}, {} points | {} at {} | {} | x {} | {fails} | {} |",
         row.name,
         row.unit,
         told.series.by,
-        error * 100.0,
-        fit.farthest * 100.0,
+        share(error),
+        share(fit.farthest),
         fit.power,
         number(fit.least),
         number(fit.most),
