Bench: what one change costs a distributor and a node, a line a point

Change: benches/distribute.rs and make bench-distribute, for slopes by subscribers, servers of a service and services called. Measured: not run yet.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,11 @@
 bench-duties:
 	cargo bench --locked -p pearfront-emulator --bench duties
 
+# What a change costs a distributor and a node, by subscribers, servers and services; some seconds.
+.PHONY: bench-distribute
+bench-distribute:
+	cargo bench --locked -p pearfront-emulator --bench distribute
+
 # Membership by seed in simulated time: storms at three sizes, and how soon a killed process is found. Some ten minutes.
 SEEDS ?= 1000
 prove-membership:
--- /dev/null
+++ b/crates/pearfront-emulator/benches/distribute.rs
@@ -0,0 +1,144 @@
+//! What one change costs a distributor and a node: processor time and bytes by subscribers of the service, by its servers and
+//! by services called; one thread, links at once. `make bench-distribute`. One line a point, for slopes.
+
+use pearfront_distribute::{
+    Catalog, ChangeSet, Command, Distributor, DistributorOut, FromVoter, Peer, Subscriber, SubscriberOut, Times,
+    ToSubscriber, ToVoter, Who, decode, encode, parse,
+};
+use std::time::{Duration, Instant};
+
+/// Changes in each point, one server each, one after another acknowledged.
+const CHANGES: u64 = 50;
+
+fn set(number: u64, services: &str) -> ChangeSet {
+    parse(format!(r#"{{"number": "{number}", "services": {{{services}}}}}"#).as_bytes()).expect("a change set")
+}
+
+fn servers(service: &str, range: std::ops::Range<usize>) -> String {
+    let one = |n| format!(r#""{service}-{n}": {{"address": "10.0.{}.{}:8080", "zone": "z1"}}"#, n / 250, n % 250);
+    format!(r#""{service}": {{"servers": {{{}}}}}"#, range.map(one).collect::<Vec<_>>().join(","))
+}
+
+struct World {
+    distributor: Distributor,
+    nodes: Vec<Subscriber>,
+    spent: (Duration, Duration),
+    bytes: (u64, u64),
+    above: u64,
+}
+
+impl World {
+    fn new(subscribers: usize, servers_of_each: usize, services: usize) -> Self {
+        let times = Times { rate: 1e12, burst: 1e12, ..Times::default() };
+        let peer = |name: &str| [Peer { name: name.into(), zone: String::new(), region: String::new() }];
+        let who = |name: String| Who { name, life: 1 };
+        let distributor = Distributor::new("shop", who("d".into()), ("", ""), &peer("v"), times, (1, 0.0));
+        let interest: Vec<String> = (0..services).map(|n| format!("s{n}")).collect();
+        let node = |n: usize| {
+            Subscriber::new("shop", who(format!("n{n}")), ("", ""), &peer("d"), interest.clone(), times, (n as u64, 0.0))
+        };
+        let nodes = (0..subscribers).map(node).collect();
+        let mut world = Self { distributor, nodes, spent: Default::default(), bytes: (0, 0), above: 0 };
+        world.distributor.tick(0.0);
+        world.settle(0.0);
+        let mut catalog = Catalog::default();
+        for service in &interest {
+            for from in (0..servers_of_each).step_by(1000) {
+                let text = servers(service, from..servers_of_each.min(from + 1000));
+                catalog.apply(&Command::Change(set(catalog.version() + 1, &text)).encode());
+            }
+        }
+        world.distributor.voter_heard(world.above, FromVoter::Whole { catalog: catalog.encode() }, 1.0);
+        world.settle(1.0);
+        world.nodes.iter_mut().for_each(|node| node.tick(2.0));
+        world.settle(2.0);
+        world.distributor.tick(300.0);
+        world.settle(300.0);
+        let version = catalog.version();
+        assert!(world.nodes.iter().all(|node| node.config().is_some_and(|config| config.version == version)));
+        (world.spent, world.bytes) = (Default::default(), (0, 0));
+        world
+    }
+
+    /// Carries what is to be sent until there is nothing more.
+    fn settle(&mut self, now: f64) {
+        loop {
+            let started = Instant::now();
+            let mut idle = true;
+            for out in self.distributor.take_out() {
+                idle = false;
+                match out {
+                    DistributorOut::OpenVoter { link, .. } => self.above = link,
+                    DistributorOut::SendVoter { message: ToVoter::Report(report), .. } => {
+                        let number = report.number;
+                        self.distributor.voter_heard(self.above, FromVoter::ReportTaken { number }, now);
+                    }
+                    DistributorOut::Send { link, bytes, .. } => {
+                        self.bytes.0 += bytes.len() as u64;
+                        let started = Instant::now();
+                        let message: ToSubscriber = decode(&bytes).expect("a message");
+                        self.nodes[link as usize].heard(1, message, now);
+                        self.nodes[link as usize].apply(|_| Ok(()));
+                        self.spent.1 += started.elapsed();
+                    }
+                    _ => {}
+                }
+            }
+            for at in 0..self.nodes.len() {
+                for out in self.nodes[at].take_out() {
+                    idle = false;
+                    if let SubscriberOut::Send { message, .. } = out {
+                        self.bytes.1 += encode(&message).len() as u64;
+                        self.distributor.heard(at as u64, message, now);
+                    }
+                }
+            }
+            self.spent.0 += started.elapsed();
+            if idle {
+                return;
+            }
+        }
+    }
+
+    fn change(&mut self) {
+        let first = self.distributor.version().unwrap_or_default();
+        for n in 1..=CHANGES {
+            let version = first + n;
+            let text = format!(r#""s0": {{"servers": {{"s0-0": {{"address": "10.0.0.1:{}"}}}}}}"#, 1000 + n);
+            let sets = vec![set(version, &text)];
+            let now = 1000.0 + n as f64;
+            let started = Instant::now();
+            self.distributor.voter_heard(self.above, FromVoter::Sets { to: version, sets }, now);
+            self.spent.0 += started.elapsed();
+            self.settle(now);
+        }
+    }
+}
+
+fn main() {
+    println!("subscribers servers services | distributor_us_a_change distributor_bytes_a_change node_us_a_change node_bytes_a_change");
+    let points = [
+        (50, 5, 10),
+        (200, 5, 10),
+        (800, 5, 10),
+        (3200, 5, 10),
+        (200, 50, 10),
+        (200, 500, 10),
+        (50, 5000, 1),
+        (200, 5, 1),
+        (200, 5, 100),
+    ];
+    for (subscribers, servers, services) in points {
+        let mut world = World::new(subscribers, servers, services);
+        world.change();
+        let (changes, nodes) = (CHANGES as f64, subscribers as f64);
+        let (all, at_nodes) = (world.spent.0.as_secs_f64() * 1e6, world.spent.1.as_secs_f64() * 1e6);
+        println!(
+            "{subscribers} {servers} {services} | {:.1} {:.0} {:.2} {:.0}",
+            (all - at_nodes) / changes,
+            world.bytes.0 as f64 / changes,
+            at_nodes / changes / nodes,
+            (world.bytes.0 + world.bytes.1) as f64 / changes / nodes
+        );
+    }
+}
