A play's trouble: a node that only its distributor knows of stands still when that one ends

Cause: serving a new node before the voters know of it was found by a unit test and by no play: the time in which it matters is some 200 ms long. Change: the storm starts a node anew, kills its distributor within half a second and stops the node for 4 s.

--- a/crates/pearfront-emulator/benches/distribute.rs
+++ b/crates/pearfront-emulator/benches/distribute.rs
@@ -2,8 +2,8 @@
 //! by services called; one thread, links at once. `make bench-distribute`. One line a point, for slopes.
 
 use pearfront_distribute::{
-    Catalog, ChangeSet, Command, Distributor, DistributorOut, FromVoter, Peer, Subscriber, SubscriberOut, Times,
-    ToSubscriber, ToVoter, Who, decode, encode, parse,
+    Catalog, ChangeSet, Command, Distributor, DistributorOut, FromVoter, Peer, Subscriber, SubscriberOut,
+    Times, ToSubscriber, ToVoter, Who, decode, encode, parse,
 };
 use std::time::{Duration, Instant};
 
@@ -11,11 +11,13 @@
 const CHANGES: u64 = 50;
 
 fn set(number: u64, services: &str) -> ChangeSet {
-    parse(format!(r#"{{"number": "{number}", "services": {{{services}}}}}"#).as_bytes()).expect("a change set")
+    parse(format!(r#"{{"number": "{number}", "services": {{{services}}}}}"#).as_bytes())
+        .expect("a change set")
 }
 
 fn servers(service: &str, range: std::ops::Range<usize>) -> String {
-    let one = |n| format!(r#""{service}-{n}": {{"address": "10.0.{}.{}:8080", "zone": "z1"}}"#, n / 250, n % 250);
+    let one =
+        |n| format!(r#""{service}-{n}": {{"address": "10.0.{}.{}:8080", "zone": "z1"}}"#, n / 250, n % 250);
     format!(r#""{service}": {{"servers": {{{}}}}}"#, range.map(one).collect::<Vec<_>>().join(","))
 }
 
@@ -35,7 +37,15 @@
         let distributor = Distributor::new("shop", who("d".into()), ("", ""), &peer("v"), times, (1, 0.0));
         let interest: Vec<String> = (0..services).map(|n| format!("s{n}")).collect();
         let node = |n: usize| {
-            Subscriber::new("shop", who(format!("n{n}")), ("", ""), &peer("d"), interest.clone(), times, (n as u64, 0.0))
+            Subscriber::new(
+                "shop",
+                who(format!("n{n}")),
+                ("", ""),
+                &peer("d"),
+                interest.clone(),
+                times,
+                (n as u64, 0.0),
+            )
         };
         let nodes = (0..subscribers).map(node).collect();
         let mut world = Self { distributor, nodes, spent: Default::default(), bytes: (0, 0), above: 0 };
@@ -116,7 +126,9 @@
 }
 
 fn main() {
-    println!("subscribers servers services | distributor_us_a_change distributor_bytes_a_change node_us_a_change node_bytes_a_change");
+    println!(
+        "subscribers servers services | distributor_us_a_change distributor_bytes_a_change node_us_a_change node_bytes_a_change"
+    );
     let points = [
         (50, 5, 10),
         (200, 5, 10),
--- a/crates/pearfront-emulator/src/cores/distribute.rs
+++ b/crates/pearfront-emulator/src/cores/distribute.rs
@@ -206,6 +206,10 @@
     Resume {
         who: usize,
     },
+    /// Its distributor is killed, and it stands still: nobody but that one may have known of it.
+    Hide {
+        who: usize,
+    },
 }
 
 struct Seat {
@@ -1064,6 +1068,14 @@
             return;
         }
         self.places[who].spared = until + 4000.0;
+        if self.is_node(who) && self.chance.random_range(0..3) == 0 {
+            self.kill(who);
+            let start = self.now + 300.0;
+            let hide = start + self.between((5.0, 500.0));
+            self.events.put(start, Event::Start { who, older: false });
+            self.places[who].spared = self.now + 12_000.0;
+            return self.events.put(hide, Event::Hide { who });
+        }
         if who < voters && self.plan.disks && kind == 0 {
             let well = |place: &Place| matches!(place.core, Core::Voter(_)) && place.until <= self.now;
             let all_well = self.cuts.is_empty() && self.places[..voters].iter().all(well);
@@ -1079,6 +1091,14 @@
         self.befall(who, kind, until);
     }
 
+    fn hide(&mut self, who: usize) {
+        let links = self.places[who].opened.values().filter_map(|link| self.links.get(link));
+        let Some(server) = links.map(|link| link.server.0).last() else { return };
+        self.kill(server);
+        self.events.put(self.now + 3000.0, Event::Start { who: server, older: false });
+        self.stop(who, self.now + 4000.0);
+    }
+
     fn script(&mut self, step: u32) {
         let (voters, distributors) = (self.plan.voters, self.plan.distributors);
         match self.plan.script {
@@ -1151,6 +1171,7 @@
                 self.places[who].woken = f64::INFINITY;
                 self.tick(who);
             }
+            Event::Hide { who } => self.hide(who),
             Event::Stored { who, life, number } => self.stored(who, life, number),
             Event::Start { who, older } => self.start(who, older),
             Event::Write => self.write(),
