--- a/crates/pearfront-distribute/src/distributor.rs
+++ b/crates/pearfront-distribute/src/distributor.rs
@@ -587,28 +587,40 @@
                 self.acknowledged(name, version)
             }
             ToDistributor::Refuse { session, version, reason } if session == current => {
-                if node.sent.take_if(|sent| *sent == version).is_some() {
-                    node.refused = Some((version, reason));
-                    let again = node.latest > version;
-                    self.above.changed.insert(name.into());
-                    if again {
-                        self.queue(name, false);
-                    }
-                }
+                self.refused(name, version, reason);
             }
             ToDistributor::Restricted { session, version } if session == current => {
-                if node.restricting.take_if(|sent| *sent == version).is_some() {
-                    node.restricted = node.restricted.max(version);
-                    if self.lacks_restrictions(name) {
-                        self.queue(name, true);
-                    }
-                }
+                self.restricted(name, version)
             }
             ToDistributor::Leave { session } if session == current => self.remove(name),
             _ => {}
         }
     }
 
+    fn refused(&mut self, name: &str, version: u64, reason: String) {
+        let Some(node) = self.nodes.get_mut(name) else { return };
+        if node.sent.take_if(|sent| *sent == version).is_none() {
+            return;
+        }
+        node.refused = Some((version, reason));
+        let again = node.latest > version;
+        self.above.changed.insert(name.into());
+        if again {
+            self.queue(name, false);
+        }
+    }
+
+    fn restricted(&mut self, name: &str, version: u64) {
+        let Some(node) = self.nodes.get_mut(name) else { return };
+        if node.restricting.take_if(|sent| *sent == version).is_none() {
+            return;
+        }
+        node.restricted = node.restricted.max(version);
+        if self.lacks_restrictions(name) {
+            self.queue(name, true);
+        }
+    }
+
     fn acknowledged(&mut self, name: &str, version: u64) {
         let Some(node) = self.nodes.get_mut(name) else { return };
         if node.sent.take_if(|sent| *sent == version).is_none() {
--- a/crates/pearfront-emulator/src/cores/distribute.rs
+++ b/crates/pearfront-emulator/src/cores/distribute.rs
@@ -1093,7 +1093,7 @@
 
     fn hide(&mut self, who: usize) {
         let links = self.places[who].opened.values().filter_map(|link| self.links.get(link));
-        let Some(server) = links.map(|link| link.server.0).last() else { return };
+        let Some(server) = links.map(|link| link.server.0).next_back() else { return };
         self.kill(server);
         self.events.put(self.now + 3000.0, Event::Start { who: server, older: false });
         self.stop(who, self.now + 4000.0);
