--- a/crates/pearfront-drill/src/wire.rs
+++ b/crates/pearfront-drill/src/wire.rs
@@ -258,8 +258,8 @@
             balancer.job(id, profile, customer, limit);
         }
         5 => {
-            let (shot, took) = (int::<2>(record, 6) as usize, int::<8>(record, 15) as f64 / NS_PER_MS);
-            balancer.shot_ended(id, shot, ending(record[14], at)?, took, record[23] != 0);
+            let (attempt, took) = (int::<2>(record, 6) as usize, int::<8>(record, 15) as f64 / NS_PER_MS);
+            balancer.attempt_ended(id, attempt, ending(record[14], at)?, took, record[23] != 0);
         }
         6 => balancer.client_left(id),
         8 => {
@@ -323,13 +323,13 @@
 }
 
 impl Writer for Reply {
-    fn shoot(&mut self, job: u32, server: Address, limit: f64) {
+    fn attempt(&mut self, job: u32, server: Address, limit: f64) {
         let limit = ((limit * NS_PER_MS).floor() as u64).max(1);
         self.action(1, &[&job.to_le_bytes(), &server, &limit.to_le_bytes()]);
     }
 
-    fn call_off(&mut self, job: u32, shot: u16) {
-        self.action(4, &[&job.to_le_bytes(), &shot.to_le_bytes()]);
+    fn call_off(&mut self, job: u32, attempt: u16) {
+        self.action(4, &[&job.to_le_bytes(), &attempt.to_le_bytes()]);
     }
 
     fn push_back(&mut self, job: u32, wait: f64) {
--- a/crates/pearfront-drill/src/wire/tests.rs
+++ b/crates/pearfront-drill/src/wire/tests.rs
@@ -37,7 +37,7 @@
 }
 
 #[test]
-fn a_job_of_the_wire_page_becomes_a_shot_within_its_limit() {
+fn a_job_of_the_wire_page_becomes_an_attempt_within_its_limit() {
     let mut drill = Drill::default();
     drill.answer(&boot(SETTINGS)).unwrap();
     // The page's own example: limit 9.00 s on the clock, which stands at 8.4 s here.
@@ -64,7 +64,7 @@
 #[test]
 fn actions_look_as_on_the_wire_page() {
     let mut reply = Reply { node: 3, ..Reply::default() };
-    reply.shoot(0x5d3a_91c4, [0x0a, 0x12, 0x4a, 0x07, 0xc3, 0x2b], 80.0);
+    reply.attempt(0x5d3a_91c4, [0x0a, 0x12, 0x4a, 0x07, 0xc3, 0x2b], 80.0);
     reply.wake(500.0);
     reply.node = 5;
     reply.log("two servers known");
--- a/crates/pearfront-emulator/src/decide.rs
+++ b/crates/pearfront-emulator/src/decide.rs
@@ -18,7 +18,7 @@
 #[derive(Debug, Clone)]
 pub enum Word {
     Job { id: u32, profile: usize, customer: usize, limit: f64 },
-    ShotEnded { id: u32, shot: usize, ending: Ending, took: f64, done: bool },
+    AttemptEnded { id: u32, attempt: usize, ending: Ending, took: f64, done: bool },
     ProbeAnswered { server: Address, good: bool, report: Vec<f64>, took: f64 },
     Left { id: u32 },
     Listed { whole: bool, cached: bool, lines: Vec<Listing> },
@@ -29,8 +29,8 @@
 /// What a node does.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Act {
-    Shoot { job: u32, server: Address, limit: f64 },
-    CallOff { job: u32, shot: usize },
+    Attempt { job: u32, server: Address, limit: f64 },
+    CallOff { job: u32, attempt: usize },
     PushBack { job: u32, wait: f64 },
     Forfeit { job: u32 },
     Probe { server: Address },
@@ -124,7 +124,9 @@
 fn tell(balancer: &mut Balancer, word: Word) {
     match word {
         Word::Job { id, profile, customer, limit } => balancer.job(id, profile, customer, limit),
-        Word::ShotEnded { id, shot, ending, took, done } => balancer.shot_ended(id, shot, ending, took, done),
+        Word::AttemptEnded { id, attempt, ending, took, done } => {
+            balancer.attempt_ended(id, attempt, ending, took, done)
+        }
         Word::ProbeAnswered { server, good, report, took } => {
             balancer.probe_answered(server, good, &report, took);
         }
@@ -139,11 +141,11 @@
 struct Acts(Vec<Act>);
 
 impl Writer for Acts {
-    fn shoot(&mut self, job: u32, server: Address, limit: f64) {
-        self.0.push(Act::Shoot { job, server, limit });
+    fn attempt(&mut self, job: u32, server: Address, limit: f64) {
+        self.0.push(Act::Attempt { job, server, limit });
     }
-    fn call_off(&mut self, job: u32, shot: u16) {
-        self.0.push(Act::CallOff { job, shot: usize::from(shot) });
+    fn call_off(&mut self, job: u32, attempt: u16) {
+        self.0.push(Act::CallOff { job, attempt: usize::from(attempt) });
     }
     fn push_back(&mut self, job: u32, wait: f64) {
         self.0.push(Act::PushBack { job, wait });
@@ -165,11 +167,11 @@
     }
 }
 
-/// Shots out for a job of a baseline, and how those before ended.
+/// Attempts out for a job of a baseline, and how those before ended.
 struct PlainJob {
     profile: usize,
     limit: f64,
-    shots: Vec<(Address, f64, Option<Ending>)>,
+    attempts: Vec<(Address, f64, Option<Ending>)>,
 }
 
 /// A textbook balancer: picks by one rule, tries again within the rules, refuses nothing that it can send.
@@ -214,15 +216,18 @@
     fn hear(&mut self, now: f64, word: Word, acts: &mut Vec<Act>) {
         match word {
             Word::Job { id, profile, limit, .. } => {
-                self.jobs.insert(id, PlainJob { profile, limit, shots: Vec::new() });
+                self.jobs.insert(id, PlainJob { profile, limit, attempts: Vec::new() });
                 self.limits.insert((limit.max(0.0).to_bits(), id));
                 self.go(now, id, acts);
             }
-            Word::ShotEnded { id, shot, ending, done, .. } => {
+            Word::AttemptEnded { id, attempt, ending, done, .. } => {
                 let Some(job) = self.jobs.get_mut(&id) else { return };
-                let Some(shot) = job.shots.get_mut(shot).filter(|shot| shot.2.is_none()) else { return };
-                shot.2 = Some(ending);
-                let held = self.held.entry(shot.0).or_default();
+                let Some(attempt) = job.attempts.get_mut(attempt).filter(|attempt| attempt.2.is_none())
+                else {
+                    return;
+                };
+                attempt.2 = Some(ending);
+                let held = self.held.entry(attempt.0).or_default();
                 *held = held.saturating_sub(1);
                 if done {
                     self.forget(id);
@@ -260,7 +265,7 @@
     fn forget(&mut self, id: u32) {
         if let Some(job) = self.jobs.remove(&id) {
             self.limits.remove(&(job.limit.max(0.0).to_bits(), id));
-            for (server, ..) in job.shots.iter().filter(|shot| shot.2.is_none()) {
+            for (server, ..) in job.attempts.iter().filter(|attempt| attempt.2.is_none()) {
                 let held = self.held.entry(*server).or_default();
                 *held = held.saturating_sub(1);
             }
@@ -270,11 +275,11 @@
     /// Sends a job on, or ends it where that is not allowed.
     fn go(&mut self, now: f64, id: u32, acts: &mut Vec<Act>) {
         let job = &self.jobs[&id];
-        if job.shots.iter().any(|shot| shot.2.is_none()) {
+        if job.attempts.iter().any(|attempt| attempt.2.is_none()) {
             return;
         }
         let profile = &self.settings.profiles[job.profile];
-        let may_have_run = job.shots.iter().find(|shot| !shot.2.is_some_and(Ending::never_ran));
+        let may_have_run = job.attempts.iter().find(|attempt| !attempt.2.is_some_and(Ending::never_ran));
         let late = self.fault == Some(Fault::RepeatsLate);
         let again = match (may_have_run, profile.effect) {
             (None, _) | (Some(_), Effect::Redoable) => true,
@@ -283,26 +288,26 @@
                 profile.group == pearfront::interface::Group::All && (late || now < first.1 + profile.window)
             }
         };
-        let tries = job.shots.len() < self.settings.most_shots;
+        let tries = job.attempts.len() < self.settings.most_attempts;
         let target = if again && tries { self.pick(id) } else { None };
         let Some(server) = target else { return self.end(id, acts) };
-        self.shoot(now, id, server, acts);
+        self.attempt(now, id, server, acts);
         let irreversible = self.settings.profiles[self.jobs[&id].profile].effect == Effect::Irreversible;
-        if self.fault == Some(Fault::SendsTwice) && irreversible && self.jobs[&id].shots.len() == 1 {
-            self.shoot(now, id, server, acts);
+        if self.fault == Some(Fault::SendsTwice) && irreversible && self.jobs[&id].attempts.len() == 1 {
+            self.attempt(now, id, server, acts);
         }
     }
 
-    fn shoot(&mut self, now: f64, id: u32, server: Address, acts: &mut Vec<Act>) {
+    fn attempt(&mut self, now: f64, id: u32, server: Address, acts: &mut Vec<Act>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         *self.held.entry(server).or_default() += 1;
-        job.shots.push((server, now, None));
-        acts.push(Act::Shoot { job: id, server, limit: job.limit - now });
+        job.attempts.push((server, now, None));
+        acts.push(Act::Attempt { job: id, server, limit: job.limit - now });
     }
 
     fn end(&mut self, id: u32, acts: &mut Vec<Act>) {
         let job = &self.jobs[&id];
-        let proven = job.shots.iter().all(|shot| shot.2.is_some_and(Ending::never_ran));
+        let proven = job.attempts.iter().all(|attempt| attempt.2.is_some_and(Ending::never_ran));
         let profile: &Profile = &self.settings.profiles[job.profile];
         let harmless = proven || profile.effect == Effect::Redoable;
         if harmless || self.fault == Some(Fault::PushesBackWhatRan) {
@@ -313,8 +318,8 @@
         } else {
             acts.push(Act::Forfeit { job: id });
         }
-        for (number, _) in job.shots.iter().enumerate().filter(|(_, shot)| shot.2.is_none()) {
-            acts.push(Act::CallOff { job: id, shot: number });
+        for (number, _) in job.attempts.iter().enumerate().filter(|(_, attempt)| attempt.2.is_none()) {
+            acts.push(Act::CallOff { job: id, attempt: number });
         }
         self.forget(id);
     }
@@ -327,7 +332,7 @@
             return Some(coldest.server);
         }
         let job = &self.jobs[&id];
-        let tried = |server: &Address| job.shots.iter().any(|shot| shot.0 == *server);
+        let tried = |server: &Address| job.attempts.iter().any(|attempt| attempt.0 == *server);
         let open: Vec<Address> = self.servers.keys().filter(|server| !tried(server)).copied().collect();
         if open.is_empty() {
             return None;
--- a/crates/pearfront-emulator/src/judge.rs
+++ b/crates/pearfront-emulator/src/judge.rs
@@ -1,7 +1,7 @@
 //! What came of a play, from the records of servers, callers and discovery alone: the four rules, the gain honoured in
 //! time, the work done for nothing. It knows neither the nodes nor how they decide.
 
-use crate::record::{Answer, Answered, Ask, Job, NodeEnd, Records, ServerLife, Shot, ShotEnd};
+use crate::record::{Answer, Answered, Ask, Attempt, AttemptEnd, Job, NodeEnd, Records, ServerLife};
 use crate::scenario::{Effect, Group, Scenario};
 use crate::server::grown;
 use hdrhistogram::Histogram;
@@ -54,14 +54,14 @@
     pub asked: f64,
     pub honoured: f64,
     pub jobs: u64,
-    pub shots: u64,
+    pub attempts: u64,
     pub served: u64,
     pub errors: u64,
     pub turned_away: u64,
     pub unanswered: u64,
-    /// Mean and highest number of shots that servers of the first tier got.
-    pub shots_mean: f64,
-    pub shots_most: u64,
+    /// Mean and highest number of attempts that servers of the first tier got.
+    pub attempts_mean: f64,
+    pub attempts_most: u64,
 }
 
 #[derive(Debug, Clone, Default, Serialize, Deserialize, PartialEq)]
@@ -79,11 +79,11 @@
     pub pushed_back: usize,
     pub forfeited: usize,
     pub unanswered: usize,
-    /// Shots at the first tier for each job, and work done at any tier for answers that nobody got, as a share.
-    pub shots_a_job: f64,
+    /// Attempts at the first tier for each job, and work done at any tier for answers that nobody got, as a share.
+    pub attempts_a_job: f64,
     /// An error that came at once counts with all the work that was asked for.
     pub wasted: f64,
-    pub shots: usize,
+    pub attempts: usize,
     pub probes: u64,
     pub connections: u64,
     /// Effects had again by a caller's own repeat: no node could know.
@@ -108,7 +108,7 @@
         let rules = if rules.is_empty() { "kept".into() } else { rules.join(",") };
         format!(
             "service={:.3} worst_10s={:.3} worst_profile={:.3} worst_customer={:.3} rules={rules} p50_ms={:.0} \
-             p99_ms={:.0} asks={} shots_a_job={:.3} wasted={:.3} void={}",
+             p99_ms={:.0} asks={} attempts_a_job={:.3} wasted={:.3} void={}",
             self.service,
             self.worst_10s,
             Self::worst(&self.profiles),
@@ -116,20 +116,20 @@
             self.p50_ms,
             self.p99_ms,
             self.asks,
-            self.shots_a_job,
+            self.attempts_a_job,
             self.wasted,
             self.void
         )
     }
 }
 
-/// All shots of one job, in the order in which they came, by the job's id.
-type ShotsOf<'a> = BTreeMap<u64, Vec<&'a Shot>>;
+/// All attempts of one job, in the order in which they came, by the job's id.
+type AttemptsOf<'a> = BTreeMap<u64, Vec<&'a Attempt>>;
 
 struct Court<'a> {
     scenario: &'a Scenario,
     records: &'a Records,
-    shots: ShotsOf<'a>,
+    attempts: AttemptsOf<'a>,
     /// Which node's life each job was taken by.
     nodes: BTreeMap<u64, usize>,
     cases: [Vec<String>; 4],
@@ -170,33 +170,33 @@
         scenario.rules.tip_multiple * life.cores * life.speed * grown(life.started, habits, at) * window
             / mean_work
     };
-    let of_it = |shot: &&Shot| shot.server == server && shot.came < life.started + warm_up;
-    let mut shots: Vec<&Shot> = records.shots.iter().filter(of_it).collect();
-    shots.sort_by(|a, b| a.came.total_cmp(&b.came));
+    let of_it = |attempt: &&Attempt| attempt.server == server && attempt.came < life.started + warm_up;
+    let mut attempts: Vec<&Attempt> = records.attempts.iter().filter(of_it).collect();
+    attempts.sort_by(|a, b| a.came.total_cmp(&b.came));
     let mut worst = ColdLoad { sent: 0.0, may: may(life.started), mean_share: 0.0 };
     let (mut sent, mut first) = (0.0, 0);
-    for shot in &shots {
-        sent += shot.work / mean_work;
-        while shots[first].came < shot.came - window {
-            sent -= shots[first].work / mean_work;
+    for attempt in &attempts {
+        sent += attempt.work / mean_work;
+        while attempts[first].came < attempt.came - window {
+            sent -= attempts[first].work / mean_work;
             first += 1;
         }
-        let load = ColdLoad { sent, may: may(shot.came), ..worst };
+        let load = ColdLoad { sent, may: may(attempt.came), ..worst };
         worst = if load.of_limit() > worst.of_limit() { load } else { worst };
     }
-    let all = shots.iter().map(|shot| shot.work).sum::<f64>() / mean_work;
+    let all = attempts.iter().map(|attempt| attempt.work).sum::<f64>() / mean_work;
     let mean_may = (may(life.started) + may(life.started + warm_up)) / 2.0 * warm_up / window;
     ColdLoad { mean_share: all / mean_may, ..worst }
 }
 
 pub fn judge(scenario: &Scenario, records: &Records) -> Verdict {
-    let mut shots = ShotsOf::new();
-    for shot in &records.shots {
-        shots.entry(shot.trace).or_default().push(shot);
+    let mut attempts = AttemptsOf::new();
+    for attempt in &records.attempts {
+        attempts.entry(attempt.trace).or_default().push(attempt);
     }
-    shots.values_mut().for_each(|shots| shots.sort_by(|a, b| a.came.total_cmp(&b.came)));
+    attempts.values_mut().for_each(|attempts| attempts.sort_by(|a, b| a.came.total_cmp(&b.came)));
     let nodes = records.jobs.iter().map(|job| (job.trace, job.node)).collect();
-    let mut court = Court { scenario, records, shots, nodes, cases: Default::default() };
+    let mut court = Court { scenario, records, attempts, nodes, cases: Default::default() };
     records.jobs.iter().for_each(|job| court.job(job));
     court.drains();
     court.cold();
@@ -241,8 +241,8 @@
         if answered.answer != Answer::Honoured {
             return None;
         }
-        let served = |shot: &&Shot| shot.ended.is_some_and(|(_, how)| how == ShotEnd::Served);
-        let made = self.shots.get(&job.trace).is_some_and(|shots| shots.iter().any(served));
+        let served = |attempt: &&Attempt| attempt.ended.is_some_and(|(_, how)| how == AttemptEnd::Served);
+        let made = self.attempts.get(&job.trace).is_some_and(|attempts| attempts.iter().any(served));
         match answered.body {
             body if body != job.trace => Some(format!("got what was made for job {body}")),
             _ if !made => Some("honoured with what no server made".into()),
@@ -253,24 +253,25 @@
     /// Rule 2: what may have run goes again, or is pushed back, only where that is harmless.
     fn effects(&self, job: &Job) -> Option<String> {
         let profile = &self.scenario.profiles[job.profile];
-        let shots = self.shots.get(&job.trace)?;
-        let proven =
-            |shot: &Shot, by: f64| shot.ended.is_some_and(|(at, how)| how == ShotEnd::TurnedAway && at <= by);
-        let effects = shots.iter().filter(|shot| shot.effect).count();
+        let attempts = self.attempts.get(&job.trace)?;
+        let proven = |attempt: &Attempt, by: f64| {
+            attempt.ended.is_some_and(|(at, how)| how == AttemptEnd::TurnedAway && at <= by)
+        };
+        let effects = attempts.iter().filter(|attempt| attempt.effect).count();
         if effects > 1 && profile.effect != Effect::Redoable {
             return Some(format!("its effect was had {effects} times"));
         }
-        for (at, shot) in shots.iter().enumerate().skip(1) {
-            let Some(first) = shots[..at].iter().find(|earlier| !proven(earlier, shot.came)) else {
+        for (at, attempt) in attempts.iter().enumerate().skip(1) {
+            let Some(first) = attempts[..at].iter().find(|earlier| !proven(earlier, attempt.came)) else {
                 continue;
             };
             match profile.effect {
                 Effect::Redoable => {}
                 Effect::Irreversible => return Some("sent again though it may have run".into()),
-                Effect::Labelled if !self.same_group(profile.group, first, shot) => {
+                Effect::Labelled if !self.same_group(profile.group, first, attempt) => {
                     return Some("its repeat went outside its group".into());
                 }
-                Effect::Labelled if shot.sent > first.came + profile.window_s * 1000.0 => {
+                Effect::Labelled if attempt.sent > first.came + profile.window_s * 1000.0 => {
                     return Some("its repeat went after its window".into());
                 }
                 Effect::Labelled => {}
@@ -280,13 +281,15 @@
         let harmless = match profile.effect {
             Effect::Redoable => true,
             Effect::Labelled if profile.group == Group::All => true,
-            _ => shots.iter().all(|shot| shot.came > pushed_back.at || proven(shot, pushed_back.at)),
+            _ => attempts
+                .iter()
+                .all(|attempt| attempt.came > pushed_back.at || proven(attempt, pushed_back.at)),
         };
         (!harmless).then(|| "pushed back though it may have run".into())
     }
 
-    fn same_group(&self, group: Group, one: &Shot, other: &Shot) -> bool {
-        let [one, other] = [one, other].map(|shot| &self.records.servers[shot.server]);
+    fn same_group(&self, group: Group, one: &Attempt, other: &Attempt) -> bool {
+        let [one, other] = [one, other].map(|attempt| &self.records.servers[attempt.server]);
         match group {
             Group::All => true,
             Group::Zone => one.zone == other.zone,
@@ -305,14 +308,14 @@
             return;
         }
         let grace = self.scenario.rules.drain_grace_s * 1000.0;
-        for shot in &self.records.shots {
-            let told = self.nodes.get(&shot.trace).and_then(|node| ends.get(&(*node, shot.server)));
-            if let Some(at) = told.filter(|at| shot.sent > **at + grace) {
-                let server = &self.records.servers[shot.server].id;
+        for attempt in &self.records.attempts {
+            let told = self.nodes.get(&attempt.trace).and_then(|node| ends.get(&(*node, attempt.server)));
+            if let Some(at) = told.filter(|at| attempt.sent > **at + grace) {
+                let server = &self.records.servers[attempt.server].id;
                 self.cases[2].push(format!(
                     "job {} went to {server} {:.1} s after its node was told that it drains or is gone",
-                    shot.trace,
-                    (shot.sent - at) / 1000.0
+                    attempt.trace,
+                    (attempt.sent - at) / 1000.0
                 ));
             }
         }
@@ -331,44 +334,49 @@
             let at = knows.entry((told.node, told.server)).or_insert(told.at);
             *at = at.min(told.at);
         }
-        let mut by_server: BTreeMap<usize, Vec<&Shot>> = BTreeMap::new();
-        for shot in &self.records.shots {
-            by_server.entry(shot.server).or_default().push(shot);
+        let mut by_server: BTreeMap<usize, Vec<&Attempt>> = BTreeMap::new();
+        for attempt in &self.records.attempts {
+            by_server.entry(attempt.server).or_default().push(attempt);
         }
         for server in cold {
-            let mut shots = by_server.remove(&server).unwrap_or_default();
-            shots.sort_by(|a, b| a.came.total_cmp(&b.came));
-            let knowing = |shot: &Shot| {
-                let node = self.nodes.get(&shot.trace);
-                node.is_some_and(|node| knows.get(&(*node, server)).is_some_and(|at| *at <= shot.sent))
+            let mut attempts = by_server.remove(&server).unwrap_or_default();
+            attempts.sort_by(|a, b| a.came.total_cmp(&b.came));
+            let knowing = |attempt: &Attempt| {
+                let node = self.nodes.get(&attempt.trace);
+                node.is_some_and(|node| knows.get(&(*node, server)).is_some_and(|at| *at <= attempt.sent))
             };
-            if let Some(what) = self.pushed_over(server, &shots, knowing) {
+            if let Some(what) = self.pushed_over(server, &attempts, knowing) {
                 self.cases[3].push(what);
             }
         }
     }
 
-    fn pushed_over(&self, server: usize, shots: &[&Shot], knowing: impl Fn(&Shot) -> bool) -> Option<String> {
+    fn pushed_over(
+        &self,
+        server: usize,
+        attempts: &[&Attempt],
+        knowing: impl Fn(&Attempt) -> bool,
+    ) -> Option<String> {
         let life = &self.records.servers[server];
         let habits = &self.scenario.tiers[life.tier].server;
         let window = self.scenario.rules.tip_window_s * 1000.0;
         let mean_work = self.scenario.mean_work_at(life.tier);
         let (mut sum, mut known, mut first) = (0.0, 0.0, 0);
-        for shot in shots {
-            let share = grown(life.started, habits, shot.came);
+        for attempt in attempts {
+            let share = grown(life.started, habits, attempt.came);
             if share >= 1.0 {
                 return None;
             }
-            sum += shot.work;
-            known += if knowing(shot) { shot.work } else { 0.0 };
-            while shots[first].came < shot.came - window {
-                sum -= shots[first].work;
-                known -= if knowing(shots[first]) { shots[first].work } else { 0.0 };
+            sum += attempt.work;
+            known += if knowing(attempt) { attempt.work } else { 0.0 };
+            while attempts[first].came < attempt.came - window {
+                sum -= attempts[first].work;
+                known -= if knowing(attempts[first]) { attempts[first].work } else { 0.0 };
                 first += 1;
             }
             let budget = self.scenario.rules.cold_budget(life.cores * life.speed * share, mean_work);
             if sum > budget && known >= KNOWING * sum {
-                let since = (shot.came - life.started) / 1000.0;
+                let since = (attempt.came - life.started) / 1000.0;
                 return Some(format!(
                     "{} was sent {sum:.0} ms of work within {:.1} s, {since:.1} s after its start, and bears {budget:.0}",
                     life.id,
@@ -432,11 +440,11 @@
             verdict.late_p99_us = late.value_at_quantile(0.99);
             verdict.void = verdict.late_p99_us as f64 / 1000.0 > LATE_MOST * scenario.rules.slack_ms;
         }
-        self.shot_figures(&mut verdict);
+        self.attempt_figures(&mut verdict);
         verdict
     }
 
-    fn shot_figures(&self, verdict: &mut Verdict) {
+    fn attempt_figures(&self, verdict: &mut Verdict) {
         let records = self.records;
         let honoured = |job: &&Job| {
             job.ask.is_some()
@@ -447,34 +455,35 @@
         let last = verdict.seconds.len() - 1;
         let mut loads: Vec<BTreeMap<usize, u64>> = vec![BTreeMap::new(); verdict.seconds.len()];
         let (mut done, mut wasted, mut outer) = (0.0, 0.0, 0usize);
-        for shot in &records.shots {
-            let at = ((shot.came / 1000.0) as usize).min(last);
+        for attempt in &records.attempts {
+            let at = ((attempt.came / 1000.0) as usize).min(last);
             let second = &mut verdict.seconds[at];
-            second.shots += 1;
-            match shot.ended {
-                Some((_, ShotEnd::Served)) => second.served += 1,
-                Some((_, ShotEnd::Error)) => second.errors += 1,
-                Some((_, ShotEnd::TurnedAway)) => second.turned_away += 1,
-                Some((_, ShotEnd::Dropped | ShotEnd::Lost)) | None => second.unanswered += 1,
+            second.attempts += 1;
+            match attempt.ended {
+                Some((_, AttemptEnd::Served)) => second.served += 1,
+                Some((_, AttemptEnd::Error)) => second.errors += 1,
+                Some((_, AttemptEnd::TurnedAway)) => second.turned_away += 1,
+                Some((_, AttemptEnd::Dropped | AttemptEnd::Lost)) | None => second.unanswered += 1,
             }
-            if records.servers[shot.server].tier == 0 {
+            if records.servers[attempt.server].tier == 0 {
                 outer += 1;
-                *loads[at].entry(shot.server).or_default() += 1;
+                *loads[at].entry(attempt.server).or_default() += 1;
             }
-            if matches!(shot.ended, Some((_, ShotEnd::Served | ShotEnd::Error))) {
-                done += shot.work;
-                let served = matches!(shot.ended, Some((_, ShotEnd::Served))) && shot.called_off.is_none();
-                let used = served && roots.get(&shot.trace).is_some_and(|root| useful.contains(root));
-                wasted += if used { 0.0 } else { shot.work };
+            if matches!(attempt.ended, Some((_, AttemptEnd::Served | AttemptEnd::Error))) {
+                done += attempt.work;
+                let served =
+                    matches!(attempt.ended, Some((_, AttemptEnd::Served))) && attempt.called_off.is_none();
+                let used = served && roots.get(&attempt.trace).is_some_and(|root| useful.contains(root));
+                wasted += if used { 0.0 } else { attempt.work };
             }
         }
         let servers = self.scenario.tiers[0].servers as f64;
         for (second, load) in verdict.seconds.iter_mut().zip(&loads) {
-            second.shots_mean = load.values().sum::<u64>() as f64 / servers;
-            second.shots_most = load.values().copied().max().unwrap_or(0);
+            second.attempts_mean = load.values().sum::<u64>() as f64 / servers;
+            second.attempts_most = load.values().copied().max().unwrap_or(0);
         }
-        verdict.shots = records.shots.len();
-        verdict.shots_a_job = outer as f64 / (verdict.tries as f64).max(1.0);
+        verdict.attempts = records.attempts.len();
+        verdict.attempts_a_job = outer as f64 / (verdict.tries as f64).max(1.0);
         verdict.wasted = if done > 0.0 { wasted / done } else { 0.0 };
         verdict.repeats_by_callers = self.repeats_by_callers();
     }
@@ -483,10 +492,10 @@
     fn repeats_by_callers(&self) -> usize {
         let labels: BTreeMap<u64, u64> = self.records.jobs.iter().map(|job| (job.trace, job.label)).collect();
         let mut had: BTreeMap<(u64, usize), BTreeMap<u64, ()>> = BTreeMap::new();
-        for shot in self.records.shots.iter().filter(|shot| shot.effect) {
-            if let Some(label) = labels.get(&shot.trace).filter(|label| **label > 0) {
-                let tier = self.records.servers[shot.server].tier;
-                had.entry((*label, tier)).or_default().insert(shot.trace, ());
+        for attempt in self.records.attempts.iter().filter(|attempt| attempt.effect) {
+            if let Some(label) = labels.get(&attempt.trace).filter(|label| **label > 0) {
+                let tier = self.records.servers[attempt.server].tier;
+                had.entry((*label, tier)).or_default().insert(attempt.trace, ());
             }
         }
         had.values().map(|traces| traces.len() - 1).sum()
--- a/crates/pearfront-emulator/src/model/callers.rs
+++ b/crates/pearfront-emulator/src/model/callers.rs
@@ -78,7 +78,7 @@
             whole_work: ask.ask.work,
             fan: 1.0,
             from: From::Caller(ask.clone()),
-            shots: Default::default(),
+            attempts: Default::default(),
             answered: Cell::new(false),
             over: Cell::new(false),
         });
--- a/crates/pearfront-emulator/src/model/hosts.rs
+++ b/crates/pearfront-emulator/src/model/hosts.rs
@@ -1,9 +1,9 @@
-//! Machines of the model play: servers at their addresses, what troubles do to them, and the shots that reach them.
+//! Machines of the model play: servers at their addresses, what troubles do to them, and the attempts that reach them.
 
 use super::nodes::{Flight, Node};
 use super::{BESIDE, Event, World};
 use crate::decide::{SeesAll, Truth};
-use crate::record::{ServerLife, Shot, ShotEnd};
+use crate::record::{Attempt, AttemptEnd, ServerLife};
 use crate::repeats::{Groups, Repeats};
 use crate::scenario::{Effect, Scenario, What};
 use crate::server::{Arrival, Happened, Need, Server};
@@ -15,7 +15,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// A shot as its server's ticket: the same one, not an equal one.
+/// An attempt as its server's ticket: the same one, not an equal one.
 #[derive(Clone)]
 pub struct Ticket(pub Rc<Flight>);
 
@@ -129,8 +129,8 @@
         let capacity = server.capacity(self.now.get());
         let sound = host.struck.spared(What::FastErrors) * host.struck.spared(What::LostAnswers) > SOUND;
         let up = host.is_up() && !host.draining.get() && capacity > 0.0;
-        // Shots on their way weigh as much as those that have come.
-        let coming = host.flights.borrow().iter().filter(|flight| flight.shot.get().is_none()).count();
+        // Attempts on their way weigh as much as those that have come.
+        let coming = host.flights.borrow().iter().filter(|flight| flight.attempt.get().is_none()).count();
         let each = if server.held() > 0 { server.work_left() / server.held() as f64 } else { 0.0 };
         let held = (server.held() + coming) as f64;
         let most = server.room() * server.grown(self.now.get());
@@ -195,7 +195,7 @@
                 Happened::Began => {}
                 Happened::Calls => self.call_next_tier(host, &flight),
                 Happened::Done => self.served(host, &flight),
-                Happened::Failed => self.server_ends(host, &flight, ShotEnd::Error, Ending::Error),
+                Happened::Failed => self.server_ends(host, &flight, AttemptEnd::Error, Ending::Error),
             }
         }
     }
@@ -216,7 +216,7 @@
         }
     }
 
-    pub fn shot_arrives(&mut self, flight: &Rc<Flight>) {
+    pub fn attempt_arrives(&mut self, flight: &Rc<Flight>) {
         let host = flight.host.clone();
         if flight.starts != host.starts.get() || !host.is_up() {
             return;
@@ -233,8 +233,8 @@
             fails: self.service.random::<f64>() >= host.struck.spared(What::FastErrors),
             repeat: self.repeats(&host, flight, |repeats, label, now, _| repeats.knows(label, now)),
         };
-        flight.shot.set(Some(self.records.shots.len()));
-        self.records.shots.push(Shot {
+        flight.attempt.set(Some(self.records.attempts.len()));
+        self.records.attempts.push(Attempt {
             trace: job.trace,
             server: host.life.get(),
             sent: flight.sent,
@@ -247,7 +247,7 @@
         let arrival = host.server.borrow_mut().arrive(Ticket(flight.clone()), need);
         match arrival {
             Arrival::Began | Arrival::Waits => {}
-            Arrival::TurnedAway => self.server_ends(&host, flight, ShotEnd::TurnedAway, Ending::Full),
+            Arrival::TurnedAway => self.server_ends(&host, flight, AttemptEnd::TurnedAway, Ending::Full),
             Arrival::Fell => {
                 self.records.servers[host.life.get()].fell = Some(self.now);
                 self.note(format!("{} falls over: cold and sent too much", host.id.borrow()));
@@ -257,7 +257,7 @@
         self.watch_host(&host);
     }
 
-    /// Asks the memory of labels that this shot falls under; false for jobs without one.
+    /// Asks the memory of labels that this attempt falls under; false for jobs without one.
     fn repeats(
         &self,
         host: &Host,
@@ -274,22 +274,22 @@
     fn served(&mut self, host: &Rc<Host>, flight: &Rc<Flight>) {
         let labelled = self.scenario.profiles[flight.job.profile].effect == Effect::Labelled;
         let first = self.repeats(host, flight, Repeats::work_through);
-        if let Some(shot) = flight.shot.get() {
-            self.records.shots[shot].effect = first || !labelled;
+        if let Some(attempt) = flight.attempt.get() {
+            self.records.attempts[attempt].effect = first || !labelled;
         }
-        self.server_ends(host, flight, ShotEnd::Served, Ending::Honoured);
+        self.server_ends(host, flight, AttemptEnd::Served, Ending::Honoured);
     }
 
-    /// The server is done with a shot: books it and answers, unless nobody listens or the answer is lost.
-    fn server_ends(&mut self, host: &Rc<Host>, flight: &Rc<Flight>, end: ShotEnd, ending: Ending) {
+    /// The server is done with an attempt: books it and answers, unless nobody listens or the answer is lost.
+    fn server_ends(&mut self, host: &Rc<Host>, flight: &Rc<Flight>, end: AttemptEnd, ending: Ending) {
         host.flights.borrow_mut().retain(|other| !Rc::ptr_eq(other, flight));
-        if let Some(shot) = flight.shot.get() {
-            self.records.shots[shot].ended = Some((self.now, end));
+        if let Some(attempt) = flight.attempt.get() {
+            self.records.attempts[attempt].ended = Some((self.now, end));
         }
         let lost = self.service.random::<f64>() >= host.struck.spared(What::LostAnswers);
         if !flight.ended.get() && !lost {
             let hop = self.hop(host.zone, flight.job.node.zone);
-            self.agenda.put(self.now + hop, Event::ShotEnds(flight.clone(), ending, flight.job.trace));
+            self.agenda.put(self.now + hop, Event::AttemptEnds(flight.clone(), ending, flight.job.trace));
         }
     }
 
@@ -312,22 +312,24 @@
         }
         let ended = host.server.borrow_mut().call_ended(&Ticket(flight.clone()), good);
         if ended.is_some() {
-            self.server_ends(host, flight, ShotEnd::Error, Ending::Error);
+            self.server_ends(host, flight, AttemptEnd::Error, Ending::Error);
         }
     }
 
     pub fn call_off_arrives(&mut self, flight: &Rc<Flight>) {
         let host = flight.host.clone();
-        let Some(shot) = flight.shot.get().filter(|_| flight.starts == host.starts.get()) else { return };
-        if self.records.shots[shot].ended.is_none() {
-            self.records.shots[shot].called_off = Some(self.now);
+        let Some(attempt) = flight.attempt.get().filter(|_| flight.starts == host.starts.get()) else {
+            return;
+        };
+        if self.records.attempts[attempt].ended.is_none() {
+            self.records.attempts[attempt].called_off = Some(self.now);
         }
         if !host.is_up() {
             return;
         }
         self.catch_up(&host);
         if host.server.borrow_mut().call_off(&Ticket(flight.clone())) {
-            self.records.shots[shot].ended = Some((self.now, ShotEnd::Dropped));
+            self.records.attempts[attempt].ended = Some((self.now, AttemptEnd::Dropped));
             host.flights.borrow_mut().retain(|other| !Rc::ptr_eq(other, flight));
         }
         self.watch_host(&host);
@@ -336,12 +338,14 @@
     /// The process is gone, and all that it held; its connections are reset.
     pub fn lose_all(&mut self, host: &Rc<Host>, ending: Ending) {
         for flight in host.flights.take() {
-            if let Some(shot) = flight.shot.get().filter(|shot| self.records.shots[*shot].ended.is_none()) {
-                self.records.shots[shot].ended = Some((self.now, ShotEnd::Lost));
+            if let Some(attempt) =
+                flight.attempt.get().filter(|attempt| self.records.attempts[*attempt].ended.is_none())
+            {
+                self.records.attempts[attempt].ended = Some((self.now, AttemptEnd::Lost));
             }
             if !flight.ended.get() {
                 let hop = self.hop(host.zone, flight.job.node.zone);
-                self.agenda.put(self.now + hop, Event::ShotEnds(flight, ending, 0));
+                self.agenda.put(self.now + hop, Event::AttemptEnds(flight, ending, 0));
             }
         }
     }
--- a/crates/pearfront-emulator/src/model/nodes.rs
+++ b/crates/pearfront-emulator/src/model/nodes.rs
@@ -60,7 +60,7 @@
 /// Who waits for a job's answer.
 pub enum From {
     Caller(Rc<super::callers::AskState>),
-    /// A shot that its server makes this call for.
+    /// An attempt that its server makes this call for.
     Server(Rc<Flight>),
 }
 
@@ -80,13 +80,13 @@
     /// How many jobs of this tier one ask makes.
     pub fan: f64,
     pub from: From,
-    pub shots: RefCell<Vec<Rc<Flight>>>,
+    pub attempts: RefCell<Vec<Rc<Flight>>>,
     pub answered: Cell<bool>,
     /// Its caller has what it will get.
     pub over: Cell<bool>,
 }
 
-/// A shot on its way.
+/// An attempt on its way.
 pub struct Flight {
     pub job: Rc<HeldJob>,
     pub number: usize,
@@ -96,7 +96,7 @@
     pub sent: f64,
     pub new_connection: bool,
     /// Its place in the records once it has come.
-    pub shot: Cell<Option<usize>>,
+    pub attempt: Cell<Option<usize>>,
     /// Its node knows how it ended.
     pub ended: Cell<bool>,
 }
@@ -209,15 +209,15 @@
     fn act(&mut self, node: &Rc<Node>, act: Act) {
         let job = |number: u32| node.jobs.borrow().get(&number).cloned();
         match act {
-            Act::Shoot { job: number, server, limit } => {
+            Act::Attempt { job: number, server, limit } => {
                 if let Some(job) = job(number) {
-                    self.shoot(node, &job, server, limit);
+                    self.attempt(node, &job, server, limit);
                 }
             }
-            Act::CallOff { job: number, shot } => {
-                let flight = job(number).and_then(|job| job.shots.borrow().get(shot).cloned());
+            Act::CallOff { job: number, attempt } => {
+                let flight = job(number).and_then(|job| job.attempts.borrow().get(attempt).cloned());
                 if let Some(flight) = flight.filter(|flight| !flight.ended.get()) {
-                    self.shot_over(&flight, Ending::CalledOff, true);
+                    self.attempt_over(&flight, Ending::CalledOff, true);
                 }
             }
             Act::PushBack { job: number, wait } => {
@@ -253,7 +253,7 @@
         self.tell(node, Word::Job { id: number, profile, customer, limit });
     }
 
-    /// A call to the next tier, made by a server for a shot that it works on.
+    /// A call to the next tier, made by a server for an attempt that it works on.
     pub fn new_call(&mut self, node: &Rc<Node>, flight: &Rc<Flight>) -> Rc<HeldJob> {
         let (above, scenario) = (&flight.job, self.scenario.clone());
         let fan = above.fan * f64::from(scenario.tiers[node.tier - 1].calls);
@@ -291,31 +291,31 @@
             whole_work: above.whole_work,
             fan,
             from,
-            shots: RefCell::default(),
+            attempts: RefCell::default(),
             answered: Cell::new(false),
             over: Cell::new(false),
         })
     }
 
-    fn shoot(&mut self, node: &Rc<Node>, job: &Rc<HeldJob>, server: Address, limit: f64) {
+    fn attempt(&mut self, node: &Rc<Node>, job: &Rc<HeldJob>, server: Address, limit: f64) {
         let Some(host) = self.fleet.host(server) else {
             return self.lone_end(node, job);
         };
         let kept = self.kept_connection(node, &host);
         let flight = Rc::new(Flight {
             job: job.clone(),
-            number: job.shots.borrow().len(),
+            number: job.attempts.borrow().len(),
             host: host.clone(),
             starts: kept.map_or(host.starts.get(), |(_, starts)| starts),
             sent: self.now,
             new_connection: kept.is_none(),
-            shot: Cell::new(None),
+            attempt: Cell::new(None),
             ended: Cell::new(false),
         });
-        job.shots.borrow_mut().push(flight.clone());
-        self.agenda.put(self.now + limit.max(0.0), Event::ShotTimesOut(flight.clone()));
+        job.attempts.borrow_mut().push(flight.clone());
+        self.agenda.put(self.now + limit.max(0.0), Event::AttemptTimesOut(flight.clone()));
         let (there, back) = (self.hop(node.zone, host.zone), self.hop(host.zone, node.zone));
-        let ends = |ending| Event::ShotEnds(flight.clone(), ending, 0);
+        let ends = |ending| Event::AttemptEnds(flight.clone(), ending, 0);
         if let Some((used, starts)) = kept {
             let closed = starts != host.starts.get()
                 || self.now - used >= host.struck.idle(self.scenario.tiers[host.tier].server.idle_s);
@@ -327,7 +327,7 @@
                 return self.agenda.put(self.now + there + back, ends(Ending::Broken));
             }
             host.flights.borrow_mut().push(flight.clone());
-            return self.agenda.put(self.now + there, Event::ShotArrives(flight));
+            return self.agenda.put(self.now + there, Event::AttemptArrives(flight));
         }
         match host.state.get() {
             State::Silent => {
@@ -336,18 +336,18 @@
             State::Up if host.server.borrow_mut().connect() => {
                 self.records.connections += 1;
                 host.flights.borrow_mut().push(flight.clone());
-                self.agenda.put(self.now + 2.0 * there + back, Event::ShotArrives(flight));
+                self.agenda.put(self.now + 2.0 * there + back, Event::AttemptArrives(flight));
             }
             _ => self.agenda.put(self.now + there + back, ends(Ending::Unconnected)),
         }
     }
 
-    /// A shot at an address that nobody ever had.
+    /// An attempt at an address that nobody ever had.
     fn lone_end(&mut self, node: &Rc<Node>, job: &Rc<HeldJob>) {
-        let shot = job.shots.borrow().len();
-        let word = Word::ShotEnded {
+        let attempt = job.attempts.borrow().len();
+        let word = Word::AttemptEnded {
             id: job.number.get(),
-            shot,
+            attempt,
             ending: Ending::Unconnected,
             took: 0.0,
             done: false,
@@ -386,15 +386,15 @@
         self.agenda.put(self.now + SWEEP, Event::Sweep(node.clone()));
     }
 
-    pub fn shot_times_out(&mut self, flight: &Rc<Flight>) {
+    pub fn attempt_times_out(&mut self, flight: &Rc<Flight>) {
         if !flight.ended.get() {
             // Never written where the connection has not come up: then it was told as unconnected before.
-            self.shot_over(flight, Ending::TimedOut, true);
+            self.attempt_over(flight, Ending::TimedOut, true);
         }
     }
 
-    /// What the server or the network had to say of a shot has come to its node.
-    pub fn shot_ends(&mut self, flight: &Rc<Flight>, ending: Ending, body: u64) {
+    /// What the server or the network had to say of an attempt has come to its node.
+    pub fn attempt_ends(&mut self, flight: &Rc<Flight>, ending: Ending, body: u64) {
         if flight.ended.get() || !flight.job.node.alive.get() {
             return;
         }
@@ -406,11 +406,11 @@
         if ending == Ending::Honoured {
             self.give(&flight.job.clone(), Answer::Honoured, body, 0.0);
         }
-        self.shot_over(flight, ending, false);
+        self.attempt_over(flight, ending, false);
     }
 
-    /// A shot is over for its node; `gives_up` closes its connection, so that the server hears of it.
-    fn shot_over(&mut self, flight: &Rc<Flight>, ending: Ending, gives_up: bool) {
+    /// An attempt is over for its node; `gives_up` closes its connection, so that the server hears of it.
+    fn attempt_over(&mut self, flight: &Rc<Flight>, ending: Ending, gives_up: bool) {
         flight.ended.set(true);
         let (job, host) = (&flight.job, &flight.host);
         if gives_up {
@@ -418,9 +418,9 @@
             host.server.borrow_mut().disconnect();
             self.agenda.put(self.now + hop, Event::CallOffArrives(flight.clone()));
         }
-        let word = Word::ShotEnded {
+        let word = Word::AttemptEnded {
             id: job.number.get(),
-            shot: flight.number,
+            attempt: flight.number,
             ending,
             took: self.now - flight.sent,
             done: job.answered.get(),
@@ -457,7 +457,7 @@
     }
 
     fn forget(&self, job: &Rc<HeldJob>) {
-        let out = job.shots.borrow().iter().any(|flight| !flight.ended.get());
+        let out = job.attempts.borrow().iter().any(|flight| !flight.ended.get());
         if job.answered.get() && !out {
             job.node.jobs.borrow_mut().remove(&job.number.get());
         }
@@ -546,7 +546,7 @@
         self.records.nodes[node.life].ended = Some((self.now, how));
         let jobs = node.jobs.take();
         for job in jobs.values() {
-            for flight in job.shots.borrow().iter().filter(|flight| !flight.ended.replace(true)) {
+            for flight in job.attempts.borrow().iter().filter(|flight| !flight.ended.replace(true)) {
                 let hop = self.hop(node.zone, flight.host.zone);
                 flight.host.server.borrow_mut().disconnect();
                 self.agenda.put(self.now + hop, Event::CallOffArrives(flight.clone()));
--- a/crates/pearfront-emulator/src/platform.rs
+++ b/crates/pearfront-emulator/src/platform.rs
@@ -24,7 +24,7 @@
         "azs": scenario.zones, "host_types": scenario.kinds.iter().map(|kind| &kind.name).collect::<Vec<_>>(),
         "profiles": scenario.profiles.iter().map(profile).collect::<Vec<_>>(),
         "customers": scenario.customers.iter().map(customer).collect::<Vec<_>>(),
-        "limits": {"most_shots": nodes.most_shots, "cancel": nodes.call_off, "probes": nodes.probes,
+        "limits": {"most_shots": nodes.most_attempts, "cancel": nodes.call_off, "probes": nodes.probes,
             "parallel_tries": nodes.second_copies, "retry_after": nodes.advice_s > 0.0,
             "max_retry_after": ns(nodes.advice_s * 1000.0), "connect_timeout": ns(nodes.connect_ms),
             "conn_idle": ns(nodes.idle_s * 1000.0)},
--- a/crates/pearfront-emulator/src/record.rs
+++ b/crates/pearfront-emulator/src/record.rs
@@ -52,7 +52,7 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ShotEnd {
+pub enum AttemptEnd {
     Served,
     Error,
     /// Told at once that it never ran.
@@ -63,9 +63,9 @@
     Lost,
 }
 
-/// A shot as the server saw it.
+/// An attempt as the server saw it.
 #[derive(Debug, Clone)]
-pub struct Shot {
+pub struct Attempt {
     pub trace: u64,
     /// Place of the server's life.
     pub server: usize,
@@ -74,7 +74,7 @@
     pub came: f64,
     /// Own work of this tier that it brings, ms.
     pub work: f64,
-    pub ended: Option<(f64, ShotEnd)>,
+    pub ended: Option<(f64, AttemptEnd)>,
     /// It had its effect.
     pub effect: bool,
     pub called_off: Option<f64>,
@@ -135,7 +135,7 @@
 pub struct Records {
     pub asks: Vec<Ask>,
     pub jobs: Vec<Job>,
-    pub shots: Vec<Shot>,
+    pub attempts: Vec<Attempt>,
     pub servers: Vec<ServerLife>,
     pub nodes: Vec<NodeLife>,
     pub told: Vec<Told>,
--- a/crates/pearfront-emulator/src/report.rs
+++ b/crates/pearfront-emulator/src/report.rs
@@ -100,16 +100,17 @@
     /// One line a second, separated by tabs.
     pub fn table(&self) -> String {
         let mut text = String::from(
-            "second\tasked\thonoured\tservice\tjobs\tshots\tserved\terrors\tturned_away\tunanswered\tshots_mean\tshots_most\n",
+            "second\tasked\thonoured\tservice\tjobs\tattempts\tserved\terrors\tturned_away\tunanswered\tattempts_mean\tattempts_most\n",
         );
         for (at, second) in self.verdict.seconds.iter().enumerate() {
-            let Second { asked, honoured, jobs, shots, served, errors, turned_away, unanswered, .. } = second;
+            let Second { asked, honoured, jobs, attempts, served, errors, turned_away, unanswered, .. } =
+                second;
             let service = if *asked > 0.0 { honoured / asked } else { 1.0 };
             let _ = writeln!(
                 text,
-                "{at}\t{asked}\t{honoured}\t{service:.4}\t{jobs}\t{shots}\t{served}\t{errors}\t{turned_away}\t{unanswered}\t\
+                "{at}\t{asked}\t{honoured}\t{service:.4}\t{jobs}\t{attempts}\t{served}\t{errors}\t{turned_away}\t{unanswered}\t\
                  {:.2}\t{}",
-                second.shots_mean, second.shots_most
+                second.attempts_mean, second.attempts_most
             );
         }
         text
@@ -132,7 +133,7 @@
         let plots = [
             ("Service by second (gain honoured in time over gain asked for)", plot(&curves, Some(1.0))?),
             (
-                "Shots a second by ending",
+                "Attempts a second by ending",
                 plot(
                     &[
                         ("served", served),
@@ -144,11 +145,11 @@
                 )?,
             ),
             (
-                "Shots a second at a server of the first tier",
+                "Attempts a second at a server of the first tier",
                 plot(
                     &[
-                        ("mean", by(|second| second.shots_mean)),
-                        ("highest", by(|second| second.shots_most as f64)),
+                        ("mean", by(|second| second.attempts_mean)),
+                        ("highest", by(|second| second.attempts_most as f64)),
                     ],
                     None,
                 )?,
@@ -269,7 +270,7 @@
         ("worst_10s", |verdict| verdict.worst_10s),
         ("worst_profile", |verdict| Verdict::worst(&verdict.profiles)),
         ("worst_customer", |verdict| Verdict::worst(&verdict.customers)),
-        ("shots_a_job", |verdict| verdict.shots_a_job),
+        ("attempts_a_job", |verdict| verdict.attempts_a_job),
         ("wasted", |verdict| verdict.wasted),
         ("p99_ms", |verdict| verdict.p99_ms),
     ];
--- a/crates/pearfront-emulator/src/scenario.rs
+++ b/crates/pearfront-emulator/src/scenario.rs
@@ -273,7 +273,7 @@
     /// Nodes of the first tier; every server of a tier that makes calls has one of its own beside them.
     pub count: usize,
     #[serde(default = "three")]
-    pub most_shots: u32,
+    pub most_attempts: u32,
     #[serde(default = "yes")]
     pub probes: bool,
     #[serde(default = "yes")]
@@ -696,7 +696,7 @@
 
     fn check_surroundings(&self) -> Result<(), (String, String)> {
         within("nodes.count", self.nodes.count as f64, 1.0, 10_000.0)?;
-        within("nodes.most_shots", f64::from(self.nodes.most_shots), 1.0, 100.0)?;
+        within("nodes.most_attempts", f64::from(self.nodes.most_attempts), 1.0, 100.0)?;
         within("nodes.advice_s", self.nodes.advice_s, 0.0, 600.0)?;
         above("nodes.round_ms", self.nodes.round_ms, 0.0, 1000.0)?;
         above("nodes.connect_ms", self.nodes.connect_ms, 0.0, 60_000.0)?;
--- a/crates/pearfront-emulator/src/sockets/fleet.rs
+++ b/crates/pearfront-emulator/src/sockets/fleet.rs
@@ -9,7 +9,7 @@
 };
 use crate::list::{Line, address};
 use crate::platform;
-use crate::record::{NodeEnd, NodeLife, Records, ShotEnd, Told};
+use crate::record::{AttemptEnd, NodeEnd, NodeLife, Records, Told};
 use crate::repeats::Groups;
 use crate::scenario::{Scenario, Trouble, What};
 use crate::server::Server;
@@ -36,7 +36,7 @@
     pub repeats: RefCell<Groups>,
     pub directory: Directory,
     /// Answers that were lost on their way: their connections stay open and silent.
-    pub unanswered: RefCell<Vec<oneshot::Sender<ShotEnd>>>,
+    pub unanswered: RefCell<Vec<oneshot::Sender<AttemptEnd>>>,
     /// What seats' nodes were told: their lives are the callers' side's to know.
     pub told_seats: RefCell<Vec<(usize, Told)>>,
     troubles: RefCell<ChaCha8Rng>,
--- a/crates/pearfront-emulator/src/sockets/mod.rs
+++ b/crates/pearfront-emulator/src/sockets/mod.rs
@@ -196,7 +196,7 @@
     Ok(merge(callers?, fleet?))
 }
 
-/// Puts both sides' records together: jobs and shots meet by the jobs' ids.
+/// Puts both sides' records together: jobs and attempts meet by the jobs' ids.
 fn merge(callers: Seen, fleet: fleet::FleetSeen) -> Records {
     let mut late = callers.late;
     // Both have the same bounds.
@@ -229,7 +229,7 @@
         job
     };
     all.jobs.extend(own.jobs.into_iter().map(moved));
-    all.shots = own.shots;
+    all.attempts = own.attempts;
     all.servers = own.servers;
     all.probes = own.probes;
     all.connections = own.connections;
--- a/crates/pearfront-emulator/src/sockets/servers.rs
+++ b/crates/pearfront-emulator/src/sockets/servers.rs
@@ -3,7 +3,7 @@
 use super::client::{Asked, Client, Heard};
 use super::fleet::Side;
 use super::processes::Process;
-use crate::record::{Answer, Job, ServerLife, Shot, ShotEnd};
+use crate::record::{Answer, Attempt, AttemptEnd, Job, ServerLife};
 use crate::repeats::Repeats;
 use crate::scenario::{Effect, What};
 use crate::server::{Arrival, Happened, Need, Server};
@@ -36,9 +36,9 @@
     root: u64,
     asked: Asked,
     limit: f64,
-    shot: usize,
+    attempt: usize,
     starts: u64,
-    done: RefCell<Option<oneshot::Sender<ShotEnd>>>,
+    done: RefCell<Option<oneshot::Sender<AttemptEnd>>>,
 }
 
 #[derive(Clone)]
@@ -137,17 +137,17 @@
                 Happened::Done => {
                     let labelled = self.scenario.profiles[job.asked.profile].effect == Effect::Labelled;
                     let first = self.repeats(host, &job.asked, Repeats::work_through);
-                    self.records.borrow_mut().shots[job.shot].effect = first || !labelled;
-                    self.end(host, &job, ShotEnd::Served);
+                    self.records.borrow_mut().attempts[job.attempt].effect = first || !labelled;
+                    self.end(host, &job, AttemptEnd::Served);
                 }
-                Happened::Failed => self.end(host, &job, ShotEnd::Error),
+                Happened::Failed => self.end(host, &job, AttemptEnd::Error),
             }
         }
     }
 
-    fn end(&self, host: &Host, job: &Rc<Pending>, how: ShotEnd) {
+    fn end(&self, host: &Host, job: &Rc<Pending>, how: AttemptEnd) {
         host.held.borrow_mut().retain(|other| !Rc::ptr_eq(other, job));
-        self.records.borrow_mut().shots[job.shot].ended = Some((self.clock.get().now(), how));
+        self.records.borrow_mut().attempts[job.attempt].ended = Some((self.clock.get().now(), how));
         let lost = self.chance.borrow_mut().random::<f64>() >= host.struck.spared(What::LostAnswers);
         let done = job.done.take();
         match done {
@@ -227,7 +227,7 @@
         self.catch_up(host);
         let ended = host.server.borrow_mut().call_ended(&Ticket(job.clone()), good);
         if ended.is_some() {
-            self.end(host, job, ShotEnd::Error);
+            self.end(host, job, AttemptEnd::Error);
         }
         host.bell.notify_one();
     }
@@ -236,7 +236,7 @@
     pub fn lose_all(&self, host: &Host) {
         let now = self.clock.get().now();
         for job in host.held.take() {
-            self.records.borrow_mut().shots[job.shot].ended = Some((now, ShotEnd::Lost));
+            self.records.borrow_mut().attempts[job.attempt].ended = Some((now, AttemptEnd::Lost));
         }
         host.starts.send_modify(|starts| *starts += 1);
     }
@@ -269,7 +269,7 @@
             fails,
             repeat: self.repeats(&host, &asked, |repeats, label, now, _| repeats.knows(label, now)),
         };
-        let shot = self.record_shot(&host, trace, sent, now, own);
+        let attempt = self.record_attempt(&host, trace, sent, now, own);
         let (done, is_done) = oneshot::channel();
         let left =
             head.headers.get("x-expires-in").and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
@@ -277,14 +277,14 @@
             root: asked.root,
             asked,
             limit: now + left.unwrap_or(0.0) * 1000.0,
-            shot,
+            attempt,
             starts,
             done: RefCell::new(Some(done)),
         });
         let arrival = host.server.borrow_mut().arrive(Ticket(pending.clone()), need);
         match arrival {
             Arrival::Began | Arrival::Waits => host.held.borrow_mut().push(pending.clone()),
-            Arrival::TurnedAway => self.end(&host, &pending, ShotEnd::TurnedAway),
+            Arrival::TurnedAway => self.end(&host, &pending, AttemptEnd::TurnedAway),
             Arrival::Fell => {
                 let life = host.life.get();
                 self.records.borrow_mut().servers[life].fell = Some(now);
@@ -301,8 +301,8 @@
         let how = is_done.await;
         watch.over = true;
         match how {
-            Ok(ShotEnd::Served) => answer(StatusCode::OK, trace.to_string()),
-            Ok(ShotEnd::TurnedAway) => {
+            Ok(AttemptEnd::Served) => answer(StatusCode::OK, trace.to_string()),
+            Ok(AttemptEnd::TurnedAway) => {
                 let mut full = answer(StatusCode::SERVICE_UNAVAILABLE, "full");
                 full.headers_mut().insert("x-never-ran", hyper::header::HeaderValue::from_static("1"));
                 full
@@ -311,9 +311,9 @@
         }
     }
 
-    fn record_shot(&self, host: &Host, trace: u64, sent: f64, came: f64, work: f64) -> usize {
+    fn record_attempt(&self, host: &Host, trace: u64, sent: f64, came: f64, work: f64) -> usize {
         let mut records = self.records.borrow_mut();
-        records.shots.push(Shot {
+        records.attempts.push(Attempt {
             trace,
             server: host.life.get(),
             sent,
@@ -323,7 +323,7 @@
             effect: false,
             called_off: None,
         });
-        records.shots.len() - 1
+        records.attempts.len() - 1
     }
 
     /// A silent machine says nothing, whatever stands at its connections.
@@ -385,13 +385,13 @@
             return;
         }
         let now = self.side.clock.get().now();
-        let shot = self.pending.shot;
-        if self.side.records.borrow().shots[shot].ended.is_none() {
-            self.side.records.borrow_mut().shots[shot].called_off = Some(now);
+        let attempt = self.pending.attempt;
+        if self.side.records.borrow().attempts[attempt].ended.is_none() {
+            self.side.records.borrow_mut().attempts[attempt].called_off = Some(now);
         }
         let dropped = self.host.server.borrow_mut().call_off(&Ticket(self.pending.clone()));
         if dropped {
-            self.side.records.borrow_mut().shots[shot].ended = Some((now, ShotEnd::Dropped));
+            self.side.records.borrow_mut().attempts[attempt].ended = Some((now, AttemptEnd::Dropped));
             self.host.held.borrow_mut().retain(|other| !Rc::ptr_eq(other, &self.pending));
         }
         self.host.bell.notify_one();
--- a/crates/pearfront-emulator/tests/plays.rs
+++ b/crates/pearfront-emulator/tests/plays.rs
@@ -4,7 +4,7 @@
 use pearfront_emulator::decide::{Fault, Policy};
 use pearfront_emulator::judge::{Verdict, judge};
 use pearfront_emulator::model::{Options, play};
-use pearfront_emulator::record::{Answer, Records, ShotEnd};
+use pearfront_emulator::record::{Answer, AttemptEnd, Records};
 use pearfront_emulator::report::Outcome;
 use pearfront_emulator::scenario::{Rate, Scenario};
 use std::collections::{BTreeMap, BTreeSet};
@@ -135,16 +135,16 @@
     let scenario =
         scenario("impatient = 1.0\n[[troubles]]\nwhat = \"slow\"\nat_s = 5\nfor_s = 5\nby = 0.05\n");
     let (records, verdict) = run(&scenario, Policy::LeastHeld, None);
-    let went_on = |shot: &&pearfront_emulator::record::Shot| match (shot.called_off, shot.ended) {
-        (Some(off), Some((ended, ShotEnd::Served))) => ended > off,
+    let went_on = |attempt: &&pearfront_emulator::record::Attempt| match (attempt.called_off, attempt.ended) {
+        (Some(off), Some((ended, AttemptEnd::Served))) => ended > off,
         _ => false,
     };
-    let went_on: f64 = records.shots.iter().filter(went_on).map(|shot| shot.work).sum();
+    let went_on: f64 = records.attempts.iter().filter(went_on).map(|attempt| attempt.work).sum();
     let done: f64 = records
-        .shots
+        .attempts
         .iter()
-        .filter(|shot| matches!(shot.ended, Some((_, ShotEnd::Served | ShotEnd::Error))))
-        .map(|shot| shot.work)
+        .filter(|attempt| matches!(attempt.ended, Some((_, AttemptEnd::Served | AttemptEnd::Error))))
+        .map(|attempt| attempt.work)
         .sum();
     assert!(went_on > 0.0 && verdict.wasted >= went_on / done, "{went_on} of {done}: {}", verdict.line());
 }
@@ -166,10 +166,10 @@
     // By label: how many of the first tier's servers worked it through, and how often it had its effect.
     let labels: BTreeMap<u64, u64> = records.jobs.iter().map(|job| (job.trace, job.label)).collect();
     let mut by_label: BTreeMap<u64, (usize, usize)> = BTreeMap::new();
-    for shot in records.shots.iter().filter(|shot| records.servers[shot.server].tier == 0) {
-        let seen = by_label.entry(labels[&shot.trace]).or_default();
-        seen.0 += usize::from(matches!(shot.ended, Some((_, ShotEnd::Served))));
-        seen.1 += usize::from(shot.effect);
+    for attempt in records.attempts.iter().filter(|attempt| records.servers[attempt.server].tier == 0) {
+        let seen = by_label.entry(labels[&attempt.trace]).or_default();
+        seen.0 += usize::from(matches!(attempt.ended, Some((_, AttemptEnd::Served))));
+        seen.1 += usize::from(attempt.effect);
     }
     by_label.remove(&0);
     let repeated = by_label.values().filter(|seen| seen.0 > 1).count();
@@ -201,14 +201,20 @@
     assert!(broken(&verdict).is_empty(), "{:?}", verdict.broken);
     let back = records.servers.iter().position(|life| life.started.is_finite()).expect("one that came back");
     assert!(records.servers[back].id.ends_with('\''));
-    let shots: Vec<f64> =
-        records.shots.iter().filter(|shot| shot.server == back).map(|shot| shot.came).collect();
-    assert!(!shots.is_empty() && shots.iter().all(|came| *came > 9000.0));
+    let attempts: Vec<f64> = records
+        .attempts
+        .iter()
+        .filter(|attempt| attempt.server == back)
+        .map(|attempt| attempt.came)
+        .collect();
+    assert!(!attempts.is_empty() && attempts.iter().all(|came| *came > 9000.0));
     // Nobody heard anything of the old one while it was silent.
     let old =
         records.servers.iter().position(|life| format!("{}'", life.id) == records.servers[back].id).unwrap();
-    let ended = records.shots.iter().filter(|shot| shot.server == old);
-    assert!(ended.filter_map(|shot| shot.ended).all(|(at, how)| at <= 3000.0 || how == ShotEnd::Lost));
+    let ended = records.attempts.iter().filter(|attempt| attempt.server == old);
+    assert!(
+        ended.filter_map(|attempt| attempt.ended).all(|(at, how)| at <= 3000.0 || how == AttemptEnd::Lost)
+    );
 }
 
 #[test]
@@ -239,11 +245,13 @@
     let new: BTreeSet<&str> =
         records.servers.iter().filter(|life| life.id.ends_with('+')).map(|life| life.id.as_str()).collect();
     assert_eq!(new.len(), 6);
-    let last =
-        records.shots.iter().filter(|shot| shot.came > 15_000.0 && records.servers[shot.server].tier == 1);
+    let last = records
+        .attempts
+        .iter()
+        .filter(|attempt| attempt.came > 15_000.0 && records.servers[attempt.server].tier == 1);
     assert!(
         last.clone().count() > 100
-            && last.clone().all(|shot| new.contains(records.servers[shot.server].id.as_str()))
+            && last.clone().all(|attempt| new.contains(records.servers[attempt.server].id.as_str()))
     );
     assert!(verdict.service > 0.97, "{}", verdict.line());
 }
--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -57,7 +57,7 @@
     bytes: Cell<usize>,
     /// Jobs taken in, or being read, and not answered.
     jobs: Cell<usize>,
-    /// Shots that wait for a connection: callers stand back for them.
+    /// Attempts that wait for a connection: callers stand back for them.
     waiting: Cell<usize>,
     freed: Notify,
     callers: RefCell<BTreeMap<u64, Rc<Caller>>>,
@@ -166,7 +166,7 @@
         self.waiting.get() > 0
     }
 
-    /// A shot waits for a connection, as long as this is kept.
+    /// An attempt waits for a connection, as long as this is kept.
     pub fn wait(self: &Rc<Self>) -> Waiting {
         self.waiting.set(self.waiting.get() + 1);
         Waiting(self.clone())
--- a/crates/pearfront-node/src/admit/tests.rs
+++ b/crates/pearfront-node/src/admit/tests.rs
@@ -9,7 +9,7 @@
     let bodies: Vec<Share> = std::iter::from_fn(|| room.job(MOST_WHOLE)).collect();
     assert_eq!(bodies.len(), 4);
     drop(bodies);
-    // 31 connections: fifteen jobs that each need two. One more would leave a shot without any.
+    // 31 connections: fifteen jobs that each need two. One more would leave an attempt without any.
     let small: Vec<Share> = std::iter::from_fn(|| room.job(0)).collect();
     assert_eq!(small.len(), 15);
     drop(small);
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -162,7 +162,7 @@
 
 pub enum JobBody {
     Whole(Bytes),
-    /// Too large to be kept: what came first, and the rest for the first shot that asks for it.
+    /// Too large to be kept: what came first, and the rest for the first attempt that asks for it.
     Flowing {
         first: Bytes,
         rest: RefCell<Option<Receiver<Piece>>>,
@@ -283,20 +283,20 @@
         matches!(self.body, JobBody::Flowing { .. })
     }
 
-    /// The job as a shot that will be waited for so long; none if its body has been sent and was not kept.
+    /// The job as an attempt that will be waited for so long; none if its body has been sent and was not kept.
     pub fn encode(&self, wait: f64) -> Option<Request<Body>> {
-        let mut shot = Request::new(match &self.body {
+        let mut attempt = Request::new(match &self.body {
             JobBody::Whole(body) => whole(body.clone()),
             JobBody::Flowing { first, rest, length } => {
                 Either::Right(Flow::fed(first.clone(), rest.take()?, *length))
             }
         });
-        *shot.method_mut() = self.method.clone();
-        *shot.uri_mut() = self.target.clone();
-        *shot.headers_mut() = self.headers.clone();
+        *attempt.method_mut() = self.method.clone();
+        *attempt.uri_mut() = self.target.clone();
+        *attempt.headers_mut() = self.headers.clone();
         let wait = HeaderValue::from_str(&format!("{:.3}", wait.max(0.0) / 1000.0));
-        shot.headers_mut().insert(TIME_LEFT, wait.expect("digits make a header"));
-        Some(shot)
+        attempt.headers_mut().insert(TIME_LEFT, wait.expect("digits make a header"));
+        Some(attempt)
     }
 }
 
@@ -368,7 +368,7 @@
     }
 }
 
-/// How a shot ended that was answered so, its body whole or on its way.
+/// How an attempt ended that was answered so, its body whole or on its way.
 pub fn decode_end(head: &response::Parts) -> ConnectionEnd {
     let framed = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
     match head.status.as_u16() {
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -8,7 +8,7 @@
 use crate::message::{Answer, Job};
 use crate::probe::Prober;
 use crate::relay::Relay;
-use crate::send::{ConnectionEnd, Senders, Shot};
+use crate::send::{Attempt, ConnectionEnd, Senders};
 use crate::terms::InForce;
 use crate::wire::Wire;
 use http_body_util::Either;
@@ -76,7 +76,7 @@
     String::from_utf8_lossy(id.as_bytes())
 }
 
-/// A job from its taking in to the end of its last shot.
+/// A job from its taking in to the end of its last attempt.
 pub struct Held {
     number: u32,
     job: Job,
@@ -89,8 +89,8 @@
     relay: Relay,
     /// The connection that it came on; not kept open by it.
     caller: Weak<Wire>,
-    /// One for each shot: rung when it is called off.
-    shots: RefCell<Vec<Rc<Notify>>>,
+    /// One for each attempt: rung when it is called off.
+    attempts: RefCell<Vec<Rc<Notify>>>,
     out: Cell<usize>,
     _share: Share,
 }
@@ -148,7 +148,7 @@
             whole: Notify::new(),
             relay,
             caller: Rc::downgrade(caller),
-            shots: RefCell::default(),
+            attempts: RefCell::default(),
             out: Cell::new(0),
             _share: share,
         });
@@ -188,7 +188,7 @@
         }
     }
 
-    /// Drops what nothing is owed for any more: an answered job with no shot out.
+    /// Drops what nothing is owed for any more: an answered job with no attempt out.
     fn forget(&self, held: &Held) {
         if held.out.get() == 0 && !held.relay.is_open() {
             self.held.borrow_mut().remove(&held.number);
@@ -196,13 +196,13 @@
         }
     }
 
-    fn shoot(self: &Rc<Self>, number: u32, server: Address, limit: f64) {
+    fn attempt(self: &Rc<Self>, number: u32, server: Address, limit: f64) {
         let Some(held) = self.held.borrow().get(&number).cloned() else { return };
         let called_off = Rc::new(Notify::new());
-        let place = held.shots.borrow().len();
-        held.shots.borrow_mut().push(called_off.clone());
+        let place = held.attempts.borrow().len();
+        held.attempts.borrow_mut().push(called_off.clone());
         held.out.set(held.out.get() + 1);
-        self.book.shots.add();
+        self.book.attempts.add();
         let route = self.clone();
         spawn_local(async move {
             let started = route.clock.now();
@@ -219,15 +219,21 @@
             };
             let over = route.over(&held, until);
             let (closed, called_off) = (held.relay.closed(), called_off.notified());
-            let shot = route.senders.shoot(to, &held.job, over, closed, wanted, called_off).await;
-            if shot.end == ConnectionEnd::CallerGone {
+            let attempt = route.senders.attempt(to, &held.job, over, closed, wanted, called_off).await;
+            if attempt.end == ConnectionEnd::CallerGone {
                 route.left(&held);
             }
-            route.shot_ended(&held, place, server, shot, route.clock.now() - started.max(held.came.get()));
+            route.attempt_ended(
+                &held,
+                place,
+                server,
+                attempt,
+                route.clock.now() - started.max(held.came.get()),
+            );
         });
     }
 
-    /// Waits until a shot's time is over: its own, or what the job's last byte leaves it once that has come.
+    /// Waits until an attempt's time is over: its own, or what the job's last byte leaves it once that has come.
     async fn over(&self, held: &Held, until: Instant) {
         tokio::select! {
             () = sleep_until(until) => {}
@@ -235,27 +241,27 @@
         }
     }
 
-    fn shot_ended(&self, held: &Rc<Held>, place: usize, server: Address, mut shot: Shot, took: f64) {
+    fn attempt_ended(&self, held: &Rc<Held>, place: usize, server: Address, mut attempt: Attempt, took: f64) {
         // Its caller left in the middle of the body: the server is not to blame.
-        if shot.end == ConnectionEnd::BrokenBefore && !held.relay.is_open() {
-            shot.end = ConnectionEnd::CalledOffBefore;
+        if attempt.end == ConnectionEnd::BrokenBefore && !held.relay.is_open() {
+            attempt.end = ConnectionEnd::CalledOffBefore;
         }
-        shot.end.count(&self.book);
+        attempt.end.count(&self.book);
         held.out.set(held.out.get() - 1);
-        if let Some(mut reply) = shot.reply {
+        if let Some(mut reply) = attempt.reply {
             // What flows counts as held to its last byte.
             if let Either::Right(flow) = &mut reply.body {
                 self.book.flows.add();
                 flow.keep(held.clone());
             }
             held.relay.give(Answer::Honoured(Box::new(reply)));
-        } else if shot.end == ConnectionEnd::TurnedDown {
+        } else if attempt.end == ConnectionEnd::TurnedDown {
             held.relay.give(Answer::TurnedDown);
         }
         let (number, done) = (held.number, !held.relay.is_open());
-        let ending = ConnectionEnd::ending(shot.end);
-        self.inbox.tell(move |balancer| balancer.shot_ended(number, place, ending, took, done));
-        match shot.report {
+        let ending = ConnectionEnd::ending(attempt.end);
+        self.inbox.tell(move |balancer| balancer.attempt_ended(number, place, ending, took, done));
+        match attempt.report {
             Some(Ok(report)) => {
                 self.inbox.tell(move |balancer| balancer.probe_answered(server, true, &report, took));
             }
@@ -299,13 +305,13 @@
 }
 
 impl Writer for Decisions<'_> {
-    fn shoot(&mut self, job: u32, server: Address, limit: f64) {
-        self.route.shoot(job, server, limit);
+    fn attempt(&mut self, job: u32, server: Address, limit: f64) {
+        self.route.attempt(job, server, limit);
     }
 
-    fn call_off(&mut self, job: u32, shot: u16) {
+    fn call_off(&mut self, job: u32, attempt: u16) {
         if let Some(held) = self.route.held.borrow().get(&job)
-            && let Some(called_off) = held.shots.borrow().get(usize::from(shot))
+            && let Some(called_off) = held.attempts.borrow().get(usize::from(attempt))
         {
             called_off.notify_one();
         }
--- a/crates/pearfront-node/src/route/tests.rs
+++ b/crates/pearfront-node/src/route/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-// With a "never" of days a node that has run for longer would play rounds without end and time out every shot.
+// With a "never" of days a node that has run for longer would play rounds without end and time out every attempt.
 #[test]
 fn a_wake_that_never_comes_is_far_away_after_years_too() {
     let clock = Clock::start();
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -1,5 +1,5 @@
-//! Fourth stage: connections to servers and the shots on them. Nothing here sends a shot twice: a connection
-//! carries one shot at a time, and whatever ends it is told as what it was.
+//! Fourth stage: connections to servers and the attempts on them. Nothing here sends an attempt twice: a connection
+//! carries one attempt at a time, and whatever ends it is told as what it was.
 
 use crate::admit::{Place, Room};
 use crate::book::Book;
@@ -30,14 +30,14 @@
 
 /// Share of the time after which servers close idle connections for which ours are kept: they close by then.
 const IDLE_PART: f64 = 0.8;
-/// Weight of one shot on a kept connection, or a new one, in the share of those that broke before any answer: some fifty
-/// count.
+/// Weight of one attempt on a kept connection, or a new one, in the share of those that broke before any answer: some
+/// fifty count.
 const BROKE_WEIGHT: f64 = 0.02;
 /// By how much more kept ones break from which on an irreversible job gets a new connection: one break counts for some
-/// thirty shots.
+/// thirty attempts.
 const KEPT_RISK: f64 = 0.01;
 /// How long a kept connection has to have been quiet behind an answer: a server may send more some milliseconds late, and
-/// on the next shot that would be taken for its answer.
+/// on the next attempt that would be taken for its answer.
 const QUIET: Duration = Duration::from_millis(10);
 /// So many connections to a server may be resting at once; a node that needs more of them than that uses the one that has
 /// been quiet longest.
@@ -47,7 +47,7 @@
 /// Largest buffer of a connection, bytes: a head fits, and a body goes through in pieces.
 pub const BUFFER: usize = 16 * 1024;
 
-/// Every way in which a shot's connection can end.
+/// Every way in which an attempt's connection can end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionEnd {
     /// A whole answer, and the connection stands.
@@ -96,16 +96,16 @@
     /// Counted as what the module is told, but for what on-call staff look for by itself.
     pub fn count(self, book: &Book) {
         let count = match self.ending() {
-            Ending::Error if self == Self::Malformed => &book.shot_malformed,
-            Ending::CalledOff if self == Self::TurnedDown => &book.shot_turned_down,
-            Ending::Honoured => &book.shot_honoured,
-            Ending::Error => &book.shot_error,
-            Ending::Full => &book.shot_full,
-            Ending::Unconnected => &book.shot_unconnected,
-            Ending::Broken => &book.shot_broken,
-            Ending::TimedOut => &book.shot_timed_out,
-            Ending::CalledOff => &book.shot_called_off,
-            Ending::NeverSent => &book.shot_never_sent,
+            Ending::Error if self == Self::Malformed => &book.attempt_malformed,
+            Ending::CalledOff if self == Self::TurnedDown => &book.attempt_turned_down,
+            Ending::Honoured => &book.attempt_honoured,
+            Ending::Error => &book.attempt_error,
+            Ending::Full => &book.attempt_full,
+            Ending::Unconnected => &book.attempt_unconnected,
+            Ending::Broken => &book.attempt_broken,
+            Ending::TimedOut => &book.attempt_timed_out,
+            Ending::CalledOff => &book.attempt_called_off,
+            Ending::NeverSent => &book.attempt_never_sent,
         };
         count.add();
     }
@@ -133,7 +133,7 @@
         let handshake = Builder::new().max_buf_size(BUFFER).handshake(Socket(wire.clone())).await;
         let (sender, connection) = handshake.map_err(|_| ())?;
         let served_by = spawn_local(async move {
-            // How it ended shows on the shot itself.
+            // How it ended shows on the attempt itself.
             let _ = connection.await;
         });
         Ok(Self { sender, wire, kept: false, served_by: served_by.abort_handle() })
@@ -186,11 +186,11 @@
     }
 }
 
-/// How often connections break under a shot before any answer.
+/// How often connections break under an attempt before any answer.
 #[derive(Default)]
 struct Wear {
-    /// Share of recent shots on kept connections, and of those on new ones: what breaks them alike is no fault of the
-    /// keeping, and a new connection would be no safer.
+    /// Share of recent attempts on kept connections, and of those on new ones: what breaks them alike is no fault of
+    /// the keeping, and a new connection would be no safer.
     kept: Cell<f64>,
     new: Cell<f64>,
 }
@@ -206,7 +206,7 @@
     }
 }
 
-/// Connections to servers, the idle ones kept for the next shot.
+/// Connections to servers, the idle ones kept for the next attempt.
 pub struct Senders {
     idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
     wear: Wear,
@@ -276,7 +276,7 @@
     }
 
     /// A new connection in the place of the one to this server that has been idle longest: where none of those is used, one
-    /// more would stay with each shot, until the server takes no further ones.
+    /// more would stay with each attempt, until the server takes no further ones.
     async fn renewed_link(&self, server: SocketAddr) -> Result<Link, ()> {
         if let Some(links) = self.idle.borrow_mut().get_mut(&server)
             && !links.is_empty()
@@ -335,7 +335,7 @@
     async fn wait_for_place(&self) {
         let _waiting = self.room.wait();
         while !self.make_place() {
-            self.crowded.warn("a shot waits for a descriptor");
+            self.crowded.warn("an attempt waits for a descriptor");
             self.room.freed().await;
         }
     }
@@ -363,11 +363,11 @@
         }
     }
 
-    /// One shot: how its connection ended, with the reply if the job was honoured. `over` ends it, and `closed`, the end of
-    /// its job, as long as its last byte is not written: what no server can have begun is never a shot to be called off,
-    /// which some deployments don't allow. `wanted` tells right before the first byte whether the job still wants it,
-    /// for how long, ms, and the caller without whom nothing of it is written.
-    pub async fn shoot(
+    /// One attempt: how its connection ended, with the reply if the job was honoured. `over` ends it, and `closed`, the
+    /// end of its job, as long as its last byte is not written: what no server can have begun is never an attempt to be
+    /// called off, which some deployments don't allow. `wanted` tells right before the first byte whether the job still
+    /// wants it, for how long, ms, and the caller without whom nothing of it is written.
+    pub async fn attempt(
         self: &Rc<Self>,
         server: SocketAddr,
         job: &message::Job,
@@ -375,10 +375,10 @@
         closed: impl Future<Output = ()>,
         wanted: impl Fn() -> Option<(f64, Weak<Wire>)>,
         called_off: impl Future<Output = ()>,
-    ) -> Shot {
+    ) -> Attempt {
         let (mut link, wire) = (None, OnceCell::new());
         let written = || wire.get().is_some_and(|wire: &Rc<Wire>| wire.whole_written());
-        let attempt = self.attempt(&mut link, &wire, server, job, wanted);
+        let exchange = self.exchange(&mut link, &wire, server, job, wanted);
         let closed_before = async {
             closed.await;
             if written() {
@@ -387,78 +387,78 @@
         };
         let (before, after) = tokio::select! {
             biased;
-            shot = attempt => return self.finish(server, link, shot),
+            attempt = exchange => return self.finish(server, link, attempt),
             () = called_off => (ConnectionEnd::CalledOffBefore, ConnectionEnd::CalledOffAfter),
             () = over => (ConnectionEnd::TooLateBefore, ConnectionEnd::TooLateAfter),
             () = closed_before => (ConnectionEnd::CalledOffBefore, ConnectionEnd::CalledOffBefore),
         };
-        Shot::ended(if written() { after } else { before })
+        Attempt::ended(if written() { after } else { before })
     }
 
-    async fn attempt(
+    async fn exchange(
         &self,
         place: &mut Option<Link>,
         wire: &OnceCell<Rc<Wire>>,
         server: SocketAddr,
         job: &message::Job,
         wanted: impl Fn() -> Option<(f64, Weak<Wire>)>,
-    ) -> Shot {
+    ) -> Attempt {
         // A server may have closed a kept connection without our knowing yet. Where that happens, a job that could
         // not go again must not be what finds out.
         let new = job.irreversible && self.wear.is_of_keeping();
         let link = if new { self.renewed_link(server).await } else { self.link(server).await };
-        let Ok(link) = link else { return Shot::ended(ConnectionEnd::NeverUp) };
+        let Ok(link) = link else { return Attempt::ended(ConnectionEnd::NeverUp) };
         // What was written on it before belongs to another message.
         link.wire.expect(Some(0));
         wire.get_or_init(|| link.wire.clone());
         let link = place.insert(link);
         let call = wanted().and_then(|(wait, caller)| Some((job.encode(wait)?, caller)));
         let Some((call, caller)) = call else {
-            return Shot::ended(ConnectionEnd::NotSent);
+            return Attempt::ended(ConnectionEnd::NotSent);
         };
         link.wire.write_for(caller);
         let answer = link.begin(call).await;
         if link.wire.is_withheld() {
-            return Shot::ended(ConnectionEnd::CallerGone);
+            return Attempt::ended(ConnectionEnd::CallerGone);
         }
         self.wear.note(link.kept, answer.is_err() && !link.wire.has_begun());
         match answer {
             Ok((head, body)) => self.read(head, body),
-            Err(_) if !link.wire.whole_written() => Shot::ended(ConnectionEnd::BrokenBefore),
-            Err(_) => Shot::ended(ConnectionEnd::BrokenAfter),
+            Err(_) if !link.wire.whole_written() => Attempt::ended(ConnectionEnd::BrokenBefore),
+            Err(_) => Attempt::ended(ConnectionEnd::BrokenAfter),
         }
     }
 
-    fn read(&self, head: response::Parts, body: Start) -> Shot {
+    fn read(&self, head: response::Parts, body: Start) -> Attempt {
         let report = message::decode_report_of(&head, &self.terms.now().around);
         let end = message::decode_end(&head);
         let is_whole = matches!(body, Start::Whole(_));
         let reply = (end == ConnectionEnd::Honoured).then(|| message::decode_reply(head, body));
-        Shot { end, reply, is_whole, report }
+        Attempt { end, reply, is_whole, report }
     }
 
-    fn finish(self: &Rc<Self>, server: SocketAddr, link: Option<Link>, mut shot: Shot) -> Shot {
+    fn finish(self: &Rc<Self>, server: SocketAddr, link: Option<Link>, mut attempt: Attempt) -> Attempt {
         use ConnectionEnd::{Error, Honoured, NotSent, TurnedAway, TurnedDown};
         let Some(link) =
-            link.filter(|_| matches!(shot.end, Honoured | Error | TurnedAway | TurnedDown | NotSent))
+            link.filter(|_| matches!(attempt.end, Honoured | Error | TurnedAway | TurnedDown | NotSent))
         else {
-            return shot;
+            return attempt;
         };
         let senders = self.clone();
-        match shot.reply.as_mut().map(|reply| &mut reply.body) {
+        match attempt.reply.as_mut().map(|reply| &mut reply.body) {
             // Its connection is free again once the last byte of the answer has been passed on.
             Some(Either::Right(flow)) => flow.at_end(move || senders.keep_link(server, link)),
-            _ if shot.is_whole && (shot.end == NotSent || link.wire.whole_written()) => {
+            _ if attempt.is_whole && (attempt.end == NotSent || link.wire.whole_written()) => {
                 senders.keep_link(server, link);
             }
             _ => {}
         }
-        shot
+        attempt
     }
 }
 
-/// How a shot went.
-pub struct Shot {
+/// How an attempt went.
+pub struct Attempt {
     pub end: ConnectionEnd,
     pub reply: Option<Reply>,
     /// Its answer came to its end.
@@ -467,7 +467,7 @@
     pub report: Option<Result<Vec<f64>, String>>,
 }
 
-impl Shot {
+impl Attempt {
     fn ended(end: ConnectionEnd) -> Self {
         Self { end, reply: None, is_whole: true, report: None }
     }
--- a/crates/pearfront-node/src/send/tests.rs
+++ b/crates/pearfront-node/src/send/tests.rs
@@ -13,7 +13,7 @@
     (listener, server, Senders::new(terms, Room::new(64, 1.0), Rc::default()))
 }
 
-// What a server closed while idle must not cost a job its only shot.
+// What a server closed while idle must not cost a job its only attempt.
 #[test]
 fn a_connection_that_its_server_closed_is_not_used_again() {
     let (listener, server, senders) = stage();
@@ -59,8 +59,8 @@
     assert!(!wear.is_of_keeping());
 }
 
-// What a server sends behind an answer, some milliseconds late, must not meet the next shot: until then the connection
-// rests, unless so many of them do that the node would hold more and more of the server's.
+// What a server sends behind an answer, some milliseconds late, must not meet the next attempt: until then the
+// connection rests, unless so many of them do that the node would hold more and more of the server's.
 #[test]
 fn a_connection_rests_behind_an_answer() {
     let (_listener, server, senders) = stage();
--- a/crates/pearfront-node/src/terms.rs
+++ b/crates/pearfront-node/src/terms.rs
@@ -1,5 +1,5 @@
 //! The settings as one checked, immutable value. It is swapped whole or not at all; whoever needs it for longer than a
-//! moment, as a job does to the end of its last shot, keeps the one that it came under.
+//! moment, as a job does to the end of its last attempt, keeps the one that it came under.
 
 use pearfront::interface::Settings;
 use pearfront_settings::Surroundings;
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -1,4 +1,4 @@
-//! A TCP connection as hyper takes it, which also sees how much of a shot has really been written, and whether
+//! A TCP connection as hyper takes it, which also sees how much of an attempt has really been written, and whether
 //! the other side has something for us. No other file touches a connection's bytes.
 
 use crate::admit::Place;
--- a/crates/pearfront-node/tests/days/mod.rs
+++ b/crates/pearfront-node/tests/days/mod.rs
@@ -257,7 +257,7 @@
     let grown = node.peak_memory() - before;
     assert!(grown < 4 * 1024, "{grown} KiB for a body");
     let counters = node.end();
-    assert_eq!((counters["flows_in"], counters["shots"]), (2, 3));
+    assert_eq!((counters["flows_in"], counters["attempts"]), (2, 3));
 }
 
 // What has begun to flow is not there to be sent again; what never left is, also to a second server.
@@ -273,7 +273,7 @@
     node.discovery.wait_for(2);
     assert_eq!(caller.ask("", &large(100_000)).status(), status);
     let counters = node.end();
-    assert_eq!((odd.jobs().len(), other.jobs().len(), counters["shots"]), (1, 0, 1));
+    assert_eq!((odd.jobs().len(), other.jobs().len(), counters["attempts"]), (1, 0, 1));
 }
 
 // Nothing of it has left where no connection came up: any job may go elsewhere then, also one that is not kept.
@@ -285,7 +285,7 @@
     for _ in 0..20 {
         assert_eq!(caller.ask(&head("pay", "5", body.len()), &body).status(), 200);
     }
-    assert!(node.end()["shot_unconnected"] > 0);
+    assert!(node.end()["attempt_unconnected"] > 0);
 }
 
 // A caller that stops in the middle of a body: no server is to blame, and nothing of it is held.
@@ -300,7 +300,7 @@
     assert_eq!(stopped.answer().unwrap().status(), 400);
     assert_eq!(node.caller().ask(&head("read", "5", 0), b"").status(), 200);
     let counters = node.end();
-    assert_eq!((counters["taken"], counters["client_left"], counters["shot_unconnected"]), (3, 2, 0));
+    assert_eq!((counters["taken"], counters["client_left"], counters["attempt_unconnected"]), (3, 2, 0));
 }
 
 /// Two pieces of an answer with this head, and its body in this form.
--- a/crates/pearfront-node/tests/endings/gone.rs
+++ b/crates/pearfront-node/tests/endings/gone.rs
@@ -80,7 +80,7 @@
     node.signal("-CONT");
     look_twice(&node);
     let counters = node.end();
-    assert_eq!((counters["client_left"], counters["shot_never_sent"]), (1, 1), "{counters:?}");
+    assert_eq!((counters["client_left"], counters["attempt_never_sent"]), (1, 1), "{counters:?}");
     assert!(came.lock().unwrap().iter().all(|length| *length == 0), "{came:?}");
 }
 
@@ -254,7 +254,7 @@
     look_twice(&node);
     let counters = node.end();
     server.go_on();
-    match (server.jobs().len(), counters["client_left"], counters["shots"]) {
+    match (server.jobs().len(), counters["client_left"], counters["attempts"]) {
         (0, 1, 0) => Ok(counters["probes_failed"] == 0),
         _ => Err(format!("{counters:?}")),
     }
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -56,7 +56,7 @@
     }
 }
 
-/// A node's file where no shot may be called off: there only what was never sent may end with its caller.
+/// A node's file where no attempt may be called off: there only what was never sent may end with its caller.
 fn without_cancels(config: &Value) -> Value {
     let mut config = config.clone();
     config["settings"]["limits"]["cancel"] = json!(false);
@@ -102,11 +102,11 @@
     assert_eq!(server.jobs().len(), 1, "{:?}", server.jobs());
 }
 
-// A shot that is out is called off although bytes behind the job hide the end of the connection.
+// An attempt that is out is called off although bytes behind the job hide the end of the connection.
 #[test_case(Leaving::ClosesBehindMore; "closed")]
 #[test_case(Leaving::EndsSendingBehindMore; "only its sending")]
 #[test_case(Leaving::ResetsBehindMore; "reset")]
-fn a_shot_is_called_off_whatever_lies_behind_the_job(how: Leaving) {
+fn an_attempt_is_called_off_whatever_lies_behind_the_job(how: Leaving) {
     let server = Server::start(Act::Silence);
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
@@ -116,13 +116,13 @@
     let _open = leave(caller, "", b"", how);
     server.wait_for("closed 1");
     let counters = node.end();
-    assert_eq!((counters["client_left"], counters["shot_called_off"]), (1, 1));
+    assert_eq!((counters["client_left"], counters["attempt_called_off"]), (1, 1));
 }
 
-// Between two shots: where nothing may be called off the first goes on, and its error comes behind the leaving.
+// Between two attempts: where nothing may be called off the first goes on, and its error comes behind the leaving.
 #[test_case(Leaving::Closes; "closed")]
 #[test_case(Leaving::ClosesBehindMore; "closed with bytes unread")]
-fn an_error_behind_the_leaving_is_followed_by_no_further_shot(how: Leaving) {
+fn an_error_behind_the_leaving_is_followed_by_no_further_attempt(how: Leaving) {
     let odd = Server::start(Act::Raw(Vec::new(), b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_vec()));
     let good = Server::start(Act::Honour(Vec::new()));
     let node = Node::start(&without_cancels(&config(&[odd.address])));
@@ -137,7 +137,7 @@
     odd.wait_for("closed 1");
     assert_eq!(node.caller().ask("GET /up HTTP/1.1\r\n\r\n", b"").status(), 200);
     let counters = node.end();
-    assert_eq!((good.jobs().len(), counters["client_left"], counters["shots"]), (0, 1, 1));
+    assert_eq!((good.jobs().len(), counters["client_left"], counters["attempts"]), (0, 1, 1));
 }
 
 // A connection that comes up late finds the job over: nothing of it is written, also where nothing may be called off.
@@ -156,7 +156,7 @@
     drop(queued);
     let counters = node.end();
     drop(listener);
-    assert_eq!((counters["client_left"], counters["shot_never_sent"]), (1, 1), "{counters:?}");
+    assert_eq!((counters["client_left"], counters["attempt_never_sent"]), (1, 1), "{counters:?}");
 }
 
 // A body that flows, held back by its server: nobody reads it, and only the connection itself tells that its caller is
@@ -177,11 +177,11 @@
     drop(caller);
     wait_for_table(&format!("{own} {ESTABLISHED} "), false);
     let counters = node.end();
-    assert_eq!((counters["client_left"], counters["shot_never_sent"]), (1, 1), "{counters:?}");
+    assert_eq!((counters["client_left"], counters["attempt_never_sent"]), (1, 1), "{counters:?}");
 }
 
-// Hundreds that send and go: held, with their shot out, in the middle of a body. Nothing of theirs is sent on later, and
-// all room is given back.
+// Hundreds that send and go: held, with their attempt out, in the middle of a body. Nothing of theirs is sent on later,
+// and all room is given back.
 #[test]
 fn a_thousand_callers_that_left_have_nothing_sent_on() {
     let (silent, good) = (Server::start(Act::Silence), Server::start(Act::Honour(Vec::new())));
@@ -334,7 +334,7 @@
         assert_eq!((answer.status(), answer.body.as_slice()), (200, b"fine".as_slice()));
     }
     let counters = node.end();
-    assert_eq!((counters["shot_honoured"], counters["forfeited"]), (50, 0));
+    assert_eq!((counters["attempt_honoured"], counters["forfeited"]), (50, 0));
 }
 
 // In the middle of an upgrade: the old process has the job, its caller leaves, and only then it could go.
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -10,7 +10,7 @@
 use std::net::Shutdown;
 use test_case::test_case;
 
-/// Answer and shots for a profile's job, where one server acts so and the other honours.
+/// Answer and attempts for a profile's job, where one server acts so and the other honours.
 fn two_servers(act: Act, profile: &str) -> (u16, usize, usize) {
     let (odd, good) = (Server::start(act), Server::start(Act::Honour(b"fine".to_vec())));
     let node = Node::start(&config(&[odd.address]));
@@ -58,7 +58,7 @@
         assert_eq!(caller.ask(&head("pay", "5", 0), b"").status(), 200);
     }
     let counters = node.end();
-    assert!(counters["shot_unconnected"] > 0 && counters["forfeited"] == 0, "{counters:?}");
+    assert!(counters["attempt_unconnected"] > 0 && counters["forfeited"] == 0, "{counters:?}");
 }
 
 // Where kept connections turn out to be closed, a job that can't go again is not what finds out the next time.
@@ -72,7 +72,7 @@
     assert!((0..100).any(|_| ask("read") == 503));
     assert!((0..10).all(|_| ask("pay") == 200));
     let counters = node.end();
-    assert_eq!((counters["shot_broken"], counters["forfeited"]), (1, 0));
+    assert_eq!((counters["attempt_broken"], counters["forfeited"]), (1, 0));
 }
 
 // So does a connection that never comes up; it is given up after the settings' time, not the job's.
@@ -88,7 +88,7 @@
         assert_eq!(caller.ask(&head("pay", "30", 0), b"").status(), 200);
     }
     let counters = node.end();
-    assert!(counters["shot_unconnected"] > 0 && counters["shot_timed_out"] == 0, "{counters:?}");
+    assert!(counters["attempt_unconnected"] > 0 && counters["attempt_timed_out"] == 0, "{counters:?}");
     drop((listener, queued));
 }
 
@@ -130,10 +130,13 @@
     let server = Server::start(Act::Silence);
     let node = Node::start(&config(&[server.address]));
     assert_eq!(node.caller().ask(&head(profile, "0.2", 0), b"").status(), status);
-    // Its connection is closed, which is how a shot is given up.
+    // Its connection is closed, which is how an attempt is given up.
     server.wait_for("closed 1");
     let counters = node.end();
-    assert_eq!((counters["shots"], counters["shot_called_off"] + counters["shot_timed_out"]), (1, 1));
+    assert_eq!(
+        (counters["attempts"], counters["attempt_called_off"] + counters["attempt_timed_out"]),
+        (1, 1)
+    );
 }
 
 #[test]
@@ -236,9 +239,9 @@
     assert_eq!(node.caller().ask("GET /up HTTP/1.1\r\n\r\n", b"").status(), 200);
 }
 
-// What a caller leaves behind must not go on: its shot is called off, and nothing of it is held.
+// What a caller leaves behind must not go on: its attempt is called off, and nothing of it is held.
 #[test]
-fn a_caller_that_leaves_has_its_shot_called_off() {
+fn a_caller_that_leaves_has_its_attempt_called_off() {
     let server = Server::start(Act::Silence);
     let node = Node::start(&config(&[server.address]));
     let mut half = node.caller();
@@ -250,7 +253,7 @@
     caller.stream.shutdown(Shutdown::Both).unwrap();
     server.wait_for("closed 1");
     let counters = node.end();
-    assert_eq!((counters["taken"], counters["client_left"], counters["shot_called_off"]), (1, 1, 1));
+    assert_eq!((counters["taken"], counters["client_left"], counters["attempt_called_off"]), (1, 1, 1));
     assert_eq!(counters["forfeited"] + counters["pushed_back"] + counters["honoured"], 0);
 }
 
@@ -279,7 +282,7 @@
     server.wait_for("closed 1");
     let counters = node.end();
     assert_eq!((counters["taken"], counters["no_room"], counters["accept_failed"]), (12, 28, 0));
-    assert_eq!(counters["shot_never_sent"] + counters["shot_unconnected"], 0);
+    assert_eq!(counters["attempt_never_sent"] + counters["attempt_unconnected"], 0);
 }
 
 // All jobs that descriptors allow, each with the largest body, must fit into the memory of a small node.
@@ -476,7 +479,7 @@
 
 #[test_case("\"8c1f30d27a5be964\"", "\"seed\"", "config.seed is no hexadecimal number"; "seed")]
 #[test_case("\"sockets\":1024", "\"sockets\":\"all\"", "config.limits.sockets is no number of at least 0"; "limit")]
-#[test_case("\"most_shots\"", "\"shots\"", "config.settings.limits.most_shots is missing"; "missing setting")]
+#[test_case("\"most_shots\"", "\"attempts\"", "config.settings.limits.most_shots is missing"; "missing setting")]
 #[test_case("\"keyed\"", "\"odd\"", "config.settings.profiles[1].effect \"odd\" is unknown"; "effect")]
 #[test_case("\"hostPort\":\"127", "\"hostPort\":\"a127", "config.known.instances[0].hostPort is no address and port"; "known")]
 fn a_faulty_key_is_named_and_nothing_bound(was: &str, is: &str, problem: &str) {
@@ -512,7 +515,7 @@
 }
 
 #[test]
-fn a_moved_node_sends_no_shot_beside_one_that_is_out() {
+fn a_moved_node_sends_no_attempt_beside_one_that_is_out() {
     let silent = [Server::start(Act::Silence), Server::start(Act::Silence)];
     let node = Node::start(&moved_config(&silent.each_ref().map(|server| server.address)));
     assert_eq!(node.caller().ask(&head("read", "2", 0), b"").status(), 503);
--- a/crates/pearfront-node/tests/rehearsal.rs
+++ b/crates/pearfront-node/tests/rehearsal.rs
@@ -3,14 +3,14 @@
 
 use pearfront_emulator::again::{PLAYS, Play, in_time};
 use pearfront_emulator::judge::judge;
-use pearfront_emulator::record::{Answer, Records, ShotEnd};
+use pearfront_emulator::record::{Answer, AttemptEnd, Records};
 use pearfront_emulator::scenario::Scenario;
 use pearfront_emulator::sockets::{NodeCommand, play_until};
 use test_case::test_case;
 
 // Limits are long and slack is wide: the tests beside this one may take the machine for a while. The length is the end
-// of patience only. A cold server is drawn seldom beside three warm ones: with 67 calls a node in 4 s it had no shot in
-// half of the plays, and the test failed by chance.
+// of patience only. A cold server is drawn seldom beside three warm ones: with 67 calls a node in 4 s it had no attempt
+// in half of the plays, and the test failed by chance.
 const SCENARIO: &str = r#"
 name = "a short play"
 length_s = 60
@@ -112,7 +112,7 @@
 
 /// It is what the play waits for: the last thing that has to be seen.
 fn back_is_used(records: &Records) -> bool {
-    back(records).is_some_and(|back| records.shots.iter().any(|shot| shot.server == back))
+    back(records).is_some_and(|back| records.attempts.iter().any(|attempt| attempt.server == back))
 }
 
 // With the key `cluster` the same holds: who is there changes nothing of what is done with jobs.
@@ -137,8 +137,9 @@
     let (records, verdict) = played.unwrap();
     assert!(verdict.broken.is_empty(), "{:?}", verdict.broken);
     // Each trouble was there to be met: errors were seen, a server drained, one came back under a new id and was used.
-    let ended = |how| records.shots.iter().any(|shot| shot.ended.is_some_and(|(_, ended)| ended == how));
-    assert!(ended(ShotEnd::Error) && ended(ShotEnd::Served));
+    let ended =
+        |how| records.attempts.iter().any(|attempt| attempt.ended.is_some_and(|(_, ended)| ended == how));
+    assert!(ended(AttemptEnd::Error) && ended(AttemptEnd::Served));
     assert!(records.told.iter().any(|told| told.standing == pearfront::interface::Standing::Draining));
     assert!(back(&records).is_some(), "one that came back");
     assert!(back_is_used(&records));
--- a/crates/pearfront-scale/src/measure/caller.rs
+++ b/crates/pearfront-scale/src/measure/caller.rs
@@ -44,7 +44,7 @@
         }],
         excess_gain: 1.0,
         probe_price,
-        most_shots: 3,
+        most_attempts: 3,
         may_call_off: true,
         may_probe: true,
         cold_time: 9000.0,
@@ -80,7 +80,7 @@
 }
 
 impl Writer for Wanted {
-    fn shoot(&mut self, job: u32, server: Address, _: f64) {
+    fn attempt(&mut self, job: u32, server: Address, _: f64) {
         self.attempts.push((job, server));
     }
     fn call_off(&mut self, _: u32, _: u16) {}
@@ -222,7 +222,7 @@
                         counts.jobs += 1;
                     }
                     Event::Answered { job, attempt, took } => {
-                        module.shot_ended(job, attempt, Ending::Honoured, took, true);
+                        module.attempt_ended(job, attempt, Ending::Honoured, took, true);
                         open.remove(&job);
                     }
                     Event::Probed(server) => {
--- a/crates/pearfront-settings/src/lib.rs
+++ b/crates/pearfront-settings/src/lib.rs
@@ -156,7 +156,7 @@
         gain_by_work: top.maybe("gain_basis").map_or(Ok(""), |at| at.text())? == "work",
         cross_zone_price: prices.number_or("cross_zone", 0.0)?,
         probe_price: prices.number_or("probe", 0.0)?,
-        most_shots: limits.needed("most_shots")?.above_0()?.ceil() as usize,
+        most_attempts: limits.needed("most_shots")?.above_0()?.ceil() as usize,
         second_copies: limits.yes("parallel_tries")?,
         may_call_off: limits.yes("cancel")?,
         may_probe: limits.yes("probes")?,
--- a/crates/pearfront-settings/src/tests.rs
+++ b/crates/pearfront-settings/src/tests.rs
@@ -34,7 +34,7 @@
 }
 
 #[test]
-fn a_budget_of_further_shots_and_what_else_binds_are_read_and_bind_nothing_where_they_are_not_named() {
+fn a_budget_of_further_attempts_and_what_else_binds_are_read_and_bind_nothing_where_they_are_not_named() {
     let old = parse(SETTINGS.as_bytes()).unwrap();
     assert!(old.further_free.is_infinite() && !old.gone_may_serve);
     let named = SETTINGS.replace(
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -50,7 +50,7 @@
     pub gain_by_work: bool,
     pub cross_zone_price: f64,
     pub probe_price: f64,
-    pub most_shots: usize,
+    pub most_attempts: usize,
     pub second_copies: bool,
     pub may_call_off: bool,
     pub may_probe: bool,
@@ -62,7 +62,7 @@
     pub cold_window: f64,
     /// A server that is gone without having drained may still be sent to.
     pub gone_may_serve: bool,
-    /// Shots beyond each job's first that are allowed within `further_span`, ms: so many, and a share of the jobs
+    /// Attempts beyond each job's first that are allowed within `further_span`, ms: so many, and a share of the jobs
     /// taken in it. Infinite where no rule says so.
     pub further_free: f64,
     pub further_ratio: f64,
@@ -109,7 +109,7 @@
     }
 }
 
-/// How a shot ended.
+/// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
     Honoured,
@@ -123,7 +123,7 @@
 }
 
 impl Ending {
-    /// Proof that the job did not run by this shot.
+    /// Proof that the job did not run by this attempt.
     pub fn never_ran(self) -> bool {
         matches!(self, Ending::Full | Ending::Unconnected | Ending::NeverSent)
     }
@@ -131,9 +131,9 @@
 
 /// Takes the decisions as they are made.
 pub trait Writer {
-    /// Sends the job to the server; without an answer within `limit` the shot times out.
-    fn shoot(&mut self, job: u32, server: Address, limit: f64);
-    fn call_off(&mut self, job: u32, shot: u16);
+    /// Sends the job to the server; without an answer within `limit` the attempt times out.
+    fn attempt(&mut self, job: u32, server: Address, limit: f64);
+    fn call_off(&mut self, job: u32, attempt: u16);
     fn push_back(&mut self, job: u32, wait: f64);
     fn forfeit(&mut self, job: u32);
     fn probe(&mut self, server: Address);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,7 +9,7 @@
 use crate::interface::{Address, Effect, Ending, Figure, Group, Listing};
 use crate::interface::{Profile, Settings, Standing, Writer};
 use crate::ring::SPAN;
-use crate::state::{Fare, Health, Job, Recent, Server, Shot};
+use crate::state::{Attempt, Fare, Health, Job, Recent, Server};
 use crate::window::Window;
 use rand::distr::weighted::WeightedIndex;
 use rand::prelude::{Distribution, Rng};
@@ -47,19 +47,19 @@
 const EDGE: f64 = 0.6; // Share of the reach that a promise has to take for its being late to count.
 const STRIKES: u32 = 3; // Failures in a row that set a server aside; an error is as many by itself.
 const TRIAL: f64 = 40.0; // Jobs of its own that a node sends between two trials of one server at the least.
-const SHARED: f64 = 0.7; // Share of recent shots honoured below which errors come from the tier behind.
+const SHARED: f64 = 0.7; // Share of recent attempts honoured below which errors come from the tier behind.
 const ASIDE_FIRST: f64 = 1000.0; // First time aside, ms: about a short stall; it doubles up to the last.
 const ASIDE_LAST: f64 = 8000.0; // Longest, ms: a lost server must be found back soon after its return.
 const ASIDE_SHARE: f64 = 0.6; // Most of the table that may be aside at once; beyond it the fault is shared.
 const REST: f64 = 4.0; // Usual durations that a full server rests: its queue should be down by then.
 const SILENT: f64 = 3000.0; // Silence, ms, after which a server that answers again may have restarted.
-const OVERDUE: f64 = 8.0; // Mean durations of its profile after which a shot is overdue: tails are long.
-const LOSSY: f64 = 0.05; // Share of recent shots never answered from which on answers are being lost.
+const OVERDUE: f64 = 8.0; // Mean durations of its profile after which an attempt is overdue: tails are long.
+const LOSSY: f64 = 0.05; // Share of recent attempts never answered from which on answers are being lost.
 const OVERDUE_LOSSY: f64 = 4.0; // The same as `OVERDUE` while they are: what is out so long mostly is.
 const UNSEEN: f64 = 0.2; // Share of the contract time that stands for a mean duration not yet seen.
-const FURTHER: f64 = 0.2; // Further shots as a share of first ones, if all recent ones succeed.
-const FURTHER_FREE: f64 = 2.0; // Further shots free in each span: a lone failure may always go again.
-const AGAIN_LEAST: f64 = 0.3; // Share of shots after an error to be honoured, or none goes: three that fail.
+const FURTHER: f64 = 0.2; // Further attempts as a share of first ones, if all recent ones succeed.
+const FURTHER_FREE: f64 = 2.0; // Further attempts free in each span: a lone failure may always go again.
+const AGAIN_LEAST: f64 = 0.3; // Share of attempts after an error to be honoured, or none goes: three that fail.
 const LONG: f64 = 2.0; // Usual durations after which a job counts as dragging: one in ten by chance.
 const FARE_SPAN: f64 = 5_000.0; // Span, ms, over which it counts how a profile fares.
 const HOPELESS: f64 = 0.4; // Share answered in time below which a profile is sent for trial only, and
@@ -73,7 +73,7 @@
 const ZONE_MARGIN: f64 = 26.0; // Share that raises an away server's figure for each point of crossing.
 const ASK_AGAIN: f64 = 1000.0; // First and last pause, ms, before the list is asked for again.
 
-/// Whose group a job's further shots are held to, if any.
+/// Whose group a job's further attempts are held to, if any.
 type Bound = Option<Rc<Server>>;
 
 #[derive(Default)]
@@ -96,7 +96,7 @@
     next_ask: f64,
     ask_pause: f64,
     admitted: Vec<Recent>,
-    first_shots: Recent,
+    first_attempts: Recent,
     /// Servers that a draw asks first: between two jobs of its own a node's figures get too old to tell much.
     asks: usize,
     reach: f64,
@@ -105,10 +105,10 @@
     endings: Recent,
     /// How each profile's jobs fare.
     fares: Vec<Fare>,
-    /// Share of the shots after an error that were honoured, by customer.
+    /// Share of the attempts after an error that were honoured, by customer.
     again: Vec<Recent>,
     further: Recent,
-    /// Jobs taken and shots beyond the first, within the span of the budget where one is stated.
+    /// Jobs taken and attempts beyond the first, within the span of the budget where one is stated.
     taken: Recent,
     rationed: Recent,
     window: Window,
@@ -184,7 +184,7 @@
             self.again = vec![Recent::new(SPAN); settings.quotas.len().max(1)];
         }
         if self.settings.further_span != settings.further_span {
-            // Whole buckets: of jobs taken rather too few count, of further shots rather too many.
+            // Whole buckets: of jobs taken rather too few count, of further attempts rather too many.
             let used = self.rationed.total(self.now).1;
             self.taken = Recent::new(settings.further_span);
             self.rationed = Recent::new(settings.further_span * 10.0 / 9.0);
@@ -223,27 +223,27 @@
         self.pending.push(job);
     }
 
-    /// The last byte of a job's body has come: its times, and those of its shot, count from now on.
+    /// The last byte of a job's body has come: its times, and those of its attempt, count from now on.
     pub fn body_came(&mut self, id: u32, limit: f64) {
         let Some(job) = self.jobs.get(&id).cloned() else { return };
         job.arrived.set(self.now);
         job.limit.set(limit);
-        for shot in job.shots.borrow_mut().iter_mut().filter(|shot| shot.is_out()) {
-            shot.sent = self.now;
+        for attempt in job.attempts.borrow_mut().iter_mut().filter(|attempt| attempt.is_out()) {
+            attempt.sent = self.now;
             self.window.out.change(self.now, job.load());
         }
         self.expect(&job);
         self.pending.push(job);
     }
 
-    /// A job's body is on its way and is not kept: there can be no further shot.
+    /// A job's body is on its way and is not kept: there can be no further attempt.
     pub fn spent(&mut self, id: u32) {
         self.jobs.get(&id).iter().for_each(|job| job.spent.set(true));
     }
 
-    pub fn shot_ended(&mut self, id: u32, shot: usize, ending: Ending, took: f64, done: bool) {
+    pub fn attempt_ended(&mut self, id: u32, attempt: usize, ending: Ending, took: f64, done: bool) {
         let Some(job) = self.jobs.get(&id).cloned() else { return };
-        let Some(server) = self.book_ending(&job, shot, ending) else { return };
+        let Some(server) = self.book_ending(&job, attempt, ending) else { return };
         self.judge(&server, &job, ending, took);
         job.closed.set(done || job.closed.get());
         self.pending.push(job);
@@ -328,7 +328,7 @@
 
     /// How many servers of a zone this node draws among: as many as its own jobs let it know.
     fn part(&mut self) -> usize {
-        let rate = self.first_shots.total(self.now).0 / self.now.clamp(1000.0, SPAN) * 1000.0;
+        let rate = self.first_attempts.total(self.now).0 / self.now.clamp(1000.0, SPAN) * 1000.0;
         let held = self.asks == 0 && self.settings.report.contains(&Figure::Held);
         (rate / ACQUAINTED).max(if held { PART_HELD } else { PART_LEAST }).ceil() as usize
     }
@@ -398,7 +398,7 @@
             out.probe(near[target].line.get().server);
         }
         let each = (PROBE_SPEND / self.settings.probe_price.max(1e-9)).min(PROBE_MOST);
-        let rate = (self.first_shots.total(self.now).0 / SPAN * 1000.0 * each).max(PROBE_FLOOR);
+        let rate = (self.first_attempts.total(self.now).0 / SPAN * 1000.0 * each).max(PROBE_FLOOR);
         self.next_probe = self.now - (1.0 - self.chance.0.random::<f64>()).ln() / rate * 1000.0;
     }
 
@@ -425,20 +425,20 @@
         self.review(job, self.now + ASK_PATIENCE * self.profile(job).contract_time);
     }
 
-    fn book_ending(&mut self, job: &Job, shot: usize, ending: Ending) -> Option<Rc<Server>> {
-        let mut shots = job.shots.borrow_mut();
-        let shot = shots.get_mut(shot).filter(|shot| shot.is_out())?;
-        shot.ending = Some(ending);
+    fn book_ending(&mut self, job: &Job, attempt: usize, ending: Ending) -> Option<Rc<Server>> {
+        let mut attempts = job.attempts.borrow_mut();
+        let attempt = attempts.get_mut(attempt).filter(|attempt| attempt.is_out())?;
+        attempt.ending = Some(ending);
         // A late answer from where it was to be quick is chance, not crowding.
         let late = self.now - job.arrived.get() > self.profile(job).contract_time;
-        if late && shot.promise > EDGE * self.reach {
+        if late && attempt.promise > EDGE * self.reach {
             self.reach = (self.reach * (1.0 - REACH_SHRINK)).max(REACH_LEAST);
         } else if ending == Ending::Honoured && !late {
             self.reach = (self.reach * (1.0 + REACH_GROW)).min(REACH_MOST);
         }
-        shot.server.out.set(shot.server.out.get() - 1);
+        attempt.server.out.set(attempt.server.out.get() - 1);
         self.window.out.change(self.now, -job.load());
-        Some(shot.server.clone())
+        Some(attempt.server.clone())
     }
 
     fn judge(&mut self, server: &Rc<Server>, job: &Job, ending: Ending, took: f64) {
@@ -488,7 +488,7 @@
         if matches!(ending, Ending::Error | Ending::TimedOut | Ending::Broken) {
             self.tell(job, false);
         }
-        // A trial ends with its shot, however that ended.
+        // A trial ends with its attempt, however that ended.
         server.health(job.profile).on_trial.set(false);
     }
 
@@ -500,7 +500,7 @@
 
     /// Books whether a job was answered in time, once: at its contract time if nothing has come by then.
     fn tell(&mut self, job: &Job, timely: bool) {
-        if job.shots.borrow().is_empty() || job.told.replace(true) {
+        if job.attempts.borrow().is_empty() || job.told.replace(true) {
             return;
         }
         let now = self.now;
@@ -522,13 +522,13 @@
     }
 
     /// Do jobs of its customer that got an error get one from others too? Then no server is at fault, and
-    /// it is worth no further shot.
+    /// it is worth no further attempt.
     fn is_own_fault(&mut self, job: &Job) -> bool {
         let now = self.now;
         job.errors() > 0 && self.again(job).mean_beside(now, 1.0, 1.0) < AGAIN_LEAST
     }
 
-    /// How shots after an error fare for its customer; where there are no customers, for all.
+    /// How attempts after an error fare for its customer; where there are no customers, for all.
     fn again(&mut self, job: &Job) -> &mut Recent {
         let place = job.customer.min(self.again.len() - 1);
         &mut self.again[place]
@@ -536,7 +536,7 @@
 
     /// A job that drags by itself says nothing of its servers and takes no place from others.
     fn release(&mut self, job: &Job) {
-        let out = job.shots.borrow().iter().filter(|shot| shot.is_out()).count();
+        let out = job.attempts.borrow().iter().filter(|attempt| attempt.is_out()).count();
         self.window.out.change(self.now, -job.load() * out as f64);
         job.apart.set(true);
     }
@@ -562,7 +562,7 @@
     /// Failures in a row set a server aside: quick errors would otherwise win traffic by a low figure.
     fn strike(&mut self, server: &Server, profile: usize, error: bool) {
         let now = self.now;
-        let jobs = self.first_shots.total(now).0 / now.clamp(1000.0, SPAN);
+        let jobs = self.first_attempts.total(now).0 / now.clamp(1000.0, SPAN);
         // Who asks sees at once that a failing server is idle; with few jobs each trial is one of many lost.
         let pause = if self.asks > 0 { TRIAL / jobs.max(f64::MIN_POSITIVE) } else { 0.0 };
         server.failing_since.set(server.failing_since.get().min(now));
@@ -580,7 +580,7 @@
         }
     }
 
-    /// Usual duration of a profile's shot, ms.
+    /// Usual duration of a profile's attempt, ms.
     fn usual(&mut self, job: &Job) -> f64 {
         let unseen = UNSEEN * self.profile(job).contract_time;
         self.window.usual(job.profile, self.now, unseen)
@@ -600,11 +600,11 @@
         if self.now >= self.last_call(job) {
             return self.give_up(job, out);
         }
-        if job.waiting.get() || self.settings.tier == 0 && job.shots.borrow().is_empty() {
+        if job.waiting.get() || self.settings.tier == 0 && job.attempts.borrow().is_empty() {
             return self.hold(job);
         }
-        if job.shots.borrow().iter().all(|shot| !shot.is_out()) {
-            if self.shoot(job, None, out) {
+        if job.attempts.borrow().iter().all(|attempt| !attempt.is_out()) {
+            if self.attempt(job, None, out) {
                 return;
             }
             let open = job.proven_unrun() && self.bounds(job).is_some();
@@ -624,26 +624,26 @@
         let mut next = f64::INFINITY;
         let mut late = None;
         // No server can be late with a job that has not come whole.
-        let counts = |shot: &&mut Shot| job.load() > 0.0 && shot.is_out() && !shot.overdue;
-        for shot in job.shots.borrow_mut().iter_mut().filter(counts) {
-            let at = shot.sent + usual * shot.server.slowness.get().min(2.0);
+        let counts = |attempt: &&mut Attempt| job.load() > 0.0 && attempt.is_out() && !attempt.overdue;
+        for attempt in job.attempts.borrow_mut().iter_mut().filter(counts) {
+            let at = attempt.sent + usual * attempt.server.slowness.get().min(2.0);
             if at > self.now {
                 next = next.min(at);
                 continue;
             }
-            shot.overdue = true;
+            attempt.overdue = true;
             // A server that has answered others since is not silent: its job is long, a copy is waste.
-            if overdue < OVERDUE || shot.server.heard.get() < shot.sent {
-                late = Some(shot.server.clone());
+            if overdue < OVERDUE || attempt.server.heard.get() < attempt.sent {
+                late = Some(attempt.server.clone());
             }
         }
         late.iter().for_each(|server| self.strike(server, job.profile, false));
-        if late.is_none() || !job.rules.second_copies || !self.shoot(job, None, out) {
+        if late.is_none() || !job.rules.second_copies || !self.attempt(job, None, out) {
             self.review(job, next);
         }
     }
 
-    /// Usual durations after which a shot is overdue; fewer while answers are lost on the way.
+    /// Usual durations after which an attempt is overdue; fewer while answers are lost on the way.
     fn overdue(&mut self) -> f64 {
         if self.lost.mean(self.now) > LOSSY { OVERDUE_LOSSY } else { OVERDUE }
     }
@@ -698,7 +698,7 @@
             let silent = |server: &Rc<Server>| server.seen.get() < server.probed.get();
             let waits = asks && self.now < patience && self.table.iter().any(silent);
             let open = !waits && (asks || self.settings.tier > 0 || self.has_room(worth));
-            if open && self.shoot(&job, asks.then_some(worth), out) {
+            if open && self.attempt(&job, asks.then_some(worth), out) {
                 job.waiting.set(false);
                 self.fares[job.profile].trial = Rc::downgrade(&job);
             } else if !waits && self.now >= self.hold_until(&job) {
@@ -737,13 +737,13 @@
         recent.total(self.now).0 <= self.settings.quotas[customer] / self.settings.siblings * SPAN / 1000.0
     }
 
-    /// The only gate to a further shot: where may the job go, if anywhere?
+    /// The only gate to a further attempt: where may the job go, if anywhere?
     fn bounds(&self, job: &Job) -> Option<Bound> {
-        let shots = job.shots.borrow();
-        if shots.len() >= job.rules.most_shots || job.spent.get() {
+        let attempts = job.attempts.borrow();
+        if attempts.len() >= job.rules.most_attempts || job.spent.get() {
             return None;
         }
-        let Some(first) = shots.iter().find(|shot| !shot.never_ran()) else {
+        let Some(first) = attempts.iter().find(|attempt| !attempt.never_ran()) else {
             return Some(None);
         };
         let profile = self.profile(job);
@@ -777,8 +777,8 @@
 
     /// Ends what is still out for a closed job and forgets it when nothing is.
     fn settle(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
-        let shots = job.shots.borrow();
-        let still_out = || shots.iter().enumerate().filter(|(_, shot)| shot.is_out());
+        let attempts = job.attempts.borrow();
+        let still_out = || attempts.iter().enumerate().filter(|(_, attempt)| attempt.is_out());
         if !job.settled.replace(true) && job.rules.may_call_off {
             still_out().for_each(|(number, _)| out.call_off(job.id, number as u16));
         }
@@ -788,9 +788,9 @@
     }
 
     /// Sends the job on by the paper's draw among the servers that may have it; false if there is none.
-    fn shoot(&mut self, job: &Rc<Job>, worth: Option<f64>, out: &mut impl Writer) -> bool {
+    fn attempt(&mut self, job: &Rc<Job>, worth: Option<f64>, out: &mut impl Writer) -> bool {
         let Some(group) = self.bounds(job) else { return false };
-        let first = job.shots.borrow().is_empty();
+        let first = job.attempts.borrow().is_empty();
         let further = !job.proven_unrun();
         if !first && (self.is_own_fault(job) || !self.may_go_again(further)) {
             return false;
@@ -807,7 +807,7 @@
         }
         if first {
             self.expect(job);
-            self.first_shots.add(self.now, 1.0);
+            self.first_attempts.add(self.now, 1.0);
             if let Some(recent) = self.admitted.get_mut(job.customer) {
                 recent.add(self.now, 1.0);
             }
@@ -820,24 +820,24 @@
             server.taken.set(self.now);
         }
         server.cold_credit.set(server.cold_credit.get() - 1.0);
-        // Back from its time aside it gets one shot, and the next when that was honoured.
+        // Back from its time aside it gets one attempt, and the next when that was honoured.
         let health = server.health(job.profile);
         health.on_trial.set(health.strikes.get() >= STRIKES && self.now >= health.back_at.get());
         self.window.out.change(self.now, job.load());
-        out.shoot(job.id, server.line.get().server, job.limit.get() - self.now);
+        out.attempt(job.id, server.line.get().server, job.limit.get() - self.now);
         let usual = self.usual(job) * self.overdue();
         let at = self.now + usual * server.slowness.get().min(2.0);
-        job.shots.borrow_mut().push(Shot::new(server, self.now, promise));
+        job.attempts.borrow_mut().push(Attempt::new(server, self.now, promise));
         self.review(job, at);
         true
     }
 
-    /// Is there room for one more shot beyond a job's first, which may be for the second time that it runs?
+    /// Is there room for an attempt beyond a job's first, which may be for the second time that it runs?
     fn may_go_again(&mut self, further: bool) -> bool {
         let now = self.now;
-        // Further shots follow the share of recent shots that were honoured, or retries would feed a jam.
+        // Further attempts follow the share of recent attempts that were honoured, or retries would feed a jam.
         let honoured = self.endings.mean_beside(now, 1.0, 1.0);
-        let allowed = FURTHER_FREE + FURTHER * honoured * self.first_shots.total(now).0;
+        let allowed = FURTHER_FREE + FURTHER * honoured * self.first_attempts.total(now).0;
         let budget = self.settings.further_free + self.settings.further_ratio * self.taken.total(now).0;
         (!further || self.further.total(now).1 < allowed) && self.rationed.total(now).1 + 1.0 <= budget
     }
@@ -850,7 +850,7 @@
         }
         if open.is_empty() {
             let part = self.part().min(self.table.len()).max(1);
-            let rate = self.first_shots.total(self.now).0 / SPAN / part as f64;
+            let rate = self.first_attempts.total(self.now).0 / SPAN / part as f64;
             open = self.open(job, &group, |me, server| me.has_credit(server, rate));
         } else {
             // In the time in which a cold one falls over it is sent what it did and what it holds at the end.
@@ -869,7 +869,7 @@
     /// The servers of this node's part that may have the job.
     fn open(&mut self, job: &Job, group: &Bound, more: impl Fn(&Self, &Server) -> bool) -> Vec<Rc<Server>> {
         let part = self.part();
-        let shots = job.shots.borrow();
+        let attempts = job.attempts.borrow();
         let aside = |server: &Rc<Server>| server.health(job.profile).is_aside(self.now);
         let most = self.table.len() as f64 * ASIDE_SHARE;
         let shared = self.table.iter().filter(|server| aside(server)).count() as f64 > most;
@@ -882,7 +882,7 @@
             within(server)
                 && self.now >= server.rest_until.get()
                 && (shared && !server.unreached.get() || !aside(server))
-                && !shots.iter().any(|shot| Rc::ptr_eq(&shot.server, server))
+                && !attempts.iter().any(|attempt| Rc::ptr_eq(&attempt.server, server))
                 && more(self, server)
         };
         // Each further server would have to be met, and learned of by jobs lost; a few are enough to ask.
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,11 +26,11 @@
     pub(crate) untrue: Cell<f64>,
     /// How each profile fares on it, or all of them where draws don't ask.
     pub(crate) health: RefCell<Vec<Rc<Health>>>,
-    /// Its last shot found no connection: no fault shared with others, and its line may be out of date.
+    /// Its last attempt found no connection: no fault shared with others, and its line may be out of date.
     pub(crate) unreached: Cell<bool>,
     /// When it last honoured a job.
     pub(crate) heard: Cell<f64>,
-    /// Full a moment ago: it would turn the next shot away too, and quickly, as if it were idle.
+    /// Full a moment ago: it would turn the next attempt away too, and quickly, as if it were idle.
     pub(crate) rest_until: Cell<f64>,
     pub(crate) failing_since: Cell<f64>,
     pub(crate) slowness: Cell<f64>,
@@ -39,7 +39,7 @@
     pub(crate) credit_at: Cell<f64>,
 }
 
-/// How one profile's shots fare on a server: some fail one profile and serve the others.
+/// How one profile's attempts fare on a server: some fail one profile and serve the others.
 #[derive(Default)]
 pub(crate) struct Health {
     pub(crate) strikes: Cell<u32>,
@@ -48,7 +48,7 @@
     pub(crate) on_trial: Cell<bool>,
 }
 
-pub(crate) struct Shot {
+pub(crate) struct Attempt {
     pub(crate) server: Rc<Server>,
     pub(crate) sent: f64,
     /// Share of the job's time left that it was to take.
@@ -73,7 +73,7 @@
     pub(crate) spent: Cell<bool>,
     /// When servers were last asked for it.
     pub(crate) asked: Cell<f64>,
-    pub(crate) shots: RefCell<Vec<Shot>>,
+    pub(crate) attempts: RefCell<Vec<Attempt>>,
     pub(crate) closed: Cell<bool>,
     /// When it has taken far longer than its profile usually does.
     pub(crate) due: Cell<f64>,
@@ -99,16 +99,16 @@
     }
 
     pub(crate) fn errors(&self) -> usize {
-        self.shots.borrow().iter().filter(|shot| shot.ending == Some(Ending::Error)).count()
+        self.attempts.borrow().iter().filter(|attempt| attempt.ending == Some(Ending::Error)).count()
     }
 
-    /// Has every shot so far provably never run?
+    /// Has every attempt so far provably never run?
     pub(crate) fn proven_unrun(&self) -> bool {
-        self.shots.borrow().iter().all(Shot::never_ran)
+        self.attempts.borrow().iter().all(Attempt::never_ran)
     }
 }
 
-impl Shot {
+impl Attempt {
     pub(crate) fn new(server: Rc<Server>, sent: f64, promise: f64) -> Self {
         Self { server, sent, promise, ending: None, overdue: false }
     }
--- a/src/window.rs
+++ b/src/window.rs
@@ -23,7 +23,7 @@
 const SCATTER: f64 = 1.0; // Deviation of a duration's logarithm: what so few samples may show by chance.
 const CROWDING_MOST: f64 = 4.0; // Most that crowding is held to lengthen jobs by: beyond it something fails.
 
-/// Durations of one profile's honoured shots.
+/// Durations of one profile's honoured attempts.
 struct Pace {
     times: Ring<10>,
     logs: Ring<10>,
@@ -59,7 +59,7 @@
         self.size = MOST * servers;
     }
 
-    /// Usual duration of a profile's shot, ms, beside one that took `unseen`.
+    /// Usual duration of a profile's attempt, ms, beside one that took `unseen`.
     pub fn usual(&mut self, profile: usize, now: f64, unseen: f64) -> f64 {
         self.paces[profile].times.mean_beside(now, 1.0, unseen)
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -11,7 +11,7 @@
 
 /// Milliseconds between two rounds.
 const ROUND: f64 = 5.0;
-/// How long, ms, a shot takes that a line ends.
+/// How long, ms, an attempt takes that a line ends.
 const QUICK: f64 = 20.0;
 
 #[derive(Default)]
@@ -26,11 +26,11 @@
 }
 
 impl Writer for Written {
-    fn shoot(&mut self, job: u32, server: Address, _: f64) {
-        self.0.push(format!("shoot {job} {}", name(server)));
+    fn attempt(&mut self, job: u32, server: Address, _: f64) {
+        self.0.push(format!("attempt {job} {}", name(server)));
     }
-    fn call_off(&mut self, job: u32, shot: u16) {
-        self.0.push(format!("call-off {job} {shot}"));
+    fn call_off(&mut self, job: u32, attempt: u16) {
+        self.0.push(format!("call-off {job} {attempt}"));
     }
     fn push_back(&mut self, job: u32, wait: f64) {
         if wait > 0.0 {
@@ -101,7 +101,7 @@
     fn set(&mut self, key: &str, value: f64) {
         let settings = &mut self.settings;
         match key {
-            "shots" => settings.most_shots = value as usize,
+            "attempts" => settings.most_attempts = value as usize,
             "tier" => settings.tier = value as usize,
             "siblings" => settings.siblings = value,
             "cross" => settings.cross_zone_price = value,
@@ -165,14 +165,15 @@
             let limit = self.now + 10_000.0;
             let took = self.settings.profiles[0].contract_time * 0.2;
             self.round(|balancer| balancer.job(id, 0, 0, limit));
-            self.round(|balancer| balancer.shot_ended(id, 0, Ending::Honoured, took, true));
+            self.round(|balancer| balancer.attempt_ended(id, 0, Ending::Honoured, took, true));
         }
         self.written.0.clear();
     }
 
     fn share(&self, server: &str) -> f64 {
         let of = |server: Option<&str>| -> f64 {
-            let lines = self.counts.iter().filter(|(line, _)| line.starts_with("shoot 1") && line.len() > 9);
+            let lines =
+                self.counts.iter().filter(|(line, _)| line.starts_with("attempt 1") && line.len() > 11);
             let mine = lines.filter(|(line, _)| server.is_none_or(|server| line.ends_with(server)));
             mine.map(|(_, count)| *count as f64).sum()
         };
@@ -209,7 +210,7 @@
                 let names = self
                     .counts
                     .keys()
-                    .filter(|line| line.starts_with("shoot"))
+                    .filter(|line| line.starts_with("attempt"))
                     .map(|line| line.chars().last());
                 let used = names.collect::<std::collections::BTreeSet<_>>().len();
                 assert!(
@@ -245,16 +246,16 @@
                     ["jobs", first, last, after, ref profile @ ..] => {
                         self.jobs([first, last], profile.first().unwrap_or(&"0"), limit(after));
                     }
-                    ["end", id, shot, how, ref done @ ..] => {
+                    ["end", id, attempt, how, ref done @ ..] => {
                         let slow = how == "slow";
-                        let (id, shot, how) = (number(id) as u32, number(shot) as usize, ending(how));
+                        let (id, attempt, how) = (number(id) as u32, number(attempt) as usize, ending(how));
                         let done = how == Ending::Honoured || done == ["done"];
                         let took = if how == Ending::TimedOut || slow { 1400.0 } else { QUICK };
-                        self.round(|balancer| balancer.shot_ended(id, shot, how, took, done));
+                        self.round(|balancer| balancer.attempt_ended(id, attempt, how, took, done));
                     }
                     ["ends", first, last, "honoured"] => self.round(|balancer| {
                         for id in number(first) as u32..=number(last) as u32 {
-                            balancer.shot_ended(id, 0, Ending::Honoured, QUICK, true);
+                            balancer.attempt_ended(id, 0, Ending::Honoured, QUICK, true);
                         }
                     }),
                     ["left", id] => self.round(|balancer| balancer.client_left(number(id) as u32)),
@@ -311,23 +312,23 @@
     // Profile 0 fails on `a`, which sets it aside for that profile.
     scene.round(|balancer| balancer.job(1, 0, 0, 700.0));
     answered(&mut scene, "a");
-    scene.round(|balancer| balancer.shot_ended(1, 0, Ending::Error, QUICK, false));
+    scene.round(|balancer| balancer.attempt_ended(1, 0, Ending::Error, QUICK, false));
     // An irreversible job is out when the settings change: both profiles change places, and both are redoable.
     scene.round(|balancer| balancer.job(2, 1, 0, 700.0));
     answered(&mut scene, "a");
     let mut new = (*old).clone();
     new.profiles.swap(0, 1);
     new.profiles[0].effect = Effect::Redoable;
-    new.most_shots = 1;
+    new.most_attempts = 1;
     scene.round(|balancer| balancer.retune(Rc::new(new)));
-    scene.round(|balancer| balancer.shot_ended(2, 0, Ending::Error, QUICK, false));
+    scene.round(|balancer| balancer.attempt_ended(2, 0, Ending::Error, QUICK, false));
     assert!(scene.written.0.contains(&"forfeit 2".into()), "{:?}", scene.written.0);
-    // What came under the old settings, and is told late, still has its three shots and its profile.
+    // What came under the old settings, and is told late, still has its three attempts and its profile.
     scene.round(|balancer| balancer.listed(false, false, [b].into_iter()));
     scene.round(|balancer| balancer.job_under(&old, 3, 0, 0, scene_limit()));
     answered(&mut scene, "b");
-    assert!(scene.written.0.contains(&"shoot 3 b".into()), "{:?}", scene.written.0);
-    assert!(!scene.written.0.contains(&"shoot 3 a".into()), "{:?}", scene.written.0);
+    assert!(scene.written.0.contains(&"attempt 3 b".into()), "{:?}", scene.written.0);
+    assert!(!scene.written.0.contains(&"attempt 3 a".into()), "{:?}", scene.written.0);
 }
 
 /// A job whose body comes slowly is no load yet: it takes no place from others, is not overdue, and is not sent twice.
@@ -339,8 +340,8 @@
     let [a, b] = ["a", "b"].map(|name| listing(name, Standing::Ready));
     scene.round(|balancer| balancer.listed(true, true, [a, b].into_iter()));
     let rules = Rc::new(scene.settings.clone());
-    let shots = |scene: &Scene, id: u32| {
-        let line = format!("shoot {id} ");
+    let attempts = |scene: &Scene, id: u32| {
+        let line = format!("attempt {id} ");
         scene.written.0.iter().filter(|written| written.starts_with(&line)).count()
     };
     // The window of a tenth of two servers' ten is one job: two that come slowly leave it open.
@@ -348,13 +349,13 @@
     scene.round(|balancer| [1, 2].into_iter().for_each(|id| balancer.spent(id)));
     scene.now += 20_000.0;
     scene.round(|balancer| balancer.job(3, 0, 0, 1e9));
-    assert_eq!([1, 2, 3].map(|id| shots(&scene, id)), [1, 1, 1], "{:?}", scene.written.0);
+    assert_eq!([1, 2, 3].map(|id| attempts(&scene, id)), [1, 1, 1], "{:?}", scene.written.0);
     // With their last bytes they are out, overdue after a while, and can't go again.
     let limit = scene.now + 5000.0;
     scene.round(|balancer| balancer.body_came(1, limit));
     scene.now += 2500.0;
-    scene.round(|balancer| balancer.shot_ended(1, 0, Ending::Error, QUICK, false));
-    assert_eq!(shots(&scene, 1), 1);
+    scene.round(|balancer| balancer.attempt_ended(1, 0, Ending::Error, QUICK, false));
+    assert_eq!(attempts(&scene, 1), 1);
     assert!(scene.written.0.contains(&"push-back 1".into()), "{:?}", scene.written.0);
 }
 
@@ -367,17 +368,19 @@
     scene.round(|balancer| balancer.listed(true, true, [a].into_iter()));
     let rules = Rc::new(scene.settings.clone());
     scene.round(|balancer| balancer.job(9, 0, 0, 9000.0));
-    scene.round(|balancer| balancer.shot_ended(9, 0, Ending::Honoured, QUICK, true));
+    scene.round(|balancer| balancer.attempt_ended(9, 0, Ending::Honoured, QUICK, true));
     scene.round(|balancer| (1..=8).for_each(|id| balancer.job_under(&rules, id, 1, 0, f64::INFINITY)));
     scene.advance(8000.0);
     // Their last bytes come, and they are answered: more of them go, as many as before.
     scene.round(|balancer| (1..=8).for_each(|id| balancer.body_came(id, 60_000.0)));
-    scene.round(|balancer| (1..=8).for_each(|id| balancer.shot_ended(id, 0, Ending::Honoured, QUICK, true)));
+    scene.round(|balancer| {
+        (1..=8).for_each(|id| balancer.attempt_ended(id, 0, Ending::Honoured, QUICK, true))
+    });
     scene.advance(10_000.0);
     scene.written.0.clear();
     scene.round(|balancer| (11..=15).for_each(|id| balancer.job(id, 1, 0, 60_000.0)));
-    let shots = scene.written.0.iter().filter(|line| line.starts_with("shoot")).count();
-    assert_eq!(shots, 5, "{:?}", scene.written.0);
+    let attempts = scene.written.0.iter().filter(|line| line.starts_with("attempt")).count();
+    assert_eq!(attempts, 5, "{:?}", scene.written.0);
 }
 
 /// A limit far behind all that these tests play.
@@ -401,7 +404,7 @@
         gain_by_work: false,
         cross_zone_price: 0.0,
         probe_price: 0.01,
-        most_shots: 3,
+        most_attempts: 3,
         second_copies: true,
         may_call_off: true,
         may_probe: false,
@@ -429,7 +432,7 @@
 #[test_case("cold"; "a cold server gets its part only")]
 #[test_case("draw"; "chance follows the inverse power of the figures")]
 #[test_case("floor"; "a figure of zero counts as a fifth of the mean")]
-#[test_case("step"; "own shots out raise a figure")]
+#[test_case("step"; "own attempts out raise a figure")]
 #[test_case("failed-probe"; "a failed probe writes the highest figure")]
 #[test_case("probe-targets"; "probes go to the lowest entry and evenly")]
 #[test_case("empty-table"; "with an empty table a job waits")]
@@ -437,7 +440,7 @@
 #[test_case("unreached"; "servers that can't be reached stay aside however many they are")]
 #[test_case("renewed"; "a new server at an old address has no history")]
 #[test_case("full"; "a full server rests and the job goes elsewhere at once")]
-#[test_case("silent"; "a silent server's shot gets a second copy elsewhere")]
+#[test_case("silent"; "a silent server's attempt gets a second copy elsewhere")]
 #[test_case("zones"; "jobs stay at home where crossing costs")]
 #[test_case("ask-again"; "the list is asked for again after failures")]
 #[test_case("crowding"; "servers are not crowded however quick they are")]
@@ -458,9 +461,9 @@
 #[test_case("idle-takes"; "an idle server takes a job however late answers were")]
 #[test_case("no-connection"; "a server that gives no connection is set aside at once")]
 #[test_case("two-and-two"; "a node with few jobs sends to two servers at home and two away")]
-#[test_case("budget"; "shots beyond the first stay within their budget whatever ended the one before")]
+#[test_case("budget"; "attempts beyond the first stay within their budget whatever ended the one before")]
 #[test_case("drags"; "a profile that drags wherever it goes takes no place from others")]
-#[test_case("fails-anywhere"; "jobs that fail wherever they go have one shot each and are no fault of a server")]
+#[test_case("fails-anywhere"; "jobs that fail wherever they go have one attempt each and are no fault of a server")]
 #[test_case("untrue-report"; "a server that reports to be idle while it holds own jobs is not believed")]
 #[test_case("overload"; "the window holds back a burst and pushes back early")]
 fn scenario(name: &str) {
