--- a/crates/pearfront-emulator/benches/model.rs
+++ b/crates/pearfront-emulator/benches/model.rs
@@ -21,7 +21,7 @@
 servers = {servers}
 [[profiles]]
 name = "read"
-effect = "redoable"
+effect = "idempotent"
 contract_ms = 1000
 limit_ms = 3000
 gain = 1
@@ -29,7 +29,7 @@
 work_ms = 100
 [[profiles]]
 name = "pay"
-effect = "irreversible"
+effect = "non-idempotent"
 contract_ms = 1000
 limit_ms = 3000
 gain = 4
--- a/crates/pearfront-emulator/benches/node.rs
+++ b/crates/pearfront-emulator/benches/node.rs
@@ -55,7 +55,7 @@
 servers = 32
 [[profiles]]
 name = "read"
-effect = "redoable"
+effect = "idempotent"
 contract_ms = 1000
 limit_ms = 3000
 gain = 1
--- a/crates/pearfront-emulator/benches/readiness.rs
+++ b/crates/pearfront-emulator/benches/readiness.rs
@@ -46,7 +46,7 @@
 servers = 1
 [[profiles]]
 name = "read"
-effect = "redoable"
+effect = "idempotent"
 contract_ms = 1000
 limit_ms = 3000
 gain = 1
--- a/crates/pearfront-emulator/src/asks.rs
+++ b/crates/pearfront-emulator/src/asks.rs
@@ -19,8 +19,8 @@
     pub profile: usize,
     pub customer: usize,
     pub zone: usize,
-    /// From 1 on for labelled jobs, else 0.
-    pub label: u64,
+    /// From 1 on for keyed jobs, else 0.
+    pub key: u64,
     /// Work over all tiers, ms.
     pub work: f64,
     /// When its caller stops waiting, over all tries.
@@ -36,14 +36,14 @@
     scenario: Rc<Scenario>,
     chance: ChaCha8Rng,
     at: f64,
-    labelled: u64,
+    keyed: u64,
 }
 
 impl Asks {
     pub fn new(scenario: Rc<Scenario>, seed: u64) -> Self {
         let mut chance = ChaCha8Rng::seed_from_u64(seed);
         chance.set_stream(1);
-        Self { scenario, chance, at: 0.0, labelled: 0 }
+        Self { scenario, chance, at: 0.0, keyed: 0 }
     }
 
     fn draw(&mut self) -> Drawn {
@@ -57,14 +57,14 @@
             weighted(chance, callers.zone_shares.iter().copied())
         };
         let of = &scenario.profiles[profile];
-        let labelled = of.effect == Effect::Labelled;
-        self.labelled += u64::from(labelled);
+        let keyed = of.effect == Effect::Keyed;
+        self.keyed += u64::from(keyed);
         Drawn {
             at: self.at,
             profile,
             customer,
             zone,
-            label: if labelled { self.labelled } else { 0 },
+            key: if keyed { self.keyed } else { 0 },
             work: draw_work(of, chance),
             limit: self.at + of.limit_ms,
             impatient: chance.random::<f64>() < callers.impatient,
@@ -112,8 +112,8 @@
         harmless: bool,
     ) -> Option<f64> {
         let callers = &scenario.callers;
-        let irreversible = scenario.profiles[self.profile].effect == Effect::Irreversible;
-        let may = self.persists && tries <= callers.retries && (harmless || !irreversible);
+        let non_idempotent = scenario.profiles[self.profile].effect == Effect::NonIdempotent;
+        let may = self.persists && tries <= callers.retries && (harmless || !non_idempotent);
         let doubled = f64::from(1u32 << (tries.max(1) - 1).min(16));
         let own = callers.backoff_ms * doubled * self.spread;
         let advised = wait.min(scenario.nodes.advice_s * 1000.0);
--- a/crates/pearfront-emulator/src/decide.rs
+++ b/crates/pearfront-emulator/src/decide.rs
@@ -282,9 +282,9 @@
         let may_have_run = job.attempts.iter().find(|attempt| !attempt.2.is_some_and(Ending::never_ran));
         let late = self.fault == Some(Fault::RepeatsLate);
         let again = match (may_have_run, profile.effect) {
-            (None, _) | (Some(_), Effect::Redoable) => true,
-            (Some(_), Effect::Irreversible) => false,
-            (Some(first), Effect::Labelled) => {
+            (None, _) | (Some(_), Effect::Idempotent) => true,
+            (Some(_), Effect::NonIdempotent) => false,
+            (Some(first), Effect::Keyed) => {
                 profile.group == pearfront::interface::Group::All && (late || now < first.1 + profile.window)
             }
         };
@@ -292,8 +292,8 @@
         let target = if again && tries { self.pick(id) } else { None };
         let Some(server) = target else { return self.end(id, acts) };
         self.attempt(now, id, server, acts);
-        let irreversible = self.settings.profiles[self.jobs[&id].profile].effect == Effect::Irreversible;
-        if self.fault == Some(Fault::SendsTwice) && irreversible && self.jobs[&id].attempts.len() == 1 {
+        let non_idempotent = self.settings.profiles[self.jobs[&id].profile].effect == Effect::NonIdempotent;
+        if self.fault == Some(Fault::SendsTwice) && non_idempotent && self.jobs[&id].attempts.len() == 1 {
             self.attempt(now, id, server, acts);
         }
     }
@@ -309,7 +309,7 @@
         let job = &self.jobs[&id];
         let proven = job.attempts.iter().all(|attempt| attempt.2.is_some_and(Ending::never_ran));
         let profile: &Profile = &self.settings.profiles[job.profile];
-        let harmless = proven || profile.effect == Effect::Redoable;
+        let harmless = proven || profile.effect == Effect::Idempotent;
         if harmless || self.fault == Some(Fault::PushesBackWhatRan) {
             acts.push(Act::PushBack {
                 job: id,
--- a/crates/pearfront-emulator/src/judge.rs
+++ b/crates/pearfront-emulator/src/judge.rs
@@ -258,7 +258,7 @@
             attempt.ended.is_some_and(|(at, how)| how == AttemptEnd::TurnedAway && at <= by)
         };
         let effects = attempts.iter().filter(|attempt| attempt.effect).count();
-        if effects > 1 && profile.effect != Effect::Redoable {
+        if effects > 1 && profile.effect != Effect::Idempotent {
             return Some(format!("its effect was had {effects} times"));
         }
         for (at, attempt) in attempts.iter().enumerate().skip(1) {
@@ -266,21 +266,21 @@
                 continue;
             };
             match profile.effect {
-                Effect::Redoable => {}
-                Effect::Irreversible => return Some("sent again though it may have run".into()),
-                Effect::Labelled if !self.same_group(profile.group, first, attempt) => {
+                Effect::Idempotent => {}
+                Effect::NonIdempotent => return Some("sent again though it may have run".into()),
+                Effect::Keyed if !self.same_group(profile.group, first, attempt) => {
                     return Some("its repeat went outside its group".into());
                 }
-                Effect::Labelled if attempt.sent > first.came + profile.window_s * 1000.0 => {
+                Effect::Keyed if attempt.sent > first.came + profile.window_s * 1000.0 => {
                     return Some("its repeat went after its window".into());
                 }
-                Effect::Labelled => {}
+                Effect::Keyed => {}
             }
         }
         let pushed_back = job.answers.iter().find(|answered| answered.answer == Answer::PushedBack)?;
         let harmless = match profile.effect {
-            Effect::Redoable => true,
-            Effect::Labelled if profile.group == Group::All => true,
+            Effect::Idempotent => true,
+            Effect::Keyed if profile.group == Group::All => true,
             _ => attempts
                 .iter()
                 .all(|attempt| attempt.came > pushed_back.at || proven(attempt, pushed_back.at)),
@@ -488,14 +488,14 @@
         verdict.repeats_by_callers = self.repeats_by_callers();
     }
 
-    /// Labels whose effect was had by two jobs, beyond what one job did itself.
+    /// Keys whose effect was had by two jobs, beyond what one job did itself.
     fn repeats_by_callers(&self) -> usize {
-        let labels: BTreeMap<u64, u64> = self.records.jobs.iter().map(|job| (job.trace, job.label)).collect();
+        let keys: BTreeMap<u64, u64> = self.records.jobs.iter().map(|job| (job.trace, job.key)).collect();
         let mut had: BTreeMap<(u64, usize), BTreeMap<u64, ()>> = BTreeMap::new();
         for attempt in self.records.attempts.iter().filter(|attempt| attempt.effect) {
-            if let Some(label) = labels.get(&attempt.trace).filter(|label| **label > 0) {
+            if let Some(key) = keys.get(&attempt.trace).filter(|key| **key > 0) {
                 let tier = self.records.servers[attempt.server].tier;
-                had.entry((*label, tier)).or_default().insert(attempt.trace, ());
+                had.entry((*key, tier)).or_default().insert(attempt.trace, ());
             }
         }
         had.values().map(|traces| traces.len() - 1).sum()
--- a/crates/pearfront-emulator/src/model/hosts.rs
+++ b/crates/pearfront-emulator/src/model/hosts.rs
@@ -98,7 +98,7 @@
 pub struct Fleet {
     pub hosts: RefCell<Vec<Rc<Host>>>,
     pub at: RefCell<BTreeMap<Address, Rc<Host>>>,
-    /// What each group of servers knows of labels.
+    /// What each group of servers knows of keys.
     pub repeats: RefCell<Groups>,
     now: Cell<f64>,
     pub addressed: Cell<u32>,
@@ -231,7 +231,7 @@
             work,
             calls: self.scenario.tiers[host.tier].calls,
             fails: self.service.random::<f64>() >= host.struck.spared(What::FastErrors),
-            repeat: self.repeats(&host, flight, |repeats, label, now, _| repeats.knows(label, now)),
+            repeat: self.repeats(&host, flight, |repeats, key, now, _| repeats.knows(key, now)),
         };
         flight.attempt.set(Some(self.records.attempts.len()));
         self.records.attempts.push(Attempt {
@@ -257,7 +257,7 @@
         self.watch_host(&host);
     }
 
-    /// Asks the memory of labels that this attempt falls under; false for jobs without one.
+    /// Asks the memory of keys that this attempt falls under; false for jobs without one.
     fn repeats(
         &self,
         host: &Host,
@@ -268,14 +268,14 @@
         let mut groups = self.fleet.repeats.borrow_mut();
         let repeats = groups.of(&self.scenario, host.tier, (host.zone, host.cell), profile);
         let window = self.scenario.profiles[profile].window_s * 1000.0;
-        repeats.is_some_and(|repeats| ask(repeats, flight.job.label, self.now, window))
+        repeats.is_some_and(|repeats| ask(repeats, flight.job.key, self.now, window))
     }
 
     fn served(&mut self, host: &Rc<Host>, flight: &Rc<Flight>) {
-        let labelled = self.scenario.profiles[flight.job.profile].effect == Effect::Labelled;
+        let keyed = self.scenario.profiles[flight.job.profile].effect == Effect::Keyed;
         let first = self.repeats(host, flight, Repeats::work_through);
         if let Some(attempt) = flight.attempt.get() {
-            self.records.attempts[attempt].effect = first || !labelled;
+            self.records.attempts[attempt].effect = first || !keyed;
         }
         self.server_ends(host, flight, AttemptEnd::Served, Ending::Honoured);
     }
--- a/crates/pearfront-emulator/src/platform.rs
+++ b/crates/pearfront-emulator/src/platform.rs
@@ -41,9 +41,9 @@
 
 pub fn effect(effect: Effect) -> &'static str {
     match effect {
-        Effect::Redoable => "safe",
-        Effect::Labelled => "keyed",
-        Effect::Irreversible => "unsafe",
+        Effect::Idempotent => "safe",
+        Effect::Keyed => "keyed",
+        Effect::NonIdempotent => "unsafe",
     }
 }
 
--- a/crates/pearfront-emulator/src/record.rs
+++ b/crates/pearfront-emulator/src/record.rs
@@ -41,7 +41,7 @@
     pub node: usize,
     pub tier: usize,
     pub profile: usize,
-    pub label: u64,
+    pub key: u64,
     pub sent: f64,
     /// When its caller stops waiting.
     pub limit: f64,
--- a/crates/pearfront-emulator/src/repeats.rs
+++ b/crates/pearfront-emulator/src/repeats.rs
@@ -1,9 +1,9 @@
-//! What a group of servers (all, a zone, a cell) remembers of labelled jobs. It outlives any one of its servers.
+//! What a group of servers (all, a zone, a cell) remembers of keyed jobs. It outlives any one of its servers.
 
 use crate::scenario::{Effect, Group, Scenario};
 use std::collections::BTreeMap;
 
-/// Labels whose effect a group has had, and until when it knows them.
+/// Keys whose effect a group has had, and until when it knows them.
 #[derive(Debug, Default)]
 pub struct Repeats {
     known: BTreeMap<u64, f64>,
@@ -12,20 +12,20 @@
 
 impl Repeats {
     /// Is a repeat dropped now?
-    pub fn knows(&self, label: u64, now: f64) -> bool {
-        self.known.get(&label).is_some_and(|until| now < *until)
+    pub fn knows(&self, key: u64, now: f64) -> bool {
+        self.known.get(&key).is_some_and(|until| now < *until)
     }
 
-    /// A job with this label has been worked through: true if it has its effect, false if that was had before.
-    pub fn work_through(&mut self, label: u64, now: f64, window: f64) -> bool {
-        if self.knows(label, now) {
+    /// A job with this key has been worked through: true if it has its effect, false if that was had before.
+    pub fn work_through(&mut self, key: u64, now: f64, window: f64) -> bool {
+        if self.knows(key, now) {
             return false;
         }
         if now - self.swept > window {
             self.known.retain(|_, until| now < *until);
             self.swept = now;
         }
-        self.known.insert(label, now + window);
+        self.known.insert(key, now + window);
         true
     }
 }
@@ -35,7 +35,7 @@
 pub struct Groups(BTreeMap<(usize, usize, u32), Repeats>);
 
 impl Groups {
-    /// What a server's group remembers of a profile; nothing for jobs without a label.
+    /// What a server's group remembers of a profile; nothing for jobs without a key.
     pub fn of(
         &mut self,
         scenario: &Scenario,
@@ -49,8 +49,8 @@
             Group::Zone => u32::from(zone),
             Group::Cell => u32::from(cell),
         };
-        let labelled = wanted.effect == Effect::Labelled;
-        labelled.then(|| self.0.entry((tier, profile, group)).or_default())
+        let keyed = wanted.effect == Effect::Keyed;
+        keyed.then(|| self.0.entry((tier, profile, group)).or_default())
     }
 }
 
--- a/crates/pearfront-emulator/src/scenario.rs
+++ b/crates/pearfront-emulator/src/scenario.rs
@@ -159,11 +159,11 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
+#[serde(rename_all = "kebab-case")]
 pub enum Effect {
-    Redoable,
-    Labelled,
-    Irreversible,
+    Idempotent,
+    Keyed,
+    NonIdempotent,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
@@ -181,7 +181,7 @@
     pub effect: Effect,
     #[serde(default = "every")]
     pub group: Group,
-    /// For labelled jobs: how long their servers know a label.
+    /// For keyed jobs: how long their servers know a key.
     #[serde(default = "five")]
     pub window_s: f64,
     pub contract_ms: f64,
@@ -248,7 +248,7 @@
     /// Part of the traffic that comes from each zone, in their order; evenly if absent.
     #[serde(default)]
     pub zone_shares: Vec<f64>,
-    /// Further tries of one job that was pushed back or failed (irreversible ones only if pushed back).
+    /// Further tries of one job that was pushed back or failed (non-idempotent ones only if pushed back).
     #[serde(default)]
     pub retries: u32,
     /// Chance that a caller makes its next try at all.
--- a/crates/pearfront-emulator/src/scenario/tests.rs
+++ b/crates/pearfront-emulator/src/scenario/tests.rs
@@ -11,7 +11,7 @@
 
 #[test_case("length_s = 60", "length_s = \"long\"", "length_s | invalid type: string \"long\", expected f64"; "text for a number")]
 #[test_case("length_s = 60", "length_s = 0", "length_s | 0 is not above 0 and at most 86400"; "no length")]
-#[test_case("effect = \"redoable\"", "effect = \"safe\"", "profiles[0].effect | unknown variant `safe`, expected one of `redoable`, `labelled`, `irreversible`"; "another's word")]
+#[test_case("effect = \"idempotent\"", "effect = \"safe\"", "profiles[0].effect | unknown variant `safe`, expected one of `idempotent`, `keyed`, `non-idempotent`"; "another's word")]
 #[test_case("servers = 12", "servers = 0", "tiers[0].servers | 0 is not between 1 and 20000"; "empty tier")]
 #[test_case("calls = 1", "calls = 0", "tiers[0].calls | must be at least 1, or the next tier gets no work"; "tier without work")]
 #[test_case("zones = [\"east\", \"west\"]", "zones = [\"east\", \"east\"]", "zones | \"east\" stands there twice"; "same name")]
--- a/crates/pearfront-emulator/src/server.rs
+++ b/crates/pearfront-emulator/src/server.rs
@@ -19,7 +19,7 @@
     pub calls: u32,
     /// It ends in an error at once instead.
     pub fails: bool,
-    /// Its label is known here: answered without its effect.
+    /// Its key is known here: answered without its effect.
     pub repeat: bool,
 }
 
--- a/crates/pearfront-emulator/src/sockets/callers.rs
+++ b/crates/pearfront-emulator/src/sockets/callers.rs
@@ -226,7 +226,7 @@
         let asked = Asked {
             profile: ask.profile,
             customer: ask.customer,
-            label: ask.label,
+            key: ask.key,
             work: ask.work,
             fan: 1.0,
             root: trace,
@@ -244,7 +244,7 @@
                     node: seat.life.get(),
                     tier: 0,
                     profile: ask.profile,
-                    label: ask.label,
+                    key: ask.key,
                     sent,
                     limit: ask.limit,
                     left: None,
--- a/crates/pearfront-emulator/src/sockets/client.rs
+++ b/crates/pearfront-emulator/src/sockets/client.rs
@@ -20,7 +20,7 @@
 pub struct Asked {
     pub profile: usize,
     pub customer: usize,
-    pub label: u64,
+    pub key: u64,
     /// Work over all tiers, and how many jobs of this tier one ask makes; the emulator's own, in the target.
     pub work: f64,
     pub fan: f64,
@@ -120,7 +120,7 @@
         let profile = &self.scenario.profiles[asked.profile];
         let (work, fan, root) = (asked.work, asked.fan, asked.root);
         let target = format!("/{}/it?w={work}&f={fan}&r={root}&c={}", profile.name, asked.customer);
-        let method = if profile.effect == Effect::Redoable { "GET" } else { "POST" };
+        let method = if profile.effect == Effect::Idempotent { "GET" } else { "POST" };
         let mut request = Request::builder()
             .method(method)
             .uri(target)
@@ -128,8 +128,8 @@
             .header("X-Trace-Id", trace.to_string())
             .header("X-Customer", &self.scenario.customers[asked.customer].name)
             .header("X-Expires-In", format!("{:.4}", left.max(0.0) / 1000.0));
-        if profile.effect == Effect::Labelled {
-            request = request.header("Idempotency-Key", asked.label.to_string());
+        if profile.effect == Effect::Keyed {
+            request = request.header("Idempotency-Key", asked.key.to_string());
         }
         let body = if method == "GET" { Bytes::new() } else { Bytes::from_static(b"{}") };
         request.body(Full::new(body)).expect("names were checked with the file")
--- a/crates/pearfront-emulator/src/sockets/servers.rs
+++ b/crates/pearfront-emulator/src/sockets/servers.rs
@@ -135,9 +135,9 @@
                 Happened::Began => {}
                 Happened::Calls => self.call_next_tier(host, job),
                 Happened::Done => {
-                    let labelled = self.scenario.profiles[job.asked.profile].effect == Effect::Labelled;
+                    let keyed = self.scenario.profiles[job.asked.profile].effect == Effect::Keyed;
                     let first = self.repeats(host, &job.asked, Repeats::work_through);
-                    self.records.borrow_mut().attempts[job.attempt].effect = first || !labelled;
+                    self.records.borrow_mut().attempts[job.attempt].effect = first || !keyed;
                     self.end(host, &job, AttemptEnd::Served);
                 }
                 Happened::Failed => self.end(host, &job, AttemptEnd::Error),
@@ -162,7 +162,7 @@
         let mut groups = self.repeats.borrow_mut();
         let repeats = groups.of(&self.scenario, host.tier, (host.zone, host.cell), asked.profile);
         let window = self.scenario.profiles[asked.profile].window_s * 1000.0;
-        repeats.is_some_and(|repeats| ask(repeats, asked.label, self.clock.get().now(), window))
+        repeats.is_some_and(|repeats| ask(repeats, asked.key, self.clock.get().now(), window))
     }
 
     fn call_next_tier(self: &Rc<Self>, host: &Rc<Host>, job: Rc<Pending>) {
@@ -183,7 +183,7 @@
                 node: host.node_life.get(),
                 tier: host.tier + 1,
                 profile: asked.profile,
-                label: asked.label,
+                key: asked.key,
                 sent: now,
                 limit: job.limit,
                 left: None,
@@ -267,7 +267,7 @@
             work: own + if new { tier.server.connect_work_ms } else { 0.0 },
             calls: tier.calls,
             fails,
-            repeat: self.repeats(&host, &asked, |repeats, label, now, _| repeats.knows(label, now)),
+            repeat: self.repeats(&host, &asked, |repeats, key, now, _| repeats.knows(key, now)),
         };
         let attempt = self.record_attempt(&host, trace, sent, now, own);
         let (done, is_done) = oneshot::channel();
@@ -341,11 +341,11 @@
         let figure = |key: &str| -> Option<f64> {
             query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('=')?.parse().ok())
         };
-        let label = head.headers.get("idempotency-key").and_then(|label| label.to_str().ok()?.parse().ok());
+        let key = head.headers.get("idempotency-key").and_then(|key| key.to_str().ok()?.parse().ok());
         let asked = Asked {
             profile,
             customer: figure("c")? as usize,
-            label: label.unwrap_or(0),
+            key: key.unwrap_or(0),
             work: figure("w")?,
             fan: figure("f")?,
             root: figure("r")? as u64,
--- a/crates/pearfront-emulator/tests/plays.rs
+++ b/crates/pearfront-emulator/tests/plays.rs
@@ -28,7 +28,7 @@
 work = 0.5
 [[profiles]]
 name = "search"
-effect = "redoable"
+effect = "idempotent"
 contract_ms = 400
 limit_ms = 1200
 gain = 1
@@ -36,7 +36,7 @@
 work_ms = 20
 [[profiles]]
 name = "booking-in"
-effect = "labelled"
+effect = "keyed"
 group = "cell"
 window_s = 1
 contract_ms = 800
@@ -46,7 +46,7 @@
 work_ms = 30
 [[profiles]]
 name = "cancel-refund"
-effect = "irreversible"
+effect = "non-idempotent"
 contract_ms = 800
 limit_ms = 2000
 gain = 3
@@ -109,7 +109,7 @@
 }
 
 // The judge reads what servers and callers saw: each fault shows there, under its rule.
-#[test_case(Fault::SendsTwice, "no-effect-twice", ""; "an irreversible job goes out twice")]
+#[test_case(Fault::SendsTwice, "no-effect-twice", ""; "a non-idempotent job goes out twice")]
 #[test_case(Fault::AnswersTwice, "no-job-lost", ""; "a job is answered twice")]
 #[test_case(Fault::LosesJobs, "no-job-lost", ""; "a job is lost")]
 #[test_case(Fault::AnswersLate, "no-job-lost", "[[troubles]]\nwhat = \"stall\"\nat_s = 5\nfor_s = 6\n"; "a job is answered after its limit")]
@@ -149,11 +149,11 @@
     assert!(went_on > 0.0 && verdict.wasted >= went_on / done, "{went_on} of {done}: {}", verdict.line());
 }
 
-// A caller's own repeat after a failure carries the same label: its group drops it within the window, not after it.
+// A caller's own repeat after a failure carries the same key: its group drops it within the window, not after it.
 #[test_case(60.0, true; "within the window, across a restart")]
 #[test_case(0.02, false; "after the window")]
-fn a_group_drops_repeats_of_a_label(window: f64, dropped: bool) {
-    // Nodes are killed again and again while servers work on what these had sent: callers come back with their labels.
+fn a_group_drops_repeats_of_a_key(window: f64, dropped: bool) {
+    // Nodes are killed again and again while servers work on what these had sent: callers come back with their keys.
     let kills: String = (2..9)
         .map(|at| format!("[[troubles]]\nwhat = \"kill-nodes\"\nat_s = {at}\nfor_s = 0.05\n"))
         .collect();
@@ -163,17 +163,17 @@
         .replace("share = 0.2\nwork_ms = 30\n[[profiles]]", "share = 0.2\nwork_ms = 150\n[[profiles]]");
     let scenario = Scenario::parse(&text).unwrap();
     let (records, verdict) = run(&scenario, Policy::LeastHeld, None);
-    // By label: how many of the first tier's servers worked it through, and how often it had its effect.
-    let labels: BTreeMap<u64, u64> = records.jobs.iter().map(|job| (job.trace, job.label)).collect();
-    let mut by_label: BTreeMap<u64, (usize, usize)> = BTreeMap::new();
+    // By key: how many of the first tier's servers worked it through, and how often it had its effect.
+    let keys: BTreeMap<u64, u64> = records.jobs.iter().map(|job| (job.trace, job.key)).collect();
+    let mut by_key: BTreeMap<u64, (usize, usize)> = BTreeMap::new();
     for attempt in records.attempts.iter().filter(|attempt| records.servers[attempt.server].tier == 0) {
-        let seen = by_label.entry(labels[&attempt.trace]).or_default();
+        let seen = by_key.entry(keys[&attempt.trace]).or_default();
         seen.0 += usize::from(matches!(attempt.ended, Some((_, AttemptEnd::Served))));
         seen.1 += usize::from(attempt.effect);
     }
-    by_label.remove(&0);
-    let repeated = by_label.values().filter(|seen| seen.0 > 1).count();
-    let twice = by_label.values().filter(|seen| seen.1 > 1).count();
+    by_key.remove(&0);
+    let repeated = by_key.values().filter(|seen| seen.0 > 1).count();
+    let twice = by_key.values().filter(|seen| seen.1 > 1).count();
     assert!(repeated > 10, "{repeated} repeats are too few to tell");
     assert_eq!((twice == 0, verdict.repeats_by_callers == 0), (dropped, dropped), "{twice} of {repeated}");
 }
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -21,7 +21,7 @@
 const ID: HeaderName = HeaderName::from_static("x-trace-id");
 const CUSTOMER: HeaderName = HeaderName::from_static("x-customer");
 const TIME_LEFT: HeaderName = HeaderName::from_static("x-expires-in");
-const LABEL: HeaderName = HeaderName::from_static("idempotency-key");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const NEVER_RAN: HeaderName = HeaderName::from_static("x-never-ran");
 const REPORT: HeaderName = HeaderName::from_static("endpoint-load-metrics");
 /// On an operator's call: drain without a permit.
@@ -55,7 +55,7 @@
     pub terms: Rc<Terms>,
     pub profile: usize,
     pub customer: usize,
-    pub irreversible: bool,
+    pub non_idempotent: bool,
     /// How long the caller will wait, ms.
     pub left: f64,
     pub body: JobBody,
@@ -187,15 +187,17 @@
         return Err(format!("no {ID}"));
     }
     // Of two a server may take the other one.
-    if let Some(twice) = [ID, LABEL].iter().find(|name| head.headers.get_all(*name).iter().count() > 1) {
+    if let Some(twice) =
+        [ID, IDEMPOTENCY_KEY].iter().find(|name| head.headers.get_all(*name).iter().count() > 1)
+    {
         return Err(format!("more than one {twice}"));
     }
-    let labelled = head.headers.contains_key(&LABEL);
+    let keyed = head.headers.contains_key(&IDEMPOTENCY_KEY);
     let effect = terms.settings.profiles[profile].effect;
     let fits = match effect {
-        Effect::Redoable => head.method == Method::GET,
-        Effect::Labelled => head.method == Method::POST && labelled,
-        Effect::Irreversible => head.method == Method::POST && !labelled,
+        Effect::Idempotent => head.method == Method::GET,
+        Effect::Keyed => head.method == Method::POST && keyed,
+        Effect::NonIdempotent => head.method == Method::POST && !keyed,
     };
     if !fits {
         return Err(format!("{} {named} does not fit its profile's effect", head.method));
@@ -205,17 +207,17 @@
     let left = left.ok_or_else(|| format!("no time in {TIME_LEFT}"))?;
     let customer = decode_customer(&head.headers, around)?;
     let headers = end_to_end(head.headers);
-    if !headers.contains_key(&ID) || headers.contains_key(&LABEL) != labelled {
+    if !headers.contains_key(&ID) || headers.contains_key(&IDEMPOTENCY_KEY) != keyed {
         return Err("its own headers named as the connection's".into());
     }
     let (method, target) = (head.method, head.uri);
-    let irreversible = effect == Effect::Irreversible;
+    let non_idempotent = effect == Effect::NonIdempotent;
     let terms = terms.clone();
     let job = Job {
         terms,
         profile,
         customer,
-        irreversible,
+        non_idempotent,
         left,
         body: JobBody::Whole(Bytes::new()),
         method,
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -33,7 +33,7 @@
 /// Weight of one attempt on a kept connection, or a new one, in the share of those that broke before any answer: some
 /// fifty count.
 const BROKE_WEIGHT: f64 = 0.02;
-/// By how much more kept ones break from which on an irreversible job gets a new connection: one break counts for some
+/// By how much more kept ones break from which on a non-idempotent job gets a new connection: one break counts for some
 /// thirty attempts.
 const KEPT_RISK: f64 = 0.01;
 /// How long a kept connection has to have been quiet behind an answer: a server may send more some milliseconds late, and
@@ -405,7 +405,7 @@
     ) -> Attempt {
         // A server may have closed a kept connection without our knowing yet. Where that happens, a job that could
         // not go again must not be what finds out.
-        let new = job.irreversible && self.wear.is_of_keeping();
+        let new = job.non_idempotent && self.wear.is_of_keeping();
         let link = if new { self.renewed_link(server).await } else { self.link(server).await };
         let Ok(link) = link else { return Attempt::ended(ConnectionEnd::NeverUp) };
         // What was written on it before belongs to another message.
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -357,15 +357,15 @@
     new.end();
 }
 
-// Where kept connections break, an irreversible job gets a new one: in an idle one's place, or a server whose jobs nearly
-// all are irreversible would hold more and more of them until it takes no further ones.
+// Where kept connections break, a non-idempotent job gets a new one: in an idle one's place, or a server whose jobs
+// nearly all are non-idempotent would hold more and more of them until it takes no further ones.
 #[test]
-fn new_connections_for_irreversible_jobs_take_the_place_of_idle_ones() {
+fn new_connections_for_non_idempotent_jobs_take_the_place_of_idle_ones() {
     let server = Server::start(Act::HonourOnce);
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     let mut ask = |what| caller.ask(&head(what, "5", 0), b"").status();
-    // A redoable one finds out.
+    // An idempotent one finds out.
     while ask("read") != 503 {}
     assert!((0..40).all(|_| ask("pay") == 200));
     let counters = node.end();
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -15,7 +15,7 @@
     let (odd, good) = (Server::start(act), Server::start(Act::Honour(b"fine".to_vec())));
     let node = Node::start(&config(&[odd.address]));
     let mut caller = node.caller();
-    // Another cell: there a repeat of a labelled job would run again.
+    // Another cell: there a repeat of a keyed job would run again.
     let mut away = entry("good", good.address, "Ready");
     away["cell"] = json!(2);
     node.discovery.publish(2, list(2, false, &[away]));
@@ -30,16 +30,16 @@
     (last, odd.jobs().len(), good.jobs().len() - statuses.len())
 }
 
-// The protocol's table: proof that a job never ran lets any job go again, everything else only a redoable one.
-#[test_case(Act::TurnAway, "pay", (200, 1, 1); "turned away, an irreversible job goes elsewhere")]
-#[test_case(Act::TurnAway, "book", (200, 1, 1); "turned away, a labelled job leaves its group")]
+// The protocol's table: proof that a job never ran lets any job go again, everything else only an idempotent one.
+#[test_case(Act::TurnAway, "pay", (200, 1, 1); "turned away, a non-idempotent job goes elsewhere")]
+#[test_case(Act::TurnAway, "book", (200, 1, 1); "turned away, a keyed job leaves its group")]
 #[test_case(Act::Unproven, "pay", (502, 1, 0); "without proof it does not")]
 #[test_case(Act::Error, "pay", (502, 1, 0); "an error proves nothing")]
-#[test_case(Act::Error, "book", (502, 1, 0); "a labelled job stays in its group")]
-#[test_case(Act::Error, "read", (200, 1, 1); "a redoable job goes elsewhere after an error")]
+#[test_case(Act::Error, "book", (502, 1, 0); "a keyed job stays in its group")]
+#[test_case(Act::Error, "read", (200, 1, 1); "an idempotent job goes elsewhere after an error")]
 #[test_case(Act::TurnDown, "read", (400, 1, 0); "what a server can't use no other can")]
 #[test_case(Act::Close, "pay", (502, 1, 0); "closed after the last byte, it may have run")]
-#[test_case(Act::Close, "read", (200, 1, 1); "closed after the last byte, a redoable job goes elsewhere")]
+#[test_case(Act::Close, "read", (200, 1, 1); "closed after the last byte, an idempotent job goes elsewhere")]
 #[test_case(Act::Cut, "pay", (502, 1, 0); "half an answer is none")]
 #[test_case(Act::Cut, "read", (200, 1, 1); "half an answer is not passed on")]
 #[test_case(Act::Unframed, "pay", (502, 1, 0); "an answer without an end may be half of one")]
@@ -48,7 +48,7 @@
     assert_eq!(two_servers(act, profile), wanted);
 }
 
-// Refused connections prove that nothing ran, also for an irreversible job.
+// Refused connections prove that nothing ran, also for a non-idempotent job.
 #[test]
 fn a_refused_connection_lets_any_job_go_elsewhere() {
     let good = Server::start(Act::Honour(b"fine".to_vec()));
@@ -63,12 +63,12 @@
 
 // Where kept connections turn out to be closed, a job that can't go again is not what finds out the next time.
 #[test]
-fn an_irreversible_job_gets_a_new_connection_while_kept_ones_break() {
+fn a_non_idempotent_job_gets_a_new_connection_while_kept_ones_break() {
     let server = Server::start(Act::HonourOnce);
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     let mut ask = |what| caller.ask(&head(what, "5", 0), b"").status();
-    // The first ones may come before their connection is kept; then a redoable one finds out.
+    // The first ones may come before their connection is kept; then an idempotent one finds out.
     assert!((0..100).any(|_| ask("read") == 503));
     assert!((0..10).all(|_| ask("pay") == 200));
     let counters = node.end();
@@ -124,8 +124,8 @@
     assert_eq!(server.jobs()[1].start, "GET /read/it?x=1 HTTP/1.1");
 }
 
-#[test_case("read", 503; "trying a redoable job again is harmless")]
-#[test_case("pay", 502; "an irreversible job that may have run is forfeited")]
+#[test_case("read", 503; "trying an idempotent job again is harmless")]
+#[test_case("pay", 502; "a non-idempotent job that may have run is forfeited")]
 fn a_silent_server_does_not_keep_a_job_beyond_its_limit(profile: &str, status: u16) {
     let server = Server::start(Act::Silence);
     let node = Node::start(&config(&[server.address]));
--- a/crates/pearfront-node/tests/rehearsal.rs
+++ b/crates/pearfront-node/tests/rehearsal.rs
@@ -29,7 +29,7 @@
 work = 0.5
 [[profiles]]
 name = "search"
-effect = "redoable"
+effect = "idempotent"
 contract_ms = 2000
 limit_ms = 4000
 gain = 1
@@ -37,7 +37,7 @@
 work_ms = 10
 [[profiles]]
 name = "booking-in"
-effect = "labelled"
+effect = "keyed"
 group = "cell"
 contract_ms = 2000
 limit_ms = 4000
@@ -46,7 +46,7 @@
 work_ms = 10
 [[profiles]]
 name = "cancel-refund"
-effect = "irreversible"
+effect = "non-idempotent"
 contract_ms = 2000
 limit_ms = 4000
 gain = 3
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -829,7 +829,7 @@
     }
 }
 
-/// A job's head: `read` (redoable), `book` (labelled) or `pay` (irreversible), with so many seconds left. Its id is
+/// A job's head: `read` (idempotent), `book` (keyed) or `pay` (non-idempotent), with so many seconds left. Its id is
 /// new.
 pub fn head(profile: &str, left: &str, length: usize) -> String {
     static COUNT: AtomicU32 = AtomicU32::new(1);
--- a/crates/pearfront-scale/src/measure/caller.rs
+++ b/crates/pearfront-scale/src/measure/caller.rs
@@ -36,7 +36,7 @@
         ask_within: 10_000.0,
         profiles: vec![Profile {
             name: "read".into(),
-            effect: Effect::Redoable,
+            effect: Effect::Idempotent,
             group: Group::All,
             window: 0.0,
             contract_time: 1000.0,
--- a/crates/pearfront-settings/src/lib.rs
+++ b/crates/pearfront-settings/src/lib.rs
@@ -196,9 +196,9 @@
 fn profile(at: &At) -> Result<Profile, String> {
     let kind = at.needed("effect")?;
     let effect = match kind.text()? {
-        "safe" => Effect::Redoable,
-        "keyed" => Effect::Labelled,
-        "unsafe" => Effect::Irreversible,
+        "safe" => Effect::Idempotent,
+        "keyed" => Effect::Keyed,
+        "unsafe" => Effect::NonIdempotent,
         other => return kind.problem(format!("{other:?} is unknown")),
     };
     let group = match at.maybe("group") {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,12 +7,12 @@
 /// May a job of this profile run more than once?
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
-    Redoable,
-    Labelled,
-    Irreversible,
+    Idempotent,
+    Keyed,
+    NonIdempotent,
 }
 
-/// The servers that drop repeats of one labelled job.
+/// The servers that drop repeats of one keyed job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Group {
     All,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -748,18 +748,18 @@
         };
         let profile = self.profile(job);
         match profile.effect {
-            Effect::Irreversible => None,
-            Effect::Redoable => Some(None),
+            Effect::NonIdempotent => None,
+            Effect::Idempotent => Some(None),
             // Past the window its servers no longer know the mark, and the job would run twice.
-            Effect::Labelled if self.now >= first.sent + profile.window => None,
-            Effect::Labelled => Some(Some(first.server.clone())),
+            Effect::Keyed if self.now >= first.sent + profile.window => None,
+            Effect::Keyed => Some(Some(first.server.clone())),
         }
     }
 
     /// May the client be told that trying again does no harm?
     fn may_push_back(&self, job: &Job) -> bool {
         let Profile { effect, group, .. } = self.profile(job);
-        let harmless = *effect == Effect::Redoable || *effect == Effect::Labelled && *group == Group::All;
+        let harmless = *effect == Effect::Idempotent || *effect == Effect::Keyed && *group == Group::All;
         harmless || job.proven_unrun()
     }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -120,10 +120,10 @@
 
     fn profile(&mut self, words: &[&str]) {
         let (effect, group) = match words[0] {
-            "redoable" => (Effect::Redoable, Group::All),
-            "irreversible" => (Effect::Irreversible, Group::All),
-            "labelled" => (Effect::Labelled, Group::Cell),
-            "labelled-by-all" => (Effect::Labelled, Group::All),
+            "idempotent" => (Effect::Idempotent, Group::All),
+            "non-idempotent" => (Effect::NonIdempotent, Group::All),
+            "keyed" => (Effect::Keyed, Group::Cell),
+            "keyed-by-all" => (Effect::Keyed, Group::All),
             other => panic!("no kind {other:?}"),
         };
         let (contract_time, window, gain) = (number(words[1]), number(words[2]), number(words[3]));
@@ -281,7 +281,7 @@
 #[test]
 fn a_wake_that_comes_a_hair_early_is_followed_by_another() {
     let mut scene = Scene::new();
-    scene.profile(&["redoable", "1000", "0", "1"]);
+    scene.profile(&["idempotent", "1000", "0", "1"]);
     scene.round(|balancer| balancer.listed(true, true, std::iter::empty()));
     scene.round(|balancer| balancer.job(1, 0, 0, 700.0));
     let asked = |scene: &Scene| {
@@ -301,8 +301,8 @@
     let mut scene = Scene::new();
     scene.set("held", 1.0);
     scene.set("price", 0.001);
-    scene.profile(&["redoable", "1000", "0", "1"]);
-    scene.profile(&["irreversible", "1000", "0", "1"]);
+    scene.profile(&["idempotent", "1000", "0", "1"]);
+    scene.profile(&["non-idempotent", "1000", "0", "1"]);
     let old = Rc::new(scene.settings.clone());
     let [a, b] = ["a", "b"].map(|name| listing(name, Standing::Ready));
     scene.round(|balancer| balancer.listed(true, true, [a].into_iter()));
@@ -313,12 +313,12 @@
     scene.round(|balancer| balancer.job(1, 0, 0, 700.0));
     answered(&mut scene, "a");
     scene.round(|balancer| balancer.attempt_ended(1, 0, Ending::Error, QUICK, false));
-    // An irreversible job is out when the settings change: both profiles change places, and both are redoable.
+    // A non-idempotent job is out when the settings change: both profiles change places, and both are idempotent.
     scene.round(|balancer| balancer.job(2, 1, 0, 700.0));
     answered(&mut scene, "a");
     let mut new = (*old).clone();
     new.profiles.swap(0, 1);
-    new.profiles[0].effect = Effect::Redoable;
+    new.profiles[0].effect = Effect::Idempotent;
     new.most_attempts = 1;
     scene.round(|balancer| balancer.retune(Rc::new(new)));
     scene.round(|balancer| balancer.attempt_ended(2, 0, Ending::Error, QUICK, false));
@@ -336,7 +336,7 @@
 fn a_job_that_is_still_coming_counts_from_its_last_byte() {
     let mut scene = Scene::new();
     scene.set("siblings", 10.0);
-    scene.profile(&["redoable", "1000", "0", "1"]);
+    scene.profile(&["idempotent", "1000", "0", "1"]);
     let [a, b] = ["a", "b"].map(|name| listing(name, Standing::Ready));
     scene.round(|balancer| balancer.listed(true, true, [a, b].into_iter()));
     let rules = Rc::new(scene.settings.clone());
@@ -363,7 +363,7 @@
 #[test]
 fn a_profile_whose_bodies_come_slowly_is_not_taken_to_drag() {
     let mut scene = Scene::new();
-    (0..2).for_each(|_| scene.profile(&["redoable", "1000", "0", "1"]));
+    (0..2).for_each(|_| scene.profile(&["idempotent", "1000", "0", "1"]));
     let a = listing("a", Standing::Ready);
     scene.round(|balancer| balancer.listed(true, true, [a].into_iter()));
     let rules = Rc::new(scene.settings.clone());
@@ -424,10 +424,10 @@
 #[test_case("answer-in-time"; "each job is answered once before its limit")]
 #[test_case("closing"; "a node that ends answers what it holds before")]
 #[test_case("same-round-end"; "nothing is sent for a job that ended in the same round")]
-#[test_case("irreversible"; "an irreversible job goes again only after proof")]
-#[test_case("labelled"; "a labelled job stays in its cell")]
-#[test_case("labelled-window"; "a labelled job does not go again after its window")]
-#[test_case("labelled-by-all"; "a job labelled for all may be pushed back")]
+#[test_case("non-idempotent"; "a non-idempotent job goes again only after proof")]
+#[test_case("keyed"; "a keyed job stays in its cell")]
+#[test_case("keyed-window"; "a keyed job does not go again after its window")]
+#[test_case("keyed-by-all"; "a job keyed for all may be pushed back")]
 #[test_case("drain"; "a draining server gets nothing new, also from jobs on hold")]
 #[test_case("cold"; "a cold server gets its part only")]
 #[test_case("draw"; "chance follows the inverse power of the figures")]
