--- a/crates/pearfront-drill/src/wire.rs
+++ b/crates/pearfront-drill/src/wire.rs
@@ -332,7 +332,7 @@
         self.action(4, &[&job.to_le_bytes(), &attempt.to_le_bytes()]);
     }
 
-    fn push_back(&mut self, job: u32, wait: f64) {
+    fn reject(&mut self, job: u32, wait: f64) {
         self.action(2, &[&job.to_le_bytes(), &((wait * NS_PER_MS) as u64).to_le_bytes()]);
     }
 
--- a/crates/pearfront-emulator/src/asks.rs
+++ b/crates/pearfront-emulator/src/asks.rs
@@ -101,7 +101,7 @@
         now + (self.limit - now) * patience + scenario.rules.slack_ms
     }
 
-    /// When its next try is made after `tries` in vain, if ever: `harmless` if the last one was pushed back, `wait` ms
+    /// When its next try is made after `tries` in vain, if ever: `harmless` if the last one was rejected, `wait` ms
     /// what its caller was told.
     pub fn next_try(
         &self,
--- a/crates/pearfront-emulator/src/asks/tests.rs
+++ b/crates/pearfront-emulator/src/asks/tests.rs
@@ -22,7 +22,7 @@
 }
 
 #[test]
-fn only_what_was_pushed_back_is_tried_again_if_it_is_non_idempotent() {
+fn only_what_was_rejected_is_tried_again_if_it_is_non_idempotent() {
     let scenario = scenario(|scenario| scenario.callers.retry_share = 1.0);
     let ask = Asks::new(scenario.clone(), 5).find(|ask| ask.profile == 2).unwrap();
     assert_eq!(ask.next_try(&scenario, ask.at, 1, 0.0, false), None);
--- a/crates/pearfront-emulator/src/decide.rs
+++ b/crates/pearfront-emulator/src/decide.rs
@@ -31,7 +31,7 @@
 pub enum Act {
     Attempt { job: u32, server: Address, limit: f64 },
     CallOff { job: u32, attempt: usize },
-    PushBack { job: u32, wait: f64 },
+    Reject { job: u32, wait: f64 },
     Forfeit { job: u32 },
     Probe { server: Address },
     Wake { delay: f64 },
@@ -81,7 +81,7 @@
     FloodsCold,
     SwapsAnswers,
     RepeatsLate,
-    PushesBackWhatRan,
+    RejectsWhatRan,
 }
 
 /// What can be seen of a server by whom the true state is shown.
@@ -147,8 +147,8 @@
     fn call_off(&mut self, job: u32, attempt: u16) {
         self.0.push(Act::CallOff { job, attempt: usize::from(attempt) });
     }
-    fn push_back(&mut self, job: u32, wait: f64) {
-        self.0.push(Act::PushBack { job, wait });
+    fn reject(&mut self, job: u32, wait: f64) {
+        self.0.push(Act::Reject { job, wait });
     }
     fn forfeit(&mut self, job: u32) {
         self.0.push(Act::Forfeit { job });
@@ -310,8 +310,8 @@
         let proven = job.attempts.iter().all(|attempt| attempt.2.is_some_and(Ending::never_ran));
         let profile: &Profile = &self.settings.profiles[job.profile];
         let harmless = proven || profile.effect == Effect::Idempotent;
-        if harmless || self.fault == Some(Fault::PushesBackWhatRan) {
-            acts.push(Act::PushBack {
+        if harmless || self.fault == Some(Fault::RejectsWhatRan) {
+            acts.push(Act::Reject {
                 job: id,
                 wait: profile.contract_time * self.chance.random_range(0.1..0.4),
             });
--- a/crates/pearfront-emulator/src/judge.rs
+++ b/crates/pearfront-emulator/src/judge.rs
@@ -76,7 +76,7 @@
     pub asks: usize,
     pub tries: usize,
     pub honoured: usize,
-    pub pushed_back: usize,
+    pub rejected: usize,
     pub forfeited: usize,
     pub unanswered: usize,
     /// Attempts at the first tier for each job, and work done at any tier for answers that nobody got, as a share.
@@ -250,7 +250,7 @@
         }
     }
 
-    /// Rule 2: what may have run goes again, or is pushed back, only where that is harmless.
+    /// Rule 2: what may have run goes again, or is rejected, only where that is harmless.
     fn effects(&self, job: &Job) -> Option<String> {
         let profile = &self.scenario.profiles[job.profile];
         let attempts = self.attempts.get(&job.trace)?;
@@ -277,15 +277,13 @@
                 Effect::Keyed => {}
             }
         }
-        let pushed_back = job.answers.iter().find(|answered| answered.answer == Answer::PushedBack)?;
+        let rejected = job.answers.iter().find(|answered| answered.answer == Answer::Rejected)?;
         let harmless = match profile.effect {
             Effect::Idempotent => true,
             Effect::Keyed if profile.group == Group::All => true,
-            _ => attempts
-                .iter()
-                .all(|attempt| attempt.came > pushed_back.at || proven(attempt, pushed_back.at)),
+            _ => attempts.iter().all(|attempt| attempt.came > rejected.at || proven(attempt, rejected.at)),
         };
-        (!harmless).then(|| "pushed back though it may have run".into())
+        (!harmless).then(|| "rejected though it may have run".into())
     }
 
     fn same_group(&self, group: Group, one: &Attempt, other: &Attempt) -> bool {
@@ -408,7 +406,7 @@
                     honoured[ask] = honoured[ask].min(*at);
                     latency.saturating_record(((at - job.sent) * 1000.0).max(0.0) as u64);
                 }
-                Some(Answered { answer: Answer::PushedBack, .. }) => verdict.pushed_back += 1,
+                Some(Answered { answer: Answer::Rejected, .. }) => verdict.rejected += 1,
                 Some(Answered { answer: Answer::Forfeited, .. }) => verdict.forfeited += 1,
                 None => verdict.unanswered += 1,
             }
--- a/crates/pearfront-emulator/src/model/callers.rs
+++ b/crates/pearfront-emulator/src/model/callers.rs
@@ -126,7 +126,7 @@
                 let ask = ask.clone();
                 match answer {
                     Answer::Honoured => self.finish(&ask),
-                    Answer::PushedBack => self.again(&ask, wait, true),
+                    Answer::Rejected => self.again(&ask, wait, true),
                     Answer::Forfeited => self.again(&ask, 0.0, false),
                 }
             }
--- a/crates/pearfront-emulator/src/model/nodes.rs
+++ b/crates/pearfront-emulator/src/model/nodes.rs
@@ -220,9 +220,9 @@
                     self.attempt_over(&flight, Ending::CalledOff, true);
                 }
             }
-            Act::PushBack { job: number, wait } => {
+            Act::Reject { job: number, wait } => {
                 if let Some(job) = job(number) {
-                    self.give(&job, Answer::PushedBack, 0, wait);
+                    self.give(&job, Answer::Rejected, 0, wait);
                 }
             }
             Act::Forfeit { job: number } => {
--- a/crates/pearfront-emulator/src/record.rs
+++ b/crates/pearfront-emulator/src/record.rs
@@ -16,7 +16,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Answer {
     Honoured,
-    PushedBack,
+    Rejected,
     Forfeited,
 }
 
--- a/crates/pearfront-emulator/src/scenario.rs
+++ b/crates/pearfront-emulator/src/scenario.rs
@@ -248,7 +248,7 @@
     /// Part of the traffic that comes from each zone, in their order; evenly if absent.
     #[serde(default)]
     pub zone_shares: Vec<f64>,
-    /// Further tries of one job that was pushed back or failed (non-idempotent ones only if pushed back).
+    /// Further tries of one job that was rejected or failed (non-idempotent ones only if rejected).
     #[serde(default)]
     pub retries: u32,
     /// Chance that a caller makes its next try at all.
--- a/crates/pearfront-emulator/src/sockets/callers.rs
+++ b/crates/pearfront-emulator/src/sockets/callers.rs
@@ -207,7 +207,7 @@
             tries += 1;
             let (wait, harmless) = match self.try_once(&ask, place).await {
                 Some(Heard::Answer { answer: Answer::Honoured, .. }) | None => break,
-                Some(Heard::Answer { answer, wait, .. }) => (wait, answer == Answer::PushedBack),
+                Some(Heard::Answer { answer, wait, .. }) => (wait, answer == Answer::Rejected),
                 Some(Heard::Refused | Heard::Cut) => (0.0, false),
             };
             let next = ask.next_try(&self.scenario, self.now(), tries, wait, harmless);
--- a/crates/pearfront-emulator/src/sockets/client.rs
+++ b/crates/pearfront-emulator/src/sockets/client.rs
@@ -110,7 +110,7 @@
         let wait = wait.and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0) * 1000.0;
         let answer = match head.status {
             StatusCode::OK => Answer::Honoured,
-            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Answer::PushedBack,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Answer::Rejected,
             _ => Answer::Forfeited,
         };
         Some(Heard::Answer { answer, body: number(&body).unwrap_or(0), wait })
--- a/crates/pearfront-emulator/tests/plays.rs
+++ b/crates/pearfront-emulator/tests/plays.rs
@@ -116,7 +116,7 @@
 #[test_case(Fault::SwapsAnswers, "no-job-lost", ""; "another job's answer is given")]
 #[test_case(Fault::SendsToDrained, "drains", "[[troubles]]\nwhat = \"drain\"\nat_s = 5\ntier = \"front\"\ncount = 1\n"; "a drained server gets jobs")]
 #[test_case(Fault::FloodsCold, "cold-servers", "[[troubles]]\nwhat = \"silent\"\nat_s = 3\nfor_s = 6\ntier = \"front\"\ncount = 1\n"; "a cold server gets all")]
-#[test_case(Fault::PushesBackWhatRan, "no-effect-twice", "[[troubles]]\nwhat = \"fast-errors\"\nat_s = 5\nfor_s = 5\ntier = \"front\"\n"; "what may have run is pushed back")]
+#[test_case(Fault::RejectsWhatRan, "no-effect-twice", "[[troubles]]\nwhat = \"fast-errors\"\nat_s = 5\nfor_s = 5\ntier = \"front\"\n"; "what may have run is rejected")]
 fn a_driver_with_one_fault_is_caught_by_the_name_of_its_rule(fault: Fault, rule: &str, troubles: &str) {
     // Grace is short, so that a drained server still stands when it ends.
     let text = format!(
--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -1,4 +1,4 @@
-//! Second stage: is there room for a connection or a job? What finds none is pushed back at once, before the
+//! Second stage: is there room for a connection or a job? What finds none is rejected at once, before the
 //! module hears of it: nothing was sent, so trying again is harmless.
 
 use crate::book::Book;
@@ -13,7 +13,7 @@
 
 /// Descriptors kept for what is no caller, server or probe: standard streams, listener, poll, signals, discovery.
 const FIXED: usize = 24;
-/// Connections above the ordinary most that are still accepted, to push their jobs back at once; as a share of
+/// Connections above the ordinary most that are still accepted, to reject their jobs at once; as a share of
 /// all, and at most.
 const LAST_RESORT: (usize, usize) = (8, 64);
 /// Connections that a job takes at the least: its caller's and a server's.
@@ -124,7 +124,7 @@
         self.open.get() < self.most_open.get()
     }
 
-    /// The same, if it is only to push a job back, or stands in for one that is being closed.
+    /// The same, if it is only to reject a job, or stands in for one that is being closed.
     pub fn has_last_place(&self) -> bool {
         self.open.get() < self.most_open.get() + self.last_resort.get()
     }
@@ -157,7 +157,7 @@
         self.callers_open.get() < self.most_callers()
     }
 
-    /// The same for one whose jobs are pushed back, or who stands in for one that is being closed.
+    /// The same for one whose jobs are rejected, or who stands in for one that is being closed.
     pub fn has_last_caller_place(&self) -> bool {
         self.callers_open.get() < self.most_callers() + self.last_resort.get()
     }
--- a/crates/pearfront-node/src/book.rs
+++ b/crates/pearfront-node/src/book.rs
@@ -46,7 +46,7 @@
     honoured,
     flows,
     flows_in,
-    pushed_back,
+    rejected,
     forfeited,
     turned_down,
     client_left,
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -306,7 +306,7 @@
 pub enum Answer {
     Honoured(Box<Reply>),
     /// With the advice to come back in so many ms; 0 is none.
-    PushedBack(f64),
+    Rejected(f64),
     Forfeited,
     /// A server can't use the job: its caller's fault.
     TurnedDown,
@@ -335,9 +335,9 @@
                 *answer.headers_mut() = reply.headers;
                 answer
             }
-            Answer::PushedBack(wait) => {
+            Answer::Rejected(wait) => {
                 let mut answer =
-                    plain(StatusCode::SERVICE_UNAVAILABLE, "pushed back, trying again is harmless\n");
+                    plain(StatusCode::SERVICE_UNAVAILABLE, "rejected, trying again is harmless\n");
                 if wait > 0.0 {
                     let wait = HeaderValue::from_str(&format!("{:.3}", wait / 1000.0));
                     answer.headers_mut().insert(header::RETRY_AFTER, wait.expect("digits make a header"));
--- a/crates/pearfront-node/src/relay.rs
+++ b/crates/pearfront-node/src/relay.rs
@@ -47,7 +47,7 @@
         let Some(caller) = self.take() else { return };
         match answer {
             Answer::Honoured(_) => self.book.honoured.add(),
-            Answer::PushedBack(_) => self.book.pushed_back.add(),
+            Answer::Rejected(_) => self.book.rejected.add(),
             Answer::Forfeited => self.book.forfeited.add(),
             Answer::TurnedDown => self.book.turned_down.add(),
         }
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -317,8 +317,8 @@
         }
     }
 
-    fn push_back(&mut self, job: u32, wait: f64) {
-        self.route.answer(job, Answer::PushedBack(wait));
+    fn reject(&mut self, job: u32, wait: f64) {
+        self.route.answer(job, Answer::Rejected(wait));
     }
 
     fn forfeit(&mut self, job: u32) {
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -148,7 +148,7 @@
                 ended = connection.as_mut() => {
                     // A caller that breaks off shows on its job, if it had one.
                     if let Err(error) = ended && error.is_parse() {
-                        self.reject(&error.to_string());
+                        self.refuse_malformed(&error.to_string());
                         caller.answer_early();
                     }
                     if caller.is_answered_early() {
@@ -202,17 +202,17 @@
                 Err(Problem::Malformed(problem)) => problem,
             },
             Err(problem) => match read(body, false).await {
-                Ok(Start::Whole(_)) => return Ok(self.reject(&problem)),
+                Ok(Start::Whole(_)) => return Ok(self.refuse_malformed(&problem)),
                 Err(Broken::Cut) => return Err(Broken::Cut),
                 _ => problem,
             },
         };
         // Its body goes on: nothing that comes on the connection from now on is a job.
         caller.answer_early();
-        Ok(message::last_on_connection(self.reject(&problem)))
+        Ok(message::last_on_connection(self.refuse_malformed(&problem)))
     }
 
-    fn reject(&self, problem: &str) -> Response<Body> {
+    fn refuse_malformed(&self, problem: &str) -> Response<Body> {
         self.book.malformed.add();
         self.malformed.warn(format_args!("malformed job: {problem}"));
         message::encode_malformed(problem)
@@ -226,16 +226,16 @@
         let start = read(body, share.is_some()).await?;
         let Some(share) = share else {
             self.book.no_room.add();
-            self.crowded.warn("no room for a job, pushed back");
-            return Ok(push_back(start));
+            self.crowded.warn("no room for a job, rejected");
+            return Ok(reject(start));
         };
         if job.left <= 0.0 {
             self.book.too_late.add();
-            return Ok(push_back(start));
+            return Ok(reject(start));
         }
         if self.route.has_open(&job) {
             return match start {
-                Start::Whole(_) => Ok(self.reject("another job with its id is open")),
+                Start::Whole(_) => Ok(self.refuse_malformed("another job with its id is open")),
                 Start::Begun(..) => Err(Problem::Malformed("another job with its id is open".into())),
             };
         }
@@ -341,12 +341,12 @@
     }
 }
 
-/// Pushes a job back of which no more was read than this; the rest is read without being kept.
-fn push_back(start: Start) -> Response<Body> {
+/// Rejects a job of which no more was read than this; the rest is read without being kept.
+fn reject(start: Start) -> Response<Body> {
     if let Start::Begun(_, rest) = start {
         spawn_local(drain(rest));
     }
-    Answer::PushedBack(0.0).encode()
+    Answer::Rejected(0.0).encode()
 }
 
 /// Reads a body as far as it is kept whole; without room for it, nothing of it is. One that comes too slowly is given up.
--- a/crates/pearfront-node/tests/days/mod.rs
+++ b/crates/pearfront-node/tests/days/mod.rs
@@ -146,7 +146,7 @@
         "outer_limit": 6e9, "gain": 1.0}));
     config["settings"]["limits"]["most_shots"] = json!(1);
     node.reload(&config.to_string());
-    // Its time is over: pushed back while the profile is there, turned down once it has gone.
+    // Its time is over: rejected while the profile is there, turned down once it has gone.
     node.wait_until(&head("read", "0", 0), 400);
     let mut asked = node.caller();
     // A POST of what is now safe does not fit any more, but the job that came before ends as it began.
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -447,8 +447,7 @@
         let sum = |what: fn(&Told) -> usize| told.iter().map(what).sum::<usize>();
         let (answered, lost) = (sum(|told| told.answered), told.iter().flat_map(|told| &told.lost));
         let lost: Vec<_> = lost.collect();
-        let given =
-            ["honoured", "pushed_back", "forfeited", "too_late", "no_room"].map(|what| counters[what]);
+        let given = ["honoured", "rejected", "forfeited", "too_late", "no_room"].map(|what| counters[what]);
         if !lost.is_empty() || given.iter().sum::<u64>() != answered as u64 || counters["client_left"] > 0 {
             return Err(format!("{lost:?}, {answered} of {} answered: {counters:?}", sum(|told| told.sent)));
         }
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -254,12 +254,12 @@
     server.wait_for("closed 1");
     let counters = node.end();
     assert_eq!((counters["taken"], counters["client_left"], counters["attempt_called_off"]), (1, 1, 1));
-    assert_eq!(counters["forfeited"] + counters["pushed_back"] + counters["honoured"], 0);
+    assert_eq!(counters["forfeited"] + counters["rejected"] + counters["honoured"], 0);
 }
 
-// Callers alone must not take all descriptors: what finds no room is pushed back, and the node goes on.
+// Callers alone must not take all descriptors: what finds no room is rejected, and the node goes on.
 #[test]
-fn without_room_jobs_are_pushed_back_at_once() {
+fn without_room_jobs_are_rejected_at_once() {
     let server = Server::start(Act::Silence);
     let mut config = config(&[server.address]);
     // 56 less 24 fixed and 7 for the last resort: twelve jobs of two connections each.
@@ -274,8 +274,8 @@
     let mut callers: Vec<_> = (0..12).map(send).collect();
     // Each of those let in does get its connection to the server.
     server.wait_for("job 12");
-    let pushed_back: Vec<_> = (0..28).map(send).collect();
-    for mut caller in pushed_back {
+    let rejected: Vec<_> = (0..28).map(send).collect();
+    for mut caller in rejected {
         assert_eq!(caller.answer().unwrap().status(), 503);
     }
     callers.clear();
@@ -393,7 +393,7 @@
     assert_eq!(late.answer().unwrap().status(), 502);
     assert!(idle.answer().is_none());
     let counters = node.ended();
-    assert_eq!((counters["taken"], counters["pushed_back"], counters["forfeited"]), (2, 1, 1));
+    assert_eq!((counters["taken"], counters["rejected"], counters["forfeited"]), (2, 1, 1));
 }
 
 // A watch whose way is cut says nothing: its call must not be waited for so long that all servers have changed.
--- a/crates/pearfront-scale/src/measure/caller.rs
+++ b/crates/pearfront-scale/src/measure/caller.rs
@@ -84,7 +84,7 @@
         self.attempts.push((job, server));
     }
     fn call_off(&mut self, _: u32, _: u16) {}
-    fn push_back(&mut self, _: u32, _: f64) {
+    fn reject(&mut self, _: u32, _: f64) {
         self.ended += 1;
     }
     fn forfeit(&mut self, _: u32) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -134,7 +134,7 @@
     /// Sends the job to the server; without an answer within `limit` the attempt times out.
     fn attempt(&mut self, job: u32, server: Address, limit: f64);
     fn call_off(&mut self, job: u32, attempt: u16);
-    fn push_back(&mut self, job: u32, wait: f64);
+    fn reject(&mut self, job: u32, wait: f64);
     fn forfeit(&mut self, job: u32);
     fn probe(&mut self, server: Address);
     /// Asks for a round in `delay` or soon after.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -757,17 +757,17 @@
     }
 
     /// May the client be told that trying again does no harm?
-    fn may_push_back(&self, job: &Job) -> bool {
+    fn may_reject(&self, job: &Job) -> bool {
         let Profile { effect, group, .. } = self.profile(job);
         let harmless = *effect == Effect::Idempotent || *effect == Effect::Keyed && *group == Group::All;
         harmless || job.proven_unrun()
     }
 
     fn give_up(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
-        if self.may_push_back(job) {
+        if self.may_reject(job) {
             // All told the same would come back at once: the advice is spread.
             let wait = BACK * self.profile(job).contract_time * self.chance.0.random_range(0.5..1.5);
-            out.push_back(job.id, wait.min(self.settings.longest_wait));
+            out.reject(job.id, wait.min(self.settings.longest_wait));
         } else {
             out.forfeit(job.id);
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -32,11 +32,11 @@
     fn call_off(&mut self, job: u32, attempt: u16) {
         self.0.push(format!("call-off {job} {attempt}"));
     }
-    fn push_back(&mut self, job: u32, wait: f64) {
+    fn reject(&mut self, job: u32, wait: f64) {
         if wait > 0.0 {
             self.0.push(format!("advice {wait}"));
         }
-        self.0.push(format!("push-back {job}"));
+        self.0.push(format!("reject {job}"));
     }
     fn forfeit(&mut self, job: u32) {
         self.0.push(format!("forfeit {job}"));
@@ -356,7 +356,7 @@
     scene.now += 2500.0;
     scene.round(|balancer| balancer.attempt_ended(1, 0, Ending::Error, QUICK, false));
     assert_eq!(attempts(&scene, 1), 1);
-    assert!(scene.written.0.contains(&"push-back 1".into()), "{:?}", scene.written.0);
+    assert!(scene.written.0.contains(&"reject 1".into()), "{:?}", scene.written.0);
 }
 
 /// Bodies that come slowly are no dragging profile: none is given up for it, and their places come back.
@@ -427,7 +427,7 @@
 #[test_case("non-idempotent"; "a non-idempotent job goes again only after proof")]
 #[test_case("keyed"; "a keyed job stays in its cell")]
 #[test_case("keyed-window"; "a keyed job does not go again after its window")]
-#[test_case("keyed-by-all"; "a job keyed for all may be pushed back")]
+#[test_case("keyed-by-all"; "a job keyed for all may be rejected")]
 #[test_case("drain"; "a draining server gets nothing new, also from jobs on hold")]
 #[test_case("cold"; "a cold server gets its part only")]
 #[test_case("draw"; "chance follows the inverse power of the figures")]
@@ -465,7 +465,7 @@
 #[test_case("drags"; "a profile that drags wherever it goes takes no place from others")]
 #[test_case("fails-anywhere"; "jobs that fail wherever they go have one attempt each and are no fault of a server")]
 #[test_case("untrue-report"; "a server that reports to be idle while it holds own jobs is not believed")]
-#[test_case("overload"; "the window holds back a burst and pushes back early")]
+#[test_case("overload"; "the window holds back a burst and rejects early")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap();
