--- a/crates/pearfront-drill/src/wire.rs
+++ b/crates/pearfront-drill/src/wire.rs
@@ -336,7 +336,7 @@
         self.action(2, &[&job.to_le_bytes(), &((wait * NS_PER_MS) as u64).to_le_bytes()]);
     }
 
-    fn forfeit(&mut self, job: u32) {
+    fn fail(&mut self, job: u32) {
         self.action(3, &[&job.to_le_bytes()]);
     }
 
--- a/crates/pearfront-emulator/src/decide.rs
+++ b/crates/pearfront-emulator/src/decide.rs
@@ -32,7 +32,7 @@
     Attempt { job: u32, server: Address, limit: f64 },
     CallOff { job: u32, attempt: usize },
     Reject { job: u32, wait: f64 },
-    Forfeit { job: u32 },
+    Fail { job: u32 },
     Probe { server: Address },
     Wake { delay: f64 },
     Watch,
@@ -150,8 +150,8 @@
     fn reject(&mut self, job: u32, wait: f64) {
         self.0.push(Act::Reject { job, wait });
     }
-    fn forfeit(&mut self, job: u32) {
-        self.0.push(Act::Forfeit { job });
+    fn fail(&mut self, job: u32) {
+        self.0.push(Act::Fail { job });
     }
     fn probe(&mut self, server: Address) {
         self.0.push(Act::Probe { server });
@@ -316,7 +316,7 @@
                 wait: profile.contract_time * self.chance.random_range(0.1..0.4),
             });
         } else {
-            acts.push(Act::Forfeit { job: id });
+            acts.push(Act::Fail { job: id });
         }
         for (number, _) in job.attempts.iter().enumerate().filter(|(_, attempt)| attempt.2.is_none()) {
             acts.push(Act::CallOff { job: id, attempt: number });
--- a/crates/pearfront-emulator/src/judge.rs
+++ b/crates/pearfront-emulator/src/judge.rs
@@ -77,7 +77,7 @@
     pub tries: usize,
     pub honoured: usize,
     pub rejected: usize,
-    pub forfeited: usize,
+    pub failed: usize,
     pub unanswered: usize,
     /// Attempts at the first tier for each job, and work done at any tier for answers that nobody got, as a share.
     pub attempts_a_job: f64,
@@ -407,7 +407,7 @@
                     latency.saturating_record(((at - job.sent) * 1000.0).max(0.0) as u64);
                 }
                 Some(Answered { answer: Answer::Rejected, .. }) => verdict.rejected += 1,
-                Some(Answered { answer: Answer::Forfeited, .. }) => verdict.forfeited += 1,
+                Some(Answered { answer: Answer::Failed, .. }) => verdict.failed += 1,
                 None => verdict.unanswered += 1,
             }
         }
--- a/crates/pearfront-emulator/src/model/callers.rs
+++ b/crates/pearfront-emulator/src/model/callers.rs
@@ -127,7 +127,7 @@
                 match answer {
                     Answer::Honoured => self.finish(&ask),
                     Answer::Rejected => self.again(&ask, wait, true),
-                    Answer::Forfeited => self.again(&ask, 0.0, false),
+                    Answer::Failed => self.again(&ask, 0.0, false),
                 }
             }
         }
--- a/crates/pearfront-emulator/src/model/nodes.rs
+++ b/crates/pearfront-emulator/src/model/nodes.rs
@@ -225,9 +225,9 @@
                     self.give(&job, Answer::Rejected, 0, wait);
                 }
             }
-            Act::Forfeit { job: number } => {
+            Act::Fail { job: number } => {
                 if let Some(job) = job(number) {
-                    self.give(&job, Answer::Forfeited, 0, 0.0);
+                    self.give(&job, Answer::Failed, 0, 0.0);
                 }
             }
             Act::Probe { server } => self.probe(node, server),
--- a/crates/pearfront-emulator/src/record.rs
+++ b/crates/pearfront-emulator/src/record.rs
@@ -17,7 +17,7 @@
 pub enum Answer {
     Honoured,
     Rejected,
-    Forfeited,
+    Failed,
 }
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/pearfront-emulator/src/sockets/client.rs
+++ b/crates/pearfront-emulator/src/sockets/client.rs
@@ -111,7 +111,7 @@
         let answer = match head.status {
             StatusCode::OK => Answer::Honoured,
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Answer::Rejected,
-            _ => Answer::Forfeited,
+            _ => Answer::Failed,
         };
         Some(Heard::Answer { answer, body: number(&body).unwrap_or(0), wait })
     }
--- a/crates/pearfront-node/src/book.rs
+++ b/crates/pearfront-node/src/book.rs
@@ -47,7 +47,7 @@
     flows,
     flows_in,
     rejected,
-    forfeited,
+    failed,
     turned_down,
     client_left,
     answer_unsent,
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -307,7 +307,7 @@
     Honoured(Box<Reply>),
     /// With the advice to come back in so many ms; 0 is none.
     Rejected(f64),
-    Forfeited,
+    Failed,
     /// A server can't use the job: its caller's fault.
     TurnedDown,
 }
@@ -345,7 +345,7 @@
                 answer
             }
             Answer::TurnedDown => encode_malformed("a server can't use it"),
-            Answer::Forfeited => plain(StatusCode::BAD_GATEWAY, "forfeited\n"),
+            Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         }
     }
 }
--- a/crates/pearfront-node/src/relay.rs
+++ b/crates/pearfront-node/src/relay.rs
@@ -48,7 +48,7 @@
         match answer {
             Answer::Honoured(_) => self.book.honoured.add(),
             Answer::Rejected(_) => self.book.rejected.add(),
-            Answer::Forfeited => self.book.forfeited.add(),
+            Answer::Failed => self.book.failed.add(),
             Answer::TurnedDown => self.book.turned_down.add(),
         }
         if caller.send(answer).is_err() {
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -321,8 +321,8 @@
         self.route.answer(job, Answer::Rejected(wait));
     }
 
-    fn forfeit(&mut self, job: u32) {
-        self.route.answer(job, Answer::Forfeited);
+    fn fail(&mut self, job: u32) {
+        self.route.answer(job, Answer::Failed);
     }
 
     fn probe(&mut self, server: Address) {
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -273,7 +273,7 @@
                 // Answered at once; what still comes is read, so that the caller gets to see it.
                 drop(guard);
                 spawn_local(drain(body));
-                return Ok(answer.unwrap_or(Answer::Forfeited).encode());
+                return Ok(answer.unwrap_or(Answer::Failed).encode());
             }
             // While a server takes nothing, nobody reads the body, and its end is not seen there.
             () = caller.wire.ended() => Err(Broken::Cut),
@@ -308,7 +308,7 @@
 async fn answered(caller: &Caller, answer: Receiver<Answer>) -> Result<Response<Body>, Problem> {
     tokio::select! {
         biased;
-        answer = answer => Ok(answer.unwrap_or(Answer::Forfeited).encode()),
+        answer = answer => Ok(answer.unwrap_or(Answer::Failed).encode()),
         () = caller.wire.ended() => Err(Problem::Gone),
     }
 }
--- a/crates/pearfront-node/tests/days/mod.rs
+++ b/crates/pearfront-node/tests/days/mod.rs
@@ -507,7 +507,7 @@
     assert_eq!(old.call("PUT /_lameduck/on"), 200);
     assert_eq!([&old, &new].map(|node| node.call("GET /_ready")), [503, 200]);
     old.signal("-TERM");
-    assert_eq!(old.ended()["forfeited"], 0);
+    assert_eq!(old.ended()["failed"], 0);
     assert_eq!(new.caller().ask(UP, b"").status(), 200);
 }
 
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -334,7 +334,7 @@
         assert_eq!((answer.status(), answer.body.as_slice()), (200, b"fine".as_slice()));
     }
     let counters = node.end();
-    assert_eq!((counters["attempt_honoured"], counters["forfeited"]), (50, 0));
+    assert_eq!((counters["attempt_honoured"], counters["failed"]), (50, 0));
 }
 
 // In the middle of an upgrade: the old process has the job, its caller leaves, and only then it could go.
@@ -447,7 +447,7 @@
         let sum = |what: fn(&Told) -> usize| told.iter().map(what).sum::<usize>();
         let (answered, lost) = (sum(|told| told.answered), told.iter().flat_map(|told| &told.lost));
         let lost: Vec<_> = lost.collect();
-        let given = ["honoured", "rejected", "forfeited", "too_late", "no_room"].map(|what| counters[what]);
+        let given = ["honoured", "rejected", "failed", "too_late", "no_room"].map(|what| counters[what]);
         if !lost.is_empty() || given.iter().sum::<u64>() != answered as u64 || counters["client_left"] > 0 {
             return Err(format!("{lost:?}, {answered} of {} answered: {counters:?}", sum(|told| told.sent)));
         }
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -58,7 +58,7 @@
         assert_eq!(caller.ask(&head("pay", "5", 0), b"").status(), 200);
     }
     let counters = node.end();
-    assert!(counters["attempt_unconnected"] > 0 && counters["forfeited"] == 0, "{counters:?}");
+    assert!(counters["attempt_unconnected"] > 0 && counters["failed"] == 0, "{counters:?}");
 }
 
 // Where kept connections turn out to be closed, a job that can't go again is not what finds out the next time.
@@ -72,7 +72,7 @@
     assert!((0..100).any(|_| ask("read") == 503));
     assert!((0..10).all(|_| ask("pay") == 200));
     let counters = node.end();
-    assert_eq!((counters["attempt_broken"], counters["forfeited"]), (1, 0));
+    assert_eq!((counters["attempt_broken"], counters["failed"]), (1, 0));
 }
 
 // So does a connection that never comes up; it is given up after the settings' time, not the job's.
@@ -125,7 +125,7 @@
 }
 
 #[test_case("read", 503; "trying an idempotent job again is harmless")]
-#[test_case("pay", 502; "a non-idempotent job that may have run is forfeited")]
+#[test_case("pay", 502; "a non-idempotent job that may have run is failed")]
 fn a_silent_server_does_not_keep_a_job_beyond_its_limit(profile: &str, status: u16) {
     let server = Server::start(Act::Silence);
     let node = Node::start(&config(&[server.address]));
@@ -254,7 +254,7 @@
     server.wait_for("closed 1");
     let counters = node.end();
     assert_eq!((counters["taken"], counters["client_left"], counters["attempt_called_off"]), (1, 1, 1));
-    assert_eq!(counters["forfeited"] + counters["rejected"] + counters["honoured"], 0);
+    assert_eq!(counters["failed"] + counters["rejected"] + counters["honoured"], 0);
 }
 
 // Callers alone must not take all descriptors: what finds no room is rejected, and the node goes on.
@@ -393,7 +393,7 @@
     assert_eq!(late.answer().unwrap().status(), 502);
     assert!(idle.answer().is_none());
     let counters = node.ended();
-    assert_eq!((counters["taken"], counters["rejected"], counters["forfeited"]), (2, 1, 1));
+    assert_eq!((counters["taken"], counters["rejected"], counters["failed"]), (2, 1, 1));
 }
 
 // A watch whose way is cut says nothing: its call must not be waited for so long that all servers have changed.
@@ -434,7 +434,7 @@
     assert_eq!(node.caller().ask(&head("pay", "5", 0), b"").body, b"new");
     assert_eq!(busy.answer().unwrap().status(), 502);
     let counters = node.end();
-    assert_eq!((counters["taken"], counters["honoured"], counters["forfeited"]), (3, 2, 1));
+    assert_eq!((counters["taken"], counters["honoured"], counters["failed"]), (3, 2, 1));
 }
 
 #[test_case(r#"{"discovery": "here"}"#, "config.discovery is no address and port"; "bad address")]
@@ -511,7 +511,7 @@
     while new.jobs().is_empty() {
         assert_eq!(caller.ask(&head("read", "5", 0), b"").status(), 200);
     }
-    assert_eq!(node.end()["forfeited"], 0);
+    assert_eq!(node.end()["failed"], 0);
 }
 
 #[test]
--- a/crates/pearfront-scale/src/measure/caller.rs
+++ b/crates/pearfront-scale/src/measure/caller.rs
@@ -87,7 +87,7 @@
     fn reject(&mut self, _: u32, _: f64) {
         self.ended += 1;
     }
-    fn forfeit(&mut self, _: u32) {
+    fn fail(&mut self, _: u32) {
         self.ended += 1;
     }
     fn probe(&mut self, server: Address) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -135,7 +135,7 @@
     fn attempt(&mut self, job: u32, server: Address, limit: f64);
     fn call_off(&mut self, job: u32, attempt: u16);
     fn reject(&mut self, job: u32, wait: f64);
-    fn forfeit(&mut self, job: u32);
+    fn fail(&mut self, job: u32);
     fn probe(&mut self, server: Address);
     /// Asks for a round in `delay` or soon after.
     fn wake(&mut self, delay: f64);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -769,7 +769,7 @@
             let wait = BACK * self.profile(job).contract_time * self.chance.0.random_range(0.5..1.5);
             out.reject(job.id, wait.min(self.settings.longest_wait));
         } else {
-            out.forfeit(job.id);
+            out.fail(job.id);
         }
         job.closed.set(true);
         self.settle(job, out);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -38,8 +38,8 @@
         }
         self.0.push(format!("reject {job}"));
     }
-    fn forfeit(&mut self, job: u32) {
-        self.0.push(format!("forfeit {job}"));
+    fn fail(&mut self, job: u32) {
+        self.0.push(format!("fail {job}"));
     }
     fn probe(&mut self, server: Address) {
         self.0.push(format!("probe {}", name(server)));
@@ -322,7 +322,7 @@
     new.most_attempts = 1;
     scene.round(|balancer| balancer.retune(Rc::new(new)));
     scene.round(|balancer| balancer.attempt_ended(2, 0, Ending::Error, QUICK, false));
-    assert!(scene.written.0.contains(&"forfeit 2".into()), "{:?}", scene.written.0);
+    assert!(scene.written.0.contains(&"fail 2".into()), "{:?}", scene.written.0);
     // What came under the old settings, and is told late, still has its three attempts and its profile.
     scene.round(|balancer| balancer.listed(false, false, [b].into_iter()));
     scene.round(|balancer| balancer.job_under(&old, 3, 0, 0, scene_limit()));
