--- a/crates/pearfront-drill/src/wire.rs
+++ b/crates/pearfront-drill/src/wire.rs
@@ -45,7 +45,7 @@
 
 fn ending(code: u8, at: usize) -> Result<Ending, String> {
     Ok(match code {
-        10 => Ending::Honoured,
+        10 => Ending::Served,
         20 => Ending::Error,
         30 => Ending::Full,
         40 => Ending::TimedOut,
@@ -263,7 +263,7 @@
         }
         6 => balancer.client_left(id),
         8 => {
-            let good = ending(record[16], at)? == Ending::Honoured;
+            let good = ending(record[16], at)? == Ending::Served;
             let count = usize::from(record[17]).min(4);
             let value =
                 |place: usize| f32::from_le_bytes(std::array::from_fn(|b| record[18 + place * 4 + b]));
--- a/crates/pearfront-emulator/src/judge.rs
+++ b/crates/pearfront-emulator/src/judge.rs
@@ -1,4 +1,4 @@
-//! What came of a play, from the records of servers, callers and discovery alone: the four rules, the gain honoured in
+//! What came of a play, from the records of servers, callers and discovery alone: the four rules, the gain served in
 //! time, the work done for nothing. It knows neither the nodes nor how they decide.
 
 use crate::record::{Answer, Answered, Ask, Attempt, AttemptEnd, Job, NodeEnd, Records, ServerLife};
@@ -39,12 +39,12 @@
 pub struct Share {
     pub name: String,
     pub asked: f64,
-    pub honoured: f64,
+    pub served: f64,
 }
 
 impl Share {
     pub fn service(&self) -> f64 {
-        if self.asked > 0.0 { self.honoured / self.asked } else { 1.0 }
+        if self.asked > 0.0 { self.served / self.asked } else { 1.0 }
     }
 }
 
@@ -52,10 +52,10 @@
 #[derive(Debug, Clone, Default, Serialize, Deserialize, PartialEq)]
 pub struct Second {
     pub asked: f64,
-    pub honoured: f64,
+    pub served: f64,
     pub jobs: u64,
     pub attempts: u64,
-    pub served: u64,
+    pub attempts_served: u64,
     pub errors: u64,
     pub turned_away: u64,
     pub unanswered: u64,
@@ -66,7 +66,7 @@
 
 #[derive(Debug, Clone, Default, Serialize, Deserialize, PartialEq)]
 pub struct Verdict {
-    /// Gain honoured within the contract time over gain asked for.
+    /// Gain served within the contract time over gain asked for.
     pub service: f64,
     pub worst_10s: f64,
     pub profiles: Vec<Share>,
@@ -75,7 +75,7 @@
     pub broken: Vec<Finding>,
     pub asks: usize,
     pub tries: usize,
-    pub honoured: usize,
+    pub served: usize,
     pub rejected: usize,
     pub failed: usize,
     pub unanswered: usize,
@@ -238,14 +238,14 @@
         if answered.at > job.limit + self.scenario.rules.slack_ms {
             return Some(format!("answered {:.0} ms after its limit", answered.at - job.limit));
         }
-        if answered.answer != Answer::Honoured {
+        if answered.answer != Answer::Served {
             return None;
         }
         let served = |attempt: &&Attempt| attempt.ended.is_some_and(|(_, how)| how == AttemptEnd::Served);
         let made = self.attempts.get(&job.trace).is_some_and(|attempts| attempts.iter().any(served));
         match answered.body {
             body if body != job.trace => Some(format!("got what was made for job {body}")),
-            _ if !made => Some("honoured with what no server made".into()),
+            _ if !made => Some("served with what no server made".into()),
             _ => None,
         }
     }
@@ -392,8 +392,8 @@
         verdict.profiles = scenario.profiles.iter().map(|profile| named(&profile.name)).collect();
         verdict.customers = scenario.customers.iter().map(|customer| named(&customer.name)).collect();
         verdict.seconds = vec![Second::default(); scenario.length_s.ceil() as usize];
-        // When each ask was honoured, by its best try.
-        let mut honoured = vec![f64::INFINITY; self.records.asks.len()];
+        // When each ask was served, by its best try.
+        let mut served = vec![f64::INFINITY; self.records.asks.len()];
         let mut latency = Histogram::<u64>::new_with_bounds(1, LATENCY_MOST, 3).expect("bounds that fit");
         for job in &self.records.jobs {
             let Some(ask) = job.ask else { continue };
@@ -401,9 +401,9 @@
             let last = verdict.seconds.len() - 1;
             verdict.seconds[((job.sent / 1000.0) as usize).min(last)].jobs += 1;
             match job.answers.first() {
-                Some(Answered { answer: Answer::Honoured, at, .. }) => {
-                    verdict.honoured += 1;
-                    honoured[ask] = honoured[ask].min(*at);
+                Some(Answered { answer: Answer::Served, at, .. }) => {
+                    verdict.served += 1;
+                    served[ask] = served[ask].min(*at);
                     latency.saturating_record(((at - job.sent) * 1000.0).max(0.0) as u64);
                 }
                 Some(Answered { answer: Answer::Rejected, .. }) => verdict.rejected += 1,
@@ -412,21 +412,21 @@
             }
         }
         let mut quotas = Quotas::new(scenario);
-        for (ask, honoured) in self.records.asks.iter().zip(&honoured) {
+        for (ask, served) in self.records.asks.iter().zip(&served) {
             let profile = &scenario.profiles[ask.profile];
             let asked = profile.gain * if quotas.take(ask) { 1.0 } else { scenario.goal.excess_gain };
-            let gain = if honoured - ask.at <= profile.contract_ms { asked } else { 0.0 };
+            let gain = if served - ask.at <= profile.contract_ms { asked } else { 0.0 };
             let last = verdict.seconds.len() - 1;
             let second = &mut verdict.seconds[((ask.at / 1000.0) as usize).min(last)];
             second.asked += asked;
-            second.honoured += gain;
+            second.served += gain;
             for share in [&mut verdict.profiles[ask.profile], &mut verdict.customers[ask.customer]] {
                 share.asked += asked;
-                share.honoured += gain;
+                share.served += gain;
             }
         }
         let sum = |part: fn(&Second) -> f64| verdict.seconds.iter().map(part).sum::<f64>();
-        let (asked, gained) = (sum(|second| second.asked), sum(|second| second.honoured));
+        let (asked, gained) = (sum(|second| second.asked), sum(|second| second.served));
         verdict.service = if asked > 0.0 { gained / asked } else { 1.0 };
         verdict.worst_10s = worst_window(&verdict.seconds);
         verdict.asks = self.records.asks.len();
@@ -444,11 +444,10 @@
 
     fn attempt_figures(&self, verdict: &mut Verdict) {
         let records = self.records;
-        let honoured = |job: &&Job| {
-            job.ask.is_some()
-                && job.answers.first().is_some_and(|answered| answered.answer == Answer::Honoured)
+        let served = |job: &&Job| {
+            job.ask.is_some() && job.answers.first().is_some_and(|answered| answered.answer == Answer::Served)
         };
-        let useful: BTreeSet<u64> = records.jobs.iter().filter(honoured).map(|job| job.trace).collect();
+        let useful: BTreeSet<u64> = records.jobs.iter().filter(served).map(|job| job.trace).collect();
         let roots: BTreeMap<u64, u64> = records.jobs.iter().map(|job| (job.trace, job.root)).collect();
         let last = verdict.seconds.len() - 1;
         let mut loads: Vec<BTreeMap<usize, u64>> = vec![BTreeMap::new(); verdict.seconds.len()];
@@ -458,7 +457,7 @@
             let second = &mut verdict.seconds[at];
             second.attempts += 1;
             match attempt.ended {
-                Some((_, AttemptEnd::Served)) => second.served += 1,
+                Some((_, AttemptEnd::Served)) => second.attempts_served += 1,
                 Some((_, AttemptEnd::Error)) => second.errors += 1,
                 Some((_, AttemptEnd::TurnedAway)) => second.turned_away += 1,
                 Some((_, AttemptEnd::Dropped | AttemptEnd::Lost)) | None => second.unanswered += 1,
@@ -469,9 +468,9 @@
             }
             if matches!(attempt.ended, Some((_, AttemptEnd::Served | AttemptEnd::Error))) {
                 done += attempt.work;
-                let served =
+                let answered =
                     matches!(attempt.ended, Some((_, AttemptEnd::Served))) && attempt.called_off.is_none();
-                let used = served && roots.get(&attempt.trace).is_some_and(|root| useful.contains(root));
+                let used = answered && roots.get(&attempt.trace).is_some_and(|root| useful.contains(root));
                 wasted += if used { 0.0 } else { attempt.work };
             }
         }
@@ -528,8 +527,8 @@
     let sums = |part: fn(&Second) -> f64| -> Vec<f64> {
         seconds.windows(window).map(|seconds| seconds.iter().map(part).sum()).collect()
     };
-    let (asked, honoured) = (sums(|second| second.asked), sums(|second| second.honoured));
+    let (asked, served) = (sums(|second| second.asked), sums(|second| second.served));
     let mean = asked.iter().sum::<f64>() / asked.len() as f64;
-    let full = asked.iter().zip(&honoured).filter(|(asked, _)| **asked > WINDOW_LEAST * mean);
-    full.map(|(asked, honoured)| honoured / asked).fold(1.0, f64::min)
+    let full = asked.iter().zip(&served).filter(|(asked, _)| **asked > WINDOW_LEAST * mean);
+    full.map(|(asked, served)| served / asked).fold(1.0, f64::min)
 }
--- a/crates/pearfront-emulator/src/model/callers.rs
+++ b/crates/pearfront-emulator/src/model/callers.rs
@@ -119,13 +119,13 @@
                 let flight = flight.clone();
                 let host = flight.host.clone();
                 self.catch_up(&host);
-                self.call_ended(&host, &flight, answer == Answer::Honoured);
+                self.call_ended(&host, &flight, answer == Answer::Served);
                 self.watch_host(&host);
             }
             From::Caller(ask) => {
                 let ask = ask.clone();
                 match answer {
-                    Answer::Honoured => self.finish(&ask),
+                    Answer::Served => self.finish(&ask),
                     Answer::Rejected => self.again(&ask, wait, true),
                     Answer::Failed => self.again(&ask, 0.0, false),
                 }
--- a/crates/pearfront-emulator/src/model/hosts.rs
+++ b/crates/pearfront-emulator/src/model/hosts.rs
@@ -277,7 +277,7 @@
         if let Some(attempt) = flight.attempt.get() {
             self.records.attempts[attempt].effect = first || !keyed;
         }
-        self.server_ends(host, flight, AttemptEnd::Served, Ending::Honoured);
+        self.server_ends(host, flight, AttemptEnd::Served, Ending::Served);
     }
 
     /// The server is done with an attempt: books it and answers, unless nobody listens or the answer is lost.
--- a/crates/pearfront-emulator/src/model/nodes.rs
+++ b/crates/pearfront-emulator/src/model/nodes.rs
@@ -399,12 +399,12 @@
             return;
         }
         let node = flight.job.node.clone();
-        if matches!(ending, Ending::Honoured | Ending::Error | Ending::Full) {
+        if matches!(ending, Ending::Served | Ending::Error | Ending::Full) {
             let kept = (self.now, flight.starts);
             node.idle.borrow_mut().entry(flight.host.address).or_default().push(kept);
         }
-        if ending == Ending::Honoured {
-            self.give(&flight.job.clone(), Answer::Honoured, body, 0.0);
+        if ending == Ending::Served {
+            self.give(&flight.job.clone(), Answer::Served, body, 0.0);
         }
         self.attempt_over(flight, ending, false);
     }
@@ -439,7 +439,7 @@
         if job.node.tier == 0 {
             match self.options.fault {
                 Some(Fault::LosesJobs) if job.trace.is_multiple_of(LOSES_ONE_IN) => return self.forget(job),
-                Some(Fault::SwapsAnswers) if answer == Answer::Honoured => {
+                Some(Fault::SwapsAnswers) if answer == Answer::Served => {
                     self.swaps += 1;
                     let last = std::mem::replace(&mut self.last_body, body);
                     body = if self.swaps.is_multiple_of(LOSES_ONE_IN) { last } else { body };
--- a/crates/pearfront-emulator/src/record.rs
+++ b/crates/pearfront-emulator/src/record.rs
@@ -15,7 +15,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Answer {
-    Honoured,
+    Served,
     Rejected,
     Failed,
 }
@@ -24,7 +24,7 @@
 pub struct Answered {
     pub at: f64,
     pub answer: Answer,
-    /// Of an honoured one: the job that its body was made for, 0 if for none.
+    /// Of a served one: the job that its body was made for, 0 if for none.
     pub body: u64,
 }
 
--- a/crates/pearfront-emulator/src/report.rs
+++ b/crates/pearfront-emulator/src/report.rs
@@ -77,9 +77,9 @@
         let ends = starts.iter().skip(1).copied().chain([end]);
         let service = |(from, to): (&f64, f64)| {
             let within = self.verdict.seconds.iter().skip(*from as usize).take((to - from).max(1.0) as usize);
-            let (asked, honoured) =
-                within.fold((0.0, 0.0), |sum, second| (sum.0 + second.asked, sum.1 + second.honoured));
-            (*from, if asked > 0.0 { honoured / asked } else { 1.0 })
+            let (asked, served) =
+                within.fold((0.0, 0.0), |sum, second| (sum.0 + second.asked, sum.1 + second.served));
+            (*from, if asked > 0.0 { served / asked } else { 1.0 })
         };
         let spans: Vec<(f64, f64)> = starts.iter().zip(ends).map(service).collect();
         (!spans.is_empty()).then_some(spans)
@@ -91,7 +91,7 @@
         for outcome in &outcomes[1..] {
             for (sum, second) in all.verdict.seconds.iter_mut().zip(&outcome.verdict.seconds) {
                 sum.asked += second.asked;
-                sum.honoured += second.honoured;
+                sum.served += second.served;
             }
         }
         all.distance()
@@ -100,15 +100,24 @@
     /// One line a second, separated by tabs.
     pub fn table(&self) -> String {
         let mut text = String::from(
-            "second\tasked\thonoured\tservice\tjobs\tattempts\tserved\terrors\tturned_away\tunanswered\tattempts_mean\tattempts_most\n",
+            "second\tasked\tserved\tservice\tjobs\tattempts\tattempts_served\terrors\tturned_away\tunanswered\tattempts_mean\tattempts_most\n",
         );
         for (at, second) in self.verdict.seconds.iter().enumerate() {
-            let Second { asked, honoured, jobs, attempts, served, errors, turned_away, unanswered, .. } =
-                second;
-            let service = if *asked > 0.0 { honoured / asked } else { 1.0 };
+            let Second {
+                asked,
+                served,
+                jobs,
+                attempts,
+                attempts_served,
+                errors,
+                turned_away,
+                unanswered,
+                ..
+            } = second;
+            let service = if *asked > 0.0 { served / asked } else { 1.0 };
             let _ = writeln!(
                 text,
-                "{at}\t{asked}\t{honoured}\t{service:.4}\t{jobs}\t{attempts}\t{served}\t{errors}\t{turned_away}\t{unanswered}\t\
+                "{at}\t{asked}\t{served}\t{service:.4}\t{jobs}\t{attempts}\t{attempts_served}\t{errors}\t{turned_away}\t{unanswered}\t\
                  {:.2}\t{}",
                 second.attempts_mean, second.attempts_most
             );
@@ -123,20 +132,20 @@
         let by = |part: fn(&Second) -> f64| -> Vec<(f64, f64)> {
             seconds.iter().enumerate().map(|(at, second)| (at as f64, part(second))).collect()
         };
-        let share = |second: &Second| if second.asked > 0.0 { second.honoured / second.asked } else { 1.0 };
+        let share = |second: &Second| if second.asked > 0.0 { second.served / second.asked } else { 1.0 };
         let service = seconds.iter().enumerate().map(|(at, second)| (at as f64, share(second))).collect();
         let mut curves = vec![("service", service)];
         if !self.recorded.is_empty() {
             curves.push(("recorded", self.recorded.clone()));
         }
-        let served = by(|second| second.served as f64);
+        let attempts_served = by(|second| second.attempts_served as f64);
         let plots = [
-            ("Service by second (gain honoured in time over gain asked for)", plot(&curves, Some(1.0))?),
+            ("Service by second (gain served in time over gain asked for)", plot(&curves, Some(1.0))?),
             (
                 "Attempts a second by ending",
                 plot(
                     &[
-                        ("served", served),
+                        ("served", attempts_served),
                         ("errors", by(|second| second.errors as f64)),
                         ("turned away", by(|second| second.turned_away as f64)),
                         ("unanswered", by(|second| second.unanswered as f64)),
--- a/crates/pearfront-emulator/src/report/tests.rs
+++ b/crates/pearfront-emulator/src/report/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 fn outcome(service: f64) -> Outcome {
-    let second = |honoured: f64| Second { asked: 10.0, honoured, ..Second::default() };
+    let second = |served: f64| Second { asked: 10.0, served, ..Second::default() };
     let seconds = vec![second(10.0), second(10.0), second(10.0 * service), second(10.0 * service)];
     Outcome {
         version: VERSION,
--- a/crates/pearfront-emulator/src/sockets/callers.rs
+++ b/crates/pearfront-emulator/src/sockets/callers.rs
@@ -206,7 +206,7 @@
         loop {
             tries += 1;
             let (wait, harmless) = match self.try_once(&ask, place).await {
-                Some(Heard::Answer { answer: Answer::Honoured, .. }) | None => break,
+                Some(Heard::Answer { answer: Answer::Served, .. }) | None => break,
                 Some(Heard::Answer { answer, wait, .. }) => (wait, answer == Answer::Rejected),
                 Some(Heard::Refused | Heard::Cut) => (0.0, false),
             };
--- a/crates/pearfront-emulator/src/sockets/client.rs
+++ b/crates/pearfront-emulator/src/sockets/client.rs
@@ -109,7 +109,7 @@
         let wait = head.headers.get("retry-after").and_then(|value| value.to_str().ok());
         let wait = wait.and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0) * 1000.0;
         let answer = match head.status {
-            StatusCode::OK => Answer::Honoured,
+            StatusCode::OK => Answer::Served,
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Answer::Rejected,
             _ => Answer::Failed,
         };
--- a/crates/pearfront-emulator/src/sockets/servers.rs
+++ b/crates/pearfront-emulator/src/sockets/servers.rs
@@ -199,12 +199,12 @@
             let heard =
                 tokio::time::timeout_at(until, caller.ask(trace, &asked, job.limit - now, || {})).await;
             let at = side.clock.get().now();
-            let honoured = {
+            let served = {
                 let job = &mut side.records.borrow_mut().jobs[place];
                 match heard {
                     Ok(Heard::Answer { answer, body, .. }) => {
                         job.answers.push(crate::record::Answered { at, answer, body });
-                        answer == Answer::Honoured
+                        answer == Answer::Served
                     }
                     Ok(Heard::Refused | Heard::Cut) => {
                         job.cut = true;
@@ -216,7 +216,7 @@
                     }
                 }
             };
-            side.call_ended(&host, &job, honoured);
+            side.call_ended(&host, &job, served);
         });
     }
 
--- a/crates/pearfront-emulator/tests/plays.rs
+++ b/crates/pearfront-emulator/tests/plays.rs
@@ -273,12 +273,9 @@
     let (records, verdict) = run(&scenario, Policy::Module, None);
     assert!(broken(&verdict).is_empty(), "{:?}", verdict.broken);
     assert!(verdict.service > 0.5, "{}", verdict.line());
-    let honoured = records
-        .jobs
-        .iter()
-        .flat_map(|job| &job.answers)
-        .filter(|answered| answered.answer == Answer::Honoured);
-    assert!(honoured.count() > 1000);
+    let served =
+        records.jobs.iter().flat_map(|job| &job.answers).filter(|answered| answered.answer == Answer::Served);
+    assert!(served.count() > 1000);
 }
 
 // Three hundred nodes with few jobs each, as shipped: what each does alone adds up over the fleet.
--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -304,7 +304,7 @@
 
 /// A node's one final answer to a job.
 pub enum Answer {
-    Honoured(Box<Reply>),
+    Served(Box<Reply>),
     /// With the advice to come back in so many ms; 0 is none.
     Rejected(f64),
     Failed,
@@ -330,7 +330,7 @@
 impl Answer {
     pub fn encode(self) -> Response<Body> {
         match self {
-            Answer::Honoured(reply) => {
+            Answer::Served(reply) => {
                 let mut answer = Response::new(reply.body);
                 *answer.headers_mut() = reply.headers;
                 answer
@@ -374,9 +374,9 @@
 pub fn decode_end(head: &response::Parts) -> ConnectionEnd {
     let framed = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
     match head.status.as_u16() {
-        200 if framed.iter().any(|name| head.headers.contains_key(name)) => ConnectionEnd::Honoured,
+        200 if framed.iter().any(|name| head.headers.contains_key(name)) => ConnectionEnd::Served,
         // Without either it ends with its connection, if it says so; else nobody can tell that it was not cut off.
-        200 if ends_connection(head) => ConnectionEnd::Honoured,
+        200 if ends_connection(head) => ConnectionEnd::Served,
         500 => ConnectionEnd::Error,
         // The protocol has none of these for a job that is as it should be.
         400..500 => ConnectionEnd::TurnedDown,
--- a/crates/pearfront-node/src/relay.rs
+++ b/crates/pearfront-node/src/relay.rs
@@ -46,7 +46,7 @@
     pub fn give(&self, answer: Answer) {
         let Some(caller) = self.take() else { return };
         match answer {
-            Answer::Honoured(_) => self.book.honoured.add(),
+            Answer::Served(_) => self.book.served.add(),
             Answer::Rejected(_) => self.book.rejected.add(),
             Answer::Failed => self.book.failed.add(),
             Answer::TurnedDown => self.book.turned_down.add(),
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -254,7 +254,7 @@
                 self.book.flows.add();
                 flow.keep(held.clone());
             }
-            held.relay.give(Answer::Honoured(Box::new(reply)));
+            held.relay.give(Answer::Served(Box::new(reply)));
         } else if attempt.end == ConnectionEnd::TurnedDown {
             held.relay.give(Answer::TurnedDown);
         }
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -51,7 +51,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionEnd {
     /// A whole answer, and the connection stands.
-    Honoured,
+    Served,
     Error,
     /// The server says that it never ran the job.
     TurnedAway,
@@ -81,7 +81,7 @@
     /// The one place where the module's word for it is found.
     pub fn ending(self) -> Ending {
         match self {
-            Self::Honoured => Ending::Honoured,
+            Self::Served => Ending::Served,
             Self::Error | Self::Malformed => Ending::Error,
             Self::TurnedAway => Ending::Full,
             Self::NeverUp | Self::BrokenBefore | Self::TooLateBefore => Ending::Unconnected,
@@ -98,7 +98,7 @@
         let count = match self.ending() {
             Ending::Error if self == Self::Malformed => &book.attempt_malformed,
             Ending::CalledOff if self == Self::TurnedDown => &book.attempt_turned_down,
-            Ending::Honoured => &book.attempt_honoured,
+            Ending::Served => &book.attempt_served,
             Ending::Error => &book.attempt_error,
             Ending::Full => &book.attempt_full,
             Ending::Unconnected => &book.attempt_unconnected,
@@ -363,7 +363,7 @@
         }
     }
 
-    /// One attempt: how its connection ended, with the reply if the job was honoured. `over` ends it, and `closed`, the
+    /// One attempt: how its connection ended, with the reply if the job was served. `over` ends it, and `closed`, the
     /// end of its job, as long as its last byte is not written: what no server can have begun is never an attempt to be
     /// called off, which some deployments don't allow. `wanted` tells right before the first byte whether the job still
     /// wants it, for how long, ms, and the caller without whom nothing of it is written.
@@ -433,14 +433,14 @@
         let report = message::decode_report_of(&head, &self.terms.now().around);
         let end = message::decode_end(&head);
         let is_whole = matches!(body, Start::Whole(_));
-        let reply = (end == ConnectionEnd::Honoured).then(|| message::decode_reply(head, body));
+        let reply = (end == ConnectionEnd::Served).then(|| message::decode_reply(head, body));
         Attempt { end, reply, is_whole, report }
     }
 
     fn finish(self: &Rc<Self>, server: SocketAddr, link: Option<Link>, mut attempt: Attempt) -> Attempt {
-        use ConnectionEnd::{Error, Honoured, NotSent, TurnedAway, TurnedDown};
+        use ConnectionEnd::{Error, NotSent, Served, TurnedAway, TurnedDown};
         let Some(link) =
-            link.filter(|_| matches!(attempt.end, Honoured | Error | TurnedAway | TurnedDown | NotSent))
+            link.filter(|_| matches!(attempt.end, Served | Error | TurnedAway | TurnedDown | NotSent))
         else {
             return attempt;
         };
--- a/crates/pearfront-node/tests/days/mod.rs
+++ b/crates/pearfront-node/tests/days/mod.rs
@@ -58,7 +58,7 @@
 // Nothing of a drain is lost: idle clients are let go, what is under way is answered, whoever still comes is served.
 #[test]
 fn a_drained_node_lets_its_clients_go_and_runs_on() {
-    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
     let node = Node::start_for_operators(config(&[server.address]));
     let (mut idle, mut used) = (node.caller(), node.caller());
     assert_eq!(used.ask(&head("read", "5", 0), b"").status(), 200);
@@ -77,13 +77,13 @@
     assert_eq!(node.call("PUT /_lameduck/on"), 200);
     // An end on top of a drain is an end, and a drain on top of that no error.
     node.signal("-TERM");
-    assert_eq!(node.ended()["honoured"], 3);
+    assert_eq!(node.ended()["served"], 3);
 }
 
 // Two processes on one inherited socket: the new one says yes, the old one ends, no client meets a closed door.
 #[test]
 fn an_upgrade_loses_no_job_and_only_the_old_process_exits() {
-    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
     let (platform, config) = (Platform::new(), config(&[server.address]));
     let old = platform.start(&config);
     old.wait_for_call("GET /_ready", 200);
@@ -106,7 +106,7 @@
     let old = old.ended();
     assert_eq!(new.call("GET /_ready"), 200);
     assert_eq!(new.caller().ask(&head("read", "5", 0), b"").status(), 200);
-    assert_eq!((old["honoured"], new.end()["honoured"]), (asked, 1));
+    assert_eq!((old["served"], new.end()["served"]), (asked, 1));
 }
 
 // An address or a descriptor that can't be had is one line, and no client is let in.
@@ -161,7 +161,7 @@
         assert_eq!(caller.answer().unwrap().status(), 200);
     }
     let counters = node.end();
-    assert_eq!((counters["taken"], counters["honoured"]), (3, 3));
+    assert_eq!((counters["taken"], counters["served"]), (3, 3));
 }
 
 // Whatever is wrong with a file, nothing of it is taken over, and one line names the key.
@@ -176,7 +176,7 @@
 #[test_case("\"tip_multiple\":4.0", "\"tip\":4.0", "config.settings.rules.tip_multiple is missing"; "short of a rule")]
 #[test_case("\"sockets\":1024", "\"sockets\":0", "config.limits.sockets is not above 0"; "no descriptors")]
 fn a_broken_file_changes_nothing(was: &str, is: &str, problem: &str) {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let config = config(&[server.address]);
     let text = config.to_string();
     assert!(text.contains(was), "{text}");
@@ -237,7 +237,7 @@
 
 #[test]
 fn a_body_of_the_largest_size_flows_to_a_server_once() {
-    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
     let node = Node::start(&config(&[server.address]));
     let before = node.peak_memory();
     let body = large(LARGEST);
@@ -279,7 +279,7 @@
 // Nothing of it has left where no connection came up: any job may go elsewhere then, also one that is not kept.
 #[test]
 fn a_body_that_flows_goes_elsewhere_if_nothing_of_it_was_sent() {
-    let good = Server::start(Act::Honour(b"fine".to_vec()));
+    let good = Server::start(Act::Serve(b"fine".to_vec()));
     let node = Node::start(&config(&[Server::nowhere(), good.address]));
     let (mut caller, body) = (node.caller(), large(100_000));
     for _ in 0..20 {
@@ -291,7 +291,7 @@
 // A caller that stops in the middle of a body: no server is to blame, and nothing of it is held.
 #[test]
 fn a_body_that_stops_in_the_middle_is_given_up() {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let node = Node::start(&config(&[server.address]));
     let (mut stopped, mut left) = (node.caller(), node.caller());
     stopped.send(&head("pay", "60", 400_000), &large(200_000));
@@ -343,13 +343,13 @@
     let all = caller.take(1024 * 1024);
     assert!(all.starts_with(b"HTTP/1.1 200 OK"));
     assert!(all.len() < 250_000 && !all.ends_with(b"0\r\n\r\n"), "{} bytes", all.len());
-    assert_eq!(node.end()["honoured"], 1);
+    assert_eq!(node.end()["served"], 1);
 }
 
 // Asked for, the word to go on comes before the body.
 #[test]
 fn a_caller_that_waits_for_the_word_to_go_on_gets_it() {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     caller.send(&head("pay", "5", 4).replace("Host:", "Expect: 100-continue\r\nHost:"), b"");
@@ -362,7 +362,7 @@
 // both; and limits count over both.
 #[test]
 fn two_processes_are_one_node() {
-    let (gone, silent) = (Server::start(Act::Honour(Vec::new())), Server::start(Act::Silence));
+    let (gone, silent) = (Server::start(Act::Serve(Vec::new())), Server::start(Act::Silence));
     let (platform, config) = (Platform::new(), config(&[gone.address]));
     let old = platform.start(&config);
     old.discovery.publish(2, list(2, true, &[entry("new", silent.address, "Ready")]));
@@ -400,7 +400,7 @@
 #[test_case(Some("{\"hello\":{\"version\":1}}\n{\"list\":{\"generation\":0,\"reset\":true,\"instances\":[]}}\n"); "a stale list")]
 #[test_case(Some("what do you mean?\n"); "noise")]
 fn a_hand_over_that_can_not_be_read_is_as_good_as_none(said: Option<&'static str>) {
-    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
     let platform = Platform::new();
     if let Some(said) = said {
         platform.say(said);
@@ -421,7 +421,7 @@
 // A new process that dies before its yes changes nothing for the old one.
 #[test]
 fn a_new_process_that_dies_before_its_yes_leaves_the_old_one_as_it_was() {
-    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
     let (platform, config) = (Platform::new(), config(&[server.address]));
     let old = platform.start(&config);
     old.wait_for_call("GET /_ready", 200);
@@ -433,13 +433,13 @@
     // With no other process on its socket it serves to its end.
     old.signal("-TERM");
     assert_eq!(old.caller().ask(&head("read", "5", 0), b"").status(), 200);
-    assert_eq!(old.ended()["honoured"], 2);
+    assert_eq!(old.ended()["served"], 2);
 }
 
 // Who says that much is coming and brings nothing has no part in what the module counts, and costs no server anything.
 #[test]
 fn a_large_body_that_never_begins_reaches_no_server() {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     caller.send(&head("pay", "60", 1_000_000), b"little");
@@ -452,8 +452,7 @@
 #[test_case(true; "breaks off")]
 #[test_case(false; "stalls")]
 fn a_list_that_stops_in_its_middle_is_taken_in_no_part_and_asked_for_again(ends: bool) {
-    let (old, new) =
-        (Server::start(Act::Honour(b"old".to_vec())), Server::start(Act::Honour(b"new".to_vec())));
+    let (old, new) = (Server::start(Act::Serve(b"old".to_vec())), Server::start(Act::Serve(b"new".to_vec())));
     let node = Node::start_with(&config(&[old.address]), |discovery| {
         // The old server goes, and another one comes to where nobody was.
         discovery.publish(2, list(2, true, &[entry("new", new.address, "Ready")]));
@@ -468,7 +467,7 @@
 // In whatever pieces a job comes, it is one.
 #[test]
 fn a_job_that_comes_byte_by_byte_is_taken() {
-    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     caller.stream.set_nodelay(true).unwrap();
@@ -481,7 +480,7 @@
 // Settings that come in the middle of a drain hold once it is taken back, and take nothing of it back themselves.
 #[test]
 fn new_settings_come_through_in_the_middle_of_a_drain() {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let mut config = config(&[server.address]);
     let node = Node::start_for_operators(config.clone());
     config["admin"] = json!(node.admin.to_string());
@@ -527,7 +526,7 @@
 // The same from outside, with a length too far into its line to be seen.
 #[test]
 fn a_job_hidden_behind_a_length_that_is_far_away_is_not_sent() {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     let far = format!("Content-Length:{:400}1", "");
@@ -543,7 +542,7 @@
 // A list of thousands is read in one go; whoever calls meanwhile is answered behind it, and the list is taken whole.
 #[test]
 fn an_operator_is_answered_beside_a_large_list() {
-    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
     let node = Node::start_for_operators(config(&[]));
     let nowhere = Server::nowhere();
     let mut lines: Vec<_> = (0..5000).map(|at| entry(&format!("n{at}"), nowhere, "Terminating")).collect();
--- a/crates/pearfront-node/tests/endings/gone.rs
+++ b/crates/pearfront-node/tests/endings/gone.rs
@@ -115,8 +115,9 @@
     }
 }
 
-/// Honours every job at once, and notes for each since when at the earliest it can have been there: the kernel had nothing of
-/// it when it was asked before. A machine that is late widens that, and never makes an attempt look later than it was.
+/// Serves every job at once, and notes for each since when at the earliest it can have been there: the kernel had
+/// nothing of it when it was asked before. A machine that is late widens that, and never makes an attempt look later
+/// than it was.
 struct Arrivals {
     address: SocketAddr,
     earliest: Arc<Mutex<Vec<(String, Instant)>>>,
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -71,7 +71,7 @@
 #[test_case(Leaving::ResetsBehindMore, 0; "reset with bytes unread")]
 #[test_case(Leaving::ClosesBehindMore, 1000; "closed with bytes unread behind a body")]
 fn a_job_that_is_held_ends_with_its_caller(how: Leaving, length: usize) {
-    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
     let node = Node::start(&config(&[]));
     let job = head("pay", "60", length);
     let _open = leave(node.caller(), &job, &vec![b'x'; length], how);
@@ -82,13 +82,13 @@
     assert_eq!(server.jobs().len(), 1, "{:?}", server.jobs());
     // One that had left before it was read is not even taken.
     let counters = node.end();
-    assert_eq!((counters["taken"], counters["honoured"]), (counters["client_left"] + 1, 1));
+    assert_eq!((counters["taken"], counters["served"]), (counters["client_left"] + 1, 1));
 }
 
 // The same in one sweep of a node that stands still meanwhile: its job, what is behind it and the end are there at once.
 #[test]
 fn a_job_whose_caller_has_left_before_it_is_read_goes_nowhere() {
-    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
     let node = Node::start(&config(&[server.address]));
     let mut other = node.caller();
     assert_eq!(other.ask("GET /up HTTP/1.1\r\n\r\n", b"").status(), 200);
@@ -124,7 +124,7 @@
 #[test_case(Leaving::ClosesBehindMore; "closed with bytes unread")]
 fn an_error_behind_the_leaving_is_followed_by_no_further_attempt(how: Leaving) {
     let odd = Server::start(Act::Raw(Vec::new(), b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_vec()));
-    let good = Server::start(Act::Honour(Vec::new()));
+    let good = Server::start(Act::Serve(Vec::new()));
     let node = Node::start(&without_cancels(&config(&[odd.address])));
     let mut caller = node.caller();
     caller.send(&head("read", "60", 0), b"");
@@ -184,7 +184,7 @@
 // and all room is given back.
 #[test]
 fn a_thousand_callers_that_left_have_nothing_sent_on() {
-    let (silent, good) = (Server::start(Act::Silence), Server::start(Act::Honour(Vec::new())));
+    let (silent, good) = (Server::start(Act::Silence), Server::start(Act::Serve(Vec::new())));
     let node = Node::start(&config(&[silent.address]));
     let ways = [Leaving::Closes, Leaving::ClosesBehindMore, Leaving::ResetsBehindMore];
     let profiles = ["pay", "read", "book"];
@@ -238,8 +238,8 @@
 /// Plays a drain behind that trouble. After the grace, with the 50 ms that the protocol gives, no job may go there.
 fn drain_behind(watch: Watch, pushed: bool, grace: u64) -> Result<(), String> {
     const ASK_WITHIN: u64 = 2000;
-    let honours = || Server::start(Act::Honour(Vec::new()));
-    let (draining, stays) = (honours(), honours());
+    let serves = || Server::start(Act::Serve(Vec::new()));
+    let (draining, stays) = (serves(), serves());
     let servers = [draining.address, stays.address];
     let mut config = config(&servers);
     config["settings"]["discovery"] = json!(if pushed { "pushed" } else { "on_request" });
@@ -326,7 +326,7 @@
 // An answer that has come whole is one, whatever its server does behind it; its connection is not used again.
 #[test]
 fn an_answer_whose_server_resets_behind_it_is_whole() {
-    let server = Server::start(Act::HonourAndReset(b"fine".to_vec()));
+    let server = Server::start(Act::ServeAndReset(b"fine".to_vec()));
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     for _ in 0..50 {
@@ -334,13 +334,13 @@
         assert_eq!((answer.status(), answer.body.as_slice()), (200, b"fine".as_slice()));
     }
     let counters = node.end();
-    assert_eq!((counters["attempt_honoured"], counters["failed"]), (50, 0));
+    assert_eq!((counters["attempt_served"], counters["failed"]), (50, 0));
 }
 
 // In the middle of an upgrade: the old process has the job, its caller leaves, and only then it could go.
 #[test]
 fn a_job_held_in_a_hand_over_ends_with_its_caller() {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let platform = Platform::new();
     let old = platform.start(&config(&[]));
     old.wait_for_call("GET /_ready", 200);
@@ -361,7 +361,7 @@
 // nearly all are non-idempotent would hold more and more of them until it takes no further ones.
 #[test]
 fn new_connections_for_non_idempotent_jobs_take_the_place_of_idle_ones() {
-    let server = Server::start(Act::HonourOnce);
+    let server = Server::start(Act::ServeOnce);
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     let mut ask = |what| caller.ask(&head(what, "5", 0), b"").status();
@@ -447,7 +447,7 @@
         let sum = |what: fn(&Told) -> usize| told.iter().map(what).sum::<usize>();
         let (answered, lost) = (sum(|told| told.answered), told.iter().flat_map(|told| &told.lost));
         let lost: Vec<_> = lost.collect();
-        let given = ["honoured", "rejected", "failed", "too_late", "no_room"].map(|what| counters[what]);
+        let given = ["served", "rejected", "failed", "too_late", "no_room"].map(|what| counters[what]);
         if !lost.is_empty() || given.iter().sum::<u64>() != answered as u64 || counters["client_left"] > 0 {
             return Err(format!("{lost:?}, {answered} of {} answered: {counters:?}", sum(|told| told.sent)));
         }
--- a/crates/pearfront-node/tests/endings/room.rs
+++ b/crates/pearfront-node/tests/endings/room.rs
@@ -92,7 +92,7 @@
     pushed: bool,
 ) {
     in_time(|| {
-        let large = Server::start(Act::Honour(vec![b'x'; 8 * 1024 * 1024]));
+        let large = Server::start(Act::Serve(vec![b'x'; 8 * 1024 * 1024]));
         let mut config = config(&[large.address]);
         config["limits"]["sockets"] = json!(sockets);
         config["settings"]["discovery"] = json!(if pushed { "pushed" } else { "on_request" });
--- a/crates/pearfront-node/tests/endings/shutdown.rs
+++ b/crates/pearfront-node/tests/endings/shutdown.rs
@@ -54,7 +54,7 @@
 // A client that takes nothing of its answer any more: its connection is closed, and the server's, whose rest nobody waits for.
 #[test]
 fn an_answer_that_is_not_taken_ends_with_both_connections() {
-    let server = Server::start(Act::Honour(vec![b'x'; 32 * 1024 * 1024]));
+    let server = Server::start(Act::Serve(vec![b'x'; 32 * 1024 * 1024]));
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     caller.send(&head("read", "60", 0), b"");
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -10,9 +10,9 @@
 use std::net::Shutdown;
 use test_case::test_case;
 
-/// Answer and attempts for a profile's job, where one server acts so and the other honours.
+/// Answer and attempts for a profile's job, where one server acts so and the other serves.
 fn two_servers(act: Act, profile: &str) -> (u16, usize, usize) {
-    let (odd, good) = (Server::start(act), Server::start(Act::Honour(b"fine".to_vec())));
+    let (odd, good) = (Server::start(act), Server::start(Act::Serve(b"fine".to_vec())));
     let node = Node::start(&config(&[odd.address]));
     let mut caller = node.caller();
     // Another cell: there a repeat of a keyed job would run again.
@@ -51,7 +51,7 @@
 // Refused connections prove that nothing ran, also for a non-idempotent job.
 #[test]
 fn a_refused_connection_lets_any_job_go_elsewhere() {
-    let good = Server::start(Act::Honour(b"fine".to_vec()));
+    let good = Server::start(Act::Serve(b"fine".to_vec()));
     let node = Node::start(&config(&[Server::nowhere(), good.address]));
     let mut caller = node.caller();
     for _ in 0..20 {
@@ -64,7 +64,7 @@
 // Where kept connections turn out to be closed, a job that can't go again is not what finds out the next time.
 #[test]
 fn a_non_idempotent_job_gets_a_new_connection_while_kept_ones_break() {
-    let server = Server::start(Act::HonourOnce);
+    let server = Server::start(Act::ServeOnce);
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     let mut ask = |what| caller.ask(&head(what, "5", 0), b"").status();
@@ -79,7 +79,7 @@
 #[test]
 fn a_machine_that_has_vanished_costs_a_job_its_connect_only() {
     let (address, listener, queued) = Server::vanished();
-    let good = Server::start(Act::Honour(b"fine".to_vec()));
+    let good = Server::start(Act::Serve(b"fine".to_vec()));
     let mut config = config(&[address, good.address]);
     config["settings"]["limits"]["connect_timeout"] = json!(1e8);
     let node = Node::start(&config);
@@ -108,7 +108,7 @@
 #[test]
 fn bodies_and_what_servers_need_go_on_unchanged() {
     let body: Vec<u8> = (0..64 * 1024).map(|byte| (byte % 251) as u8).collect();
-    let server = Server::start(Act::Honour(body.clone()));
+    let server = Server::start(Act::Serve(body.clone()));
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     let sent = head("book", "5", body.len());
@@ -141,7 +141,7 @@
 
 #[test]
 fn a_job_whose_time_is_over_is_answered_with_nothing_sent() {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let node = Node::start(&config(&[server.address]));
     for left in ["0", "-1.5"] {
         assert_eq!(node.caller().ask(&head("pay", left, 0), b"").status(), 503);
@@ -159,7 +159,7 @@
 #[test_case("In: 5", "In: inf", "no time in x-expires-in"; "endless time")]
 #[test_case("GET", "DELETE", "DELETE read does not fit its profile's effect"; "method")]
 fn a_malformed_job_is_turned_down_and_the_node_goes_on(was: &str, is: &str, problem: &str) {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     let good = head("read", "5", 0);
@@ -176,7 +176,7 @@
 #[test_case("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", 400, 0; "chunks first")]
 #[test_case("Transfer-Encoding: chunked\r\n", 200, 2; "chunks alone")]
 fn a_job_hidden_in_a_body_is_not_sent(framing: &str, status: u16, sent: usize) {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     // Another job before it, so that the connection is in use.
@@ -218,7 +218,7 @@
 #[test_case("GET /read/it HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Trace-Id: 2\r\n\r\n", Some(400); "two ids")]
 #[test_case("GET /read/it HTTP/1.1\r\nConnection: X-Trace-Id\r\nX-Trace-Id: 1\r\nX-Customer: acme\r\nX-Expires-In: 60\r\n\r\n", Some(400); "its id as the connection's")]
 fn a_caller_that_does_not_go_on_is_cut_off(sent: &str, status: Option<u16>) {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let node = Node::start(&config(&[server.address]));
     let mut caller = node.caller();
     caller.send(sent, b"");
@@ -254,7 +254,7 @@
     server.wait_for("closed 1");
     let counters = node.end();
     assert_eq!((counters["taken"], counters["client_left"], counters["attempt_called_off"]), (1, 1, 1));
-    assert_eq!(counters["failed"] + counters["rejected"] + counters["honoured"], 0);
+    assert_eq!(counters["failed"] + counters["rejected"] + counters["served"], 0);
 }
 
 // Callers alone must not take all descriptors: what finds no room is rejected, and the node goes on.
@@ -310,8 +310,7 @@
 
 #[test]
 fn discovery_changes_where_jobs_go_and_what_it_can_not_say_changes_nothing() {
-    let (old, new) =
-        (Server::start(Act::Honour(b"old".to_vec())), Server::start(Act::Honour(b"new".to_vec())));
+    let (old, new) = (Server::start(Act::Serve(b"old".to_vec())), Server::start(Act::Serve(b"new".to_vec())));
     let node = Node::start(&config(&[old.address]));
     let mut caller = node.caller();
     let mut ask = || caller.ask(&head("pay", "5", 0), b"").body;
@@ -338,7 +337,7 @@
 // A list that is none ends the watch; the node asks again and goes on with what it knew.
 #[test]
 fn a_malformed_list_is_dropped_and_asked_for_again() {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let node = Node::start(&config(&[server.address]));
     node.discovery.publish(2, "{\"generation\": 2");
     // It still asks for what is newer than the first one, and takes that when it comes.
@@ -351,7 +350,7 @@
 // Where changes are to come by themselves the node watches without the module, and begins anew after a failure.
 #[test]
 fn changes_that_come_by_themselves_are_watched_for() {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let mut config = config(&[]);
     config["settings"]["discovery"] = json!("pushed");
     let node = Node::start(&config);
@@ -365,7 +364,7 @@
 // Calls that nobody answers end in time, and the node goes on with what it knew.
 #[test]
 fn a_silent_discovery_is_asked_again() {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let node = Node::start_with(&config(&[server.address]), Discovery::fall_silent);
     node.discovery.wait_for_unanswered(2);
     assert_eq!(node.caller().ask(&head("read", "5", 0), b"").status(), 200);
@@ -411,7 +410,7 @@
 // SIGHUP by itself ends a program. The watch moves and goes on from what was told, and nothing else is touched.
 #[test]
 fn a_new_configuration_moves_the_watch_and_nothing_else() {
-    let (old, new) = (Server::start(Act::Silence), Server::start(Act::Honour(b"new".to_vec())));
+    let (old, new) = (Server::start(Act::Silence), Server::start(Act::Serve(b"new".to_vec())));
     let mut config = config(&[old.address]);
     let node = Node::start(&config);
     node.discovery.publish(2, list(2, false, &[]));
@@ -434,13 +433,13 @@
     assert_eq!(node.caller().ask(&head("pay", "5", 0), b"").body, b"new");
     assert_eq!(busy.answer().unwrap().status(), 502);
     let counters = node.end();
-    assert_eq!((counters["taken"], counters["honoured"], counters["failed"]), (3, 2, 1));
+    assert_eq!((counters["taken"], counters["served"], counters["failed"]), (3, 2, 1));
 }
 
 #[test_case(r#"{"discovery": "here"}"#, "config.discovery is no address and port"; "bad address")]
 #[test_case("{", "EOF while parsing an object at line 1 column 1"; "no JSON")]
 fn a_faulty_new_configuration_changes_nothing(text: &str, problem: &str) {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     let node = Node::start(&config(&[server.address]));
     node.reload(text);
     assert_eq!(node.caller().ask(&head("pay", "5", 0), b"").status(), 200);
@@ -501,8 +500,7 @@
 
 #[test]
 fn a_moved_file_starts_a_node_that_hears_of_servers_unasked() {
-    let (old, new) =
-        (Server::start(Act::Honour(b"old".to_vec())), Server::start(Act::Honour(b"new".to_vec())));
+    let (old, new) = (Server::start(Act::Serve(b"old".to_vec())), Server::start(Act::Serve(b"new".to_vec())));
     let node = Node::start(&moved_config(&[old.address]));
     let mut caller = node.caller();
     assert_eq!(caller.ask(&head("read", "5", 0), b"").status(), 200);
@@ -537,7 +535,7 @@
     let name = &program[at(named + 8, 8)..at(named + 8, 8) + at(named + 32, 8)];
     assert!(String::from_utf8_lossy(name).contains("ld-linux"), "{name:?}");
 
-    let server = Server::start(Act::Honour(b"fine".to_vec()));
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
     let node = Node::start(&config(&[server.address]));
     assert_eq!(node.caller().ask(&head("read", "5", 0), b"").status(), 200);
     let proc = format!("/proc/{}", node.pid());
--- a/crates/pearfront-node/tests/readiness/mod.rs
+++ b/crates/pearfront-node/tests/readiness/mod.rs
@@ -24,7 +24,7 @@
 #[test_case(Discovery::fall_silent; "silent")]
 #[test_case(is_down; "down")]
 fn a_process_alone_is_ready_and_serves_whatever_discovery_does(before: fn(&Discovery)) {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     in_time(|| {
         let begun = Instant::now();
         let node = Node::start_with(&config(&[server.address]), before);
@@ -44,7 +44,7 @@
 #[test_case(Discovery::fall_silent, true; "silent, in a hand-over")]
 #[test_case(is_down, true; "down, in a hand-over")]
 fn a_process_on_a_shared_listener_is_ready_whatever_discovery_does(before: fn(&Discovery), hand_over: bool) {
-    let server = Server::start(Act::Honour(Vec::new()));
+    let server = Server::start(Act::Serve(Vec::new()));
     in_time(|| {
         let platform = Platform::new();
         let old = hand_over.then(|| platform.start(&config(&[server.address])));
--- a/crates/pearfront-node/tests/rehearsal.rs
+++ b/crates/pearfront-node/tests/rehearsal.rs
@@ -148,7 +148,7 @@
     assert_eq!(starts("n0") + starts("n1"), 5);
     assert!(starts("n0") >= 2 && starts("n1") >= 2);
     let answers = || records.jobs.iter().flat_map(|job| &job.answers);
-    let honoured = answers().filter(|answered| answered.answer == Answer::Honoured).count();
-    assert!(honoured * 2 > answers().count(), "{}", verdict.line());
+    let served = answers().filter(|answered| answered.answer == Answer::Served).count();
+    assert!(served * 2 > answers().count(), "{}", verdict.line());
     std::fs::remove_dir_all(folder).unwrap();
 }
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -105,8 +105,8 @@
 /// What a server does with a job.
 #[derive(Debug, Clone)]
 pub enum Act {
-    Honour(Vec<u8>),
-    /// Honours it, with this load report.
+    Serve(Vec<u8>),
+    /// Serves it, with this load report.
     Report(&'static str),
     Error,
     /// Says that the job is none.
@@ -117,23 +117,23 @@
     Unproven,
     /// Half an answer, then the end.
     Cut,
-    /// Honours it, and resets the connection right behind the last byte.
-    HonourAndReset(Vec<u8>),
+    /// Serves it, and resets the connection right behind the last byte.
+    ServeAndReset(Vec<u8>),
     /// An answer whose end nobody can tell.
     Unframed,
     Close,
-    /// Honours the first job on a connection, and closes it at the next.
-    HonourOnce,
-    /// Honours each job with how many have come; if that is within `AGAIN` of its last answer, it first says that again on
-    /// the connection that it went out on.
+    /// Serves the first job on a connection, and closes it at the next.
+    ServeOnce,
+    /// Serves each job with how many have come; if that is within `AGAIN` of its last answer, it first says that again
+    /// on the connection that it went out on.
     SayTwice,
-    /// Honours jobs at once; questions how it is only once it is told to go on.
+    /// Serves jobs at once; questions how it is only once it is told to go on.
     HoldProbes,
     /// An answer that is none.
     Nonsense,
     /// No answer until the node closes the connection.
     Silence,
-    /// Honours it once it is told to go on.
+    /// Serves it once it is told to go on.
     Hold(Vec<u8>),
     /// These bytes as they are, and the same after it was told to go on; then the end, unless the first part is all.
     Raw(Vec<u8>, Vec<u8>),
@@ -255,14 +255,14 @@
         jobs.lock().unwrap().push(message);
         tell(seen, "job");
         let (answer, goes_on) = match act {
-            Act::Honour(body) => (whole("200 OK", body), true),
+            Act::Serve(body) => (whole("200 OK", body), true),
             Act::HoldProbes => (whole("200 OK", b""), true),
             Act::Report(report) => (whole(&format!("200 OK\r\nEndpoint-Load-Metrics: {report}"), b""), true),
             Act::Error => (whole("500 Oops", b""), true),
             Act::TurnDown => (whole("400 Bad Request", b""), true),
             Act::TurnAway => (whole("503 Full\r\nX-Never-Ran: 1", b""), true),
             Act::Unproven => (whole("503 Full", b""), true),
-            Act::HonourAndReset(body) => {
+            Act::ServeAndReset(body) => {
                 let _ = socket2::SockRef::from(&writer).set_linger(Some(Duration::ZERO));
                 (whole("200 OK", body), false)
             }
@@ -281,8 +281,8 @@
                 *said = Some((writer.try_clone().unwrap(), answer.clone(), Instant::now()));
                 (answer, true)
             }
-            Act::HonourOnce if had_job => (Vec::new(), false),
-            Act::HonourOnce => (whole("200 OK", b""), true),
+            Act::ServeOnce if had_job => (Vec::new(), false),
+            Act::ServeOnce => (whole("200 OK", b""), true),
             Act::Close => (Vec::new(), false),
             Act::Nonsense => (b"what do you mean?\r\n\r\n".to_vec(), false),
             Act::Silence => (Vec::new(), true),
--- a/crates/pearfront-scale/src/measure/caller.rs
+++ b/crates/pearfront-scale/src/measure/caller.rs
@@ -222,7 +222,7 @@
                         counts.jobs += 1;
                     }
                     Event::Answered { job, attempt, took } => {
-                        module.attempt_ended(job, attempt, Ending::Honoured, took, true);
+                        module.attempt_ended(job, attempt, Ending::Served, took, true);
                         open.remove(&job);
                     }
                     Event::Probed(server) => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -112,7 +112,7 @@
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
-    Honoured,
+    Served,
     Error,
     Full,
     TimedOut,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,7 +47,7 @@
 const EDGE: f64 = 0.6; // Share of the reach that a promise has to take for its being late to count.
 const STRIKES: u32 = 3; // Failures in a row that set a server aside; an error is as many by itself.
 const TRIAL: f64 = 40.0; // Jobs of its own that a node sends between two trials of one server at the least.
-const SHARED: f64 = 0.7; // Share of recent attempts honoured below which errors come from the tier behind.
+const SHARED: f64 = 0.7; // Share of recent attempts served below which errors come from the tier behind.
 const ASIDE_FIRST: f64 = 1000.0; // First time aside, ms: about a short stall; it doubles up to the last.
 const ASIDE_LAST: f64 = 8000.0; // Longest, ms: a lost server must be found back soon after its return.
 const ASIDE_SHARE: f64 = 0.6; // Most of the table that may be aside at once; beyond it the fault is shared.
@@ -59,7 +59,7 @@
 const UNSEEN: f64 = 0.2; // Share of the contract time that stands for a mean duration not yet seen.
 const FURTHER: f64 = 0.2; // Further attempts as a share of first ones, if all recent ones succeed.
 const FURTHER_FREE: f64 = 2.0; // Further attempts free in each span: a lone failure may always go again.
-const AGAIN_LEAST: f64 = 0.3; // Share of attempts after an error to be honoured, or none goes: three that fail.
+const AGAIN_LEAST: f64 = 0.3; // Share of attempts after an error to be served, or none goes: three that fail.
 const LONG: f64 = 2.0; // Usual durations after which a job counts as dragging: one in ten by chance.
 const FARE_SPAN: f64 = 5_000.0; // Span, ms, over which it counts how a profile fares.
 const HOPELESS: f64 = 0.4; // Share answered in time below which a profile is sent for trial only, and
@@ -105,7 +105,7 @@
     endings: Recent,
     /// How each profile's jobs fare.
     fares: Vec<Fare>,
-    /// Share of the attempts after an error that were honoured, by customer.
+    /// Share of the attempts after an error that were served, by customer.
     again: Vec<Recent>,
     further: Recent,
     /// Jobs taken and attempts beyond the first, within the span of the budget where one is stated.
@@ -433,7 +433,7 @@
         let late = self.now - job.arrived.get() > self.profile(job).contract_time;
         if late && attempt.promise > EDGE * self.reach {
             self.reach = (self.reach * (1.0 - REACH_SHRINK)).max(REACH_LEAST);
-        } else if ending == Ending::Honoured && !late {
+        } else if ending == Ending::Served && !late {
             self.reach = (self.reach * (1.0 + REACH_GROW)).min(REACH_MOST);
         }
         attempt.server.out.set(attempt.server.out.get() - 1);
@@ -445,11 +445,11 @@
         let now = self.now;
         let usual = self.usual(job);
         let lost = matches!(ending, Ending::TimedOut | Ending::CalledOff) && took > self.overdue() * usual;
-        if lost || ending == Ending::Honoured {
+        if lost || ending == Ending::Served {
             self.lost.add(now, f64::from(u8::from(lost)));
         }
         // A server that loses its answers looks idle: they count with the time they were out.
-        if ending != Ending::Honoured && took > OVERDUE * usual {
+        if ending != Ending::Served && took > OVERDUE * usual {
             self.compare(server, took / usual);
         }
         server.unreached.set(ending == Ending::Unconnected);
@@ -459,16 +459,16 @@
         }
         // Does it help to send a job that got an error again? Some get one wherever they go.
         let before = job.errors() - usize::from(ending == Ending::Error);
-        if before > 0 && matches!(ending, Ending::Error | Ending::Honoured) {
-            self.again(job).add(now, f64::from(u8::from(ending == Ending::Honoured)));
+        if before > 0 && matches!(ending, Ending::Error | Ending::Served) {
+            self.again(job).add(now, f64::from(u8::from(ending == Ending::Served)));
         }
         // An error that most servers give now comes from the tier behind: it says nothing of this one.
         let behind = !self.settings.last_tier && self.endings.mean_beside(now, 1.0, 1.0) < SHARED;
         match ending {
-            Ending::Honoured => {
+            Ending::Served => {
                 self.endings.add(now, 1.0);
                 server.answered(job.profile, now, self.settings.cold_time);
-                self.window.honoured(job.profile, now, took);
+                self.window.served(job.profile, now, took);
                 self.tell(job, true);
                 self.compare(server, took / usual);
                 if self.settings.tier == 0 {
@@ -820,7 +820,7 @@
             server.taken.set(self.now);
         }
         server.cold_credit.set(server.cold_credit.get() - 1.0);
-        // Back from its time aside it gets one attempt, and the next when that was honoured.
+        // Back from its time aside it gets one attempt, and the next when that was served.
         let health = server.health(job.profile);
         health.on_trial.set(health.strikes.get() >= STRIKES && self.now >= health.back_at.get());
         self.window.out.change(self.now, job.load());
@@ -835,9 +835,9 @@
     /// Is there room for an attempt beyond a job's first, which may be for the second time that it runs?
     fn may_go_again(&mut self, further: bool) -> bool {
         let now = self.now;
-        // Further attempts follow the share of recent attempts that were honoured, or retries would feed a jam.
-        let honoured = self.endings.mean_beside(now, 1.0, 1.0);
-        let allowed = FURTHER_FREE + FURTHER * honoured * self.first_attempts.total(now).0;
+        // Further attempts follow the share of recent attempts that were served, or retries would feed a jam.
+        let served = self.endings.mean_beside(now, 1.0, 1.0);
+        let allowed = FURTHER_FREE + FURTHER * served * self.first_attempts.total(now).0;
         let budget = self.settings.further_free + self.settings.further_ratio * self.taken.total(now).0;
         (!further || self.further.total(now).1 < allowed) && self.rationed.total(now).1 + 1.0 <= budget
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,7 +28,7 @@
     pub(crate) health: RefCell<Vec<Rc<Health>>>,
     /// Its last attempt found no connection: no fault shared with others, and its line may be out of date.
     pub(crate) unreached: Cell<bool>,
-    /// When it last honoured a job.
+    /// When it last served a job.
     pub(crate) heard: Cell<f64>,
     /// Full a moment ago: it would turn the next attempt away too, and quickly, as if it were idle.
     pub(crate) rest_until: Cell<f64>,
--- a/src/window.rs
+++ b/src/window.rs
@@ -23,7 +23,7 @@
 const SCATTER: f64 = 1.0; // Deviation of a duration's logarithm: what so few samples may show by chance.
 const CROWDING_MOST: f64 = 4.0; // Most that crowding is held to lengthen jobs by: beyond it something fails.
 
-/// Durations of one profile's honoured attempts.
+/// Durations of one profile's served attempts.
 struct Pace {
     times: Ring<10>,
     logs: Ring<10>,
@@ -64,7 +64,7 @@
         self.paces[profile].times.mean_beside(now, 1.0, unseen)
     }
 
-    pub fn honoured(&mut self, profile: usize, now: f64, took: f64) {
+    pub fn served(&mut self, profile: usize, now: f64, took: f64) {
         let pace = &mut self.paces[profile];
         pace.times.add(now, took);
         pace.logs.add(now, took.max(1.0).ln());
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -68,7 +68,7 @@
 
 fn ending(word: &str) -> Ending {
     match word {
-        "honoured" | "slow" => Ending::Honoured,
+        "served" | "slow" => Ending::Served,
         "error" => Ending::Error,
         "full" => Ending::Full,
         "timed-out" => Ending::TimedOut,
@@ -158,14 +158,14 @@
         self.round(|balancer| (first..=last).for_each(|id| balancer.job(id, profile, 0, limit)));
     }
 
-    /// Sends jobs of profile 0 one after the other, each honoured at once, and counts the servers drawn.
+    /// Sends jobs of profile 0 one after the other, each served at once, and counts the servers drawn.
     fn draw(&mut self, jobs: u32, every: f64) {
         for id in 1_000_000..1_000_000 + jobs {
             self.advance(self.now + every);
             let limit = self.now + 10_000.0;
             let took = self.settings.profiles[0].contract_time * 0.2;
             self.round(|balancer| balancer.job(id, 0, 0, limit));
-            self.round(|balancer| balancer.attempt_ended(id, 0, Ending::Honoured, took, true));
+            self.round(|balancer| balancer.attempt_ended(id, 0, Ending::Served, took, true));
         }
         self.written.0.clear();
     }
@@ -249,13 +249,13 @@
                     ["end", id, attempt, how, ref done @ ..] => {
                         let slow = how == "slow";
                         let (id, attempt, how) = (number(id) as u32, number(attempt) as usize, ending(how));
-                        let done = how == Ending::Honoured || done == ["done"];
+                        let done = how == Ending::Served || done == ["done"];
                         let took = if how == Ending::TimedOut || slow { 1400.0 } else { QUICK };
                         self.round(|balancer| balancer.attempt_ended(id, attempt, how, took, done));
                     }
-                    ["ends", first, last, "honoured"] => self.round(|balancer| {
+                    ["ends", first, last, "served"] => self.round(|balancer| {
                         for id in number(first) as u32..=number(last) as u32 {
-                            balancer.attempt_ended(id, 0, Ending::Honoured, QUICK, true);
+                            balancer.attempt_ended(id, 0, Ending::Served, QUICK, true);
                         }
                     }),
                     ["left", id] => self.round(|balancer| balancer.client_left(number(id) as u32)),
@@ -368,14 +368,12 @@
     scene.round(|balancer| balancer.listed(true, true, [a].into_iter()));
     let rules = Rc::new(scene.settings.clone());
     scene.round(|balancer| balancer.job(9, 0, 0, 9000.0));
-    scene.round(|balancer| balancer.attempt_ended(9, 0, Ending::Honoured, QUICK, true));
+    scene.round(|balancer| balancer.attempt_ended(9, 0, Ending::Served, QUICK, true));
     scene.round(|balancer| (1..=8).for_each(|id| balancer.job_under(&rules, id, 1, 0, f64::INFINITY)));
     scene.advance(8000.0);
     // Their last bytes come, and they are answered: more of them go, as many as before.
     scene.round(|balancer| (1..=8).for_each(|id| balancer.body_came(id, 60_000.0)));
-    scene.round(|balancer| {
-        (1..=8).for_each(|id| balancer.attempt_ended(id, 0, Ending::Honoured, QUICK, true))
-    });
+    scene.round(|balancer| (1..=8).for_each(|id| balancer.attempt_ended(id, 0, Ending::Served, QUICK, true)));
     scene.advance(10_000.0);
     scene.written.0.clear();
     scene.round(|balancer| (11..=15).for_each(|id| balancer.job(id, 1, 0, 60_000.0)));
--- a/tests/window.rs
+++ b/tests/window.rs
@@ -12,7 +12,7 @@
         for profile in 0..2 {
             now += every / 2.0;
             window.out.value = window.size();
-            window.honoured(profile, now, took(now, profile));
+            window.served(profile, now, took(now, profile));
             window.follow(profile, now, took(now, profile), 4000.0);
             window.bound(now, 1.0, None);
         }
@@ -49,7 +49,7 @@
 fn servers_that_are_busy_all_the_time_gain_nothing_by_more() {
     let mut window = Window::new();
     window.add_profile();
-    (0..200).for_each(|at| window.honoured(0, f64::from(at) * 50.0, 1000.0));
+    (0..200).for_each(|at| window.served(0, f64::from(at) * 50.0, 1000.0));
     let mut bounded = |busy| {
         window.begin(9.0);
         window.bound(10_000.0, 1.0, busy);
@@ -77,7 +77,7 @@
         let heavy = (number % 10 == 0) == (now < 15_000.0);
         let took = if heavy { 1200.0 } else { 300.0 };
         window.out.value = window.size();
-        window.honoured(usize::from(heavy), now, took);
+        window.served(usize::from(heavy), now, took);
         window.follow(usize::from(heavy), now, took, 4000.0);
         window.bound(now, 1.0, None);
     }
