--- a/crates/pearfront-emulator/src/asks.rs
+++ b/crates/pearfront-emulator/src/asks.rs
@@ -66,7 +66,7 @@
             zone,
             key: if keyed { self.keyed } else { 0 },
             work: draw_work(of, chance),
-            limit: self.at + of.limit_ms,
+            limit: self.at + of.deadline_ms,
             impatient: chance.random::<f64>() < callers.impatient,
             heeds: chance.random::<f64>() < callers.heed_advice,
             persists: chance.random::<f64>() < callers.retry_share,
--- a/crates/pearfront-emulator/src/model/script.rs
+++ b/crates/pearfront-emulator/src/model/script.rs
@@ -235,7 +235,7 @@
     fn terminate(&mut self, seat: &Rc<Seat>, down: f64) {
         let Some(node) = seat.node.borrow().clone() else { return };
         let longest =
-            self.scenario.profiles.iter().fold(0.0, |most: f64, profile| most.max(profile.limit_ms));
+            self.scenario.profiles.iter().fold(0.0, |most: f64, profile| most.max(profile.deadline_ms));
         let ends = longest.min(END_MOST - COMES_ON) + COMES_ON;
         self.agenda.put(self.now + COMES_ON, Event::FrontDrops(seat.clone()));
         let at = self.now + ends - node.started;
--- a/crates/pearfront-emulator/src/scenario.rs
+++ b/crates/pearfront-emulator/src/scenario.rs
@@ -185,8 +185,8 @@
     #[serde(default = "five")]
     pub window_s: f64,
     pub contract_ms: f64,
-    /// The outer limit: how long the caller waits at the most.
-    pub limit_ms: f64,
+    /// The deadline: how long the caller waits at the most.
+    pub deadline_ms: f64,
     pub gain: f64,
     /// Part of all jobs.
     pub share: f64,
@@ -606,7 +606,7 @@
         for (at, profile) in self.profiles.iter().enumerate() {
             let key = |name: &str| format!("profiles[{at}].{name}");
             above(&key("contract_ms"), profile.contract_ms, 0.0, 3.6e6)?;
-            within(&key("limit_ms"), profile.limit_ms, profile.contract_ms, 3.6e6)?;
+            within(&key("deadline_ms"), profile.deadline_ms, profile.contract_ms, 3.6e6)?;
             above(&key("gain"), profile.gain, 0.0, 1e9)?;
             above(&key("share"), profile.share, 0.0, 1e9)?;
             above(&key("work_ms"), profile.work_ms, 0.0, 1e6)?;
--- a/crates/pearfront-emulator/src/sockets/callers.rs
+++ b/crates/pearfront-emulator/src/sockets/callers.rs
@@ -367,7 +367,7 @@
         sleep(COMES_ON).await;
         seat.dealt.set(false);
         let longest =
-            self.scenario.profiles.iter().fold(0.0, |most: f64, profile| most.max(profile.limit_ms));
+            self.scenario.profiles.iter().fold(0.0, |most: f64, profile| most.max(profile.deadline_ms));
         let patience = Duration::from_secs_f64(longest.min(LIMIT_MOST) / 1000.0) + KILLED_AFTER;
         if tokio::time::timeout(patience, process.ended()).await.is_err() {
             process.kill().await;
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -137,7 +137,7 @@
         {
             log::warn!("ends without a permit: {problem}");
         }
-        let longest = terms.now().around.longest_limit.min(LONGEST_COUNTED) + AFTER_LIMIT;
+        let longest = terms.now().around.longest_deadline.min(LONGEST_COUNTED) + AFTER_LIMIT;
         last.set(clock.now() + longest);
         let answered = last.get() - LAST_ANSWERS;
         life.end(clock.at(answered - take_in::LAST_SERVED).saturating_duration_since(Instant::now()));
--- a/crates/pearfront-settings/src/lib.rs
+++ b/crates/pearfront-settings/src/lib.rs
@@ -245,7 +245,7 @@
     /// How long after its drain was told a server may still be sent something new, ms.
     pub drain_grace: f64,
     /// The longest that any profile's client waits.
-    pub longest_limit: f64,
+    pub longest_deadline: f64,
 }
 
 impl Surroundings {
@@ -256,9 +256,9 @@
         if limits.number_or("streams_per_conn", 1.0)? < 1.0 {
             return limits.needed("streams_per_conn")?.problem("is below 1");
         }
-        let outer_limit = |at: &At| Ok(at.needed("outer_limit")?.above_0()? / NS_PER_MS);
-        let outer_limits: Vec<f64> =
-            top.needed("profiles")?.list()?.iter().map(outer_limit).collect::<Result<_, String>>()?;
+        let deadline = |at: &At| Ok(at.needed("outer_limit")?.above_0()? / NS_PER_MS);
+        let deadlines: Vec<f64> =
+            top.needed("profiles")?.list()?.iter().map(deadline).collect::<Result<_, String>>()?;
         Ok(Self {
             profiles: top.names("profiles")?,
             customers: top.names("customers")?,
@@ -270,7 +270,7 @@
             connect_timeout: limits.ms_or("connect_timeout", CONNECT_TIMEOUT)?,
             conn_idle: limits.ms_or("conn_idle", CONN_IDLE)?,
             drain_grace: top.needed("rules")?.ms_or("drain_grace", DRAIN_GRACE)?,
-            longest_limit: outer_limits.into_iter().fold(0.0, f64::max),
+            longest_deadline: deadlines.into_iter().fold(0.0, f64::max),
         })
     }
 }
--- a/crates/pearfront-settings/src/tests.rs
+++ b/crates/pearfront-settings/src/tests.rs
@@ -19,7 +19,7 @@
     assert_eq!(settings.profiles[0].group, Group::Cell);
     let around = Surroundings::decode(&At::top(&json, "settings")).unwrap();
     assert_eq!((around.conn_idle, around.connect_timeout), (30_000.0, CONNECT_TIMEOUT));
-    assert_eq!((around.longest_limit, around.reports_in_answers), (3000.0, false));
+    assert_eq!((around.longest_deadline, around.reports_in_answers), (3000.0, false));
     assert_eq!(around.customers, ["inns"]);
 }
 
