--- a/crates/pearfront-emulator/benches/cold.rs
+++ b/crates/pearfront-emulator/benches/cold.rs
@@ -22,7 +22,7 @@
     let scale = work / scenario.profiles[0].work_ms;
     let profile = &mut scenario.profiles[0];
     profile.work_ms = work;
-    profile.contract_ms *= scale;
+    profile.latency_target_ms *= scale;
     profile.deadline_ms *= scale;
     if !many {
         (scenario.troubles[0].part, scenario.troubles[0].count) = (None, Some(1));
--- a/crates/pearfront-emulator/benches/model.rs
+++ b/crates/pearfront-emulator/benches/model.rs
@@ -22,7 +22,7 @@
 [[profiles]]
 name = "read"
 effect = "idempotent"
-contract_ms = 1000
+latency_target_ms = 1000
 deadline_ms = 3000
 gain = 1
 share = 0.8
@@ -30,7 +30,7 @@
 [[profiles]]
 name = "pay"
 effect = "non-idempotent"
-contract_ms = 1000
+latency_target_ms = 1000
 deadline_ms = 3000
 gain = 4
 share = 0.2
--- a/crates/pearfront-emulator/benches/node.rs
+++ b/crates/pearfront-emulator/benches/node.rs
@@ -56,7 +56,7 @@
 [[profiles]]
 name = "read"
 effect = "idempotent"
-contract_ms = 1000
+latency_target_ms = 1000
 deadline_ms = 3000
 gain = 1
 share = 1
--- a/crates/pearfront-emulator/benches/readiness.rs
+++ b/crates/pearfront-emulator/benches/readiness.rs
@@ -47,7 +47,7 @@
 [[profiles]]
 name = "read"
 effect = "idempotent"
-contract_ms = 1000
+latency_target_ms = 1000
 deadline_ms = 3000
 gain = 1
 share = 1
--- a/crates/pearfront-emulator/src/decide.rs
+++ b/crates/pearfront-emulator/src/decide.rs
@@ -313,7 +313,7 @@
         if harmless || self.fault == Some(Fault::RejectsWhatRan) {
             acts.push(Act::Reject {
                 job: id,
-                wait: profile.contract_time * self.chance.random_range(0.1..0.4),
+                wait: profile.latency_target * self.chance.random_range(0.1..0.4),
             });
         } else {
             acts.push(Act::Fail { job: id });
--- a/crates/pearfront-emulator/src/judge.rs
+++ b/crates/pearfront-emulator/src/judge.rs
@@ -66,7 +66,7 @@
 
 #[derive(Debug, Clone, Default, Serialize, Deserialize, PartialEq)]
 pub struct Verdict {
-    /// Gain served within the contract time over gain asked for.
+    /// Gain served within the latency target over gain asked for.
     pub service: f64,
     pub worst_10s: f64,
     pub profiles: Vec<Share>,
@@ -415,7 +415,7 @@
         for (ask, served) in self.records.asks.iter().zip(&served) {
             let profile = &scenario.profiles[ask.profile];
             let asked = profile.gain * if quotas.take(ask) { 1.0 } else { scenario.goal.excess_gain };
-            let gain = if served - ask.at <= profile.contract_ms { asked } else { 0.0 };
+            let gain = if served - ask.at <= profile.latency_target_ms { asked } else { 0.0 };
             let last = verdict.seconds.len() - 1;
             let second = &mut verdict.seconds[((ask.at / 1000.0) as usize).min(last)];
             second.asked += asked;
--- a/crates/pearfront-emulator/src/platform.rs
+++ b/crates/pearfront-emulator/src/platform.rs
@@ -13,7 +13,7 @@
     let nodes = &scenario.nodes;
     let profile = |profile: &crate::scenario::Profile| {
         json!({"name": profile.name, "effect": effect(profile.effect), "group": group(profile.group),
-            "window": ns(profile.window_s * 1000.0), "contract_time": ns(profile.contract_ms),
+            "window": ns(profile.window_s * 1000.0), "contract_time": ns(profile.latency_target_ms),
             "outer_limit": ns(profile.deadline_ms), "gain": profile.gain})
     };
     let customer = |customer: &crate::scenario::Customer| json!({"name": customer.name, "quota_per_s": customer.quota_per_s});
--- a/crates/pearfront-emulator/src/scenario.rs
+++ b/crates/pearfront-emulator/src/scenario.rs
@@ -184,7 +184,7 @@
     /// For keyed jobs: how long their servers know a key.
     #[serde(default = "five")]
     pub window_s: f64,
-    pub contract_ms: f64,
+    pub latency_target_ms: f64,
     /// The deadline: how long the caller waits at the most.
     pub deadline_ms: f64,
     pub gain: f64,
@@ -605,8 +605,8 @@
         self.tiers.iter().enumerate().try_for_each(|(at, tier)| self.check_tier(at, tier))?;
         for (at, profile) in self.profiles.iter().enumerate() {
             let key = |name: &str| format!("profiles[{at}].{name}");
-            above(&key("contract_ms"), profile.contract_ms, 0.0, 3.6e6)?;
-            within(&key("deadline_ms"), profile.deadline_ms, profile.contract_ms, 3.6e6)?;
+            above(&key("latency_target_ms"), profile.latency_target_ms, 0.0, 3.6e6)?;
+            within(&key("deadline_ms"), profile.deadline_ms, profile.latency_target_ms, 3.6e6)?;
             above(&key("gain"), profile.gain, 0.0, 1e9)?;
             above(&key("share"), profile.share, 0.0, 1e9)?;
             above(&key("work_ms"), profile.work_ms, 0.0, 1e6)?;
--- a/crates/pearfront-emulator/tests/plays.rs
+++ b/crates/pearfront-emulator/tests/plays.rs
@@ -29,7 +29,7 @@
 [[profiles]]
 name = "search"
 effect = "idempotent"
-contract_ms = 400
+latency_target_ms = 400
 deadline_ms = 1200
 gain = 1
 share = 0.6
@@ -39,7 +39,7 @@
 effect = "keyed"
 group = "cell"
 window_s = 1
-contract_ms = 800
+latency_target_ms = 800
 deadline_ms = 2500
 gain = 8
 share = 0.2
@@ -47,7 +47,7 @@
 [[profiles]]
 name = "cancel-refund"
 effect = "non-idempotent"
-contract_ms = 800
+latency_target_ms = 800
 deadline_ms = 2000
 gain = 3
 share = 0.2
--- a/crates/pearfront-node/tests/rehearsal.rs
+++ b/crates/pearfront-node/tests/rehearsal.rs
@@ -30,7 +30,7 @@
 [[profiles]]
 name = "search"
 effect = "idempotent"
-contract_ms = 2000
+latency_target_ms = 2000
 deadline_ms = 4000
 gain = 1
 share = 0.6
@@ -39,7 +39,7 @@
 name = "booking-in"
 effect = "keyed"
 group = "cell"
-contract_ms = 2000
+latency_target_ms = 2000
 deadline_ms = 4000
 gain = 8
 share = 0.2
@@ -47,7 +47,7 @@
 [[profiles]]
 name = "cancel-refund"
 effect = "non-idempotent"
-contract_ms = 2000
+latency_target_ms = 2000
 deadline_ms = 4000
 gain = 3
 share = 0.2
--- a/crates/pearfront-scale/src/measure/caller.rs
+++ b/crates/pearfront-scale/src/measure/caller.rs
@@ -39,7 +39,7 @@
             effect: Effect::Idempotent,
             group: Group::All,
             window: 0.0,
-            contract_time: 1000.0,
+            latency_target: 1000.0,
             gain: 1.0,
         }],
         excess_gain: 1.0,
--- a/crates/pearfront-settings/src/lib.rs
+++ b/crates/pearfront-settings/src/lib.rs
@@ -215,7 +215,7 @@
         effect,
         group,
         window: at.ms_or("window", 0.0)?,
-        contract_time: at.needed("contract_time")?.above_0()? / NS_PER_MS,
+        latency_target: at.needed("contract_time")?.above_0()? / NS_PER_MS,
         gain: at.needed("gain")?.number()?,
     })
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -27,7 +27,7 @@
     pub effect: Effect,
     pub group: Group,
     pub window: f64,
-    pub contract_time: f64,
+    pub latency_target: f64,
     pub gain: f64,
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,12 +31,12 @@
 const ASK_MOST: f64 = 5.0; // Servers asked before a draw at the most, and
 const ASK_LEAST: f64 = 2.0; // at the least: one figure compares with nothing.
 const KEPT: usize = 2; // Servers of its part that a node must be able to ask before it goes beyond it.
-const ASK_PATIENCE: f64 = 0.05; // Share of the contract time a draw waits for answers: some are lost.
+const ASK_PATIENCE: f64 = 0.05; // Share of the latency target a draw waits for answers: some are lost.
 const LAG: f64 = 1000.0; // Most, ms, that reports lag where nothing is wrong with them, and
 const DOUBT: f64 = 20_000.0; // time, ms, for which none that says idle is believed of a server that was not.
 const UNREPORTED: f64 = 1.0; // Least figure, jobs, of a busy server that gave none: others may be idle.
 const STRANGER: f64 = 1.0; // Jobs that the first connection to a server is worth: its work falls on the job.
-const ASK_AGAIN_SHARE: f64 = 0.1; // Share of the contract time after which an unpromised job asks again.
+const ASK_AGAIN_SHARE: f64 = 0.1; // Share of the latency target after which an unpromised job asks again.
 const REACH_MOST: f64 = 1.0; // Share of the time left that a server may promise to take, first and most, and
 const REACH_LEAST: f64 = 0.3; // at the least: servers must stay at work.
 const REACH_SHRINK: f64 = 0.1; // What it shrinks by when late, and
@@ -56,7 +56,7 @@
 const OVERDUE: f64 = 8.0; // Mean durations of its profile after which an attempt is overdue: tails are long.
 const LOSSY: f64 = 0.05; // Share of recent attempts never answered from which on answers are being lost.
 const OVERDUE_LOSSY: f64 = 4.0; // The same as `OVERDUE` while they are: what is out so long mostly is.
-const UNSEEN: f64 = 0.2; // Share of the contract time that stands for a mean duration not yet seen.
+const UNSEEN: f64 = 0.2; // Share of the latency target that stands for a mean duration not yet seen.
 const FURTHER: f64 = 0.2; // Further attempts as a share of first ones, if all recent ones succeed.
 const FURTHER_FREE: f64 = 2.0; // Further attempts free in each span: a lone failure may always go again.
 const AGAIN_LEAST: f64 = 0.3; // Share of attempts after an error to be served, or none goes: three that fail.
@@ -67,9 +67,9 @@
 const FARE_PRIOR: f64 = 2.0; // Jobs beside which failures have to count: a few are chance.
 const COLD_PART: f64 = 0.5; // Share of the cold limit that is used: works differ, and so do nodes.
 const PRIOR: f64 = 3.0; // Samples that the mean duration stands for when a server is compared with it.
-const HOLD: f64 = 0.25; // Share of its contract time that a job waits at the most: queues here are short.
+const HOLD: f64 = 0.25; // Share of its latency target that a job waits at the most: queues here are short.
 const SURE: f64 = 3.0; // Power at which a job's worth falls where its usual duration is above the time left.
-const BACK: f64 = 0.25; // Advice on when to come back, share of the contract time: soon enough to be in time.
+const BACK: f64 = 0.25; // Advice when to come back, share of the latency target: soon enough to be in time.
 const ZONE_MARGIN: f64 = 26.0; // Share that raises an away server's figure for each point of crossing.
 const ASK_AGAIN: f64 = 1000.0; // First and last pause, ms, before the list is asked for again.
 
@@ -422,7 +422,7 @@
             }
         }
         job.asked.set(self.now);
-        self.review(job, self.now + ASK_PATIENCE * self.profile(job).contract_time);
+        self.review(job, self.now + ASK_PATIENCE * self.profile(job).latency_target);
     }
 
     fn book_ending(&mut self, job: &Job, attempt: usize, ending: Ending) -> Option<Rc<Server>> {
@@ -430,7 +430,7 @@
         let attempt = attempts.get_mut(attempt).filter(|attempt| attempt.is_out())?;
         attempt.ending = Some(ending);
         // A late answer from where it was to be quick is chance, not crowding.
-        let late = self.now - job.arrived.get() > self.profile(job).contract_time;
+        let late = self.now - job.arrived.get() > self.profile(job).latency_target;
         if late && attempt.promise > EDGE * self.reach {
             self.reach = (self.reach * (1.0 - REACH_SHRINK)).max(REACH_LEAST);
         } else if ending == Ending::Served && !late {
@@ -472,8 +472,8 @@
                 self.tell(job, true);
                 self.compare(server, took / usual);
                 if self.settings.tier == 0 {
-                    let contract = self.profile(job).contract_time;
-                    self.window.follow(job.profile, now, took, contract);
+                    let target = self.profile(job).latency_target;
+                    self.window.follow(job.profile, now, took, target);
                 }
             }
             Ending::Error if self.is_own_fault(job) => {}
@@ -494,11 +494,11 @@
 
     /// Settles from when on a job counts as dragging: never while its body is coming.
     fn expect(&mut self, job: &Job) {
-        let long = (LONG * self.usual(job)).min(self.profile(job).contract_time);
+        let long = (LONG * self.usual(job)).min(self.profile(job).latency_target);
         job.due.set(if job.limit.get().is_finite() { self.now + long } else { f64::INFINITY });
     }
 
-    /// Books whether a job was answered in time, once: at its contract time if nothing has come by then.
+    /// Books whether a job was answered in time, once: at its latency target if nothing has come by then.
     fn tell(&mut self, job: &Job, timely: bool) {
         if job.attempts.borrow().is_empty() || job.told.replace(true) {
             return;
@@ -582,7 +582,7 @@
 
     /// Usual duration of a profile's attempt, ms.
     fn usual(&mut self, job: &Job) -> f64 {
-        let unseen = UNSEEN * self.profile(job).contract_time;
+        let unseen = UNSEEN * self.profile(job).latency_target;
         self.window.usual(job.profile, self.now, unseen)
     }
 
@@ -665,7 +665,7 @@
 
     fn hold_until(&self, job: &Job) -> f64 {
         let hold = if self.table.is_empty() { f64::INFINITY } else { HOLD };
-        self.last_call(job).min(job.arrived.get() + hold * self.profile(job).contract_time)
+        self.last_call(job).min(job.arrived.get() + hold * self.profile(job).latency_target)
     }
 
     /// Lets waiting jobs go, best gain first, while the window has room.
@@ -691,10 +691,10 @@
                 continue;
             }
             let asks = self.asks > 0;
-            if asks && self.now >= job.asked.get() + ASK_AGAIN_SHARE * self.profile(&job).contract_time {
+            if asks && self.now >= job.asked.get() + ASK_AGAIN_SHARE * self.profile(&job).latency_target {
                 self.inquire(&job, out);
             }
-            let patience = job.asked.get() + ASK_PATIENCE * self.profile(&job).contract_time;
+            let patience = job.asked.get() + ASK_PATIENCE * self.profile(&job).latency_target;
             let silent = |server: &Rc<Server>| server.seen.get() < server.probed.get();
             let waits = asks && self.now < patience && self.table.iter().any(silent);
             let open = !waits && (asks || self.settings.tier > 0 || self.has_room(worth));
@@ -725,7 +725,7 @@
         let within = self.within_quota(job.customer);
         let excess = if within { 1.0 } else { self.settings.excess_gain };
         // What will hardly be answered in time is worth little more than nothing, however short the queue.
-        let left = job.arrived.get() + self.profile(job).contract_time - self.now;
+        let left = job.arrived.get() + self.profile(job).latency_target - self.now;
         let chance = (left / self.usual(job)).clamp(0.0, 1.0).powf(SURE);
         let work = if job.rules.gain_by_work { 1.0 } else { self.usual(job) };
         excess * chance * self.profile(job).gain / work
@@ -766,7 +766,7 @@
     fn give_up(&mut self, job: &Rc<Job>, out: &mut impl Writer) {
         if self.may_reject(job) {
             // All told the same would come back at once: the advice is spread.
-            let wait = BACK * self.profile(job).contract_time * self.chance.0.random_range(0.5..1.5);
+            let wait = BACK * self.profile(job).latency_target * self.chance.0.random_range(0.5..1.5);
             out.reject(job.id, wait.min(self.settings.longest_wait));
         } else {
             out.fail(job.id);
@@ -797,7 +797,7 @@
         }
         let Some((server, figure)) = self.draw(job, group) else { return false };
         // Share of the job's time left that a server of this figure will take, by what recent ones took.
-        let left = (job.arrived.get() + self.profile(job).contract_time - self.now).max(f64::MIN_POSITIVE);
+        let left = (job.arrived.get() + self.profile(job).latency_target - self.now).max(f64::MIN_POSITIVE);
         let promise = self.usual(job) * figure / self.drawn.mean_beside(self.now, 1.0, 1.0) / left;
         // What room there is under overload is for the better ones.
         let power = worth.map(|worth| if self.is_better(worth) { BETTER } else { OTHERS });
--- a/src/window.rs
+++ b/src/window.rs
@@ -5,8 +5,8 @@
 
 use crate::ring::{Level, Ring, SPAN};
 
-const TARGET: f64 = 0.35; // Share of the contract time beyond their plain one that jobs may take in the mean.
-const ROOM_LEAST: f64 = 0.2; // Share of the contract time that counts as beyond it at the least.
+const TARGET: f64 = 0.35; // Share of the latency target beyond their plain one that jobs take in the mean.
+const ROOM_LEAST: f64 = 0.2; // Share of the latency target that counts as beyond it at the least.
 const SHRINK: f64 = 0.02; // The window shrinks by this share for each answer while they take more.
 const SHRINK_LEAST: f64 = 0.4; // Jobs it shrinks by at the least: a late answer must close one of a job.
 const GROW_MOST: f64 = 0.1; // Jobs by which it grows at the most for each answer, likewise.
@@ -70,12 +70,12 @@
         pace.logs.add(now, took.max(1.0).ln());
     }
 
-    /// Closes while recent jobs take much of what their contract time leaves beside their own, opens as they
+    /// Closes while recent jobs take much of what their latency target leaves beside their own, opens as they
     /// are answered. Only what crowding adds counts: a job that is long by itself is no sign of it.
-    pub fn follow(&mut self, profile: usize, now: f64, took: f64, contract: f64) {
+    pub fn follow(&mut self, profile: usize, now: f64, took: f64, target: f64) {
         self.learn_ease(now);
         let plain = self.plain(profile, now);
-        self.lateness.add(now, (took - plain) / (contract - plain).max(contract * ROOM_LEAST));
+        self.lateness.add(now, (took - plain) / (target - plain).max(target * ROOM_LEAST));
         if self.lateness.mean(now) > TARGET {
             self.size -= (SHRINK * self.size).max(SHRINK_LEAST);
         } else if self.out.value > self.size / 2.0 {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -126,9 +126,9 @@
             "keyed-by-all" => (Effect::Keyed, Group::All),
             other => panic!("no kind {other:?}"),
         };
-        let (contract_time, window, gain) = (number(words[1]), number(words[2]), number(words[3]));
+        let (latency_target, window, gain) = (number(words[1]), number(words[2]), number(words[3]));
         let name = self.settings.profiles.len().to_string();
-        self.settings.profiles.push(Profile { name, effect, group, window, contract_time, gain });
+        self.settings.profiles.push(Profile { name, effect, group, window, latency_target, gain });
     }
 
     fn round(&mut self, feed: impl FnOnce(&mut Balancer)) {
@@ -163,7 +163,7 @@
         for id in 1_000_000..1_000_000 + jobs {
             self.advance(self.now + every);
             let limit = self.now + 10_000.0;
-            let took = self.settings.profiles[0].contract_time * 0.2;
+            let took = self.settings.profiles[0].latency_target * 0.2;
             self.round(|balancer| balancer.job(id, 0, 0, limit));
             self.round(|balancer| balancer.attempt_ended(id, 0, Ending::Served, took, true));
         }
