--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,7 +60,7 @@
 const FURTHER: f64 = 0.2; // Further attempts as a share of first ones, if all recent ones succeed.
 const FURTHER_FREE: f64 = 2.0; // Further attempts free in each span: a lone failure may always go again.
 const AGAIN_LEAST: f64 = 0.3; // Share of attempts after an error to be served, or none goes: three that fail.
-const LONG: f64 = 2.0; // Usual durations after which a job counts as dragging: one in ten by chance.
+const LONG: f64 = 2.0; // Usual durations after which a job counts as slow: one in ten by chance.
 const FARE_SPAN: f64 = 5_000.0; // Span, ms, over which it counts how a profile fares.
 const HOPELESS: f64 = 0.4; // Share answered in time below which a profile is sent for trial only, and
 const WELL: f64 = 0.6; // share at which it goes again, or another profile fares well.
@@ -492,7 +492,7 @@
         server.health(job.profile).on_trial.set(false);
     }
 
-    /// Settles from when on a job counts as dragging: never while its body is coming.
+    /// Settles from when on a job counts as slow: never while its body is coming.
     fn expect(&mut self, job: &Job) {
         let long = (LONG * self.usual(job)).min(self.profile(job).latency_target);
         job.due.set(if job.limit.get().is_finite() { self.now + long } else { f64::INFINITY });
@@ -534,7 +534,7 @@
         &mut self.again[place]
     }
 
-    /// A job that drags by itself says nothing of its servers and takes no place from others.
+    /// A job that is slow by itself says nothing of its servers and takes no place from others.
     fn release(&mut self, job: &Job) {
         let out = job.attempts.borrow().iter().filter(|attempt| attempt.is_out()).count();
         self.window.out.change(self.now, -job.load() * out as f64);
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,7 +78,7 @@
     /// When it has taken far longer than its profile usually does.
     pub(crate) due: Cell<f64>,
     pub(crate) told: Cell<bool>,
-    /// It takes no place in the window: it drags by itself.
+    /// It takes no place in the window: it is slow by itself.
     pub(crate) apart: Cell<bool>,
     pub(crate) waiting: Cell<bool>,
     pub(crate) settled: Cell<bool>,
@@ -87,7 +87,7 @@
 /// Share of a profile's jobs that are answered in time.
 pub(crate) struct Fare {
     pub(crate) timely: Recent,
-    /// Hardly any is, while other profiles fare well: it drags or fails wherever it goes.
+    /// Hardly any is, while other profiles fare well: it is slow or fails wherever it goes.
     pub(crate) hopeless: bool,
     pub(crate) trial: Weak<Job>,
 }
--- a/src/window.rs
+++ b/src/window.rs
@@ -19,7 +19,7 @@
 const BUSY: f64 = 0.6; // from which on nothing.
 const EASE_MEMORY: f64 = 300_000.0; // Memory, ms, of the least durations: longer than any jam.
 const EASE_SAMPLES: f64 = 12.0; // Samples that a mean duration needs to be told.
-const DRAG: f64 = 0.6; // Stretch, as a logarithm, from which a profile drags by itself beside the others.
+const SLOWDOWN: f64 = 0.6; // Stretch, as a logarithm, from which a profile is slow by itself beside others.
 const SCATTER: f64 = 1.0; // Deviation of a duration's logarithm: what so few samples may show by chance.
 const CROWDING_MOST: f64 = 4.0; // Most that crowding is held to lengthen jobs by: beyond it something fails.
 
@@ -113,7 +113,7 @@
         }
     }
 
-    /// By how much jobs take longer than at their easiest. A profile that drags beside the others does so by
+    /// By how much jobs take longer than at their easiest. A profile that is slow beside the others is so by
     /// itself, at all servers: it says nothing of crowding.
     fn crowding(&mut self, now: f64) -> f64 {
         let stretch = |pace: &mut Pace| {
@@ -122,7 +122,7 @@
         };
         let known: Vec<_> = self.paces.iter_mut().filter_map(stretch).collect();
         let least = known.iter().map(|(count, sum)| sum / count).fold(f64::INFINITY, f64::min);
-        let alike = known.iter().filter(|(count, sum)| sum / count <= least + DRAG);
+        let alike = known.iter().filter(|(count, sum)| sum / count <= least + SLOWDOWN);
         let (count, sum) = alike.fold((0.0, 0.0), |all, one| (all.0 + one.0, all.1 + one.1));
         let shown = sum - SCATTER * f64::sqrt(count);
         if count > 0.0 { (shown / count).exp().clamp(1.0, CROWDING_MOST) } else { 1.0 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -359,9 +359,9 @@
     assert!(scene.written.0.contains(&"reject 1".into()), "{:?}", scene.written.0);
 }
 
-/// Bodies that come slowly are no dragging profile: none is given up for it, and their places come back.
+/// Bodies that come slowly are no slow profile: none is given up for it, and their places come back.
 #[test]
-fn a_profile_whose_bodies_come_slowly_is_not_taken_to_drag() {
+fn a_profile_whose_bodies_come_slowly_is_not_taken_for_slow() {
     let mut scene = Scene::new();
     (0..2).for_each(|_| scene.profile(&["idempotent", "1000", "0", "1"]));
     let a = listing("a", Standing::Ready);
@@ -460,7 +460,7 @@
 #[test_case("no-connection"; "a server that gives no connection is set aside at once")]
 #[test_case("two-and-two"; "a node with few jobs sends to two servers at home and two away")]
 #[test_case("budget"; "attempts beyond the first stay within their budget whatever ended the one before")]
-#[test_case("drags"; "a profile that drags wherever it goes takes no place from others")]
+#[test_case("slow-profile"; "a profile that is slow wherever it goes takes no place from others")]
 #[test_case("fails-anywhere"; "jobs that fail wherever they go have one attempt each and are no fault of a server")]
 #[test_case("untrue-report"; "a server that reports to be idle while it holds own jobs is not believed")]
 #[test_case("overload"; "the window holds back a burst and rejects early")]
--- a/tests/window.rs
+++ b/tests/window.rs
@@ -39,9 +39,9 @@
 }
 
 #[test]
-fn a_profile_that_drags_by_itself_closes_nothing() {
-    let drags = |at: f64, profile: usize| if at > 15_000.0 && profile == 1 { 9000.0 } else { 1000.0 };
-    let most = after(200.0, 40_000.0, drags);
+fn a_profile_that_is_slow_by_itself_closes_nothing() {
+    let slow = |at: f64, profile: usize| if at > 15_000.0 && profile == 1 { 9000.0 } else { 1000.0 };
+    let most = after(200.0, 40_000.0, slow);
     assert!(most >= 16.5, "{most}, where it was 16 without");
 }
 
