--- a/crates/pearfront-cli/tests/duty.rs
+++ b/crates/pearfront-cli/tests/duty.rs
@@ -1,9 +1,9 @@
 //! `pearfront duty` beside three node programs: commands that write down the token that they were given, in one file. The
 //! order of its lines is the record: a token below one before it would be a command that went on when another had begun.
 
-use pearfront_emulator::processes::ground::wait;
+use pearfront_emulator::processes::test_cluster::wait;
 use pearfront_emulator::processes::trial::{self, event};
-use pearfront_emulator::processes::{Ground, Start};
+use pearfront_emulator::processes::{Start, TestCluster};
 use serde_json::json;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -19,18 +19,22 @@
     node.display().to_string()
 }
 
-fn played<F: Future<Output = Result<(), String>>>(what: &str, script: impl Fn(Rc<Ground>, PathBuf) -> F) {
+fn played<F: Future<Output = Result<(), String>>>(
+    what: &str,
+    script: impl Fn(Rc<TestCluster>, PathBuf) -> F,
+) {
     let cluster = json!({"voters": ["n0", "n1", "n2"], "duties": {"export": {"lease_ms": 4000}}});
     let program = trial::program(&node(), &format!("command-{what}"), 3, cluster);
     let record = program.command.folder.join("record");
-    let (done, verdict) = trial::play(&program, true, |ground| script(ground, record.clone())).unwrap();
+    let (done, verdict) =
+        trial::play(&program, true, |test_cluster| script(test_cluster, record.clone())).unwrap();
     assert_eq!((done, verdict.broken), (Ok(()), vec![]), "logs in {}", program.command.folder.display());
     drop(std::fs::remove_dir_all(&program.command.folder));
 }
 
 /// A command that holds the duty through that node.
-fn duty(ground: &Ground, who: usize, options: &[&str], script: &str, record: &Path) -> Child {
-    let node = ground.operators(who).to_string();
+fn duty(test_cluster: &TestCluster, who: usize, options: &[&str], script: &str, record: &Path) -> Child {
+    let node = test_cluster.operators(who).to_string();
     Command::new(PEARFRONT)
         .args(["duty", "export", "--node", &node])
         .args(options)
@@ -61,8 +65,8 @@
                         while :; do echo $PEARFRONT_TOKEN >> $RECORD; sleep 0.02; done";
 const ONCE: &str = "echo $PEARFRONT_TOKEN >> $RECORD";
 
-async fn writes(ground: &Rc<Ground>, record: &Path, above: u64) -> Result<u64, String> {
-    event(ground, &format!("a token above {above}"), |_| {
+async fn writes(test_cluster: &Rc<TestCluster>, record: &Path, above: u64) -> Result<u64, String> {
+    event(test_cluster, &format!("a token above {above}"), |_| {
         tokens(record).last().is_some_and(|token| *token > above)
     })
     .await?;
@@ -75,26 +79,26 @@
 
 #[test]
 fn a_command_runs_once_in_a_while_and_its_exit_code_is_passed_on() {
-    played("once", async |ground, record| {
-        wanted("runs", code(duty(&ground, 0, &["--once-per", "1h"], ONCE, &record)).await, 0)?;
+    played("once", async |test_cluster, record| {
+        wanted("runs", code(duty(&test_cluster, 0, &["--once-per", "1h"], ONCE, &record)).await, 0)?;
         // Another node remembers, too.
-        wanted("again", code(duty(&ground, 1, &["--once-per", "1h"], ONCE, &record)).await, 121)?;
-        wanted("whenever", code(duty(&ground, 2, &[], "exit 7", &record)).await, 7)?;
-        wanted("no program", code(duty(&ground, 2, &[], "exec /no/such", &record)).await, 127)?;
+        wanted("again", code(duty(&test_cluster, 1, &["--once-per", "1h"], ONCE, &record)).await, 121)?;
+        wanted("whenever", code(duty(&test_cluster, 2, &[], "exit 7", &record)).await, 7)?;
+        wanted("no program", code(duty(&test_cluster, 2, &[], "exec /no/such", &record)).await, 127)?;
         if tokens(&record).len() == 1 { in_order(&record) } else { Err("it ran twice".into()) }
     });
 }
 
 #[test]
 fn a_second_command_is_refused_or_waits_for_the_first() {
-    played("second", async |ground, record| {
-        let first = duty(&ground, 0, &[], &format!("{ONCE}; sleep 3; {ONCE}"), &record);
-        let token = writes(&ground, &record, 0).await?;
-        wanted("held", code(duty(&ground, 1, &[], ONCE, &record)).await, 120)?;
-        let second = duty(&ground, 1, &["--wait"], ONCE, &record);
+    played("second", async |test_cluster, record| {
+        let first = duty(&test_cluster, 0, &[], &format!("{ONCE}; sleep 3; {ONCE}"), &record);
+        let token = writes(&test_cluster, &record, 0).await?;
+        wanted("held", code(duty(&test_cluster, 1, &[], ONCE, &record)).await, 120)?;
+        let second = duty(&test_cluster, 1, &["--wait"], ONCE, &record);
         wanted("first", code(first).await, 0)?;
         wanted("second", code(second).await, 0)?;
-        writes(&ground, &record, token).await?;
+        writes(&test_cluster, &record, token).await?;
         in_order(&record)
     });
 }
@@ -102,41 +106,41 @@
 // The node that it asks dies: command and what it forked end before the lease is another's, though they mind no TERM.
 #[test]
 fn a_command_that_minds_nothing_is_gone_before_another_has_its_duty() {
-    played("stubborn", async |ground, record| {
-        let first = duty(&ground, 0, &[], STUBBORN, &record);
-        let token = writes(&ground, &record, 0).await?;
-        let second = duty(&ground, 1, &["--wait"], STUBBORN, &record);
+    played("stubborn", async |test_cluster, record| {
+        let first = duty(&test_cluster, 0, &[], STUBBORN, &record);
+        let token = writes(&test_cluster, &record, 0).await?;
+        let second = duty(&test_cluster, 1, &["--wait"], STUBBORN, &record);
         wait(500.0).await;
-        ground.kill(0).await;
-        let second_token = writes(&ground, &record, token).await?;
+        test_cluster.kill(0).await;
+        let second_token = writes(&test_cluster, &record, token).await?;
         wanted("first", code(first).await, 123)?;
         in_order(&record)?;
         // Whoever holds it dies, without a word: the command goes with it.
-        ground.start(0, Start::Kept).await?;
-        event(&ground, "all agree again", Ground::agreed).await?;
+        test_cluster.start(0, Start::Kept).await?;
+        event(&test_cluster, "all agree again", TestCluster::agreed).await?;
         let mut second = second;
         second.kill().await.map_err(|error| error.to_string())?;
-        let third = duty(&ground, 0, &["--wait"], ONCE, &record);
+        let third = duty(&test_cluster, 0, &["--wait"], ONCE, &record);
         wanted("third", code(third).await, 0)?;
-        writes(&ground, &record, second_token).await?;
+        writes(&test_cluster, &record, second_token).await?;
         in_order(&record)
     });
 }
 
 #[test]
 fn a_holder_that_is_told_to_leave_ends_its_command_and_another_goes_on() {
-    played("move", async |ground, record| {
-        let first = duty(&ground, 0, &["--grace", "500ms"], STUBBORN, &record);
-        let token = writes(&ground, &record, 0).await?;
-        let mut second = duty(&ground, 1, &["--wait"], STUBBORN, &record);
+    played("move", async |test_cluster, record| {
+        let first = duty(&test_cluster, 0, &["--grace", "500ms"], STUBBORN, &record);
+        let token = writes(&test_cluster, &record, 0).await?;
+        let mut second = duty(&test_cluster, 1, &["--wait"], STUBBORN, &record);
         wait(1500.0).await;
-        let node = ground.operators(2).to_string();
+        let node = test_cluster.operators(2).to_string();
         let order = ["duties", "move", "export", "--node", &node, "--to", "n1"];
         let moved = Command::new(PEARFRONT).args(order).output().await.map_err(|error| error.to_string())?;
         if !moved.status.success() {
             return Err(format!("not moved: {moved:?}"));
         }
-        writes(&ground, &record, token).await?;
+        writes(&test_cluster, &record, token).await?;
         wanted("first", code(first).await, 123)?;
         second.kill().await.map_err(|error| error.to_string())?;
         in_order(&record)
--- a/crates/pearfront-emulator/src/processes/holders.rs
+++ b/crates/pearfront-emulator/src/processes/holders.rs
@@ -2,7 +2,7 @@
 //! clock before each act, and act at one place that keeps the order in which acts came and the highest token. What came
 //! there is the record that is judged; no program's opinion is.
 
-use super::ground::{Ground, call};
+use super::test_cluster::{TestCluster, call};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -88,9 +88,9 @@
 pub struct Holder {
     pub who: usize,
     duty: String,
-    ground: Rc<Ground>,
+    test_cluster: Rc<TestCluster>,
     receiver: Rc<RefCell<Receiver>>,
-    /// Token, and until when it may act, ms from the ground's start.
+    /// Token, and until when it may act, ms from the test cluster's start.
     may: Cell<Option<(u64, f64)>>,
     /// It stands still for so long between its next look and the act.
     late: Cell<f64>,
@@ -102,7 +102,7 @@
 
 impl Holder {
     pub fn start(
-        ground: &Rc<Ground>,
+        test_cluster: &Rc<TestCluster>,
         duty: &str,
         who: usize,
         receiver: &Rc<RefCell<Receiver>>,
@@ -111,7 +111,7 @@
         let holder = Rc::new(Self {
             who,
             duty: duty.into(),
-            ground: ground.clone(),
+            test_cluster: test_cluster.clone(),
             receiver: receiver.clone(),
             may: Cell::new(None),
             late: Cell::new(0.0),
@@ -135,7 +135,7 @@
         self.done.set(true);
         self.may.set(None);
         let path = format!("/_duties/{}/give-up?client=c{}", self.duty, self.who);
-        call(self.ground.operators(self.who), "PUT", &path).await;
+        call(self.test_cluster.operators(self.who), "PUT", &path).await;
     }
 
     /// Stands still for so long between the next look at the clock and the act.
@@ -144,15 +144,15 @@
     }
 
     pub fn may_act(&self) -> Option<u64> {
-        let now = self.ground.now();
+        let now = self.test_cluster.now();
         self.may.get().filter(|(_, until)| now < *until).map(|(token, _)| token)
     }
 
     async fn asks(self: Rc<Self>) {
         let path = format!("/_duties/{}/hold?client=c{}", self.duty, self.who);
         while !self.done.get() {
-            let before = self.ground.now();
-            let body = call(self.ground.operators(self.who), "PUT", &path).await;
+            let before = self.test_cluster.now();
+            let body = call(self.test_cluster.operators(self.who), "PUT", &path).await;
             let told = body.and_then(|body| serde_json::from_str::<Told>(&body).ok());
             let Some(Told { held }) = told else {
                 sleep(PAUSE).await;
@@ -179,7 +179,7 @@
     async fn acts(self: Rc<Self>) {
         loop {
             sleep(ACT).await;
-            let now = self.ground.now();
+            let now = self.test_cluster.now();
             let Some((token, until)) = self.may.get() else { continue };
             if self.looks && now >= until {
                 continue;
@@ -188,7 +188,7 @@
             if late > 0.0 {
                 sleep(Duration::from_secs_f64(late / 1e3)).await;
             }
-            self.receiver.borrow_mut().take(Act { at: self.ground.now(), who: self.who, token });
+            self.receiver.borrow_mut().take(Act { at: self.test_cluster.now(), who: self.who, token });
         }
     }
 }
--- a/crates/pearfront-emulator/src/processes/judge.rs
+++ b/crates/pearfront-emulator/src/processes/judge.rs
@@ -1,7 +1,7 @@
 //! What must hold of the views that processes told, held against what was truly done to them. It reads the records and
 //! nothing else.
 
-use super::ground::{Act, Records};
+use super::test_cluster::{Act, Records};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Longest stand-still of a process, ms, for which nobody may hold it to be gone, and how long the news of a longer one
@@ -22,7 +22,7 @@
     pub found: Vec<(String, Vec<f64>)>,
     /// For each that stood still for longer than must be borne: when each first held it silent, ms after it stopped.
     pub silent: Vec<(String, Vec<f64>)>,
-    /// The ground itself was late at the hundredth by so much, us.
+    /// The test cluster itself was late at the hundredth by so much, us.
     pub late_p99_us: u64,
 }
 
--- a/crates/pearfront-emulator/src/processes/judge/tests.rs
+++ b/crates/pearfront-emulator/src/processes/judge/tests.rs
@@ -1,4 +1,4 @@
-use super::super::ground::{Member, View};
+use super::super::test_cluster::{Member, View};
 use super::*;
 use test_case::test_case;
 
--- a/crates/pearfront-emulator/src/processes/picture.rs
+++ b/crates/pearfront-emulator/src/processes/picture.rs
@@ -1,7 +1,7 @@
 //! A picture of a play: a band for each process, in it a lane for how each other one saw it, in colour; what was done to
 //! it stands above its lanes.
 
-use super::ground::{Act, Records};
+use super::test_cluster::{Act, Records};
 use plotters::prelude::*;
 
 /// Height of a lane and of the gap between two bands, and width of all, pixels.
--- a/crates/pearfront-emulator/src/processes/player.rs
+++ b/crates/pearfront-emulator/src/processes/player.rs
@@ -1,16 +1,16 @@
 //! Plays a scenario among processes: each trouble at its time, then until all agree or patience ends.
 
-use super::ground::{Ground, Program, Records, Start, wait};
 use super::holders::{Holder, Receiver};
 use super::judge::{Finding, Verdict, judge};
 use super::scenario::{Folder, Scenario, Trouble, What};
+use super::test_cluster::{Program, Records, Start, TestCluster, wait};
 use crate::sockets::NodeCommand;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
 
-/// Lateness of the ground itself at the hundredth, us, beyond which a play says nothing of the programs.
+/// Lateness of the test cluster itself at the hundredth, us, beyond which a play says nothing of the programs.
 pub const LATE: u64 = 100_000;
 /// Longest that all may take to come together at the start.
 const JOIN: Duration = Duration::from_secs(60);
@@ -44,39 +44,39 @@
         zones: scenario.zones,
         cluster: scenario.cluster.clone(),
     };
-    let ground = Ground::new(program, seed)?;
-    ground.start_all().await?;
-    if !ground.until(JOIN, Ground::agreed).await {
-        ground.end().await;
+    let test_cluster = TestCluster::new(program, seed)?;
+    test_cluster.start_all().await?;
+    if !test_cluster.until(JOIN, TestCluster::agreed).await {
+        test_cluster.end().await;
         return Err("the processes did not come together".into());
     }
-    for who in 0..ground.count() {
-        ground.copy_folder(who)?;
+    for who in 0..test_cluster.count() {
+        test_cluster.copy_folder(who)?;
     }
     let place = Rc::new(RefCell::new(Receiver::default()));
     let holders: Vec<_> = scenario
         .holders
         .iter()
-        .map(|who| Holder::start(&ground, &scenario.duty, *who, &place, true))
+        .map(|who| Holder::start(&test_cluster, &scenario.duty, *who, &place, true))
         .collect();
-    ground.note("all agree: troubles begin");
-    let began = ground.now();
+    test_cluster.note("all agree: troubles begin");
+    let began = test_cluster.now();
     let troubles: Vec<_> = scenario
         .troubles
         .iter()
-        .map(|trouble| spawn_local(befall(ground.clone(), trouble.clone(), began)))
+        .map(|trouble| spawn_local(befall(test_cluster.clone(), trouble.clone(), began)))
         .collect();
     for trouble in troubles {
         trouble.await.map_err(|error| error.to_string())??;
     }
-    let over = ground.now();
-    let agreed = ground.until(Duration::from_secs_f64(scenario.patience_s), Ground::agreed).await;
-    let agreed_after = agreed.then(|| ground.now() - over);
-    let held = duty(scenario, &ground, &place, over).await;
+    let over = test_cluster.now();
+    let agreed = test_cluster.until(Duration::from_secs_f64(scenario.patience_s), TestCluster::agreed).await;
+    let agreed_after = agreed.then(|| test_cluster.now() - over);
+    let held = duty(scenario, &test_cluster, &place, over).await;
     holders.iter().for_each(|holder| holder.end());
-    let count = |view: super::ground::View| view.counts.get("suspicions").copied().unwrap_or(0);
-    let suspicions = (0..ground.count()).filter_map(|who| ground.view(who)).map(count).sum();
-    let records = ground.end().await;
+    let count = |view: super::test_cluster::View| view.counts.get("suspicions").copied().unwrap_or(0);
+    let suspicions = (0..test_cluster.count()).filter_map(|who| test_cluster.view(who)).map(count).sum();
+    let records = test_cluster.end().await;
     let mut verdict = judge(&records, scenario.expect.cuts_excuse);
     expected(scenario, agreed_after, suspicions, &mut verdict);
     let (held, broken) = held;
@@ -88,7 +88,7 @@
 /// How the duty was held, and what must not have been: two at one instant, a token of two, nobody when all is well again.
 async fn duty(
     scenario: &Scenario,
-    ground: &Rc<Ground>,
+    test_cluster: &Rc<TestCluster>,
     place: &RefCell<Receiver>,
     over: f64,
 ) -> (Option<Held>, Vec<String>) {
@@ -96,8 +96,8 @@
         return (None, Vec::new());
     }
     let patience = Duration::from_secs_f64(scenario.patience_s);
-    let acts = |_: &Ground| place.borrow().last.is_some_and(|act| act.at > over);
-    let acted = ground.until(patience, acts).await;
+    let acts = |_: &TestCluster| place.borrow().last.is_some_and(|act| act.at > over);
+    let acted = test_cluster.until(patience, acts).await;
     let place = place.borrow();
     let mut broken = place.broken.clone();
     if place.refused > 0 {
@@ -136,35 +136,36 @@
     slow.into_iter().for_each(say);
 }
 
-async fn befall(ground: Rc<Ground>, trouble: Trouble, began: f64) -> Result<(), String> {
-    wait(began + trouble.at_s * 1000.0 - ground.now()).await;
+async fn befall(test_cluster: Rc<TestCluster>, trouble: Trouble, began: f64) -> Result<(), String> {
+    wait(began + trouble.at_s * 1000.0 - test_cluster.now()).await;
     let lasts = trouble.for_s.map(|s| s * 1000.0);
     if let Some(weather) = trouble.weather() {
-        strike(&ground, &trouble, |way| *way = weather);
+        strike(&test_cluster, &trouble, |way| *way = weather);
         wait(lasts.unwrap_or(0.0)).await;
-        strike(&ground, &trouble, |way| *way = super::relay::Weather::FINE);
+        strike(&test_cluster, &trouble, |way| *way = super::relay::Weather::FINE);
         return Ok(());
     }
     match trouble.what {
-        What::Reset => ground.reset(&trouble.from, &trouble.to),
+        What::Reset => test_cluster.reset(&trouble.from, &trouble.to),
         What::Stop => {
-            trouble.who.iter().for_each(|who| ground.stop(*who));
+            trouble.who.iter().for_each(|who| test_cluster.stop(*who));
             wait(lasts.unwrap_or(0.0)).await;
-            trouble.who.iter().for_each(|who| ground.go_on(*who));
+            trouble.who.iter().for_each(|who| test_cluster.go_on(*who));
         }
         What::Roll => {
             for (step, who) in trouble.who.iter().enumerate() {
-                wait(began + trouble.at_s * 1000.0 + step as f64 * lasts.unwrap_or(0.0) - ground.now()).await;
-                ground.terminate(*who).await;
-                ground.start(*who, Start::Kept).await?;
+                wait(began + trouble.at_s * 1000.0 + step as f64 * lasts.unwrap_or(0.0) - test_cluster.now())
+                    .await;
+                test_cluster.terminate(*who).await;
+                test_cluster.start(*who, Start::Kept).await?;
             }
         }
         _ => {
             for who in &trouble.who {
                 if trouble.what == What::Kill {
-                    ground.kill(*who).await
+                    test_cluster.kill(*who).await
                 } else {
-                    ground.terminate(*who).await
+                    test_cluster.terminate(*who).await
                 }
             }
             let Some(lasts) = lasts else { return Ok(()) };
@@ -175,16 +176,16 @@
                 Folder::Empty => Start::Empty,
             };
             for who in &trouble.who {
-                ground.start(*who, with).await?;
+                test_cluster.start(*who, with).await?;
             }
         }
     }
     Ok(())
 }
 
-fn strike(ground: &Ground, trouble: &Trouble, change: impl Fn(&mut super::relay::Weather)) {
-    ground.weather(&trouble.from, &trouble.to, &change);
+fn strike(test_cluster: &TestCluster, trouble: &Trouble, change: impl Fn(&mut super::relay::Weather)) {
+    test_cluster.weather(&trouble.from, &trouble.to, &change);
     if trouble.both {
-        ground.weather(&trouble.to, &trouble.from, &change);
+        test_cluster.weather(&trouble.to, &trouble.from, &change);
     }
 }
--- a/crates/pearfront-emulator/src/processes/scenario.rs
+++ b/crates/pearfront-emulator/src/processes/scenario.rs
@@ -1,8 +1,8 @@
 //! A rehearsal of several processes as its file describes it, in the notation of the others: how many, and what is done
 //! to them and to the ways between them. `Scenario::parse` is the only way in.
 
-use super::ground::MOST;
 use super::relay::Weather;
+use super::test_cluster::MOST;
 use crate::scenario::{Mistake, above, read, within};
 use serde::Deserialize;
 use serde_json::Value;
--- a/crates/pearfront-emulator/src/processes/ground.rs
+++ b/crates/pearfront-emulator/src/processes/test_cluster.rs
@@ -30,7 +30,7 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 /// Addresses on the last part of an IP address.
 const PORTS: usize = 200;
-/// Most processes of a ground.
+/// Most processes of a test cluster.
 pub const MOST: usize = 32;
 
 /// The file of a node without its cluster: nothing is asked of it here.
@@ -49,7 +49,7 @@
 pub enum Start {
     /// Its folder as it left it.
     Kept,
-    /// Its folder as it was when `Ground::copy_folder` was called.
+    /// Its folder as it was when `TestCluster::copy_folder` was called.
     Older,
     /// An empty folder.
     Empty,
@@ -149,7 +149,7 @@
     pub acts: Vec<(f64, Act)>,
     /// When whose view was what; only where it changed.
     pub views: Vec<(f64, usize, View)>,
-    /// How late the ground itself was, us.
+    /// How late the test cluster itself was, us.
     pub late: Option<Histogram<u64>>,
     pub length: f64,
 }
@@ -168,7 +168,7 @@
     view: RefCell<Option<View>>,
 }
 
-pub struct Ground {
+pub struct TestCluster {
     program: Program,
     network: (u8, u8),
     start: Instant,
@@ -179,9 +179,9 @@
     late: RefCell<Histogram<u64>>,
 }
 
-static GROUNDS: AtomicU32 = AtomicU32::new(0);
+static TEST_CLUSTERS: AtomicU32 = AtomicU32::new(0);
 
-/// Runs work that needs a ground on a runtime of its own.
+/// Runs work that needs a test cluster on a runtime of its own.
 ///
 /// # Errors
 /// What the work could not do.
@@ -190,7 +190,7 @@
     LocalSet::new().block_on(&runtime.map_err(|error| format!("runtime: {error}"))?, work)
 }
 
-impl Ground {
+impl TestCluster {
     /// Puts relays between all, starts nothing yet.
     ///
     /// # Errors
@@ -199,7 +199,7 @@
         if !(2..=MOST).contains(&program.count) {
             return Err(format!("{} processes, not 2 to {MOST}", program.count));
         }
-        let number = GROUNDS.fetch_add(1, Ordering::Relaxed);
+        let number = TEST_CLUSTERS.fetch_add(1, Ordering::Relaxed);
         let mixed = std::process::id().wrapping_mul(0x9e37_79b1) ^ number.wrapping_mul(0x85eb_ca6b);
         let [.., high, low] = mixed.to_be_bytes();
         let network = (64 | (high & 0x3f), low);
@@ -218,7 +218,7 @@
         };
         let ways = || (0..program.count).map(|_| Way::new()).collect();
         let late = Histogram::new_with_bounds(1, 60_000_000, 3).map_err(|error| error.to_string())?;
-        let ground = Rc::new(Self {
+        let test_cluster = Rc::new(Self {
             network,
             start: Instant::now(),
             seats: (0..program.count).map(seat).collect(),
@@ -227,27 +227,27 @@
             late: RefCell::new(late),
             program,
         });
-        let names = ground.seats.iter().map(|seat| seat.name.clone()).collect();
-        ground.records.borrow_mut().names = names;
-        std::fs::create_dir_all(&ground.program.command.folder)
-            .map_err(|error| format!("{}: {error}", ground.program.command.folder.display()))?;
-        for from in 0..ground.count() {
-            for to in (0..ground.count()).filter(|to| *to != from) {
+        let names = test_cluster.seats.iter().map(|seat| seat.name.clone()).collect();
+        test_cluster.records.borrow_mut().names = names;
+        std::fs::create_dir_all(&test_cluster.program.command.folder)
+            .map_err(|error| format!("{}: {error}", test_cluster.program.command.folder.display()))?;
+        for from in 0..test_cluster.count() {
+            for to in (0..test_cluster.count()).filter(|to| *to != from) {
                 let relay = Relay {
-                    at: ground.place(RELAY, from * MOST + to),
-                    target: ground.seats[to].cluster.clone(),
-                    there: ground.ways[from][to].clone(),
-                    back: ground.ways[to][from].clone(),
-                    running: ground.seats[to].running.subscribe(),
+                    at: test_cluster.place(RELAY, from * MOST + to),
+                    target: test_cluster.seats[to].cluster.clone(),
+                    there: test_cluster.ways[from][to].clone(),
+                    back: test_cluster.ways[to][from].clone(),
+                    running: test_cluster.seats[to].running.subscribe(),
                     chance: chance.clone(),
                 };
                 relay.start()?;
             }
         }
-        for place in 0..ground.count() {
-            spawn_local(ground.clone().watch(place));
+        for place in 0..test_cluster.count() {
+            spawn_local(test_cluster.clone().watch(place));
         }
-        Ok(ground)
+        Ok(test_cluster)
     }
 
     pub fn count(&self) -> usize {
@@ -300,7 +300,7 @@
         let peers = peers.map(|other| (self.seats[other].name.clone(), json!(self.reached_by(who, other))));
         let peers: serde_json::Map<String, Value> = peers.collect();
         let mut cluster = json!({
-            "installation": "ground", "zone": format!("z{}", who % self.program.zones.max(1)),
+            "installation": "test-cluster", "zone": format!("z{}", who % self.program.zones.max(1)),
             "listen": self.cluster(who), "peers": peers, "folder": self.folder(who),
         });
         if let (Some(cluster), Some(over)) = (cluster.as_object_mut(), self.program.cluster.as_object()) {
@@ -342,7 +342,7 @@
         seat.stopped.set(false);
         *seat.view.borrow_mut() = None;
         seat.running.send_replace(true);
-        let up = self.until(PATIENCE, |ground| ground.view(who).is_some()).await;
+        let up = self.until(PATIENCE, |test_cluster| test_cluster.view(who).is_some()).await;
         if !up {
             return Err(format!("{} did not come up", seat.name));
         }
@@ -358,8 +358,8 @@
     pub async fn start_all(self: &Rc<Self>) -> Result<(), String> {
         let starts: Vec<_> = (0..self.count())
             .map(|who| {
-                let ground = self.clone();
-                spawn_local(async move { ground.start(who, Start::Kept).await })
+                let test_cluster = self.clone();
+                spawn_local(async move { test_cluster.start(who, Start::Kept).await })
             })
             .collect();
         for start in starts {
@@ -637,7 +637,7 @@
     told.filter(|(status, _)| *status == 200).map(|(_, body)| body)
 }
 
-/// Sleeps by the ground's own clock.
+/// Sleeps by the test cluster's own clock.
 pub async fn wait(ms: f64) {
     sleep(Duration::from_secs_f64(ms.max(0.0) / 1000.0)).await;
 }
--- a/crates/pearfront-emulator/src/processes/trial.rs
+++ b/crates/pearfront-emulator/src/processes/trial.rs
@@ -1,9 +1,9 @@
-//! One play of a test on the proving ground: processes that agree, a script that does something to them, a judge. A play on
-//! a machine that was late is void and played again.
+//! One play of a test on the test cluster: processes that agree, a script that does something to them, a judge. A play
+//! on a machine that was late is void and played again.
 
-use super::ground::{Ground, Program, run};
 use super::judge::{Verdict, judge};
 use super::player::LATE;
+use super::test_cluster::{Program, TestCluster, run};
 use crate::again::{PLAYS, Play, in_time};
 use crate::sockets::NodeCommand;
 use serde_json::Value;
@@ -32,17 +32,20 @@
 pub fn play<F: Future<Output = Result<(), String>>>(
     program: &Program,
     cuts_excuse: bool,
-    script: impl Fn(Rc<Ground>) -> F,
+    script: impl Fn(Rc<TestCluster>) -> F,
 ) -> Result<Trial, String> {
     in_time(PLAYS, |number| {
         drop(std::fs::remove_dir_all(&program.command.folder));
         run(async {
-            let ground = Ground::new(program.clone(), number as u64)?;
-            ground.start_all().await?;
-            let joined = ground.until(PATIENCE, Ground::agreed).await;
-            let done =
-                if joined { script(ground.clone()).await } else { Err("they did not come together".into()) };
-            let records = ground.end().await;
+            let test_cluster = TestCluster::new(program.clone(), number as u64)?;
+            test_cluster.start_all().await?;
+            let joined = test_cluster.until(PATIENCE, TestCluster::agreed).await;
+            let done = if joined {
+                script(test_cluster.clone()).await
+            } else {
+                Err("they did not come together".into())
+            };
+            let records = test_cluster.end().await;
             let verdict = judge(&records, cuts_excuse);
             if verdict.late_p99_us > LATE {
                 return Ok(Play::Void(format!("{} us late", verdict.late_p99_us)));
@@ -56,6 +59,10 @@
 ///
 /// # Errors
 /// It did not come in a generous time.
-pub async fn event(ground: &Rc<Ground>, what: &str, event: impl Fn(&Ground) -> bool) -> Result<(), String> {
-    if ground.until(PATIENCE, event).await { Ok(()) } else { Err(format!("not seen: {what}")) }
+pub async fn event(
+    test_cluster: &Rc<TestCluster>,
+    what: &str,
+    event: impl Fn(&TestCluster) -> bool,
+) -> Result<(), String> {
+    if test_cluster.until(PATIENCE, event).await { Ok(()) } else { Err(format!("not seen: {what}")) }
 }
--- a/crates/pearfront-node/tests/cluster.rs
+++ b/crates/pearfront-node/tests/cluster.rs
@@ -1,12 +1,12 @@
-//! Several node programs of one installation with the proving ground between them. What is waited for is an event; the
+//! Several node programs of one installation with the test cluster between them. What is waited for is an event; the
 //! judge reads what was done and what each told, by one clock. A play on a machine that was late is void and played again.
 
 use pearfront_emulator::again::{PLAYS, Play, in_time};
-use pearfront_emulator::processes::ground::{View, wait};
 use pearfront_emulator::processes::judge::judge;
 use pearfront_emulator::processes::relay::Weather;
+use pearfront_emulator::processes::test_cluster::{View, wait};
 use pearfront_emulator::processes::trial::{self, event};
-use pearfront_emulator::processes::{Ground, Program, Start, run};
+use pearfront_emulator::processes::{Program, Start, TestCluster, run};
 use serde_json::{Value, json};
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +20,7 @@
     what: &str,
     count: usize,
     cuts_excuse: bool,
-    script: impl Fn(Rc<Ground>) -> F,
+    script: impl Fn(Rc<TestCluster>) -> F,
 ) {
     let program = program(what, count, json!({}));
     let (done, verdict) = trial::play(&program, cuts_excuse, script).unwrap();
@@ -33,52 +33,62 @@
     (0..count).filter(|other| *other != who).collect()
 }
 
-fn held(ground: &Ground, by: &[usize], of: usize, state: &str) -> bool {
-    by.iter().all(|at| ground.standing(*at, of).is_some_and(|standing| standing == state))
+fn held(test_cluster: &TestCluster, by: &[usize], of: usize, state: &str) -> bool {
+    by.iter().all(|at| test_cluster.standing(*at, of).is_some_and(|standing| standing == state))
 }
 
 #[test]
 fn a_killed_process_is_known_to_have_ended_and_comes_back_as_the_same_member() {
-    played("killed", 5, false, async |ground| {
-        ground.kill(3).await;
-        event(&ground, "all know that n3 ended", |ground| held(ground, &all_but(5, 3), 3, "ended")).await?;
-        ground.start(3, Start::Kept).await?;
-        event(&ground, "all agree again", Ground::agreed).await?;
-        let incarnation = ground.view(3).map(|view| view.incarnation);
+    played("killed", 5, false, async |test_cluster| {
+        test_cluster.kill(3).await;
+        event(&test_cluster, "all know that n3 ended", |test_cluster| {
+            held(test_cluster, &all_but(5, 3), 3, "ended")
+        })
+        .await?;
+        test_cluster.start(3, Start::Kept).await?;
+        event(&test_cluster, "all agree again", TestCluster::agreed).await?;
+        let incarnation = test_cluster.view(3).map(|view| view.incarnation);
         if incarnation.is_none_or(|incarnation| incarnation < 2) {
             return Err(format!("came back under {incarnation:?}"));
         }
-        ground.terminate(2).await;
-        event(&ground, "all know that n2 left", |ground| held(ground, &all_but(5, 2), 2, "left")).await
+        test_cluster.terminate(2).await;
+        event(&test_cluster, "all know that n2 left", |test_cluster| {
+            held(test_cluster, &all_but(5, 2), 2, "left")
+        })
+        .await
     });
 }
 
 // Silence without proof: streams stay open, as when a machine loses its power, and the process says nothing.
 #[test]
 fn one_that_stands_still_is_silent_not_ended_and_finds_out_when_it_goes_on() {
-    played("still", 5, false, async |ground| {
-        ground.stop(1);
-        event(&ground, "all hold n1 silent", |ground| held(ground, &all_but(5, 1), 1, "silent")).await?;
+    played("still", 5, false, async |test_cluster| {
+        test_cluster.stop(1);
+        event(&test_cluster, "all hold n1 silent", |test_cluster| {
+            held(test_cluster, &all_but(5, 1), 1, "silent")
+        })
+        .await?;
         // One dies meanwhile: it must not be brought back by what n1 believes.
-        ground.kill(4).await;
-        event(&ground, "n4 has ended", |ground| held(ground, &[0, 2, 3], 4, "ended")).await?;
+        test_cluster.kill(4).await;
+        event(&test_cluster, "n4 has ended", |test_cluster| held(test_cluster, &[0, 2, 3], 4, "ended"))
+            .await?;
         // What was sent to it meanwhile waits in its buffers, full by now.
         wait(15_000.0).await;
-        ground.go_on(1);
-        event(&ground, "all agree again", Ground::agreed).await?;
-        let refuted = ground.view(1).is_some_and(|view| view.counts["refutations"] > 0);
+        test_cluster.go_on(1);
+        event(&test_cluster, "all agree again", TestCluster::agreed).await?;
+        let refuted = test_cluster.view(1).is_some_and(|view| view.counts["refutations"] > 0);
         if refuted { Ok(()) } else { Err("n1 did not find out".into()) }
     });
 }
 
 #[test]
 fn a_pause_of_two_seconds_costs_nobody_its_place() {
-    played("pause", 5, false, async |ground| {
+    played("pause", 5, false, async |test_cluster| {
         for who in [1, 3] {
-            ground.stop(who);
+            test_cluster.stop(who);
             wait(2000.0).await;
-            ground.go_on(who);
-            event(&ground, "all agree again", Ground::agreed).await?;
+            test_cluster.go_on(who);
+            event(&test_cluster, "all agree again", TestCluster::agreed).await?;
         }
         Ok(())
     });
@@ -86,39 +96,39 @@
 
 #[test]
 fn a_link_that_is_cut_one_way_costs_nobody_its_place() {
-    played("one-way", 5, false, async |ground| {
-        ground.cut(&[0], &[1]);
+    played("one-way", 5, false, async |test_cluster| {
+        test_cluster.cut(&[0], &[1]);
         // Longer than any suspicion lasts.
         wait(12_000.0).await;
-        ground.heal();
-        event(&ground, "all agree again", Ground::agreed).await
+        test_cluster.heal();
+        event(&test_cluster, "all agree again", TestCluster::agreed).await
     });
 }
 
 #[test]
 fn a_ring_of_one_way_links_costs_nobody_its_place() {
-    played("ring", 5, false, async |ground| {
-        (0..5).for_each(|place| ground.cut(&[place], &[(place + 1) % 5]));
+    played("ring", 5, false, async |test_cluster| {
+        (0..5).for_each(|place| test_cluster.cut(&[place], &[(place + 1) % 5]));
         wait(12_000.0).await;
-        ground.heal();
-        event(&ground, "all agree again", Ground::agreed).await
+        test_cluster.heal();
+        event(&test_cluster, "all agree again", TestCluster::agreed).await
     });
 }
 
 #[test]
 fn a_third_killed_at_once_is_found_after_a_release_of_all() {
-    played("release", 9, false, async |ground| {
+    played("release", 9, false, async |test_cluster| {
         for who in 0..9 {
-            ground.terminate(who).await;
-            ground.start(who, Start::Kept).await?;
+            test_cluster.terminate(who).await;
+            test_cluster.start(who, Start::Kept).await?;
         }
-        event(&ground, "all agree after the release", Ground::agreed).await?;
+        event(&test_cluster, "all agree after the release", TestCluster::agreed).await?;
         for who in [1, 4, 7] {
-            ground.kill(who).await;
+            test_cluster.kill(who).await;
         }
-        event(&ground, "the rest agrees", Ground::agreed).await?;
-        event(&ground, "all three are known to have ended", |ground| {
-            [1, 4, 7].iter().all(|gone| held(ground, &[0, 2, 3, 5, 6, 8], *gone, "ended"))
+        event(&test_cluster, "the rest agrees", TestCluster::agreed).await?;
+        event(&test_cluster, "all three are known to have ended", |test_cluster| {
+            [1, 4, 7].iter().all(|gone| held(test_cluster, &[0, 2, 3, 5, 6, 8], *gone, "ended"))
         })
         .await
     });
@@ -126,65 +136,67 @@
 
 #[test]
 fn one_that_hears_nobody_buries_nobody_for_the_others() {
-    played("deaf", 5, true, async |ground| {
+    played("deaf", 5, true, async |test_cluster| {
         let others = all_but(5, 2);
-        ground.cut(&others, &[2]);
-        event(&ground, "n2 knows that it is deaf", |ground| {
-            ground.view(2).is_some_and(|view| view.deaf_s.is_some())
+        test_cluster.cut(&others, &[2]);
+        event(&test_cluster, "n2 knows that it is deaf", |test_cluster| {
+            test_cluster.view(2).is_some_and(|view| view.deaf_s.is_some())
         })
         .await?;
         wait(6000.0).await;
         for at in &others {
             for of in others.iter().filter(|of| *of != at) {
-                if ground
+                if test_cluster
                     .standing(*at, *of)
                     .is_none_or(|standing| standing != "alive" && standing != "suspect")
                 {
-                    return Err(format!("n{at} holds n{of} to be {:?}", ground.standing(*at, *of)));
+                    return Err(format!("n{at} holds n{of} to be {:?}", test_cluster.standing(*at, *of)));
                 }
             }
         }
-        ground.heal();
-        event(&ground, "all agree again", Ground::agreed).await
+        test_cluster.heal();
+        event(&test_cluster, "all agree again", TestCluster::agreed).await
     });
 }
 
 #[test]
 fn halves_that_were_cut_come_together_again() {
-    played("halves", 6, true, async |ground| {
+    played("halves", 6, true, async |test_cluster| {
         let (here, there) = ([0, 1, 2], [3, 4, 5]);
-        ground.cut(&here, &there);
-        ground.cut(&there, &here);
-        event(&ground, "each half holds the other to be silent", |ground| {
-            there.iter().all(|of| held(ground, &here, *of, "silent"))
-                && here.iter().all(|of| held(ground, &there, *of, "silent"))
+        test_cluster.cut(&here, &there);
+        test_cluster.cut(&there, &here);
+        event(&test_cluster, "each half holds the other to be silent", |test_cluster| {
+            there.iter().all(|of| held(test_cluster, &here, *of, "silent"))
+                && here.iter().all(|of| held(test_cluster, &there, *of, "silent"))
         })
         .await?;
-        ground.kill(5).await;
-        event(&ground, "n5 has ended", |ground| held(ground, &[3, 4], 5, "ended")).await?;
-        ground.heal();
-        event(&ground, "all agree again", Ground::agreed).await
+        test_cluster.kill(5).await;
+        event(&test_cluster, "n5 has ended", |test_cluster| held(test_cluster, &[3, 4], 5, "ended")).await?;
+        test_cluster.heal();
+        event(&test_cluster, "all agree again", TestCluster::agreed).await
     });
 }
 
 // Streams that stall while datagrams pass, the reverse, and streams that are reset: none is a death.
 #[test]
 fn a_way_that_carries_half_of_what_it_should_costs_nobody_its_place() {
-    played("stalled", 4, false, async |ground| {
+    played("stalled", 4, false, async |test_cluster| {
         let all = [0, 1, 2, 3];
-        ground.weather(&[0], &all, |weather| weather.no_streams = true);
-        event(&ground, "a link is seen to be stalled", |ground| {
-            ground.view(0).is_some_and(|view| view.members.iter().any(|member| member.link == "stalled"))
+        test_cluster.weather(&[0], &all, |weather| weather.no_streams = true);
+        event(&test_cluster, "a link is seen to be stalled", |test_cluster| {
+            test_cluster
+                .view(0)
+                .is_some_and(|view| view.members.iter().any(|member| member.link == "stalled"))
         })
         .await?;
-        ground.heal();
-        ground.weather(&[1], &all, |weather| weather.no_datagrams = true);
+        test_cluster.heal();
+        test_cluster.weather(&[1], &all, |weather| weather.no_datagrams = true);
         wait(8000.0).await;
-        ground.heal();
-        ground.reset(&all, &all);
-        event(&ground, "all agree, by links that are up", |ground| {
+        test_cluster.heal();
+        test_cluster.reset(&all, &all);
+        event(&test_cluster, "all agree, by links that are up", |test_cluster| {
             let up = |view: View| view.members.iter().all(|member| member.link == "up");
-            ground.agreed() && all.iter().all(|who| ground.view(*who).is_some_and(up))
+            test_cluster.agreed() && all.iter().all(|who| test_cluster.view(*who).is_some_and(up))
         })
         .await
     });
@@ -192,25 +204,25 @@
 
 #[test]
 fn loss_copies_and_delays_cost_nobody_its_place() {
-    played("weather", 8, false, async |ground| {
+    played("weather", 8, false, async |test_cluster| {
         let all: Vec<usize> = (0..8).collect();
-        ground.weather(&all, &all, |weather| {
+        test_cluster.weather(&all, &all, |weather| {
             *weather = Weather { loss: 0.2, doubled: 0.1, delay: (1.0, 60.0), ..Weather::FINE };
         });
         wait(15_000.0).await;
-        ground.heal();
-        event(&ground, "all agree again", Ground::agreed).await
+        test_cluster.heal();
+        event(&test_cluster, "all agree again", TestCluster::agreed).await
     });
 }
 
 #[test]
 fn a_name_may_come_back_at_another_address() {
-    played("moved", 4, false, async |ground| {
-        ground.kill(3).await;
-        ground.move_to_new_address(3);
-        ground.start(3, Start::Empty).await?;
-        event(&ground, "all agree again", Ground::agreed).await?;
-        let (address, wanted) = (ground.view(0), ground.cluster(3).to_string());
+    played("moved", 4, false, async |test_cluster| {
+        test_cluster.kill(3).await;
+        test_cluster.move_to_new_address(3);
+        test_cluster.start(3, Start::Empty).await?;
+        event(&test_cluster, "all agree again", TestCluster::agreed).await?;
+        let (address, wanted) = (test_cluster.view(0), test_cluster.cluster(3).to_string());
         match address.and_then(|view| view.member("n3").map(|member| member.address.clone())) {
             Some(address) if address == wanted => Ok(()),
             other => Err(format!("n0 knows it at {other:?}, not {wanted}")),
@@ -221,42 +233,47 @@
 // The address of one that is over goes to another: who had it must not come to life by that.
 #[test]
 fn a_new_name_at_anothers_old_address_is_a_member_of_its_own() {
-    played("address", 4, false, async |ground| {
-        ground.kill(3).await;
-        event(&ground, "n3 has ended", |ground| held(ground, &[0, 1, 2], 3, "ended")).await?;
-        ground.call_as(3, "new");
-        ground.start(3, Start::Empty).await?;
-        event(&ground, "the new one is seen by all", |ground| {
+    played("address", 4, false, async |test_cluster| {
+        test_cluster.kill(3).await;
+        event(&test_cluster, "n3 has ended", |test_cluster| held(test_cluster, &[0, 1, 2], 3, "ended"))
+            .await?;
+        test_cluster.call_as(3, "new");
+        test_cluster.start(3, Start::Empty).await?;
+        event(&test_cluster, "the new one is seen by all", |test_cluster| {
             let here = |view: View| view.member("new").is_some_and(|member| member.state == "alive");
-            (0..3).all(|who| ground.view(who).is_some_and(here))
-                && ground.view(3).is_some_and(|view| view.sure)
+            (0..3).all(|who| test_cluster.view(who).is_some_and(here))
+                && test_cluster.view(3).is_some_and(|view| view.sure)
         })
         .await?;
-        if held(&ground, &[0, 1, 2], 3, "ended") { Ok(()) } else { Err("n3 came to life".into()) }
+        if held(&test_cluster, &[0, 1, 2], 3, "ended") { Ok(()) } else { Err("n3 came to life".into()) }
     });
 }
 
 #[test]
 fn of_two_with_one_name_the_later_takes_no_part_and_both_are_told() {
-    played("double", 4, false, async |ground| {
-        ground.terminate(3).await;
-        event(&ground, "n3 has left", |ground| held(ground, &[0, 1, 2], 3, "left")).await?;
-        ground.call_as(3, "n1");
-        ground.start(3, Start::Empty).await?;
-        event(&ground, "the later one is barred", |ground| {
-            ground.view(3).is_some_and(|view| view.state == "barred" && !view.sure)
+    played("double", 4, false, async |test_cluster| {
+        test_cluster.terminate(3).await;
+        event(&test_cluster, "n3 has left", |test_cluster| held(test_cluster, &[0, 1, 2], 3, "left")).await?;
+        test_cluster.call_as(3, "n1");
+        test_cluster.start(3, Start::Empty).await?;
+        event(&test_cluster, "the later one is barred", |test_cluster| {
+            test_cluster.view(3).is_some_and(|view| view.state == "barred" && !view.sure)
         })
         .await?;
-        let by = ground.view(3).and_then(|view| view.barred_by);
-        let holder = ground.cluster(1).to_string();
+        let by = test_cluster.view(3).and_then(|view| view.barred_by);
+        let holder = test_cluster.cluster(1).to_string();
         if by.as_ref() != Some(&holder) {
             return Err(format!("told of {by:?}, not of {holder}"));
         }
         // Its holder goes: then the name is free.
-        ground.kill(1).await;
-        event(&ground, "it takes part now", |ground| ground.view(3).is_some_and(|view| view.sure)).await?;
+        test_cluster.kill(1).await;
+        event(&test_cluster, "it takes part now", |test_cluster| {
+            test_cluster.view(3).is_some_and(|view| view.sure)
+        })
+        .await?;
         // It is another process's name that n3 has now: the judge's view of who runs is by lives.
-        event(&ground, "the others see it", |ground| held(ground, &[0, 2], 1, "alive")).await
+        event(&test_cluster, "the others see it", |test_cluster| held(test_cluster, &[0, 2], 1, "alive"))
+            .await
     });
 }
 
@@ -267,14 +284,14 @@
     let shown = in_time(PLAYS, |number| {
         drop(std::fs::remove_dir_all(&program.command.folder));
         run(async {
-            let ground = Ground::new(program.clone(), number as u64)?;
-            ground.start(3, Start::Kept).await?;
-            ground.start(2, Start::Kept).await?;
-            event(&ground, "two come together", Ground::agreed).await?;
-            ground.start(0, Start::Kept).await?;
-            ground.start(1, Start::Kept).await?;
-            event(&ground, "all come together", Ground::agreed).await?;
-            Ok(Play::InTime(judge(&ground.end().await, false).broken))
+            let test_cluster = TestCluster::new(program.clone(), number as u64)?;
+            test_cluster.start(3, Start::Kept).await?;
+            test_cluster.start(2, Start::Kept).await?;
+            event(&test_cluster, "two come together", TestCluster::agreed).await?;
+            test_cluster.start(0, Start::Kept).await?;
+            test_cluster.start(1, Start::Kept).await?;
+            event(&test_cluster, "all come together", TestCluster::agreed).await?;
+            Ok(Play::InTime(judge(&test_cluster.end().await, false).broken))
         })
     });
     assert_eq!(shown, Ok(vec![]));
@@ -294,8 +311,8 @@
 #[test]
 fn a_flood_costs_a_bounded_part_of_the_processor_and_nobody_its_place() {
     const FLOOD: Duration = Duration::from_secs(4);
-    played("flood", 3, false, async |ground| {
-        let (at, before) = (ground.cluster(0), cpu_s(ground.pid(0)));
+    played("flood", 3, false, async |test_cluster| {
+        let (at, before) = (test_cluster.cluster(0), cpu_s(test_cluster.pid(0)));
         let flood = std::thread::spawn(move || {
             let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
             let (start, mut sent) = (std::time::Instant::now(), 0u64);
@@ -314,9 +331,9 @@
         });
         wait(FLOOD.as_secs_f64() * 1000.0).await;
         let sent = flood.join().map_err(|_| "the flood ended early".to_string())?;
-        let used = (cpu_s(ground.pid(0)) - before) / FLOOD.as_secs_f64();
-        event(&ground, "all agree", Ground::agreed).await?;
-        let counts = ground.view(0).map(|view| view.counts).unwrap_or_default();
+        let used = (cpu_s(test_cluster.pid(0)) - before) / FLOOD.as_secs_f64();
+        event(&test_cluster, "all agree", TestCluster::agreed).await?;
+        let counts = test_cluster.view(0).map(|view| view.counts).unwrap_or_default();
         if counts["over_budget"] == 0 || counts["garbled"] + counts["foreign"] == 0 {
             return Err(format!("{sent} were sent, and reading was not bounded: {counts:?}"));
         }
@@ -378,21 +395,21 @@
     let folder = hasty.command.folder.clone();
     let broken = in_time(PLAYS, |_| {
         run(async {
-            let ground = Ground::new(hasty.clone(), 1)?;
-            ground.start_all().await?;
+            let test_cluster = TestCluster::new(hasty.clone(), 1)?;
+            test_cluster.start_all().await?;
             // One that is stopped before it was taken in is buried by nobody.
-            event(&ground, "all come together", Ground::agreed).await?;
-            ground.stop(1);
+            event(&test_cluster, "all come together", TestCluster::agreed).await?;
+            test_cluster.stop(1);
             // Within what must be borne, or the judge excuses it.
-            let silent = |ground: &Ground| (0..4).any(|at| held(ground, &[at], 1, "silent"));
-            let buried = ground.until(Duration::from_secs(2), silent).await;
-            ground.go_on(1);
-            event(&ground, "all agree again", Ground::agreed).await?;
+            let silent = |test_cluster: &TestCluster| (0..4).any(|at| held(test_cluster, &[at], 1, "silent"));
+            let buried = test_cluster.until(Duration::from_secs(2), silent).await;
+            test_cluster.go_on(1);
+            event(&test_cluster, "all agree again", TestCluster::agreed).await?;
             if !buried {
-                ground.end().await;
+                test_cluster.end().await;
                 return Ok(Play::Void("nobody held it to be silent within 2 s".into()));
             }
-            Ok(Play::InTime(judge(&ground.end().await, false).broken))
+            Ok(Play::InTime(judge(&test_cluster.end().await, false).broken))
         })
     });
     let broken = broken.unwrap();
--- a/crates/pearfront-node/tests/duties.rs
+++ b/crates/pearfront-node/tests/duties.rs
@@ -2,10 +2,10 @@
 //! the order in which acts came. It refuses an act under an old token, and only acts that were made late on purpose may be
 //! refused: any other is one of two that held the duty at one instant.
 
-use pearfront_emulator::processes::ground::{call, call_with, wait};
 use pearfront_emulator::processes::holders::{Act, Holder, Receiver};
+use pearfront_emulator::processes::test_cluster::{call, call_with, wait};
 use pearfront_emulator::processes::trial::{self, event};
-use pearfront_emulator::processes::{Ground, Start};
+use pearfront_emulator::processes::{Start, TestCluster};
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -24,7 +24,7 @@
     what: &str,
     count: usize,
     refused: u64,
-    script: impl Fn(Rc<Ground>, Place) -> F,
+    script: impl Fn(Rc<TestCluster>, Place) -> F,
 ) {
     let cluster = json!({
         "zone": "a", "drain_permit": {"restart_ms": AWAY},
@@ -33,10 +33,10 @@
     let program =
         trial::program(env!("CARGO_BIN_EXE_pearfront-node"), &format!("duty-{what}"), count, cluster);
     let place = RefCell::new(Place::default());
-    let done = trial::play(&program, true, |ground| {
+    let done = trial::play(&program, true, |test_cluster| {
         let receiver = Place::default();
         place.replace(receiver.clone());
-        script(ground, receiver)
+        script(test_cluster, receiver)
     });
     let (done, verdict) = done.unwrap();
     let logs = program.command.folder.display();
@@ -52,14 +52,14 @@
     place.borrow().last.map_or((usize::MAX, 0.0), |act| (act.who, act.at))
 }
 
-async fn acts(ground: &Rc<Ground>, place: &Place, who: usize) -> Result<(), String> {
-    event(ground, &format!("n{who} acts"), |_| last(place).0 == who).await
+async fn acts(test_cluster: &Rc<TestCluster>, place: &Place, who: usize) -> Result<(), String> {
+    event(test_cluster, &format!("n{who} acts"), |_| last(place).0 == who).await
 }
 
 /// Another than that one acts from now on; how long it took, ms.
-async fn another(ground: &Rc<Ground>, place: &Place, who: usize) -> Result<f64, String> {
-    let since = ground.now();
-    event(ground, &format!("another than n{who} acts"), |_| {
+async fn another(test_cluster: &Rc<TestCluster>, place: &Place, who: usize) -> Result<f64, String> {
+    let since = test_cluster.now();
+    event(test_cluster, &format!("another than n{who} acts"), |_| {
         let (acts, at) = last(place);
         acts != who && at > since
     })
@@ -67,16 +67,16 @@
     Ok(place.borrow().gap_after(since).unwrap_or(f64::INFINITY))
 }
 
-async fn view(ground: &Ground, who: usize) -> Value {
-    let told = call(ground.operators(who), "GET", "/_duties").await;
+async fn view(test_cluster: &TestCluster, who: usize) -> Value {
+    let told = call(test_cluster.operators(who), "GET", "/_duties").await;
     told.and_then(|text| serde_json::from_str(&text).ok()).unwrap_or_default()
 }
 
 /// The voter that leads.
-async fn leader(ground: &Rc<Ground>) -> Result<usize, String> {
+async fn leader(test_cluster: &Rc<TestCluster>) -> Result<usize, String> {
     for _ in 0..600 {
         for who in 0..3 {
-            if ground.runs(who) && view(ground, who).await["voter"]["role"] == "leader" {
+            if test_cluster.runs(who) && view(test_cluster, who).await["voter"]["role"] == "leader" {
                 return Ok(who);
             }
         }
@@ -87,17 +87,17 @@
 
 #[test]
 fn a_duty_goes_from_one_to_the_next_by_word() {
-    played("word", 5, 0, async |ground, place| {
-        let first = Holder::start(&ground, DUTY, 3, &place, true);
-        acts(&ground, &place, 3).await?;
-        let second = Holder::start(&ground, DUTY, 4, &place, true);
+    played("word", 5, 0, async |test_cluster, place| {
+        let first = Holder::start(&test_cluster, DUTY, 3, &place, true);
+        acts(&test_cluster, &place, 3).await?;
+        let second = Holder::start(&test_cluster, DUTY, 4, &place, true);
         // It waits, and the one that has it goes on.
         wait(2.0 * LEASE).await;
         if last(&place).0 != 3 {
             return Err("the second did not wait".into());
         }
         first.give_up().await;
-        let took = another(&ground, &place, 3).await?;
+        let took = another(&test_cluster, &place, 3).await?;
         second.end();
         // Nothing is waited for but the word itself.
         if took < LEASE / 2.0 { Ok(()) } else { Err(format!("{took:.0} ms after the word")) }
@@ -105,26 +105,26 @@
 }
 
 /// Takes the duty and gives it up, again and again, until it has changed hands so often.
-async fn contends(ground: Rc<Ground>, who: usize, place: Place, turns: usize) {
+async fn contends(test_cluster: Rc<TestCluster>, who: usize, place: Place, turns: usize) {
     let (hold, over) =
         (format!("/_duties/{DUTY}/hold?client=c"), format!("/_duties/{DUTY}/give-up?client=c"));
     while place.borrow().turns.len() < turns {
-        let told = call(ground.operators(who), "PUT", &hold).await.unwrap_or_default();
+        let told = call(test_cluster.operators(who), "PUT", &hold).await.unwrap_or_default();
         let told: Value = serde_json::from_str(&told).unwrap_or_default();
         if let Some(token) = told["held"]["token"].as_u64() {
-            place.borrow_mut().take(Act { at: ground.now(), who, token });
-            call(ground.operators(who), "PUT", &over).await;
+            place.borrow_mut().take(Act { at: test_cluster.now(), who, token });
+            call(test_cluster.operators(who), "PUT", &over).await;
         }
     }
 }
 
 #[test]
 fn candidates_at_once_get_it_one_by_one_hundreds_of_times() {
-    played("contend", 5, 0, async |ground, place| {
-        let all =
-            (0..5).map(|who| tokio::task::spawn_local(contends(ground.clone(), who, place.clone(), 300)));
+    played("contend", 5, 0, async |test_cluster, place| {
+        let all = (0..5)
+            .map(|who| tokio::task::spawn_local(contends(test_cluster.clone(), who, place.clone(), 300)));
         let all: Vec<_> = all.collect();
-        event(&ground, "it changed hands 300 times", |_| place.borrow().turns.len() >= 300).await?;
+        event(&test_cluster, "it changed hands 300 times", |_| place.borrow().turns.len() >= 300).await?;
         for one in all {
             one.await.map_err(|error| error.to_string())?;
         }
@@ -140,45 +140,45 @@
 // It looks, stands still for longer than its lease, and acts: the clock can't tell, the token does.
 #[test]
 fn an_act_that_comes_after_the_lease_is_refused_by_its_token() {
-    played("late", 5, 1, async |ground, place| {
-        let first = Holder::start(&ground, DUTY, 3, &place, true);
-        acts(&ground, &place, 3).await?;
-        let second = Holder::start(&ground, DUTY, 4, &place, true);
+    played("late", 5, 1, async |test_cluster, place| {
+        let first = Holder::start(&test_cluster, DUTY, 3, &place, true);
+        acts(&test_cluster, &place, 3).await?;
+        let second = Holder::start(&test_cluster, DUTY, 4, &place, true);
         first.be_late(3.0 * LEASE);
         // It says nothing meanwhile either: its node stands still with it.
         wait(20.0).await;
-        ground.stop(3);
-        another(&ground, &place, 3).await?;
-        event(&ground, "the late act came", |_| place.borrow().refused > 0).await?;
-        ground.go_on(3);
+        test_cluster.stop(3);
+        another(&test_cluster, &place, 3).await?;
+        event(&test_cluster, "the late act came", |_| place.borrow().refused > 0).await?;
+        test_cluster.go_on(3);
         second.end();
-        event(&ground, "all agree again", Ground::agreed).await
+        event(&test_cluster, "all agree again", TestCluster::agreed).await
     });
 }
 
 // Its node can't say anything, and nobody can say anything to it: it stops by itself before another begins.
 #[test]
 fn a_holder_whose_node_stands_still_or_is_cut_off_stops_before_the_next_one_begins() {
-    played("still", 5, 0, async |ground, place| {
-        let holders: Vec<_> = [3, 4].map(|who| Holder::start(&ground, DUTY, who, &place, true)).into();
+    played("still", 5, 0, async |test_cluster, place| {
+        let holders: Vec<_> = [3, 4].map(|who| Holder::start(&test_cluster, DUTY, who, &place, true)).into();
         for round in 0..3 {
-            event(&ground, "somebody acts", |_| ground.now() - last(&place).1 < 100.0).await?;
+            event(&test_cluster, "somebody acts", |_| test_cluster.now() - last(&place).1 < 100.0).await?;
             let who = last(&place).0;
             match round {
-                0 => ground.stop(who),
-                1 => ground.cut(&[who], &[0, 1, 2]),
-                _ => ground.cut(&[0, 1, 2], &[who]),
+                0 => test_cluster.stop(who),
+                1 => test_cluster.cut(&[who], &[0, 1, 2]),
+                _ => test_cluster.cut(&[0, 1, 2], &[who]),
             }
-            let took = another(&ground, &place, who).await?;
+            let took = another(&test_cluster, &place, who).await?;
             if round == 0 {
-                ground.go_on(who)
+                test_cluster.go_on(who)
             } else {
-                ground.heal()
+                test_cluster.heal()
             }
             if took < 0.5 * LEASE {
                 return Err(format!("the next one began after {took:.0} ms, within the lease"));
             }
-            event(&ground, "all agree again", Ground::agreed).await?;
+            event(&test_cluster, "all agree again", TestCluster::agreed).await?;
         }
         holders.iter().for_each(|holder| holder.end());
         Ok(())
@@ -187,30 +187,30 @@
 
 #[test]
 fn a_leader_that_is_killed_stopped_or_cut_off_costs_no_holder_its_duty_and_no_token_its_order() {
-    played("leader", 5, 0, async |ground, place| {
-        let holders: Vec<_> = [3, 4].map(|who| Holder::start(&ground, DUTY, who, &place, true)).into();
-        event(&ground, "somebody acts", |_| last(&place).0 < 5).await?;
+    played("leader", 5, 0, async |test_cluster, place| {
+        let holders: Vec<_> = [3, 4].map(|who| Holder::start(&test_cluster, DUTY, who, &place, true)).into();
+        event(&test_cluster, "somebody acts", |_| last(&place).0 < 5).await?;
         for round in 0..4 {
-            let who = leader(&ground).await?;
+            let who = leader(&test_cluster).await?;
             match round {
-                0 => ground.kill(who).await,
-                1 => ground.stop(who),
-                2 => ground.cut(&[who], &[0, 1, 2, 3, 4]),
-                _ => ground.cut(&[0, 1, 2, 3, 4], &[who]),
+                0 => test_cluster.kill(who).await,
+                1 => test_cluster.stop(who),
+                2 => test_cluster.cut(&[who], &[0, 1, 2, 3, 4]),
+                _ => test_cluster.cut(&[0, 1, 2, 3, 4], &[who]),
             }
             wait(3000.0).await;
             match round {
-                0 => ground.start(who, Start::Kept).await?,
-                1 => ground.go_on(who),
-                _ => ground.heal(),
+                0 => test_cluster.start(who, Start::Kept).await?,
+                1 => test_cluster.go_on(who),
+                _ => test_cluster.heal(),
             }
-            event(&ground, "all agree again", Ground::agreed).await?;
+            event(&test_cluster, "all agree again", TestCluster::agreed).await?;
         }
-        event(&ground, "somebody acts", |_| ground.now() - last(&place).1 < 100.0).await?;
+        event(&test_cluster, "somebody acts", |_| test_cluster.now() - last(&place).1 < 100.0).await?;
         // With a new leader a word is still one round.
         let who = last(&place).0;
         holders[who - 3].give_up().await;
-        another(&ground, &place, who).await?;
+        another(&test_cluster, &place, who).await?;
         holders.iter().for_each(|holder| holder.end());
         Ok(())
     });
@@ -218,39 +218,39 @@
 
 #[test]
 fn tokens_grow_over_an_end_of_all_processes_and_voters_that_lost_their_folders() {
-    played("all", 4, 0, async |ground, place| {
-        let holder = Holder::start(&ground, DUTY, 3, &place, true);
-        acts(&ground, &place, 3).await?;
+    played("all", 4, 0, async |test_cluster, place| {
+        let holder = Holder::start(&test_cluster, DUTY, 3, &place, true);
+        acts(&test_cluster, &place, 3).await?;
         for who in 0..3 {
-            ground.copy_folder(who)?;
+            test_cluster.copy_folder(who)?;
         }
         holder.give_up().await;
-        let holder = Holder::start(&ground, DUTY, 3, &place, true);
-        event(&ground, "it acts under a new token", |_| place.borrow().turns.len() == 2).await?;
+        let holder = Holder::start(&test_cluster, DUTY, 3, &place, true);
+        event(&test_cluster, "it acts under a new token", |_| place.borrow().turns.len() == 2).await?;
         holder.end();
         for who in 0..4 {
-            ground.kill(who).await;
+            test_cluster.kill(who).await;
         }
         for who in 0..4 {
-            ground.start(who, Start::Kept).await?;
+            test_cluster.start(who, Start::Kept).await?;
         }
-        let holder = Holder::start(&ground, DUTY, 3, &place, true);
-        event(&ground, "it acts after the end of all", |_| place.borrow().turns.len() == 3).await?;
+        let holder = Holder::start(&test_cluster, DUTY, 3, &place, true);
+        event(&test_cluster, "it acts after the end of all", |_| place.borrow().turns.len() == 3).await?;
         // One voter after another forgets, and has to catch up before the next one does.
         for (who, with) in [(0, Start::Older), (1, Start::Empty)] {
-            ground.kill(who).await;
-            ground.start(who, with).await?;
-            event(&ground, "all agree again", Ground::agreed).await?;
+            test_cluster.kill(who).await;
+            test_cluster.start(who, with).await?;
+            event(&test_cluster, "all agree again", TestCluster::agreed).await?;
             for _ in 0..600 {
-                if view(&ground, who).await["voter"]["may_stand"] == true {
+                if view(&test_cluster, who).await["voter"]["may_stand"] == true {
                     break;
                 }
                 wait(100.0).await;
             }
         }
         holder.give_up().await;
-        let holder = Holder::start(&ground, DUTY, 3, &place, true);
-        event(&ground, "it acts after voters forgot", |_| place.borrow().turns.len() >= 4).await?;
+        let holder = Holder::start(&test_cluster, DUTY, 3, &place, true);
+        event(&test_cluster, "it acts after voters forgot", |_| place.borrow().turns.len() >= 4).await?;
         holder.end();
         Ok(())
     });
@@ -258,14 +258,14 @@
 
 #[test]
 fn a_voter_whose_folder_is_damaged_does_not_start_and_says_where() {
-    played("damaged", 3, 0, async |ground, place| {
-        let holder = Holder::start(&ground, DUTY, 0, &place, true);
-        acts(&ground, &place, 0).await?;
+    played("damaged", 3, 0, async |test_cluster, place| {
+        let holder = Holder::start(&test_cluster, DUTY, 0, &place, true);
+        acts(&test_cluster, &place, 0).await?;
         holder.end();
-        ground.kill(1).await;
-        ground.spoil_folder(1, "voter/log", 40)?;
-        let up = tokio::time::timeout(Duration::from_secs(3), ground.start(1, Start::Kept)).await;
-        let log = ground.log(1);
+        test_cluster.kill(1).await;
+        test_cluster.spoil_folder(1, "voter/log", 40)?;
+        let up = tokio::time::timeout(Duration::from_secs(3), test_cluster.start(1, Start::Kept)).await;
+        let log = test_cluster.log(1);
         if matches!(up, Ok(Ok(())))
             || !log.contains("config.cluster.folder: ")
             || !log.contains("log is damaged at byte")
@@ -273,57 +273,58 @@
             return Err(format!("started: {up:?}; {log}"));
         }
         // Operators give it an empty one.
-        ground.kill(1).await;
-        ground.start(1, Start::Empty).await?;
-        event(&ground, "all agree again", Ground::agreed).await
+        test_cluster.kill(1).await;
+        test_cluster.start(1, Start::Empty).await?;
+        event(&test_cluster, "all agree again", TestCluster::agreed).await
     });
 }
 
 // Two of three voters are lost with all they had: what the third has becomes the beginning of all.
 #[test]
 fn a_majority_that_is_lost_for_good_has_a_way_back_and_no_token_is_given_again() {
-    played("lost", 4, 0, async |ground, place| {
-        let holder = Holder::start(&ground, DUTY, 3, &place, true);
-        acts(&ground, &place, 3).await?;
+    played("lost", 4, 0, async |test_cluster, place| {
+        let holder = Holder::start(&test_cluster, DUTY, 3, &place, true);
+        acts(&test_cluster, &place, 3).await?;
         for who in 0..3 {
-            ground.kill(who).await;
+            test_cluster.kill(who).await;
         }
-        event(&ground, "it stops by itself", |_| holder.may_act().is_none()).await?;
-        let new = ground.folder(2).join("rescued");
-        let found = pearfront_cluster::rescue(&ground.folder(2).join("voter"), &new)?;
+        event(&test_cluster, "it stops by itself", |_| holder.may_act().is_none()).await?;
+        let new = test_cluster.folder(2).join("rescued");
+        let found = pearfront_cluster::rescue(&test_cluster.folder(2).join("voter"), &new)?;
         for who in 0..3 {
-            let voter = ground.folder(who).join("voter");
+            let voter = test_cluster.folder(who).join("voter");
             let told = |error: std::io::Error| error.to_string();
             std::fs::remove_dir_all(&voter).map_err(told)?;
             std::fs::create_dir_all(&voter).map_err(told)?;
             std::fs::copy(new.join("log"), voter.join("log")).map_err(told)?;
         }
         for who in 0..3 {
-            ground.start(who, Start::Kept).await?;
+            test_cluster.start(who, Start::Kept).await?;
         }
-        event(&ground, "it acts again", |_| holder.may_act().is_some()).await?;
+        event(&test_cluster, "it acts again", |_| holder.may_act().is_some()).await?;
         holder.give_up().await;
-        let holder = Holder::start(&ground, DUTY, 3, &place, true);
+        let holder = Holder::start(&test_cluster, DUTY, 3, &place, true);
         let next = found.next_token;
-        event(&ground, "a token far above", |_| holder.may_act().is_some_and(|token| token >= next)).await?;
+        event(&test_cluster, "a token far above", |_| holder.may_act().is_some_and(|token| token >= next))
+            .await?;
         holder.end();
         Ok(())
     });
 }
 
-async fn drains(ground: &Ground, who: usize) -> bool {
-    call(ground.operators(who), "PUT", "/_lameduck/on").await.is_some()
+async fn drains(test_cluster: &TestCluster, who: usize) -> bool {
+    call(test_cluster.operators(who), "PUT", "/_lameduck/on").await.is_some()
 }
 
-async fn is_ready(ground: &Ground, who: usize) -> bool {
-    call(ground.operators(who), "GET", "/_ready").await.is_some()
+async fn is_ready(test_cluster: &TestCluster, who: usize) -> bool {
+    call(test_cluster.operators(who), "GET", "/_ready").await.is_some()
 }
 
 /// The first of these that is let drain, each asked in turn until one is.
-async fn one_drains(ground: &Ground, of: &[usize]) -> Result<usize, String> {
+async fn one_drains(test_cluster: &TestCluster, of: &[usize]) -> Result<usize, String> {
     for round in 0..600 {
         let who = of[round % of.len()];
-        if drains(ground, who).await {
+        if drains(test_cluster, who).await {
             return Ok(who);
         }
         wait(50.0).await;
@@ -333,39 +334,39 @@
 
 #[test]
 fn of_a_zone_only_one_drains_at_a_time_and_one_that_loses_its_permit_takes_jobs_again() {
-    played("drain", 4, 0, async |ground, _| {
-        let first = one_drains(&ground, &[0, 1, 2, 3]).await?;
+    played("drain", 4, 0, async |test_cluster, _| {
+        let first = one_drains(&test_cluster, &[0, 1, 2, 3]).await?;
         let others = |who: usize| (0..4).filter(|other| *other != who).collect::<Vec<_>>();
         for who in others(first) {
-            if drains(&ground, who).await || !is_ready(&ground, who).await {
+            if drains(&test_cluster, who).await || !is_ready(&test_cluster, who).await {
                 return Err(format!("n{who} drains beside n{first}"));
             }
         }
         // By force it goes without.
         let forced = others(first)[0];
         let force = "X-Force: yes\r\n";
-        call_with(ground.operators(forced), "PUT", "/_lameduck/on", force)
+        call_with(test_cluster.operators(forced), "PUT", "/_lameduck/on", force)
             .await
             .ok_or("force was refused")?;
-        call(ground.operators(forced), "PUT", "/_lameduck/off").await.ok_or("it stays away")?;
+        call(test_cluster.operators(forced), "PUT", "/_lameduck/off").await.ok_or("it stays away")?;
         // Cut off, it can't know who is away: before another may go it is back.
         let rest = others(first);
-        ground.cut(&[first], &rest);
-        ground.cut(&rest, &[first]);
-        let second = one_drains(&ground, &rest).await?;
-        if !is_ready(&ground, first).await {
+        test_cluster.cut(&[first], &rest);
+        test_cluster.cut(&rest, &[first]);
+        let second = one_drains(&test_cluster, &rest).await?;
+        if !is_ready(&test_cluster, first).await {
             return Err(format!("n{first} and n{second} are away at once"));
         }
-        ground.heal();
-        event(&ground, "all agree again", Ground::agreed).await?;
+        test_cluster.heal();
+        event(&test_cluster, "all agree again", TestCluster::agreed).await?;
         // Back by word, the next may go at once; ended, it is away for as long as a restart may take.
-        call(ground.operators(second), "PUT", "/_lameduck/off").await.ok_or("it stays away")?;
-        let third = one_drains(&ground, &others(second)).await?;
-        ground.kill(third).await;
-        let since = ground.now();
+        call(test_cluster.operators(second), "PUT", "/_lameduck/off").await.ok_or("it stays away")?;
+        let third = one_drains(&test_cluster, &others(second)).await?;
+        test_cluster.kill(third).await;
+        let since = test_cluster.now();
         let left = others(third);
-        one_drains(&ground, &left).await?;
-        let took = ground.now() - since;
+        one_drains(&test_cluster, &left).await?;
+        let took = test_cluster.now() - since;
         if took > 0.5 * AWAY { Ok(()) } else { Err(format!("the next one went {took:.0} ms after a kill")) }
     });
 }
@@ -374,18 +375,18 @@
 #[test]
 fn a_holder_that_never_looks_is_found() {
     let found = std::panic::catch_unwind(|| {
-        played("blind", 5, 0, async |ground, place| {
-            let first = Holder::start(&ground, DUTY, 3, &place, false);
-            acts(&ground, &place, 3).await?;
-            let second = Holder::start(&ground, DUTY, 4, &place, true);
-            ground.stop(3);
-            event(&ground, "the second acts", |_| place.borrow().turns.iter().any(|act| act.who == 4))
+        played("blind", 5, 0, async |test_cluster, place| {
+            let first = Holder::start(&test_cluster, DUTY, 3, &place, false);
+            acts(&test_cluster, &place, 3).await?;
+            let second = Holder::start(&test_cluster, DUTY, 4, &place, true);
+            test_cluster.stop(3);
+            event(&test_cluster, "the second acts", |_| place.borrow().turns.iter().any(|act| act.who == 4))
                 .await?;
-            event(&ground, "the first goes on acting", |_| place.borrow().refused > 0).await?;
-            ground.go_on(3);
+            event(&test_cluster, "the first goes on acting", |_| place.borrow().refused > 0).await?;
+            test_cluster.go_on(3);
             first.end();
             second.end();
-            event(&ground, "all agree again", Ground::agreed).await
+            event(&test_cluster, "all agree again", TestCluster::agreed).await
         });
     });
     assert!(found.is_err());
