--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -250,8 +250,8 @@
     headers.get(name)?.to_str().ok()
 }
 
-/// One figure of a list like `a=1,b=2`.
-fn figure(list: &str, name: &str) -> Option<f64> {
+/// One field of a list like `a=1,b=2`.
+fn field(list: &str, name: &str) -> Option<f64> {
     let mut pairs = list.split(',').filter_map(|pair| pair.split_once('='));
     finite(pairs.find(|(key, _)| key.trim() == name)?.1)
 }
@@ -417,14 +417,12 @@
     let list = text.trim().strip_prefix("TEXT").ok_or_else(|| format!("{text:.40?} is none"))?;
     let value = |name: &String| {
         let short = short_name(name);
-        figure(list, short)
-            .or_else(|| figure(list, name))
-            .ok_or_else(|| format!("no {short} in a load report"))
+        field(list, short).or_else(|| field(list, name)).ok_or_else(|| format!("no {short} in a load report"))
     };
     around.report.iter().map(value).collect()
 }
 
-/// What the protocol calls a figure of the settings.
+/// What the protocol calls a report's field that the settings name.
 fn short_name(name: &str) -> &str {
     match name {
         "utilization" => "util",
--- a/crates/pearfront-scale/src/measure/caller.rs
+++ b/crates/pearfront-scale/src/measure/caller.rs
@@ -2,7 +2,7 @@
 //! drawn by chance. Rounds come as a node has them: once something came in or a wake is due, no two closer than `ROUND`.
 
 use pearfront::interface::{
-    Address, Effect, Ending, Figure, Group, Listing, Profile, Settings, Standing, Writer,
+    Address, Effect, Ending, Group, Listing, Profile, ReportField, Settings, Standing, Writer,
 };
 use pearfront::policy::Balancer;
 use pearfront_emulator::agenda::Agenda;
@@ -52,7 +52,7 @@
         cold_multiple: 4.0,
         cold_window: 2000.0,
         further_free: f64::INFINITY,
-        report: vec![Figure::Held],
+        report: vec![ReportField::Held],
         ..Settings::default()
     }
 }
--- a/crates/pearfront-settings/src/lib.rs
+++ b/crates/pearfront-settings/src/lib.rs
@@ -3,7 +3,7 @@
 
 pub mod moving;
 
-use pearfront::interface::{Effect, Figure, Group, Profile, Settings};
+use pearfront::interface::{Effect, Group, Profile, ReportField, Settings};
 use serde_json::Value;
 
 const NS_PER_MS: f64 = 1e6;
@@ -169,7 +169,7 @@
         further_free: rules.number_or("budget_free", if rationed { 0.0 } else { f64::INFINITY })?,
         further_ratio: rules.number_or("extra_ratio", 0.0)?,
         further_span: if rationed { rules.needed("resend_span")?.above_0()? / NS_PER_MS } else { 0.0 },
-        report: top.needed("report")?.texts("fields")?.iter().map(|name| figure(name)).collect(),
+        report: top.needed("report")?.texts("fields")?.iter().map(|name| report_field(name)).collect(),
     })
 }
 
@@ -220,12 +220,12 @@
     })
 }
 
-fn figure(name: &str) -> Figure {
+fn report_field(name: &str) -> ReportField {
     match name {
-        "utilization" => Figure::Utilisation,
-        "outstanding" => Figure::Held,
-        "backlog" => Figure::Waiting,
-        _ => Figure::Other,
+        "utilization" => ReportField::Utilisation,
+        "outstanding" => ReportField::Held,
+        "backlog" => ReportField::Waiting,
+        _ => ReportField::Other,
     }
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -68,11 +68,11 @@
     pub further_ratio: f64,
     pub further_span: f64,
     /// The load report's values, in order.
-    pub report: Vec<Figure>,
+    pub report: Vec<ReportField>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Figure {
+pub enum ReportField {
     Utilisation,
     Held,
     Waiting,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,7 +6,7 @@
 //! tells what is kept, what is changed and when each exception comes into play.
 
 use crate::chance::Chance;
-use crate::interface::{Address, Effect, Ending, Figure, Group, Listing};
+use crate::interface::{Address, Effect, Ending, Group, Listing, ReportField};
 use crate::interface::{Profile, Settings, Standing, Writer};
 use crate::ring::SPAN;
 use crate::state::{Attempt, Fare, Health, Job, Recent, Server};
@@ -17,9 +17,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::{Rc, Weak};
 
-const K: f64 = 12.0; // Power of the draw: each step from 1 to 12 gained; figures within a tenth still share.
+const K: f64 = 12.0; // Power of the draw: each step from 1 to 12 gained; those within a tenth still share.
 const ALPHA: f64 = 0.5; // Share of probes with an even draw: busy entries must be seen again too.
-const FLOOR: f64 = 0.2; // Lowest figure, as a share of the table's mean (from the design page).
+const FLOOR: f64 = 0.2; // Lowest estimate, as a share of the table's mean (from the design page).
 const ACQUAINTED: f64 = 8.0; // Jobs a second to each server of the part: else it can't tell how they fare.
 const PART_LEAST: f64 = 5.0; // Servers in the part at the least: one slow one must not matter much, and
 const PART_HELD: f64 = 8.0; // where they report jobs held, which compare without a node's own learning.
@@ -29,12 +29,12 @@
 const PROBE_MOST: f64 = 0.3; // Most probes a job, where probes are almost free.
 const ASK_SPEND: f64 = 0.01; // Points that the questions before a job's draw may cost; the price gives them.
 const ASK_MOST: f64 = 5.0; // Servers asked before a draw at the most, and
-const ASK_LEAST: f64 = 2.0; // at the least: one figure compares with nothing.
+const ASK_LEAST: f64 = 2.0; // at the least: one estimate compares with nothing.
 const KEPT: usize = 2; // Servers of its part that a node must be able to ask before it goes beyond it.
 const ASK_PATIENCE: f64 = 0.05; // Share of the latency target a draw waits for answers: some are lost.
 const LAG: f64 = 1000.0; // Most, ms, that reports lag where nothing is wrong with them, and
 const DOUBT: f64 = 20_000.0; // time, ms, for which none that says idle is believed of a server that was not.
-const UNREPORTED: f64 = 1.0; // Least figure, jobs, of a busy server that gave none: others may be idle.
+const UNREPORTED: f64 = 1.0; // Least estimate, jobs, of a busy server that gave none: others may be idle.
 const STRANGER: f64 = 1.0; // Jobs that the first connection to a server is worth: its work falls on the job.
 const ASK_AGAIN_SHARE: f64 = 0.1; // Share of the latency target after which an unpromised job asks again.
 const REACH_MOST: f64 = 1.0; // Share of the time left that a server may promise to take, first and most, and
@@ -70,7 +70,7 @@
 const HOLD: f64 = 0.25; // Share of its latency target that a job waits at the most: queues here are short.
 const SURE: f64 = 3.0; // Power at which a job's worth falls where its usual duration is above the time left.
 const BACK: f64 = 0.25; // Advice when to come back, share of the latency target: soon enough to be in time.
-const ZONE_MARGIN: f64 = 26.0; // Share that raises an away server's figure for each point of crossing.
+const ZONE_MARGIN: f64 = 26.0; // Share that raises an away server's estimate for each point of crossing.
 const ASK_AGAIN: f64 = 1000.0; // First and last pause, ms, before the list is asked for again.
 
 /// Whose group a job's further attempts are held to, if any.
@@ -97,10 +97,10 @@
     ask_pause: f64,
     admitted: Vec<Recent>,
     first_attempts: Recent,
-    /// Servers that a draw asks first: between two jobs of its own a node's figures get too old to tell much.
+    /// Servers that a draw asks first: between two jobs of its own a node's estimates get too old.
     asks: usize,
     reach: f64,
-    /// Figures of the servers that jobs were drawn to.
+    /// Estimates of the servers that jobs were drawn to.
     drawn: Recent,
     endings: Recent,
     /// How each profile's jobs fare.
@@ -122,7 +122,7 @@
         let mut chance = Chance::seeded(salt);
         // All instances start alike: their first calls for the list are spread, or the service fails them.
         let next_ask = chance.0.random::<f64>() * settings.ask_within * 0.3;
-        let tells = settings.may_probe && settings.report.contains(&Figure::Held);
+        let tells = settings.may_probe && settings.report.contains(&ReportField::Held);
         let asks = (ASK_SPEND / settings.probe_price.max(1e-9)).min(ASK_MOST);
         let mut balancer = Self {
             chance,
@@ -252,19 +252,19 @@
     pub fn probe_answered(&mut self, address: Address, good: bool, report: &[f64], took: f64) {
         let Some(server) = self.known.get(&address).cloned() else { return };
         server.seen.set(self.now);
-        let highest = || self.table.iter().filter_map(|server| server.figure.get()).fold(0.0, f64::max);
+        let highest = || self.table.iter().filter_map(|server| server.estimate.get()).fold(0.0, f64::max);
         let told = self.read(report);
         // It says that it holds nothing while it has held a job of ours for longer than a report may lag.
         let idle =
-            good && self.settings.report.contains(&Figure::Held) && told.is_some_and(|held| held < IDLE);
+            good && self.settings.report.contains(&ReportField::Held) && told.is_some_and(|held| held < IDLE);
         if idle && server.out.get() > 0 && self.now - server.taken.get() > LAG {
             server.untrue.set(self.now + DOUBT);
         }
-        server.figure.set(match told {
+        server.estimate.set(match told {
             _ if !good => Some(highest()),
             // What is known to be untrue counts as unheard.
             Some(_) if idle && self.now < server.untrue.get() => None,
-            Some(figure) => Some(figure),
+            Some(estimate) => Some(estimate),
             None if self.settings.report.is_empty() => Some(took),
             // A cold one has nothing to report yet; a warm one is too busy to, and may not win traffic.
             None => (self.grown(&server) >= 1.0).then(|| highest().max(UNREPORTED)),
@@ -329,7 +329,7 @@
     /// How many servers of a zone this node draws among: as many as its own jobs let it know.
     fn part(&mut self) -> usize {
         let rate = self.first_attempts.total(self.now).0 / self.now.clamp(1000.0, SPAN) * 1000.0;
-        let held = self.asks == 0 && self.settings.report.contains(&Figure::Held);
+        let held = self.asks == 0 && self.settings.report.contains(&ReportField::Held);
         (rate / ACQUAINTED).max(if held { PART_HELD } else { PART_LEAST }).ceil() as usize
     }
 
@@ -352,20 +352,20 @@
     }
 
     fn read(&self, report: &[f64]) -> Option<f64> {
-        [Figure::Held, Figure::Utilisation, Figure::Waiting].iter().find_map(|wanted| {
-            let place = self.settings.report.iter().position(|figure| figure == wanted)?;
+        [ReportField::Held, ReportField::Utilisation, ReportField::Waiting].iter().find_map(|wanted| {
+            let place = self.settings.report.iter().position(|field| field == wanted)?;
             report.get(place).copied()
         })
     }
 
-    /// Figures of these servers: the report, or the others' mean, and a step for each own send since.
-    fn figures(&self, servers: &[Rc<Server>]) -> Vec<f64> {
-        let heard = || servers.iter().filter_map(|server| server.figure.get());
+    /// Estimates of these servers: the report, or the others' mean, and a step for each own send since.
+    fn estimates(&self, servers: &[Rc<Server>]) -> Vec<f64> {
+        let heard = || servers.iter().filter_map(|server| server.estimate.get());
         let mean = heard().sum::<f64>() / (heard().count() as f64).max(1.0);
         let step = mean.max(STEP_UNIT);
-        let counted = self.settings.report.contains(&Figure::Held);
+        let counted = self.settings.report.contains(&ReportField::Held);
         let raised = |server: &Rc<Server>| {
-            let (report, out) = (server.figure.get().unwrap_or(mean), f64::from(server.out.get()));
+            let (report, out) = (server.estimate.get().unwrap_or(mean), f64::from(server.out.get()));
             if counted {
                 // Jobs held have a size: the own ones are among them, and a cold or small server bears fewer.
                 let stranger = if server.heard.get() > 0.0 { 0.0 } else { STRANGER };
@@ -375,15 +375,15 @@
                 report + step * server.slowness.get() * (out + 1.0)
             }
         };
-        let mut figures: Vec<f64> = servers.iter().map(raised).collect();
-        let floor = FLOOR * figures.iter().sum::<f64>() / (figures.len() as f64).max(1.0);
+        let mut estimates: Vec<f64> = servers.iter().map(raised).collect();
+        let floor = FLOOR * estimates.iter().sum::<f64>() / (estimates.len() as f64).max(1.0);
         // Crossing has a price: others count as busier than home by a margin that grows with it.
         let margin = 1.0 + ZONE_MARGIN * self.settings.cross_zone_price;
-        for (figure, server) in figures.iter_mut().zip(servers) {
+        for (estimate, server) in estimates.iter_mut().zip(servers) {
             let away = server.line.get().zone != self.settings.zone;
-            *figure = figure.max(floor) * if away { margin } else { 1.0 };
+            *estimate = estimate.max(floor) * if away { margin } else { 1.0 };
         }
-        figures
+        estimates
     }
 
     fn probe(&mut self, out: &mut impl Writer) {
@@ -407,8 +407,8 @@
         if self.chance.0.random::<f64>() < ALPHA {
             return self.chance.0.random_range(0..servers.len());
         }
-        let figures = self.figures(servers);
-        (0..figures.len()).min_by(|a, b| figures[*a].total_cmp(&figures[*b])).unwrap_or(0)
+        let estimates = self.estimates(servers);
+        (0..estimates.len()).min_by(|a, b| estimates[*a].total_cmp(&estimates[*b])).unwrap_or(0)
     }
 
     /// Probes the servers that the job may be drawn to, the paper's way: even draws and lowest entries.
@@ -550,16 +550,16 @@
 
     /// What servers of this node's part report of their utilisation, if that is what they report.
     fn busy(&mut self) -> Option<f64> {
-        if self.settings.report.first() != Some(&Figure::Utilisation) {
+        if self.settings.report.first() != Some(&ReportField::Utilisation) {
             return None;
         }
         let part = self.part();
         let near = self.near(part, |_| true);
-        let figures = || near.iter().filter_map(|server| server.figure.get());
-        (figures().count() > 0).then(|| figures().sum::<f64>() / figures().count() as f64)
+        let estimates = || near.iter().filter_map(|server| server.estimate.get());
+        (estimates().count() > 0).then(|| estimates().sum::<f64>() / estimates().count() as f64)
     }
 
-    /// Failures in a row set a server aside: quick errors would otherwise win traffic by a low figure.
+    /// Failures in a row set a server aside: quick errors would otherwise win traffic by a low estimate.
     fn strike(&mut self, server: &Server, profile: usize, error: bool) {
         let now = self.now;
         let jobs = self.first_attempts.total(now).0 / now.clamp(1000.0, SPAN);
@@ -795,13 +795,13 @@
         if !first && (self.is_own_fault(job) || !self.may_go_again(further)) {
             return false;
         }
-        let Some((server, figure)) = self.draw(job, group) else { return false };
-        // Share of the job's time left that a server of this figure will take, by what recent ones took.
+        let Some((server, estimate)) = self.draw(job, group) else { return false };
+        // Share of the job's time left that a server of this estimate will take, by what recent ones took.
         let left = (job.arrived.get() + self.profile(job).latency_target - self.now).max(f64::MIN_POSITIVE);
-        let promise = self.usual(job) * figure / self.drawn.mean_beside(self.now, 1.0, 1.0) / left;
+        let promise = self.usual(job) * estimate / self.drawn.mean_beside(self.now, 1.0, 1.0) / left;
         // What room there is under overload is for the better ones.
         let power = worth.map(|worth| if self.is_better(worth) { BETTER } else { OTHERS });
-        let idle = server.figure.get().is_some_and(|held| held < IDLE);
+        let idle = server.estimate.get().is_some_and(|held| held < IDLE);
         if power.is_some_and(|power| !idle && promise >= self.reach.powf(power)) {
             return false;
         }
@@ -815,7 +815,7 @@
             self.further.add(self.now, f64::from(u8::from(further)));
             self.rationed.add(self.now, 1.0);
         }
-        self.drawn.add(self.now, figure);
+        self.drawn.add(self.now, estimate);
         if server.out.replace(server.out.get() + 1) == 0 {
             server.taken.set(self.now);
         }
@@ -857,13 +857,13 @@
             let multiple = (self.settings.cold_multiple - 1.0).max(0.0) * COLD_PART;
             let most = multiple * self.settings.cold_window / self.usual(job);
             let least = |server: &Rc<Server>| (most * self.grown(server)).max(1.0);
-            let bears = |server: &Rc<Server>| server.figure.get().unwrap_or(0.0) < least(server);
+            let bears = |server: &Rc<Server>| server.estimate.get().unwrap_or(0.0) < least(server);
             open.retain(|server| self.grown(server) >= 1.0 || bears(server));
         }
-        let figures = self.figures(&open);
-        let weights = WeightedIndex::new(figures.iter().map(|figure| figure.powf(-K)));
+        let estimates = self.estimates(&open);
+        let weights = WeightedIndex::new(estimates.iter().map(|estimate| estimate.powf(-K)));
         let place = weights.ok()?.sample(&mut self.chance.0);
-        Some((open.get(place)?.clone(), figures[place]))
+        Some((open.get(place)?.clone(), estimates[place]))
     }
 
     /// The servers of this node's part that may have the job.
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,7 +16,7 @@
     pub(crate) place: f64,
     pub(crate) started: Cell<f64>,
     /// The load table's entry: the last report, if any.
-    pub(crate) figure: Cell<Option<f64>>,
+    pub(crate) estimate: Cell<Option<f64>>,
     /// When it was last probed, and when it last answered that.
     pub(crate) probed: Cell<f64>,
     pub(crate) seen: Cell<f64>,
@@ -141,7 +141,7 @@
     /// A new start: nothing known of it holds, and it is cold.
     pub(crate) fn restarted(&self, at: f64, now: f64) {
         self.started.set(at);
-        self.figure.set(None);
+        self.estimate.set(None);
         self.health.borrow().iter().for_each(|health| health.strikes.set(0));
         self.cold_credit.set(0.0);
         self.credit_at.set(now);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Plays the text files in `scenarios/`; the notation is told in `scenarios/README.md`.
 
 use pearfront::interface::{
-    Address, Effect, Ending, Figure, Group, Listing, Profile, Settings, Standing, Writer,
+    Address, Effect, Ending, Group, Listing, Profile, ReportField, Settings, Standing, Writer,
 };
 use pearfront::policy::Balancer;
 use std::collections::BTreeMap;
@@ -106,7 +106,7 @@
             "siblings" => settings.siblings = value,
             "cross" => settings.cross_zone_price = value,
             "probes" => settings.may_probe = value > 0.0,
-            "held" => settings.report = vec![Figure::Held],
+            "held" => settings.report = vec![ReportField::Held],
             "price" => (settings.may_probe, settings.probe_price) = (true, value),
             "last-tier" => settings.last_tier = value > 0.0,
             "further-free" => (settings.further_free, settings.further_span) = (value, 5000.0),
@@ -415,7 +415,7 @@
         further_free: f64::INFINITY,
         further_ratio: 0.0,
         further_span: 0.0,
-        report: vec![Figure::Utilisation],
+        report: vec![ReportField::Utilisation],
     }
 }
 
@@ -430,8 +430,8 @@
 #[test_case("cold"; "a cold server gets its part only")]
 #[test_case("draw"; "chance follows the inverse power of the figures")]
 #[test_case("floor"; "a figure of zero counts as a fifth of the mean")]
-#[test_case("step"; "own attempts out raise a figure")]
-#[test_case("failed-probe"; "a failed probe writes the highest figure")]
+#[test_case("step"; "own attempts out raise a load estimate")]
+#[test_case("failed-probe"; "a failed probe writes the highest load estimate")]
 #[test_case("probe-targets"; "probes go to the lowest entry and evenly")]
 #[test_case("empty-table"; "with an empty table a job waits")]
 #[test_case("quick-errors"; "failures in a row set a server aside")]
