--- a/crates/pearfront-emulator/src/scenario.rs
+++ b/crates/pearfront-emulator/src/scenario.rs
@@ -740,6 +740,28 @@
     }
 }
 
+/// Words of scenario files that have been renamed: what is told beside the parser's own word.
+const RENAMED: [(&str, &str); 6] = [
+    ("most_shots", "most_attempts"),
+    ("contract_ms", "latency_target_ms"),
+    ("limit_ms", "deadline_ms"),
+    ("redoable", "idempotent"),
+    ("labelled", "keyed"),
+    ("irreversible", "non-idempotent"),
+];
+
+/// What the parser says, and the new name where an old one stands there.
+fn with_new_name(what: String) -> String {
+    let unknown = |old: &str| {
+        what.starts_with(&format!("unknown field `{old}`"))
+            || what.starts_with(&format!("unknown variant `{old}`"))
+    };
+    match RENAMED.iter().find(|(old, _)| unknown(old)) {
+        Some((old, new)) => format!("`{old}` is `{new}` now"),
+        None => what,
+    }
+}
+
 /// Reads and checks a file's text; the first mistake is told with its key and line.
 pub(crate) fn read<T: DeserializeOwned>(
     text: &str,
@@ -749,7 +771,7 @@
     let mistake = |path: String, error: &toml::de::Error| Mistake {
         key: if path == "." { "file".into() } else { path },
         line: error.span().map_or(1, |span| line_at(span.start)),
-        what: error.message().replace('\n', ", "),
+        what: with_new_name(error.message().replace('\n', ", ")),
     };
     let reader = toml::Deserializer::parse(text).map_err(|error| mistake("file".into(), &error))?;
     let scenario: T = serde_path_to_error::deserialize(reader)
--- a/crates/pearfront-emulator/src/scenario/tests.rs
+++ b/crates/pearfront-emulator/src/scenario/tests.rs
@@ -43,3 +43,13 @@
     assert_eq!([0.0, 10.0, 15.0, 20.0, 99.0].map(|at| rate.at(at)), [100.0, 100.0, 200.0, 300.0, 300.0]);
     assert_eq!(rate.most(), 300.0);
 }
+
+#[test_case("[nodes]", "[nodes]\nmost_shots = 3", "nodes.most_shots | `most_shots` is `most_attempts` now"; "attempts")]
+#[test_case("latency_target_ms = 400", "contract_ms = 400", "profiles[0].contract_ms | `contract_ms` is `latency_target_ms` now"; "latency target")]
+#[test_case("deadline_ms = 1500", "limit_ms = 1500", "profiles[0].limit_ms | `limit_ms` is `deadline_ms` now"; "deadline")]
+#[test_case("effect = \"idempotent\"", "effect = \"redoable\"", "profiles[0].effect | `redoable` is `idempotent` now"; "idempotent")]
+#[test_case("effect = \"keyed\"", "effect = \"labelled\"", "profiles[1].effect | `labelled` is `keyed` now"; "keyed")]
+#[test_case("effect = \"non-idempotent\"", "effect = \"irreversible\"", "profiles[2].effect | `irreversible` is `non-idempotent` now"; "non idempotent")]
+fn an_old_word_is_refused_with_the_new_one(was: &str, is: &str, told: &str) {
+    assert_eq!(changed(was, is), told);
+}
