One piece of code for messages between processes as bytes with a sum in front

The core of distribution had its own copy of what duties had, and the log a third with another type: `encode`, `decode` and `Bounded`, line for line. They are `pearfront-codec` now; the three crates keep their names for it. Bytes, bounds and what is refused are as they were, and no assertion is changed: one test file names where it takes the two functions from.

--- a/crates/pearfront-consensus/src/message.rs
+++ b/crates/pearfront-consensus/src/message.rs
@@ -81,21 +81,13 @@
 impl Message {
     /// Its bytes, with a sum in front.
     pub fn encode(&self) -> Vec<u8> {
-        let body = postcard::to_stdvec(self).unwrap_or_default();
-        let mut bytes = crc32c::crc32c(&body).to_le_bytes().to_vec();
-        bytes.extend(body);
-        bytes
+        pearfront_codec::encode(self)
     }
 }
 
 /// A message from its bytes; none if they are not one, whole.
 pub fn decode(bytes: &[u8]) -> Option<Message> {
-    let (sum, body) = bytes.split_first_chunk::<4>()?;
-    if crc32c::crc32c(body) != u32::from_le_bytes(*sum) {
-        return None;
-    }
-    let (message, left): (Message, _) = postcard::take_from_bytes(body).ok()?;
-    left.is_empty().then_some(message)
+    pearfront_codec::decode(bytes)
 }
 
 /// What a voter keeps on disk, in this order; later ones count.
--- a/crates/pearfront-distribute/src/distributor.rs
+++ b/crates/pearfront-distribute/src/distributor.rs
@@ -3,11 +3,10 @@
 
 use crate::catalog::Catalog;
 use crate::dial::{Dial, Peer, Step, order};
-use crate::message::{
-    FromVoter, Line, No, Report, ToDistributor, ToSubscriber, ToVoter, Update, Who, encode,
-};
+use crate::message::{FromVoter, Line, No, Report, ToDistributor, ToSubscriber, ToVoter, Update, Who};
 use crate::service::ChangeSet;
 use crate::times::{MOST_SUBSCRIBERS, SETS_AT_ONCE, Times};
+use pearfront_codec::encode;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/pearfront-distribute/src/lib.rs
+++ b/crates/pearfront-distribute/src/lib.rs
@@ -22,9 +22,8 @@
 pub use dial::{Peer, order};
 pub use distributor::{Counts, Distributor, Out as DistributorOut};
 pub use form::parse;
-pub use message::{
-    FromVoter, Line, No, Report, ToDistributor, ToSubscriber, ToVoter, Update, View, Who, decode, encode,
-};
+pub use message::{FromVoter, Line, No, Report, ToDistributor, ToSubscriber, ToVoter, Update, View, Who};
+pub use pearfront_codec::{decode_bounded as decode, encode};
 pub use pieces::{Assembler, split};
 pub use registry::{Out as RegistryOut, Registry};
 pub use service::{
--- a/crates/pearfront-distribute/src/message.rs
+++ b/crates/pearfront-distribute/src/message.rs
@@ -4,7 +4,7 @@
 use crate::service::{ChangeSet, Restriction, ServiceUpdate};
 use crate::tally::Lag;
 use crate::times::{LONGEST_NAME, LONGEST_REASON, MOST_INTERESTS};
-use serde::de::DeserializeOwned;
+use pearfront_codec::Bounded;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -186,28 +186,6 @@
     View(View),
 }
 
-/// Bytes of a message, with a sum in front.
-pub fn encode(message: &impl Serialize) -> Vec<u8> {
-    let body = postcard::to_stdvec(message).unwrap_or_default();
-    let mut bytes = crc32c::crc32c(&body).to_le_bytes().to_vec();
-    bytes.extend(body);
-    bytes
-}
-
-/// A message of that kind from its bytes; none if they are not one, whole and within bounds.
-pub fn decode<T: DeserializeOwned + Bounded>(bytes: &[u8]) -> Option<T> {
-    let (sum, body) = bytes.split_first_chunk::<4>()?;
-    if crc32c::crc32c(body) != u32::from_le_bytes(*sum) {
-        return None;
-    }
-    let (message, left): (T, _) = postcard::take_from_bytes(body).ok()?;
-    (left.is_empty() && message.is_bounded()).then_some(message)
-}
-
-pub trait Bounded {
-    fn is_bounded(&self) -> bool;
-}
-
 fn is_name(name: &str) -> bool {
     (1..=LONGEST_NAME).contains(&name.len())
 }
--- a/crates/pearfront-duties/src/lib.rs
+++ b/crates/pearfront-duties/src/lib.rs
@@ -13,8 +13,7 @@
 
 pub use agent::{Agent, Out as AgentOut, Why};
 pub use desk::{Desk, Out as DeskOut};
-pub use message::{
-    Answer, Ask, Held, Listed, Order, Over, Standing, Taken, Told, Waits, Want, decode, encode,
-};
+pub use message::{Answer, Ask, Held, Listed, Order, Over, Standing, Taken, Told, Waits, Want};
+pub use pearfront_codec::{decode_bounded as decode, encode};
 pub use state::{Change, Command, Duties, Duty, Entry, Grantee, Holder, Ran, Who};
 pub use times::{MOST_DUTIES, MOST_WANTS, SHARE, Times};
--- a/crates/pearfront-duties/src/message.rs
+++ b/crates/pearfront-duties/src/message.rs
@@ -2,7 +2,7 @@
 
 use crate::state::Who;
 use crate::times::{LEASE, LONGEST_NAME, MOST_HOLDERS, MOST_WANTS};
-use serde::de::DeserializeOwned;
+use pearfront_codec::Bounded;
 use serde::{Deserialize, Serialize};
 
 /// How well placed one is for a duty; lower is better, the first difference decides, then the name.
@@ -115,28 +115,6 @@
     pub answer: Answer,
 }
 
-/// Bytes of a message, with a sum in front.
-pub fn encode(message: &impl Serialize) -> Vec<u8> {
-    let body = postcard::to_stdvec(message).unwrap_or_default();
-    let mut bytes = crc32c::crc32c(&body).to_le_bytes().to_vec();
-    bytes.extend(body);
-    bytes
-}
-
-/// A message of that kind from its bytes; none if they are not one, whole and within bounds.
-pub fn decode<T: DeserializeOwned + Bounded>(bytes: &[u8]) -> Option<T> {
-    let (sum, body) = bytes.split_first_chunk::<4>()?;
-    if crc32c::crc32c(body) != u32::from_le_bytes(*sum) {
-        return None;
-    }
-    let (message, left): (T, _) = postcard::take_from_bytes(body).ok()?;
-    (left.is_empty() && message.is_bounded()).then_some(message)
-}
-
-pub trait Bounded {
-    fn is_bounded(&self) -> bool;
-}
-
 fn named(name: &str) -> bool {
     (1..=LONGEST_NAME).contains(&name.len())
 }
--- a/crates/pearfront-duties/src/message/tests.rs
+++ b/crates/pearfront-duties/src/message/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::{decode, encode};
 
 fn ask() -> Ask {
     let want = Want {
