--- a/crates/pearfront-cli/src/soak.rs
+++ b/crates/pearfront-cli/src/soak.rs
@@ -23,6 +23,9 @@
     /// The first of them.
     #[arg(long, default_value_t = 1)]
     first: u64,
+    /// A seed to leave out; may be given again.
+    #[arg(long)]
+    without: Vec<u64>,
     /// Length of a play, seconds.
     #[arg(long, default_value_t = 25.0)]
     seconds: f64,
@@ -79,7 +82,8 @@
 
     /// Plays all seeds; of how many a rule was broken.
     fn play_all(&self, setup: impl Fn(u64) -> Setup) -> Result<usize, Trouble> {
-        let seeds: Vec<u64> = (self.first..self.first + self.seeds).collect();
+        let seeds = self.first..self.first + self.seeds;
+        let seeds: Vec<u64> = seeds.filter(|seed| !self.without.contains(seed)).collect();
         let mut broken = 0;
         for beside in seeds.chunks(self.beside as usize) {
             let playing: Vec<_> = beside
