Count answers that come too late or never, with a line why

Until now nothing in the node said when a request's last byte came where it stood behind others on its connection, and nothing counted an answer that came behind its time. No behaviour is changed.

--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -231,6 +231,11 @@
         }
     }
 
+    /// Requests that were read and have no answer, of all callers.
+    pub fn unanswered(&self) -> usize {
+        self.callers.borrow().values().map(|caller| caller.unanswered()).sum()
+    }
+
     pub fn has_callers(&self) -> bool {
         !self.callers.borrow().is_empty()
     }
@@ -284,6 +289,12 @@
         !self.busy.get()
     }
 
+    /// Requests that were read whole on it and have no answer; one whose answer is on its way has.
+    pub fn unanswered(&self) -> usize {
+        let is_owed = self.busy.get() && !self.flowing.get() && self.wire.came().is_some();
+        self.wire.waiting() + usize::from(is_owed)
+    }
+
     /// Idle, and if it has brought nothing yet, not just opened: its first job may be on the way. Whoever closes it
     /// looks for unread bytes as well, which are a job that will be read in a moment.
     fn can_be_spared(&self) -> bool {
--- a/crates/pearfront-node/src/book.rs
+++ b/crates/pearfront-node/src/book.rs
@@ -51,6 +51,8 @@
     turned_down,
     client_left,
     answer_unsent,
+    answers_late,
+    answers_never,
     attempts,
     connections,
     connections_reused,
--- /dev/null
+++ b/crates/pearfront-node/src/framing/tests.rs
@@ -0,0 +1,60 @@
+use super::*;
+use test_case::test_case;
+
+// What hyper does not tell of a head decides whether its body may hide a job: in whatever pieces it is read, and
+// whatever came before it.
+#[test_case("GET /a HTTP/1.1\r\nHost: b\r\n\r\n", &[false], false; "no length")]
+#[test_case("\r\n\r\nPOST /a HTTP/1.1\r\nCONTENT-Length:1\r\n\r\n1", &[true], false; "behind empty lines")]
+#[test_case("POST /a HTTP/1.1\nContent-Length: 1\nTe: x\n\n1", &[true], false; "line feeds alone")]
+#[test_case("POST /a HTTP/1.1\r\nX-Content-Length: 1\r\n\r\ncontent-length:", &[false], true; "only like one")]
+#[test_case("POST /a HTTP/1.1\r\nContent-Length: 1\r\n", &[], true; "half a head")]
+#[test_case("POST /a HTTP/1.1\r\nContent-Length: 4\r\n\r\n\r\n\r\nGET /b HTTP/1.1\r\n\r\nG", &[true, false], true; "a body like an end of head")]
+#[test_case("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nA;x=\"y\"\r\ncontent-le\r\n0\r\nContent-Length: 3\r\n\r\nPOST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n", &[false, true], false; "chunks with extensions and trailers")]
+#[test_case("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\nGET /b", &[true], true; "both")]
+fn heads_and_what_follows_them(text: &str, lengths: &[bool], half: bool) {
+    for piece in [1, 3, text.len()] {
+        let mut framing = Framing::default();
+        text.as_bytes().chunks(piece).for_each(|part| framing.read(part, Instant::now()));
+        let seen: Vec<bool> = framing.waiting.iter().map(|request| request.has_length).collect();
+        assert_eq!((seen.as_slice(), framing.in_head()), (lengths, half), "in pieces of {piece}");
+    }
+}
+
+// A length that hyper reads and this does not: what follows may hide a job in its body, and is not taken for safe.
+#[test]
+fn a_head_that_was_not_seen_may_have_a_length() {
+    let padded = format!("POST /a HTTP/1.1\r\nContent-Length:{:300}1\r\n\r\n1", "");
+    let mut framing = Framing::default();
+    framing.read(padded.as_bytes(), Instant::now());
+    let next = b"POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n";
+    framing.read(next, Instant::now());
+    assert!(framing.hand_out().has_length && framing.hand_out().has_length);
+}
+
+// A request has come with its last byte, whether it was handed out before or after that, and in whatever pieces.
+#[test_case("GET /a HTTP/1.1\r\n\r\n"; "no body")]
+#[test_case("POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"; "a length")]
+#[test_case("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: 1\r\n\r\n"; "chunks")]
+fn a_request_has_come_with_its_last_byte(text: &str) {
+    let begun = Instant::now();
+    let at = |ms| begun + std::time::Duration::from_millis(ms);
+    for handed_out_early in [false, true] {
+        let mut framing = Framing::default();
+        let (first, last) = text.as_bytes().split_at(text.len() - 1);
+        framing.read(first, at(1));
+        let early = handed_out_early && framing.has_waiting();
+        if early {
+            assert_eq!(framing.hand_out().came, None);
+        }
+        assert_eq!((framing.waiting(), framing.came()), (0, None));
+        framing.read(&[last, text.as_bytes()].concat(), at(2));
+        framing.read(text.as_bytes(), at(3));
+        if !early {
+            assert_eq!(framing.hand_out().came, Some(at(2)));
+        }
+        assert_eq!((framing.came(), framing.waiting()), (Some(at(2)), 2));
+        let rest = [framing.hand_out(), framing.hand_out()];
+        assert_eq!(rest.map(|request| request.came), [Some(at(2)), Some(at(3))]);
+        assert!(framing.is_between_requests() && !framing.has_waiting());
+    }
+}
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -2,12 +2,15 @@
 
 mod admin;
 mod admit;
+mod arrival;
 mod book;
 mod config;
 mod confirm;
+mod deadline;
 mod dial;
 mod discovery;
 mod flow;
+mod framing;
 mod guard;
 mod handover;
 mod inherited;
@@ -160,6 +163,7 @@
     take_in.accept(listener, ended).await;
     if timeout_at(clock.at(last.get()), take_in.finish()).await.is_err() {
         log::warn!("ended with {} jobs unanswered", take_in.room.jobs());
+        take_in.never_answered("the process ends");
         take_in.route.guard.end(take_in.room.jobs());
     }
     log::info!("{book} {}{}", take_in.room, beside(cluster.as_ref()));
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -77,6 +77,10 @@
         Pulse::start(self.start)
     }
 
+    pub fn time_of(&self, instant: Instant) -> f64 {
+        instant.saturating_duration_since(self.start).as_secs_f64() * 1000.0
+    }
+
     pub fn at(&self, time: f64) -> Instant {
         self.start + ms(time.clamp(0.0, NEVER))
     }
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -3,6 +3,7 @@
 
 use crate::admit::{Caller, Place, Room, Share};
 use crate::book::Book;
+use crate::deadline::{Answered, Overdue};
 use crate::flow::{self, Broken, MOST, MOST_WHOLE, Piece, Start};
 use crate::lifecycle::Lifecycle;
 use crate::logger::Seldom;
@@ -49,6 +50,7 @@
     terms: Rc<InForce>,
     book: Rc<Book>,
     life: Rc<Lifecycle>,
+    overdue: Overdue,
     malformed: Seldom,
     crowded: Seldom,
     accepting: Seldom,
@@ -68,6 +70,7 @@
             room,
             senders,
             terms,
+            overdue: Overdue::new(book.clone()),
             book,
             life,
             malformed: Seldom::default(),
@@ -175,6 +178,9 @@
         };
         if why != "stalled" {
             self.route.guard.close(&caller, why);
+            if !wire.has_ended() {
+                self.overdue.never(caller.unanswered(), &format!("their connection {why}"));
+            }
         }
         self.room.leave(number);
     }
@@ -195,8 +201,8 @@
 
     async fn call(&self, caller: &Caller, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
         let (head, body) = request.into_parts();
-        let lengths = caller.wire.next_may_have_length();
-        let call = message::decode_call(head, &self.terms.now(), lengths);
+        let has_length = caller.wire.hand_out().has_length;
+        let call = message::decode_call(head, &self.terms.now(), has_length);
         let problem = match call {
             Ok(Call::Up) => return Ok(message::encode_up(self.life.is_ready())),
             Ok(Call::Job(job)) => match self.job(caller, *job, body).await {
@@ -221,8 +227,24 @@
         message::encode_malformed(problem)
     }
 
-    /// The answer to a job, or what is wrong with its body.
-    async fn job(&self, caller: &Caller, mut job: Job, body: Incoming) -> Result<Response<Body>, Problem> {
+    /// The answer to a job, or what is wrong with its body; counted if it is too late.
+    async fn job(&self, caller: &Caller, job: Job, body: Incoming) -> Result<Response<Body>, Problem> {
+        let (id, time, turn) = (job.id().clone(), job.left, self.route.clock.now());
+        let answer = self.exchange(caller, job, body).await?;
+        if let Some(came) = caller.wire.came() {
+            let (status, answered) = (answer.status(), self.route.clock.now());
+            let came = self.route.clock.time_of(came);
+            self.overdue.answered(&Answered { id, status, came, turn, answered, time });
+        }
+        Ok(answer)
+    }
+
+    async fn exchange(
+        &self,
+        caller: &Caller,
+        mut job: Job,
+        body: Incoming,
+    ) -> Result<Response<Body>, Problem> {
         let length = body.size_hint().exact();
         let kept = length.map_or(MOST_WHOLE, |length| MOST_WHOLE.min(length as usize));
         let share = self.room.job(kept);
@@ -297,6 +319,11 @@
         }
     }
 
+    /// The process ends: what has been read and has no answer gets none.
+    pub fn never_answered(&self, why: &str) {
+        self.overdue.never(self.room.unanswered(), why);
+    }
+
     /// Closes idle callers and waits until the last has its answer.
     pub async fn finish(&self) {
         while self.room.has_callers() {
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -2,10 +2,11 @@
 //! the other side has something for us. No other file touches a connection's bytes.
 
 use crate::admit::Place;
+use crate::arrival::Arrival;
+use crate::framing::{Framing, ReadRequest};
 use crate::system::{is_interrupted, is_transient};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
@@ -14,122 +15,17 @@
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Bytes read at a time: heads are a few hundred, most bodies a few thousand.
 const CHUNK: usize = 8 * 1024;
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
 /// How a body in chunks ends.
 const END_OF_CHUNKS: &[u8] = b"0\r\n\r\n";
-const LENGTH: &[u8] = b"content-length:";
-const CODING: &[u8] = b"transfer-encoding:";
-/// So much of a line is looked at.
-const MOST_LINE: usize = 256;
 /// Longest time and most bytes for which a connection that was answered early is read on.
 const LINGER: Duration = Duration::from_millis(500);
 const MOST_LINGER: usize = 1024 * 1024;
 
-/// Where in a caller's messages the bytes that come next stand.
-#[derive(Default, Clone, Copy, PartialEq, Eq, Debug)]
-enum Part {
-    #[default]
-    Head,
-    /// In a body of which so many bytes are left.
-    Body(u64),
-    /// In the line that tells a chunk's size, in a chunk, in the line end behind it, in the lines behind the last.
-    Size,
-    Chunk(u64),
-    ChunkEnd,
-    Trailers,
-}
-
-/// Follows a caller's messages to their ends. It tells what hyper does not: whether a head is half here, and whether
-/// one names a length beside chunks, also of messages that come behind one another without a wait.
-#[derive(Default)]
-struct Messages {
-    part: Part,
-    begun: bool,
-    /// The beginning of the current line, in lower case.
-    line: Vec<u8>,
-    length: Option<u64>,
-    chunked: bool,
-    /// For each whole head that nobody has asked for yet: did it name a length?
-    heads: VecDeque<bool>,
-}
-
-impl Messages {
-    fn read(&mut self, mut bytes: &[u8]) {
-        while !bytes.is_empty() {
-            bytes = match self.part {
-                Part::Body(left) => self.skip(bytes, left, Part::Body, Part::Head),
-                Part::Chunk(left) => self.skip(bytes, left, Part::Chunk, Part::ChunkEnd),
-                _ => self.line(bytes),
-            };
-        }
-    }
-
-    fn skip<'a>(&mut self, bytes: &'a [u8], left: u64, within: impl Fn(u64) -> Part, then: Part) -> &'a [u8] {
-        let count = left.min(bytes.len() as u64);
-        self.part = if count == left { then } else { within(left - count) };
-        &bytes[count as usize..]
-    }
-
-    /// Lines end with a line feed, with or without a return before it.
-    fn line<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
-        let end = bytes.iter().position(|byte| *byte == b'\n');
-        let (now, rest) = bytes.split_at(end.map_or(bytes.len(), |end| end + 1));
-        let text = now.iter().filter(|byte| !matches!(byte, b'\r' | b'\n')).map(u8::to_ascii_lowercase);
-        self.line.extend(text.take(MOST_LINE - self.line.len()));
-        self.begun |= self.part == Part::Head && !self.line.is_empty();
-        if end.is_some() {
-            let line = std::mem::take(&mut self.line);
-            self.line_over(&line);
-        }
-        rest
-    }
-
-    fn line_over(&mut self, line: &[u8]) {
-        self.part = match self.part {
-            Part::Head if line.is_empty() && self.begun => return self.head_over(),
-            Part::Head => {
-                let value = |name: &[u8]| line.strip_prefix(name).map(|value| value.trim_ascii());
-                if let Some(length) = value(LENGTH) {
-                    self.length = Some(number(length, 10));
-                }
-                self.chunked |= value(CODING).is_some_and(|coding| coding.ends_with(b"chunked"));
-                return;
-            }
-            Part::Size => match number(line.split(|byte| *byte == b';').next().unwrap_or_default(), 16) {
-                0 => Part::Trailers,
-                size => Part::Chunk(size),
-            },
-            Part::Trailers if line.is_empty() => Part::Head,
-            Part::ChunkEnd => Part::Size,
-            other => other,
-        };
-    }
-
-    fn next_may_have_length(&mut self) -> bool {
-        self.heads.pop_front() != Some(false)
-    }
-
-    fn head_over(&mut self) {
-        self.heads.push_back(self.length.is_some());
-        self.part = match self.length.take() {
-            _ if self.chunked => Part::Size,
-            Some(length) if length > 0 => Part::Body(length),
-            _ => Part::Head,
-        };
-        (self.begun, self.chunked) = (false, false);
-    }
-}
-
-/// What can't be read ends its connection in hyper: here it only must not be 0.
-fn number(text: &[u8], radix: u32) -> u64 {
-    let text = std::str::from_utf8(text).unwrap_or_default();
-    u64::from_str_radix(text.trim(), radix).unwrap_or(u64::MAX)
-}
-
 /// What a message needs to be written: asked right before its first byte, and told right behind it.
 pub trait WritePermit {
     fn may_write(&self) -> bool;
@@ -156,7 +52,8 @@
     /// Was nothing of it written, as it was not allowed any more?
     withheld: Cell<bool>,
     /// What a caller sends; nothing on a connection to a server.
-    messages: Option<RefCell<Messages>>,
+    framing: Option<RefCell<Framing>>,
+    arrival: Arrival,
     _place: Place,
 }
 
@@ -170,7 +67,7 @@
         Self::new(stream, place, None)
     }
 
-    fn new(stream: TcpStream, place: Place, messages: Option<RefCell<Messages>>) -> Rc<Self> {
+    fn new(stream: TcpStream, place: Place, framing: Option<RefCell<Framing>>) -> Rc<Self> {
         if let Err(error) = stream.set_nodelay(true) {
             log::warn!("a connection stays slow, nodelay was refused: {error}");
         }
@@ -185,7 +82,8 @@
             answered: Cell::new(false),
             permit: RefCell::default(),
             withheld: Cell::new(false),
-            messages,
+            framing,
+            arrival: Arrival::since(Instant::now()),
             _place: place,
         })
     }
@@ -250,20 +148,44 @@
         self.tail.set(tail);
     }
 
+    fn note_read(&self, bytes: &[u8]) {
+        self.answered.set(self.answered.get() || !bytes.is_empty());
+        self.moved.set(self.moved.get() + bytes.len());
+        self.framed(|framing| {
+            // Between requests any byte may be the last.
+            self.arrival.read(Instant::now(), bytes.len(), framing.body_left());
+            framing.read(bytes, self.arrival.earliest());
+        });
+    }
+
     /// Has the other side begun to answer what was written last?
     pub fn has_begun(&self) -> bool {
         self.answered.get()
     }
 
+    /// Asks of the requests that a caller sends.
+    fn framed<T>(&self, ask: impl FnOnce(&mut Framing) -> T) -> Option<T> {
+        self.framing.as_ref().map(|framing| ask(&mut framing.borrow_mut()))
+    }
+
     /// Has the caller begun a head and not ended it?
     pub fn in_head(&self) -> bool {
-        self.messages.as_ref().is_some_and(|messages| messages.borrow().begun)
+        self.framed(|framing| framing.in_head()).unwrap_or_default()
     }
 
-    /// May the next head that hyper hands out have named a length? Asked once for each. One that was not seen, as
-    /// what came before it was read otherwise than by hyper, may have.
-    pub fn next_may_have_length(&self) -> bool {
-        self.messages.as_ref().is_some_and(|messages| messages.borrow_mut().next_may_have_length())
+    /// The next request of a caller is handed out by hyper. Asked once for each.
+    pub fn hand_out(&self) -> ReadRequest {
+        self.framed(Framing::hand_out).unwrap_or_default()
+    }
+
+    /// When the last byte of the request that was handed out last came, if that has been read.
+    pub fn came(&self) -> Option<Instant> {
+        self.framed(|framing| framing.came()).flatten()
+    }
+
+    /// Requests of the caller that were read whole and not handed out.
+    pub fn waiting(&self) -> usize {
+        self.framed(|framing| framing.waiting()).unwrap_or_default()
     }
 
     /// Ends the sending, and reads what still comes for a moment: closed with bytes unread, the kernel would tell
@@ -337,15 +259,15 @@
         let mut chunk = [0; CHUNK];
         let most = to.remaining().min(CHUNK);
         loop {
-            ready!(self.0.stream.poll_read_ready(context))?;
+            let Poll::Ready(is_ready) = self.0.stream.poll_read_ready(context) else {
+                self.0.arrival.found_nothing();
+                return Poll::Pending;
+            };
+            is_ready?;
             match self.0.stream.try_read(&mut chunk[..most]) {
                 Ok(count) => {
                     to.put_slice(&chunk[..count]);
-                    if let Some(messages) = &self.0.messages {
-                        messages.borrow_mut().read(&chunk[..count]);
-                    }
-                    self.0.answered.set(self.0.answered.get() || count > 0);
-                    self.0.moved.set(self.0.moved.get() + count);
+                    self.0.note_read(&chunk[..count]);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock || is_interrupted(&error) => {}
