Failing test: a large body that is not taken has its answer in time

What callers saw: a request of 0.6 s whose body is over 64 KiB, written whole, and that no server takes (none is listed, or one that hangs) is never answered: 0 answers after 1.1 s in the test, none after 20 s in a play by hand. A client that brings its body slowly has its whole time from its last byte on: that passes, and has to go on.

--- /dev/null
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -0,0 +1,116 @@
+//! A request's time counts from its last byte, and its answer is due by its end, whatever it waits for meanwhile.
+
+use crate::stand_ins::{Act, Caller, Node, Server, config, head, in_time};
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// How long the clients here wait, and how much later an answer is lost.
+const TIME: Duration = Duration::from_millis(600);
+const LOST_AFTER: Duration = Duration::from_millis(500);
+/// More than is kept whole of a body or an answer.
+const LARGE: usize = 300_000;
+/// More than the kernels keep between a node and a server that reads nothing, and less than with those before the node.
+const HUGE: usize = 6 * 1024 * 1024;
+
+/// Waits for the end of what comes, at the most for so long; what came, and whether it ended.
+fn all_within(stream: &TcpStream, time: Duration) -> (Vec<u8>, bool) {
+    let (until, mut all, mut chunk) = (Instant::now() + time, Vec::new(), vec![0; 64 * 1024]);
+    while let left = until.saturating_duration_since(Instant::now())
+        && !left.is_zero()
+    {
+        stream.set_read_timeout(Some(left)).unwrap();
+        match (&mut &*stream).read(&mut chunk) {
+            Ok(0) => return (all, true),
+            Ok(count) => all.extend_from_slice(&chunk[..count]),
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => return (all, true),
+        }
+    }
+    (all, false)
+}
+
+/// Are there so many answers by then?
+fn answered_within(stream: &TcpStream, count: usize, time: Duration) -> Result<(), String> {
+    let answers = |bytes: &[u8]| String::from_utf8_lossy(bytes).matches("HTTP/1.1 ").count();
+    let begun = Instant::now();
+    let mut all = Vec::new();
+    loop {
+        let left = time.saturating_sub(begun.elapsed());
+        if left.is_zero() {
+            return Err(format!("{} of {count} answers after {time:?}", answers(&all)));
+        }
+        let (more, ended) = all_within(stream, left.min(Duration::from_millis(20)));
+        all.extend(more);
+        if answers(&all) == count {
+            return Ok(());
+        }
+        if ended {
+            return Err(format!("the connection ended behind {} of {count} answers", answers(&all)));
+        }
+    }
+}
+
+fn over(node: Node) {
+    let counters = node.end();
+    assert_eq!((counters["answers_late"], counters["answers_never"]), (0, 0), "{counters:?}");
+}
+
+/// A machine whose kernel takes the beginning of what is sent; nobody ever reads it.
+fn takes_nothing() -> (SocketAddr, TcpListener) {
+    let address = Server::nowhere();
+    let listener = TcpListener::bind(address).unwrap();
+    socket2::SockRef::from(&listener).set_recv_buffer_size(16 * 1024).unwrap();
+    (address, listener)
+}
+
+fn in_chunks(head: &str, body: &[u8]) -> Vec<u8> {
+    let head = head.replace(&format!("Content-Length: {}", body.len()), "Transfer-Encoding: chunked");
+    [head.as_bytes(), format!("{:x}\r\n", body.len()).as_bytes(), body, b"\r\n0\r\n\r\n"].concat()
+}
+
+// A body that is not kept whole lies in the kernel to its last byte, and no server takes it: its client waits all the same.
+#[test_case(false, false; "by no server")]
+#[test_case(true, false; "by a server that hangs")]
+#[test_case(true, true; "by a server that hangs, in chunks")]
+fn a_body_that_is_not_taken_has_its_answer_in_time(has_server: bool, chunked: bool) {
+    in_time(|| {
+        let (address, _listener) = takes_nothing();
+        let node = Node::start(&config(if has_server { std::slice::from_ref(&address) } else { &[] }));
+        let mut caller = node.caller();
+        let length = if has_server { HUGE } else { LARGE };
+        let (head, body) = (head("pay", "0.6", length), vec![b'x'; length]);
+        let request =
+            if chunked { in_chunks(&head, &body) } else { [head.as_bytes(), body.as_slice()].concat() };
+        caller.stream.write_all(&request).unwrap();
+        answered_within(&caller.stream, 1, TIME + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
+
+// A client that brings its body slowly has its whole time from its last byte on.
+#[test]
+fn a_body_that_comes_slowly_has_its_time_from_its_last_byte_on() {
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        let body = vec![b'x'; LARGE];
+        caller.send(&head("pay", "0.6", LARGE), b"");
+        for piece in body.chunks(LARGE / 10) {
+            sleep(Duration::from_millis(150));
+            caller.stream.write_all(piece).unwrap();
+        }
+        let (early, _) = all_within(&caller.stream, TIME / 2);
+        if !early.is_empty() {
+            return Err(format!("answered early: {}", String::from_utf8_lossy(&early)));
+        }
+        answered_within(&caller.stream, 1, TIME / 2 + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
