A request's time has one owner, also while its body is on its way

What callers saw: a request whose body is over 64 KiB and which no server takes was never answered. Cause: its time began once its last byte had been read, and nobody reads a body that is not taken; the module was told of no limit until then, and nothing else had one. The last byte may have lain in the kernel all the while. Now 'Deadline' owns the time of each request. It counts from the last byte; as long as that has not been read, from when it can have come at the earliest: the last moment at which the connection was seen to be empty, or at which more was to come than the kernels hold. 'Route::expire' ends the request by it whatever it waits for: rejected if no attempt was written, else failed; its attempts end with it. It is also behind the module's own answers, 0.1 s after the time. What a server is told of the time left counts from there too. A client that brings its body slowly keeps its whole time (two cases).

--- a/crates/pearfront-node/src/arrival.rs
+++ b/crates/pearfront-node/src/arrival.rs
@@ -30,11 +30,16 @@
         }
     }
 
-    /// What was read last came after this time; so did what has not been read.
+    /// What was read last came after this time.
     pub fn earliest(&self) -> Instant {
         self.earliest.get()
     }
 
+    /// What has not been read came after this time.
+    pub fn of_unread(&self) -> Instant {
+        if self.waits.get() { Instant::now() } else { self.earliest.get() }
+    }
+
     /// There was nothing to read.
     pub fn found_nothing(&self) {
         self.waits.set(true);
--- a/crates/pearfront-node/src/book.rs
+++ b/crates/pearfront-node/src/book.rs
@@ -51,6 +51,7 @@
     turned_down,
     client_left,
     answer_unsent,
+    expired,
     answers_late,
     answers_never,
     attempts,
--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -1,16 +1,83 @@
-//! When the answer to a request is due, and how far answers kept to that.
+//! When the answer to a request is due: the one owner of its time, whatever it waits for meanwhile; and how far answers kept
+//! to that.
 
 use crate::book::Book;
 use crate::logger::Limited;
+use crate::route::Clock;
+use crate::wire::Wire;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
-use std::rc::Rc;
+use std::cell::Cell;
+use std::rc::{Rc, Weak};
+use tokio::time::sleep_until;
 
 /// From when on behind its time an answer is lost, ms.
 const LOST_AFTER: f64 = 500.0;
+/// How long behind its time an answer that the module owes is left to it, ms: it answers ahead of the time.
+const LEFT_TO_MODULE: f64 = 100.0;
+/// How long ahead of its time a request whose body is not whole gets its answer, ms: the module waits for the body.
+const AHEAD: f64 = 10.0;
 /// Lines a second of the log.
 const LINES: u32 = 10;
 
+/// When the answer to one request is due, ms on the node's clock. Its time counts from its last byte. As long as that has not
+/// been read it may lie unread in the kernel, and counts from when it can have come at the earliest.
+pub struct Deadline {
+    clock: Clock,
+    /// How long its client waits, ms.
+    time: f64,
+    /// When its last byte came, once its body has gone on.
+    came: Cell<Option<f64>>,
+    /// Its client's connection; not kept open by it.
+    client: Weak<Wire>,
+}
+
+impl Deadline {
+    /// Of a request whose head says that its client waits so long.
+    pub fn new(clock: Clock, time: f64, client: &Rc<Wire>) -> Self {
+        Self { clock, time, came: Cell::new(None), client: Rc::downgrade(client) }
+    }
+
+    /// Its last byte came at that time, and has been taken.
+    pub fn whole(&self, came: f64) {
+        self.came.set(Some(came));
+    }
+
+    /// Is its body still on its way through?
+    pub fn is_coming(&self) -> bool {
+        self.came.get().is_none()
+    }
+
+    /// When its last byte came, or can have come at the earliest.
+    pub fn counts_from(&self) -> f64 {
+        let unread = || {
+            let client = self.client.upgrade()?;
+            Some(self.clock.time_of(client.came().unwrap_or_else(|| client.unread_since())))
+        };
+        self.came.get().or_else(unread).unwrap_or_else(|| self.clock.now())
+    }
+
+    pub fn at(&self) -> f64 {
+        self.counts_from() + self.time
+    }
+
+    /// What is left of it, ms.
+    pub fn left(&self, now: f64) -> f64 {
+        (self.at() - now).min(self.time)
+    }
+
+    /// Waits until an answer has to be given by whoever owns the time, as nobody else has.
+    pub async fn over(&self) {
+        loop {
+            let at = self.at() + if self.is_coming() { -AHEAD } else { LEFT_TO_MODULE };
+            if self.clock.now() >= at {
+                return;
+            }
+            sleep_until(self.clock.at(at)).await;
+        }
+    }
+}
+
 /// How a request was answered. Times are ms on the node's clock.
 pub struct Answered {
     pub id: HeaderValue,
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -3,6 +3,7 @@
 
 use crate::admit::Share;
 use crate::book::Book;
+use crate::deadline::Deadline;
 use crate::discovery::{self, Discovery, Place};
 use crate::guard::Guard;
 use crate::handover::Peers;
@@ -22,6 +23,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -95,10 +97,7 @@
 pub struct Held {
     number: u32,
     job: Job,
-    /// Until then it is owed its answer; not known before its last byte has come.
-    limit: Cell<f64>,
-    /// When its last byte came.
-    came: Cell<f64>,
+    deadline: Deadline,
     /// Rung when that is known.
     whole: Notify,
     relay: Relay,
@@ -147,7 +146,7 @@
 
     /// What is left of the time that its client waits, ms.
     pub fn left(&self, now: f64) -> f64 {
-        (self.limit.get() - now).min(self.job.left)
+        self.deadline.left(now)
     }
 
     pub fn profile(&self) -> &Profile {
@@ -168,6 +167,11 @@
         Some(Earlier { written: first.written?, place: first.place })
     }
 
+    /// Has no byte of it been written, or none that could have run?
+    fn is_unsent(&self) -> bool {
+        !self.attempts.borrow().iter().any(Sent::may_have_run)
+    }
+
     /// The first byte of an attempt has been written.
     pub fn note_written(&self, place: usize, now: f64) {
         self.attempts.borrow_mut()[place].written = Some(now);
@@ -240,24 +244,22 @@
         self.peers.has_open(&text(job.id()))
     }
 
-    /// Takes a job on; its answer comes through the receiver, whatever happens. Where the body is still coming there
-    /// is no limit yet.
-    pub fn take(
-        &self,
-        caller: &Rc<Wire>,
-        job: Job,
-        share: Share,
-        limit: f64,
-    ) -> (Rc<Held>, oneshot::Receiver<Answer>) {
+    /// Takes a job on; its answer comes through the receiver, whatever happens. Where the body is still coming the module
+    /// knows no limit yet.
+    pub fn take(&self, caller: &Rc<Wire>, job: Job, share: Share) -> (Rc<Held>, oneshot::Receiver<Answer>) {
         let (relay, answer) = Relay::new(self.book.clone());
         let number = self.numbered.get();
         self.numbered.set(number.wrapping_add(1));
         let (terms, profile, customer) = (job.terms.clone(), job.profile, job.customer);
+        let deadline = Deadline::new(self.clock, job.left, caller);
+        if !job.flows() {
+            deadline.whole(self.arrived());
+        }
+        let limit = if job.flows() { f64::INFINITY } else { deadline.at() };
         let held = Rc::new(Held {
             number,
             job,
-            limit: Cell::new(limit),
-            came: Cell::new(0.0),
+            deadline,
             whole: Notify::new(),
             relay,
             caller: Rc::downgrade(caller),
@@ -280,10 +282,9 @@
 
     /// The last byte of a job has come: its times count from now on.
     pub fn body_came(&self, held: &Held) {
-        let (number, now) = (held.number, self.arrived());
-        let limit = now + held.job.left;
-        held.came.set(now);
-        held.limit.set(limit);
+        let number = held.number;
+        held.deadline.whole(self.arrived().min(held.deadline.counts_from()));
+        let limit = held.deadline.at();
         held.whole.notify_waiters();
         self.inbox.tell(move |balancer| balancer.body_came(number, limit));
     }
@@ -298,12 +299,28 @@
         }
     }
 
+    /// Answers the job once its time is over and nobody else has, whatever it waits for; never returns.
+    pub async fn expire(&self, held: &Held) -> Infallible {
+        held.deadline.over().await;
+        if held.relay.is_open() {
+            self.book.expired.add();
+            let why = if held.deadline.is_coming() { "its body was not taken" } else { "no decision came" };
+            let line = || format!("request {} expired, {why}: {}", text(held.job.id()), held.history());
+            self.refused.info(line);
+            held.relay.give(if held.is_unsent() { Answer::Rejected(0.0) } else { Answer::Failed });
+            let number = held.number;
+            self.inbox.tell(move |balancer| balancer.client_left(number));
+            self.forget(held);
+        }
+        pending().await
+    }
+
     fn answer(&self, number: u32, answer: Answer) {
         let held = self.held.borrow().get(&number).cloned();
         if let Some(held) = held {
             if matches!(answer, Answer::Rejected(_) | Answer::Failed) {
                 let how = if matches!(answer, Answer::Failed) { "failed" } else { "rejected" };
-                let left = held.limit.get() - self.clock.now();
+                let left = held.left(self.clock.now());
                 let line = || {
                     format!("request {} {how}, {left:.0} ms left: {}", text(held.job.id()), held.history())
                 };
@@ -358,13 +375,10 @@
             if attempt.end == ConnectionEnd::CallerGone {
                 route.left(&held);
             }
-            route.attempt_ended(
-                &held,
-                place,
-                server,
-                attempt,
-                route.clock.now() - started.max(held.came.get()),
-            );
+            // No server can be late with a request that has not come whole.
+            let begun =
+                if held.deadline.is_coming() { started } else { started.max(held.deadline.counts_from()) };
+            route.attempt_ended(&held, place, server, attempt, route.clock.now() - begun);
         });
     }
 
@@ -372,7 +386,7 @@
     async fn over(&self, held: &Held, until: Instant) {
         tokio::select! {
             () = sleep_until(until) => {}
-            () = held.whole.notified() => sleep_until(self.clock.at(held.limit.get())).await,
+            () = held.whole.notified() => sleep_until(self.clock.at(held.deadline.at())).await,
         }
     }
 
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -267,10 +267,9 @@
         match start {
             Start::Whole(body) => {
                 job.body = JobBody::Whole(body);
-                let limit = self.route.arrived() + job.left;
-                let (held, answer) = self.route.take(&caller.wire, job, share, limit);
-                let _guard = Guard { route: &self.route, held };
-                answered(caller, answer).await
+                let (held, answer) = self.route.take(&caller.wire, job, share);
+                let guard = Guard { route: &self.route, held };
+                self.answered(caller, &guard.held, answer).await
             }
             Start::Begun(first, rest) => {
                 let (pieces, source) = mpsc::channel(1);
@@ -290,7 +289,7 @@
         pieces: Sender<Piece>,
     ) -> Result<Response<Body>, Problem> {
         self.book.flows_in.add();
-        let (held, mut answer) = self.route.take(&caller.wire, job, share, f64::INFINITY);
+        let (held, mut answer) = self.route.take(&caller.wire, job, share);
         let guard = Guard { route: &self.route, held };
         let came = tokio::select! {
             biased;
@@ -303,10 +302,27 @@
             // While a server takes nothing, nobody reads the body, and its end is not seen there.
             () = caller.wire.ended() => Err(Broken::Cut),
             came = pass_on(&mut body, &pieces) => came,
+            never = self.route.expire(&guard.held) => match never {},
         };
         came?;
         self.route.body_came(&guard.held);
-        answered(caller, answer).await
+        self.answered(caller, &guard.held, answer).await
+    }
+
+    /// The answer to a job that has come whole, as long as its caller is there for it. One that has left is not waited for
+    /// whatever else came on its connection: its job must not go on to a server.
+    async fn answered(
+        &self,
+        caller: &Caller,
+        held: &Held,
+        answer: Receiver<Answer>,
+    ) -> Result<Response<Body>, Problem> {
+        tokio::select! {
+            biased;
+            answer = answer => Ok(answer.unwrap_or(Answer::Failed).encode()),
+            () = caller.wire.ended() => Err(Problem::Gone),
+            never = self.route.expire(held) => match never {},
+        }
     }
 
     /// Closes idle callers whenever clients are let go, as long as the node runs.
@@ -333,16 +349,6 @@
     }
 }
 
-/// The answer to a job that has come whole, as long as its caller is there for it. One that has left is not waited for
-/// whatever else came on its connection: its job must not go on to a server.
-async fn answered(caller: &Caller, answer: Receiver<Answer>) -> Result<Response<Body>, Problem> {
-    tokio::select! {
-        biased;
-        answer = answer => Ok(answer.unwrap_or(Answer::Failed).encode()),
-        () = caller.wire.ended() => Err(Problem::Gone),
-    }
-}
-
 /// Tells the module that the caller left, if it goes before the answer.
 struct Guard<'a> {
     route: &'a Route,
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -183,6 +183,11 @@
         self.framed(|framing| framing.came()).flatten()
     }
 
+    /// Since when that can have come which lies unread.
+    pub fn unread_since(&self) -> Instant {
+        self.arrival.of_unread()
+    }
+
     /// Requests of the caller that were read whole and not handed out.
     pub fn waiting(&self) -> usize {
         self.framed(|framing| framing.waiting()).unwrap_or_default()
--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -67,6 +67,22 @@
     (address, listener)
 }
 
+/// A server that reads so much at a time, with a pause, and never answers.
+fn takes_slowly(pause: Duration) -> SocketAddr {
+    let (address, listener) = takes_nothing();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut chunk = [0; 16 * 1024];
+                while stream.read(&mut chunk).is_ok_and(|count| count > 0) {
+                    sleep(pause);
+                }
+            });
+        }
+    });
+    address
+}
+
 fn in_chunks(head: &str, body: &[u8]) -> Vec<u8> {
     let head = head.replace(&format!("Content-Length: {}", body.len()), "Transfer-Encoding: chunked");
     [head.as_bytes(), format!("{:x}\r\n", body.len()).as_bytes(), body, b"\r\n0\r\n\r\n"].concat()
@@ -92,17 +108,31 @@
     });
 }
 
-// A client that brings its body slowly has its whole time from its last byte on.
+// The same with a server that goes on taking, and is not done by then.
 #[test]
-fn a_body_that_comes_slowly_has_its_time_from_its_last_byte_on() {
+fn a_body_that_is_taken_too_slowly_has_its_answer_in_time() {
+    in_time(|| {
+        let node = Node::start(&config(&[takes_slowly(Duration::from_millis(250))]));
+        let mut caller = node.caller();
+        caller.send(&head("pay", "0.6", HUGE), &vec![b'x'; HUGE]);
+        answered_within(&caller.stream, 1, TIME + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
+
+// A client that brings its body slowly has its whole time from its last byte on.
+#[test_case(10, 150; "in small pieces")]
+#[test_case(3, 900; "in pieces further apart than its time is long")]
+fn a_body_that_comes_slowly_has_its_time_from_its_last_byte_on(count: usize, pause: u64) {
     in_time(|| {
         let server = Server::start(Act::Silence);
         let node = Node::start(&config(&[server.address]));
         let mut caller = node.caller();
         let body = vec![b'x'; LARGE];
         caller.send(&head("pay", "0.6", LARGE), b"");
-        for piece in body.chunks(LARGE / 10) {
-            sleep(Duration::from_millis(150));
+        for piece in body.chunks(LARGE / count) {
+            sleep(Duration::from_millis(pause));
             caller.stream.write_all(piece).unwrap();
         }
         let (early, _) = all_within(&caller.stream, TIME / 2);
