An answer that its server stops giving ends with its request's time

What callers saw: an answer over 64 KiB that stops in its middle was held open for 15 s whatever its time (14.4 s too long at 0.6 s), and at SIGTERM until the process ended. Cause: 'flow.rs' had a stall of its own and knew nothing of the request's time. Now a flow is told when its request is due: from then on it lasts as long as its server gives, and ends once that has given nothing for 0.4 s although it was asked for more. Time in which the client takes nothing does not count, nor what comes while the process stands still. To a client of HTTP/1.0 the end is a reset: a close would look like the end of a whole answer. 'flows_broken' counts them, with a line why. Failed before: the four cases of 'an_answer_that_stops_in_its_middle_ends_with_its_time' (open after 1.1 s). Passed before and after: answers that a server still gives every 50 and 250 ms, a client that reads slowly.

--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -4,6 +4,7 @@
 use crate::book::Book;
 use crate::flow::STALLED;
 use crate::wire::Wire;
+use hyper::Version;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -255,6 +256,8 @@
     busy: Cell<bool>,
     flowing: Cell<bool>,
     used: Cell<bool>,
+    /// Of the last request.
+    version: Cell<Version>,
     since: Cell<Instant>,
     closing: Cell<bool>,
     answered_early: Cell<bool>,
@@ -274,6 +277,7 @@
             busy: Cell::new(false),
             flowing: Cell::new(false),
             used: Cell::new(false),
+            version: Cell::new(Version::HTTP_11),
             since: Cell::new(Instant::now()),
             closing: Cell::new(false),
             answered_early: Cell::new(false),
@@ -310,11 +314,18 @@
         waits && since.is_some_and(|since| since.elapsed() > WHOLE_HEAD)
     }
 
-    pub fn begin(&self) {
+    /// A request of this version has been read.
+    pub fn begin(&self, version: Version) {
+        self.version.set(version);
         self.busy.set(true);
         self.used.set(true);
     }
 
+    /// Does nothing but the end of the connection tell this client that an answer is whole?
+    pub fn ends_with_connection(&self) -> bool {
+        self.version.get() < Version::HTTP_11
+    }
+
     /// Answered.
     pub fn end(&self) {
         self.busy.set(false);
--- a/crates/pearfront-node/src/book.rs
+++ b/crates/pearfront-node/src/book.rs
@@ -46,6 +46,7 @@
     served,
     flows,
     flows_in,
+    flows_broken,
     rejected,
     failed,
     turned_down,
--- a/crates/pearfront-node/src/flow.rs
+++ b/crates/pearfront-node/src/flow.rs
@@ -16,9 +16,14 @@
 pub const MOST_WHOLE: usize = 64 * 1024;
 /// Most bytes of any body or answer.
 pub const MOST: u64 = 32 * 1024 * 1024;
-/// How long a flow may bring nothing, or its caller take nothing, before it is given up: far above any pause of a
-/// server that still gives.
+/// How long a flow may bring nothing, or its caller take nothing, before it is given up whatever its time: far above any
+/// pause of a server that still gives.
 pub const STALLED: Duration = Duration::from_secs(15);
+/// How long a server may give nothing of its answer once the request's time is over: one that stops before that has its
+/// answer ended before it counts as lost.
+const STILL_GIVES: Duration = Duration::from_millis(400);
+/// Fired later than by this, a timer tells of a process that stood still: what came meanwhile has not been read.
+const HELD_UP: Duration = Duration::from_millis(50);
 
 /// The beginning of a body: all of it, or what came before it grew too large to be kept.
 pub enum Start {
@@ -89,15 +94,30 @@
     /// Bytes to come, where that was told ahead.
     left: Option<u64>,
     most: u64,
-    stalled: Pin<Box<Sleep>>,
+    /// When the request's time is over, of an answer.
+    due: Option<Instant>,
+    /// Since when its source has been asked for more and has had nothing.
+    waits_since: Option<Instant>,
+    give_up: Pin<Box<Sleep>>,
     at_end: Option<Box<dyn FnOnce()>>,
+    at_break: Option<Box<dyn FnOnce(Broken)>>,
     kept: Vec<Rc<dyn Any>>,
 }
 
 impl Flow {
     fn new(first: Bytes, rest: Source, left: Option<u64>) -> Self {
-        let stalled = Box::pin(sleep(STALLED));
-        Self { first, rest, left, most: MOST, stalled, at_end: None, kept: Vec::new() }
+        Self {
+            first,
+            rest,
+            left,
+            most: MOST,
+            due: None,
+            waits_since: None,
+            give_up: Box::pin(sleep(STALLED)),
+            at_end: None,
+            at_break: None,
+            kept: Vec::new(),
+        }
     }
 
     /// The rest of an answer, behind what was read of it.
@@ -116,6 +136,16 @@
         self.at_end = Some(Box::new(act));
     }
 
+    /// The request's time is over at that time: from then on it lasts only as long as its server gives.
+    pub fn due(&mut self, at: Instant) {
+        self.due = Some(at);
+    }
+
+    /// What is done if it breaks.
+    pub fn at_break(&mut self, act: impl FnOnce(Broken) + 'static) {
+        self.at_break = Some(Box::new(act));
+    }
+
     /// Keeps something as long as it lasts.
     pub fn keep(&mut self, what: Rc<dyn Any>) {
         self.kept.push(what);
@@ -147,12 +177,27 @@
         if self.first.has_remaining() {
             return Poll::Ready(Some(Ok(std::mem::take(&mut self.first))));
         }
-        let Poll::Ready(piece) = self.poll_rest(context) else {
-            ready!(self.stalled.as_mut().poll(context));
-            return Poll::Ready(Some(Err(Broken::Stalled)));
-        };
-        self.stalled.as_mut().reset(Instant::now() + STALLED);
-        Poll::Ready(piece)
+        if let Poll::Ready(piece) = self.poll_rest(context) {
+            self.waits_since = None;
+            return Poll::Ready(piece);
+        }
+        let mut since = *self.waits_since.get_or_insert_with(Instant::now);
+        if self.given_up_at(since) + HELD_UP < Instant::now() {
+            since = Instant::now();
+            self.waits_since = Some(since);
+        }
+        let until = self.given_up_at(since);
+        if self.give_up.deadline() != until {
+            self.give_up.as_mut().reset(until);
+        }
+        ready!(self.give_up.as_mut().poll(context));
+        Poll::Ready(Some(Err(Broken::Stalled)))
+    }
+
+    /// When it is given up if nothing has come since then.
+    fn given_up_at(&self, since: Instant) -> Instant {
+        let stalled = since + STALLED;
+        self.due.map_or(stalled, |due| due.max(since + STILL_GIVES).min(stalled))
     }
 }
 
@@ -183,6 +228,7 @@
                 None
             }
         })
+        .map(|piece| piece.map(|piece| piece.inspect_err(|problem| self.broke(*problem))))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -195,6 +241,10 @@
 }
 
 impl Flow {
+    fn broke(&mut self, problem: Broken) {
+        self.at_break.take().into_iter().for_each(|act| act(problem));
+    }
+
     fn end(&mut self) {
         self.rest = Source::Over;
         self.at_end.take().into_iter().for_each(|act| act());
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -5,6 +5,7 @@
 use crate::book::Book;
 use crate::deadline::Deadline;
 use crate::discovery::{self, Discovery, Place};
+use crate::flow::Broken;
 use crate::guard::Guard;
 use crate::handover::Peers;
 use crate::logger::Limited;
@@ -206,6 +207,7 @@
     refused: Limited,
     repeated: Limited,
     unsent: Limited,
+    broken: Rc<Limited>,
 }
 
 impl Route {
@@ -236,6 +238,7 @@
             refused,
             repeated,
             unsent,
+            broken: Rc::new(limited()),
         })
     }
 
@@ -409,6 +412,8 @@
             if let Either::Right(flow) = &mut reply.body {
                 self.book.flows.add();
                 flow.keep(held.clone());
+                flow.due(self.clock.at(held.deadline.at()));
+                flow.at_break(self.note_of_break(held));
             }
             held.relay.give(Answer::Served(Box::new(reply)));
         } else if attempt.end == ConnectionEnd::TurnedDown {
@@ -427,6 +432,21 @@
         self.forget(held);
     }
 
+    /// Counts an answer that ends in its middle, and says why.
+    fn note_of_break(&self, held: &Held) -> impl FnOnce(Broken) + 'static {
+        let (id, due, clock) = (text(held.job.id()).into_owned(), held.deadline.at(), self.clock);
+        let (book, log) = (self.book.clone(), self.broken.clone());
+        move |problem| {
+            book.flows_broken.add();
+            let behind = clock.now() - due;
+            log.info(|| {
+                format!(
+                    "answer to request {id} ends in its middle, {behind:.0} ms behind its time: {problem:?}"
+                )
+            });
+        }
+    }
+
     /// Rounds, as long as the node runs: one once something came in or a wake is due, no two closer than `round`.
     pub async fn drive(self: Rc<Self>, mut balancer: Balancer, terms: Rc<InForce>) {
         let mut wake = NEVER;
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -150,9 +150,13 @@
                 biased;
                 ended = connection.as_mut() => {
                     // A caller that breaks off shows on its job, if it had one.
-                    if let Err(error) = ended && error.is_parse() {
-                        self.refuse_malformed(&error.to_string());
-                        caller.answer_early();
+                    if let Err(error) = ended {
+                        if error.is_parse() {
+                            self.refuse_malformed(&error.to_string());
+                            caller.answer_early();
+                        } else if caller.ends_with_connection() {
+                            wire.reset_when_closed();
+                        }
                     }
                     if caller.is_answered_early() {
                         wire.linger().await;
@@ -190,7 +194,7 @@
         caller: &Rc<Caller>,
         request: Request<Incoming>,
     ) -> Result<Response<Body>, Broken> {
-        caller.begin();
+        caller.begin(request.version());
         let mut answer = self.call(caller, request).await;
         match answer.as_mut().map(Response::body_mut) {
             Ok(Either::Right(flow)) => flow.keep(Rc::new(caller.flow())),
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -193,6 +193,11 @@
         self.framed(|framing| framing.waiting()).unwrap_or_default()
     }
 
+    /// Its close will be a reset, which nobody takes for the end of an answer.
+    pub fn reset_when_closed(&self) {
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+
     /// Ends the sending, and reads what still comes for a moment: closed with bytes unread, the kernel would tell
     /// the other side of a reset, which may overtake the answer.
     pub async fn linger(&self) {
--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -16,21 +16,29 @@
 /// More than the kernels keep between a node and a server that reads nothing, and less than with those before the node.
 const HUGE: usize = 6 * 1024 * 1024;
 
+/// How a connection stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Open,
+    Closed,
+    Reset,
+}
+
 /// Waits for the end of what comes, at the most for so long; what came, and whether it ended.
-fn all_within(stream: &TcpStream, time: Duration) -> (Vec<u8>, bool) {
+fn all_within(stream: &TcpStream, time: Duration) -> (Vec<u8>, End) {
     let (until, mut all, mut chunk) = (Instant::now() + time, Vec::new(), vec![0; 64 * 1024]);
     while let left = until.saturating_duration_since(Instant::now())
         && !left.is_zero()
     {
         stream.set_read_timeout(Some(left)).unwrap();
         match (&mut &*stream).read(&mut chunk) {
-            Ok(0) => return (all, true),
+            Ok(0) => return (all, End::Closed),
             Ok(count) => all.extend_from_slice(&chunk[..count]),
             Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(_) => return (all, true),
+            Err(_) => return (all, End::Reset),
         }
     }
-    (all, false)
+    (all, End::Open)
 }
 
 /// Are there so many answers by then?
@@ -43,12 +51,12 @@
         if left.is_zero() {
             return Err(format!("{} of {count} answers after {time:?}", answers(&all)));
         }
-        let (more, ended) = all_within(stream, left.min(Duration::from_millis(20)));
+        let (more, end) = all_within(stream, left.min(Duration::from_millis(20)));
         all.extend(more);
         if answers(&all) == count {
             return Ok(());
         }
-        if ended {
+        if end != End::Open {
             return Err(format!("the connection ended behind {} of {count} answers", answers(&all)));
         }
     }
@@ -83,6 +91,31 @@
     address
 }
 
+/// A server whose answers begin with the head and so many bytes, and go on with a byte after each pause, `drips` times.
+fn drips(head: String, first: usize, pause: Duration, drips: usize) -> SocketAddr {
+    let (address, listener) = takes_nothing();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let head = head.clone();
+            std::thread::spawn(move || {
+                let mut request = [0; 4096];
+                while stream.read(&mut request).is_ok_and(|count| count > 0) {
+                    if request.starts_with(b"GET /read") {
+                        let _ = stream.write_all(&[head.as_bytes(), &vec![b'x'; first]].concat());
+                        for _ in 0..drips {
+                            sleep(pause);
+                            let _ = stream.write_all(b"x");
+                        }
+                    } else {
+                        let _ = stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
 fn in_chunks(head: &str, body: &[u8]) -> Vec<u8> {
     let head = head.replace(&format!("Content-Length: {}", body.len()), "Transfer-Encoding: chunked");
     [head.as_bytes(), format!("{:x}\r\n", body.len()).as_bytes(), body, b"\r\n0\r\n\r\n"].concat()
@@ -144,3 +177,59 @@
         Ok(())
     });
 }
+
+// An answer that stops in its middle ends with its client's time, and does not look whole.
+#[test_case("Content-Length: 300000\r\n\r\n", 1.0; "with a length")]
+#[test_case("Transfer-Encoding: chunked\r\n\r\n493e0\r\n", 1.0; "in chunks")]
+#[test_case("Connection: close\r\n\r\n", 1.0; "without a length")]
+#[test_case("Content-Length: 300000\r\n\r\n", 1.1; "to a client of the old version")]
+fn an_answer_that_stops_in_its_middle_ends_with_its_time(form: &str, version: f32) {
+    in_time(|| {
+        let answer = format!("HTTP/1.1 200 OK\r\n{form}");
+        let node = Node::start(&config(&[drips(answer, 200_000, Duration::ZERO, 0)]));
+        let mut caller = node.caller();
+        let head = head("read", "0.6", 0);
+        let old = version > 1.0;
+        caller.send(&if old { head.replace("HTTP/1.1", "HTTP/1.0") } else { head }, b"");
+        let (all, end) = all_within(&caller.stream, TIME + LOST_AFTER);
+        let is_end = if old { end == End::Reset } else { end != End::Open };
+        if !is_end || all.len() < 100_000 || all.ends_with(b"0\r\n\r\n") {
+            return Err(format!("{} bytes, {end:?}", all.len()));
+        }
+        over(node);
+        Ok(())
+    });
+}
+
+// What a server still gives is not cut off, however late it is.
+#[test_case(Duration::from_millis(50), 40; "fast")]
+#[test_case(Duration::from_millis(250), 12; "slowly")]
+fn an_answer_that_its_server_still_gives_goes_on_behind_its_time(pause: Duration, count: usize) {
+    in_time(|| {
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", LARGE + count);
+        let node = Node::start(&config(&[drips(answer, LARGE, pause, count)]));
+        let mut caller = node.caller();
+        caller.send(&head("read", "0.6", 0), b"");
+        match caller.answer() {
+            Some(answer) if answer.body.len() == LARGE + count => over(node),
+            _ => return Err("cut off".into()),
+        }
+        Ok(())
+    });
+}
+
+// A client that reads slowly holds its server back: neither ends its answer.
+#[test]
+fn an_answer_whose_client_reads_slowly_goes_on_behind_its_time() {
+    const LENGTH: usize = 16 * 1024 * 1024;
+    let server = Server::start(Act::Serve(vec![b'x'; LENGTH]));
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    caller.send(&head("read", "0.6", 0), b"");
+    for _ in 0..4 {
+        sleep(TIME);
+        assert_eq!(caller.take(64 * 1024).len(), 64 * 1024);
+    }
+    assert!(caller.take(LENGTH - 4 * 64 * 1024).len() > LENGTH - 5 * 64 * 1024);
+    over(node);
+}
