Requests behind one another count their time from their last byte, not from their turn

What callers saw: of six requests of 0.6 s in one write to a server that hangs the last was answered after 3.56 s, as each began its full time when its turn on the connection came; a server was told of that time as well. Cause: hyper hands a request out once the one before it is answered, and that moment was taken for its arrival. Now a request has come when its last byte was read, whatever stood before it; one whose time is over when its turn comes is rejected at once, and never sent. What came while the process stood still counts from the beginning of that, and no longer what was read before.

--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -328,6 +328,7 @@
 
     /// Answered.
     pub fn end(&self) {
+        self.wire.answers(false);
         self.busy.set(false);
         self.since.set(Instant::now());
     }
--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -364,8 +364,8 @@
     }
 
     /// When that came, at the earliest, which is read now: while the process stood still nothing was read.
-    pub fn came_at(&self, now: f64) -> f64 {
-        self.pulse.stopped_at(now).unwrap_or(now)
+    pub fn came_at(&self, read: f64) -> f64 {
+        self.pulse.stopped_at(read).unwrap_or(read)
     }
 
     /// Since when that can have come which is read now.
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -20,6 +20,7 @@
 mod message;
 mod probe;
 mod pulse;
+mod read_ahead;
 mod relay;
 mod route;
 mod send;
--- a/crates/pearfront-node/src/pulse.rs
+++ b/crates/pearfront-node/src/pulse.rs
@@ -43,13 +43,13 @@
         }
     }
 
-    /// When the stop began that has just ended, if one has.
-    pub fn stopped_at(&self, now: f64) -> Option<f64> {
+    /// When the stop began that had just ended at that time, if one had.
+    pub fn stopped_at(&self, time: f64) -> Option<f64> {
         let (begun, ended) = self.stop.get();
-        if now - self.last.get() > STOP {
+        if time - self.last.get() > STOP {
             Some(self.last.get())
         } else {
-            (now - ended < CATCH_UP).then_some(begun)
+            (begun..ended + CATCH_UP).contains(&time).then_some(begun)
         }
     }
 
--- a/crates/pearfront-node/src/pulse/tests.rs
+++ b/crates/pearfront-node/src/pulse/tests.rs
@@ -27,3 +27,11 @@
     pulse.beat(2060.0);
     assert_eq!(pulse.awake_since(2060.0), 2010.0);
 }
+
+#[test]
+fn what_was_read_before_a_stop_came_when_it_was_read() {
+    let pulse = pulse();
+    pulse.beat(50.0);
+    pulse.beat(2000.0);
+    assert_eq!([40.0, 60.0, 2010.0].map(|time| pulse.stopped_at(time)), [None, Some(50.0), Some(50.0)]);
+}
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -249,15 +249,17 @@
 
     /// Takes a job on; its answer comes through the receiver, whatever happens. Where the body is still coming the module
     /// knows no limit yet.
-    pub fn take(&self, caller: &Rc<Wire>, job: Job, share: Share) -> (Rc<Held>, oneshot::Receiver<Answer>) {
+    pub fn take(
+        &self,
+        caller: &Rc<Wire>,
+        job: Job,
+        deadline: Deadline,
+        share: Share,
+    ) -> (Rc<Held>, oneshot::Receiver<Answer>) {
         let (relay, answer) = Relay::new(self.book.clone());
         let number = self.numbered.get();
         self.numbered.set(number.wrapping_add(1));
         let (terms, profile, customer) = (job.terms.clone(), job.profile, job.customer);
-        let deadline = Deadline::new(self.clock, job.left, caller);
-        if !job.flows() {
-            deadline.whole(self.arrived());
-        }
         let limit = if job.flows() { f64::INFINITY } else { deadline.at() };
         let held = Rc::new(Held {
             number,
@@ -278,15 +280,17 @@
         (held, answer)
     }
 
-    /// When that came, at the earliest, which is read now.
-    pub fn arrived(&self) -> f64 {
-        self.discovery.came_at(self.clock.now())
+    /// When the last byte of the request came, at the earliest, that was handed out last on this connection and has been read.
+    pub fn came(&self, caller: &Wire) -> f64 {
+        self.discovery
+            .came_at(caller.came().map_or_else(|| self.clock.now(), |came| self.clock.time_of(came)))
     }
 
     /// The last byte of a job has come: its times count from now on.
     pub fn body_came(&self, held: &Held) {
         let number = held.number;
-        held.deadline.whole(self.arrived().min(held.deadline.counts_from()));
+        let came = held.caller.upgrade().map_or_else(|| self.clock.now(), |caller| self.came(&caller));
+        held.deadline.whole(came);
         let limit = held.deadline.at();
         held.whole.notify_waiters();
         self.inbox.tell(move |balancer| balancer.body_came(number, limit));
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -3,7 +3,7 @@
 
 use crate::admit::{Caller, Place, Room, Share};
 use crate::book::Book;
-use crate::deadline::{Answered, Overdue};
+use crate::deadline::{Answered, Deadline, Overdue};
 use crate::flow::{self, Broken, MOST, MOST_WHOLE, Piece, Start};
 use crate::lifecycle::Lifecycle;
 use crate::logger::Seldom;
@@ -163,6 +163,7 @@
                     }
                     break "ended";
                 }
+                never = wire.read_ahead() => match never {},
                 () = caller.cut.notified() => break "stalled",
                 () = caller.told.notified(), if closing.is_none() => {
                     closing = Some((wire.moved(), false));
@@ -258,7 +259,11 @@
             self.crowded.warn("no room for a job, rejected");
             return Ok(reject(start));
         };
-        if job.left <= 0.0 {
+        let deadline = Deadline::new(self.route.clock, job.left, &caller.wire);
+        if matches!(start, Start::Whole(_)) {
+            deadline.whole(self.route.came(&caller.wire));
+        }
+        if deadline.left(self.route.clock.now()) <= 0.0 {
             self.book.too_late.add();
             return Ok(reject(start));
         }
@@ -271,14 +276,14 @@
         match start {
             Start::Whole(body) => {
                 job.body = JobBody::Whole(body);
-                let (held, answer) = self.route.take(&caller.wire, job, share);
+                let (held, answer) = self.route.take(&caller.wire, job, deadline, share);
                 let guard = Guard { route: &self.route, held };
                 self.answered(caller, &guard.held, answer).await
             }
             Start::Begun(first, rest) => {
                 let (pieces, source) = mpsc::channel(1);
                 job.body = JobBody::Flowing { first, rest: RefCell::new(Some(source)), length };
-                self.flow(caller, job, share, rest, pieces).await
+                self.flow(caller, job, deadline, share, rest, pieces).await
             }
         }
     }
@@ -288,12 +293,13 @@
         &self,
         caller: &Caller,
         job: Job,
+        deadline: Deadline,
         share: Share,
         mut body: Incoming,
         pieces: Sender<Piece>,
     ) -> Result<Response<Body>, Problem> {
         self.book.flows_in.add();
-        let (held, mut answer) = self.route.take(&caller.wire, job, share);
+        let (held, mut answer) = self.route.take(&caller.wire, job, deadline, share);
         let guard = Guard { route: &self.route, held };
         let came = tokio::select! {
             biased;
@@ -321,6 +327,8 @@
         held: &Held,
         answer: Receiver<Answer>,
     ) -> Result<Response<Body>, Problem> {
+        // What comes behind it waits for its turn, and its time counts.
+        caller.wire.answers(true);
         tokio::select! {
             biased;
             answer = answer => Ok(answer.unwrap_or(Answer::Failed).encode()),
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -4,9 +4,11 @@
 use crate::admit::Place;
 use crate::arrival::Arrival;
 use crate::framing::{Framing, ReadRequest};
+use crate::read_ahead::ReadAhead;
 use crate::system::{is_interrupted, is_transient};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
@@ -15,6 +17,7 @@
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout};
 
 /// Bytes read at a time: heads are a few hundred, most bodies a few thousand.
@@ -54,6 +57,7 @@
     /// What a caller sends; nothing on a connection to a server.
     framing: Option<RefCell<Framing>>,
     arrival: Arrival,
+    ahead: ReadAhead,
     _place: Place,
 }
 
@@ -84,6 +88,7 @@
             withheld: Cell::new(false),
             framing,
             arrival: Arrival::since(Instant::now()),
+            ahead: ReadAhead::default(),
             _place: place,
         })
     }
@@ -158,6 +163,47 @@
         });
     }
 
+    /// A whole request of the caller waits for its answer, or has it: meanwhile what comes behind it is read ahead.
+    pub fn answers(&self, answers: bool) {
+        self.ahead.reads.set(answers);
+        self.ahead.changed.notify_one();
+    }
+
+    /// Reads what a caller sends behind a request that waits for its answer, so that it is known when that came: hyper
+    /// reads it once its turn is there. It has to be polled beside hyper's connection, and never returns.
+    pub async fn read_ahead(&self) -> Infallible {
+        loop {
+            if !self.ahead.has_room() {
+                self.ahead.changed.notified().await;
+                continue;
+            }
+            tokio::select! {
+                // What it fails with is found by the read.
+                _ = self.stream.readable() => {}
+                () = self.ahead.changed.notified() => continue,
+            }
+            if !self.read_some_ahead() {
+                yield_now().await;
+            }
+        }
+    }
+
+    /// Reads ahead once; false if the kernel lacks something for a moment. The buffer is not kept by whoever waits.
+    fn read_some_ahead(&self) -> bool {
+        let mut chunk = [0; CHUNK];
+        match self.stream.try_read(&mut chunk) {
+            Ok(count) => {
+                self.note_read(&chunk[..count]);
+                self.ahead.take_in(Ok(&chunk[..count]));
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.arrival.found_nothing(),
+            Err(error) if is_interrupted(&error) => {}
+            Err(error) if is_transient(&error) => return false,
+            Err(error) => self.ahead.take_in(Err(error)),
+        }
+        true
+    }
+
     /// Has the other side begun to answer what was written last?
     pub fn has_begun(&self) -> bool {
         self.answered.get()
@@ -228,6 +274,9 @@
     /// The same asked at once: the kernel may know more than the runtime has been told. Behind unread bytes only what the
     /// runtime has been told counts.
     pub fn has_ended(&self) -> bool {
+        if self.ahead.has_ended() {
+            return true;
+        }
         match self.peek() {
             Ok(0) => true,
             Ok(_) => pin!(self.ended()).poll(&mut Context::from_waker(Waker::noop())).is_ready(),
@@ -255,9 +304,9 @@
         self.peek().is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Are there bytes that nobody has read yet?
+    /// Are there bytes that hyper has not read yet?
     pub fn has_unread(&self) -> bool {
-        self.peek().is_ok_and(|count| count > 0)
+        self.ahead.has_bytes() || self.peek().is_ok_and(|count| count > 0)
     }
 }
 
@@ -268,9 +317,14 @@
     fn poll_read(self: Pin<&mut Self>, context: &mut Context, mut to: ReadBufCursor) -> Poll<io::Result<()>> {
         let mut chunk = [0; CHUNK];
         let most = to.remaining().min(CHUNK);
+        if let Some(ahead) = self.0.ahead.give_out(&mut chunk[..most]) {
+            to.put_slice(&chunk[..ahead?]);
+            return Poll::Ready(Ok(()));
+        }
         loop {
             let Poll::Ready(is_ready) = self.0.stream.poll_read_ready(context) else {
                 self.0.arrival.found_nothing();
+                self.0.ahead.waits(context.waker());
                 return Poll::Pending;
             };
             is_ready?;
--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -233,3 +233,26 @@
     assert!(caller.take(LENGTH - 4 * 64 * 1024).len() > LENGTH - 5 * 64 * 1024);
     over(node);
 }
+
+// Requests that come behind one another without a wait have come with their last byte, not when their turn is.
+#[test_case(Duration::ZERO; "in one write")]
+#[test_case(Duration::from_millis(20); "in a write each")]
+fn requests_behind_one_another_count_their_time_from_their_last_byte(pause: Duration) {
+    const COUNT: usize = 6;
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        if pause.is_zero() {
+            caller.send(&(0..COUNT).map(|_| head("read", "0.6", 0)).collect::<String>(), b"");
+        } else {
+            for _ in 0..COUNT {
+                caller.send(&head("read", "0.6", 0), b"");
+                sleep(pause);
+            }
+        }
+        answered_within(&caller.stream, COUNT, TIME + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
