Told to end, a node answers all that it has read on a connection before it says that this ends

Cause: each answer behind the word to let go was taken for the last on its connection, and so was a shutdown by a look at the kernel's unread bytes alone; what hyper had read and not handed out was seen by neither. Now an answer is the last one only if nothing has come behind it, read or unread, and from then on no further request is begun to be read on that connection ('Wire::end_reading').

--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -241,6 +241,11 @@
         !self.callers.borrow().is_empty()
     }
 
+    /// No further requests are read: those that are here have their answers.
+    pub fn end_reading(&self) {
+        self.callers.borrow().values().for_each(|caller| caller.wire.end_reading());
+    }
+
     /// Has all callers closed that have been idle for so long.
     pub fn close_all_idle(&self, pause: Duration) {
         let callers = self.callers.borrow();
--- a/crates/pearfront-node/src/lifecycle.rs
+++ b/crates/pearfront-node/src/lifecycle.rs
@@ -12,6 +12,9 @@
 /// How much later idle ones are closed however short their pause is. In a drain nothing new may come on them 2 s after
 /// the word, as 4 s after it nothing that came in the 2 s before may be open.
 const ALL_IDLE: Duration = Duration::from_millis(700);
+/// How much later a process that ends reads no further requests: its last answers come 1 s behind, and time to write them
+/// has to be left.
+const LAST_READ: Duration = Duration::from_millis(950);
 /// Pause of a connection that is to go after which its client is taken to have nothing on the way.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -132,6 +135,15 @@
             .then(|| if self.left() < self.kept() + ALL_IDLE { PAUSE } else { Duration::ZERO })
     }
 
+    /// Are further requests read on connections that are open? Clients that send without a pause are let go by that.
+    pub fn reads_requests(&self) -> bool {
+        match self.state.get() {
+            State::Starting | State::Ready => true,
+            State::LameDuck => self.left() < self.kept() + ALL_IDLE,
+            State::Ending => self.left() < self.kept() + LAST_READ,
+        }
+    }
+
     fn kept(&self) -> Duration {
         if self.succeeded.get() { Duration::ZERO } else { self.kept.get() }
     }
--- a/crates/pearfront-node/src/read_ahead.rs
+++ b/crates/pearfront-node/src/read_ahead.rs
@@ -14,6 +14,8 @@
 pub struct ReadAhead {
     /// Is to be read ahead now?
     pub reads: Cell<bool>,
+    /// Is no further request to be read, ahead or in its turn?
+    pub ends: Cell<bool>,
     /// Rung when that, or the room, may have changed.
     pub changed: Notify,
     bytes: RefCell<VecDeque<u8>>,
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -141,7 +141,8 @@
         // Right before the end of the sending: whoever chose this connection to be closed looked earlier, and many were
         // chosen at once. What has come since is a request, and is answered first.
         let end = |connection: Pin<&mut Connection<_, _>>| {
-            if !wire.has_unread() {
+            if !wire.has_more() || !wire.has_unread() && wire.in_head() {
+                wire.end_reading();
                 connection.graceful_shutdown();
             }
         };
@@ -201,7 +202,12 @@
             Ok(Either::Right(flow)) => flow.keep(Rc::new(caller.flow())),
             _ => caller.end(),
         }
-        if self.life.keeps_alive() { answer } else { answer.map(message::last_on_connection) }
+        // Only the last of the requests that have come may say that it is.
+        if self.life.keeps_alive() || caller.wire.has_more() {
+            return answer;
+        }
+        caller.wire.end_reading();
+        answer.map(message::last_on_connection)
     }
 
     async fn call(&self, caller: &Caller, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
@@ -343,6 +349,9 @@
             if let Some(pause) = self.life.spares_for() {
                 self.room.close_all_idle(pause);
             }
+            if !self.life.reads_requests() {
+                self.room.end_reading();
+            }
             sleep(ACCEPT_PAUSE).await;
         }
     }
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -173,7 +173,7 @@
     /// reads it once its turn is there. It has to be polled beside hyper's connection, and never returns.
     pub async fn read_ahead(&self) -> Infallible {
         loop {
-            if !self.ahead.has_room() {
+            if !self.ahead.has_room() || self.is_read_out() {
                 self.ahead.changed.notified().await;
                 continue;
             }
@@ -304,9 +304,26 @@
         self.peek().is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Are there bytes that hyper has not read yet?
+    /// Are there bytes that hyper has not read yet, and that are to be read?
     pub fn has_unread(&self) -> bool {
-        self.ahead.has_bytes() || self.peek().is_ok_and(|count| count > 0)
+        self.ahead.has_bytes() || !self.is_read_out() && self.peek().is_ok_and(|count| count > 0)
+    }
+
+    /// Has a request come, or begun to come, behind the one that was handed out last?
+    pub fn has_more(&self) -> bool {
+        self.has_unread()
+            || self.in_head()
+            || self.framed(|framing| framing.has_waiting()).unwrap_or_default()
+    }
+
+    /// No further request is begun to be read: what is here has its answer, and the rest was never taken.
+    pub fn end_reading(&self) {
+        self.ahead.ends.set(true);
+        self.ahead.changed.notify_one();
+    }
+
+    fn is_read_out(&self) -> bool {
+        self.ahead.ends.get() && self.framed(|framing| framing.is_between_requests()).unwrap_or_default()
     }
 }
 
@@ -321,6 +338,9 @@
             to.put_slice(&chunk[..ahead?]);
             return Poll::Ready(Ok(()));
         }
+        if self.0.is_read_out() {
+            return Poll::Pending;
+        }
         loop {
             let Poll::Ready(is_ready) = self.0.stream.poll_read_ready(context) else {
                 self.0.arrival.found_nothing();
--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -256,3 +256,78 @@
         Ok(())
     });
 }
+
+// Told to end, a node answers all that it has read, and says only with the last answer that the connection ends.
+#[test_case(0; "at once")]
+#[test_case(300; "while they wait")]
+fn requests_that_were_read_before_the_end_are_all_answered(behind: u64) {
+    const COUNT: usize = 4;
+    for _ in 0..5 {
+        let server = Server::start(Act::Silence);
+        let mut config = config(&[server.address]);
+        for profile in config["settings"]["profiles"].as_array_mut().unwrap() {
+            profile["contract_time"] = json!(300_000_000);
+            profile["outer_limit"] = json!(600_000_000);
+        }
+        let node = Node::start(&config);
+        let mut caller = node.caller();
+        caller.send(&(0..COUNT).map(|_| head("read", "0.6", 0)).collect::<String>(), b"");
+        sleep(Duration::from_millis(behind));
+        node.signal("-TERM");
+        let answered = answered_within(&caller.stream, COUNT, Duration::from_secs(5));
+        answered.unwrap();
+        over_by_itself(node);
+    }
+}
+
+// A client that never stops sending is let go all the same, and each request that was read has its answer.
+#[test_case("-TERM"; "to end")]
+#[test_case("PUT /_lameduck/on"; "to drain")]
+fn a_client_that_sends_without_a_pause_is_let_go(told: &str) {
+    const MOST: Duration = Duration::from_secs(8);
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
+    let node = Node::start_for_operators(config(&[server.address]));
+    let mut caller = node.caller();
+    let requests = (0..4).map(|_| head("read", "0.6", 0)).collect::<Vec<_>>();
+    caller.send(&requests.concat(), b"");
+    assert_eq!(caller.answer().unwrap().status(), 200);
+    if told == "-TERM" {
+        node.signal(told)
+    } else {
+        assert_eq!(node.call(told), 200)
+    }
+    let begun = Instant::now();
+    let mut last = 0;
+    while let Some(answer) = caller.answer() {
+        last = answer.status();
+        if answer.headers.get("connection").is_some_and(|word| word == "close") || begun.elapsed() > MOST {
+            break;
+        }
+        let _ = caller.stream.write_all(head("read", "0.6", 0).as_bytes());
+    }
+    assert!(begun.elapsed() < MOST && last != 0, "{:?}", begun.elapsed());
+    if told == "-TERM" { over_by_itself(node) } else { over(node) }
+}
+
+fn over_by_itself(node: Node) {
+    let counters = node.ended();
+    assert_eq!((counters["answers_late"], counters["answers_never"]), (0, 0), "{counters:?}");
+}
+
+// Stopped while it ends, and beyond its last moment, a node still answers what it has read.
+#[test]
+fn what_was_read_is_answered_although_the_process_stood_still_at_its_end() {
+    let server = Server::start(Act::Silence);
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    caller.send(&head("read", "60", 0), b"");
+    server.wait_for("job 1");
+    node.signal("-TERM");
+    sleep(Duration::from_millis(500));
+    node.signal("-STOP");
+    node.wait_until_stopped();
+    sleep(Duration::from_secs(4));
+    node.signal("-CONT");
+    assert!(caller.answer().is_some());
+    over_by_itself(node);
+}
