Clients get no place beyond their own by the end of a server's idle connection

A trace of the room at that moment: 26 of 26 connections open, all clients', of whom 21 may be there. Cause: where clients had all that is theirs, the end of an idle connection to a server counted as a place for one more of them; each probe left such a connection, and the next client took it. Now the end of a connection makes room only where there may be one more. Failed before: the unit test of it.

--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -350,11 +350,14 @@
     /// Servers' idle connections go first unless callers hold most.
     fn make(&self, has_place: impl Fn(&Room) -> bool, has_last_place: impl Fn(&Room) -> bool) -> bool {
         let crowding = || self.room.callers_crowd() && self.room.close_idle();
-        if has_place(&self.room) || !crowding() && self.close_one() {
+        if has_place(&self.room) {
             return true;
         }
-        // Where callers crowd this is a second one: with one alone more of the servers' connections had to go.
-        self.room.close_idle();
+        // What is closed makes room where there may be one more, and no further one for whoever has all of its own.
+        if crowding() || !self.close_one() {
+            // Where callers crowd this is a second one: with one alone more of the servers' connections had to go.
+            self.room.close_idle();
+        }
         has_last_place(&self.room)
     }
 
--- a/crates/pearfront-node/src/send/tests.rs
+++ b/crates/pearfront-node/src/send/tests.rs
@@ -126,3 +126,24 @@
     let (came, took) = std::iter::repeat_with(in_time).flatten().next().unwrap();
     assert!(came && took < limit, "came up: {came}, after {took:?}");
 }
+
+// Clients that hold all that is theirs get no more by the end of a server's idle connection: a probe would find no place.
+#[test]
+fn an_idle_connection_to_a_server_makes_no_place_beyond_that_of_clients() {
+    let (listener, server, senders) = stage();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let mut clients = Vec::new();
+        while senders.room.has_last_caller_place() {
+            clients.push(senders.room.caller_place());
+        }
+        let link = senders.link(server).await.unwrap();
+        let _kept = listener.accept().unwrap().0;
+        senders.keep_link(server, link);
+        while !senders.idle.borrow().contains_key(&server) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert!(!senders.make_caller_place());
+        assert!(senders.make_place());
+    });
+}
