A body that came while the process stood still counts from then, and goes to no server too late

Cause: a stop was looked for only once a body had come whole; until then its time counted from when its bytes were read, right behind the stop. Now 'Deadline' asks the pulse itself, for all that was read or lies unread. Right behind a stop it waits until that has been read before it ends anything: a client that had not brought all of it keeps its time.

--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -3,13 +3,15 @@
 
 use crate::book::Book;
 use crate::logger::Limited;
+use crate::pulse::Pulse;
 use crate::route::Clock;
 use crate::wire::Wire;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
-use tokio::time::sleep_until;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// From when on behind its time an answer is lost, ms.
 const LOST_AFTER: f64 = 500.0;
@@ -17,6 +19,8 @@
 const LEFT_TO_MODULE: f64 = 100.0;
 /// How long ahead of its time a request whose body is not whole gets its answer, ms: the module waits for the body.
 const AHEAD: f64 = 10.0;
+/// How long the process reads what came while it stood still.
+const CATCH_UP: Duration = Duration::from_millis(60);
 /// Lines a second of the log.
 const LINES: u32 = 10;
 
@@ -24,6 +28,7 @@
 /// been read it may lie unread in the kernel, and counts from when it can have come at the earliest.
 pub struct Deadline {
     clock: Clock,
+    pulse: Rc<Pulse>,
     /// How long its client waits, ms.
     time: f64,
     /// When its last byte came, once its body has gone on.
@@ -34,13 +39,13 @@
 
 impl Deadline {
     /// Of a request whose head says that its client waits so long.
-    pub fn new(clock: Clock, time: f64, client: &Rc<Wire>) -> Self {
-        Self { clock, time, came: Cell::new(None), client: Rc::downgrade(client) }
+    pub fn new(clock: Clock, pulse: Rc<Pulse>, time: f64, client: &Rc<Wire>) -> Self {
+        Self { clock, pulse, time, came: Cell::new(None), client: Rc::downgrade(client) }
     }
 
-    /// Its last byte came at that time, and has been taken.
-    pub fn whole(&self, came: f64) {
-        self.came.set(Some(came));
+    /// Its last byte has been read, and its body has gone on.
+    pub fn whole(&self) {
+        self.came.set(Some(self.counts_from()));
     }
 
     /// Is its body still on its way through?
@@ -50,11 +55,15 @@
 
     /// When its last byte came, or can have come at the earliest.
     pub fn counts_from(&self) -> f64 {
-        let unread = || {
-            let client = self.client.upgrade()?;
-            Some(self.clock.time_of(client.came().unwrap_or_else(|| client.unread_since())))
-        };
-        self.came.get().or_else(unread).unwrap_or_else(|| self.clock.now())
+        let read = || self.client.upgrade()?.came().map(|came| self.came_at(came));
+        let unread = || self.client.upgrade().map(|client| self.came_at(client.unread_since()));
+        self.came.get().or_else(read).or_else(unread).unwrap_or_else(|| self.clock.now())
+    }
+
+    /// When that came, at the earliest, which was read then: while the process stood still nothing was read.
+    fn came_at(&self, read: Instant) -> f64 {
+        let read = self.clock.time_of(read);
+        self.pulse.stopped_at(read).unwrap_or(read)
     }
 
     pub fn at(&self) -> f64 {
@@ -70,10 +79,15 @@
     pub async fn over(&self) {
         loop {
             let at = self.at() + if self.is_coming() { -AHEAD } else { LEFT_TO_MODULE };
-            if self.clock.now() >= at {
+            let now = self.clock.now();
+            if now < at {
+                sleep_until(self.clock.at(at)).await;
+            } else if self.pulse.stopped_at(now).is_some() {
+                // What came meanwhile is being read, and the module plays its round.
+                sleep(CATCH_UP).await;
+            } else {
                 return;
             }
-            sleep_until(self.clock.at(at)).await;
         }
     }
 }
--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -363,9 +363,8 @@
         }
     }
 
-    /// When that came, at the earliest, which is read now: while the process stood still nothing was read.
-    pub fn came_at(&self, read: f64) -> f64 {
-        self.pulse.stopped_at(read).unwrap_or(read)
+    pub fn pulse(&self) -> Rc<Pulse> {
+        self.pulse.clone()
     }
 
     /// Since when that can have come which is read now.
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -280,17 +280,15 @@
         (held, answer)
     }
 
-    /// When the last byte of the request came, at the earliest, that was handed out last on this connection and has been read.
-    pub fn came(&self, caller: &Wire) -> f64 {
-        self.discovery
-            .came_at(caller.came().map_or_else(|| self.clock.now(), |came| self.clock.time_of(came)))
+    /// When the answer is due to the request that was handed out last on this connection, and whose client waits so long.
+    pub fn deadline(&self, time: f64, caller: &Rc<Wire>) -> Deadline {
+        Deadline::new(self.clock, self.discovery.pulse(), time, caller)
     }
 
     /// The last byte of a job has come: its times count from now on.
     pub fn body_came(&self, held: &Held) {
         let number = held.number;
-        let came = held.caller.upgrade().map_or_else(|| self.clock.now(), |caller| self.came(&caller));
-        held.deadline.whole(came);
+        held.deadline.whole();
         let limit = held.deadline.at();
         held.whole.notify_waiters();
         self.inbox.tell(move |balancer| balancer.body_came(number, limit));
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -220,9 +220,9 @@
             self.crowded.warn("no room for a job, rejected");
             return Ok(reject(start));
         };
-        let deadline = Deadline::new(self.route.clock, job.left, &caller.wire);
+        let deadline = self.route.deadline(job.left, &caller.wire);
         if matches!(start, Start::Whole(_)) {
-            deadline.whole(self.route.came(&caller.wire));
+            deadline.whole();
         }
         if deadline.left(self.route.clock.now()) <= 0.0 {
             self.book.too_late.add();
--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -370,3 +370,32 @@
         Ok(())
     });
 }
+
+// What a body brought while the process stood still came then, and goes to no server once its time is over; what it brings
+// later has its whole time.
+#[test_case(true; "all of it")]
+#[test_case(false; "half of it")]
+fn a_body_that_comes_while_the_process_stands_still_has_its_time_from_then_on(all: bool) {
+    in_time(|| {
+        let server = Server::start(Act::Serve(b"fine".to_vec()));
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        let request = [head("pay", "0.6", LARGE).into_bytes(), vec![b'x'; LARGE]].concat();
+        let (before, rest) = request.split_at(if all { 0 } else { LARGE / 3 });
+        let (meanwhile, later) = rest.split_at(if all { rest.len() } else { LARGE / 3 });
+        caller.stream.write_all(before).unwrap();
+        sleep(TIME / 4);
+        node.signal("-STOP");
+        node.wait_until_stopped();
+        caller.stream.write_all(meanwhile).unwrap();
+        sleep(2 * TIME);
+        node.signal("-CONT");
+        sleep(TIME / 2);
+        caller.stream.write_all(later).unwrap();
+        let status = caller.answer().map(|answer| answer.status());
+        match (all, status, server.jobs().len()) {
+            (true, Some(502 | 503), 0) | (false, Some(200), 1) => Ok(()),
+            other => Err(format!("{other:?}")),
+        }
+    });
+}
