What is still open at the process's last moment is answered before it exits

The exit was bounded by a time alone: whatever was open then ended with the process. Now all that is open is ended by the owner of its time, and has 50 ms to be written; only then the process exits.

--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -78,6 +78,8 @@
 const PERMIT: Duration = Duration::from_millis(100);
 /// How long a node that may not be alone waits for its first list before it says that it is ready.
 const FIRST_LIST: Duration = Duration::from_millis(2500);
+/// How long answers that are given only then have to be written.
+const LAST_WRITES: Duration = Duration::from_millis(50);
 /// Time, ms, between the module's last answers and the node's end: they have to be written.
 const LAST_ANSWERS: f64 = 100.0;
 
@@ -165,9 +167,13 @@
     };
     Acceptor::new(listener, take_in.clone()).run(ended).await;
     if timeout_at(clock.at(last.get()), take_in.finish()).await.is_err() {
-        log::warn!("ended with {} jobs unanswered", take_in.room.jobs());
-        take_in.never_answered("the process ends");
-        take_in.route.guard.end(take_in.room.jobs());
+        // Whatever they still wait for, also where the process stood still beyond its last moment.
+        take_in.route.expire_all();
+        if timeout(LAST_WRITES, take_in.finish()).await.is_err() {
+            log::warn!("ended with {} jobs unanswered", take_in.room.jobs());
+            take_in.never_answered("the process ends");
+            take_in.route.guard.end(take_in.room.unanswered());
+        }
     }
     log::info!("{book} {}{}", take_in.room, beside(cluster.as_ref()));
     if let Some(cluster) = cluster {
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -307,19 +307,30 @@
     /// Answers the job once its time is over and nobody else has, whatever it waits for; never returns.
     pub async fn expire(&self, held: &Held) -> Infallible {
         held.deadline.over().await;
-        if held.relay.is_open() {
-            self.book.expired.add();
-            let why = if held.deadline.is_coming() { "its body was not taken" } else { "no decision came" };
-            let line = || format!("request {} expired, {why}: {}", text(held.job.id()), held.history());
-            self.refused.info(line);
-            held.relay.give(if held.is_unsent() { Answer::Rejected(0.0) } else { Answer::Failed });
-            let number = held.number;
-            self.inbox.tell(move |balancer| balancer.client_left(number));
-            self.forget(held);
-        }
+        let why = if held.deadline.is_coming() { "its body was not taken" } else { "no decision came" };
+        self.end(held, why);
         pending().await
     }
 
+    /// The same for all that are open, as the process ends.
+    pub fn expire_all(&self) {
+        let held: Vec<_> = self.held.borrow().values().cloned().collect();
+        held.iter().for_each(|held| self.end(held, "the process ends"));
+    }
+
+    fn end(&self, held: &Held, why: &str) {
+        if !held.relay.is_open() {
+            return;
+        }
+        self.book.expired.add();
+        let line = || format!("request {} expired, {why}: {}", text(held.job.id()), held.history());
+        self.refused.info(line);
+        held.relay.give(if held.is_unsent() { Answer::Rejected(0.0) } else { Answer::Failed });
+        let number = held.number;
+        self.inbox.tell(move |balancer| balancer.client_left(number));
+        self.forget(held);
+    }
+
     fn answer(&self, number: u32, answer: Answer) {
         let held = self.held.borrow().get(&number).cloned();
         if let Some(held) = held {
