Soak: answers and bodies of all sizes and forms, pipelines, slow readers, crowds, signals in series

The soak played small requests, one at a time, and judged nothing of an answer's middle. It now draws answers and bodies of 1 kB to 32 MB (whole, in chunks, without length; stalled, dripping, never ending), clients that read or write slowly or stop in the middle of a body, up to 8 requests in one write, clients that ask without a pause through a whole shutdown, SIGTERM, SIGHUP and SIGSTOP together and twice, and in a quarter of the plays nodes with 128 descriptors that clients fill. The relay passes all on as it comes and tells who ended an answer.

--- /dev/null
+++ b/crates/pearfront-soak/src/client/crowd.rs
@@ -0,0 +1,106 @@
+//! Clients that do more than ask and wait: several requests in one write, one request after the other without a pause, and
+//! crowds that only hold connections.
+
+use super::Client;
+use super::exchange::{Ended, is_last};
+use super::request::Request;
+use crate::clock;
+use crate::record::Record;
+use rand::Rng;
+use std::ops::RangeInclusive;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+/// So many requests come in one write.
+const IN_ONE_WRITE: RangeInclusive<usize> = 2..=8;
+/// How long a client waits beyond its deadline.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// How long a client asks without a pause at the most.
+const PRESSES: Duration = Duration::from_secs(5);
+/// How often one of a crowd looks whether its connection stands, and tries again.
+const LOOK: Duration = Duration::from_millis(20);
+
+impl Client {
+    /// Several requests in one write on a new connection; their answers come in the same order.
+    pub(super) async fn burst(self: Rc<Self>, node: usize) {
+        let Some(mut connection) = self.connect(node).await else { return };
+        let requests: Vec<Request> = {
+            let chance = &mut *self.chance.borrow_mut();
+            let count = chance.random_range(IN_ONE_WRITE);
+            (0..count).map(|_| Request::draw_plain(chance, &self.role)).collect()
+        };
+        let all: Vec<u8> = requests.iter().flat_map(Request::head).collect();
+        if connection.write(&all).await.is_err() {
+            return;
+        }
+        let at = clock::now();
+        for request in &requests {
+            let (id, effect, deadline) = (request.id.clone(), request.effect, request.deadline);
+            self.recorder.write(&Record::Request { id, node, effect, at, deadline, fresh: true });
+        }
+        let longest = requests.iter().map(|request| request.deadline).fold(0.0, f64::max);
+        let until = Instant::now() + Duration::from_secs_f64(longest / 1000.0) + PATIENCE;
+        for (place, request) in requests.iter().enumerate() {
+            let left = until.saturating_duration_since(Instant::now());
+            let Ok(answer) = timeout(left, connection.message()).await else { return };
+            let Some(answer) = answer else {
+                return self.unanswered(&requests[place..]);
+            };
+            let (id, status) = (request.id.clone(), answer.status());
+            self.recorder.write(&Record::Answer { id, at: clock::now(), status });
+            if is_last(&answer) {
+                return self.unanswered(&requests[place + 1..]);
+            }
+        }
+    }
+
+    /// The connection has ended before these were answered.
+    fn unanswered(&self, requests: &[Request]) {
+        for request in requests {
+            let id = request.id.clone();
+            self.recorder.write(&Record::Unanswered { id, at: clock::now(), crossed: false });
+        }
+    }
+
+    /// One request after the other on one connection, until that ends.
+    pub(super) async fn press(self: Rc<Self>, node: usize) {
+        let Some(mut connection) = self.connect(node).await else { return };
+        let until = Instant::now() + PRESSES;
+        let mut fresh = true;
+        while Instant::now() < until {
+            let mut request = Request::draw_plain(&mut *self.chance.borrow_mut(), &self.role);
+            request.leaves = None;
+            match self.ask(node, &request, &mut connection, fresh).await {
+                Ended::Answered { kept: true } => fresh = false,
+                _ => return,
+            }
+        }
+    }
+
+    /// Holds a connection with nothing or half a head on it, and opens it anew where it is closed.
+    pub(super) async fn crowd(self: Rc<Self>, node: usize, time: Duration) {
+        let until = Instant::now() + time;
+        let half = self.draw().head();
+        let sent = if self.happens(0.5) { 0 } else { half.len() / 2 };
+        while Instant::now() < until {
+            if let Some(mut connection) = self.connect(node).await
+                && connection.write(&half[..sent]).await.is_ok()
+            {
+                let left = until.saturating_duration_since(Instant::now());
+                let _ = timeout(left, connection.ended()).await;
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Half a request, whose client stays.
+    pub(super) async fn stall(self: Rc<Self>, node: usize) {
+        let Some(mut connection) = self.connect(node).await else { return };
+        let half = self.draw().head();
+        if connection.write(&half[..half.len() / 2]).await.is_err() {
+            return;
+        }
+        self.wait_for_end(node, &mut connection, clock::now()).await;
+    }
+}
--- a/crates/pearfront-soak/src/http.rs
+++ b/crates/pearfront-soak/src/http.rs
@@ -4,11 +4,13 @@
 use std::collections::HashMap;
 use std::io;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 
 /// Bytes read at a time.
-const CHUNK: usize = 8 * 1024;
+const CHUNK: usize = 64 * 1024;
+/// Bytes of a line's end.
+const LINE_END: u64 = 2;
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
 
 /// One message.
@@ -32,30 +34,84 @@
         self.start.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or_default()
     }
 
-    /// The value of a query's key.
-    pub fn query(&self, key: &str) -> Option<u64> {
+    /// The value of a query's key, as it stands.
+    pub fn query_text(&self, key: &str) -> Option<&str> {
         let (_, rest) = self.start.split_once(&format!("{key}="))?;
-        rest.split(['&', ' ']).next()?.parse().ok()
+        rest.split(['&', ' ']).next()
+    }
+
+    /// The same where it is a number.
+    pub fn query(&self, key: &str) -> Option<u64> {
+        self.query_text(key)?.parse().ok()
+    }
+
+    fn is_chunked(&self) -> bool {
+        self.header("transfer-encoding").is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"))
+    }
+}
+
+/// What is still to come of a message's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rest {
+    Length(u64),
+    /// The line that tells a chunk's size, so much of a chunk with its line end, the lines behind the last.
+    Size,
+    Chunk(u64),
+    Trailers,
+    /// All until the connection ends.
+    UntilEnd,
+    Over,
+}
+
+impl Rest {
+    /// Of a request's body.
+    pub fn of_request(head: &Message) -> Self {
+        match head.header("content-length").and_then(|length| length.parse().ok()) {
+            _ if head.is_chunked() => Self::Size,
+            Some(length) if length > 0 => Self::Length(length),
+            _ => Self::Over,
+        }
+    }
+
+    /// Of an answer's body.
+    pub fn of_answer(head: &Message) -> Self {
+        let has_end = head.is_chunked() || head.header("content-length").is_some();
+        if has_end { Self::of_request(head) } else { Self::UntilEnd }
     }
 }
 
+/// Some of a body, as it came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Piece {
+    pub raw: Vec<u8>,
+    /// So many bytes of it belong to the body itself.
+    pub content: usize,
+}
+
+/// Its connection ended before the body did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Broken;
+
 /// A connection, and what has been read of the next message.
 pub struct Connection {
     pub stream: TcpStream,
     read: Vec<u8>,
     first: f64,
+    /// Its end was a reset, which ends no message.
+    was_reset: bool,
 }
 
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, read: Vec::new(), first: 0.0 }
+        Self { stream, read: Vec::new(), first: 0.0, was_reset: false }
     }
 
     /// Reads more; nothing if the other side has ended.
     async fn more(&mut self) -> Option<()> {
-        let mut chunk = [0; CHUNK];
-        let count = self.stream.read(&mut chunk).await.ok().filter(|count| *count > 0)?;
+        let mut chunk = vec![0; CHUNK];
+        let count = self.stream.read(&mut chunk).await.inspect_err(|_| self.was_reset = true);
+        let count = count.ok().filter(|count| *count > 0)?;
         if self.read.is_empty() {
             self.first = clock::now();
         }
@@ -84,6 +140,76 @@
         Some(Message { bytes, start, headers: lines.filter_map(header).collect(), first: self.first })
     }
 
+    /// Reads some more of a body; nothing at its end. May be given up at any time.
+    ///
+    /// # Errors
+    /// Where the connection ends before the body does.
+    pub async fn piece(&mut self, rest: &mut Rest) -> Result<Option<Piece>, Broken> {
+        match *rest {
+            Rest::Over => Ok(None),
+            Rest::Length(left) => {
+                let raw = self.bytes(left).await?;
+                let left = left - raw.len() as u64;
+                *rest = if left == 0 { Rest::Over } else { Rest::Length(left) };
+                Ok(Some(Piece { content: raw.len(), raw }))
+            }
+            Rest::UntilEnd => match self.bytes(u64::MAX).await {
+                Ok(raw) => Ok(Some(Piece { content: raw.len(), raw })),
+                Err(Broken) if self.was_reset => Err(Broken),
+                Err(Broken) => {
+                    *rest = Rest::Over;
+                    Ok(None)
+                }
+            },
+            Rest::Size => {
+                let raw = self.line().await?;
+                let text = String::from_utf8_lossy(&raw).into_owned();
+                let size = text.split(';').next().map(str::trim).unwrap_or_default();
+                let size = u64::from_str_radix(size, 16).map_err(|_| Broken)?;
+                *rest = if size == 0 { Rest::Trailers } else { Rest::Chunk(size + LINE_END) };
+                Ok(Some(Piece { raw, content: 0 }))
+            }
+            Rest::Chunk(left) => {
+                let raw = self.bytes(left).await?;
+                let after = left - raw.len() as u64;
+                *rest = if after == 0 { Rest::Size } else { Rest::Chunk(after) };
+                let content = left.saturating_sub(LINE_END) - after.saturating_sub(LINE_END);
+                Ok(Some(Piece { raw, content: content as usize }))
+            }
+            Rest::Trailers => {
+                let raw = self.line().await?;
+                if raw == b"\r\n" {
+                    *rest = Rest::Over;
+                }
+                Ok(Some(Piece { raw, content: 0 }))
+            }
+        }
+    }
+
+    /// Some bytes, so many at the most.
+    async fn bytes(&mut self, most: u64) -> Result<Vec<u8>, Broken> {
+        if self.read.is_empty() {
+            self.more().await.ok_or(Broken)?;
+        }
+        let count = most.min(self.read.len() as u64) as usize;
+        let rest = self.read.split_off(count);
+        Ok(std::mem::replace(&mut self.read, rest))
+    }
+
+    async fn line(&mut self) -> Result<Vec<u8>, Broken> {
+        loop {
+            if let Some(end) = self.read.iter().position(|byte| *byte == b'\n') {
+                return self.bytes(end as u64 + 1).await;
+            }
+            self.more().await.ok_or(Broken)?;
+        }
+    }
+
+    /// Waits until the other side has closed or reset it, whatever lies unread.
+    pub async fn closed(&self) {
+        let _ = self.stream.ready(Interest::PRIORITY).await;
+    }
+
     /// Reads the body behind a head.
     pub async fn body(&mut self, message: &mut Message) -> Option<()> {
         let length: usize = message.header("content-length").map_or(Some(0), |length| length.parse().ok())?;
--- a/crates/pearfront-soak/src/judge.rs
+++ b/crates/pearfront-soak/src/judge.rs
@@ -6,7 +6,7 @@
 use crate::discovery::cell_of;
 use crate::node_file::{BUDGET_FREE, BUDGET_RATIO, BUDGET_SPAN, COLD, COLD_FROM, OVERLOAD_FOR, TIP_MULTIPLE};
 use crate::plan::Plan;
-use crate::record::{Effect, Record, Standing};
+use crate::record::{AnswerEnd, Effect, Record, ReplyEnd, Standing};
 use history::{Attempt, Life, Records, Request};
 use std::collections::BTreeMap;
 
@@ -18,6 +18,10 @@
 const HELD_UP: f64 = 150.0;
 /// Later than its deadline by more than this an answer is lost.
 const LOST_AFTER: f64 = 500.0;
+/// Behind so long a pause a server may be taken to give no more of an answer whose time is over.
+const STILL_GIVES: f64 = 350.0;
+/// Nothing of an answer may be held back for so long.
+const HELD_BACK: f64 = 2000.0;
 /// No attempt may begin so long after its client has left.
 const LEFT_SLACK: f64 = 100.0;
 /// A client that stalls is owed an error or the end of its connection within this time.
@@ -62,7 +66,7 @@
 
 /// Holds a play's records against the rules.
 pub fn judge(plan: &Plan, records: &[Record]) -> Verdict {
-    let all = Records::new(records);
+    let all = Records::new(plan, records);
     let mut verdict = Verdict {
         requests: all.requests.len(),
         attempts: all.attempts.values().map(Vec::len).sum(),
@@ -84,6 +88,7 @@
     for (id, request) in &all.requests {
         let attempts = all.attempts.get(id).map_or(&[][..], Vec::as_slice);
         lost(&all, id, request, attempts, &mut verdict.breaks);
+        flow(&all, id, request, attempts, &mut verdict.breaks);
         left(&all, id, request, attempts, held_up, &mut verdict.breaks);
         deadline(&all, id, request, attempts, &mut verdict.breaks);
         duplicate(plan, id, request, attempts, &mut verdict.breaks);
@@ -112,6 +117,9 @@
         (Some(_), ..) | (_, _, Some(_)) => {}
         // What has been sent on to a server had been read, and did not cross the end of its connection.
         (_, Some((_, true)), _) if attempts.is_empty() => {}
+        // New connections may be shut unread where descriptors are full.
+        (_, Some((at, _)), _) if request.fresh && attempts.is_empty() && all.is_crowded(request.node, at) => {
+        }
         (_, Some((at, _)), _) if all.was_killed(request.node, request.at - SLACK, at + SLACK) => {}
         (_, Some((at, _)), _) => {
             broken(at, format!("its connection ended without an answer after {:.0} ms", at - request.at));
@@ -121,6 +129,49 @@
     }
 }
 
+/// The end of an answer that is passed on before it is whole: not while its server gives, and soon behind that and its time.
+fn flow(all: &Records, id: &str, request: &Request, attempts: &[Attempt], breaks: &mut Vec<Break>) {
+    let Some(ended) = request.ended else { return };
+    let node = request.node;
+    let reply = attempts.iter().filter_map(|attempt| attempt.ended).max_by(|a, b| a.at.total_cmp(&b.at));
+    // What a client takes slowly has been cut off long before it sees that.
+    let cut = reply.map_or(ended.at, |reply| reply.at.min(ended.at));
+    let is_excused = all.has_ended(node, cut - HELD_UP, cut + HELD_UP)
+        || all.stopped(node, request.at, ended.at) > 0.0;
+    if is_excused || all.is_unserved(node, request.at) {
+        return;
+    }
+    let mut broken = |what: String| {
+        let what = format!("request {id} of node {node}, {:.0} ms to wait: {what}", request.deadline);
+        breaks.push(Break { rule: Rule::Lost, at: ended.at, what });
+    };
+    match (ended.end, reply) {
+        (AnswerEnd::Broken, Some(reply)) => {
+            let gives = reply.end == ReplyEnd::CutByNode
+                || reply.end == ReplyEnd::LeftByNode && reply.at < reply.last + STILL_GIVES;
+            if gives {
+                broken(format!(
+                    "cut off {:.0} ms behind the last bytes of its server",
+                    reply.at - reply.last
+                ));
+            }
+        }
+        (AnswerEnd::GivenUp, reply) if !ended.slow => {
+            let given = reply.map_or(ended.last, |reply| reply.last.max(ended.last));
+            let due = (request.at + request.deadline).max(given) + LOST_AFTER + SLACK + HELD_UP;
+            if ended.at > due {
+                broken(format!("held open {:.0} ms behind the last bytes of its server", ended.at - given));
+            }
+        }
+        (AnswerEnd::Whole, Some(reply)) if !ended.slow => {
+            if reply.end == ReplyEnd::Whole && ended.at > reply.last + HELD_BACK {
+                broken(format!("held back for {:.0} ms", ended.at - reply.last));
+            }
+        }
+        _ => {}
+    }
+}
+
 fn left(
     all: &Records,
     id: &str,
--- a/crates/pearfront-soak/src/judge/history.rs
+++ b/crates/pearfront-soak/src/judge/history.rs
@@ -1,8 +1,8 @@
 //! What happened in a play, put together from the records of clients, servers, discovery and the relay. Times are ms.
 
-use super::{Break, Rule, STARTS, TOLD, WATCH_GAP};
-use crate::plan::Fleet;
-use crate::record::{DiscoveryMode, Effect, Record, Standing};
+use super::{Break, Rule, SLACK, STARTS, TOLD, WATCH_GAP};
+use crate::plan::{Fleet, KILL_AFTER, Plan};
+use crate::record::{AnswerEnd, DiscoveryMode, Effect, Record, ReplyEnd, Standing};
 use std::collections::{BTreeMap, HashMap};
 
 pub(super) struct Request {
@@ -13,6 +13,27 @@
     pub(super) left: Option<f64>,
     pub(super) answer: Option<(f64, u16)>,
     pub(super) unanswered: Option<(f64, bool)>,
+    /// On a new connection.
+    pub(super) fresh: bool,
+    /// How an answer ended that is too large to be kept whole.
+    pub(super) ended: Option<EndedAnswer>,
+}
+
+/// What a client saw of the end of an answer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EndedAnswer {
+    pub(super) at: f64,
+    pub(super) end: AnswerEnd,
+    pub(super) last: f64,
+    pub(super) slow: bool,
+}
+
+/// What the relay saw of it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EndedReply {
+    pub(super) at: f64,
+    pub(super) end: ReplyEnd,
+    pub(super) last: f64,
 }
 
 pub(super) struct Attempt {
@@ -21,6 +42,7 @@
     pub(super) told: f64,
     pub(super) whole: Option<f64>,
     pub(super) reply: Option<(f64, bool)>,
+    pub(super) ended: Option<EndedReply>,
 }
 
 impl Attempt {
@@ -31,6 +53,13 @@
     }
 }
 
+/// A process of a node was killed, and had been told to end before, if it had.
+pub(super) struct Kill {
+    node: usize,
+    at: f64,
+    told: Option<f64>,
+}
+
 /// A process of a node.
 pub(super) struct Life {
     pub(super) node: usize,
@@ -45,8 +74,11 @@
     pub(super) requests: HashMap<String, Request>,
     pub(super) attempts: HashMap<String, Vec<Attempt>>,
     pub(super) lives: Vec<Life>,
-    /// Times at which processes were killed outright, by node.
-    pub(super) kills: Vec<(usize, f64)>,
+    pub(super) kills: Vec<Kill>,
+    /// When processes were told to end.
+    pub(super) terms: Vec<(u32, f64)>,
+    /// Nodes whose descriptors clients fill, from when to when.
+    pub(super) crowds: Vec<(usize, f64, f64)>,
     pub(super) stops: Vec<(usize, f64, f64)>,
     pub(super) changes: Vec<(u64, usize, Standing, f64)>,
     pub(super) modes: Vec<(DiscoveryMode, f64)>,
@@ -56,12 +88,18 @@
     pub(super) starts: Vec<(usize, f64)>,
     pub(super) stalled: Vec<(usize, f64, Option<f64>)>,
     pub(super) crashes: Vec<Break>,
+    /// So long after it was told to end a process has ended, ms.
+    pub(super) ends_within: f64,
     pub(super) end: f64,
 }
 
+/// How long a crowd takes to go, ms.
+const CROWD_GOES: f64 = 3500.0;
+
 impl Records {
-    pub(super) fn new(records: &[Record]) -> Self {
-        let mut all = Self { end: records.last().map_or(0.0, Record::at), ..Self::default() };
+    pub(super) fn new(plan: &Plan, records: &[Record]) -> Self {
+        let ends_within = plan.fleet.deadlines.1 + KILL_AFTER - SLACK;
+        let mut all = Self { ends_within, end: records.last().map_or(0.0, Record::at), ..Self::default() };
         // What the relay saw of one attempt comes in order; what different processes saw is sorted by time.
         records.iter().for_each(|record| all.take(record));
         all
@@ -69,7 +107,7 @@
 
     pub(super) fn take(&mut self, record: &Record) {
         match record {
-            Record::Request { id, node, effect, at, deadline, .. } => {
+            Record::Request { id, node, effect, at, deadline, fresh } => {
                 let request = Request {
                     node: *node,
                     effect: *effect,
@@ -78,6 +116,8 @@
                     left: None,
                     answer: None,
                     unanswered: None,
+                    fresh: *fresh,
+                    ended: None,
                 };
                 self.requests.insert(id.clone(), request);
             }
@@ -87,9 +127,20 @@
                 self.of(id, |request| request.unanswered = Some((*at, *crossed)));
             }
             Record::Attempt { id, server, at, told } => {
-                let attempt = Attempt { server: *server, at: *at, told: *told, whole: None, reply: None };
+                let attempt =
+                    Attempt { server: *server, at: *at, told: *told, whole: None, reply: None, ended: None };
                 self.attempts.entry(id.clone()).or_default().push(attempt);
             }
+            Record::AnswerEnded { id, at, end, last, slow } => {
+                let ended = EndedAnswer { at: *at, end: *end, last: *last, slow: *slow };
+                self.of(id, |request| request.ended = Some(ended));
+            }
+            Record::ReplyEnded { id, server, at, end, last } => {
+                let ended = EndedReply { at: *at, end: *end, last: *last };
+                self.last(id, *server, |attempt| attempt.ended = Some(ended));
+            }
+            Record::Crowd { node, from, to } => self.crowds.push((*node, *from, *to)),
+            Record::Term { process, at, .. } => self.terms.push((*process, *at)),
             Record::Whole { id, server, at } => self.last(id, *server, |attempt| attempt.whole = Some(*at)),
             Record::Reply { id, server, at, never_ran } => {
                 self.last(id, *server, |attempt| attempt.reply = Some((*at, *never_ran)));
@@ -111,18 +162,15 @@
                 self.exit(*node, *process, *at, *by_itself, *code)
             }
             Record::Kill { node, process, at } => {
-                self.kills.push((*node, *at));
+                let told = self.terms.iter().find(|(told, _)| told == process).map(|(_, at)| *at);
+                self.kills.push(Kill { node: *node, at: *at, told });
                 self.end_life(*process, *at);
             }
             Record::Stop { node, from, to } => self.stops.push((*node, *from, *to)),
             Record::Reloaded { node, grace, at } => self.graces.push((*node, *grace, *at)),
             Record::ServerStart { server, at } => self.starts.push((*server, *at)),
             Record::Stalled { node, at, ended } => self.stalled.push((*node, *at, *ended)),
-            Record::Ran { .. }
-            | Record::Probe { .. }
-            | Record::Term { .. }
-            | Record::Moved { .. }
-            | Record::ServerKill { .. } => {}
+            Record::Ran { .. } | Record::Probe { .. } | Record::Moved { .. } | Record::ServerKill { .. } => {}
         }
     }
 
@@ -172,8 +220,26 @@
         self.lives.iter().find(serves).is_none()
     }
 
+    /// Was a process of the node killed in that time, of which nothing more can be asked? One that was told to end, and had
+    /// all its time since, has to have answered by then.
     pub(super) fn was_killed(&self, node: usize, from: f64, to: f64) -> bool {
-        self.kills.iter().any(|(killed, at)| *killed == node && (from..=to).contains(at))
+        self.kills.iter().any(|kill| {
+            let had_time = kill.told.is_some_and(|told| {
+                kill.at - told >= self.ends_within && self.stopped(node, told, kill.at) == 0.0
+            });
+            kill.node == node && (from..=to).contains(&kill.at) && !had_time
+        })
+    }
+
+    /// Did a process of the node end in that time, whatever ended it?
+    pub(super) fn has_ended(&self, node: usize, from: f64, to: f64) -> bool {
+        self.lives.iter().any(|life| life.node == node && (from..=to).contains(&life.end))
+    }
+
+    /// Do clients fill its descriptors, or have they just?
+    pub(super) fn is_crowded(&self, node: usize, at: f64) -> bool {
+        let within = |(_, from, to): &(usize, f64, f64)| (*from..to + CROWD_GOES).contains(&at);
+        self.crowds.iter().any(|crowd| crowd.0 == node && within(crowd))
     }
 
     /// From when on, at the latest, a time `from` on has been followed by a span in which discovery could be reached.
--- a/crates/pearfront-soak/src/lib.rs
+++ b/crates/pearfront-soak/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod role;
 mod server;
 pub mod shim;
+mod wish;
--- a/crates/pearfront-soak/src/plan.rs
+++ b/crates/pearfront-soak/src/plan.rs
@@ -15,6 +15,12 @@
 const BETWEEN: f64 = 450.0;
 /// Share of plays in which discovery is crowded from beginning to end, and a server drains meanwhile.
 const INCIDENTS: f64 = 0.3;
+/// SIGKILL comes no sooner than the longest deadline and so much more after SIGTERM, ms.
+pub const KILL_AFTER: f64 = 700.0;
+/// Share of plays in which nodes have few descriptors, and clients fill them; how many they have then, and else.
+const CROWDED: f64 = 0.25;
+const FEW_SOCKETS: usize = 128;
+const SOCKETS: usize = 1024;
 /// Servers that stay as they are.
 const SPARED_SERVERS: usize = 2;
 
@@ -40,14 +46,27 @@
     pub rate: f64,
     /// Share of requests whose client leaves.
     pub leaves: f64,
+    /// Descriptors that a node may have.
+    pub sockets: usize,
 }
 
 /// One fault.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Event {
-    /// SIGTERM, SIGKILL as early as it may come, and a new process.
+    /// SIGTERM, SIGKILL as early as it may come, and a new process. So many clients go on asking without a pause.
     Term {
         node: usize,
+        pressed_by: usize,
+    },
+    /// The same with SIGTERM, SIGHUP and SIGSTOP together, twice, and SIGCONT after so long.
+    Series {
+        node: usize,
+        ms: u64,
+    },
+    /// Clients hold all descriptors of a node that they can get.
+    Crowd {
+        node: usize,
+        ms: u64,
     },
     Kill {
         node: usize,
@@ -111,7 +130,10 @@
     /// What it is called in reports.
     pub fn name(self) -> &'static str {
         match self {
-            Self::Term { .. } => "SIGTERM and SIGKILL",
+            Self::Term { pressed_by: 0, .. } => "SIGTERM and SIGKILL",
+            Self::Term { .. } => "SIGTERM and SIGKILL, clients pressing",
+            Self::Series { .. } => "SIGTERM, SIGHUP, SIGSTOP twice",
+            Self::Crowd { .. } => "descriptors crowded",
             Self::Kill { .. } => "SIGKILL",
             Self::Stop { .. } => "SIGSTOP",
             Self::Reload { .. } => "SIGHUP, other settings",
@@ -178,6 +200,14 @@
             events.push((FIRST_FAULT, Event::Discovery { mode, ms }));
             events.push((FIRST_FAULT + 300.0, Event::Drain { server: drained }));
         }
+        if fleet.sockets == FEW_SOCKETS {
+            let mut at = FIRST_FAULT;
+            while at < length - QUIET {
+                let (node, ms) = (chance.random_range(0..fleet.nodes), chance.random_range(1500..4000));
+                events.push((at, Event::Crowd { node, ms }));
+                at += chance.random_range(2000.0..6000.0);
+            }
+        }
         events.sort_by(|(a, _), (b, _)| a.total_cmp(b));
         Self { seed, fleet, length, events }
     }
@@ -203,6 +233,7 @@
         deadlines: *[(250.0, 900.0), (400.0, 3000.0)].choose(chance).expect("some"),
         rate: chance.random_range(8.0..25.0),
         leaves: chance.random_range(0.0..0.15),
+        sockets: if chance.random_bool(CROWDED) { FEW_SOCKETS } else { SOCKETS },
     }
 }
 
@@ -212,7 +243,8 @@
     let ms = chance.random_range(300..4000);
     let long = chance.random_range(500..9000);
     match chance.random_range(0..100) {
-        0..10 => Event::Term { node },
+        0..7 => Event::Term { node, pressed_by: chance.random_range(0..6) },
+        7..10 => Event::Series { node, ms: chance.random_range(20..600) },
         10..15 => Event::Kill { node },
         15..21 => Event::Stop { node, ms: chance.random_range(100..2500) },
         21..24 => Event::Reload { node },
--- a/crates/pearfront-soak/src/player/faults.rs
+++ b/crates/pearfront-soak/src/player/faults.rs
@@ -2,7 +2,7 @@
 
 use super::{LIVES, Player, Process, pid};
 use crate::clock;
-use crate::plan::Event;
+use crate::plan::{Event, KILL_AFTER};
 use crate::record::{DiscoveryMode, Record, Standing};
 use crate::role::{Order, Way};
 use rustix::process::{Signal, kill_process};
@@ -11,9 +11,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-/// How long after SIGTERM new connections go on coming, ms, and the kill comes beyond the longest deadline.
+/// How long after SIGTERM new connections go on coming, ms.
 const STILL_COMING: u64 = 400;
-const KILL_AFTER: f64 = 700.0;
 /// How long two processes of a node are there beside each other in a hand-over: the new one says that it is ready within 2.5 s
 /// whatever discovery does, and only then the old one is told to end.
 const TOGETHER: Duration = Duration::from_millis(3000);
@@ -25,9 +24,15 @@
 impl Player {
     pub(super) fn happen(self: Rc<Self>, event: Event) {
         match event {
-            Event::Term { node } => {
-                self.begin(node, event, |player| async move { player.restart(node).await })
-            }
+            Event::Term { node, pressed_by } => self.begin(node, event, move |player| async move {
+                player.clients.borrow()[0].order(&Order::Press { node, count: pressed_by });
+                player.restart(node).await
+            }),
+            Event::Series { node, ms } => self.begin(node, event, move |player| async move {
+                player.signal_in_series(node, ms);
+                player.restart(node).await
+            }),
+            Event::Crowd { node, ms } => self.crowd(event, node, ms),
             Event::Kill { node } => self.begin(node, event, |player| async move { player.kill(node).await }),
             Event::HandOver { node } if self.nodes[node].listener.is_some() => {
                 self.begin(node, event, |player| async move { player.hand_over(node).await });
@@ -134,6 +139,30 @@
         self.come_back(node).await;
     }
 
+    /// Signals together, twice, the second time right behind the SIGCONT of the first.
+    fn signal_in_series(self: &Rc<Self>, node: usize, ms: u64) {
+        let Some(process) = self.current(node) else { return };
+        let player = self.clone();
+        spawn_local(async move {
+            for _ in 0..2 {
+                let from = clock::now();
+                for signal in [Signal::TERM, Signal::HUP, Signal::STOP] {
+                    player.signal(&process, signal);
+                }
+                sleep(Duration::from_millis(ms)).await;
+                player.signal(&process, Signal::CONT);
+                player.recorder.write(&Record::Stop { node, from, to: clock::now() });
+            }
+        });
+    }
+
+    fn crowd(&self, event: Event, node: usize, ms: u64) {
+        self.count(event.name());
+        let from = clock::now();
+        self.clients.borrow()[0].order(&Order::Crowd { node, count: self.fleet.sockets, ms });
+        self.recorder.write(&Record::Crowd { node, from, to: from + ms as f64 });
+    }
+
     async fn kill(&self, node: usize) {
         let Some(process) = self.current(node) else { return };
         process.is_ending.set(true);
--- a/crates/pearfront-soak/src/record.rs
+++ b/crates/pearfront-soak/src/record.rs
@@ -52,6 +52,29 @@
     }
 }
 
+/// How an answer ended that is too large to be kept whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AnswerEnd {
+    Whole,
+    /// Its connection ended before it did.
+    Broken,
+    /// Its client waits no longer.
+    GivenUp,
+}
+
+/// How an answer ended on its way to a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReplyEnd {
+    Whole,
+    ServerBroke,
+    /// The node ended it while its server gave nothing.
+    LeftByNode,
+    /// The node ended it while there was more that it did not take.
+    CutByNode,
+}
+
 /// One entry.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "what")]
@@ -76,6 +99,15 @@
         at: f64,
         status: u16,
     },
+    /// An answer that is too large to be kept whole has ended behind its first bytes, or was not waited for any longer. Its
+    /// last bytes came at `last`; `slow` if its client takes it slowly.
+    AnswerEnded {
+        id: String,
+        at: f64,
+        end: AnswerEnd,
+        last: f64,
+        slow: bool,
+    },
     /// The connection has ended without an answer. `crossed` if it was a kept one whose end crossed the request.
     Unanswered {
         id: String,
@@ -109,6 +141,14 @@
         at: f64,
         never_ran: bool,
     },
+    /// An answer that is too large to be kept whole goes no further. Its last bytes went to the node at `last`.
+    ReplyEnded {
+        id: String,
+        server: usize,
+        at: f64,
+        end: ReplyEnd,
+        last: f64,
+    },
     Probe {
         server: usize,
         at: f64,
@@ -176,6 +216,12 @@
         from: f64,
         to: f64,
     },
+    /// Clients hold all the descriptors of a node that they can get.
+    Crowd {
+        node: usize,
+        from: f64,
+        to: f64,
+    },
     /// A node goes by another grace of drains, ms.
     Reloaded {
         node: usize,
@@ -206,6 +252,8 @@
             | Self::Left { at, .. }
             | Self::Answer { at, .. }
             | Self::Unanswered { at, .. }
+            | Self::AnswerEnded { at, .. }
+            | Self::ReplyEnded { at, .. }
             | Self::Stalled { at, .. }
             | Self::Attempt { at, .. }
             | Self::Whole { at, .. }
@@ -221,6 +269,7 @@
             | Self::Kill { at, .. }
             | Self::Exit { at, .. }
             | Self::Stop { from: at, .. }
+            | Self::Crowd { from: at, .. }
             | Self::Moved { at, .. }
             | Self::Reloaded { at, .. }
             | Self::ServerStart { at, .. }
--- a/crates/pearfront-soak/src/role.rs
+++ b/crates/pearfront-soak/src/role.rs
@@ -100,6 +100,17 @@
     Stall {
         node: usize,
     },
+    /// So many connections on which requests follow one another without a pause until they end.
+    Press {
+        node: usize,
+        count: usize,
+    },
+    /// So many connections that are only held, for so long.
+    Crowd {
+        node: usize,
+        count: usize,
+        ms: u64,
+    },
 }
 
 /// How the relay deals with a server's connections.
