Soak: bodies that no server takes, and a build in which nobody ends a request has to fail it

Each play now has a span of 2 to 4 s in which no server takes bodies, or takes them slowly; a quarter of the long bodies have a length that the kernels on the way keep; the relay's kernel keeps 64 kB.

--- a/Makefile
+++ b/Makefile
@@ -138,8 +138,9 @@
 soak: build
 	target/release/pearfront soak --seeds $(SEEDS_OF_SOAK) --first $(FIRST) --beside 4
 
-# A few fixed seeds of it for CI; and the same with a guard that only counts, which has to be found.
-.PHONY: soak-short soak-broken-guard
+# A few fixed seeds of it for CI; and the same with a guard that only counts, and with requests that nobody ends: both have
+# to be found.
+.PHONY: soak-short soak-broken-guard soak-broken-deadline
 soak-short: build
 	.ci/known-red soak 1 4 target/release/pearfront soak --seconds 16 --beside 2
 
@@ -147,3 +148,8 @@
 	cargo build --release --locked -p pearfront-node --features broken-guard --target-dir target/broken-guard
 	target/release/pearfront soak --seeds 4 --first 1 --seconds 16 --beside 2 \
 		--node target/broken-guard/release/pearfront-node; test $$? -eq 3
+
+soak-broken-deadline: build
+	cargo build --release --locked -p pearfront-node --features broken-deadline --target-dir target/broken-deadline
+	target/release/pearfront soak --seeds 4 --first 1 --seconds 16 --beside 2 \
+		--node target/broken-deadline/release/pearfront-node; test $$? -eq 3
--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -9,6 +9,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use std::cell::Cell;
+use std::future::pending;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -77,6 +78,9 @@
 
     /// Waits until an answer has to be given by whoever owns the time, as nobody else has.
     pub async fn over(&self) {
+        if cfg!(feature = "broken-deadline") {
+            pending().await
+        }
         loop {
             let at = self.at() + if self.is_coming() { -AHEAD } else { LEFT_TO_MODULE };
             let now = self.clock.now();
--- a/crates/pearfront-soak/src/client/request.rs
+++ b/crates/pearfront-soak/src/client/request.rs
@@ -2,11 +2,11 @@
 
 use crate::record::Effect;
 use crate::role::ClientRole;
-use crate::wish::{LONGEST, Wish, draw_length};
+use crate::wish::{Wish, draw_length};
 use rand::Rng;
 
 /// Share of requests with a body.
-const BODIES: f64 = 0.06;
+const BODIES: f64 = 0.1;
 /// Share of bodies in chunks, of those that come slowly, and of those that stop in their middle.
 const CHUNKED: f64 = 0.3;
 const SLOW_BODIES: f64 = 0.15;
@@ -53,7 +53,7 @@
             _ => Pace::AtOnce,
         };
         Self {
-            length: if has_body { draw_length(chance, LONGEST) } else { 0 },
+            length: if has_body { draw_length(chance) } else { 0 },
             chunked: has_body && chance.random_bool(CHUNKED),
             pace: if has_body { pace } else { Pace::AtOnce },
             wish: Wish::draw(chance),
--- a/crates/pearfront-soak/src/judge.rs
+++ b/crates/pearfront-soak/src/judge.rs
@@ -136,8 +136,8 @@
     let reply = attempts.iter().filter_map(|attempt| attempt.ended).max_by(|a, b| a.at.total_cmp(&b.at));
     // What a client takes slowly has been cut off long before it sees that.
     let cut = reply.map_or(ended.at, |reply| reply.at.min(ended.at));
-    let is_excused = all.has_ended(node, cut - HELD_UP, cut + HELD_UP)
-        || all.stopped(node, request.at, ended.at) > 0.0;
+    let is_excused =
+        all.has_ended(node, cut - HELD_UP, cut + HELD_UP) || all.stopped(node, request.at, ended.at) > 0.0;
     if is_excused || all.is_unserved(node, request.at) {
         return;
     }
--- a/crates/pearfront-soak/src/plan.rs
+++ b/crates/pearfront-soak/src/plan.rs
@@ -107,6 +107,11 @@
         way: Way,
         ms: u64,
     },
+    /// No server takes bodies as they should be.
+    Bodies {
+        way: Way,
+        ms: u64,
+    },
     Flood {
         node: usize,
         count: usize,
@@ -152,12 +157,14 @@
             Self::Drain { .. } => "server drains",
             Self::Restart { .. } => "server killed, back cold",
             Self::Hang { .. } => "server hangs",
-            Self::Way { way, .. } => match way {
+            Self::Way { way, .. } | Self::Bodies { way, .. } => match way {
                 Way::Open => "way open",
                 Way::Vanished => "server vanishes",
                 Way::Resets(_) => "requests reset",
                 Way::ClosesIdle(_) => "kept connections closed",
                 Way::Slow(_) => "answers held back",
+                Way::TakesNothing => "bodies not taken",
+                Way::TakesSlowly(_) => "bodies taken slowly",
             },
             Self::Flood { .. } => "flood of a client",
             Self::Stall { .. } => "client stalls",
@@ -200,6 +207,11 @@
             events.push((FIRST_FAULT, Event::Discovery { mode, ms }));
             events.push((FIRST_FAULT + 300.0, Event::Drain { server: drained }));
         }
+        // A request is taken with its last byte, whether or not any server takes that.
+        let slowly = Way::TakesSlowly(chance.random_range(50..500));
+        let way = if chance.random_bool(0.5) { Way::TakesNothing } else { slowly };
+        let at = chance.random_range(FIRST_FAULT..(length - QUIET).max(FIRST_FAULT + 1.0));
+        events.push((at, Event::Bodies { way, ms: chance.random_range(2000..4000) }));
         if fleet.sockets == FEW_SOCKETS {
             let mut at = FIRST_FAULT;
             while at < length - QUIET {
--- a/crates/pearfront-soak/src/player/faults.rs
+++ b/crates/pearfront-soak/src/player/faults.rs
@@ -48,6 +48,10 @@
             Event::Restart { server, ms } => self.restart_server(event, server, ms),
             Event::Hang { server, ms } => self.hang(event, server, ms),
             Event::Way { server, way, ms } => self.set_way(event, server, way, ms),
+            Event::Bodies { way, ms } => {
+                self.count(event.name());
+                (0..self.fleet.servers).for_each(|server| self.clone().change_way(server, way, ms));
+            }
             Event::Flood { node, count } => {
                 self.count(event.name());
                 self.clients.borrow()[0].order(&Order::Flood { node, count });
@@ -293,6 +297,10 @@
 
     fn set_way(self: Rc<Self>, event: Event, server: usize, way: Way, ms: u64) {
         self.count(event.name());
+        self.change_way(server, way, ms);
+    }
+
+    fn change_way(self: Rc<Self>, server: usize, way: Way, ms: u64) {
         self.relay.borrow().order(&Order::Way { server, way });
         spawn_local(async move {
             sleep(Duration::from_millis(ms)).await;
--- a/crates/pearfront-soak/src/relay.rs
+++ b/crates/pearfront-soak/src/relay.rs
@@ -140,6 +140,17 @@
             if !written || rest == Rest::Over {
                 return written;
             }
+            match self.way.get() {
+                Way::TakesNothing => {
+                    node.closed().await;
+                    return false;
+                }
+                Way::TakesSlowly(ms) => tokio::select! {
+                    () = sleep(Duration::from_millis(ms)) => {}
+                    () = node.closed() => return false,
+                },
+                _ => {}
+            }
             match node.piece(&mut rest).await {
                 Ok(Some(piece)) => bytes = piece.raw,
                 _ => return false,
--- a/crates/pearfront-soak/src/role.rs
+++ b/crates/pearfront-soak/src/role.rs
@@ -126,6 +126,10 @@
     ClosesIdle(u8),
     /// Answers are held back so long, ms.
     Slow(u64),
+    /// Nothing of a body is taken.
+    TakesNothing,
+    /// A piece of a body is taken only so often, ms.
+    TakesSlowly(u64),
 }
 
 /// The orders of this process.
@@ -158,11 +162,16 @@
     }
 }
 
+/// Bytes that the kernel keeps of what a process has not read, about.
+const RECEIVES: u32 = 64 * 1024;
+
 /// Listens at an address.
 pub fn listen(address: SocketAddrV4) -> Result<tokio::net::TcpListener, String> {
     let bind = || {
         let socket = tokio::net::TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
+        // What is not taken is soon seen by whoever sends it.
+        socket.set_recv_buffer_size(RECEIVES)?;
         socket.bind(address.into())?;
         socket.listen(1024)
     };
--- a/crates/pearfront-soak/src/wish.rs
+++ b/crates/pearfront-soak/src/wish.rs
@@ -2,12 +2,16 @@
 
 use crate::http::Message;
 use rand::Rng;
+use std::ops::RangeInclusive;
 
 /// Share of requests with a wish of their own.
 const SHARE: f64 = 0.06;
-/// Longest answer, bytes; shorter ones are as likely in each order of magnitude.
-pub const LONGEST: usize = 32 * 1024 * 1024;
+/// Longest answer or body, bytes, and the shortest that is drawn.
+const LONGEST: usize = 32 * 1024 * 1024;
 const SHORTEST: f64 = 1000.0;
+/// The kernels on the way keep a body of this length, and a node does not see its end while it is not taken.
+const UNSEEN: RangeInclusive<usize> = 2 * 1024 * 1024..=8 * 1024 * 1024;
+const VERY_LONG: f64 = 0.25;
 /// Most bytes that a node keeps whole.
 pub const KEPT_WHOLE: usize = 64 * 1024;
 
@@ -41,10 +45,13 @@
     pub length: usize,
 }
 
-/// A length, bytes, up to this.
-pub fn draw_length(chance: &mut impl Rng, longest: usize) -> usize {
+/// A length, bytes: of any order of magnitude, or one of which the kernels keep a part.
+pub fn draw_length(chance: &mut impl Rng) -> usize {
+    if chance.random_bool(VERY_LONG) {
+        return chance.random_range(UNSEEN);
+    }
     let magnitude = chance.random_range(0.0..1.0);
-    (SHORTEST * (longest as f64 / SHORTEST).powf(magnitude)) as usize
+    (SHORTEST * (LONGEST as f64 / SHORTEST).powf(magnitude)) as usize
 }
 
 impl Wish {
@@ -52,7 +59,7 @@
     pub fn draw(chance: &mut impl Rng) -> Option<Self> {
         chance.random_bool(SHARE).then(|| {
             let (form, _) = FORMS[chance.random_range(0..FORMS.len())];
-            Self { form, length: draw_length(chance, LONGEST) }
+            Self { form, length: draw_length(chance) }
         })
     }
 
