A server that pauses over the end of a request's time goes on giving

A flow was ended at its time where the server had given nothing for 0.4 s by then: one that gives every half second was cut off in its pause. Now the pause counts from the time on: 0.35 s without a byte behind the time, or behind the last byte. The end still comes before an answer counts as lost.

--- a/crates/pearfront-node/src/flow.rs
+++ b/crates/pearfront-node/src/flow.rs
@@ -19,9 +19,9 @@
 /// How long a flow may bring nothing, or its caller take nothing, before it is given up whatever its time: far above any
 /// pause of a server that still gives.
 pub const STALLED: Duration = Duration::from_secs(15);
-/// How long a server may give nothing of its answer once the request's time is over: one that stops before that has its
-/// answer ended before it counts as lost.
-const STILL_GIVES: Duration = Duration::from_millis(400);
+/// How long a server may give nothing of its answer once the request's time is over: a longer pause, and the answer counts as
+/// lost.
+const STILL_GIVES: Duration = Duration::from_millis(350);
 /// Fired later than by this, a timer tells of a process that stood still: what came meanwhile has not been read.
 const HELD_UP: Duration = Duration::from_millis(50);
 
@@ -197,7 +197,7 @@
     /// When it is given up if nothing has come since then.
     fn given_up_at(&self, since: Instant) -> Instant {
         let stalled = since + STALLED;
-        self.due.map_or(stalled, |due| due.max(since + STILL_GIVES).min(stalled))
+        self.due.map_or(stalled, |due| (due.max(since) + STILL_GIVES).min(stalled))
     }
 }
 
--- a/crates/pearfront-soak/src/judge.rs
+++ b/crates/pearfront-soak/src/judge.rs
@@ -19,7 +19,7 @@
 /// Later than its deadline by more than this an answer is lost.
 const LOST_AFTER: f64 = 500.0;
 /// Behind so long a pause a server may be taken to give no more of an answer whose time is over.
-const STILL_GIVES: f64 = 350.0;
+const STILL_GIVES: f64 = 300.0;
 /// Nothing of an answer may be held back for so long.
 const HELD_BACK: f64 = 2000.0;
 /// No attempt may begin so long after its client has left.
