--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -40,6 +40,8 @@
 /// callers are said to bring.
 const WHOLE_BODY: Duration = Duration::from_millis(2500);
 const SLOWEST: Duration = Duration::from_nanos(62_500);
+/// How long the rest of a body is read whose request has its answer.
+const LONGEST_DRAIN: Duration = Duration::from_secs(5);
 
 pub struct TakeIn {
     pub route: Rc<Route>,
@@ -391,7 +393,8 @@
     Ok(())
 }
 
-/// Reads the rest of a body that nobody needs.
+/// Reads the rest of a body that nobody needs, so that its client gets to see the answer; one that goes on is cut off.
 async fn drain(mut body: Incoming) {
-    while let Ok(Some(Ok(_))) = timeout(NEXT_PIECE, body.frame()).await {}
+    let all = async { while let Ok(Some(Ok(_))) = timeout(NEXT_PIECE, body.frame()).await {} };
+    let _ = timeout(LONGEST_DRAIN, all).await;
 }
--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -141,6 +141,22 @@
     });
 }
 
+// A body that never ends, whose request has its answer, does not hold its connection for ever.
+#[test]
+fn a_body_that_goes_on_behind_its_answer_is_cut_off() {
+    const MOST: Duration = Duration::from_secs(12);
+    let node = Node::start(&config(&[]));
+    let mut caller = node.caller();
+    let chunked = head("pay", "0.6", 0).replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    caller.send(&chunked, &[b"16e360\r\n".as_slice(), &vec![b'x'; 100_000]].concat());
+    let begun = Instant::now();
+    while caller.stream.write_all(&[b'x'; 100]).is_ok() {
+        assert!(begun.elapsed() < MOST, "its connection is held");
+        sleep(Duration::from_millis(20));
+    }
+    node.end();
+}
+
 // The same with a server that goes on taking, and is not done by then.
 #[test]
 fn a_body_that_is_taken_too_slowly_has_its_answer_in_time() {
