Soak: what comes to a server in the mean includes the bursts of its clients

The bound is a multiple of what comes to a server in the mean, and the judge took that from the rate at which clients ask alone; since clients send up to 8 requests in one write at one time in fifty, 1.08 requests come at each. Nothing else of the check is changed.

--- a/crates/pearfront-soak/src/client.rs
+++ b/crates/pearfront-soak/src/client.rs
@@ -14,6 +14,7 @@
 use request::Request;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -22,8 +23,15 @@
 
 /// Idle connections to a node that are kept at the most.
 const MOST_IDLE: usize = 12;
-/// Share of the times at which several requests come in one write.
+/// Share of the times at which several requests come in one write, and so many then.
 const BURSTS: f64 = 0.02;
+const IN_ONE_WRITE: RangeInclusive<usize> = 2..=8;
+
+/// Requests in the mean at each time at which a client asks.
+pub fn requests_at_a_time() -> f64 {
+    let in_a_burst = (IN_ONE_WRITE.start() + IN_ONE_WRITE.end()) as f64 / 2.0;
+    1.0 + BURSTS * (in_a_burst - 1.0)
+}
 
 struct Node {
     address: SocketAddrV4,
--- a/crates/pearfront-soak/src/client/crowd.rs
+++ b/crates/pearfront-soak/src/client/crowd.rs
@@ -1,19 +1,16 @@
 //! Clients that do more than ask and wait: several requests in one write, one request after the other without a pause, and
 //! crowds that only hold connections.
 
-use super::Client;
 use super::exchange::{Ended, is_last};
 use super::request::Request;
+use super::{Client, IN_ONE_WRITE};
 use crate::clock;
 use crate::record::Record;
 use rand::Rng;
-use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
-/// So many requests come in one write.
-const IN_ONE_WRITE: RangeInclusive<usize> = 2..=8;
 /// How long a client waits beyond its deadline.
 const PATIENCE: Duration = Duration::from_secs(3);
 /// How long a client asks without a pause at the most.
--- a/crates/pearfront-soak/src/judge.rs
+++ b/crates/pearfront-soak/src/judge.rs
@@ -3,6 +3,7 @@
 
 mod history;
 
+use crate::client::requests_at_a_time;
 use crate::discovery::cell_of;
 use crate::node_file::{BUDGET_FREE, BUDGET_RATIO, BUDGET_SPAN, COLD, COLD_FROM, OVERLOAD_FOR, TIP_MULTIPLE};
 use crate::plan::Plan;
@@ -304,7 +305,8 @@
 /// comes to a server in the mean.
 fn failback(plan: &Plan, all: &Records, breaks: &mut Vec<Break>) {
     let fleet = &plan.fleet;
-    let capacity = 3.0 * fleet.rate * fleet.nodes as f64 / fleet.servers as f64 / 1000.0;
+    let comes = fleet.rate * requests_at_a_time() * fleet.nodes as f64;
+    let capacity = 3.0 * comes / fleet.servers as f64 / 1000.0;
     for (server, start) in &all.starts {
         let mut times: Vec<f64> = all
             .attempts
