--- a/crates/pearfront-soak/src/http.rs
+++ b/crates/pearfront-soak/src/http.rs
@@ -250,3 +250,6 @@
     let head = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
     [head.as_bytes(), body].concat()
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/pearfront-soak/src/http/tests.rs
@@ -0,0 +1,51 @@
+use super::*;
+use test_case::test_case;
+use tokio::net::TcpListener;
+
+/// Two ends of a connection.
+async fn pair() -> (Connection, Connection) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    (Connection::new(stream), Connection::new(listener.accept().await.unwrap().0))
+}
+
+/// What of an answer comes: as it was sent, how much of it is content, and whether it came to its end.
+fn pass(sent: &'static [u8], ends: bool) -> (Vec<u8>, usize, bool) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async move {
+        let (mut from, mut to) = pair().await;
+        from.write(sent).await.unwrap();
+        if ends {
+            drop(from)
+        } else {
+            from.reset()
+        }
+        let head = to.head().await.unwrap();
+        let (mut raw, mut content, mut rest) = (head.bytes.clone(), 0, Rest::of_answer(&head));
+        loop {
+            match to.piece(&mut rest).await {
+                Ok(Some(piece)) => {
+                    raw.extend(piece.raw);
+                    content += piece.content;
+                }
+                Ok(None) => return (raw, content, true),
+                Err(Broken) => return (raw, content, false),
+            }
+        }
+    })
+}
+
+#[test_case(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine", 4; "with a length")]
+#[test_case(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0; "with none")]
+#[test_case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=1\r\nfin\r\n1\r\ne\r\n0\r\nA: b\r\n\r\n", 4; "in chunks")]
+#[test_case(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nfine", 4; "to the end of its connection")]
+fn an_answer_is_passed_on_as_it_came(sent: &'static [u8], length: usize) {
+    assert_eq!(pass(sent, true), (sent.to_vec(), length, true));
+}
+
+#[test_case(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfine", true; "with a length")]
+#[test_case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n", true; "in chunks")]
+fn an_answer_that_breaks_off_is_not_whole(sent: &'static [u8], ends: bool) {
+    let (raw, content, is_whole) = pass(sent, ends);
+    assert_eq!((raw, content, is_whole), (sent.to_vec(), 4, false));
+}
--- a/crates/pearfront-soak/src/judge.rs
+++ b/crates/pearfront-soak/src/judge.rs
@@ -346,3 +346,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/pearfront-soak/src/judge/tests.rs
@@ -0,0 +1,64 @@
+//! The rules on the end of an answer that is passed on before it is whole.
+
+use super::*;
+use crate::plan::KILL_AFTER;
+use test_case::test_case;
+
+const ID: &str = "a request";
+
+/// What a client sees: at 100 ms it sends a request with 600 ms to wait, at 200 ms its answer begins.
+fn breaks(end: AnswerEnd, at: f64, client_last: f64, reply: (ReplyEnd, f64, f64)) -> Vec<Break> {
+    let plan = Plan::draw(1, 20_000.0);
+    let (reply_end, reply_at, reply_last) = reply;
+    let id = || ID.to_string();
+    let records = [
+        Record::Start { node: 0, process: 1, caller: 0, at: -1000.0 },
+        Record::Request {
+            id: id(),
+            node: 0,
+            effect: Effect::Idempotent,
+            at: 100.0,
+            deadline: 600.0,
+            fresh: true,
+        },
+        Record::Attempt { id: id(), server: 0, at: 110.0, told: 590.0 },
+        Record::Answer { id: id(), at: 200.0, status: 200 },
+        Record::ReplyEnded { id: id(), server: 0, at: reply_at, end: reply_end, last: reply_last },
+        Record::AnswerEnded { id: id(), at, end, last: client_last, slow: false },
+    ];
+    judge(&plan, &records).breaks
+}
+
+#[test_case(AnswerEnd::Whole, 900.0, (ReplyEnd::Whole, 890.0, 890.0), None; "whole")]
+#[test_case(AnswerEnd::Whole, 3000.0, (ReplyEnd::Whole, 890.0, 890.0), Some("held back"); "whole, and held back")]
+#[test_case(AnswerEnd::Broken, 1100.0, (ReplyEnd::LeftByNode, 1100.0, 700.0), None; "its server gave nothing more")]
+#[test_case(AnswerEnd::Broken, 900.0, (ReplyEnd::LeftByNode, 900.0, 700.0), Some("cut off"); "cut off in a pause")]
+#[test_case(AnswerEnd::Broken, 900.0, (ReplyEnd::CutByNode, 900.0, 500.0), Some("cut off"); "cut off with more to come")]
+#[test_case(AnswerEnd::Broken, 900.0, (ReplyEnd::ServerBroke, 900.0, 899.0), None; "its server broke")]
+#[test_case(AnswerEnd::GivenUp, 4000.0, (ReplyEnd::LeftByNode, 4000.0, 400.0), Some("held open"); "held open")]
+#[test_case(AnswerEnd::GivenUp, 4000.0, (ReplyEnd::LeftByNode, 4000.0, 3900.0), None; "its server still gives")]
+fn an_answer_ends_as_it_should(end: AnswerEnd, at: f64, reply: (ReplyEnd, f64, f64), wanted: Option<&str>) {
+    let found = breaks(end, at, reply.2, reply);
+    let words: Vec<&str> = found.iter().map(|broken| broken.what.as_str()).collect();
+    match wanted {
+        None => assert!(words.is_empty(), "{words:?}"),
+        Some(word) => assert!(words.len() == 1 && words[0].contains(word), "{words:?}"),
+    }
+}
+
+// What a kill finds that came when a process had had all its time is lost; one in the middle of that, or with no word before,
+// is no fault of it.
+#[test_case(Some(0.0), true; "behind all its time")]
+#[test_case(Some(4000.0), false; "in the middle of it")]
+#[test_case(None, false; "with no word before")]
+fn what_a_kill_finds_unanswered_is_lost_behind_all_the_time(told: Option<f64>, is_lost: bool) {
+    let plan = Plan::draw(1, 20_000.0);
+    let kill = plan.fleet.deadlines.1 + KILL_AFTER + 10.0;
+    let mut records = vec![Record::Start { node: 0, process: 1, caller: 0, at: -1000.0 }];
+    records.extend(told.map(|at| Record::Term { node: 0, process: 1, at: at.min(kill - 10.0) }));
+    let (id, effect) = (ID.to_string(), Effect::Keyed);
+    records.push(Record::Request { id, node: 0, effect, at: kill - 300.0, deadline: 600.0, fresh: false });
+    records.push(Record::Kill { node: 0, process: 1, at: kill });
+    records.push(Record::Unanswered { id: ID.to_string(), at: kill + 1.0, crossed: false });
+    assert_eq!(judge(&plan, &records).breaks.len(), usize::from(is_lost));
+}
