Nobody waits for whoever reads the log

Standard error is a pipe mostly; one that is full stops the one thread at its next line, for as long as nobody reads. Now a line that the pipe would not take at once is left out, and the next that goes through says how many were. Failed before: 'a_log_that_nobody_reads_holds_nothing_up' (no answer in 20 s).

--- a/crates/pearfront-node/src/logger.rs
+++ b/crates/pearfront-node/src/logger.rs
@@ -1,16 +1,55 @@
 //! The log: one line an entry on standard error, with the seconds since the start in front. `Seldom` keeps what
-//! callers or servers can cause at will from filling it.
+//! callers or servers can cause at will from filling it. Nobody waits for whoever reads it: lines that are not taken at once
+//! are left out.
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::fs::{FileType, fstat};
 use std::cell::Cell;
 use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+/// A pipe that takes anything takes so many bytes at once.
+const LONGEST_LINE: usize = 4096;
+
 /// Lines of one sort at most one in this time: enough to see that it goes on.
 const SELDOM: Duration = Duration::from_secs(1);
 
 struct Logger {
     started: Instant,
+    /// Is it read by another process, which may stand still?
+    is_pipe: bool,
+    /// Lines since the last that was written.
+    left_out: AtomicU64,
+}
+
+impl Logger {
+    fn new() -> Self {
+        let kind = fstat(std::io::stderr()).map(|status| FileType::from_raw_mode(status.st_mode));
+        let is_pipe = matches!(kind, Ok(FileType::Fifo | FileType::Socket));
+        Self { started: Instant::now(), is_pipe, left_out: AtomicU64::new(0) }
+    }
+
+    /// Would a line be taken at once?
+    fn is_taken(&self) -> bool {
+        let stderr = std::io::stderr();
+        let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+        !self.is_pipe || poll(&mut [PollFd::new(&stderr, PollFlags::OUT)], Some(&at_once)).unwrap_or(1) > 0
+    }
+
+    fn write(&self, mut line: String) {
+        if !self.is_taken() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        if self.is_pipe {
+            line.truncate(line.floor_char_boundary(LONGEST_LINE - 1));
+        }
+        line.push('\n');
+        // Whoever reads the log may be gone; that must not end the node.
+        let _ = std::io::stderr().write_all(line.as_bytes());
+    }
 }
 
 impl Log for Logger {
@@ -26,8 +65,12 @@
                 _ => "",
             };
             let seconds = self.started.elapsed().as_secs_f64();
-            // Whoever reads the log may be gone; that must not end the node.
-            let _ = writeln!(std::io::stderr(), "{seconds:.3} {word}{}", record.args());
+            let left_out = self.left_out.load(Ordering::Relaxed);
+            if left_out > 0 && self.is_taken() {
+                self.left_out.store(0, Ordering::Relaxed);
+                self.write(format!("{seconds:.3} warning {left_out} lines were not taken, and are left out"));
+            }
+            self.write(format!("{seconds:.3} {word}{}", record.args()));
         }
     }
 
@@ -36,7 +79,7 @@
 
 /// Installs the logger; a second call changes nothing.
 pub fn start() {
-    let logger = Box::new(Logger { started: Instant::now() });
+    let logger = Box::new(Logger::new());
     if log::set_boxed_logger(logger).is_ok() {
         log::set_max_level(LevelFilter::Info);
     }
--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -415,3 +415,20 @@
         }
     });
 }
+
+// The log goes to a pipe that nobody reads: no request waits for that.
+#[test]
+fn a_log_that_nobody_reads_holds_nothing_up() {
+    const MORE_THAN_A_PIPE_TAKES: usize = 300;
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    for _ in 0..MORE_THAN_A_PIPE_TAKES {
+        node.signal("-USR1");
+        sleep(Duration::from_millis(3));
+    }
+    assert_eq!(caller.ask(&head("read", "5", 0), b"").status(), 200);
+    // Read again, it says what is missing.
+    node.signal("-TERM");
+    assert!(node.log().contains(" lines were not taken, and are left out"));
+}
