Stops of the process that follow one another closely count as one

The process was held up four times in a row, 0.15 to 0.3 s each with under 50 ms between; the body came in the first of these and was read behind the second, and counted from the beginning of that alone. Between two such stops nothing may have been read. Failed before: the unit test.

--- a/crates/pearfront-node/src/pulse.rs
+++ b/crates/pearfront-node/src/pulse.rs
@@ -39,7 +39,7 @@
         let last = self.last.replace(now);
         if now - last > STOP {
             log::info!("the process stood still for {:.0} ms", now - last);
-            self.stop.set((last, now));
+            self.stop.set((self.begun(last), now));
         }
     }
 
@@ -47,12 +47,19 @@
     pub fn stopped_at(&self, time: f64) -> Option<f64> {
         let (begun, ended) = self.stop.get();
         if time - self.last.get() > STOP {
-            Some(self.last.get())
+            Some(self.begun(self.last.get()))
         } else {
             (begun..ended + CATCH_UP).contains(&time).then_some(begun)
         }
     }
 
+    /// When a stop began before which the process ran last at that time. Between two that follow one another closely it may
+    /// have read nothing.
+    fn begun(&self, last: f64) -> f64 {
+        let (begun, ended) = self.stop.get();
+        if last - ended < CATCH_UP { begun } else { last }
+    }
+
     /// What is read now came after this time.
     pub fn awake_since(&self, now: f64) -> f64 {
         self.stopped_at(now).unwrap_or(now - CATCH_UP)
--- a/crates/pearfront-node/src/pulse/tests.rs
+++ b/crates/pearfront-node/src/pulse/tests.rs
@@ -35,3 +35,14 @@
     pulse.beat(2000.0);
     assert_eq!([40.0, 60.0, 2010.0].map(|time| pulse.stopped_at(time)), [None, Some(50.0), Some(50.0)]);
 }
+
+#[test]
+fn stops_that_follow_one_another_closely_are_one() {
+    let pulse = pulse();
+    [50.0, 350.0, 380.0].into_iter().for_each(|at| pulse.beat(at));
+    assert_eq!(pulse.stopped_at(600.0), Some(50.0));
+    pulse.beat(600.0);
+    assert_eq!(pulse.stopped_at(610.0), Some(50.0));
+    [650.0, 700.0, 1000.0].into_iter().for_each(|at| pulse.beat(at));
+    assert_eq!(pulse.stopped_at(1010.0), Some(700.0));
+}
