A request makes way for those behind it on its connection that are due before it

Answers come in order, and the time of a request was its own alone. Now the owner of its time ends it when the first of those is due that were read behind it: it is rejected or failed, and they have theirs in time. Failed before: both cases of 'a_request_makes_way_...' (0 of 2 answers after 1.1 s).

--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -18,7 +18,8 @@
 const LOST_AFTER: f64 = 500.0;
 /// How long behind its time an answer that the module owes is left to it, ms: it answers ahead of the time.
 const LEFT_TO_MODULE: f64 = 100.0;
-/// How long ahead of its time a request whose body is not whole gets its answer, ms: the module waits for the body.
+/// How long ahead of its time a request whose body is not whole gets its answer, ms, as the module waits for the body; and so
+/// one behind which another is due.
 const AHEAD: f64 = 10.0;
 /// How long the process reads what came while it stood still.
 const CATCH_UP: Duration = Duration::from_millis(60);
@@ -71,21 +72,50 @@
         self.counts_from() + self.time
     }
 
+    /// What it waited for when its time was over.
+    pub fn why(&self) -> &'static str {
+        if self.clock.now() < self.at() - AHEAD {
+            "a request behind it is due"
+        } else if self.is_coming() {
+            "its body was not taken"
+        } else {
+            "no decision came"
+        }
+    }
+
     /// What is left of it, ms.
     pub fn left(&self, now: f64) -> f64 {
         (self.at() - now).min(self.time)
     }
 
-    /// Waits until an answer has to be given by whoever owns the time, as nobody else has.
+    /// When an answer has to be given by whoever owns the time, if nobody else has. Where requests behind this one are due
+    /// before it, their answers have to wait for its own.
+    fn ends_at(&self) -> f64 {
+        let own = self.at() + if self.is_coming() { -AHEAD } else { LEFT_TO_MODULE };
+        let behind = self.client.upgrade().and_then(|client| client.due_behind());
+        behind.map_or(own, |due| own.min(self.clock.time_of(due) - AHEAD))
+    }
+
+    /// Waits until more of what its client sends has been read.
+    async fn read_more(&self) {
+        match self.client.upgrade() {
+            Some(client) => client.read_more().await,
+            None => pending().await,
+        }
+    }
+
+    /// Waits until then.
     pub async fn over(&self) {
         if cfg!(feature = "broken-deadline") {
             pending().await
         }
         loop {
-            let at = self.at() + if self.is_coming() { -AHEAD } else { LEFT_TO_MODULE };
-            let now = self.clock.now();
+            let (at, now) = (self.ends_at(), self.clock.now());
             if now < at {
-                sleep_until(self.clock.at(at)).await;
+                tokio::select! {
+                    () = sleep_until(self.clock.at(at)) => {}
+                    () = self.read_more() => {}
+                }
             } else if self.pulse.stopped_at(now).is_some() {
                 // What came meanwhile is being read, and the module plays its round.
                 sleep(CATCH_UP).await;
--- a/crates/pearfront-node/src/framing.rs
+++ b/crates/pearfront-node/src/framing.rs
@@ -3,10 +3,14 @@
 //! names a length beside chunks.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 use tokio::time::Instant;
 
 const LENGTH: &[u8] = b"content-length:";
 const CODING: &[u8] = b"transfer-encoding:";
+const TIME: &[u8] = b"x-expires-in:";
+/// Longest time that is taken for one.
+const LONGEST_TIME: Duration = Duration::from_secs(24 * 3600);
 /// So much of a line is looked at.
 const MOST_LINE: usize = 256;
 
@@ -31,6 +35,15 @@
     pub has_length: bool,
     /// When its last byte came, once that has been read.
     pub came: Option<Instant>,
+    /// How long its client says that it waits.
+    pub time: Option<Duration>,
+}
+
+impl ReadRequest {
+    /// When its answer is due, if it is whole.
+    pub fn due(&self) -> Option<Instant> {
+        Some(self.came? + self.time?)
+    }
 }
 
 /// The requests of one connection.
@@ -41,6 +54,7 @@
     /// The beginning of the current line, in lower case.
     line: Vec<u8>,
     length: Option<u64>,
+    time: Option<Duration>,
     chunked: bool,
     /// Read, and not handed out yet.
     waiting: VecDeque<ReadRequest>,
@@ -100,6 +114,9 @@
                 if let Some(length) = value(LENGTH) {
                     self.length = Some(number(length, 10));
                 }
+                if let Some(time) = value(TIME) {
+                    self.time = seconds(time);
+                }
                 self.chunked |= value(CODING).is_some_and(|coding| coding.ends_with(b"chunked"));
                 return;
             }
@@ -114,7 +131,8 @@
     }
 
     fn head_over(&mut self) {
-        self.waiting.push_back(ReadRequest { has_length: self.length.is_some(), came: None });
+        let (has_length, time) = (self.length.is_some(), self.time.take());
+        self.waiting.push_back(ReadRequest { has_length, came: None, time });
         self.part = match self.length.take() {
             _ if self.chunked => Part::Size,
             Some(length) if length > 0 => Part::Body(length),
@@ -128,7 +146,7 @@
     pub fn hand_out(&mut self) -> ReadRequest {
         let next = self.waiting.pop_front();
         self.current = next;
-        next.unwrap_or(ReadRequest { has_length: true, came: None })
+        next.unwrap_or(ReadRequest { has_length: true, ..ReadRequest::default() })
     }
 
     /// When the last byte of the request that was handed out last came; nothing as long as it has not been read.
@@ -151,6 +169,11 @@
         self.waiting.iter().filter(|request| request.came.is_some()).count()
     }
 
+    /// When the first of the answers is due that can come only behind the one to the request handed out last.
+    pub fn due_behind(&self) -> Option<Instant> {
+        self.waiting.iter().filter_map(ReadRequest::due).min()
+    }
+
     /// Has a head been read that was not handed out?
     pub fn has_waiting(&self) -> bool {
         !self.waiting.is_empty()
@@ -171,5 +194,11 @@
     u64::from_str_radix(text.trim(), radix).unwrap_or(u64::MAX)
 }
 
+/// What says nothing of a time is turned down when its turn comes.
+fn seconds(text: &[u8]) -> Option<Duration> {
+    let text = std::str::from_utf8(text).ok()?;
+    Duration::try_from_secs_f64(text.trim().parse().ok()?).ok().filter(|time| *time < LONGEST_TIME)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/pearfront-node/src/framing/tests.rs
+++ b/crates/pearfront-node/src/framing/tests.rs
@@ -58,3 +58,17 @@
         assert!(framing.is_between_requests() && !framing.has_waiting());
     }
 }
+
+#[test]
+fn the_first_answer_that_is_due_behind_another_is_known() {
+    let request = |time: &str| format!("GET /a HTTP/1.1\r\nX-Expires-In: {time}\r\n\r\n");
+    let now = Instant::now();
+    let mut framing = Framing::default();
+    let all = ["9", "0.5", " 0.25 ", "-1", "none"].map(request).concat();
+    framing.read(&all.as_bytes()[..all.len() - 1], now);
+    assert_eq!(framing.due_behind(), Some(now + Duration::from_millis(250)));
+    (0..2).for_each(|_| drop(framing.hand_out()));
+    assert_eq!(framing.due_behind(), Some(now + Duration::from_millis(250)));
+    framing.hand_out();
+    assert_eq!(framing.due_behind(), None);
+}
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -307,7 +307,7 @@
     /// Answers the job once its time is over and nobody else has, whatever it waits for; never returns.
     pub async fn expire(&self, held: &Held) -> Infallible {
         held.deadline.over().await;
-        let why = if held.deadline.is_coming() { "its body was not taken" } else { "no decision came" };
+        let why = held.deadline.why();
         self.end(held, why);
         pending().await
     }
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::{Instant, timeout};
 
@@ -57,6 +58,8 @@
     /// What a caller sends; nothing on a connection to a server.
     framing: Option<RefCell<Framing>>,
     arrival: Arrival,
+    /// Rung with each read.
+    has_read: Notify,
     ahead: ReadAhead,
     _place: Place,
 }
@@ -88,6 +91,7 @@
             withheld: Cell::new(false),
             framing,
             arrival: Arrival::since(came),
+            has_read: Notify::new(),
             ahead: ReadAhead::default(),
             _place: place,
         })
@@ -161,6 +165,7 @@
             self.arrival.read(Instant::now(), bytes.len(), framing.body_left());
             framing.read(bytes, self.arrival.earliest());
         });
+        self.has_read.notify_waiters();
     }
 
     /// A whole request of the caller waits for its answer, or has it: meanwhile what comes behind it is read ahead.
@@ -234,6 +239,17 @@
         self.arrival.of_unread()
     }
 
+    /// When the first of the answers is due that can come only behind the one to the request handed out last, of those
+    /// requests that have been read.
+    pub fn due_behind(&self) -> Option<Instant> {
+        self.framed(|framing| framing.due_behind()).flatten()
+    }
+
+    /// Waits until more has been read.
+    pub async fn read_more(&self) {
+        self.has_read.notified().await;
+    }
+
     /// Requests of the caller that were read whole and not handed out.
     pub fn waiting(&self) -> usize {
         self.framed(|framing| framing.waiting()).unwrap_or_default()
--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -273,6 +273,28 @@
     });
 }
 
+// One that waits longer stands before others that are due: answers come in order, so it has to make way for them.
+#[test_case(false; "in one write")]
+#[test_case(true; "that come later")]
+fn a_request_makes_way_for_those_behind_it_that_are_due_before(later: bool) {
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        let (long, short) = (head("pay", "5", 0), head("read", "0.6", 0));
+        if later {
+            caller.send(&long, b"");
+            sleep(TIME);
+            caller.send(&short, b"");
+        } else {
+            caller.send(&[long, short].concat(), b"");
+        }
+        answered_within(&caller.stream, 2, TIME + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
+
 // Told to end, a node answers all that it has read, and says only with the last answer that the connection ends.
 #[test_case(0; "at once")]
 #[test_case(300; "while they wait")]
