A client that stops in the middle of a body is given up although its server takes that slowly

Its last bytes had lain in the kernel while the server took what came before, and its pause was counted from when they were read. Now it counts from the last time at which there was nothing to read, with 0.4 s at the least. Failed before: the test (no answer after 3 s). Where a server takes longer than 2.6 s for what lies there, the client is still told later than that: nothing tells the node before that its client has stopped.

--- a/crates/pearfront-node/src/arrival.rs
+++ b/crates/pearfront-node/src/arrival.rs
@@ -14,6 +14,8 @@
     earliest: Cell<Instant>,
     /// The last read found nothing, and what comes next is read at once.
     waits: Cell<bool>,
+    /// When what came next was read.
+    waited_until: Cell<Instant>,
     /// A time since `earliest`, and how many bytes were read from it on.
     checkpoint: Cell<Instant>,
     read: Cell<usize>,
@@ -25,6 +27,7 @@
         Self {
             earliest: Cell::new(opened),
             waits: Cell::new(false),
+            waited_until: Cell::new(opened),
             checkpoint: Cell::new(opened),
             read: Cell::new(0),
         }
@@ -40,6 +43,11 @@
         if self.waits.get() { Instant::now() } else { self.earliest.get() }
     }
 
+    /// The last time at which there was nothing to read: all that has been read since may have come right behind it.
+    pub fn waited_until(&self) -> Instant {
+        self.waited_until.get()
+    }
+
     /// There was nothing to read.
     pub fn found_nothing(&self) {
         self.waits.set(true);
@@ -54,7 +62,11 @@
 
     /// So many bytes were read; of a body whose length is known so many are still to come.
     pub fn read(&self, now: Instant, count: usize, to_come: Option<u64>) {
-        if self.waits.take() || to_come.is_some_and(|left| left > UNREAD as u64) {
+        let waited = self.waits.take();
+        if waited {
+            self.waited_until.set(now);
+        }
+        if waited || to_come.is_some_and(|left| left > UNREAD as u64) {
             self.begin(now, now);
             return;
         }
--- a/crates/pearfront-node/src/arrival/tests.rs
+++ b/crates/pearfront-node/src/arrival/tests.rs
@@ -44,7 +44,7 @@
     let opened = Instant::now();
     let arrival = Arrival::since(opened);
     arrival.read(at(opened, 100), 1, Some(UNREAD as u64 + 1));
-    assert_eq!(arrival.earliest(), at(opened, 100));
+    assert_eq!((arrival.earliest(), arrival.waited_until()), (at(opened, 100), opened));
     arrival.read(at(opened, 200), UNREAD, None);
     assert_eq!(arrival.earliest(), at(opened, 100));
     arrival.read(at(opened, 300), UNREAD, None);
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -36,6 +36,8 @@
 const STUCK: Duration = Duration::from_millis(200);
 /// How long a body may bring nothing: with the head it is owed an error or a close within 3 s of connecting.
 const NEXT_PIECE: Duration = Duration::from_millis(2500);
+/// The least of that, where its last bytes had to wait: a caller whose sending was held back goes on at once.
+const LEAST_PATIENCE: Duration = Duration::from_millis(400);
 /// A body may take this time, and for each byte what it takes at the slowest: 16 kB a second, a quarter of what slow
 /// callers are said to bring.
 const WHOLE_BODY: Duration = Duration::from_millis(2500);
@@ -274,7 +276,7 @@
             }
             // While a server takes nothing, nobody reads the body, and its end is not seen there.
             () = caller.wire.ended() => Err(Broken::Cut),
-            came = pass_on(&mut body, &pieces) => came,
+            came = pass_on(&caller.wire, &mut body, &pieces) => came,
             never = self.route.expire(&guard.held) => match never {},
         };
         came?;
@@ -371,12 +373,16 @@
 
 /// Passes a body on as it comes, each piece once the last was taken; if nobody takes it any more it is still read to
 /// its end, as its answer may be on the way.
-async fn pass_on(body: &mut Incoming, pieces: &Sender<Piece>) -> Result<(), Broken> {
+async fn pass_on(wire: &Wire, body: &mut Incoming, pieces: &Sender<Piece>) -> Result<(), Broken> {
     let begun = Instant::now();
     let mut length = 0_u64;
     // While a server takes nothing, its caller can bring nothing: only the waiting for the caller counts.
     let mut held_back = Duration::ZERO;
-    while let Some(frame) = timeout(NEXT_PIECE, body.frame()).await.map_err(|_| Broken::Stalled)? {
+    loop {
+        // What was read late, as its server took nothing, came long ago; so its caller has waited since.
+        let patience = NEXT_PIECE.saturating_sub(wire.waited_until().elapsed()).max(LEAST_PATIENCE);
+        let frame = timeout(patience, body.frame()).await.map_err(|_| Broken::Stalled)?;
+        let Some(frame) = frame else { break };
         let Ok(data) = frame.map_err(|_| Broken::Cut)?.into_data() else { continue };
         length += data.len() as u64;
         if length > MOST {
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -250,6 +250,11 @@
         self.has_read.notified().await;
     }
 
+    /// The last time at which there was nothing to read.
+    pub fn waited_until(&self) -> Instant {
+        self.arrival.waited_until()
+    }
+
     /// Requests of the caller that were read whole and not handed out.
     pub fn waiting(&self) -> usize {
         self.framed(|framing| framing.waiting()).unwrap_or_default()
--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -295,6 +295,20 @@
     });
 }
 
+// A client stops in the middle of a body that its server takes slowly: it is owed an error within 3 s of its last byte.
+#[test]
+fn a_body_that_stops_while_it_is_taken_slowly_is_given_up_in_time() {
+    const OWED: Duration = Duration::from_secs(3);
+    in_time(|| {
+        let node = Node::start(&config(&[takes_slowly(Duration::from_millis(20))]));
+        let mut caller = node.caller();
+        caller.send(&head("pay", "6", 2 * HUGE), &vec![b'x'; HUGE * 2 / 3]);
+        answered_within(&caller.stream, 1, OWED)?;
+        node.kill();
+        Ok(())
+    });
+}
+
 // Told to end, a node answers all that it has read, and says only with the last answer that the connection ends.
 #[test_case(0; "at once")]
 #[test_case(300; "while they wait")]
