--- a/crates/pearfront-soak/src/judge.rs
+++ b/crates/pearfront-soak/src/judge.rs
@@ -164,10 +164,10 @@
                 broken(format!("held open {:.0} ms behind the last bytes of its server", ended.at - given));
             }
         }
-        (AnswerEnd::Whole, Some(reply)) if !ended.slow => {
-            if reply.end == ReplyEnd::Whole && ended.at > reply.last + HELD_BACK {
-                broken(format!("held back for {:.0} ms", ended.at - reply.last));
-            }
+        (AnswerEnd::Whole, Some(reply))
+            if !ended.slow && reply.end == ReplyEnd::Whole && ended.at > reply.last + HELD_BACK =>
+        {
+            broken(format!("held back for {:.0} ms", ended.at - reply.last));
         }
         _ => {}
     }
