--- a/Makefile
+++ b/Makefile
@@ -146,10 +146,10 @@
 
 soak-broken-guard: build
 	cargo build --release --locked -p pearfront-node --features broken-guard --target-dir target/broken-guard
-	target/release/pearfront soak --seeds 4 --first 1 --seconds 16 --beside 2 \
+	target/release/pearfront soak --seeds 8 --first 1 --seconds 16 --beside 4 \
 		--node target/broken-guard/release/pearfront-node; test $$? -eq 3
 
 soak-broken-deadline: build
 	cargo build --release --locked -p pearfront-node --features broken-deadline --target-dir target/broken-deadline
-	target/release/pearfront soak --seeds 4 --first 1 --seconds 16 --beside 2 \
+	target/release/pearfront soak --seeds 8 --first 1 --seconds 16 --beside 4 \
 		--node target/broken-deadline/release/pearfront-node; test $$? -eq 3
