--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -2,15 +2,14 @@
 //! module hears of it: nothing was sent, so trying again is harmless.
 
 use crate::book::Book;
-use crate::flow::STALLED;
+use crate::client::{Client, FIRST_REQUEST};
 use crate::wire::Wire;
-use hyper::Version;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 /// Descriptors kept for what is no caller, server or probe: standard streams, listener, poll, signals, discovery.
 const FIXED: usize = 24;
@@ -24,11 +23,6 @@
 const SERVERS_PART: usize = 4;
 /// Connections that are left beside those of jobs and callers: a probe's, where answers are never read.
 const PROBES: usize = 1;
-/// How long a connection that has brought nothing yet is left alone.
-const FIRST_JOB: Duration = Duration::from_millis(150);
-/// How long a caller may take for its first head, or for the rest of one: it is owed an error or a close within 3 s
-/// of connecting.
-const WHOLE_HEAD: Duration = Duration::from_millis(2200);
 /// How often callers are looked through for that.
 const LOOK: Duration = Duration::from_millis(200);
 /// Share of the memory limit that bodies may take; the rest is for connections' buffers and answers.
@@ -61,7 +55,7 @@
     /// Attempts that wait for a connection: callers stand back for them.
     waiting: Cell<usize>,
     freed: Notify,
-    callers: RefCell<BTreeMap<u64, Rc<Caller>>>,
+    callers: RefCell<BTreeMap<u64, Rc<Client>>>,
     numbered: Cell<u64>,
 }
 
@@ -176,7 +170,7 @@
     /// Waits until some connection, or some wait for one, has ended, or a caller may have become one that can be spared:
     /// nothing rings for that.
     pub async fn freed(&self) {
-        let _ = timeout(FIRST_JOB, self.freed.notified()).await;
+        let _ = timeout(FIRST_REQUEST, self.freed.notified()).await;
     }
 
     /// Takes room for a job whose body has this length; none if bodies or connections would not fit.
@@ -194,10 +188,10 @@
         self.jobs.get()
     }
 
-    pub fn enter(&self, wire: Rc<Wire>) -> (u64, Rc<Caller>) {
+    pub fn enter(&self, wire: Rc<Wire>) -> (u64, Rc<Client>) {
         let number = self.numbered.get();
         self.numbered.set(number + 1);
-        let caller = Rc::new(Caller::new(wire));
+        let caller = Rc::new(Client::new(wire));
         self.callers.borrow_mut().insert(number, caller.clone());
         (number, caller)
     }
@@ -249,136 +243,12 @@
     /// Has all callers closed that have been idle for so long.
     pub fn close_all_idle(&self, pause: Duration) {
         let callers = self.callers.borrow();
-        let spared = |caller: &&Rc<Caller>| caller.can_be_spared() && caller.since.get().elapsed() >= pause;
+        let spared = |caller: &&Rc<Client>| caller.can_be_spared() && caller.since.get().elapsed() >= pause;
         let idle = callers.values().filter(|caller| spared(caller) && !caller.wire.has_unread());
         idle.for_each(|caller| caller.close());
     }
 }
 
-/// A caller's connection, and whether it could be spared.
-pub struct Caller {
-    pub wire: Rc<Wire>,
-    busy: Cell<bool>,
-    flowing: Cell<bool>,
-    used: Cell<bool>,
-    /// Of the last request.
-    version: Cell<Version>,
-    since: Cell<Instant>,
-    closing: Cell<bool>,
-    answered_early: Cell<bool>,
-    /// When half a head was first seen on it.
-    half: Cell<Option<Instant>>,
-    /// How much had moved on it, and when that was first seen.
-    moved: Cell<(usize, Instant)>,
-    pub told: Notify,
-    /// Rung when it is to be cut off in the middle of what it does.
-    pub cut: Notify,
-}
-
-impl Caller {
-    fn new(wire: Rc<Wire>) -> Self {
-        Self {
-            wire,
-            busy: Cell::new(false),
-            flowing: Cell::new(false),
-            used: Cell::new(false),
-            version: Cell::new(Version::HTTP_11),
-            since: Cell::new(Instant::now()),
-            closing: Cell::new(false),
-            answered_early: Cell::new(false),
-            half: Cell::new(None),
-            moved: Cell::new((0, Instant::now())),
-            told: Notify::new(),
-            cut: Notify::new(),
-        }
-    }
-
-    /// Nothing that came on it is being answered.
-    pub fn is_idle(&self) -> bool {
-        !self.busy.get()
-    }
-
-    /// Requests that were read whole on it and have no answer; one whose answer is on its way has.
-    pub fn unanswered(&self) -> usize {
-        let is_owed = self.busy.get() && !self.flowing.get() && self.wire.came().is_some();
-        self.wire.waiting() + usize::from(is_owed)
-    }
-
-    /// Idle, and if it has brought nothing yet, not just opened: its first job may be on the way. Whoever closes it
-    /// looks for unread bytes as well, which are a job that will be read in a moment.
-    fn can_be_spared(&self) -> bool {
-        let begun = self.used.get() || self.since.get().elapsed() > FIRST_JOB;
-        self.is_idle() && begun && !self.closing.get()
-    }
-
-    fn is_unfinished(&self) -> bool {
-        let half = self.wire.in_head().then(|| self.half.get().unwrap_or_else(Instant::now));
-        self.half.set(half);
-        let since = if self.used.get() { half } else { Some(self.since.get()) };
-        let waits = self.is_idle() && !self.closing.get() && !self.wire.has_unread();
-        waits && since.is_some_and(|since| since.elapsed() > WHOLE_HEAD)
-    }
-
-    /// A request of this version has been read.
-    pub fn begin(&self, version: Version) {
-        self.version.set(version);
-        self.busy.set(true);
-        self.used.set(true);
-    }
-
-    /// Does nothing but the end of the connection tell this client that an answer is whole?
-    pub fn ends_with_connection(&self) -> bool {
-        self.version.get() < Version::HTTP_11
-    }
-
-    /// Answered.
-    pub fn end(&self) {
-        self.wire.answers(false);
-        self.busy.set(false);
-        self.since.set(Instant::now());
-    }
-
-    /// With an answer under way on it, but nothing that moves: it holds what others could use.
-    fn cut_if_stalled(&self) {
-        let (moved, since) = self.moved.get();
-        if !self.flowing.get() || moved != self.wire.moved() {
-            self.moved.set((self.wire.moved(), Instant::now()));
-        } else if since.elapsed() > STALLED {
-            self.cut.notify_one();
-        }
-    }
-
-    /// An answer begins to flow to it; it is busy until what is returned has gone.
-    pub fn flow(self: &Rc<Self>) -> Flowing {
-        self.flowing.set(true);
-        Flowing(self.clone())
-    }
-
-    /// What it sends was answered before its end, and is not read any further.
-    pub fn answer_early(&self) {
-        self.answered_early.set(true);
-    }
-
-    pub fn is_answered_early(&self) -> bool {
-        self.answered_early.get()
-    }
-
-    fn close(&self) {
-        self.closing.set(true);
-        self.told.notify_one();
-    }
-}
-
-/// A caller's answer on its way.
-pub struct Flowing(Rc<Caller>);
-
-impl Drop for Flowing {
-    fn drop(&mut self) {
-        self.0.flowing.set(false);
-        self.0.end();
-    }
-}
-
 impl std::fmt::Display for Room {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         write!(f, "connections_open={} jobs_held={}", self.open.get(), self.jobs.get())
--- /dev/null
+++ b/crates/pearfront-node/src/client.rs
@@ -0,0 +1,140 @@
+//! A client's connection, as those see it that serve it, look for one to spare, or end it.
+
+use crate::flow::STALLED;
+use crate::wire::Wire;
+use hyper::Version;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// How long a connection that has brought nothing yet is left alone.
+pub const FIRST_REQUEST: Duration = Duration::from_millis(150);
+/// How long a client may take for its first head, or for the rest of one: it is owed an error or a close within 3 s
+/// of connecting.
+const WHOLE_HEAD: Duration = Duration::from_millis(2200);
+
+/// A client's connection, and whether it could be spared.
+pub struct Client {
+    pub wire: Rc<Wire>,
+    busy: Cell<bool>,
+    flowing: Cell<bool>,
+    used: Cell<bool>,
+    /// Of the last request.
+    version: Cell<Version>,
+    pub since: Cell<Instant>,
+    closing: Cell<bool>,
+    answered_early: Cell<bool>,
+    /// When half a head was first seen on it.
+    half: Cell<Option<Instant>>,
+    /// How much had moved on it, and when that was first seen.
+    moved: Cell<(usize, Instant)>,
+    pub told: Notify,
+    /// Rung when it is to be cut off in the middle of what it does.
+    pub cut: Notify,
+}
+
+impl Client {
+    pub fn new(wire: Rc<Wire>) -> Self {
+        Self {
+            wire,
+            busy: Cell::new(false),
+            flowing: Cell::new(false),
+            used: Cell::new(false),
+            version: Cell::new(Version::HTTP_11),
+            since: Cell::new(Instant::now()),
+            closing: Cell::new(false),
+            answered_early: Cell::new(false),
+            half: Cell::new(None),
+            moved: Cell::new((0, Instant::now())),
+            told: Notify::new(),
+            cut: Notify::new(),
+        }
+    }
+
+    /// Nothing that came on it is being answered.
+    pub fn is_idle(&self) -> bool {
+        !self.busy.get()
+    }
+
+    /// Requests that were read whole on it and have no answer; one whose answer is on its way has.
+    pub fn unanswered(&self) -> usize {
+        let is_owed = self.busy.get() && !self.flowing.get() && self.wire.came().is_some();
+        self.wire.waiting() + usize::from(is_owed)
+    }
+
+    /// Idle, and if it has brought nothing yet, not just opened: its first job may be on the way. Whoever closes it
+    /// looks for unread bytes as well, which are a job that will be read in a moment.
+    pub fn can_be_spared(&self) -> bool {
+        let begun = self.used.get() || self.since.get().elapsed() > FIRST_REQUEST;
+        self.is_idle() && begun && !self.closing.get()
+    }
+
+    pub fn is_unfinished(&self) -> bool {
+        let half = self.wire.in_head().then(|| self.half.get().unwrap_or_else(Instant::now));
+        self.half.set(half);
+        let since = if self.used.get() { half } else { Some(self.since.get()) };
+        let waits = self.is_idle() && !self.closing.get() && !self.wire.has_unread();
+        waits && since.is_some_and(|since| since.elapsed() > WHOLE_HEAD)
+    }
+
+    /// A request of this version has been read.
+    pub fn begin(&self, version: Version) {
+        self.version.set(version);
+        self.busy.set(true);
+        self.used.set(true);
+    }
+
+    /// Does nothing but the end of the connection tell this client that an answer is whole?
+    pub fn ends_with_connection(&self) -> bool {
+        self.version.get() < Version::HTTP_11
+    }
+
+    /// Answered.
+    pub fn end(&self) {
+        self.wire.answers(false);
+        self.busy.set(false);
+        self.since.set(Instant::now());
+    }
+
+    /// With an answer under way on it, but nothing that moves: it holds what others could use.
+    pub fn cut_if_stalled(&self) {
+        let (moved, since) = self.moved.get();
+        if !self.flowing.get() || moved != self.wire.moved() {
+            self.moved.set((self.wire.moved(), Instant::now()));
+        } else if since.elapsed() > STALLED {
+            self.cut.notify_one();
+        }
+    }
+
+    /// An answer begins to flow to it; it is busy until what is returned has gone.
+    pub fn flow(self: &Rc<Self>) -> Flowing {
+        self.flowing.set(true);
+        Flowing(self.clone())
+    }
+
+    /// What it sends was answered before its end, and is not read any further.
+    pub fn answer_early(&self) {
+        self.answered_early.set(true);
+    }
+
+    pub fn is_answered_early(&self) -> bool {
+        self.answered_early.get()
+    }
+
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.told.notify_one();
+    }
+}
+
+/// A client's answer on its way.
+pub struct Flowing(Rc<Client>);
+
+impl Drop for Flowing {
+    fn drop(&mut self) {
+        self.0.flowing.set(false);
+        self.0.end();
+    }
+}
--- a/crates/pearfront-node/src/guard.rs
+++ b/crates/pearfront-node/src/guard.rs
@@ -2,8 +2,8 @@
 //! here. It looks for itself, at the act, and trusts nothing that was decided before; what it refuses does not happen. Behind
 //! the act it looks again, and counts what broke a rule all the same.
 
-use crate::admit::Caller;
 use crate::book::Book;
+use crate::client::Client;
 use crate::discovery::Discovery;
 use crate::lease::MARGIN;
 use crate::lifecycle::Lifecycle;
@@ -94,7 +94,7 @@
 
     /// A client's connection is closed: no request that was read on it may be without its answer, unless the client has ended
     /// it.
-    pub fn close(&self, caller: &Caller, why: &str) {
+    pub fn close(&self, caller: &Client, why: &str) {
         if !caller.is_idle() && !caller.is_answered_early() && !caller.wire.has_ended() {
             self.book.violations_close.add();
             self.broken.info(|| format!("violation: a connection with an open request is closed, {why}"));
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -5,6 +5,7 @@
 mod admit;
 mod arrival;
 mod book;
+mod client;
 mod config;
 mod confirm;
 mod deadline;
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -1,8 +1,9 @@
 //! First stage: clients' connections and what comes on them. A job is taken once its last byte is here; from then
 //! on it is owed one answer.
 
-use crate::admit::{Caller, Room, Share};
+use crate::admit::{Room, Share};
 use crate::book::Book;
+use crate::client::Client;
 use crate::deadline::{Answered, Deadline, Overdue};
 use crate::flow::{self, Broken, MOST, MOST_WHOLE, Piece, Start};
 use crate::lifecycle::Lifecycle;
@@ -153,7 +154,7 @@
 
     async fn answer(
         &self,
-        caller: &Rc<Caller>,
+        caller: &Rc<Client>,
         request: Request<Incoming>,
     ) -> Result<Response<Body>, Broken> {
         caller.begin(request.version());
@@ -170,7 +171,7 @@
         answer.map(message::last_on_connection)
     }
 
-    async fn call(&self, caller: &Caller, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
+    async fn call(&self, caller: &Client, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
         let (head, body) = request.into_parts();
         let has_length = caller.wire.hand_out().has_length;
         let call = message::decode_call(head, &self.terms.now(), has_length);
@@ -199,7 +200,7 @@
     }
 
     /// The answer to a job, or what is wrong with its body; counted if it is too late.
-    async fn job(&self, caller: &Caller, job: Job, body: Incoming) -> Result<Response<Body>, Problem> {
+    async fn job(&self, caller: &Client, job: Job, body: Incoming) -> Result<Response<Body>, Problem> {
         let (id, time, turn) = (job.id().clone(), job.left, self.route.clock.now());
         let answer = self.exchange(caller, job, body).await?;
         if let Some(came) = caller.wire.came() {
@@ -212,7 +213,7 @@
 
     async fn exchange(
         &self,
-        caller: &Caller,
+        caller: &Client,
         mut job: Job,
         body: Incoming,
     ) -> Result<Response<Body>, Problem> {
@@ -257,7 +258,7 @@
     /// The answer to a job whose body flows on to a server while it comes.
     async fn flow(
         &self,
-        caller: &Caller,
+        caller: &Client,
         job: Job,
         deadline: Deadline,
         share: Share,
@@ -289,7 +290,7 @@
     /// whatever else came on its connection: its job must not go on to a server.
     async fn answered(
         &self,
-        caller: &Caller,
+        caller: &Client,
         held: &Held,
         answer: Receiver<Answer>,
     ) -> Result<Response<Body>, Problem> {
