--- a/crates/pearfront-node/tests/endings/shutdown.rs
+++ b/crates/pearfront-node/tests/endings/shutdown.rs
@@ -109,3 +109,23 @@
     assert_eq!(lost.len(), IN_THE_MIDDLE, "of {PLAYS} plays");
     assert!(lost.iter().all(|lost| *lost <= 1), "{lost:?}");
 }
+
+// A drain ends the reading on connections that are busy; taken back, what comes on them then is read again.
+#[test]
+fn a_request_behind_a_drain_that_was_taken_back_is_answered() {
+    let server = Server::start(Act::Hold(b"fine".to_vec()));
+    let node = Node::start_for_operators(config(&[server.address]));
+    let mut caller = node.caller();
+    caller.send(&head("read", "10", 0), b"");
+    server.wait_for("job 1");
+    assert_eq!(node.call("PUT /_lameduck/on"), 200);
+    // Longer than a drain reads requests on connections that stay open.
+    sleep(Duration::from_secs(2));
+    assert_eq!(node.call("PUT /_lameduck/off"), 200);
+    server.go_on();
+    assert_eq!(caller.answer().map(|answer| answer.status()), Some(200));
+    caller.send(&head("read", "0.6", 0), b"");
+    caller.stream.set_read_timeout(Some(Duration::from_millis(1100))).unwrap();
+    assert!(caller.answer().is_some(), "never read");
+    node.end();
+}
