What lies behind a request on its connection stays unread until its turn

Clients that sent a short request (0.4 s) 0.1 s behind one whose 200 kB answer stopped in the middle, or dripped, saw it read and its connection closed 2.9 to 4.7 s late.

Cause: the node read ahead what came behind a request, so that its time was known. From then on it was taken, and nothing ended the answer before it: the owner of the time ends a request only until hyper is handed its answer.

Now what lies behind is looked at (peeked) and left in the kernel: each read ends with a request's last byte. An answer that is passed on while it comes is broken off 10 ms before one behind it is due, and its connection is reset over unread bytes, which tells the client that it may send the request again. A request of which 10 ms or less are left when its turn comes is answered at once, so that a row of them is in time. At a shutdown requests that have come are read and answered as before; what comes later is not.

Three tests (stalls, drips, drips slowly) failed before: 200 kB, and the connection open at the end of the time. The unit tests of the reading ahead went with it; what they held (order, the end behind the bytes, no more than fits) is the kernel's now.

--- a/crates/pearfront-node/src/client.rs
+++ b/crates/pearfront-node/src/client.rs
@@ -30,6 +30,8 @@
     half: Cell<Option<Instant>>,
     /// How much had moved on it, and when that was first seen.
     moved: Cell<(usize, Instant)>,
+    /// Rung when an answer begins or ends to flow to it.
+    flow_changed: Notify,
     pub told: Notify,
     /// Rung when it is to be cut off in the middle of what it does.
     pub cut: Notify,
@@ -48,6 +50,7 @@
             answered_early: Cell::new(false),
             half: Cell::new(None),
             moved: Cell::new((0, Instant::now())),
+            flow_changed: Notify::new(),
             told: Notify::new(),
             cut: Notify::new(),
         }
@@ -61,7 +64,16 @@
     /// Requests that were read whole on it and have no answer; one whose answer is on its way has.
     pub fn unanswered(&self) -> usize {
         let is_owed = self.busy.get() && !self.flowing.get() && self.wire.came().is_some();
-        self.wire.waiting() + usize::from(is_owed)
+        usize::from(is_owed)
+    }
+
+    /// Is an answer on its way to it that is passed on while it comes?
+    pub fn is_flowing(&self) -> bool {
+        self.flowing.get()
+    }
+
+    pub async fn flow_changed(&self) {
+        self.flow_changed.notified().await;
     }
 
     /// Idle, and if it has brought nothing yet, not just opened: its first job may be on the way. Whoever closes it
@@ -84,6 +96,7 @@
         self.version.set(version);
         self.busy.set(true);
         self.used.set(true);
+        self.wire.answers(true);
     }
 
     /// Does nothing but the end of the connection tell this client that an answer is whole?
@@ -93,9 +106,9 @@
 
     /// Answered.
     pub fn end(&self) {
-        self.wire.answers(false);
         self.busy.set(false);
         self.since.set(Instant::now());
+        self.wire.answers(false);
     }
 
     /// With an answer under way on it, but nothing that moves: it holds what others could use.
@@ -111,6 +124,7 @@
     /// An answer begins to flow to it; it is busy until what is returned has gone.
     pub fn flow(self: &Rc<Self>) -> Flowing {
         self.flowing.set(true);
+        self.flow_changed.notify_one();
         Flowing(self.clone())
     }
 
@@ -135,6 +149,7 @@
 impl Drop for Flowing {
     fn drop(&mut self) {
         self.0.flowing.set(false);
+        self.0.flow_changed.notify_one();
         self.0.end();
     }
 }
--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -18,8 +18,8 @@
 const LOST_AFTER: f64 = 500.0;
 /// How long behind its time an answer that the module owes is left to it, ms: it answers ahead of the time.
 const LEFT_TO_MODULE: f64 = 100.0;
-/// How long ahead of its time a request whose body is not whole gets its answer, ms, as the module waits for the body; and so
-/// one behind which another is due.
+/// The same for one whose body is not whole, as the module waits for the body, and for one behind which another is due. One of
+/// which no more is left when its turn comes is answered at once, so that those behind it are in time.
 const AHEAD: f64 = 10.0;
 /// How long the process reads what came while it stood still.
 const CATCH_UP: Duration = Duration::from_millis(60);
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Is too little of it left for any attempt?
+    pub fn is_over(&self) -> bool {
+        self.left(self.clock.now()) <= AHEAD.min(self.time)
+    }
+
     /// What is left of it, ms.
     pub fn left(&self, now: f64) -> f64 {
         (self.at() - now).min(self.time)
@@ -92,16 +97,8 @@
     /// before it, their answers have to wait for its own.
     fn ends_at(&self) -> f64 {
         let own = self.at() + if self.is_coming() { -AHEAD } else { LEFT_TO_MODULE };
-        let behind = self.client.upgrade().and_then(|client| client.due_behind());
-        behind.map_or(own, |due| own.min(self.clock.time_of(due) - AHEAD))
-    }
-
-    /// Waits until more of what its client sends has been read.
-    async fn read_more(&self) {
-        match self.client.upgrade() {
-            Some(client) => client.read_more().await,
-            None => pending().await,
-        }
+        let behind = self.client.upgrade().and_then(|client| ends_for_one_behind(&client, self.clock));
+        behind.map_or(own, |behind| own.min(behind))
     }
 
     /// Waits until then.
@@ -109,23 +106,47 @@
         if cfg!(feature = "broken-deadline") {
             pending().await
         }
-        loop {
-            let (at, now) = (self.ends_at(), self.clock.now());
-            if now < at {
-                tokio::select! {
-                    () = sleep_until(self.clock.at(at)) => {}
-                    () = self.read_more() => {}
-                }
-            } else if self.pulse.stopped_at(now).is_some() {
-                // What came meanwhile is being read, and the module plays its round.
-                sleep(CATCH_UP).await;
-            } else {
-                return;
+        reached(self.clock, &self.pulse, &self.client, || self.ends_at()).await;
+    }
+}
+
+/// When the answer to a request has to end at the latest, ms, for the first of those behind it to be in time.
+fn ends_for_one_behind(client: &Wire, clock: Clock) -> Option<f64> {
+    client.due_behind().map(|due| clock.time_of(due) - AHEAD)
+}
+
+/// Waits until an answer that is on its way to this client has to end, as one behind it is due.
+pub async fn one_behind_is_due(clock: Clock, pulse: &Pulse, client: &Rc<Wire>) {
+    let at = || ends_for_one_behind(client, clock).unwrap_or(f64::INFINITY);
+    reached(clock, pulse, &Rc::downgrade(client), at).await;
+}
+
+/// Waits until that time, ms, which is asked for again whenever more has come of what the client sends.
+async fn reached(clock: Clock, pulse: &Pulse, client: &Weak<Wire>, at: impl Fn() -> f64) {
+    loop {
+        let (at, now) = (at(), clock.now());
+        if now < at {
+            tokio::select! {
+                () = sleep_until(clock.at(at)) => {}
+                () = more_has_come(client) => {}
             }
+        } else if pulse.stopped_at(now).is_some() {
+            // What came meanwhile is being read, and the module plays its round.
+            sleep(CATCH_UP).await;
+        } else {
+            return;
         }
     }
 }
 
+/// Waits until more of what a client sends has come.
+async fn more_has_come(client: &Weak<Wire>) {
+    match client.upgrade() {
+        Some(client) => client.read_more().await,
+        None => pending().await,
+    }
+}
+
 /// How a request was answered. Times are ms on the node's clock.
 pub struct Answered {
     pub id: HeaderValue,
--- a/crates/pearfront-node/src/framing.rs
+++ b/crates/pearfront-node/src/framing.rs
@@ -1,5 +1,5 @@
 //! Follows what a client sends to the ends of its requests, byte by byte. It tells what hyper does not: when the last byte of
-//! each request came, how many were read that nobody has begun to answer, whether a head is half here, and whether one
+//! each request came, how many came that nobody has begun to answer, where each ends, whether a head is half here, and whether one
 //! names a length beside chunks.
 
 use std::collections::VecDeque;
@@ -60,17 +60,22 @@
     waiting: VecDeque<ReadRequest>,
     /// Handed out last.
     current: Option<ReadRequest>,
+    /// How many bytes were taken, and behind how many each request ended that has not been read to its end.
+    position: u64,
+    ends: VecDeque<u64>,
 }
 
 impl Framing {
     /// Takes the next bytes, which came at that time.
     pub fn read(&mut self, mut bytes: &[u8], came: Instant) {
         while !bytes.is_empty() {
-            bytes = match self.part {
+            let rest = match self.part {
                 Part::Body(left) => self.skip(bytes, left, Part::Body, Part::Head),
                 Part::Chunk(left) => self.skip(bytes, left, Part::Chunk, Part::ChunkEnd),
                 _ => self.line(bytes),
             };
+            self.position += (bytes.len() - rest.len()) as u64;
+            bytes = rest;
             if self.part == Part::Head && !self.begun {
                 self.request_over(came);
             }
@@ -83,9 +88,28 @@
             && last.came.is_none()
         {
             last.came = Some(came);
+            self.ends.push_back(self.position);
         }
     }
 
+    /// How many bytes were taken.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Where the first request ends that ends behind this position, if that has been seen.
+    pub fn end_behind(&self, position: u64) -> Option<u64> {
+        self.ends.iter().copied().find(|end| *end > position)
+    }
+
+    /// So many bytes have been read: is that the end of a request, or the beginning of the connection?
+    pub fn has_read(&mut self, position: u64) -> bool {
+        while self.ends.front().is_some_and(|end| *end < position) {
+            self.ends.pop_front();
+        }
+        position == 0 || self.ends.front() == Some(&position)
+    }
+
     fn skip<'a>(&mut self, bytes: &'a [u8], left: u64, within: impl Fn(u64) -> Part, then: Part) -> &'a [u8] {
         let count = left.min(bytes.len() as u64);
         self.part = if count == left { then } else { within(left - count) };
@@ -159,12 +183,7 @@
         self.begun
     }
 
-    /// Is nothing of a request here but what has been handed out whole?
-    pub fn is_between_requests(&self) -> bool {
-        self.part == Part::Head && !self.begun
-    }
-
-    /// How many requests have been read whole and not been handed out.
+    /// How many requests have come whole and not been handed out.
     pub fn waiting(&self) -> usize {
         self.waiting.iter().filter(|request| request.came.is_some()).count()
     }
@@ -186,6 +205,14 @@
             _ => None,
         }
     }
+
+    /// Bytes to come of the body, or of the chunk of it, that is being read: no request ends among them.
+    pub fn piece_left(&self) -> Option<u64> {
+        match self.part {
+            Part::Body(left) | Part::Chunk(left) => Some(left),
+            _ => None,
+        }
+    }
 }
 
 /// What can't be read ends its connection in hyper: here it only must not be 0.
--- a/crates/pearfront-node/src/framing/tests.rs
+++ b/crates/pearfront-node/src/framing/tests.rs
@@ -55,7 +55,7 @@
         assert_eq!((framing.came(), framing.waiting()), (Some(at(2)), 2));
         let rest = [framing.hand_out(), framing.hand_out()];
         assert_eq!(rest.map(|request| request.came), [Some(at(2)), Some(at(3))]);
-        assert!(framing.is_between_requests() && !framing.has_waiting());
+        assert!(framing.has_read(framing.position()) && !framing.has_waiting());
     }
 }
 
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -22,7 +22,6 @@
 mod message;
 mod probe;
 mod pulse;
-mod read_ahead;
 mod relay;
 mod route;
 mod send;
@@ -31,6 +30,7 @@
 mod terms;
 #[cfg(test)]
 mod test_support;
+mod unread;
 mod wall_clock;
 mod watch;
 mod wire;
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -3,7 +3,7 @@
 
 use crate::admit::Share;
 use crate::book::Book;
-use crate::deadline::Deadline;
+use crate::deadline::{self, Deadline};
 use crate::discovery::{self, Discovery, Place};
 use crate::flow::Broken;
 use crate::guard::Guard;
@@ -285,6 +285,11 @@
         Deadline::new(self.clock, self.discovery.pulse(), time, caller)
     }
 
+    /// Waits until an answer that is on its way to this client has to end, as one behind it is due.
+    pub async fn one_behind_is_due(&self, client: &Rc<Wire>) {
+        deadline::one_behind_is_due(self.clock, &self.discovery.pulse(), client).await;
+    }
+
     /// The last byte of a job has come: its times count from now on.
     pub fn body_came(&self, held: &Held) {
         let number = held.number;
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -7,7 +7,7 @@
 use crate::deadline::{Answered, Deadline, Overdue};
 use crate::flow::{self, Broken, MOST, MOST_WHOLE, Piece, Start};
 use crate::lifecycle::Lifecycle;
-use crate::logger::Seldom;
+use crate::logger::{Limited, Seldom};
 use crate::message::{self, Answer, Body, Call, Job, JobBody};
 use crate::route::{Held, Route};
 use crate::send::{BUFFER, Senders};
@@ -43,9 +43,26 @@
 /// callers are said to bring.
 const WHOLE_BODY: Duration = Duration::from_millis(2500);
 const SLOWEST: Duration = Duration::from_nanos(62_500);
+/// Lines a second of the log that tell of answers that were broken off.
+const LINES: u32 = 10;
 /// How long the rest of a body is read whose request has its answer.
 const LONGEST_DRAIN: Duration = Duration::from_secs(5);
 
+/// How a client's connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ended {
+    /// Its client ended it, or its last answer said that it ends, or what came can't be read.
+    InTurn,
+    /// Nothing of an answer that is on its way moves any more.
+    Stalled,
+    /// It was to be closed, and nothing more came of what was begun on it.
+    LetGo,
+    /// Its client left in the middle of an answer.
+    ClientLeft,
+    /// An answer was broken off, as another is due that could come only behind it.
+    BrokenOff,
+}
+
 pub struct TakeIn {
     pub route: Rc<Route>,
     pub room: Rc<Room>,
@@ -56,6 +73,7 @@
     overdue: Overdue,
     malformed: Seldom,
     crowded: Seldom,
+    broken_off: Limited,
 }
 
 impl TakeIn {
@@ -77,6 +95,7 @@
             life,
             malformed: Seldom::default(),
             crowded: Seldom::default(),
+            broken_off: Limited::new(LINES),
         })
     }
 
@@ -94,7 +113,10 @@
 
     async fn serve(self: Rc<Self>, wire: Rc<Wire>) {
         let (number, caller) = self.room.enter(wire.clone());
-        let service = service_fn(|request| self.answer(&caller, request));
+        let service = service_fn(|request: Request<Incoming>| {
+            caller.begin(request.version());
+            self.answer(&caller, request)
+        });
         let mut connection =
             pin!(Builder::new().max_buf_size(BUFFER).serve_connection(Socket(wire.clone()), service));
         let mut closing = None;
@@ -107,7 +129,7 @@
                 connection.graceful_shutdown();
             }
         };
-        let why = loop {
+        let ended = loop {
             tokio::select! {
                 biased;
                 ended = connection.as_mut() => {
@@ -123,10 +145,11 @@
                     if caller.is_answered_early() {
                         wire.linger().await;
                     }
-                    break "ended";
+                    break Ended::InTurn;
                 }
-                never = wire.read_ahead() => match never {},
-                () = caller.cut.notified() => break "stalled",
+                never = wire.look_behind() => match never {},
+                ended = self.flow_ended(&caller) => break ended,
+                () = caller.cut.notified() => break Ended::Stalled,
                 () = caller.told.notified(), if closing.is_none() => {
                     closing = Some((wire.moved(), false));
                     end(connection.as_mut());
@@ -136,28 +159,46 @@
                     let quiet = |moved| moved == wire.moved() && !wire.has_unread();
                     let stuck = |(moved, in_head)| quiet(moved) || in_head && wire.in_head();
                     if caller.is_idle() && closing.is_some_and(stuck) {
-                        break "let go";
+                        break Ended::LetGo;
                     }
                     closing = Some((wire.moved(), wire.in_head()));
                     end(connection.as_mut());
                 }
             }
         };
-        if why != "stalled" {
-            self.route.guard.close(&caller, why);
+        if ended == Ended::BrokenOff {
+            self.book.flows_broken.add();
+            self.broken_off.info(|| "an answer ends in its middle: one behind it is due".into());
+        } else if ended != Ended::Stalled {
+            self.route.guard.close(&caller, &format!("{ended:?}"));
             if !wire.has_ended() {
-                self.overdue.never(caller.unanswered(), &format!("their connection {why}"));
+                self.overdue.never(caller.unanswered(), &format!("their connection ended: {ended:?}"));
             }
         }
         self.room.leave(number);
     }
 
+    /// Waits until an answer that is on its way ends in its middle: its client has left, or one behind it is due, and answers
+    /// come in order. What lies behind it is unread then, so that its client may send it again.
+    async fn flow_ended(&self, client: &Client) -> Ended {
+        loop {
+            if !client.is_flowing() {
+                client.flow_changed().await;
+                continue;
+            }
+            tokio::select! {
+                () = client.flow_changed() => {}
+                () = client.wire.ended() => return Ended::ClientLeft,
+                () = self.route.one_behind_is_due(&client.wire) => return Ended::BrokenOff,
+            }
+        }
+    }
+
     async fn answer(
         &self,
         caller: &Rc<Client>,
         request: Request<Incoming>,
     ) -> Result<Response<Body>, Broken> {
-        caller.begin(request.version());
         let mut answer = self.call(caller, request).await;
         match answer.as_mut().map(Response::body_mut) {
             Ok(Either::Right(flow)) => flow.keep(Rc::new(caller.flow())),
@@ -230,7 +271,7 @@
         if matches!(start, Start::Whole(_)) {
             deadline.whole();
         }
-        if deadline.left(self.route.clock.now()) <= 0.0 {
+        if deadline.is_over() {
             self.book.too_late.add();
             return Ok(reject(start));
         }
@@ -294,8 +335,6 @@
         held: &Held,
         answer: Receiver<Answer>,
     ) -> Result<Response<Body>, Problem> {
-        // What comes behind it waits for its turn, and its time counts.
-        caller.wire.answers(true);
         tokio::select! {
             biased;
             answer = answer => Ok(answer.unwrap_or(Answer::Failed).encode()),
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -4,8 +4,8 @@
 use crate::admit::Place;
 use crate::arrival::Arrival;
 use crate::framing::{Framing, ReadRequest};
-use crate::read_ahead::ReadAhead;
 use crate::system::{is_interrupted, is_transient};
+use crate::unread::{MOST_SEEN, Unread};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -15,10 +15,9 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::io::Interest;
+use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::task::yield_now;
 use tokio::time::{Instant, timeout};
 
 /// Bytes read at a time: heads are a few hundred, most bodies a few thousand.
@@ -26,6 +25,8 @@
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
 /// How a body in chunks ends.
 const END_OF_CHUNKS: &[u8] = b"0\r\n\r\n";
+/// How often is looked at what more a client sends behind a request that is being answered, once something lies there.
+const LOOK: Duration = Duration::from_millis(10);
 /// Longest time and most bytes for which a connection that was answered early is read on.
 const LINGER: Duration = Duration::from_millis(500);
 const MOST_LINGER: usize = 1024 * 1024;
@@ -60,7 +61,7 @@
     arrival: Arrival,
     /// Rung with each read.
     has_read: Notify,
-    ahead: ReadAhead,
+    unread: Unread,
     _place: Place,
 }
 
@@ -92,7 +93,7 @@
             framing,
             arrival: Arrival::since(came),
             has_read: Notify::new(),
-            ahead: ReadAhead::default(),
+            unread: Unread::default(),
             _place: place,
         })
     }
@@ -160,53 +161,84 @@
     fn note_read(&self, bytes: &[u8]) {
         self.answered.set(self.answered.get() || !bytes.is_empty());
         self.moved.set(self.moved.get() + bytes.len());
-        self.framed(|framing| {
-            // Between requests any byte may be the last.
-            self.arrival.read(Instant::now(), bytes.len(), framing.body_left());
-            framing.read(bytes, self.arrival.earliest());
-        });
+        let ahead = self.seen_ahead();
+        self.unread.advance(bytes.len());
+        self.note_seen(bytes, ahead, Instant::now());
         self.has_read.notify_waiters();
     }
 
-    /// A whole request of the caller waits for its answer, or has it: meanwhile what comes behind it is read ahead.
-    pub fn answers(&self, answers: bool) {
-        self.ahead.reads.set(answers);
-        self.ahead.changed.notify_one();
+    /// How many bytes were looked at that have not been read.
+    fn seen_ahead(&self) -> usize {
+        self.framed(|framing| framing.position() - self.unread.position()).unwrap_or_default() as usize
     }
 
-    /// Reads what a caller sends behind a request that waits for its answer, so that it is known when that came: hyper
-    /// reads it once its turn is there. It has to be polled beside hyper's connection, and never returns.
-    pub async fn read_ahead(&self) -> Infallible {
+    /// Follows what lies first in the connection, which was looked at before as far as `ahead`, to the ends of requests.
+    fn note_seen(&self, bytes: &[u8], ahead: usize, at: Instant) {
+        let new = &bytes[ahead.min(bytes.len())..];
+        if !new.is_empty() {
+            self.framed(|framing| {
+                // Between requests any byte may be the last.
+                self.arrival.read(at, new.len(), framing.body_left());
+                framing.read(new, self.arrival.earliest());
+            });
+        }
+    }
+
+    /// A request of the client has been handed out and has no answer yet, or has it: meanwhile what comes behind it stays
+    /// unread.
+    pub fn answers(&self, is_answering: bool) {
+        self.unread.answers(is_answering);
+    }
+
+    /// Has a request been read to its end, and nothing of what comes behind it? Also where nothing has been read.
+    fn is_between_requests(&self) -> bool {
+        self.framed(|framing| framing.has_read(self.unread.position())).unwrap_or_default()
+    }
+
+    /// Has what comes next to wait until the request before it is answered, or is it not read any more?
+    fn is_held(&self) -> bool {
+        (self.unread.is_answering() || self.unread.has_ended()) && self.is_between_requests()
+    }
+
+    /// Looks at what a client sends behind a request that waits for its answer, so that it is known when that came. It has to
+    /// be polled beside hyper's connection, and never returns.
+    pub async fn look_behind(&self) -> Infallible {
         loop {
-            if !self.ahead.has_room() || self.is_read_out() {
-                self.ahead.changed.notified().await;
+            if !self.unread.is_answering() || !self.is_between_requests() {
+                self.unread.changed().await;
                 continue;
             }
             tokio::select! {
                 // What it fails with is found by the read.
                 _ = self.stream.readable() => {}
-                () = self.ahead.changed.notified() => continue,
+                () = self.unread.changed() => continue,
             }
-            if !self.read_some_ahead() {
-                yield_now().await;
+            if self.look() {
+                let _ = timeout(LOOK, self.unread.changed()).await;
             }
         }
     }
 
-    /// Reads ahead once; false if the kernel lacks something for a moment. The buffer is not kept by whoever waits.
-    fn read_some_ahead(&self) -> bool {
-        let mut chunk = [0; CHUNK];
-        match self.stream.try_read(&mut chunk) {
-            Ok(count) => {
-                self.note_read(&chunk[..count]);
-                self.ahead.take_in(Ok(&chunk[..count]));
-            }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.arrival.found_nothing(),
-            Err(error) if is_interrupted(&error) => {}
-            Err(error) if is_transient(&error) => return false,
-            Err(error) => self.ahead.take_in(Err(error)),
+    /// Looks once; false if nothing lies there. Once something does, the runtime does not tell when more has come.
+    fn look(&self) -> bool {
+        let mut chunk = [0; MOST_SEEN];
+        let (ahead, now) = (self.seen_ahead(), Instant::now());
+        let looked = match pin!(self.stream.peek(&mut chunk)).poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(looked) => looked.unwrap_or_default(),
+            Poll::Pending => 0,
+        };
+        if looked > ahead {
+            // More than was seen came behind the last look.
+            let at = if ahead > 0 { now - LOOK } else { now };
+            self.note_seen(&chunk[..looked], ahead, at);
+            self.has_read.notify_waiters();
         }
-        true
+        if looked < MOST_SEEN {
+            self.arrival.found_nothing();
+        } else {
+            self.arrival.looks_away(now);
+        }
+        looked > 0
     }
 
     /// Has the other side begun to answer what was written last?
@@ -255,7 +287,7 @@
         self.arrival.waited_until()
     }
 
-    /// Requests of the caller that were read whole and not handed out.
+    /// Requests of the caller that have come whole and were not handed out.
     pub fn waiting(&self) -> usize {
         self.framed(|framing| framing.waiting()).unwrap_or_default()
     }
@@ -295,9 +327,6 @@
     /// The same asked at once: the kernel may know more than the runtime has been told. Behind unread bytes only what the
     /// runtime has been told counts.
     pub fn has_ended(&self) -> bool {
-        if self.ahead.has_ended() {
-            return true;
-        }
         match self.peek() {
             Ok(0) => true,
             Ok(_) => pin!(self.ended()).poll(&mut Context::from_waker(Waker::noop())).is_ready(),
@@ -327,66 +356,138 @@
 
     /// Are there bytes that hyper has not read yet, and that are to be read?
     pub fn has_unread(&self) -> bool {
-        self.ahead.has_bytes() || !self.is_read_out() && self.peek().is_ok_and(|count| count > 0)
+        !self.is_read_out() && self.has_bytes()
+    }
+
+    /// Are there bytes that nobody has read?
+    fn has_bytes(&self) -> bool {
+        self.peek().is_ok_and(|count| count > 0)
     }
 
     /// Has a request come, or begun to come, behind the one that was handed out last?
     pub fn has_more(&self) -> bool {
         self.has_unread()
-            || self.in_head()
-            || self.framed(|framing| framing.has_waiting()).unwrap_or_default()
+            || !self.is_read_out() && self.in_head()
+            || self.framed(|framing| framing.has_waiting()).unwrap_or_default() && !self.is_read_out()
     }
 
-    /// No further request is begun to be read: what is here has its answer, and the rest was never taken.
+    /// No further request is begun to be read than what has come: that has its answer, and the rest was never taken.
     pub fn end_reading(&self) {
-        self.ahead.ends.set(true);
-        self.ahead.changed.notify_one();
+        if !self.unread.is_ending() {
+            self.look();
+            self.unread.end(self.framed(|framing| framing.position()).unwrap_or_default());
+        }
     }
 
     fn is_read_out(&self) -> bool {
-        self.ahead.ends.get() && self.framed(|framing| framing.is_between_requests()).unwrap_or_default()
+        self.unread.has_ended() && self.is_between_requests()
     }
-}
 
-/// hyper's end of a `Wire`.
-pub struct Socket(pub Rc<Wire>);
+    /// Reads what a client sends, and nothing behind the end of a request.
+    fn poll_read_request(&self, context: &mut Context, chunk: &mut [u8]) -> Poll<io::Result<usize>> {
+        loop {
+            if self.is_held() {
+                return self.poll_client_end(context);
+            }
+            let most = match ready!(self.poll_readable(context, chunk)) {
+                Ok(0) => return Poll::Ready(Ok(0)),
+                Ok(most) => most,
+                Err(error) if is_interrupted(&error) => continue,
+                Err(error) => return self.failed(context, error),
+            };
+            match self.stream.try_read(&mut chunk[..most]) {
+                Ok(count) => {
+                    self.note_read(&chunk[..count]);
+                    return Poll::Ready(Ok(count));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock || is_interrupted(&error) => {}
+                Err(error) => return self.failed(context, error),
+            }
+        }
+    }
 
-impl Read for Socket {
-    fn poll_read(self: Pin<&mut Self>, context: &mut Context, mut to: ReadBufCursor) -> Poll<io::Result<()>> {
-        let mut chunk = [0; CHUNK];
-        let most = to.remaining().min(CHUNK);
-        if let Some(ahead) = self.0.ahead.give_out(&mut chunk[..most]) {
-            to.put_slice(&chunk[..ahead?]);
-            return Poll::Ready(Ok(()));
+    /// How many bytes may be read: as far as the end of the request, if that is here.
+    fn poll_readable(&self, context: &mut Context, chunk: &mut [u8]) -> Poll<io::Result<usize>> {
+        let ahead = self.seen_ahead();
+        let piece = self.framed(|framing| framing.piece_left()).flatten();
+        if let Some(left) = piece.filter(|_| ahead == 0) {
+            let Poll::Ready(is_ready) = self.stream.poll_read_ready(context) else {
+                return self.nothing_to_read(context);
+            };
+            return Poll::Ready(is_ready.map(|()| left.min(chunk.len() as u64) as usize));
         }
-        if self.0.is_read_out() {
-            return Poll::Pending;
+        let Poll::Ready(looked) = self.stream.poll_peek(context, &mut ReadBuf::new(chunk)) else {
+            return self.nothing_to_read(context);
+        };
+        let looked = looked?;
+        self.note_seen(&chunk[..looked], ahead, Instant::now());
+        let position = self.unread.position();
+        let end = self.framed(|framing| framing.end_behind(position)).flatten();
+        Poll::Ready(Ok(end.map_or(looked, |end| looked.min((end - position) as usize))))
+    }
+
+    fn nothing_to_read<T>(&self, context: &Context) -> Poll<T> {
+        self.arrival.found_nothing();
+        self.unread.wait(context.waker());
+        Poll::Pending
+    }
+
+    /// Of a client that is not read only the end is told.
+    fn poll_client_end(&self, context: &mut Context) -> Poll<io::Result<usize>> {
+        self.unread.wait(context.waker());
+        loop {
+            let mut byte = [0];
+            match ready!(self.stream.poll_peek(context, &mut ReadBuf::new(&mut byte))) {
+                Ok(0) => return Poll::Ready(Ok(0)),
+                Ok(_) => return Poll::Pending,
+                Err(error) if is_interrupted(&error) => {}
+                Err(error) => return self.failed(context, error),
+            }
+        }
+    }
+
+    fn failed<T>(&self, context: &Context, error: io::Error) -> Poll<io::Result<T>> {
+        if !is_transient(&error) {
+            return Poll::Ready(Err(error));
         }
+        // It lacks something for a moment: others go first.
+        context.waker().wake_by_ref();
+        Poll::Pending
+    }
+
+    /// Reads what a server sends.
+    fn poll_read_answer(&self, context: &mut Context, chunk: &mut [u8]) -> Poll<io::Result<usize>> {
         loop {
-            let Poll::Ready(is_ready) = self.0.stream.poll_read_ready(context) else {
-                self.0.arrival.found_nothing();
-                self.0.ahead.waits(context.waker());
-                return Poll::Pending;
-            };
-            is_ready?;
-            match self.0.stream.try_read(&mut chunk[..most]) {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read(chunk) {
                 Ok(count) => {
-                    to.put_slice(&chunk[..count]);
-                    self.0.note_read(&chunk[..count]);
-                    return Poll::Ready(Ok(()));
+                    self.note_read(&chunk[..count]);
+                    return Poll::Ready(Ok(count));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock || is_interrupted(&error) => {}
-                // It lacks something for a moment: others go first.
-                Err(error) if is_transient(&error) => {
-                    context.waker().wake_by_ref();
-                    return Poll::Pending;
-                }
-                Err(error) => return Poll::Ready(Err(error)),
+                Err(error) => return self.failed(context, error),
             }
         }
     }
 }
 
+/// hyper's end of a `Wire`.
+pub struct Socket(pub Rc<Wire>);
+
+impl Read for Socket {
+    fn poll_read(self: Pin<&mut Self>, context: &mut Context, mut to: ReadBufCursor) -> Poll<io::Result<()>> {
+        let mut chunk = [0; CHUNK];
+        let most = to.remaining().min(CHUNK);
+        let read = if self.0.framing.is_some() {
+            self.0.poll_read_request(context, &mut chunk[..most])
+        } else {
+            self.0.poll_read_answer(context, &mut chunk[..most])
+        };
+        to.put_slice(&chunk[..ready!(read)?]);
+        Poll::Ready(Ok(()))
+    }
+}
+
 impl Write for Socket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         self.poll_write_vectored(context, &[IoSlice::new(bytes)])
@@ -422,12 +523,7 @@
                     return Poll::Ready(Ok(count));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock || is_interrupted(&error) => {}
-                // It lacks something for a moment: others go first.
-                Err(error) if is_transient(&error) => {
-                    context.waker().wake_by_ref();
-                    return Poll::Pending;
-                }
-                Err(error) => return Poll::Ready(Err(error)),
+                Err(error) => return self.0.failed(context, error),
             }
         }
     }
@@ -437,6 +533,11 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        // Closed over what lies unread a connection is reset, which tells its client that nobody has read that: an orderly end
+        // before it would say that somebody may have.
+        if self.0.framing.is_some() && self.0.has_bytes() {
+            return Poll::Ready(Ok(()));
+        }
         Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
     }
 }
--- /dev/null
+++ b/crates/pearfront-node/tests/endings/behind.rs
@@ -0,0 +1,73 @@
+//! Requests behind one another on a connection: each has its answer by the end of its time, or lies unread on a connection that is
+//! reset by then, so that its client may send it again. Whatever the answer before it does.
+
+use super::deadline::{End, all_within, answered_within, drips, over};
+use crate::stand_ins::{Act, Node, Server, config, head, in_time};
+use serde_json::json;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// How long the client of the short requests here waits, and how much later than the long one its request comes.
+const TIME: Duration = Duration::from_millis(400);
+const LATER: Duration = Duration::from_millis(100);
+/// What is passed on while it comes.
+const LARGE: usize = 200_000;
+
+// A short request behind an answer that does not come to its end is not read: its connection is reset in its time.
+#[test_case(0, Duration::ZERO; "that stalls")]
+#[test_case(100, Duration::from_millis(50); "that drips")]
+#[test_case(20, Duration::from_millis(250); "that drips slowly")]
+fn a_request_behind_an_answer_without_an_end_is_shut_unread_in_its_time(drip: usize, pause: Duration) {
+    in_time(|| {
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", LARGE + 1000);
+        let node = Node::start(&config(&[drips(answer, LARGE, pause, drip)]));
+        let mut caller = node.caller();
+        caller.send(&head("read", "3", 0), b"");
+        sleep(LATER);
+        caller.send(&head("read", "0.4", 0), b"");
+        let (all, end) = all_within(&caller.stream, TIME);
+        if end != End::Reset || all.len() < LARGE / 2 {
+            return Err(format!("{} bytes, {end:?}", all.len()));
+        }
+        over(node);
+        Ok(())
+    });
+}
+
+// The same behind a flow that comes to its end in time: it is answered on the same connection.
+#[test]
+fn a_request_behind_an_answer_that_comes_to_its_end_is_answered() {
+    const DRIPS: usize = 4;
+    in_time(|| {
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", LARGE + DRIPS);
+        let node = Node::start(&config(&[drips(answer, LARGE, Duration::from_millis(50), DRIPS)]));
+        let mut caller = node.caller();
+        caller.send(&head("read", "3", 0), b"");
+        sleep(LATER);
+        caller.send(&head("read", "3", 0), b"");
+        for _ in 0..2 {
+            match caller.answer() {
+                Some(answer) if answer.body.len() == LARGE + DRIPS => {}
+                _ => return Err("no whole answer".into()),
+            }
+        }
+        over(node);
+        Ok(())
+    });
+}
+
+// Many requests in one write, of which none can be served: the last one has its answer in its time as well.
+#[test]
+fn many_requests_in_one_write_are_all_answered_before_their_time_is_over() {
+    const COUNT: usize = 40;
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        caller.send(&(0..COUNT).map(|_| head("read", "0.4", 0)).collect::<String>(), b"");
+        answered_within(&caller.stream, COUNT, TIME)?;
+        over(node);
+        Ok(())
+    });
+}
--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -18,14 +18,14 @@
 
 /// How a connection stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum End {
+pub enum End {
     Open,
     Closed,
     Reset,
 }
 
 /// Waits for the end of what comes, at the most for so long; what came, and whether it ended.
-fn all_within(stream: &TcpStream, time: Duration) -> (Vec<u8>, End) {
+pub fn all_within(stream: &TcpStream, time: Duration) -> (Vec<u8>, End) {
     let (until, mut all, mut chunk) = (Instant::now() + time, Vec::new(), vec![0; 64 * 1024]);
     while let left = until.saturating_duration_since(Instant::now())
         && !left.is_zero()
@@ -42,7 +42,7 @@
 }
 
 /// Are there so many answers by then?
-fn answered_within(stream: &TcpStream, count: usize, time: Duration) -> Result<(), String> {
+pub fn answered_within(stream: &TcpStream, count: usize, time: Duration) -> Result<(), String> {
     let answers = |bytes: &[u8]| String::from_utf8_lossy(bytes).matches("HTTP/1.1 ").count();
     let begun = Instant::now();
     let mut all = Vec::new();
@@ -62,7 +62,7 @@
     }
 }
 
-fn over(node: Node) {
+pub fn over(node: Node) {
     let counters = node.end();
     assert_eq!((counters["answers_late"], counters["answers_never"]), (0, 0), "{counters:?}");
 }
@@ -92,7 +92,7 @@
 }
 
 /// A server whose answers begin with the head and so many bytes, and go on with a byte after each pause, `drips` times.
-fn drips(head: String, first: usize, pause: Duration, drips: usize) -> SocketAddr {
+pub fn drips(head: String, first: usize, pause: Duration, drips: usize) -> SocketAddr {
     let (address, listener) = takes_nothing();
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -1,6 +1,7 @@
 //! What is still owed at the instant in which something ends: both orders of each crossing, held open on purpose.
 //! `docs/design/endings.md` lists the ways.
 
+mod behind;
 mod deadline;
 mod gone;
 mod repeats;
