A connection whose reading has ended is closed with its last answer

Clients had no answer to requests that no server saw, 1 to 3 % of those of some seconds, until their patience ended.

Cause: 1.7 s into a drain the node ends the reading on all connections. One that was busy then, and still when the drain was taken back, was kept open: its answer did not say that it was the last, nobody closed it, and nobody ever read from it again. Each next request on it lay in the kernel. The report fits: the losses begin where a drain of some 4.5 s ends, at one node, one request a connection.

Now the end of reading belongs to the connection and can't be taken back: its last answer says so, and it is closed behind that, or at once where nothing is on its way, whatever state the node is in by then.

--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -237,7 +237,7 @@
 
     /// No further requests are read: those that are here have their answers.
     pub fn end_reading(&self) {
-        self.callers.borrow().values().for_each(|client| client.wire.end_reading());
+        self.callers.borrow().values().for_each(|client| client.end_reading());
     }
 
     /// Has all callers closed that have been idle for so long.
--- a/crates/pearfront-node/src/client.rs
+++ b/crates/pearfront-node/src/client.rs
@@ -109,6 +109,18 @@
         self.busy.set(false);
         self.since.set(Instant::now());
         self.wire.answers(false);
+        // What comes on it from now on would lie there unread.
+        if self.wire.is_ending() && !self.wire.has_unread() {
+            self.close();
+        }
+    }
+
+    /// No further request is begun to be read than what has come; without any it is closed.
+    pub fn end_reading(&self) {
+        self.wire.end_reading();
+        if self.is_idle() && !self.closing.get() && !self.wire.has_unread() {
+            self.close();
+        }
     }
 
     /// With an answer under way on it, but nothing that moves: it holds what others could use.
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -205,7 +205,7 @@
             _ => caller.end(),
         }
         // Only the last of the requests that have come may say that it is.
-        if self.life.keeps_alive() || caller.wire.has_more() {
+        if self.life.keeps_alive() && !caller.wire.is_ending() || caller.wire.has_more() {
             return answer;
         }
         caller.wire.end_reading();
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -379,6 +379,11 @@
         }
     }
 
+    /// Is the connection to end once what has come is answered?
+    pub fn is_ending(&self) -> bool {
+        self.unread.is_ending()
+    }
+
     fn is_read_out(&self) -> bool {
         self.unread.has_ended() && self.is_between_requests()
     }
