The owner of a request's time answers before its end, not 100 ms behind it

Where the module gave no answer by the end of a request's time its client had one 100 ms behind it: one that gives up 60 ms behind saw none. The module's last call is two rounds ahead of the time; the owner's now comes 4 ms ahead.

The test has rounds of 1 s and a request of 0.4 s: no answer within its time before, in time now.

--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -16,8 +16,9 @@
 
 /// From when on behind its time an answer is lost, ms.
 const LOST_AFTER: f64 = 500.0;
-/// How long behind its time an answer that the module owes is left to it, ms: it answers ahead of the time.
-const LEFT_TO_MODULE: f64 = 100.0;
+/// How long ahead of its time a request gets its answer that nobody else has given, ms: behind the module's last call, which is
+/// two rounds ahead.
+const LAST_MOMENT: f64 = 4.0;
 /// The same for one whose body is not whole, as the module waits for the body, and for one behind which another is due. One of
 /// which no more is left when its turn comes is answered at once, so that those behind it are in time.
 const AHEAD: f64 = 10.0;
@@ -96,7 +97,7 @@
     /// When an answer has to be given by whoever owns the time, if nobody else has. Where requests behind this one are due
     /// before it, their answers have to wait for its own.
     fn ends_at(&self) -> f64 {
-        let own = self.at() + if self.is_coming() { -AHEAD } else { LEFT_TO_MODULE };
+        let own = self.at() - if self.is_coming() { AHEAD } else { LAST_MOMENT };
         let behind = self.client.upgrade().and_then(|client| ends_for_one_behind(&client, self.clock));
         behind.map_or(own, |behind| own.min(behind))
     }
--- a/crates/pearfront-node/tests/endings/behind.rs
+++ b/crates/pearfront-node/tests/endings/behind.rs
@@ -71,3 +71,26 @@
         Ok(())
     });
 }
+
+// Rounds of the module that are further apart than a request's time is long: the owner of its time answers it, and before its end.
+#[test]
+fn a_request_that_the_module_does_not_answer_is_answered_before_its_time_is_over() {
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let mut config = config(&[server.address]);
+        config["settings"]["round"] = json!(1_000_000_000);
+        let node = Node::start(&config);
+        let (mut first, mut second) = (node.caller(), node.caller());
+        first.send(&head("read", "9", 0), b"");
+        sleep(LATER);
+        let sent = Instant::now();
+        second.send(&head("read", "0.4", 0), b"");
+        answered_within(&second.stream, 1, TIME)?;
+        if sent.elapsed() < TIME / 2 {
+            return Err(format!("answered by the module, {:?}", sent.elapsed()));
+        }
+        drop(first);
+        over(node);
+        Ok(())
+    });
+}
