A request that is held on as its servers leave keeps a wake

Cause: a request that is held is looked at again at a quarter of its latency target, and at its last call where there is no server at all. One that was held while there were servers, and whose servers had all left by that look, was held on without a further one.

Now each look at a held request that goes on waiting sets the next.

--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -1,6 +1,6 @@
 //! A request's time counts from its last byte, and its answer is due by its end, whatever it waits for meanwhile.
 
-use crate::stand_ins::{Act, Caller, Node, Server, config, head, in_time};
+use crate::stand_ins::{Act, Caller, Node, Server, config, head, in_time, list};
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -469,3 +469,23 @@
     node.signal("-TERM");
     assert!(node.log().contains(" lines were not taken, and are left out"));
 }
+
+// A request that waits for a server that rests, and then for any at all: the module has no wake for it any more.
+#[test]
+fn a_held_request_whose_servers_all_leave_is_answered_before_its_time_is_over() {
+    const LONG: Duration = Duration::from_millis(1500);
+    in_time(|| {
+        let server = Server::start(Act::TurnAway);
+        let node = Node::start(&config(&[server.address]));
+        node.discovery.publish(2, list(2, false, &[]));
+        node.discovery.wait_for(2);
+        let mut caller = node.caller();
+        caller.send(&head("pay", "1.5", 0), b"");
+        server.wait_for("job 1");
+        node.discovery.publish(3, list(3, true, &[]));
+        answered_within(&caller.stream, 1, LONG)?;
+        // By the module, not by whoever ends what it has forgotten.
+        let counters = node.end();
+        if counters["expired"] > 0 { Err(format!("{counters:?}")) } else { Ok(()) }
+    });
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -672,9 +672,13 @@
     }
 
     fn hold(&mut self, job: &Rc<Job>) {
-        if !job.waiting.replace(true) {
+        let is_new = !job.waiting.replace(true);
+        if is_new {
             self.waiting.push(job.clone());
-            let until = self.hold_until(job);
+        }
+        // It may be held for longer than when it was looked at last: the table has become empty.
+        let until = self.hold_until(job);
+        if is_new || until > self.now {
             self.review(job, until);
         }
     }
