Test that fails: a connection that outlives a drain taken back is never read again

Callers saw: a request on a connection kept from before got no answer and no end, until its client gave up; no server saw it.

Cause: 1.7 s after PUT /_lameduck/on (0.7 s where another process serves the same socket) `TakeIn::let_go` calls `Room::end_reading` for every connection, and `Wire::end_reading` sets `ends` for good. What is idle is closed; what has a request, body or answer on its way is not, and neither is what was opened in the last 150 ms. After PUT /_lameduck/off such a connection is kept (its answer does not say that it is the last), but `Socket::poll_read` returns Pending for it, without keeping the waker: nobody reads, no deadline runs, and the client's own end is not seen either.

The node counts nothing of it (`taken` is one less than was sent, `answers_late` and `answers_never` are 0), and its log says nothing between `state: ready` and its end. The product is not changed here.

--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -4,6 +4,7 @@
 mod deadline;
 mod gone;
 mod repeats;
+mod resume;
 mod room;
 mod shutdown;
 mod stale;
--- /dev/null
+++ b/crates/pearfront-node/tests/endings/resume.rs
@@ -0,0 +1,116 @@
+//! A drain that is taken back: clients' connections that are still open are served as before it.
+
+use crate::stand_ins::{Act, Caller, Node, Server, config, entry, head, list};
+use socket2::SockRef;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
+use std::thread::sleep;
+use std::time::Duration;
+use test_case::test_case;
+
+/// In a drain nothing new may come on a client's connection 2 s after the word: longer than that.
+const DRAINED: Duration = Duration::from_millis(2300);
+/// How long a client waits, and when its answer is lost: 0.5 s later.
+const TIME: &str = "1";
+const LOST: Duration = Duration::from_millis(1500);
+/// Long enough for a connection to be accepted, and less than what a new one is left alone for.
+const ACCEPTED: Duration = Duration::from_millis(50);
+/// More than is kept whole of a body or an answer.
+const LARGE: usize = 300_000;
+
+/// What is on its way on a client's connection from before a drain until it has been taken back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Across {
+    Attempt,
+    /// A request for which there is no server.
+    Held,
+    Body,
+    Answer,
+    /// Nothing, as it was opened right before the drain was taken back.
+    Nothing,
+}
+
+impl Across {
+    fn server(self) -> Server {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n");
+        Server::start(match self {
+            Across::Answer => Act::Raw([head.as_bytes(), &[b'x'; LARGE / 2]].concat(), vec![b'x'; LARGE / 2]),
+            Across::Attempt => Act::Hold(Vec::new()),
+            _ => Act::Serve(Vec::new()),
+        })
+    }
+
+    /// Begins the request that is to last over the drain.
+    fn begin(self, client: &mut Caller, server: &Server) {
+        match self {
+            Across::Nothing => return,
+            Across::Body => client.send(&head("pay", "60", LARGE), &[b'x'; LARGE / 3]),
+            _ => client.send(&head("pay", "60", 0), b""),
+        }
+        if matches!(self, Across::Attempt | Across::Answer) {
+            server.wait_for("job 1");
+        }
+        if self == Across::Answer {
+            client.stream.peek(&mut [0]).unwrap();
+        }
+    }
+
+    fn send_more(self, client: &mut Caller) {
+        if self == Across::Body {
+            client.send("", &[b'x'; LARGE / 3]);
+        }
+    }
+}
+
+/// Has the node neither ended it nor written to it?
+fn is_open_and_silent(client: &Caller) -> bool {
+    client.stream.set_nonblocking(true).unwrap();
+    let peeked = SockRef::from(&client.stream).peek(&mut [MaybeUninit::uninit()]);
+    client.stream.set_nonblocking(false).unwrap();
+    peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+}
+
+/// Asks as clients do: where the node has closed the connection, once more on a new one.
+fn ask_in_time(node: &Node, client: &mut Caller) -> u16 {
+    client.stream.set_read_timeout(Some(LOST)).unwrap();
+    client.send(&head("read", TIME, 0), b"");
+    let answer = client.answer();
+    if answer.is_none() && is_open_and_silent(client) {
+        println!("no answer after {LOST:?}, on a connection that the node keeps open");
+        return 0;
+    }
+    answer.unwrap_or_else(|| node.caller().ask(&head("read", TIME, 0), b"")).status()
+}
+
+// A request on a connection that was in use while a drain was taken back was never read: it reached no server, and had no answer.
+#[test_case(Across::Attempt; "its request is at a server")]
+#[test_case(Across::Held; "its request is held")]
+#[test_case(Across::Body; "its body is on its way")]
+#[test_case(Across::Answer; "its answer is on its way")]
+#[test_case(Across::Nothing; "it has just been opened")]
+fn a_connection_that_outlives_a_drain_taken_back_is_read_again(across: Across) {
+    let (server, next) = (across.server(), Server::start(Act::Serve(Vec::new())));
+    let known = if across == Across::Held { Vec::new() } else { vec![server.address] };
+    let node = Node::start_for_operators(config(&known));
+    let mut client = node.caller();
+    across.begin(&mut client, &server);
+    assert_eq!(node.call("PUT /_lameduck/on"), 200);
+    sleep(DRAINED / 2);
+    across.send_more(&mut client);
+    sleep(DRAINED / 2);
+    if across == Across::Nothing {
+        client = node.caller();
+        sleep(ACCEPTED);
+    }
+    assert_eq!(node.call("PUT /_lameduck/off"), 200);
+    across.send_more(&mut client);
+    server.go_on();
+    node.discovery.publish(2, list(2, true, &[entry("next", next.address, "Ready")]));
+    node.discovery.wait_for(2);
+    if across != Across::Nothing {
+        assert_eq!(client.answer().expect("an answer to the request before").status(), 200);
+    }
+    let status = ask_in_time(&node, &mut client);
+    node.end();
+    assert_eq!(status, 200);
+}
