Test that fails: nobody accepts after a next process that said yes has died

Callers see: a connection to the socket that two processes share waits 1.6 s although one of them runs; a request of 0.5 s on it is lost.

Cause: a process that ends accepts nothing while another one serves the socket (`Lifecycle::accepts`). When that one dies `Peers::share` sets `Lifecycle::succeeded(false)`, which does not ring `changed`; `Acceptor::accept_all` waits for that alone, as the branch that accepts is switched off. The queue is looked at again 1 s before the last answers.

--- a/crates/pearfront-node/tests/endings/shutdown.rs
+++ b/crates/pearfront-node/tests/endings/shutdown.rs
@@ -1,6 +1,6 @@
 //! What a connection still owes when it is shut down, reset or closed.
 
-use crate::stand_ins::{Act, Caller, ESTABLISHED, Node, Server};
+use crate::stand_ins::{Act, Caller, ESTABLISHED, Node, Platform, Server};
 use crate::stand_ins::{config, head, in_table, list, wait_for_table};
 use rustix::process::{Pid, PidfdFlags, PidfdGetfdFlags, pidfd_getfd, pidfd_open};
 use socket2::{Domain, SockRef, Socket, Type};
@@ -109,3 +109,30 @@
     assert_eq!(lost.len(), IN_THE_MIDDLE, "of {PLAYS} plays");
     assert!(lost.iter().all(|lost| *lost <= 1), "{lost:?}");
 }
+
+// The next process said yes and died while this one ends: what came to the socket of both meanwhile was taken by nobody for 1.6 s.
+#[test]
+fn a_process_that_ends_takes_what_waits_for_a_next_one_that_died() {
+    const LOST: Duration = Duration::from_millis(1000);
+    let server = Server::start(Act::Hold(Vec::new()));
+    let (platform, config) = (Platform::new(), config(&[server.address]));
+    let old = platform.start(&config);
+    old.wait_for_call("GET /_ready", 200);
+    // Without a client it would have ended before.
+    let mut first = old.caller();
+    first.send(&head("pay", "3", 0), b"");
+    server.wait_for("job 1");
+    let new = platform.start(&config);
+    new.wait_for_call("GET /_ready", 200);
+    old.signal("-TERM");
+    // No more connections are expected from then on.
+    sleep(Duration::from_millis(700));
+    new.kill();
+    let mut client = old.caller();
+    client.stream.set_read_timeout(Some(LOST)).unwrap();
+    client.send(&head("read", "0.5", 0), b"");
+    let answer = client.answer();
+    server.go_on();
+    old.ended();
+    assert!(answer.is_some(), "no answer after {LOST:?} to a request of 0.5 s");
+}
