Test that fails: a connection opened late in a drain is closed over its first request

Callers see: 1.7 s after PUT /_lameduck/on, and in a shutdown behind such a drain, a new connection is accepted, and closed some 0.1 s later with its request unread if that came more than 5 ms behind the connection.

Cause: `TakeIn::let_go` calls `Room::end_reading` each 5 ms for all connections, also those that have brought nothing yet; what comes then is not seen (`Wire::has_unread` asks nobody once reading has ended), and `close_all_idle` closes them behind the 150 ms that a first request has.

Fronts send none that late; a caller that has this node alone does.

--- a/crates/pearfront-node/tests/endings/shutdown.rs
+++ b/crates/pearfront-node/tests/endings/shutdown.rs
@@ -136,3 +136,22 @@
     old.ended();
     assert!(answer.is_some(), "no answer after {LOST:?} to a request of 0.5 s");
 }
+
+// Late in a drain a new connection was closed over its first request, which was not there at once but 10 ms later; and so was
+// the one on which its client, as the protocol has it, sent that once more.
+#[test]
+fn a_connection_opened_late_in_a_drain_has_its_first_request_answered() {
+    let server = Server::start(Act::Serve(Vec::new()));
+    let node = Node::start_for_operators(config(&[server.address]));
+    assert_eq!(node.call("PUT /_lameduck/on"), 200);
+    sleep(Duration::from_millis(2300));
+    let asks = |_| {
+        let mut client = node.caller();
+        sleep(Duration::from_millis(10));
+        client.send(&head("read", "1", 0), b"");
+        client.answer().map(|answer| answer.status())
+    };
+    let answers: Vec<_> = (0..10).map(|client| asks(client).or_else(|| asks(client))).collect();
+    node.end();
+    assert_eq!(answers, [Some(200); 10]);
+}
