Test that fails: an operator's whole call is dropped for those that come behind it

Operators see: their connection closed without an answer, and no drain. The log says nothing of it.

Cause: `Admin::serve` accepts all that waits before any call is played (one thread), and `Admin::open` aborts the oldest of 12, also one whose call is whole and has not been looked at.

--- a/crates/pearfront-node/tests/days/mod.rs
+++ b/crates/pearfront-node/tests/days/mod.rs
@@ -55,6 +55,23 @@
     drop(clients);
 }
 
+// Those that come behind a whole call in one go, more than may be open, had it dropped: no answer, no drain, no word in the log.
+#[test]
+fn a_whole_call_is_carried_out_whoever_comes_behind_it() {
+    let node = Node::start_for_operators(config(&[]));
+    assert_eq!(node.call("GET /_ready"), 200);
+    node.signal("-STOP");
+    node.wait_until_stopped();
+    let mut operator = node.operator();
+    operator.send("PUT /_lameduck/on HTTP/1.1\r\nHost: admin\r\n\r\n", b"");
+    let _behind: Vec<_> = (0..12).map(|_| node.operator()).collect();
+    node.signal("-CONT");
+    let answer = operator.answer().map(|answer| answer.status());
+    let ready = node.call("GET /_ready");
+    node.end();
+    assert_eq!((answer, ready), (Some(200), 503));
+}
+
 // Nothing of a drain is lost: idle clients are let go, what is under way is answered, whoever still comes is served.
 #[test]
 fn a_drained_node_lets_its_clients_go_and_runs_on() {
