Test that fails: a request with a body of over 16 kB waits for the one before it

Callers see: behind a request of 3 s whose server hangs, one of 0.6 s with a body of 50 kB, in the same write, is answered at 2.99 s.

Cause: `ReadAhead::MOST` stops the reading ahead at 16 kB and a chunk, so the last byte of the second request is not read; `Framing::due_behind` counts whole requests alone, and `Deadline::ends_at` of the first one knows of none that is due before it.

--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -295,6 +295,21 @@
     });
 }
 
+// The same with a body that is longer than what is read ahead: its answer came 2.4 s late, behind that of the one before it.
+#[test]
+fn a_request_makes_way_for_one_with_a_body_that_is_due_before() {
+    const LENGTH: usize = 50_000;
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        caller.send(&[head("read", "3", 0), head("pay", "0.6", LENGTH)].concat(), &[b'x'; LENGTH]);
+        answered_within(&caller.stream, 2, TIME + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
+
 // A client stops in the middle of a body that its server takes slowly: it is owed an error within 3 s of its last byte.
 #[test]
 fn a_body_that_stops_while_it_is_taken_slowly_is_given_up_in_time() {
