--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -5,6 +5,7 @@
 mod deadline;
 mod gone;
 mod repeats;
+mod resume;
 mod room;
 mod shutdown;
 mod stale;
--- a/crates/pearfront-node/tests/endings/shutdown.rs
+++ b/crates/pearfront-node/tests/endings/shutdown.rs
@@ -1,6 +1,6 @@
 //! What a connection still owes when it is shut down, reset or closed.
 
-use crate::stand_ins::{Act, Caller, ESTABLISHED, Node, Server};
+use crate::stand_ins::{Act, Caller, ESTABLISHED, Node, Platform, Server};
 use crate::stand_ins::{config, head, in_table, list, wait_for_table};
 use rustix::process::{Pid, PidfdFlags, PidfdGetfdFlags, pidfd_getfd, pidfd_open};
 use socket2::{Domain, SockRef, Socket, Type};
@@ -133,3 +133,49 @@
     assert_eq!(next.answer().map(|answer| answer.status()), Some(200), "never read");
     node.end();
 }
+
+// The next process said yes and died while this one ends: what came to the socket of both meanwhile was taken by nobody for 1.6 s.
+#[test]
+fn a_process_that_ends_takes_what_waits_for_a_next_one_that_died() {
+    const LOST: Duration = Duration::from_millis(1000);
+    let server = Server::start(Act::Hold(Vec::new()));
+    let (platform, config) = (Platform::new(), config(&[server.address]));
+    let old = platform.start(&config);
+    old.wait_for_call("GET /_ready", 200);
+    // Without a client it would have ended before.
+    let mut first = old.caller();
+    first.send(&head("pay", "3", 0), b"");
+    server.wait_for("job 1");
+    let new = platform.start(&config);
+    new.wait_for_call("GET /_ready", 200);
+    old.signal("-TERM");
+    // No more connections are expected from then on.
+    sleep(Duration::from_millis(700));
+    new.kill();
+    let mut client = old.caller();
+    client.stream.set_read_timeout(Some(LOST)).unwrap();
+    client.send(&head("read", "0.5", 0), b"");
+    let answer = client.answer();
+    server.go_on();
+    old.ended();
+    assert!(answer.is_some(), "no answer after {LOST:?} to a request of 0.5 s");
+}
+
+// Late in a drain a new connection was closed over its first request, which was not there at once but 10 ms later; and so was
+// the one on which its client, as the protocol has it, sent that once more.
+#[test]
+fn a_connection_opened_late_in_a_drain_has_its_first_request_answered() {
+    let server = Server::start(Act::Serve(Vec::new()));
+    let node = Node::start_for_operators(config(&[server.address]));
+    assert_eq!(node.call("PUT /_lameduck/on"), 200);
+    sleep(Duration::from_millis(2300));
+    let asks = |_| {
+        let mut client = node.caller();
+        sleep(Duration::from_millis(10));
+        client.send(&head("read", "1", 0), b"");
+        client.answer().map(|answer| answer.status())
+    };
+    let answers: Vec<_> = (0..10).map(|client| asks(client).or_else(|| asks(client))).collect();
+    node.end();
+    assert_eq!(answers, [Some(200); 10]);
+}
