A connection that is opened late in a drain has its first request read

Clients that connected over 1.7 s into a drain and sent 10 ms later had their connection closed over the request, and the one of their second try as well: reading ended on each connection within 5 ms, also where it had just been opened. It is left alone for the 150 ms that a new one has for its first request everywhere else.

--- a/crates/pearfront-node/src/client.rs
+++ b/crates/pearfront-node/src/client.rs
@@ -79,8 +79,12 @@
     /// Idle, and if it has brought nothing yet, not just opened: its first job may be on the way. Whoever closes it
     /// looks for unread bytes as well, which are a job that will be read in a moment.
     pub fn can_be_spared(&self) -> bool {
-        let begun = self.used.get() || self.since.get().elapsed() > FIRST_REQUEST;
-        self.is_idle() && begun && !self.closing.get()
+        self.is_idle() && self.has_begun() && !self.closing.get()
+    }
+
+    /// Has it brought a request, or nothing for so long that none is on its way?
+    fn has_begun(&self) -> bool {
+        self.used.get() || self.since.get().elapsed() > FIRST_REQUEST
     }
 
     pub fn is_unfinished(&self) -> bool {
@@ -115,8 +119,12 @@
         }
     }
 
-    /// No further request is begun to be read than what has come; without any it is closed.
+    /// No further request is begun to be read than what has come; without any it is closed. On one that has just been opened the
+    /// first may be on its way.
     pub fn end_reading(&self) {
+        if !self.has_begun() {
+            return;
+        }
         self.wire.end_reading();
         if self.is_idle() && !self.closing.get() && !self.wire.has_unread() {
             self.close();
