A process that ends takes what comes once the next one has died

Clients whose connection came to the shared socket then waited up to 1.6 s: the ending process waits for a change of its state before it accepts again, and nothing rang for the death of the process that had said yes. Now the change rings, and the queue counts as unread from when the process stood back.

--- a/crates/pearfront-node/src/accept.rs
+++ b/crates/pearfront-node/src/accept.rs
@@ -68,6 +68,10 @@
                 self.stand_back().await;
                 continue;
             }
+            if !self.take_in.life.accepts() {
+                // Another process takes what comes, or nobody: should this one go on, it may have waited since now.
+                self.queue.looks_away(Instant::now());
+            }
             let accepted = tokio::select! {
                 biased;
                 () = self.take_in.life.changed() => continue,
--- a/crates/pearfront-node/src/lifecycle.rs
+++ b/crates/pearfront-node/src/lifecycle.rs
@@ -103,7 +103,9 @@
 
     /// Does another process serve the same socket?
     pub fn succeeded(&self, by_another: bool) {
-        self.succeeded.set(by_another);
+        if self.succeeded.replace(by_another) != by_another {
+            self.changed.notify_waiters();
+        }
     }
 
     pub fn is_ending(&self) -> bool {
