--- a/crates/pearfront-node/src/admin.rs
+++ b/crates/pearfront-node/src/admin.rs
@@ -2,13 +2,14 @@
 //! descriptors and time limits, and waits for nothing that clients hold.
 
 use crate::lifecycle::{Lifecycle, State};
-use crate::logger::Seldom;
+use crate::logger::{Limited, Seldom};
 use crate::message::{self, AdminCall, Body};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use pearfront_cluster::Cluster;
 use std::cell::{Cell, RefCell};
@@ -30,6 +31,10 @@
 const PERMIT: Duration = Duration::from_millis(700);
 /// Largest head, and largest body, that a call may have, bytes.
 const LARGEST: usize = 8 * 1024;
+/// How long all that came at once have to be played before one of them is closed for another.
+const PLAYED: Duration = Duration::from_millis(20);
+/// Lines a second of the log that tell of calls.
+const LOGGED_CALLS: u32 = 10;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -40,19 +45,31 @@
     open: RefCell<VecDeque<(u64, AbortHandle)>>,
     numbered: Cell<u64>,
     failing: Seldom,
+    calls: Limited,
 }
 
 impl Admin {
     pub fn new(life: Rc<Lifecycle>, cluster: Option<Rc<Cluster>>) -> Rc<Self> {
-        let (open, numbered, failing) = (RefCell::default(), Cell::new(0), Seldom::default());
-        Rc::new(Self { life, cluster, open, numbered, failing })
+        Rc::new(Self {
+            life,
+            cluster,
+            open: RefCell::default(),
+            numbered: Cell::new(0),
+            failing: Seldom::default(),
+            calls: Limited::new(LOGGED_CALLS),
+        })
     }
 
     /// Answers operators as long as the process runs.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.open(stream),
+                Ok((stream, _)) => {
+                    if self.open.borrow().len() >= CALLS {
+                        sleep(PLAYED).await;
+                    }
+                    self.open(stream);
+                }
                 Err(error) => {
                     self.failing.warn(format_args!("accepting an operator's call failed: {error}"));
                     sleep(ACCEPT_PAUSE).await;
@@ -112,7 +129,16 @@
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
-        if Limited::new(body, LARGEST).collect().await.is_err() {
+        let (method, path) = (head.method.clone(), head.uri.path().to_string());
+        let answer = self.carry_out(head, body).await;
+        if method != Method::GET {
+            self.calls.info(|| format!("operator's call {method} {path}: {}", answer.status().as_u16()));
+        }
+        answer
+    }
+
+    async fn carry_out(&self, head: Parts, body: Incoming) -> Response<Body> {
+        if http_body_util::Limited::new(body, LARGEST).collect().await.is_err() {
             return message::encode_malformed("a body that is too long or can't be read");
         }
         let yes = match message::decode_admin(&head) {
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -140,6 +140,10 @@
     let (take_in, book, discovery) = build(config, &terms, life.clone());
     log::info!("node {name} listens on {address}");
     if let Some(operators) = operators {
+        log::info!(
+            "operators call at {}",
+            operators.local_addr().map_or_else(|error| error.to_string(), |at| at.to_string())
+        );
         spawn_local(Admin::new(life.clone(), cluster.clone()).serve(operators));
     }
     spawn_local(take_in.clone().let_go());
