--- a/crates/pearfront-soak/src/judge.rs
+++ b/crates/pearfront-soak/src/judge.rs
@@ -2,6 +2,7 @@
 //! itself counts. Times are ms.
 
 mod history;
+mod operators;
 
 use crate::client::requests_at_a_time;
 use crate::discovery::cell_of;
@@ -41,6 +42,8 @@
     Failback,
     Budget,
     Deadline,
+    /// What operators ask of a node.
+    Operators,
     Crash,
 }
 
@@ -98,6 +101,7 @@
     budget(&all, &mut verdict.breaks);
     failback(plan, &all, &mut verdict.breaks);
     stalled(&all, &mut verdict.breaks);
+    operators::operators(&all, &mut verdict.breaks);
     verdict.breaks.extend(all.crashes);
     verdict.breaks.sort_by(|a, b| a.at.total_cmp(&b.at));
     verdict
--- a/crates/pearfront-soak/src/judge/history.rs
+++ b/crates/pearfront-soak/src/judge/history.rs
@@ -2,7 +2,7 @@
 
 use super::{Break, Rule, SLACK, STARTS, TOLD, WATCH_GAP};
 use crate::plan::{Fleet, KILL_AFTER, Plan};
-use crate::record::{AnswerEnd, DiscoveryMode, Effect, Record, ReplyEnd, Standing};
+use crate::record::{AnswerEnd, DiscoveryMode, Effect, OperatorCall, Record, ReplyEnd, Standing};
 use std::collections::{BTreeMap, HashMap};
 
 pub(super) struct Request {
@@ -53,6 +53,23 @@
     }
 }
 
+/// An operator's call, and the status of its answer, if one came in time.
+pub(super) struct CallOfOperator {
+    pub(super) node: usize,
+    pub(super) process: u32,
+    pub(super) call: OperatorCall,
+    pub(super) at: f64,
+    pub(super) status: Option<u16>,
+}
+
+/// What `GET /up` at a node's address said.
+pub(super) struct UpAnswer {
+    pub(super) node: usize,
+    pub(super) process: u32,
+    pub(super) at: f64,
+    pub(super) status: Option<u16>,
+}
+
 /// A process of a node was killed, and had been told to end before, if it had.
 pub(super) struct Kill {
     node: usize,
@@ -87,6 +104,8 @@
     pub(super) graces: Vec<(usize, f64, f64)>,
     pub(super) starts: Vec<(usize, f64)>,
     pub(super) stalled: Vec<(usize, f64, Option<f64>)>,
+    pub(super) operator_calls: Vec<CallOfOperator>,
+    pub(super) up_answers: Vec<UpAnswer>,
     pub(super) crashes: Vec<Break>,
     /// So long after it was told to end a process has ended, ms.
     pub(super) ends_within: f64,
@@ -170,6 +189,14 @@
             Record::Reloaded { node, grace, at } => self.graces.push((*node, *grace, *at)),
             Record::ServerStart { server, at } => self.starts.push((*server, *at)),
             Record::Stalled { node, at, ended } => self.stalled.push((*node, *at, *ended)),
+            Record::Operator { node, process, call, at, status } => {
+                let call =
+                    CallOfOperator { node: *node, process: *process, call: *call, at: *at, status: *status };
+                self.operator_calls.push(call);
+            }
+            Record::Up { node, process, at, status } => {
+                self.up_answers.push(UpAnswer { node: *node, process: *process, at: *at, status: *status });
+            }
             Record::Ran { .. } | Record::Probe { .. } | Record::Moved { .. } | Record::ServerKill { .. } => {}
         }
     }
@@ -220,6 +247,22 @@
         self.lives.iter().find(serves).is_none()
     }
 
+    /// Did the process run through all of that time?
+    pub(super) fn runs(&self, process: u32, from: f64, to: f64) -> bool {
+        self.lives.iter().any(|life| life.process == process && life.start <= from && to <= life.end)
+    }
+
+    /// Had the process been told to end by then?
+    pub(super) fn told_to_end(&self, process: u32, by: f64) -> bool {
+        self.terms.iter().any(|(told, at)| *told == process && *at <= by)
+    }
+
+    /// Was no other process of the node there?
+    pub(super) fn is_alone(&self, node: usize, process: u32, at: f64) -> bool {
+        let other = |life: &&Life| life.node == node && life.process != process;
+        !self.lives.iter().filter(other).any(|life| (life.start..=life.end).contains(&at))
+    }
+
     /// Was a process of the node killed in that time, of which nothing more can be asked? One that was told to end, and had
     /// all its time since, has to have answered by then.
     pub(super) fn was_killed(&self, node: usize, from: f64, to: f64) -> bool {
--- a/crates/pearfront-soak/src/judge/tests.rs
+++ b/crates/pearfront-soak/src/judge/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::plan::KILL_AFTER;
+use crate::record::OperatorCall;
 use test_case::test_case;
 
 const ID: &str = "a request";
@@ -62,3 +63,26 @@
     records.push(Record::Unanswered { id: ID.to_string(), at: kill + 1.0, crossed: false });
     assert_eq!(judge(&plan, &records).breaks.len(), usize::from(is_lost));
 }
+
+/// What the judge says of a node that is told to drain at 0 and to take clients again at 5000 ms: `calls` are the answers, and
+/// it is asked for `GET /up` at these times.
+fn breaks_of_drain(calls: [Option<u16>; 2], up: &[(f64, Option<u16>)]) -> Vec<Rule> {
+    let (node, process) = (0, 1);
+    let told = [(OperatorCall::DrainOn, 0.0, calls[0]), (OperatorCall::DrainOff, 5000.0, calls[1])];
+    let mut records = vec![Record::Start { node, process, caller: 0, at: -1000.0 }];
+    records.extend(told.map(|(call, at, status)| Record::Operator { node, process, call, at, status }));
+    records.extend(up.iter().map(|(at, status)| Record::Up { node, process, at: *at, status: *status }));
+    judge(&Plan::draw(1, 20_000.0), &records).breaks.iter().map(|broken| broken.rule).collect()
+}
+
+const YES: Option<u16> = Some(200);
+const NO: Option<u16> = Some(503);
+
+#[test_case([YES, YES], &[(3900.0, YES), (5100.0, NO), (6900.0, YES)], &[]; "in time")]
+#[test_case([NO, YES], &[], &[Rule::Operators]; "a drain that is refused")]
+#[test_case([YES, None], &[], &[Rule::Operators]; "a call that is not answered")]
+#[test_case([YES, YES], &[(4000.0, YES)], &[Rule::Lost]; "still yes 4 s after the call")]
+#[test_case([YES, YES], &[(5100.0, NO), (6900.0, NO)], &[Rule::Operators]; "no yes 2 s after the end of a drain")]
+fn a_node_does_what_operators_ask(calls: [Option<u16>; 2], up: &[(f64, Option<u16>)], wanted: &[Rule]) {
+    assert_eq!(breaks_of_drain(calls, up), wanted);
+}
--- a/crates/pearfront-soak/src/plan.rs
+++ b/crates/pearfront-soak/src/plan.rs
@@ -6,6 +6,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::ops::Range;
 
 /// Times are ms from the start of a play.
 const FIRST_FAULT: f64 = 1500.0;
@@ -21,6 +22,10 @@
 const CROWDED: f64 = 0.25;
 const FEW_SOCKETS: usize = 128;
 const SOCKETS: usize = 1024;
+/// Time between two drains by operators, ms, and how long each lasts: some end before clients are let go, some behind that.
+const BETWEEN_DRAINS: Range<f64> = 300.0..2500.0;
+const OPERATORS_DRAIN_MS: Range<u64> = 300..5500;
+const OPERATORS_STREAM: u64 = 1;
 /// Servers that stay as they are.
 const SPARED_SERVERS: usize = 2;
 
@@ -68,6 +73,11 @@
         node: usize,
         ms: u64,
     },
+    /// Told by an operator to drain, and so long after to take clients again.
+    DrainNode {
+        node: usize,
+        ms: u64,
+    },
     Kill {
         node: usize,
     },
@@ -139,6 +149,7 @@
             Self::Term { .. } => "SIGTERM and SIGKILL, clients pressing",
             Self::Series { .. } => "SIGTERM, SIGHUP, SIGSTOP twice",
             Self::Crowd { .. } => "descriptors crowded",
+            Self::DrainNode { .. } => "drained by an operator",
             Self::Kill { .. } => "SIGKILL",
             Self::Stop { .. } => "SIGSTOP",
             Self::Reload { .. } => "SIGHUP, other settings",
@@ -220,6 +231,7 @@
                 at += chance.random_range(2000.0..6000.0);
             }
         }
+        events.extend(operators_drains(seed, &fleet, length));
         events.sort_by(|(a, _), (b, _)| a.total_cmp(b));
         Self { seed, fleet, length, events }
     }
@@ -230,6 +242,20 @@
     }
 }
 
+/// Drains by operators, from a stream of their own: what else befalls the fleet of a seed stays as it is.
+fn operators_drains(seed: u64, fleet: &Fleet, length: f64) -> Vec<(f64, Event)> {
+    let mut chance = ChaCha8Rng::seed_from_u64(seed);
+    chance.set_stream(OPERATORS_STREAM);
+    let mut drains = Vec::new();
+    let mut at = FIRST_FAULT + chance.random_range(BETWEEN_DRAINS);
+    while at < length - QUIET {
+        let (node, ms) = (chance.random_range(0..fleet.nodes), chance.random_range(OPERATORS_DRAIN_MS));
+        drains.push((at, Event::DrainNode { node, ms }));
+        at += chance.random_range(BETWEEN_DRAINS);
+    }
+    drains
+}
+
 fn draw_fleet(chance: &mut impl Rng) -> Fleet {
     let nodes = chance.random_range(3..=8);
     Fleet {
--- a/crates/pearfront-soak/src/player.rs
+++ b/crates/pearfront-soak/src/player.rs
@@ -1,6 +1,7 @@
 //! Plays a plan: starts the processes, lets the faults happen, and ends what it started.
 
 mod faults;
+mod operators;
 
 use crate::clock;
 use crate::discovery::entry;
@@ -72,6 +73,8 @@
     caller: usize,
     child: RefCell<Child>,
     file: PathBuf,
+    /// Where operators call it.
+    admin: SocketAddrV4,
     ended: Cell<bool>,
     /// It has been told to end, or killed.
     is_ending: Cell<bool>,
@@ -87,6 +90,8 @@
     moved: Cell<bool>,
     /// Something that changes its processes is on.
     busy: Cell<bool>,
+    /// An operator's drain is on.
+    drains: Cell<bool>,
     control: Option<Control>,
 }
 
@@ -168,6 +173,7 @@
                 grace: Cell::new(fleet.grace),
                 moved: Cell::new(false),
                 busy: Cell::new(false),
+                drains: Cell::new(false),
                 control: control.transpose().map_err(|error| error.to_string())?,
             });
         }
@@ -266,6 +272,7 @@
         state.lives.set(life + 1);
         state.moved.set(false);
         let caller = node * LIVES + life;
+        let admin = self.at(1 + node, 7500 + life as u16);
         let file = self.setup.folder.join(format!("node-{node}-{life}.json"));
         std::fs::write(&file, self.config(node, caller).to_string()).map_err(|error| error.to_string())?;
         let log = self.setup.folder.join(format!("node-{node}-{life}.log"));
@@ -276,7 +283,8 @@
         command.env("ROUTER_NAME", format!("n{node}")).env("ROUTER_LISTEN", state.listen.to_string());
         command
             .env("ROUTER_DISCOVERY", self.caller_place(caller, false).to_string())
-            .env("ROUTER_CONFIG", &file);
+            .env("ROUTER_CONFIG", &file)
+            .env("ROUTER_ADMIN", admin.to_string());
         command.stdin(Stdio::null());
         if let Some(listener) = &state.listener {
             let listener = listener.try_clone().map_err(|error| error.to_string())?;
@@ -297,6 +305,7 @@
             caller,
             child: RefCell::new(child),
             file,
+            admin,
             ended: Cell::new(false),
             is_ending: Cell::new(false),
         });
--- a/crates/pearfront-soak/src/player/faults.rs
+++ b/crates/pearfront-soak/src/player/faults.rs
@@ -33,6 +33,7 @@
                 player.restart(node).await
             }),
             Event::Crowd { node, ms } => self.crowd(event, node, ms),
+            Event::DrainNode { node, ms } => self.drain_by_operator(event, node, ms),
             Event::Kill { node } => self.begin(node, event, |player| async move { player.kill(node).await }),
             Event::HandOver { node } if self.nodes[node].listener.is_some() => {
                 self.begin(node, event, |player| async move { player.hand_over(node).await });
@@ -100,7 +101,7 @@
         }
     }
 
-    fn connects(&self, node: usize, yes: bool) {
+    pub(super) fn connects(&self, node: usize, yes: bool) {
         self.clients.borrow().iter().for_each(|client| client.order(&Order::Connects { node, yes }));
     }
 
@@ -160,6 +161,18 @@
         });
     }
 
+    /// An operator's drain, whatever else happens to the node's processes.
+    fn drain_by_operator(self: Rc<Self>, event: Event, node: usize, ms: u64) {
+        if self.current(node).is_none() || self.nodes[node].drains.replace(true) {
+            return;
+        }
+        self.count(event.name());
+        spawn_local(async move {
+            self.drain_node(node, Duration::from_millis(ms)).await;
+            self.nodes[node].drains.set(false);
+        });
+    }
+
     fn crowd(&self, event: Event, node: usize, ms: u64) {
         self.count(event.name());
         let from = clock::now();
--- a/crates/pearfront-soak/src/record.rs
+++ b/crates/pearfront-soak/src/record.rs
@@ -75,6 +75,14 @@
     CutByNode,
 }
 
+/// What an operator tells a process of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OperatorCall {
+    DrainOn,
+    DrainOff,
+}
+
 /// One entry.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "what")]
@@ -216,6 +224,21 @@
         from: f64,
         to: f64,
     },
+    /// An operator has called a process, and was answered with this status, or not in time.
+    Operator {
+        node: usize,
+        process: u32,
+        call: OperatorCall,
+        at: f64,
+        status: Option<u16>,
+    },
+    /// What `GET /up` at the node's address said; this process was the one to ask for.
+    Up {
+        node: usize,
+        process: u32,
+        at: f64,
+        status: Option<u16>,
+    },
     /// Clients hold all the descriptors of a node that they can get.
     Crowd {
         node: usize,
@@ -271,6 +294,8 @@
             | Self::Stop { from: at, .. }
             | Self::Crowd { from: at, .. }
             | Self::Moved { at, .. }
+            | Self::Operator { at, .. }
+            | Self::Up { at, .. }
             | Self::Reloaded { at, .. }
             | Self::ServerStart { at, .. }
             | Self::ServerKill { at, .. } => *at,
