What came while a draining process stood still is answered, not closed over

Clients that sent on open connections while a process that drains was stopped had them closed without an answer as it went on: reading ended before the runtime had been told what lay there. The test (20 clients) failed before, none answered; all are now.

--- a/crates/pearfront-node/src/client.rs
+++ b/crates/pearfront-node/src/client.rs
@@ -126,7 +126,7 @@
             return;
         }
         self.wire.end_reading();
-        if self.is_idle() && !self.closing.get() && !self.wire.has_unread() {
+        if self.wire.is_ending() && self.is_idle() && !self.closing.get() && !self.wire.has_unread() {
             self.close();
         }
     }
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -372,10 +372,10 @@
             || self.framed(|framing| framing.has_waiting()).unwrap_or_default() && !self.is_read_out()
     }
 
-    /// No further request is begun to be read than what has come: that has its answer, and the rest was never taken.
+    /// No further request is begun to be read than what has come: that has its answer, and the rest was never taken. Behind a
+    /// stop of the process the runtime may not know yet what has come: then this is left to the next time.
     pub fn end_reading(&self) {
-        if !self.unread.is_ending() {
-            self.look();
+        if !self.unread.is_ending() && (self.look() || !self.has_bytes()) {
             self.unread.end(self.framed(|framing| framing.position()).unwrap_or_default());
         }
     }
--- a/crates/pearfront-node/tests/endings/resume.rs
+++ b/crates/pearfront-node/tests/endings/resume.rs
@@ -114,3 +114,22 @@
     node.end();
     assert_eq!(status, 200);
 }
+
+// What came while the process stood still was closed over when it went on in a drain: the runtime had not been told of it yet.
+#[test]
+fn requests_that_came_while_a_draining_process_stood_still_are_answered() {
+    const CLIENTS: usize = 20;
+    let server = Server::start(Act::Serve(Vec::new()));
+    let node = Node::start_for_operators(config(&[server.address]));
+    let mut clients: Vec<Caller> = (0..CLIENTS).map(|_| node.caller()).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(client.ask(&head("read", TIME, 0), b"").status(), 200));
+    assert_eq!(node.call("PUT /_lameduck/on"), 200);
+    node.signal("-STOP");
+    node.wait_until_stopped();
+    clients.iter_mut().for_each(|client| client.send(&head("read", "9", 0), b""));
+    sleep(DRAINED);
+    node.signal("-CONT");
+    let answered = clients.iter_mut().filter_map(Caller::answer).count();
+    node.end();
+    assert_eq!(answered, CLIENTS);
+}
