Soak: requests behind slow answers; unread only by a reset in its time, and counted

Clients no longer rest while a node's front sends nothing new: they use the connections that they have until the kill.

The judge excused every unanswered request on a new connection of a crowded node. Now one is excused only if its connection was reset, not ended in order, within its time, nothing of it was read (no attempt; of one write, none of its requests was begun) and it lies on a kept connection, or on a new one of a node that a crowd fills. An answer whose server still gives may be broken off for a request behind it that is in its time, and for nothing else. Each has cases in judge/tests.rs that fail without it.

--- a/crates/pearfront-cli/src/soak.rs
+++ b/crates/pearfront-cli/src/soak.rs
@@ -1,10 +1,11 @@
 //! `pearfront soak`: real node processes under faults that overlap, seed by seed, held against the rules.
 
 use crate::Trouble;
-use pearfront_soak::judge::{Verdict, judge};
+use pearfront_soak::judge::{Break, Rule, Verdict, judge};
 use pearfront_soak::plan::Plan;
 use pearfront_soak::player::{Played, Setup, play};
 use pearfront_soak::{record, role, shim};
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use tokio::task::LocalSet;
 
@@ -113,7 +114,9 @@
     let runtime = crate::runtime()?;
     let played = LocalSet::new().block_on(&runtime, play(plan, setup)).map_err(Trouble::Undone)?;
     let records = record::read_all(&folder).map_err(|error| Trouble::Undone(error.to_string()))?;
-    Ok((played, judge(plan, &records)))
+    let verdict = judge(plan, &records);
+    write_breaks(&folder, &verdict.breaks).map_err(|error| Trouble::Undone(error.to_string()))?;
+    Ok((played, verdict))
 }
 
 /// What an earlier play of the seed has left.
@@ -121,12 +124,30 @@
     let _ = std::fs::remove_dir_all(folder);
 }
 
+/// How many breaks there are of each rule.
+fn by_rule(breaks: &[Break]) -> String {
+    let mut counts: BTreeMap<Rule, usize> = BTreeMap::new();
+    breaks.iter().for_each(|broken| *counts.entry(broken.rule).or_default() += 1);
+    let counts: Vec<String> = counts.iter().map(|(rule, count)| format!("{rule:?} {count}")).collect();
+    counts.join(", ")
+}
+
+/// All breaks, one a line, beside the records.
+fn write_breaks(folder: &Path, breaks: &[Break]) -> std::io::Result<()> {
+    let lines: String = breaks.iter().map(|broken| format!("{}\n", line_of(broken))).collect();
+    std::fs::write(folder.join("breaks.txt"), lines)
+}
+
+fn line_of(broken: &Break) -> String {
+    format!("{:?} at {:.0}: {}", broken.rule, broken.at, broken.what)
+}
+
 fn show(plan: &Plan, played: &Played, verdict: &Verdict) {
-    let Verdict { requests, attempts, served, refused, left, unserved, breaks } = verdict;
+    let Verdict { requests, attempts, served, refused, left, unserved, shut_unread, breaks } = verdict;
     let fleet = &plan.fleet;
     println!(
         "seed {}: {} processes ({} nodes, {} servers, lists {}, draws by {}), {requests} requests, {attempts} attempts, {served} served, \
-         {refused} refused or failed, {left} left, {unserved} not judged; {} counted by the nodes; {}",
+         {refused} refused or failed, {left} left, {unserved} not judged, {shut_unread} shut unread; {} counted by the nodes; {}",
         plan.seed,
         played.processes,
         fleet.nodes,
@@ -134,11 +155,15 @@
         if fleet.pushed { "pushed" } else { "asked for" },
         if fleet.asks_first { "requests held, asked first" } else { "utilisation" },
         played.violations,
-        if breaks.is_empty() { "rules kept".into() } else { format!("{} BREAKS", breaks.len()) },
+        if breaks.is_empty() {
+            "rules kept".into()
+        } else {
+            format!("{} BREAKS: {}", breaks.len(), by_rule(breaks))
+        },
     );
     let faults: Vec<String> = played.faults.iter().map(|(name, count)| format!("{name} {count}")).collect();
     println!("  faults: {}", faults.join(", "));
     for broken in breaks.iter().take(SHOWN) {
-        println!("  {:?} at {:.0}: {}", broken.rule, broken.at, broken.what);
+        println!("  {}", line_of(broken));
     }
 }
--- a/crates/pearfront-soak/src/client.rs
+++ b/crates/pearfront-soak/src/client.rs
@@ -3,6 +3,7 @@
 
 mod crowd;
 mod exchange;
+mod line;
 mod request;
 
 use crate::http::Connection;
@@ -27,10 +28,14 @@
 const BURSTS: f64 = 0.02;
 const IN_ONE_WRITE: RangeInclusive<usize> = 2..=8;
 
+/// Share of the times at which requests come behind one whose answer takes long.
+const LINES: f64 = 0.02;
+
 /// Requests in the mean at each time at which a client asks.
 pub fn requests_at_a_time() -> f64 {
     let in_a_burst = (IN_ONE_WRITE.start() + IN_ONE_WRITE.end()) as f64 / 2.0;
-    1.0 + BURSTS * (in_a_burst - 1.0)
+    let behind = (line::BEHIND.start() + line::BEHIND.end()) as f64 / 2.0;
+    1.0 + BURSTS * (in_a_burst - 1.0) + LINES * behind
 }
 
 struct Node {
@@ -39,6 +44,13 @@
     idle: RefCell<Vec<Connection>>,
 }
 
+/// A connection to ask on.
+struct Opened {
+    connection: Connection,
+    /// Nothing has been asked on it yet.
+    fresh: bool,
+}
+
 struct Client {
     role: ClientRole,
     recorder: Recorder,
@@ -93,6 +105,8 @@
             sleep(Duration::from_secs_f64(pause)).await;
             if self.happens(BURSTS) {
                 spawn_local(self.clone().burst(node));
+            } else if self.happens(LINES) {
+                spawn_local(self.clone().ask_in_line(node));
             } else {
                 spawn_local(self.clone().ask_once(node));
             }
@@ -106,13 +120,7 @@
     async fn ask_once(self: Rc<Self>, node: usize) {
         let mut request = self.draw();
         // A kept connection may be closed in the moment of its use; then the request goes again, on a new one.
-        let (mut connection, mut fresh) = match self.take_idle(node) {
-            Some(kept) => (kept, false),
-            None => match self.connect(node).await {
-                Some(new) => (new, true),
-                None => return,
-            },
-        };
+        let Some(Opened { mut connection, mut fresh }) = self.open(node).await else { return };
         loop {
             match self.ask(node, &request, &mut connection, fresh).await {
                 Ended::Answered { kept: true } => return self.keep(node, connection),
@@ -126,6 +134,14 @@
         }
     }
 
+    /// A kept connection, or a new one.
+    async fn open(&self, node: usize) -> Option<Opened> {
+        if let Some(connection) = self.take_idle(node) {
+            return Some(Opened { connection, fresh: false });
+        }
+        self.connect(node).await.map(|connection| Opened { connection, fresh: true })
+    }
+
     fn keep(&self, node: usize, connection: Connection) {
         let mut idle = self.nodes[node].idle.borrow_mut();
         if idle.len() < MOST_IDLE {
@@ -136,9 +152,9 @@
     fn take_idle(&self, node: usize) -> Option<Connection> {
         let mut idle = self.nodes[node].idle.borrow_mut();
         let count = idle.len();
-        // Any of them, so that some rest for long; often a new one although there are some.
-        (count > 0 && self.happens(0.8))
-            .then(|| idle.swap_remove(self.chance.borrow_mut().random_range(0..count)))
+        // Any of them, so that some rest for long; often a new one although there are some, while there may be new ones.
+        let is_kept_used = !self.nodes[node].connects.get() || self.happens(0.8);
+        (count > 0 && is_kept_used).then(|| idle.swap_remove(self.chance.borrow_mut().random_range(0..count)))
     }
 
     async fn connect(&self, node: usize) -> Option<Connection> {
--- a/crates/pearfront-soak/src/client/crowd.rs
+++ b/crates/pearfront-soak/src/client/crowd.rs
@@ -5,7 +5,8 @@
 use super::request::Request;
 use super::{Client, IN_ONE_WRITE};
 use crate::clock;
-use crate::record::Record;
+use crate::http::End;
+use crate::record::{Line, Record};
 use rand::Rng;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,7 +35,8 @@
         let at = clock::now();
         for request in &requests {
             let (id, effect, deadline) = (request.id.clone(), request.effect, request.deadline);
-            self.recorder.write(&Record::Request { id, node, effect, at, deadline, fresh: true });
+            let line = Some(Line { first: requests[0].id.clone(), together: true });
+            self.recorder.write(&Record::Request { id, node, effect, at, deadline, fresh: true, line });
         }
         let longest = requests.iter().map(|request| request.deadline).fold(0.0, f64::max);
         let until = Instant::now() + Duration::from_secs_f64(longest / 1000.0) + PATIENCE;
@@ -42,21 +44,22 @@
             let left = until.saturating_duration_since(Instant::now());
             let Ok(answer) = timeout(left, connection.message()).await else { return };
             let Some(answer) = answer else {
-                return self.unanswered(&requests[place..]);
+                let end = connection.end().unwrap_or(End::Orderly);
+                return self.unanswered(&requests[place..], end);
             };
             let (id, status) = (request.id.clone(), answer.status());
             self.recorder.write(&Record::Answer { id, at: clock::now(), status });
             if is_last(&answer) {
-                return self.unanswered(&requests[place + 1..]);
+                return self.unanswered(&requests[place + 1..], End::Orderly);
             }
         }
     }
 
     /// The connection has ended before these were answered.
-    fn unanswered(&self, requests: &[Request]) {
+    fn unanswered(&self, requests: &[Request], end: End) {
         for request in requests {
-            let id = request.id.clone();
-            self.recorder.write(&Record::Unanswered { id, at: clock::now(), crossed: false });
+            let (id, reset) = (request.id.clone(), end == End::Reset);
+            self.recorder.write(&Record::Unanswered { id, at: clock::now(), crossed: false, reset });
         }
     }
 
--- a/crates/pearfront-soak/src/client/exchange.rs
+++ b/crates/pearfront-soak/src/client/exchange.rs
@@ -3,14 +3,14 @@
 use super::Client;
 use super::request::{Pace, Request};
 use crate::clock;
-use crate::http::{Broken, Connection, Message, Rest};
+use crate::http::{Broken, Connection, End, Message, Rest};
 use crate::record::{AnswerEnd, Record};
 use crate::wish::KEPT_WHOLE;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
 /// How long behind a request the end of a kept connection may have crossed it, ms.
-const CROSSED: f64 = 50.0;
+pub const CROSSED: f64 = 50.0;
 /// How long a client waits beyond its deadline before it gives up for good.
 const PATIENCE: Duration = Duration::from_secs(3);
 /// The same once its answer has begun.
@@ -26,6 +26,15 @@
 /// Pause between two pieces of an answer that is taken slowly.
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
+/// A request that has been written.
+#[derive(Debug, Clone, Copy)]
+pub struct Sent {
+    /// When its last byte was.
+    pub at: f64,
+    /// On a new connection.
+    pub fresh: bool,
+}
+
 pub enum Ended {
     Answered {
         kept: bool,
@@ -123,11 +132,7 @@
         return Written::Whole(clock::now());
     }
     // The stream takes writes and tells of reads at once: the other side of it is only looked at.
-    let socket = socket2::SockRef::from(&connection.stream).try_clone();
-    let Ok(other) = socket.map(std::net::TcpStream::from).and_then(tokio::net::TcpStream::from_std) else {
-        return Written::Broke;
-    };
-    let other = Connection::new(other);
+    let Some(other) = connection.writer() else { return Written::Broke };
     tokio::select! {
         biased;
         written = timeout(LONGEST_BODY, write_body(request, connection)) => match written {
@@ -176,9 +181,10 @@
         at: f64,
     ) -> Ended {
         let (id, deadline, effect) = (request.id.clone(), request.deadline, request.effect);
-        self.recorder.write(&Record::Request { id: id.clone(), node, effect, at, deadline, fresh });
+        let line = None;
+        self.recorder.write(&Record::Request { id: id.clone(), node, effect, at, deadline, fresh, line });
         tokio::select! {
-            ended = self.take(request, connection, fresh, at) => ended,
+            ended = self.take(request, connection, Sent { at, fresh }) => ended,
             () = leaving(request.leaves) => {
                 // It is written down before it can be seen.
                 self.recorder.write(&Record::Left { id, at: clock::now() });
@@ -187,7 +193,8 @@
         }
     }
 
-    async fn take(&self, request: &Request, connection: &mut Connection, fresh: bool, at: f64) -> Ended {
+    /// Takes the answer to a request.
+    pub(super) async fn take(&self, request: &Request, connection: &mut Connection, sent: Sent) -> Ended {
         let id = request.id.clone();
         let patience = Duration::from_secs_f64(request.deadline / 1000.0) + PATIENCE;
         let answered = |at, status| self.recorder.write(&Record::Answer { id: id.clone(), at, status });
@@ -204,8 +211,9 @@
             }
             Ok(None) => {
                 let now = clock::now();
-                let crossed = !fresh && now - at < CROSSED;
-                self.recorder.write(&Record::Unanswered { id, at: now, crossed });
+                let crossed = !sent.fresh && now - sent.at < CROSSED;
+                let reset = connection.end() == Some(End::Reset);
+                self.recorder.write(&Record::Unanswered { id, at: now, crossed, reset });
                 if crossed { Ended::Crossed } else { Ended::Over }
             }
         }
--- a/crates/pearfront-soak/src/http.rs
+++ b/crates/pearfront-soak/src/http.rs
@@ -92,26 +92,37 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Broken;
 
+/// How the other side ended its sending.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    Orderly,
+    /// Ends no message.
+    Reset,
+}
+
 /// A connection, and what has been read of the next message.
 pub struct Connection {
     pub stream: TcpStream,
     read: Vec<u8>,
     first: f64,
-    /// Its end was a reset, which ends no message.
-    was_reset: bool,
+    end: Option<End>,
 }
 
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, read: Vec::new(), first: 0.0, was_reset: false }
+        Self { stream, read: Vec::new(), first: 0.0, end: None }
     }
 
     /// Reads more; nothing if the other side has ended.
     async fn more(&mut self) -> Option<()> {
         let mut chunk = vec![0; CHUNK];
-        let count = self.stream.read(&mut chunk).await.inspect_err(|_| self.was_reset = true);
-        let count = count.ok().filter(|count| *count > 0)?;
+        let count = match self.stream.read(&mut chunk).await {
+            Ok(0) => Err(End::Orderly),
+            Ok(count) => Ok(count),
+            Err(_) => Err(End::Reset),
+        };
+        let count = count.map_err(|end| self.end = Some(end)).ok()?;
         if self.read.is_empty() {
             self.first = clock::now();
         }
@@ -155,7 +166,7 @@
             }
             Rest::UntilEnd => match self.bytes(u64::MAX).await {
                 Ok(raw) => Ok(Some(Piece { content: raw.len(), raw })),
-                Err(Broken) if self.was_reset => Err(Broken),
+                Err(Broken) if self.end == Some(End::Reset) => Err(Broken),
                 Err(Broken) => {
                     *rest = Rest::Over;
                     Ok(None)
@@ -205,6 +216,17 @@
         }
     }
 
+    /// How the other side has ended it, once that has been read.
+    pub fn end(&self) -> Option<End> {
+        self.end
+    }
+
+    /// The same connection to write on while this one is read.
+    pub fn writer(&self) -> Option<Self> {
+        let socket = socket2::SockRef::from(&self.stream).try_clone().ok()?;
+        TcpStream::from_std(socket.into()).ok().map(Self::new)
+    }
+
     /// Waits until the other side has closed or reset it, whatever lies unread.
     pub async fn closed(&self) {
         let _ = self.stream.ready(Interest::PRIORITY).await;
--- a/crates/pearfront-soak/src/judge.rs
+++ b/crates/pearfront-soak/src/judge.rs
@@ -9,7 +9,7 @@
 use crate::node_file::{BUDGET_FREE, BUDGET_RATIO, BUDGET_SPAN, COLD, COLD_FROM, OVERLOAD_FOR, TIP_MULTIPLE};
 use crate::plan::Plan;
 use crate::record::{AnswerEnd, Effect, Record, ReplyEnd, Standing};
-use history::{Attempt, Life, Records, Request};
+use history::{Attempt, Life, Records, Request, Unanswered};
 use std::collections::BTreeMap;
 
 /// A change counts as told so long after discovery had it and could be reached, whatever became of the calls.
@@ -66,6 +66,8 @@
     pub left: usize,
     /// Requests that came while no process of their node was there; what became of them is not judged.
     pub unserved: usize,
+    /// Requests whose connection a node shut in their time with nothing of them read.
+    pub shut_unread: usize,
 }
 
 /// Holds a play's records against the rules.
@@ -86,12 +88,13 @@
             .count(),
         left: all.requests.values().filter(|request| request.left.is_some()).count(),
         unserved: all.requests.values().filter(|request| all.is_unserved(request.node, request.at)).count(),
+        shut_unread: 0,
         breaks: Vec::new(),
     };
     let held_up = if plan.holds_up() { HELD_UP } else { 0.0 };
     for (id, request) in &all.requests {
         let attempts = all.attempts.get(id).map_or(&[][..], Vec::as_slice);
-        lost(&all, id, request, attempts, &mut verdict.breaks);
+        lost(&all, id, request, &mut verdict);
         flow(&all, id, request, attempts, &mut verdict.breaks);
         left(&all, id, request, attempts, held_up, &mut verdict.breaks);
         deadline(&all, id, request, attempts, &mut verdict.breaks);
@@ -107,33 +110,46 @@
     verdict
 }
 
-fn lost(all: &Records, id: &str, request: &Request, attempts: &[Attempt], breaks: &mut Vec<Break>) {
+/// Holds a request against its due answer; one whose connection was shut unread in its time is counted.
+fn lost(all: &Records, id: &str, request: &Request, verdict: &mut Verdict) {
     let due = all.after_running(request.node, request.at, request.deadline + LOST_AFTER);
     if all.is_unserved(request.node, request.at) {
         return;
     }
     let mut broken = |at: f64, what: String| {
-        let what =
-            format!("request {id} of node {}, {:.0} ms to wait: {what}", request.node, request.deadline);
-        breaks.push(Break { rule: Rule::Lost, at, what });
+        let is_behind = request.line.as_ref().is_some_and(|line| line.first != id);
+        let place = if is_behind { ", behind another" } else { "" };
+        let what = format!(
+            "request {id} of node {}, {:.0} ms to wait{place}: {what}",
+            request.node, request.deadline
+        );
+        verdict.breaks.push(Break { rule: Rule::Lost, at, what });
     };
     match (request.answer, request.unanswered, request.left) {
         (Some((at, _)), ..) if at > due => broken(at, format!("answered {:.0} ms after it", at - request.at)),
         (Some(_), ..) | (_, _, Some(_)) => {}
         // What has been sent on to a server had been read, and did not cross the end of its connection.
-        (_, Some((_, true)), _) if attempts.is_empty() => {}
-        // New connections may be shut unread where descriptors are full.
-        (_, Some((at, _)), _) if request.fresh && attempts.is_empty() && all.is_crowded(request.node, at) => {
-        }
-        (_, Some((at, _)), _) if all.was_killed(request.node, request.at - SLACK, at + SLACK) => {}
-        (_, Some((at, _)), _) => {
-            broken(at, format!("its connection ended without an answer after {:.0} ms", at - request.at));
+        (_, Some(end), _) if end.crossed && !all.is_read(id, request) => {}
+        (_, Some(end), _) if all.was_killed(request.node, request.at - SLACK, end.at + SLACK) => {}
+        (_, Some(end), _) if is_shut_unread(all, id, request, end) => verdict.shut_unread += 1,
+        (_, Some(end), _) => {
+            let how = if end.reset { "reset" } else { "ended" };
+            let after = end.at - request.at;
+            broken(end.at, format!("its connection was {how} without an answer after {after:.0} ms"));
         }
         _ if due + LOST_AFTER > all.end || all.was_killed(request.node, request.at - SLACK, due) => {}
         _ => broken(due, "no answer".into()),
     }
 }
 
+/// Did the node shut the connection in the request's time with nothing of it read? A new one only where clients fill its
+/// descriptors.
+fn is_shut_unread(all: &Records, id: &str, request: &Request, end: Unanswered) -> bool {
+    let in_its_time = end.at <= all.after_running(request.node, request.at, request.deadline + SLACK);
+    let may_be_shut = !request.fresh || all.is_crowded(request.node, end.at);
+    end.reset && in_its_time && may_be_shut && !all.is_read(id, request)
+}
+
 /// The end of an answer that is passed on before it is whole: not while its server gives, and soon behind that and its time.
 fn flow(all: &Records, id: &str, request: &Request, attempts: &[Attempt], breaks: &mut Vec<Break>) {
     let Some(ended) = request.ended else { return };
@@ -154,7 +170,8 @@
         (AnswerEnd::Broken, Some(reply)) => {
             let gives = reply.end == ReplyEnd::CutByNode
                 || reply.end == ReplyEnd::LeftByNode && reply.at < reply.last + STILL_GIVES;
-            if gives {
+            // It may be broken off for the sake of a request behind it.
+            if gives && !all.has_due_behind(id, ended.at) {
                 broken(format!(
                     "cut off {:.0} ms behind the last bytes of its server",
                     reply.at - reply.last
--- a/crates/pearfront-soak/src/judge/history.rs
+++ b/crates/pearfront-soak/src/judge/history.rs
@@ -2,7 +2,7 @@
 
 use super::{Break, Rule, SLACK, STARTS, TOLD, WATCH_GAP};
 use crate::plan::{Fleet, KILL_AFTER, Plan};
-use crate::record::{AnswerEnd, DiscoveryMode, Effect, OperatorCall, Record, ReplyEnd, Standing};
+use crate::record::{AnswerEnd, DiscoveryMode, Effect, Line, OperatorCall, Record, ReplyEnd, Standing};
 use std::collections::{BTreeMap, HashMap};
 
 pub(super) struct Request {
@@ -12,11 +12,21 @@
     pub(super) deadline: f64,
     pub(super) left: Option<f64>,
     pub(super) answer: Option<(f64, u16)>,
-    pub(super) unanswered: Option<(f64, bool)>,
+    pub(super) unanswered: Option<Unanswered>,
     /// On a new connection.
     pub(super) fresh: bool,
     /// How an answer ended that is too large to be kept whole.
     pub(super) ended: Option<EndedAnswer>,
+    /// The requests that lie on its connection with it.
+    pub(super) line: Option<Line>,
+}
+
+/// The end of a connection before a request on it was answered.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Unanswered {
+    pub(super) at: f64,
+    pub(super) crossed: bool,
+    pub(super) reset: bool,
 }
 
 /// What a client saw of the end of an answer.
@@ -90,6 +100,8 @@
 pub(super) struct Records {
     pub(super) requests: HashMap<String, Request>,
     pub(super) attempts: HashMap<String, Vec<Attempt>>,
+    /// The requests of each line by the first of them.
+    pub(super) lines: HashMap<String, Vec<String>>,
     pub(super) lives: Vec<Life>,
     pub(super) kills: Vec<Kill>,
     /// When processes were told to end.
@@ -126,7 +138,7 @@
 
     pub(super) fn take(&mut self, record: &Record) {
         match record {
-            Record::Request { id, node, effect, at, deadline, fresh } => {
+            Record::Request { id, node, effect, at, deadline, fresh, line } => {
                 let request = Request {
                     node: *node,
                     effect: *effect,
@@ -137,13 +149,18 @@
                     unanswered: None,
                     fresh: *fresh,
                     ended: None,
+                    line: line.clone(),
                 };
+                if let Some(line) = line {
+                    self.lines.entry(line.first.clone()).or_default().push(id.clone());
+                }
                 self.requests.insert(id.clone(), request);
             }
             Record::Left { id, at } => self.of(id, |request| request.left = Some(*at)),
             Record::Answer { id, at, status } => self.of(id, |request| request.answer = Some((*at, *status))),
-            Record::Unanswered { id, at, crossed } => {
-                self.of(id, |request| request.unanswered = Some((*at, *crossed)));
+            Record::Unanswered { id, at, crossed, reset } => {
+                let unanswered = Unanswered { at: *at, crossed: *crossed, reset: *reset };
+                self.of(id, |request| request.unanswered = Some(unanswered));
             }
             Record::Attempt { id, server, at, told } => {
                 let attempt =
@@ -223,6 +240,25 @@
         attempts.filter(|attempt| attempt.server == server).last().map(change);
     }
 
+    /// Is it known that a node has read of the request? Of one that came in one write with others if any of them was begun.
+    pub(super) fn is_read(&self, id: &str, request: &Request) -> bool {
+        let is_begun = |id: &String| {
+            let is_answered = self.requests.get(id).is_some_and(|request| request.answer.is_some());
+            is_answered || self.attempts.contains_key(id)
+        };
+        let together = request.line.as_ref().filter(|line| line.together);
+        let others = together.and_then(|line| self.lines.get(&line.first));
+        self.attempts.contains_key(id) || others.is_some_and(|others| others.iter().any(is_begun))
+    }
+
+    /// Is a request behind this one on its connection in its time then?
+    pub(super) fn has_due_behind(&self, id: &str, at: f64) -> bool {
+        let others = self.lines.get(id).into_iter().flatten().filter(|other| *other != id);
+        others
+            .filter_map(|other| self.requests.get(other))
+            .any(|behind| (behind.at..=behind.at + behind.deadline + SLACK).contains(&at))
+    }
+
     /// How long the node stood still within a span.
     pub(super) fn stopped(&self, node: usize, from: f64, to: f64) -> f64 {
         let within = |(_, begun, ended): &(usize, f64, f64)| (ended.min(to) - begun.max(from)).max(0.0);
--- a/crates/pearfront-soak/src/judge/tests.rs
+++ b/crates/pearfront-soak/src/judge/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::plan::KILL_AFTER;
-use crate::record::OperatorCall;
+use crate::record::{Line, OperatorCall};
 use test_case::test_case;
 
 const ID: &str = "a request";
@@ -21,6 +21,7 @@
             at: 100.0,
             deadline: 600.0,
             fresh: true,
+            line: None,
         },
         Record::Attempt { id: id(), server: 0, at: 110.0, told: 590.0 },
         Record::Answer { id: id(), at: 200.0, status: 200 },
@@ -58,9 +59,17 @@
     let mut records = vec![Record::Start { node: 0, process: 1, caller: 0, at: -1000.0 }];
     records.extend(told.map(|at| Record::Term { node: 0, process: 1, at: at.min(kill - 10.0) }));
     let (id, effect) = (ID.to_string(), Effect::Keyed);
-    records.push(Record::Request { id, node: 0, effect, at: kill - 300.0, deadline: 600.0, fresh: false });
+    records.push(Record::Request {
+        id,
+        node: 0,
+        effect,
+        at: kill - 300.0,
+        deadline: 600.0,
+        fresh: false,
+        line: None,
+    });
     records.push(Record::Kill { node: 0, process: 1, at: kill });
-    records.push(Record::Unanswered { id: ID.to_string(), at: kill + 1.0, crossed: false });
+    records.push(Record::Unanswered { id: ID.to_string(), at: kill + 1.0, crossed: false, reset: false });
     assert_eq!(judge(&plan, &records).breaks.len(), usize::from(is_lost));
 }
 
@@ -86,3 +95,60 @@
 fn a_node_does_what_operators_ask(calls: [Option<u16>; 2], up: &[(f64, Option<u16>)], wanted: &[Rule]) {
     assert_eq!(breaks_of_drain(calls, up), wanted);
 }
+
+/// How a connection ended with a request of 600 ms on it that was sent at 100 ms.
+struct Shut {
+    at: f64,
+    reset: bool,
+    fresh: bool,
+    /// With another in one write, which was answered.
+    behind_answered: bool,
+    crowded: bool,
+}
+
+const SHUT: Shut = Shut { at: 400.0, reset: true, fresh: false, behind_answered: false, crowded: false };
+
+fn request(id: &str, fresh: bool, line: Option<Line>) -> Record {
+    let (id, effect) = (id.to_string(), Effect::Idempotent);
+    Record::Request { id, node: 0, effect, at: 100.0, deadline: 600.0, fresh, line }
+}
+
+#[test_case(&SHUT, true; "unread in its time")]
+#[test_case(&Shut { reset: false, ..SHUT }, false; "an orderly end")]
+#[test_case(&Shut { at: 800.0, ..SHUT }, false; "behind its time")]
+#[test_case(&Shut { behind_answered: true, ..SHUT }, false; "read with another")]
+#[test_case(&Shut { fresh: true, ..SHUT }, false; "new, without a crowd")]
+#[test_case(&Shut { fresh: true, crowded: true, ..SHUT }, true; "new, in a crowd")]
+#[test_case(&Shut { fresh: true, crowded: true, reset: false, ..SHUT }, false; "new, an orderly end in a crowd")]
+fn a_request_is_shut_unread_by_a_reset_in_its_time_alone(shut: &Shut, is_excused: bool) {
+    let first = "the first";
+    let line = shut.behind_answered.then(|| Line { first: first.into(), together: true });
+    let mut records = vec![Record::Start { node: 0, process: 1, caller: 0, at: -1000.0 }];
+    records.extend(shut.crowded.then_some(Record::Crowd { node: 0, from: 0.0, to: 1000.0 }));
+    if shut.behind_answered {
+        records.push(request(first, false, line.clone()));
+        records.push(Record::Answer { id: first.into(), at: 200.0, status: 200 });
+    }
+    records.push(request(ID, shut.fresh, line));
+    records.push(Record::Unanswered { id: ID.into(), at: shut.at, crossed: false, reset: shut.reset });
+    let verdict = judge(&Plan::draw(1, 20_000.0), &records);
+    assert_eq!((verdict.breaks.is_empty(), verdict.shut_unread), (is_excused, usize::from(is_excused)));
+}
+
+#[test_case(300.0, true; "in its time")]
+#[test_case(800.0, false; "behind its time")]
+fn a_dripping_answer_is_broken_off_for_a_request_behind_it_in_its_time(at: f64, is_allowed: bool) {
+    let line = |together| Some(Line { first: ID.into(), together });
+    let behind = "the one behind";
+    let records = [
+        Record::Start { node: 0, process: 1, caller: 0, at: -1000.0 },
+        request(ID, false, line(false)),
+        request(behind, false, line(false)),
+        Record::Attempt { id: ID.into(), server: 0, at: 110.0, told: 590.0 },
+        Record::Answer { id: ID.into(), at: 200.0, status: 200 },
+        Record::ReplyEnded { id: ID.into(), server: 0, at, end: ReplyEnd::LeftByNode, last: at - 50.0 },
+        Record::AnswerEnded { id: ID.into(), at, end: AnswerEnd::Broken, last: at - 50.0, slow: false },
+        Record::Answer { id: behind.into(), at: at + 1.0, status: 503 },
+    ];
+    assert_eq!(judge(&Plan::draw(1, 20_000.0), &records).breaks.is_empty(), is_allowed);
+}
--- a/crates/pearfront-soak/src/record.rs
+++ b/crates/pearfront-soak/src/record.rs
@@ -75,6 +75,15 @@
     CutByNode,
 }
 
+/// The requests that lie on one connection together.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    /// The first of them.
+    pub first: String,
+    /// All of them came in one write.
+    pub together: bool,
+}
+
 /// What an operator tells a process of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -96,6 +105,7 @@
         at: f64,
         deadline: f64,
         fresh: bool,
+        line: Option<Line>,
     },
     /// Its client closes the connection.
     Left {
@@ -116,11 +126,13 @@
         last: f64,
         slow: bool,
     },
-    /// The connection has ended without an answer. `crossed` if it was a kept one whose end crossed the request.
+    /// The connection has ended without an answer. `crossed` if it was a kept one whose end crossed the request, `reset` if it
+    /// was no orderly end.
     Unanswered {
         id: String,
         at: f64,
         crossed: bool,
+        reset: bool,
     },
     /// A client has sent half a request and stays; its connection was ended, or not within the time given.
     Stalled {
--- a/crates/pearfront-soak/src/server.rs
+++ b/crates/pearfront-soak/src/server.rs
@@ -25,6 +25,8 @@
 /// What drips: so many bytes, with this pause.
 const DROP: usize = 2048;
 const PAUSE: Duration = Duration::from_millis(150);
+/// An answer that begins late does so after this time.
+const LATE: Duration = Duration::from_millis(2000);
 /// So many drops of an answer that has an end.
 const DROPS: usize = 20;
 
@@ -113,13 +115,16 @@
 /// Gives an answer in the form that is wanted.
 async fn give(wish: Wish, connection: &mut Connection) -> io::Result<After> {
     let framing = match wish.form {
-        Form::Length | Form::Stalls | Form::Drips => format!("Content-Length: {}", wish.length),
+        Form::Length | Form::Stalls | Form::Drips | Form::Late => format!("Content-Length: {}", wish.length),
         Form::Chunked | Form::Endless => "Transfer-Encoding: chunked".to_string(),
         Form::UntilEnd => "Connection: close".to_string(),
     };
+    if wish.form == Form::Late {
+        sleep(LATE).await;
+    }
     connection.write(format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").as_bytes()).await?;
     match wish.form {
-        Form::Length => write_some(connection, wish.length).await?,
+        Form::Length | Form::Late => write_some(connection, wish.length).await?,
         Form::UntilEnd => {
             write_some(connection, wish.length).await?;
             return Ok(After::Ends);
--- a/crates/pearfront-soak/src/wish.rs
+++ b/crates/pearfront-soak/src/wish.rs
@@ -28,15 +28,18 @@
     Drips,
     /// Goes on drop by drop for ever.
     Endless,
+    /// Begins late.
+    Late,
 }
 
-const FORMS: [(Form, &str); 6] = [
+const FORMS: [(Form, &str); 7] = [
     (Form::Length, "length"),
     (Form::Chunked, "chunked"),
     (Form::UntilEnd, "until-end"),
     (Form::Stalls, "stalls"),
     (Form::Drips, "drips"),
     (Form::Endless, "endless"),
+    (Form::Late, "late"),
 ];
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
