--- a/crates/pearfront-soak/src/client.rs
+++ b/crates/pearfront-soak/src/client.rs
@@ -6,8 +6,9 @@
 mod line;
 mod request;
 
+use crate::clock;
 use crate::http::Connection;
-use crate::record::Recorder;
+use crate::record::{Record, Recorder};
 use crate::role::{ClientRole, Order, Orders};
 use exchange::Ended;
 use rand::{Rng, SeedableRng};
@@ -80,6 +81,7 @@
     fn follow(self: Rc<Self>, order: Order) {
         match order {
             Order::Connects { node, yes } => self.nodes[node].connects.set(yes),
+            Order::CountIdle { node, process } => self.count_idle(node, process),
             Order::Flood { node, count } => {
                 (0..count).for_each(|_| drop(spawn_local(self.clone().ask_once(node))));
             }
@@ -149,6 +151,12 @@
         }
     }
 
+    fn count_idle(&self, node: usize, process: u32) {
+        let idle = self.nodes[node].idle.borrow();
+        let open = idle.iter().filter(|connection| !connection.has_ended()).count();
+        self.recorder.write(&Record::Idle { node, process, at: clock::now(), open });
+    }
+
     fn take_idle(&self, node: usize) -> Option<Connection> {
         let mut idle = self.nodes[node].idle.borrow_mut();
         let count = idle.len();
--- a/crates/pearfront-soak/src/client/crowd.rs
+++ b/crates/pearfront-soak/src/client/crowd.rs
@@ -1,7 +1,7 @@
 //! Clients that do more than ask and wait: several requests in one write, one request after the other without a pause, and
 //! crowds that only hold connections.
 
-use super::exchange::{Ended, is_last};
+use super::exchange::{Ended, Sent, has_crossed, is_last};
 use super::request::Request;
 use super::{Client, IN_ONE_WRITE};
 use crate::clock;
@@ -45,21 +45,23 @@
             let Ok(answer) = timeout(left, connection.message()).await else { return };
             let Some(answer) = answer else {
                 let end = connection.end().unwrap_or(End::Orderly);
-                return self.unanswered(&requests[place..], end);
+                let crossed =
+                    place == 0 && has_crossed(&connection, Sent { at, fresh: true }, clock::now()).await;
+                return self.unanswered(&requests[place..], end, crossed);
             };
             let (id, status) = (request.id.clone(), answer.status());
             self.recorder.write(&Record::Answer { id, at: clock::now(), status });
             if is_last(&answer) {
-                return self.unanswered(&requests[place + 1..], End::Orderly);
+                return self.unanswered(&requests[place + 1..], End::Orderly, false);
             }
         }
     }
 
     /// The connection has ended before these were answered.
-    fn unanswered(&self, requests: &[Request], end: End) {
+    fn unanswered(&self, requests: &[Request], end: End, crossed: bool) {
         for request in requests {
             let (id, reset) = (request.id.clone(), end == End::Reset);
-            self.recorder.write(&Record::Unanswered { id, at: clock::now(), crossed: false, reset });
+            self.recorder.write(&Record::Unanswered { id, at: clock::now(), crossed, reset });
         }
     }
 
--- a/crates/pearfront-soak/src/client/exchange.rs
+++ b/crates/pearfront-soak/src/client/exchange.rs
@@ -145,6 +145,12 @@
     }
 }
 
+/// Did the connection's end cross a request? One that was new has shown it by the reset that its bytes met behind the end.
+pub async fn has_crossed(connection: &Connection, sent: Sent, ended: f64) -> bool {
+    let is_unread = !sent.fresh || connection.is_reset_behind_end().await;
+    ended - sent.at < CROSSED && is_unread
+}
+
 impl Client {
     pub(super) async fn ask(
         &self,
@@ -211,10 +217,10 @@
             }
             Ok(None) => {
                 let now = clock::now();
-                let crossed = !sent.fresh && now - sent.at < CROSSED;
+                let crossed = has_crossed(connection, sent, now).await;
                 let reset = connection.end() == Some(End::Reset);
                 self.recorder.write(&Record::Unanswered { id, at: now, crossed, reset });
-                if crossed { Ended::Crossed } else { Ended::Over }
+                if crossed && !sent.fresh { Ended::Crossed } else { Ended::Over }
             }
         }
     }
--- a/crates/pearfront-soak/src/discovery.rs
+++ b/crates/pearfront-soak/src/discovery.rs
@@ -174,7 +174,7 @@
 
     async fn write(&self, connection: &mut Connection, from: u64, caller: usize) -> Option<()> {
         // One that its caller has closed meanwhile tells nobody.
-        if has_ended(connection) {
+        if connection.has_ended() {
             return None;
         }
         let (version, mode) = (self.version.get(), self.mode.get());
@@ -216,15 +216,6 @@
     }
 }
 
-/// Has the caller ended the connection?
-fn has_ended(connection: &Connection) -> bool {
-    let peeked = socket2::SockRef::from(&connection.stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
-    match peeked {
-        Ok(count) => count == 0,
-        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
-    }
-}
-
 /// The cell of a server: repeats of a keyed request are dropped in one alone.
 pub fn cell_of(server: usize) -> usize {
     server % 2
--- a/crates/pearfront-soak/src/http.rs
+++ b/crates/pearfront-soak/src/http.rs
@@ -6,11 +6,14 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 /// Bytes read at a time.
 const CHUNK: usize = 64 * 1024;
 /// Bytes of a line's end.
 const LINE_END: u64 = 2;
+/// How long a reset may take that follows an end.
+const RESET_BEHIND_END: Duration = Duration::from_millis(5);
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
 
 /// One message.
@@ -221,6 +224,22 @@
         self.end
     }
 
+    /// Has the other side ended it, as far as the kernel knows, with nothing left to read?
+    pub fn has_ended(&self) -> bool {
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
+        match peeked {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Did a reset follow the end of the other side's sending? Without anything sent since, that tells of bytes that it has not
+    /// read.
+    pub async fn is_reset_behind_end(&self) -> bool {
+        sleep(RESET_BEHIND_END).await;
+        self.stream.take_error().ok().flatten().is_some()
+    }
+
     /// The same connection to write on while this one is read.
     pub fn writer(&self) -> Option<Self> {
         let socket = socket2::SockRef::from(&self.stream).try_clone().ok()?;
--- a/crates/pearfront-soak/src/judge/history.rs
+++ b/crates/pearfront-soak/src/judge/history.rs
@@ -21,6 +21,14 @@
     pub(super) line: Option<Line>,
 }
 
+impl Request {
+    /// Has its connection brought neither an answer nor its end by then, and its client not left?
+    pub(super) fn is_open(&self, at: f64) -> bool {
+        let ends = [self.left, self.answer.map(|(at, _)| at), self.unanswered.map(|end| end.at)];
+        ends.into_iter().flatten().all(|end| end > at)
+    }
+}
+
 /// The end of a connection before a request on it was answered.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Unanswered {
@@ -72,6 +80,14 @@
     pub(super) status: Option<u16>,
 }
 
+/// How many connections to a node a client holds idle.
+pub(super) struct IdleConnections {
+    pub(super) node: usize,
+    pub(super) process: u32,
+    pub(super) at: f64,
+    pub(super) open: usize,
+}
+
 /// What `GET /up` at a node's address said.
 pub(super) struct UpAnswer {
     pub(super) node: usize,
@@ -118,6 +134,7 @@
     pub(super) stalled: Vec<(usize, f64, Option<f64>)>,
     pub(super) operator_calls: Vec<CallOfOperator>,
     pub(super) up_answers: Vec<UpAnswer>,
+    pub(super) idle: Vec<IdleConnections>,
     pub(super) crashes: Vec<Break>,
     /// So long after it was told to end a process has ended, ms.
     pub(super) ends_within: f64,
@@ -211,6 +228,9 @@
                     CallOfOperator { node: *node, process: *process, call: *call, at: *at, status: *status };
                 self.operator_calls.push(call);
             }
+            Record::Idle { node, process, at, open } => {
+                self.idle.push(IdleConnections { node: *node, process: *process, at: *at, open: *open });
+            }
             Record::Up { node, process, at, status } => {
                 self.up_answers.push(UpAnswer { node: *node, process: *process, at: *at, status: *status });
             }
--- a/crates/pearfront-soak/src/judge/operators.rs
+++ b/crates/pearfront-soak/src/judge/operators.rs
@@ -8,6 +8,8 @@
 const ANSWERED_WITHIN: f64 = 1000.0;
 /// So long after the call a node that drains says no.
 const NO_DUE: f64 = 4000.0;
+/// The last requests may come on a connection so long before.
+const REQUESTS_END: f64 = 2000.0;
 /// So long after the end of a drain it says yes.
 const YES_DUE: f64 = 2000.0;
 /// The status of a yes.
@@ -16,6 +18,7 @@
 pub(super) fn operators(all: &Records, breaks: &mut Vec<Break>) {
     calls(all, breaks);
     drained_in_time(all, breaks);
+    let_go_in_time(all, breaks);
     taken_back_in_time(all, breaks);
 }
 
@@ -70,6 +73,28 @@
     }
 }
 
+/// Behind that time no client's connection is held idle, or with a request that came on it in the last 2 s.
+fn let_go_in_time(all: &Records, breaks: &mut Vec<Break>) {
+    for (node, process, from, to) in in_force(all, OperatorCall::DrainOn) {
+        let due = all.after_running(node, from, NO_DUE) + SLACK + HELD_UP;
+        if due >= to || !all.is_alone(node, process, due) || !all.is_alone(node, process, from) {
+            continue;
+        }
+        let idle = all.idle.iter().filter(|idle| idle.process == process && (due..to).contains(&idle.at));
+        for idle in idle.filter(|idle| idle.node == node && idle.open > 0) {
+            let what = format!("node {node} drains, and holds {} idle connections of a client", idle.open);
+            breaks.push(Break { rule: Rule::Lost, at: idle.at, what });
+        }
+        for (id, request) in all.requests.iter().filter(|(_, request)| request.node == node) {
+            let came_late = (due - REQUESTS_END..due - SLACK).contains(&request.at);
+            if came_late && !request.fresh && request.line.is_none() && request.is_open(due) {
+                let what = format!("node {node} drains, and holds the connection of request {id}");
+                breaks.push(Break { rule: Rule::Lost, at: due, what });
+            }
+        }
+    }
+}
+
 fn taken_back_in_time(all: &Records, breaks: &mut Vec<Break>) {
     for (node, process, from, to) in in_force(all, OperatorCall::DrainOff) {
         let due = all.after_running(node, from, YES_DUE + HELD_UP + SLACK);
--- a/crates/pearfront-soak/src/judge/tests.rs
+++ b/crates/pearfront-soak/src/judge/tests.rs
@@ -103,10 +103,12 @@
     fresh: bool,
     /// With another in one write, which was answered.
     behind_answered: bool,
+    crossed: bool,
     crowded: bool,
 }
 
-const SHUT: Shut = Shut { at: 400.0, reset: true, fresh: false, behind_answered: false, crowded: false };
+const SHUT: Shut =
+    Shut { at: 400.0, reset: true, fresh: false, behind_answered: false, crossed: false, crowded: false };
 
 fn request(id: &str, fresh: bool, line: Option<Line>) -> Record {
     let (id, effect) = (id.to_string(), Effect::Idempotent);
@@ -118,6 +120,9 @@
 #[test_case(&Shut { at: 800.0, ..SHUT }, false; "behind its time")]
 #[test_case(&Shut { behind_answered: true, ..SHUT }, false; "read with another")]
 #[test_case(&Shut { fresh: true, ..SHUT }, false; "new, without a crowd")]
+#[test_case(&Shut { fresh: true, crossed: true, reset: false, ..SHUT }, false; "new, crossed without a crowd")]
+#[test_case(&Shut { behind_answered: true, crossed: true, reset: false, ..SHUT }, false; "crossed, and read with another")]
+#[test_case(&Shut { fresh: true, crossed: true, crowded: true, reset: false, ..SHUT }, true; "new, crossed in a crowd")]
 #[test_case(&Shut { fresh: true, crowded: true, ..SHUT }, true; "new, in a crowd")]
 #[test_case(&Shut { fresh: true, crowded: true, reset: false, ..SHUT }, false; "new, an orderly end in a crowd")]
 fn a_request_is_shut_unread_by_a_reset_in_its_time_alone(shut: &Shut, is_excused: bool) {
@@ -130,7 +135,8 @@
         records.push(Record::Answer { id: first.into(), at: 200.0, status: 200 });
     }
     records.push(request(ID, shut.fresh, line));
-    records.push(Record::Unanswered { id: ID.into(), at: shut.at, crossed: false, reset: shut.reset });
+    let Shut { at, reset, crossed, .. } = *shut;
+    records.push(Record::Unanswered { id: ID.into(), at, crossed, reset });
     let verdict = judge(&Plan::draw(1, 20_000.0), &records);
     assert_eq!((verdict.breaks.is_empty(), verdict.shut_unread), (is_excused, usize::from(is_excused)));
 }
@@ -152,3 +158,26 @@
     ];
     assert_eq!(judge(&Plan::draw(1, 20_000.0), &records).breaks.is_empty(), is_allowed);
 }
+
+/// A node that was told to drain at 0 and a look at it 4.3 s later.
+#[test_case(Some(0), None, false; "all let go")]
+#[test_case(Some(1), None, true; "an idle connection")]
+#[test_case(None, Some(3900.0), true; "a request of the last 2 s")]
+#[test_case(None, Some(1000.0), false; "a request of before")]
+fn a_drained_node_holds_no_connection(idle: Option<usize>, request_at: Option<f64>, is_broken: bool) {
+    let (node, process) = (0, 1);
+    let mut records = vec![Record::Start { node, process, caller: 0, at: -1000.0 }];
+    records.push(Record::Operator { node, process, call: OperatorCall::DrainOn, at: 0.0, status: YES });
+    records.extend(request_at.map(|at| Record::Request {
+        id: ID.into(),
+        node,
+        effect: Effect::Keyed,
+        at,
+        deadline: 6000.0,
+        fresh: false,
+        line: None,
+    }));
+    records.extend(idle.map(|open| Record::Idle { node, process, at: 4300.0, open }));
+    records.push(Record::Operator { node, process, call: OperatorCall::DrainOff, at: 5000.0, status: YES });
+    assert_eq!(!judge(&Plan::draw(1, 20_000.0), &records).breaks.is_empty(), is_broken);
+}
--- a/crates/pearfront-soak/src/player/operators.rs
+++ b/crates/pearfront-soak/src/player/operators.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::http::Connection;
 use crate::record::{OperatorCall, Record};
+use crate::role::Order;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,8 +16,8 @@
 /// The front sends new connections for so long after `GET /up` says no, which it asks this often.
 const FRONT_SENDS: Duration = Duration::from_millis(200);
 const FRONT_ASKS: Duration = Duration::from_millis(100);
-/// So long after a call to drain `GET /up` has to say no.
-const NO_DUE: Duration = Duration::from_millis(4000);
+/// So long after a call to drain `GET /up` is asked whether it says no, and clients what they still hold: 4 s, and some slack.
+const LOOKED_AT: Duration = Duration::from_millis(4300);
 /// So long after the end of a drain it has to say yes.
 const YES_DUE: Duration = Duration::from_millis(2000);
 
@@ -28,9 +29,11 @@
         self.call_operators(node, &process, OperatorCall::DrainOn).await;
         sleep(FRONT_ASKS + FRONT_SENDS).await;
         self.front_sends(node, &process, false);
-        if drains_for > NO_DUE + FRONT_ASKS {
-            sleep_until(begun + NO_DUE + FRONT_ASKS).await;
+        if drains_for > LOOKED_AT {
+            sleep_until(begun + LOOKED_AT).await;
             self.ask_up(node, &process).await;
+            let count = Order::CountIdle { node, process: process.number };
+            self.clients.borrow().iter().for_each(|client| client.order(&count));
         }
         sleep_until(begun + drains_for).await;
         self.call_operators(node, &process, OperatorCall::DrainOff).await;
--- a/crates/pearfront-soak/src/record.rs
+++ b/crates/pearfront-soak/src/record.rs
@@ -126,14 +126,21 @@
         last: f64,
         slow: bool,
     },
-    /// The connection has ended without an answer. `crossed` if it was a kept one whose end crossed the request, `reset` if it
-    /// was no orderly end.
+    /// The connection has ended without an answer. `crossed` if that end crossed the request, `reset` if it was no
+    /// orderly end.
     Unanswered {
         id: String,
         at: f64,
         crossed: bool,
         reset: bool,
     },
+    /// So many idle connections to a node are open; this process was the one to close them.
+    Idle {
+        node: usize,
+        process: u32,
+        at: f64,
+        open: usize,
+    },
     /// A client has sent half a request and stays; its connection was ended, or not within the time given.
     Stalled {
         node: usize,
@@ -308,6 +315,7 @@
             | Self::Moved { at, .. }
             | Self::Operator { at, .. }
             | Self::Up { at, .. }
+            | Self::Idle { at, .. }
             | Self::Reloaded { at, .. }
             | Self::ServerStart { at, .. }
             | Self::ServerKill { at, .. } => *at,
--- a/crates/pearfront-soak/src/role.rs
+++ b/crates/pearfront-soak/src/role.rs
@@ -91,6 +91,11 @@
         node: usize,
         yes: bool,
     },
+    /// Clients count the connections to a node that they hold idle; this process was the one to close them.
+    CountIdle {
+        node: usize,
+        process: u32,
+    },
     /// So many requests at once to a node.
     Flood {
         node: usize,
