--- a/crates/pearfront-soak/src/judge/history.rs
+++ b/crates/pearfront-soak/src/judge/history.rs
@@ -2,7 +2,7 @@
 
 use super::{Break, Rule, SLACK, STARTS, TOLD, WATCH_GAP};
 use crate::plan::{Fleet, KILL_AFTER, Plan};
-use crate::record::{AnswerEnd, DiscoveryMode, Effect, OperatorCall, Record, ReplyEnd, Standing};
+use crate::record::{AnswerEnd, DiscoveryMode, Effect, Line, OperatorCall, Record, ReplyEnd, Standing};
 use std::collections::{BTreeMap, HashMap};
 
 pub(super) struct Request {
@@ -12,11 +12,29 @@
     pub(super) deadline: f64,
     pub(super) left: Option<f64>,
     pub(super) answer: Option<(f64, u16)>,
-    pub(super) unanswered: Option<(f64, bool)>,
+    pub(super) unanswered: Option<Unanswered>,
     /// On a new connection.
     pub(super) fresh: bool,
     /// How an answer ended that is too large to be kept whole.
     pub(super) ended: Option<EndedAnswer>,
+    /// The requests that lie on its connection with it.
+    pub(super) line: Option<Line>,
+}
+
+impl Request {
+    /// Has its connection brought neither an answer nor its end by then, and its client not left?
+    pub(super) fn is_open(&self, at: f64) -> bool {
+        let ends = [self.left, self.answer.map(|(at, _)| at), self.unanswered.map(|end| end.at)];
+        ends.into_iter().flatten().all(|end| end > at)
+    }
+}
+
+/// The end of a connection before a request on it was answered.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Unanswered {
+    pub(super) at: f64,
+    pub(super) crossed: bool,
+    pub(super) reset: bool,
 }
 
 /// What a client saw of the end of an answer.
@@ -62,6 +80,14 @@
     pub(super) status: Option<u16>,
 }
 
+/// How many connections to a node a client holds idle.
+pub(super) struct IdleConnections {
+    pub(super) node: usize,
+    pub(super) process: u32,
+    pub(super) at: f64,
+    pub(super) open: usize,
+}
+
 /// What `GET /up` at a node's address said.
 pub(super) struct UpAnswer {
     pub(super) node: usize,
@@ -90,6 +116,8 @@
 pub(super) struct Records {
     pub(super) requests: HashMap<String, Request>,
     pub(super) attempts: HashMap<String, Vec<Attempt>>,
+    /// The requests of each line by the first of them.
+    pub(super) lines: HashMap<String, Vec<String>>,
     pub(super) lives: Vec<Life>,
     pub(super) kills: Vec<Kill>,
     /// When processes were told to end.
@@ -106,6 +134,7 @@
     pub(super) stalled: Vec<(usize, f64, Option<f64>)>,
     pub(super) operator_calls: Vec<CallOfOperator>,
     pub(super) up_answers: Vec<UpAnswer>,
+    pub(super) idle: Vec<IdleConnections>,
     pub(super) crashes: Vec<Break>,
     /// So long after it was told to end a process has ended, ms.
     pub(super) ends_within: f64,
@@ -126,7 +155,7 @@
 
     pub(super) fn take(&mut self, record: &Record) {
         match record {
-            Record::Request { id, node, effect, at, deadline, fresh } => {
+            Record::Request { id, node, effect, at, deadline, fresh, line } => {
                 let request = Request {
                     node: *node,
                     effect: *effect,
@@ -137,13 +166,18 @@
                     unanswered: None,
                     fresh: *fresh,
                     ended: None,
+                    line: line.clone(),
                 };
+                if let Some(line) = line {
+                    self.lines.entry(line.first.clone()).or_default().push(id.clone());
+                }
                 self.requests.insert(id.clone(), request);
             }
             Record::Left { id, at } => self.of(id, |request| request.left = Some(*at)),
             Record::Answer { id, at, status } => self.of(id, |request| request.answer = Some((*at, *status))),
-            Record::Unanswered { id, at, crossed } => {
-                self.of(id, |request| request.unanswered = Some((*at, *crossed)));
+            Record::Unanswered { id, at, crossed, reset } => {
+                let unanswered = Unanswered { at: *at, crossed: *crossed, reset: *reset };
+                self.of(id, |request| request.unanswered = Some(unanswered));
             }
             Record::Attempt { id, server, at, told } => {
                 let attempt =
@@ -194,6 +228,9 @@
                     CallOfOperator { node: *node, process: *process, call: *call, at: *at, status: *status };
                 self.operator_calls.push(call);
             }
+            Record::Idle { node, process, at, open } => {
+                self.idle.push(IdleConnections { node: *node, process: *process, at: *at, open: *open });
+            }
             Record::Up { node, process, at, status } => {
                 self.up_answers.push(UpAnswer { node: *node, process: *process, at: *at, status: *status });
             }
@@ -223,6 +260,25 @@
         attempts.filter(|attempt| attempt.server == server).last().map(change);
     }
 
+    /// Is it known that a node has read of the request? Of one that came in one write with others if any of them was begun.
+    pub(super) fn is_read(&self, id: &str, request: &Request) -> bool {
+        let is_begun = |id: &String| {
+            let is_answered = self.requests.get(id).is_some_and(|request| request.answer.is_some());
+            is_answered || self.attempts.contains_key(id)
+        };
+        let together = request.line.as_ref().filter(|line| line.together);
+        let others = together.and_then(|line| self.lines.get(&line.first));
+        self.attempts.contains_key(id) || others.is_some_and(|others| others.iter().any(is_begun))
+    }
+
+    /// Is a request behind this one on its connection in its time then?
+    pub(super) fn has_due_behind(&self, id: &str, at: f64) -> bool {
+        let others = self.lines.get(id).into_iter().flatten().filter(|other| *other != id);
+        others
+            .filter_map(|other| self.requests.get(other))
+            .any(|behind| (behind.at..=behind.at + behind.deadline + SLACK).contains(&at))
+    }
+
     /// How long the node stood still within a span.
     pub(super) fn stopped(&self, node: usize, from: f64, to: f64) -> f64 {
         let within = |(_, begun, ended): &(usize, f64, f64)| (ended.min(to) - begun.max(from)).max(0.0);
--- a/crates/pearfront-soak/src/record.rs
+++ b/crates/pearfront-soak/src/record.rs
@@ -75,6 +75,15 @@
     CutByNode,
 }
 
+/// The requests that lie on one connection together.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    /// The first of them.
+    pub first: String,
+    /// All of them came in one write.
+    pub together: bool,
+}
+
 /// What an operator tells a process of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -96,6 +105,7 @@
         at: f64,
         deadline: f64,
         fresh: bool,
+        line: Option<Line>,
     },
     /// Its client closes the connection.
     Left {
@@ -116,11 +126,20 @@
         last: f64,
         slow: bool,
     },
-    /// The connection has ended without an answer. `crossed` if it was a kept one whose end crossed the request.
+    /// The connection has ended without an answer. `crossed` if that end crossed the request, `reset` if it was no
+    /// orderly end.
     Unanswered {
         id: String,
         at: f64,
         crossed: bool,
+        reset: bool,
+    },
+    /// So many idle connections to a node are open; this process was the one to close them.
+    Idle {
+        node: usize,
+        process: u32,
+        at: f64,
+        open: usize,
     },
     /// A client has sent half a request and stays; its connection was ended, or not within the time given.
     Stalled {
@@ -296,6 +315,7 @@
             | Self::Moved { at, .. }
             | Self::Operator { at, .. }
             | Self::Up { at, .. }
+            | Self::Idle { at, .. }
             | Self::Reloaded { at, .. }
             | Self::ServerStart { at, .. }
             | Self::ServerKill { at, .. } => *at,
