--- a/crates/pearfront-soak/src/judge/tests.rs
+++ b/crates/pearfront-soak/src/judge/tests.rs
@@ -103,12 +103,21 @@
     fresh: bool,
     /// With another in one write, which was answered.
     behind_answered: bool,
+    /// That answer is large, and was broken off with the connection.
+    broken_off: bool,
     crossed: bool,
     crowded: bool,
 }
 
-const SHUT: Shut =
-    Shut { at: 400.0, reset: true, fresh: false, behind_answered: false, crossed: false, crowded: false };
+const SHUT: Shut = Shut {
+    at: 400.0,
+    reset: true,
+    fresh: false,
+    behind_answered: false,
+    broken_off: false,
+    crossed: false,
+    crowded: false,
+};
 
 fn request(id: &str, fresh: bool, line: Option<Line>) -> Record {
     let (id, effect) = (id.to_string(), Effect::Idempotent);
@@ -119,6 +128,9 @@
 #[test_case(&Shut { reset: false, ..SHUT }, false; "an orderly end")]
 #[test_case(&Shut { at: 800.0, ..SHUT }, false; "behind its time")]
 #[test_case(&Shut { behind_answered: true, ..SHUT }, false; "read with another")]
+#[test_case(&Shut { behind_answered: true, broken_off: true, ..SHUT }, true; "behind an answer that is broken off")]
+#[test_case(&Shut { behind_answered: true, broken_off: true, fresh: true, ..SHUT }, true; "the same on a connection that was new")]
+#[test_case(&Shut { behind_answered: true, broken_off: true, reset: false, ..SHUT }, false; "the same, an orderly end")]
 #[test_case(&Shut { fresh: true, ..SHUT }, false; "new, without a crowd")]
 #[test_case(&Shut { fresh: true, crossed: true, reset: false, ..SHUT }, false; "new, crossed without a crowd")]
 #[test_case(&Shut { behind_answered: true, crossed: true, reset: false, ..SHUT }, false; "crossed, and read with another")]
@@ -134,6 +146,9 @@
         records.push(request(first, false, line.clone()));
         records.push(Record::Answer { id: first.into(), at: 200.0, status: 200 });
     }
+    let (id, at) = (first.to_string(), shut.at);
+    let broken_off = Record::AnswerEnded { id, at, end: AnswerEnd::Broken, last: 200.0, slow: false };
+    records.extend(shut.broken_off.then_some(broken_off));
     records.push(request(ID, shut.fresh, line));
     let Shut { at, reset, crossed, .. } = *shut;
     records.push(Record::Unanswered { id: ID.into(), at, crossed, reset });
