Messages: two doc comments stand over the functions that they describe

They had slipped over duty_call and encode_conflict, and so encode_no_call and encode_view had none. No code changed.

--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -111,7 +111,6 @@
     if head.method == method { call } else { AdminCall::Only(method) }
 }
 
-/// What an operator is told who asked for what there is not.
 /// `NAME/hold?client=C[&once_per_ms=T]`, `NAME/give-up?client=C[&well=true]`, `NAME/move[?to=N]`. Names hold nothing that
 /// a path would write otherwise.
 fn duty_call(rest: &str, query: Option<&str>) -> Option<AdminCall> {
@@ -135,6 +134,7 @@
     }
 }
 
+/// What an operator is told who asked for what there is not.
 pub fn encode_no_call(only: Option<Method>) -> Response<Body> {
     let Some(method) = only else { return plain(StatusCode::NOT_FOUND, "no such call\n") };
     let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, format!("only {method}\n"));
@@ -147,12 +147,12 @@
     plain(if yes { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, format!("{state}\n"))
 }
 
-/// A view for an operator, as JSON.
 /// What was asked can't be, and why.
 pub fn encode_conflict(problem: &str) -> Response<Body> {
     plain(StatusCode::CONFLICT, format!("{problem}\n"))
 }
 
+/// A view for an operator, as JSON.
 pub fn encode_view(view: &impl serde::Serialize) -> Response<Body> {
     let text = serde_json::to_string(view).unwrap_or_default();
     let mut answer = plain(StatusCode::OK, format!("{text}\n"));
