Messages: the headers' names have a module of their own

The first move of splitting message.rs by whom a message is exchanged with: what all of them need of headers goes to message/headers.rs with its test, unchanged.

--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -1,12 +1,15 @@
 //! The protocol's messages: each is decoded into a small typed value once and encoded once. Its names end here.
 
+mod headers;
+
 use crate::flow::{Flow, Piece, Start};
 use crate::send::ConnectionEnd;
 use crate::terms::Terms;
 use bytes::Bytes;
+use headers::{CUSTOMER, FORCE, ID, IDEMPOTENCY_KEY, NEVER_RAN, REPORT, TIME_LEFT, end_to_end, text};
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::{request, response};
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use pearfront::interface::{Effect, Standing};
@@ -18,25 +21,6 @@
 use std::rc::Rc;
 use tokio::sync::mpsc::Receiver;
 
-const ID: HeaderName = HeaderName::from_static("x-trace-id");
-const CUSTOMER: HeaderName = HeaderName::from_static("x-customer");
-const TIME_LEFT: HeaderName = HeaderName::from_static("x-expires-in");
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-const NEVER_RAN: HeaderName = HeaderName::from_static("x-never-ran");
-const REPORT: HeaderName = HeaderName::from_static("endpoint-load-metrics");
-/// On an operator's call: drain without a permit.
-const FORCE: HeaderName = HeaderName::from_static("x-force");
-/// Headers of one connection only, which no message carries on.
-const HOP_BY_HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    header::TRANSFER_ENCODING,
-    header::CONTENT_LENGTH,
-    header::TE,
-    header::TRAILER,
-    header::UPGRADE,
-    header::EXPECT,
-    HeaderName::from_static("keep-alive"),
-];
 /// Longest time left, ms, that a job may name: what says more is no time.
 const LONGEST_LEFT: f64 = 24.0 * 3_600_000.0;
 
@@ -246,10 +230,6 @@
     place.ok_or_else(|| format!("unknown customer {named:?}"))
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
 /// One field of a list like `a=1,b=2`.
 fn field(list: &str, name: &str) -> Option<f64> {
     let mut pairs = list.split(',').filter_map(|pair| pair.split_once('='));
@@ -260,20 +240,6 @@
     text.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)
 }
 
-fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    HOP_BY_HOP.iter().chain(&named).for_each(|name| {
-        headers.remove(name);
-    });
-    headers
-}
-
 impl Job {
     /// What no two jobs that are open have in common.
     pub fn id(&self) -> &HeaderValue {
--- a/crates/pearfront-node/src/message/tests.rs
+++ b/crates/pearfront-node/src/message/tests.rs
@@ -64,16 +64,3 @@
     let said = decode_list(b"{\"instances\": []}", &around()).unwrap_err();
     assert_eq!(said, "list.generation is missing");
 }
-
-// Headers of one connection must not reach the next; all others must.
-#[test]
-fn headers_of_one_connection_end_with_it() {
-    let mut headers = HeaderMap::new();
-    for (name, value) in
-        [("connection", "close, X-Mine"), ("x-mine", "1"), ("te", "trailers"), ("accept", "*/*")]
-    {
-        headers.insert(HeaderName::from_static(name), HeaderValue::from_static(value));
-    }
-    let kept: Vec<_> = end_to_end(headers).keys().map(HeaderName::to_string).collect();
-    assert_eq!(kept, ["accept"]);
-}
