Messages: bodies and plain responses have a module of their own

What messages of all kinds are made of goes to message/body.rs; in it a response is called a response and a request a request.

--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -1,14 +1,17 @@
 //! The protocol's messages: each is decoded into a small typed value once and encoded once. Its names end here.
 
+mod body;
 mod headers;
 
+pub use body::{Body, whole_of};
+
 use crate::flow::{Flow, Piece, Start};
 use crate::send::ConnectionEnd;
 use crate::terms::Terms;
+use body::{get, plain, whole};
 use bytes::Bytes;
 use headers::{CUSTOMER, FORCE, ID, IDEMPOTENCY_KEY, NEVER_RAN, REPORT, TIME_LEFT, end_to_end, text};
-use http_body_util::{BodyExt, Either, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::Either;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::{request, response};
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
@@ -24,8 +27,6 @@
 /// Longest time left, ms, that a job may name: what says more is no time.
 const LONGEST_LEFT: f64 = 24.0 * 3_600_000.0;
 
-pub type Body = Either<Full<Bytes>, Flow>;
-
 /// What a caller asks of a node.
 pub enum Call {
     /// Is the node up?
@@ -284,15 +285,6 @@
     pub body: Body,
 }
 
-/// An answer's whole body of at most so many bytes.
-pub async fn whole_of(body: Incoming, most: usize) -> Result<Bytes, ()> {
-    Ok(Limited::new(body, most).collect().await.map_err(|_| ())?.to_bytes())
-}
-
-fn whole(body: Bytes) -> Body {
-    Either::Left(Full::new(body))
-}
-
 impl Answer {
     pub fn encode(self) -> Response<Body> {
         match self {
@@ -316,12 +308,6 @@
     }
 }
 
-fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
-    let mut answer = Response::new(whole(text.into()));
-    *answer.status_mut() = status;
-    answer
-}
-
 /// What a malformed job is told.
 pub fn encode_malformed(problem: &str) -> Response<Body> {
     plain(StatusCode::BAD_REQUEST, format!("{problem}\n"))
@@ -411,13 +397,6 @@
     get(format!("/discovery/hosts?from={version}&hold_ms={wait:.0}"), discovery)
 }
 
-fn get(target: String, host: &str) -> Request<Body> {
-    let mut call = Request::new(whole(Bytes::new()));
-    *call.uri_mut() = target.parse().expect("targets are made of plain characters");
-    call.headers_mut().insert(header::HOST, HeaderValue::from_str(host).expect("an address makes a header"));
-    call
-}
-
 /// Discovery's list or its changes.
 #[derive(Debug)]
 pub struct List {
