--- a/crates/pearfront-node/src/message/tests.rs
+++ b/crates/pearfront-node/src/message/tests.rs
@@ -1,34 +1,9 @@
 use super::*;
-use serde_json::json;
 use test_case::test_case;
 
 fn around() -> Surroundings {
-    let names = |names: &[&str]| names.iter().map(|name| name.to_string()).collect();
-    Surroundings {
-        zones: names(&["a", "b"]),
-        makes: names(&["m1", "m2"]),
-        report: names(&["utilization", "backlog"]),
-        ..Surroundings::default()
-    }
-}
-
-// What one process tells the next must be what it knows.
-#[test]
-fn a_list_is_read_as_it_was_written() {
-    let line = |id: &str, standing, started| Line {
-        id: id.into(),
-        address: "127.0.0.1:8443".parse().unwrap(),
-        standing,
-        cell: 3,
-        zone: 1,
-        make: 2,
-        size: 0.5,
-        started,
-    };
-    let lines = [line("a", Standing::Ready, Some(1500.5)), line("b", Standing::Draining, None)];
-    let list = encode_list(41, lines.iter(), &around());
-    let list = decode_known(&At::top(&list, "list"), &around()).unwrap();
-    assert_eq!((list.version, list.whole, list.lines.as_slice()), (41, true, lines.as_slice()));
+    let report = ["utilization", "backlog"].map(str::to_string).to_vec();
+    Surroundings { report, ..Surroundings::default() }
 }
 
 // A report with a gap would put one figure in another's place.
@@ -42,25 +17,3 @@
 fn load_reports(text: &str, wanted: Option<Vec<f64>>) {
     assert_eq!(decode_report(text, &around()).ok(), wanted);
 }
-
-#[test]
-fn lines_of_the_list() {
-    let line = json!({"instanceId": "s-1", "hostPort": "10.1.0.18:8443", "zone": "b", "machineType": "m9",
-        "cell": 3, "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 5});
-    let mut bad = line.clone();
-    bad["lifecycle"] = json!("Asleep");
-    let list = json!({"generation": 41, "reset": true, "instances": [line, bad]}).to_string();
-    let list = decode_list(list.as_bytes(), &around()).unwrap();
-    assert_eq!((list.version, list.whole), (41, true));
-    let address = "10.1.0.18:8443".parse().unwrap();
-    // A machine type that the settings lack is one more.
-    let (standing, started) = (Standing::Ready, Some(5.0));
-    assert_eq!(
-        list.lines,
-        [Line { id: "s-1".into(), address, standing, cell: 3, zone: 1, make: 2, size: 1.0, started }]
-    );
-    let problem = "list.instances[1].lifecycle \"Asleep\" is unknown".to_string();
-    assert_eq!(list.dropped, [(Some("s-1".to_string()), problem)]);
-    let said = decode_list(b"{\"instances\": []}", &around()).unwrap_err();
-    assert_eq!(said, "list.generation is missing");
-}
