--- /dev/null
+++ b/crates/pearfront-node/src/message/operators.rs
@@ -0,0 +1,97 @@
+//! What a node and its operators exchange.
+
+use super::body::{Body, plain};
+use super::headers::FORCE;
+use hyper::header::{self, HeaderValue};
+use hyper::http::request;
+use hyper::{Method, Response, StatusCode};
+use pearfront_cluster::Hold;
+
+/// What an operator asks of a node.
+pub enum AdminCall {
+    /// Is this process ready to serve?
+    Ready,
+    /// Who else is there, as this process sees it.
+    Members,
+    /// Who holds which duty.
+    Duties,
+    /// A command wants a duty, or goes on with it.
+    Hold(Hold),
+    /// A command is done with its duty.
+    GiveUp { duty: String, client: String, well: bool },
+    /// Whoever holds a duty is to leave it, for that one if one is named.
+    Move { duty: String, to: Option<String> },
+    /// Let clients go; `force` where no permit is to be asked for.
+    Drain { force: bool },
+    /// Stop draining, and serve again.
+    Resume,
+    /// A path that there is not.
+    Unknown,
+    /// A path that has this method only.
+    Only(Method),
+}
+
+/// Decodes the head of an operator's request.
+pub fn decode_admin(head: &request::Parts) -> AdminCall {
+    let (call, method) = match head.uri.path() {
+        "/_ready" => (AdminCall::Ready, Method::GET),
+        "/_members" => (AdminCall::Members, Method::GET),
+        "/_lameduck/on" => (AdminCall::Drain { force: head.headers.contains_key(FORCE) }, Method::PUT),
+        "/_lameduck/off" => (AdminCall::Resume, Method::PUT),
+        "/_duties" => (AdminCall::Duties, Method::GET),
+        path => match path.strip_prefix("/_duties/").and_then(|rest| duty_call(rest, head.uri.query())) {
+            Some(call) => (call, Method::PUT),
+            None => return AdminCall::Unknown,
+        },
+    };
+    if head.method == method { call } else { AdminCall::Only(method) }
+}
+
+/// `NAME/hold?client=C[&once_per_ms=T]`, `NAME/give-up?client=C[&well=true]`, `NAME/move[?to=N]`. Names hold nothing that
+/// a path would write otherwise.
+fn duty_call(rest: &str, query: Option<&str>) -> Option<AdminCall> {
+    let (duty, act) = rest.split_once('/')?;
+    let parts: Vec<(&str, &str)> =
+        query.unwrap_or("").split('&').filter_map(|part| part.split_once('=')).collect();
+    let value = |key: &str| parts.iter().find(|(known, _)| *known == key).map(|(_, value)| value.to_string());
+    let duty = duty.to_string();
+    match act {
+        "hold" => {
+            let once = value("once_per_ms").map_or(Some(0.0), |text| text.parse().ok());
+            let once_per_ms = once.filter(|ms: &f64| ms.is_finite() && *ms >= 0.0)?;
+            Some(AdminCall::Hold(Hold { duty, client: value("client")?, once_per_ms }))
+        }
+        "give-up" => {
+            let well = value("well").is_some_and(|text| text == "true");
+            Some(AdminCall::GiveUp { duty, client: value("client")?, well })
+        }
+        "move" => Some(AdminCall::Move { duty, to: value("to") }),
+        _ => None,
+    }
+}
+
+/// What an operator is told who asked for what there is not.
+pub fn encode_no_call(only: Option<Method>) -> Response<Body> {
+    let Some(method) = only else { return plain(StatusCode::NOT_FOUND, "no such call\n") };
+    let mut response = plain(StatusCode::METHOD_NOT_ALLOWED, format!("only {method}\n"));
+    response.headers_mut().insert(header::ALLOW, HeaderValue::from_str(method.as_str()).expect("a method"));
+    response
+}
+
+/// Yes or no to an operator, with the state that the process is in.
+pub fn encode_admin(yes: bool, state: &str) -> Response<Body> {
+    plain(if yes { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, format!("{state}\n"))
+}
+
+/// What was asked can't be, and why.
+pub fn encode_conflict(problem: &str) -> Response<Body> {
+    plain(StatusCode::CONFLICT, format!("{problem}\n"))
+}
+
+/// A view for an operator, as JSON.
+pub fn encode_view(view: &impl serde::Serialize) -> Response<Body> {
+    let text = serde_json::to_string(view).unwrap_or_default();
+    let mut response = plain(StatusCode::OK, format!("{text}\n"));
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
