Messages: what is exchanged with servers has modules of its own

Replies and probes go to message/servers.rs, load reports, which come with either, to message/load_report.rs with their test; doc comments added.

--- a/crates/pearfront-node/src/message.rs
+++ b/crates/pearfront-node/src/message.rs
@@ -3,26 +3,28 @@
 mod body;
 mod discovery;
 mod headers;
+mod load_report;
 mod operators;
+mod servers;
 
 pub use body::{Body, whole_of};
 pub use discovery::{Line, List, decode_known, decode_list, encode_list, encode_watch};
+pub use load_report::{decode_report, decode_report_of};
 pub use operators::{AdminCall, decode_admin, encode_admin, encode_conflict, encode_no_call, encode_view};
+pub use servers::{Reply, decode_end, decode_reply, encode_probe};
 
-use crate::flow::{Flow, Piece, Start};
-use crate::send::ConnectionEnd;
+use crate::flow::{Flow, Piece};
 use crate::terms::Terms;
-use body::{get, plain, whole};
+use body::{plain, whole};
 use bytes::Bytes;
-use headers::{CUSTOMER, ID, IDEMPOTENCY_KEY, NEVER_RAN, REPORT, TIME_LEFT, end_to_end, text};
+use headers::{CUSTOMER, ID, IDEMPOTENCY_KEY, TIME_LEFT, end_to_end, text};
 use http_body_util::Either;
 use hyper::header::{self, HeaderMap, HeaderValue};
-use hyper::http::{request, response};
-use hyper::{Method, Request, Response, StatusCode, Uri, Version};
+use hyper::http::request;
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use pearfront::interface::Effect;
 use pearfront_settings::Surroundings;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc::Receiver;
 
@@ -137,16 +139,6 @@
     place.ok_or_else(|| format!("unknown customer {named:?}"))
 }
 
-/// One field of a list like `a=1,b=2`.
-fn field(list: &str, name: &str) -> Option<f64> {
-    let mut pairs = list.split(',').filter_map(|pair| pair.split_once('='));
-    finite(pairs.find(|(key, _)| key.trim() == name)?.1)
-}
-
-fn finite(text: &str) -> Option<f64> {
-    text.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)
-}
-
 impl Job {
     /// What no two jobs that are open have in common.
     pub fn id(&self) -> &HeaderValue {
@@ -185,12 +177,6 @@
     TurnedDown,
 }
 
-/// A server's answer to a job.
-pub struct Reply {
-    pub headers: HeaderMap,
-    pub body: Body,
-}
-
 impl Answer {
     pub fn encode(self) -> Response<Body> {
         match self {
@@ -227,76 +213,3 @@
         plain(StatusCode::SERVICE_UNAVAILABLE, "draining or ending\n")
     }
 }
-
-/// How an attempt ended that was answered so, its body whole or on its way.
-pub fn decode_end(head: &response::Parts) -> ConnectionEnd {
-    let framed = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-    match head.status.as_u16() {
-        200 if framed.iter().any(|name| head.headers.contains_key(name)) => ConnectionEnd::Served,
-        // Without either it ends with its connection, if it says so; else nobody can tell that it was not cut off.
-        200 if ends_connection(head) => ConnectionEnd::Served,
-        500 => ConnectionEnd::Error,
-        // The protocol has none of these for a job that is as it should be.
-        400..500 => ConnectionEnd::TurnedDown,
-        503 | 504 if text(&head.headers, &NEVER_RAN) == Some("1") => ConnectionEnd::TurnedAway,
-        _ => ConnectionEnd::Malformed,
-    }
-}
-
-/// Does the sender say that its connection ends behind this?
-fn ends_connection(head: &response::Parts) -> bool {
-    let words = head.headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
-    let words: Vec<&str> = words.flat_map(|words| words.split(',')).map(str::trim).collect();
-    let says = |wanted: &str| words.iter().any(|word| word.eq_ignore_ascii_case(wanted));
-    says("close") || head.version == Version::HTTP_10 && !says("keep-alive")
-}
-
-pub fn decode_reply(head: response::Parts, body: Start) -> Reply {
-    let mut headers = end_to_end(head.headers);
-    headers.remove(REPORT);
-    let body = match body {
-        Start::Whole(body) => whole(body),
-        Start::Begun(first, rest) => Either::Right(Flow::answer(first, rest)),
-    };
-    Reply { headers, body }
-}
-
-/// The load report that came with an answer, where the deployment has them there; an error if it can't be read.
-pub fn decode_report_of(head: &response::Parts, around: &Surroundings) -> Option<Result<Vec<f64>, String>> {
-    let value = head.headers.get(REPORT).filter(|_| around.reports_in_answers)?;
-    Some(value.to_str().map_err(|error| error.to_string()).and_then(|text| decode_report(text, around)))
-}
-
-/// A load report's values in the order of the settings; none where a server that has just started has none yet.
-pub fn decode_report(text: &str, around: &Surroundings) -> Result<Vec<f64>, String> {
-    if text.trim().is_empty() {
-        return Ok(Vec::new());
-    }
-    let list = text.trim().strip_prefix("TEXT").ok_or_else(|| format!("{text:.40?} is none"))?;
-    let value = |name: &String| {
-        let short = short_name(name);
-        field(list, short).or_else(|| field(list, name)).ok_or_else(|| format!("no {short} in a load report"))
-    };
-    around.report.iter().map(value).collect()
-}
-
-/// What the protocol calls a report's field that the settings name.
-fn short_name(name: &str) -> &str {
-    match name {
-        "utilization" => "util",
-        "outstanding" => "inflight",
-        "backlog" => "queue",
-        "throughput" => "qps",
-        "recent_ms" => "latency_ms",
-        "errors_per_s" => "eps",
-        other => other,
-    }
-}
-
-/// A probe; with the load report where the deployment has any.
-pub fn encode_probe(server: SocketAddr, reports: bool) -> Request<Body> {
-    get(if reports { "/metrics/load" } else { "/alive" }.into(), &server.to_string())
-}
-
-#[cfg(test)]
-mod tests;
