Messages: a client's request has a module of its own, decoded step by step

Job, its body and its encoding for an attempt move to message/request.rs; the long decode_call leaves the head to Job::decode, whose steps are functions of their own. They look at the same things in the same order and say the same of each.

--- /dev/null
+++ b/crates/pearfront-node/src/message/request.rs
@@ -0,0 +1,154 @@
+//! A client's request: decoded once, and encoded for each attempt on a server.
+
+use super::body::{Body, whole};
+use super::headers::{CUSTOMER, ID, IDEMPOTENCY_KEY, TIME_LEFT, end_to_end, text};
+use crate::flow::{Flow, Piece};
+use crate::terms::Terms;
+use bytes::Bytes;
+use http_body_util::Either;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request;
+use hyper::{Method, Request, Uri};
+use pearfront::interface::Effect;
+use pearfront_settings::Surroundings;
+use std::cell::RefCell;
+use std::rc::Rc;
+use tokio::sync::mpsc::Receiver;
+
+/// Longest time left, ms, that a request may name: what says more is no time.
+const LONGEST_LEFT: f64 = 24.0 * 3_600_000.0;
+
+/// A client's request: its head, and its body once that has come whole.
+pub struct Job {
+    /// The terms in force when its head was read.
+    pub terms: Rc<Terms>,
+    pub profile: usize,
+    pub customer: usize,
+    pub non_idempotent: bool,
+    /// How long the client will wait, ms.
+    pub left: f64,
+    pub body: JobBody,
+    method: Method,
+    target: Uri,
+    headers: HeaderMap,
+}
+
+/// A request's body.
+pub enum JobBody {
+    Whole(Bytes),
+    /// Too large to be kept: what came first, and the rest for the first attempt that asks for it.
+    Flowing {
+        first: Bytes,
+        rest: RefCell<Option<Receiver<Piece>>>,
+        length: Option<u64>,
+    },
+}
+
+impl Job {
+    /// Decodes a request's head, its body still to come. The error says what is wrong with it.
+    pub(super) fn decode(head: request::Parts, terms: &Rc<Terms>) -> Result<Self, String> {
+        let profile = decode_profile(&head, &terms.around)?;
+        check_own_headers(&head.headers)?;
+        let effect = terms.settings.profiles[profile].effect;
+        check_effect(&head, effect)?;
+        let left = decode_time_left(&head.headers)?;
+        let customer = decode_customer(&head.headers, &terms.around)?;
+        let keyed = head.headers.contains_key(&IDEMPOTENCY_KEY);
+        let headers = end_to_end(head.headers);
+        if !headers.contains_key(&ID) || headers.contains_key(&IDEMPOTENCY_KEY) != keyed {
+            return Err("its own headers named as the connection's".into());
+        }
+        Ok(Self {
+            terms: terms.clone(),
+            profile,
+            customer,
+            non_idempotent: effect == Effect::NonIdempotent,
+            left,
+            body: JobBody::Whole(Bytes::new()),
+            method: head.method,
+            target: head.uri,
+            headers,
+        })
+    }
+
+    /// Its id, which no other open request has.
+    pub fn id(&self) -> &HeaderValue {
+        &self.headers[ID]
+    }
+
+    /// Is its body too large to be kept, so that it can be sent only once?
+    pub fn flows(&self) -> bool {
+        matches!(self.body, JobBody::Flowing { .. })
+    }
+
+    /// The request as an attempt that will be waited for so long; none if its body has been sent and was not kept.
+    pub fn encode(&self, wait: f64) -> Option<Request<Body>> {
+        let mut attempt = Request::new(match &self.body {
+            JobBody::Whole(body) => whole(body.clone()),
+            JobBody::Flowing { first, rest, length } => {
+                Either::Right(Flow::fed(first.clone(), rest.take()?, *length))
+            }
+        });
+        *attempt.method_mut() = self.method.clone();
+        *attempt.uri_mut() = self.target.clone();
+        *attempt.headers_mut() = self.headers.clone();
+        let wait = HeaderValue::from_str(&format!("{:.3}", wait.max(0.0) / 1000.0));
+        attempt.headers_mut().insert(TIME_LEFT, wait.expect("digits make a header"));
+        Some(attempt)
+    }
+}
+
+/// The first part of a request's path.
+fn profile_name(target: &Uri) -> &str {
+    target.path().trim_start_matches('/').split('/').next().unwrap_or_default()
+}
+
+fn decode_profile(head: &request::Parts, around: &Surroundings) -> Result<usize, String> {
+    let named = profile_name(&head.uri);
+    let profile = around.profiles.iter().position(|name| name == named);
+    profile.ok_or_else(|| format!("unknown profile {named:?}"))
+}
+
+/// The request has an id, and names neither that nor a key twice: of two a server may take the other one.
+fn check_own_headers(headers: &HeaderMap) -> Result<(), String> {
+    if text(headers, &ID).is_none_or(str::is_empty) {
+        return Err(format!("no {ID}"));
+    }
+    let is_twice = |name: &&HeaderName| headers.get_all(*name).iter().count() > 1;
+    match [ID, IDEMPOTENCY_KEY].iter().find(is_twice) {
+        Some(twice) => Err(format!("more than one {twice}")),
+        None => Ok(()),
+    }
+}
+
+/// The request's method and key are those of its profile's effect.
+fn check_effect(head: &request::Parts, effect: Effect) -> Result<(), String> {
+    let keyed = head.headers.contains_key(&IDEMPOTENCY_KEY);
+    let fits = match effect {
+        Effect::Idempotent => head.method == Method::GET,
+        Effect::Keyed => head.method == Method::POST && keyed,
+        Effect::NonIdempotent => head.method == Method::POST && !keyed,
+    };
+    if fits {
+        Ok(())
+    } else {
+        Err(format!("{} {} does not fit its profile's effect", head.method, profile_name(&head.uri)))
+    }
+}
+
+/// The time left, ms.
+fn decode_time_left(headers: &HeaderMap) -> Result<f64, String> {
+    let seconds = text(headers, &TIME_LEFT).and_then(|left| left.trim().parse::<f64>().ok());
+    let left = seconds.map(|seconds| seconds * 1000.0);
+    let left = left.filter(|left| left.is_finite() && *left < LONGEST_LEFT);
+    left.ok_or_else(|| format!("no time in {TIME_LEFT}"))
+}
+
+fn decode_customer(headers: &HeaderMap, around: &Surroundings) -> Result<usize, String> {
+    if around.customers.is_empty() {
+        return Ok(0);
+    }
+    let named = text(headers, &CUSTOMER).ok_or_else(|| format!("no {CUSTOMER}"))?;
+    let place = around.customers.iter().position(|name| name == named);
+    place.ok_or_else(|| format!("unknown customer {named:?}"))
+}
