--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -1,6 +1,10 @@
 //! Fourth stage: connections to servers and the attempts on them. Nothing here sends an attempt twice: a connection
 //! carries one attempt at a time, and whatever ends it is told as what it was.
 
+mod connection_end;
+
+pub use connection_end::ConnectionEnd;
+
 use crate::admit::{Place, Room};
 use crate::book::Book;
 use crate::dial::Dialer;
@@ -18,7 +22,6 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::http::response;
-use pearfront::interface::Ending;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::future::pending;
@@ -53,77 +56,6 @@
 /// Largest buffer of a connection, bytes: a head fits, and a body goes through in pieces.
 pub const BUFFER: usize = 16 * 1024;
 
-/// Every way in which an attempt's connection can end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ConnectionEnd {
-    /// A whole answer, and the connection stands.
-    Served,
-    Error,
-    /// The server says that it never ran the job.
-    TurnedAway,
-    /// The server says that nobody could use the job: no fault of its own, and the next one would say the same.
-    TurnedDown,
-    /// An answer that is none, or longer than allowed.
-    Malformed,
-    /// No connection came up: refused or silent.
-    NeverUp,
-    /// It broke before the job's last byte was written.
-    BrokenBefore,
-    /// It broke, or ended without a whole answer, after that.
-    BrokenAfter,
-    /// The node stopped waiting, before the last byte was written or after.
-    TooLateBefore,
-    TooLateAfter,
-    /// The module called it off, before the last byte was written or after.
-    CalledOffBefore,
-    CalledOffAfter,
-    /// Before anything was written the job was over, or its server drained or gone.
-    NotSent,
-    /// The first byte was to be written, and the job's caller had gone; the connection goes with it.
-    CallerGone,
-    /// The same, and the guard refused it by then.
-    Withheld,
-}
-
-impl ConnectionEnd {
-    /// The one place where the module's word for it is found.
-    pub fn ending(self) -> Ending {
-        match self {
-            Self::Served => Ending::Served,
-            Self::Error | Self::Malformed => Ending::Error,
-            Self::TurnedAway => Ending::Full,
-            Self::NeverUp | Self::BrokenBefore | Self::TooLateBefore => Ending::Unconnected,
-            Self::BrokenAfter => Ending::Broken,
-            Self::TooLateAfter => Ending::TimedOut,
-            // Over without anything learned of the server.
-            Self::CalledOffAfter | Self::TurnedDown => Ending::CalledOff,
-            Self::CalledOffBefore | Self::NotSent | Self::CallerGone | Self::Withheld => Ending::NeverSent,
-        }
-    }
-
-    /// Is it proof that the request never ran?
-    pub fn never_ran(self) -> bool {
-        matches!(self.ending(), Ending::Full | Ending::Unconnected | Ending::NeverSent)
-    }
-
-    /// Counted as what the module is told, but for what on-call staff look for by itself.
-    pub fn count(self, book: &Book) {
-        let count = match self.ending() {
-            Ending::Error if self == Self::Malformed => &book.attempt_malformed,
-            Ending::CalledOff if self == Self::TurnedDown => &book.attempt_turned_down,
-            Ending::Served => &book.attempt_served,
-            Ending::Error => &book.attempt_error,
-            Ending::Full => &book.attempt_full,
-            Ending::Unconnected => &book.attempt_unconnected,
-            Ending::Broken => &book.attempt_broken,
-            Ending::TimedOut => &book.attempt_timed_out,
-            Ending::CalledOff => &book.attempt_called_off,
-            Ending::NeverSent => &book.attempt_never_sent,
-        };
-        count.add();
-    }
-}
-
 /// An open connection to a server; closed when dropped, whatever is still on it.
 pub struct Link {
     sender: SendRequest<Body>,
