Sending: how often connections break has a module of its own

Wear moves to send/break_rates.rs with its test and is called BreakRates, note record, and is_of_keeping is_higher_when_kept. The assertions and the figures are the same.

--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -1,6 +1,7 @@
 //! Fourth stage: connections to servers and the attempts on them. Nothing here sends an attempt twice: a connection
 //! carries one attempt at a time, and whatever ends it is told as what it was.
 
+mod break_rates;
 mod connection_end;
 mod link;
 
@@ -17,10 +18,11 @@
 use crate::route::ms;
 use crate::terms::InForce;
 use crate::wire::Wire;
+use break_rates::BreakRates;
 use http_body_util::Either;
 use hyper::http::response;
 use link::{Idle, QUIET};
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::future::pending;
 use std::net::SocketAddr;
@@ -32,42 +34,16 @@
 
 /// Share of the time after which servers close idle connections for which ours are kept: they close by then.
 const IDLE_PART: f64 = 0.8;
-/// Weight of one attempt on a kept connection, or a new one, in the share of those that broke before any answer: some
-/// fifty count.
-const BROKE_WEIGHT: f64 = 0.02;
-/// By how much more kept ones break from which on a non-idempotent job gets a new connection: one break counts for some
-/// thirty attempts.
-const KEPT_RISK: f64 = 0.01;
 /// So many connections to a server may be resting at once; a node that needs more of them than that uses the one that has
 /// been quiet longest.
 const MOST_RESTING: usize = 8;
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// How often connections break under an attempt before any answer.
-#[derive(Default)]
-struct Wear {
-    /// Share of recent attempts on kept connections, and of those on new ones: what breaks them alike is no fault of
-    /// the keeping, and a new connection would be no safer.
-    kept: Cell<f64>,
-    new: Cell<f64>,
-}
-
-impl Wear {
-    fn note(&self, kept: bool, broke: bool) {
-        let share = if kept { &self.kept } else { &self.new };
-        share.set(share.get() + BROKE_WEIGHT * (f64::from(u8::from(broke)) - share.get()));
-    }
-
-    fn is_of_keeping(&self) -> bool {
-        self.kept.get() > KEPT_RISK + self.new.get()
-    }
-}
-
 /// Connections to servers, the idle ones kept for the next attempt.
 pub struct Senders {
     idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
-    wear: Wear,
+    break_rates: BreakRates,
     dialer: Dialer,
     terms: Rc<InForce>,
     room: Rc<Room>,
@@ -79,7 +55,7 @@
     pub fn new(terms: Rc<InForce>, room: Rc<Room>, book: Rc<Book>) -> Rc<Self> {
         Rc::new(Self {
             idle: RefCell::default(),
-            wear: Wear::default(),
+            break_rates: BreakRates::default(),
             dialer: Dialer::default(),
             terms,
             room,
@@ -270,7 +246,7 @@
     ) -> Attempt {
         // A server may have closed a kept connection without our knowing yet. Where that happens, a job that could
         // not go again must not be what finds out.
-        let new = job.non_idempotent && self.wear.is_of_keeping();
+        let new = job.non_idempotent && self.break_rates.is_higher_when_kept();
         let link = if new { self.renewed_link(server).await } else { self.link(server).await };
         let Ok(link) = link else { return Attempt::ended(ConnectionEnd::NeverUp) };
         // What was written on it before belongs to another message.
@@ -287,7 +263,7 @@
             let gone = permit.caller_has_left();
             return Attempt::ended(if gone { ConnectionEnd::CallerGone } else { ConnectionEnd::Withheld });
         }
-        self.wear.note(link.kept, answer.is_err() && !link.wire.has_begun());
+        self.break_rates.record(link.kept, answer.is_err() && !link.wire.has_begun());
         match answer {
             Ok((head, body)) => self.read(head, body),
             Err(_) if !link.wire.whole_written() => Attempt::ended(ConnectionEnd::BrokenBefore),
--- a/crates/pearfront-node/src/send/tests.rs
+++ b/crates/pearfront-node/src/send/tests.rs
@@ -46,19 +46,6 @@
     assert_eq!(room.to_string(), "connections_open=0 jobs_held=0");
 }
 
-#[test]
-fn what_breaks_kept_and_new_connections_alike_is_not_laid_to_the_keeping() {
-    let wear = Wear::default();
-    wear.note(true, true);
-    assert!(wear.is_of_keeping());
-    wear.note(false, true);
-    assert!(!wear.is_of_keeping());
-    (0..100).for_each(|_| wear.note(false, false));
-    assert!(wear.is_of_keeping());
-    (0..50).for_each(|_| wear.note(true, false));
-    assert!(!wear.is_of_keeping());
-}
-
 // What a server sends behind an answer, some milliseconds late, must not meet the next attempt: until then the
 // connection rests, unless so many of them do that the node would hold more and more of the server's.
 #[test]
