Sending: attempts have a module of their own

Attempt and the methods that carry one out move to send/attempt.rs; send.rs keeps the connections. In what was moved a job is a request.

--- /dev/null
+++ b/crates/pearfront-node/src/send/attempt.rs
@@ -0,0 +1,126 @@
+//! One attempt of a request on a server: sends it once, and tells how that ended.
+
+use super::Senders;
+use super::connection_end::ConnectionEnd;
+use super::link::Link;
+use crate::flow::Start;
+use crate::guard::Permit;
+use crate::message::{self, Job, Reply};
+use crate::wire::Wire;
+use http_body_util::Either;
+use hyper::http::response;
+use std::cell::OnceCell;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// How an attempt went.
+pub struct Attempt {
+    pub end: ConnectionEnd,
+    pub reply: Option<Reply>,
+    /// Its answer came to its end.
+    is_whole: bool,
+    /// The load report that came along, where the deployment has them in answers.
+    pub report: Option<Result<Vec<f64>, String>>,
+}
+
+impl Attempt {
+    fn ended(end: ConnectionEnd) -> Self {
+        Self { end, reply: None, is_whole: true, report: None }
+    }
+}
+
+impl Senders {
+    /// One attempt: how its connection ended, with the reply if the request was served. `over` ends it, and `closed`, the
+    /// end of its request, as long as its last byte is not written: what no server can have begun is never an attempt to be
+    /// called off, which some deployments don't allow. `permit` is the guard's, asked for once the connection stands.
+    pub async fn attempt(
+        self: &Rc<Self>,
+        server: SocketAddr,
+        request: &Job,
+        over: impl Future<Output = ()>,
+        closed: impl Future<Output = ()>,
+        permit: impl Fn() -> Option<Rc<Permit>>,
+        called_off: impl Future<Output = ()>,
+    ) -> Attempt {
+        let (mut link, wire) = (None, OnceCell::new());
+        let written = || wire.get().is_some_and(|wire: &Rc<Wire>| wire.whole_written());
+        let exchange = self.exchange(&mut link, &wire, server, request, permit);
+        let closed_before = async {
+            closed.await;
+            if written() {
+                pending().await
+            }
+        };
+        let (before, after) = tokio::select! {
+            biased;
+            attempt = exchange => return self.finish(server, link, attempt),
+            () = called_off => (ConnectionEnd::CalledOffBefore, ConnectionEnd::CalledOffAfter),
+            () = over => (ConnectionEnd::TooLateBefore, ConnectionEnd::TooLateAfter),
+            () = closed_before => (ConnectionEnd::CalledOffBefore, ConnectionEnd::CalledOffBefore),
+        };
+        Attempt::ended(if written() { after } else { before })
+    }
+
+    async fn exchange(
+        &self,
+        place: &mut Option<Link>,
+        wire: &OnceCell<Rc<Wire>>,
+        server: SocketAddr,
+        request: &Job,
+        permit: impl Fn() -> Option<Rc<Permit>>,
+    ) -> Attempt {
+        // A server may have closed a kept connection without our knowing yet. Where that happens, a request that could
+        // not go again must not be what finds out.
+        let new = request.non_idempotent && self.break_rates.is_higher_when_kept();
+        let link = if new { self.renewed_link(server).await } else { self.link(server).await };
+        let Ok(link) = link else { return Attempt::ended(ConnectionEnd::NeverUp) };
+        // What was written on it before belongs to another message.
+        link.wire.expect(Some(0));
+        wire.get_or_init(|| link.wire.clone());
+        let link = place.insert(link);
+        let encoded = permit().and_then(|permit| Some((request.encode(permit.left)?, permit)));
+        let Some((encoded, permit)) = encoded else {
+            return Attempt::ended(ConnectionEnd::NotSent);
+        };
+        link.wire.write_with(permit.clone());
+        let answer = link.begin(encoded).await;
+        if link.wire.is_withheld() {
+            let gone = permit.caller_has_left();
+            return Attempt::ended(if gone { ConnectionEnd::CallerGone } else { ConnectionEnd::Withheld });
+        }
+        self.break_rates.record(link.kept, answer.is_err() && !link.wire.has_begun());
+        match answer {
+            Ok((head, body)) => self.read(head, body),
+            Err(_) if !link.wire.whole_written() => Attempt::ended(ConnectionEnd::BrokenBefore),
+            Err(_) => Attempt::ended(ConnectionEnd::BrokenAfter),
+        }
+    }
+
+    fn read(&self, head: response::Parts, body: Start) -> Attempt {
+        let report = message::decode_report_of(&head, &self.terms.now().around);
+        let end = message::decode_end(&head);
+        let is_whole = matches!(body, Start::Whole(_));
+        let reply = (end == ConnectionEnd::Served).then(|| message::decode_reply(head, body));
+        Attempt { end, reply, is_whole, report }
+    }
+
+    fn finish(self: &Rc<Self>, server: SocketAddr, link: Option<Link>, mut attempt: Attempt) -> Attempt {
+        use ConnectionEnd::{Error, NotSent, Served, TurnedAway, TurnedDown};
+        let Some(link) =
+            link.filter(|_| matches!(attempt.end, Served | Error | TurnedAway | TurnedDown | NotSent))
+        else {
+            return attempt;
+        };
+        let senders = self.clone();
+        match attempt.reply.as_mut().map(|reply| &mut reply.body) {
+            // Its connection is free again once the last byte of the answer has been passed on.
+            Some(Either::Right(flow)) => flow.at_end(move || senders.keep_link(server, link)),
+            _ if attempt.is_whole && (attempt.end == NotSent || link.wire.whole_written()) => {
+                senders.keep_link(server, link);
+            }
+            _ => {}
+        }
+        attempt
+    }
+}
