--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -53,6 +53,7 @@
     [a, b, c, d, high, low]
 }
 
+/// The address that the module's word stands for.
 pub fn address([a, b, c, d, high, low]: Address) -> SocketAddr {
     SocketAddr::new(Ipv4Addr::new(a, b, c, d).into(), u16::from_be_bytes([high, low]))
 }
@@ -86,6 +87,7 @@
     pub peers: Rc<Peers>,
 }
 
+/// What discovery has told, and the calls that ask for it.
 pub struct Discovery {
     service: Cell<SocketAddr>,
     /// Rung when the service has moved.
@@ -295,6 +297,7 @@
         }
     }
 
+    /// What tells since when the process has been running.
     pub fn pulse(&self) -> Rc<Pulse> {
         self.pulse.clone()
     }
--- a/crates/pearfront-node/src/message/clients.rs
+++ b/crates/pearfront-node/src/message/clients.rs
@@ -13,6 +13,7 @@
 pub enum Call {
     /// Is the node up?
     Up,
+    /// A request for one of the servers.
     Job(Box<Job>),
 }
 
@@ -40,9 +41,11 @@
 
 /// A node's one final answer to a request.
 pub enum Answer {
+    /// A server's reply.
     Served(Box<Reply>),
     /// With the advice to come back in so many ms; 0 is none.
     Rejected(f64),
+    /// It may have run, and no reply has come.
     Failed,
     /// A server can't use the request: its client's fault.
     TurnedDown,
--- a/crates/pearfront-node/src/message/discovery.rs
+++ b/crates/pearfront-node/src/message/discovery.rs
@@ -16,6 +16,7 @@
 #[derive(Debug)]
 pub struct List {
     pub version: u64,
+    /// All servers; otherwise only those that have changed.
     pub whole: bool,
     pub lines: Vec<Line>,
     /// Servers whose line could not be read, and what is wrong with it.
--- a/crates/pearfront-node/src/message/request.rs
+++ b/crates/pearfront-node/src/message/request.rs
@@ -35,13 +35,10 @@
 
 /// A request's body.
 pub enum JobBody {
+    /// Kept, and so it can be sent again.
     Whole(Bytes),
     /// Too large to be kept: what came first, and the rest for the first attempt that asks for it.
-    Flowing {
-        first: Bytes,
-        rest: RefCell<Option<Receiver<Piece>>>,
-        length: Option<u64>,
-    },
+    Flowing { first: Bytes, rest: RefCell<Option<Receiver<Piece>>>, length: Option<u64> },
 }
 
 impl Job {
--- a/crates/pearfront-node/src/probe.rs
+++ b/crates/pearfront-node/src/probe.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
-/// Longest a probe may take: far above a round trip and a small wait, far below what a job may take.
+/// Longest a probe may take: far above a round trip and a small wait, far below what a request may take.
 const PATIENCE: Duration = Duration::from_millis(250);
 /// Longest body of a load report, bytes.
 const MOST_REPORT: usize = 4 * 1024;
@@ -44,6 +44,7 @@
     }
 }
 
+/// Probes servers, and tells the module and discovery what they answer.
 pub struct Prober {
     pub senders: Rc<Senders>,
     pub inbox: Rc<Inbox>,
@@ -69,6 +70,7 @@
         self.out.get() > 0
     }
 
+    /// Probes the server at this address once.
     pub async fn probe(self: Rc<Self>, address: Address, server: SocketAddr) {
         self.book.probes.add();
         let (started, at) = (Instant::now(), self.clock.now());
@@ -114,6 +116,7 @@
         }
     }
 
+    /// Counts a load report that can't be read, and warns of it.
     pub fn drop_report(&self, problem: &str) {
         self.book.reports_dropped.add();
         self.unread.warn(format_args!("load report dropped: {problem}"));
--- a/crates/pearfront-node/src/send/connection_end.rs
+++ b/crates/pearfront-node/src/send/connection_end.rs
@@ -8,6 +8,7 @@
 pub enum ConnectionEnd {
     /// A whole answer, and the connection stands.
     Served,
+    /// The server answered with an error.
     Error,
     /// The server says that it never ran the request.
     TurnedAway,
--- a/crates/pearfront-node/src/send/tests.rs
+++ b/crates/pearfront-node/src/send/tests.rs
@@ -13,7 +13,7 @@
     (listener, server, Senders::new(terms, Room::new(64, 1.0), Rc::default()))
 }
 
-// What a server closed while idle must not cost a job its only attempt.
+// What a server closed while idle must not cost a request its only attempt.
 #[test]
 fn a_connection_that_its_server_closed_is_not_used_again() {
     let (listener, server, senders) = stage();
