--- a/crates/pearfront-node/src/message/clients.rs
+++ b/crates/pearfront-node/src/message/clients.rs
@@ -45,7 +45,7 @@
     Served(Box<Reply>),
     /// With the advice to come back in so many ms; 0 is none.
     Rejected(f64),
-    /// It may have run, and no reply has come.
+    /// It may have run, and no server has served it.
     Failed,
     /// A server can't use the request: its client's fault.
     TurnedDown,
