--- /dev/null
+++ b/crates/pearfront-node/src/message/load_report/tests.rs
@@ -0,0 +1,19 @@
+use super::*;
+use test_case::test_case;
+
+fn around() -> Surroundings {
+    let report = ["utilization", "backlog"].map(str::to_string).to_vec();
+    Surroundings { report, ..Surroundings::default() }
+}
+
+// A report with a gap would put one figure in another's place.
+#[test_case("TEXT inflight=7, queue=2, util=0.61", Some(vec![0.61, 2.0]); "in the order of the settings")]
+#[test_case("TEXT utilization=0.5,backlog=0", Some(vec![0.5, 0.0]); "by the settings' names")]
+#[test_case("", Some(vec![]); "a server that has just started has none yet")]
+#[test_case("TEXT util=0.61", None; "a figure is missing")]
+#[test_case("TEXT util=NaN, queue=2", None; "no number")]
+#[test_case("TEXT util=-1, queue=2", None; "below zero")]
+#[test_case("util=0.61, queue=2", None; "no text form")]
+fn load_reports(text: &str, wanted: Option<Vec<f64>>) {
+    assert_eq!(decode_report(text, &around()).ok(), wanted);
+}
