A request on a new connection finds a place beside a crowd that sends none

Cause (accept.rs, admit.rs): a connection that had brought nothing was not spared for 150 ms, so that a crowd that comes again as it is closed let some 200 connections a second in; whatever lay in the queue for 0.3 s was shut all at once, with a request on it or not; half a head was never closed for a request. And the queue counted as empty when the runtime's budget was used up.

Now a caller with nothing on its connection goes at once for the next connection, those that have been so for longest first (one that was used 0.15 s later), and those with half a head where nothing idle is left; whether something came is asked of the kernel when it is chosen and again right before it is closed. The queue of a crowded node is emptied every 20 ms: so requests on their way come meanwhile, and it is known since when one can have waited (queue.rs: also by what the queue can hold at the most). Where that takes over 50 ms, connections that bring no request are closed as they are accepted. Shut unread is only what finds no place for 0.3 s, as requests hold all of them.

In take_in.rs one line changes: what is to be cut off is looked at once more.

--- a/crates/pearfront-node/src/accept.rs
+++ b/crates/pearfront-node/src/accept.rs
@@ -1,39 +1,78 @@
 //! Accepts clients' connections, as long as there is room for them. What waits in the kernel's queue is on a clock as well: a
 //! request may lie on each connection there.
 
-use crate::arrival::Arrival;
+use crate::BACKLOG;
+use crate::framing::Framing;
 use crate::logger::Seldom;
+use crate::queue::Queue;
 use crate::take_in::{LAST_SERVED, TakeIn};
+use socket2::SockRef;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
+use std::mem::MaybeUninit;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{unconstrained, yield_now};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Pause after a failed accept: what it lacked is back soon, and the loop must not spin.
 const PAUSE: Duration = Duration::from_millis(5);
 /// How long new connections go on coming after SIGTERM, with some room: the protocol says 400 ms.
 const STILL_COMING: Duration = Duration::from_millis(500);
-/// How long connections may wait in the queue where there is no place for them. Then they are shut unread: a request of
-/// the shortest times that lies there is lost soon after.
+/// How long connections may wait in the queue where requests hold all places. Then they are shut unread: a request of the
+/// shortest times that lies there is lost soon after.
 const LONGEST_WAIT: Duration = Duration::from_millis(300);
+/// How long there has to be no place for that: one that is being freed is there in a moment.
+const NO_PLACE: Duration = Duration::from_millis(20);
+/// Pause between two looks into the queue where each connection takes the place of another: requests on their way come
+/// meanwhile, and clients that come again at once don't take all of the processor.
+const LOOK: Duration = Duration::from_millis(20);
+/// The queue of a crowded node is empty from time to time, or else it takes longer than that to let clients in and go.
+const BEHIND: Duration = Duration::from_millis(50);
+/// What has brought so much may well be a request whose head is longer.
+const LONG_HEAD: usize = 2048;
+/// Linux queues one connection more than it was told, and one may have been accepted meanwhile.
+const BEYOND_BACKLOG: usize = 2;
+/// How often others have their turn before a wait for a place.
+const MOST_YIELDS: usize = 4;
+/// So many connections are accepted in a row before others have their turn.
+const IN_A_ROW: usize = 16;
 
 pub struct Acceptor {
     listener: TcpListener,
     /// When what waits in the queue came.
-    queue: Arrival,
+    queue: Queue,
     take_in: Rc<TakeIn>,
+    /// Has a connection had to go for another since the queue was empty?
+    crowded: Cell<bool>,
+    /// Is the place that was made for the last one still there?
+    has_place_left: Cell<bool>,
+    /// Since when there has been no place at all.
+    without_place: Cell<Option<Instant>>,
+    /// How many were accepted since others had their turn.
+    in_a_row: Cell<usize>,
     failed: Seldom,
     shut: Seldom,
 }
 
 impl Acceptor {
     pub fn new(listener: TcpListener, take_in: Rc<TakeIn>) -> Self {
-        let queue = Arrival::since(Instant::now());
-        Self { listener, queue, take_in, failed: Seldom::default(), shut: Seldom::default() }
+        let queue = Queue::since(BACKLOG as usize + BEYOND_BACKLOG, Instant::now());
+        Self {
+            listener,
+            queue,
+            take_in,
+            crowded: Cell::new(false),
+            has_place_left: Cell::new(false),
+            without_place: Cell::new(None),
+            in_a_row: Cell::new(0),
+            failed: Seldom::default(),
+            shut: Seldom::default(),
+        }
     }
 
     /// Accepts clients until told to end; then until no more come, and serves those that stay almost as long as the
@@ -58,12 +97,49 @@
         while self.take_in.life.accepts()
             && let Some(Ok(stream)) = self.accept_now().await
         {
-            self.take_in.open(stream, self.queue.earliest());
+            self.open(stream);
+        }
+    }
+
+    /// Serves a connection. Where nothing is on it, what comes was not there while it waited.
+    fn open(&self, stream: TcpStream) {
+        let now = Instant::now();
+        let peeked = SockRef::from(&stream).peek(&mut [MaybeUninit::uninit()]);
+        let has_nothing = peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
+        let came = if has_nothing { now } else { self.queue.earliest() };
+        if !self.crowded.get() || now.saturating_duration_since(self.queue.earliest()) <= BEHIND {
+            return self.take_in.open(stream, came);
+        }
+        match self.with_request(stream, has_nothing) {
+            Some(stream) => self.take_in.open(stream, came),
+            None => {
+                self.take_in.book.callers.add();
+                self.has_place_left.set(true);
+            }
+        }
+    }
+
+    /// The connection if it is to be served by a node that can't keep up with the crowd: requests that wait behind those
+    /// that bring none would be late. Half a head goes only where nothing idle is left that could go for it.
+    fn with_request(&self, stream: TcpStream, has_nothing: bool) -> Option<TcpStream> {
+        if has_nothing {
+            return None;
         }
+        let stream = stream.into_std().ok()?;
+        let mut head = [0; LONG_HEAD];
+        let length = stream.peek(&mut head).unwrap_or_default();
+        let mut framing = Framing::default();
+        framing.read(&head[..length], Instant::now());
+        let is_half = length < LONG_HEAD && framing.in_head();
+        if is_half && !self.take_in.room.has_idle() {
+            return None;
+        }
+        TcpStream::from_std(stream).ok()
     }
 
     async fn accept_all(&self) -> Infallible {
         loop {
+            self.let_others_go_on().await;
             if !self.has_place() {
                 self.stand_back().await;
                 continue;
@@ -71,10 +147,10 @@
             let accepted = tokio::select! {
                 biased;
                 () = self.take_in.life.changed() => continue,
-                accepted = self.accept(), if self.take_in.life.accepts() => accepted,
+                accepted = self.next(), if self.take_in.life.accepts() => accepted,
             };
             match accepted {
-                Ok(stream) => self.take_in.open(stream, self.queue.earliest()),
+                Ok(stream) => self.open(stream),
                 Err(error) => {
                     self.take_in.book.accept_failed.add();
                     self.failed.warn(format_args!("accept failed: {error}"));
@@ -84,19 +160,47 @@
         }
     }
 
+    /// The next connection. Once the queue of a crowded node is empty it is left alone for a moment.
+    async fn next(&self) -> io::Result<TcpStream> {
+        if self.crowded.get() {
+            if let Some(accepted) = self.accept_now().await {
+                return accepted;
+            }
+            self.crowded.set(false);
+            self.queue.looks_away(Instant::now());
+            sleep(LOOK).await;
+        }
+        self.accept().await
+    }
+
     /// Attempts and probes that wait for a connection go first.
     fn has_place(&self) -> bool {
-        !self.take_in.room.is_waited_for() && self.take_in.make_place()
+        let room = &self.take_in.room;
+        self.crowded.set(self.crowded.get() || !room.has_caller_place());
+        let has_place_left = self.has_place_left.take() && room.has_last_caller_place();
+        let has_place = !room.is_waited_for() && (has_place_left || self.take_in.make_place());
+        let since = self.without_place.get().unwrap_or_else(Instant::now);
+        self.without_place.set((!has_place).then_some(since));
+        has_place
     }
 
-    fn is_too_old(&self) -> bool {
-        self.queue.of_unread().elapsed() > LONGEST_WAIT
+    /// Is there no place, and something in the queue that can't wait for one any longer?
+    fn is_too_late(&self) -> bool {
+        let without_place = self.without_place.get().is_some_and(|since| since.elapsed() > NO_PLACE);
+        without_place && self.queue.of_waiting().elapsed() > LONGEST_WAIT
     }
 
     /// There is no place: waits for one, and shuts what has waited for too long.
     async fn stand_back(&self) {
         self.queue.looks_away(Instant::now());
-        if !self.is_too_old() || !self.take_in.life.accepts() {
+        if !self.is_too_late() || !self.take_in.life.accepts() {
+            // What was just let in has not been read yet, and what was closed is still open: both are done soon.
+            for _ in 0..MOST_YIELDS {
+                yield_now().await;
+                if self.take_in.room.has_last_caller_place() {
+                    return;
+                }
+            }
             return self.take_in.room.freed().await;
         }
         while let Some(Ok(stream)) = self.accept_now().await {
@@ -107,21 +211,32 @@
     }
 
     async fn accept(&self) -> io::Result<TcpStream> {
-        poll_fn(|context| match self.listener.poll_accept(context) {
+        // Without the runtime's budget: where that is used up, nothing would seem to wait.
+        unconstrained(poll_fn(|context| self.poll_accept(context))).await
+    }
+
+    /// What waits in the queue now, if anything does.
+    async fn accept_now(&self) -> Option<io::Result<TcpStream>> {
+        timeout(Duration::ZERO, self.accept()).await.ok()
+    }
+
+    fn poll_accept(&self, context: &mut Context) -> Poll<io::Result<TcpStream>> {
+        match self.listener.poll_accept(context) {
             Poll::Pending => {
                 self.queue.found_nothing();
                 Poll::Pending
             }
             Poll::Ready(accepted) => {
-                self.queue.read(Instant::now(), 1, None);
+                self.queue.accepted(Instant::now());
                 Poll::Ready(accepted.map(|(stream, _)| stream))
             }
-        })
-        .await
+        }
     }
 
-    /// What waits in the queue now, if anything does.
-    async fn accept_now(&self) -> Option<io::Result<TcpStream>> {
-        timeout(Duration::ZERO, self.accept()).await.ok()
+    async fn let_others_go_on(&self) {
+        self.in_a_row.set((self.in_a_row.get() + 1) % IN_A_ROW);
+        if self.in_a_row.get() == 0 {
+            yield_now().await;
+        }
     }
 }
--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -2,7 +2,7 @@
 //! module hears of it: nothing was sent, so trying again is harmless.
 
 use crate::book::Book;
-use crate::client::{Client, FIRST_REQUEST};
+use crate::client::Client;
 use crate::wire::Wire;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -25,6 +25,8 @@
 const PROBES: usize = 1;
 /// How often callers are looked through for that.
 const LOOK: Duration = Duration::from_millis(200);
+/// How often whoever waits for a place looks whether some caller can go.
+const LOOK_FOR_SPARE: Duration = Duration::from_millis(5);
 /// Share of the memory limit that bodies may take; the rest is for connections' buffers and answers.
 const BODIES: f64 = 0.3;
 /// Least bytes a job counts for: its answer takes room as well.
@@ -167,10 +169,10 @@
         Waiting(self.clone())
     }
 
-    /// Waits until some connection, or some wait for one, has ended, or a caller may have become one that can be spared:
-    /// nothing rings for that.
+    /// Waits until some connection, or some wait for one, has ended, or a caller may have become one that can go: nothing
+    /// rings for that.
     pub async fn freed(&self) {
-        let _ = timeout(FIRST_REQUEST, self.freed.notified()).await;
+        let _ = timeout(LOOK_FOR_SPARE, self.freed.notified()).await;
     }
 
     /// Takes room for a job whose body has this length; none if bodies or connections would not fit.
@@ -205,13 +207,29 @@
         self.callers.borrow().len() * 2 > self.most_open.get()
     }
 
-    /// Has the caller that has been idle longest closed; false if there is none.
-    pub fn close_idle(&self) -> bool {
+    /// Do servers' connections take of the places that callers could have?
+    pub fn servers_exceed_their_part(&self) -> bool {
+        let servers = self.open.get() - self.callers_open.get() + PROBES;
+        servers > self.most_open.get() / SERVERS_PART
+    }
+
+    /// Has a caller closed for another one: that which has had nothing on its connection for longest, and where all have
+    /// something, that which has brought half a head and nothing since for longest. False if there is none.
+    pub fn close_spare(&self) -> bool {
         let callers = self.callers.borrow();
-        let mut idle: Vec<_> = callers.values().filter(|caller| caller.can_be_spared()).collect();
-        idle.sort_by_key(|caller| caller.since.get());
-        let spared = idle.into_iter().find(|caller| !caller.wire.has_unread());
-        spared.inspect(|caller| caller.close()).is_some()
+        let mut spare: Vec<_> = callers.values().filter(|caller| caller.may_go()).collect();
+        spare.sort_by_key(|caller| caller.goes_since());
+        if let Some(idle) = spare.iter().find(|caller| caller.has_nothing()) {
+            idle.close();
+            return true;
+        }
+        let half = spare.into_iter().find(|caller| caller.has_half_a_head());
+        half.inspect(|caller| caller.cut_off()).is_some()
+    }
+
+    /// Could a caller go that has nothing on its connection?
+    pub fn has_idle(&self) -> bool {
+        self.callers.borrow().values().any(|caller| caller.may_go() && caller.has_nothing())
     }
 
     /// Has callers closed that have not brought a whole head for too long, as long as the node runs.
--- a/crates/pearfront-node/src/arrival.rs
+++ b/crates/pearfront-node/src/arrival.rs
@@ -53,13 +53,6 @@
         self.waits.set(true);
     }
 
-    /// Nobody reads for a while: what comes is not read at once any more.
-    pub fn looks_away(&self, now: Instant) {
-        if self.waits.take() {
-            self.begin(now, now);
-        }
-    }
-
     /// So many bytes were read; of a body whose length is known so many are still to come.
     pub fn read(&self, now: Instant, count: usize, to_come: Option<u64>) {
         let waited = self.waits.take();
--- a/crates/pearfront-node/src/client.rs
+++ b/crates/pearfront-node/src/client.rs
@@ -9,8 +9,11 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// How long a connection that has brought nothing yet is left alone.
+/// How long a connection that has brought nothing yet is left alone, where no other one waits for its place.
 pub const FIRST_REQUEST: Duration = Duration::from_millis(150);
+/// How much longer than one that has brought nothing yet a connection is spared whose client has sent requests: more of
+/// them are likely.
+const USED: Duration = Duration::from_millis(150);
 /// How long a client may take for its first head, or for the rest of one: it is owed an error or a close within 3 s
 /// of connecting.
 const WHOLE_HEAD: Duration = Duration::from_millis(2200);
@@ -71,6 +74,34 @@
         self.is_idle() && begun && !self.closing.get()
     }
 
+    /// Since when it could go where its place is needed: whose time is the earliest goes first.
+    pub fn goes_since(&self) -> Instant {
+        self.since.get() + if self.used.get() { USED } else { Duration::ZERO }
+    }
+
+    /// May it go for one that brings a request, if there is nothing on it or no more than half a head? Whoever closes it
+    /// asks the kernel as well.
+    pub fn may_go(&self) -> bool {
+        self.is_idle() && !self.closing.get()
+    }
+
+    /// Has it brought nothing that is not answered? The kernel is asked last: that takes longest.
+    pub fn has_nothing(&self) -> bool {
+        self.is_idle() && !self.wire.in_head() && !self.wire.has_more()
+    }
+
+    /// Has it brought half a head and nothing behind that?
+    pub fn has_half_a_head(&self) -> bool {
+        self.is_idle() && self.wire.in_head() && self.wire.waiting() == 0 && !self.wire.has_unread()
+    }
+
+    /// Is it still to be cut off? What has come since that was chosen may be the rest of a request: then it goes on.
+    pub fn is_to_be_cut(&self) -> bool {
+        let is_to_be_cut = self.flowing.get() || self.has_half_a_head();
+        self.closing.set(is_to_be_cut);
+        is_to_be_cut
+    }
+
     pub fn is_unfinished(&self) -> bool {
         let half = self.wire.in_head().then(|| self.half.get().unwrap_or_else(Instant::now));
         self.half.set(half);
@@ -123,6 +154,12 @@
         self.answered_early.get()
     }
 
+    /// Cuts off one that has half a head on it: hyper would wait for the rest.
+    pub fn cut_off(&self) {
+        self.closing.set(true);
+        self.cut.notify_one();
+    }
+
     pub fn close(&self) {
         self.closing.set(true);
         self.told.notify_one();
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -22,6 +22,7 @@
 mod message;
 mod probe;
 mod pulse;
+mod queue;
 mod read_ahead;
 mod relay;
 mod route;
--- /dev/null
+++ b/crates/pearfront-node/src/queue.rs
@@ -0,0 +1,85 @@
+//! When the connections came that wait in a listener's queue. The kernel does not say, and whoever accepts them may have had
+//! something else to do; so this tells the earliest time at which they can have come. It hands them out in their order.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use tokio::time::Instant;
+
+/// After so many accepted connections the time is kept once more.
+const STEP: usize = 64;
+
+/// Follows the accepts from one queue.
+pub struct Queue {
+    /// So many connections wait in it at the most.
+    most: usize,
+    /// What was accepted last came after this time.
+    earliest: Cell<Instant>,
+    /// The last look found nothing, and what comes next is accepted at once.
+    is_watched: Cell<bool>,
+    /// How many were accepted so far.
+    accepted: Cell<usize>,
+    /// How many had been accepted at which times: whatever the queue could not hold by then came later.
+    marks: RefCell<VecDeque<(usize, Instant)>>,
+}
+
+impl Queue {
+    /// A queue that holds so many at the most, none of which came before this time.
+    pub fn since(most: usize, opened: Instant) -> Self {
+        Self {
+            most,
+            earliest: Cell::new(opened),
+            is_watched: Cell::new(false),
+            accepted: Cell::new(0),
+            marks: RefCell::default(),
+        }
+    }
+
+    /// What was accepted last came after this time.
+    pub fn earliest(&self) -> Instant {
+        self.earliest.get()
+    }
+
+    /// What waits now came after this time.
+    pub fn of_waiting(&self) -> Instant {
+        if self.is_watched.get() { Instant::now() } else { self.earliest.get() }
+    }
+
+    /// Nothing waited.
+    pub fn found_nothing(&self) {
+        self.is_watched.set(true);
+    }
+
+    /// Nobody accepts for a while: what comes is not accepted at once any more.
+    pub fn looks_away(&self, now: Instant) {
+        if self.is_watched.take() {
+            self.begin(now);
+        }
+    }
+
+    /// One more was accepted.
+    pub fn accepted(&self, now: Instant) {
+        if self.is_watched.take() {
+            self.begin(now);
+        }
+        let count = self.accepted.get() + 1;
+        self.accepted.set(count);
+        let mut marks = self.marks.borrow_mut();
+        while let Some((before, at)) = marks.front().copied()
+            && count > before + self.most
+        {
+            self.earliest.set(at);
+            marks.pop_front();
+        }
+        if count.is_multiple_of(STEP) {
+            marks.push_back((count, now));
+        }
+    }
+
+    fn begin(&self, earliest: Instant) {
+        self.earliest.set(earliest);
+        self.marks.borrow_mut().clear();
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/pearfront-node/src/queue/tests.rs
@@ -0,0 +1,44 @@
+use super::*;
+use std::time::Duration;
+
+fn at(opened: Instant, ms: u64) -> Instant {
+    opened + Duration::from_millis(ms)
+}
+
+#[test]
+fn what_is_waited_for_comes_when_it_is_accepted_and_the_rest_may_have_come_right_behind_it() {
+    let opened = Instant::now();
+    let queue = Queue::since(100, opened);
+    queue.accepted(at(opened, 50));
+    assert_eq!(queue.earliest(), opened);
+    queue.found_nothing();
+    queue.accepted(at(opened, 700));
+    queue.accepted(at(opened, 900));
+    assert_eq!((queue.earliest(), queue.of_waiting()), (at(opened, 700), at(opened, 700)));
+}
+
+#[test]
+fn what_comes_while_nobody_accepts_may_have_come_from_the_beginning_of_that() {
+    let opened = Instant::now();
+    let queue = Queue::since(100, opened);
+    queue.found_nothing();
+    queue.looks_away(at(opened, 100));
+    queue.looks_away(at(opened, 300));
+    queue.accepted(at(opened, 400));
+    assert_eq!(queue.earliest(), at(opened, 100));
+}
+
+// A queue that is never empty, one accepted each millisecond: none has waited for more than the queue holds, and none is
+// taken to have come later than it may have.
+#[test]
+fn what_the_queue_could_not_hold_came_later() {
+    const MOST: usize = 100;
+    let opened = Instant::now();
+    let queue = Queue::since(MOST, opened);
+    for number in 1..1000_usize {
+        queue.accepted(at(opened, number as u64));
+        let can_have_come = at(opened, number.saturating_sub(MOST + 1) as u64);
+        assert!(queue.earliest() <= can_have_come, "{number}");
+        assert!(queue.earliest() + Duration::from_millis(STEP as u64) >= can_have_come, "{number}");
+    }
+}
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -337,28 +337,30 @@
         self.idle.borrow_mut().remove(&server);
     }
 
-    /// Room for one more connection to a server; if need be idle ones are closed for it.
+    /// Room for one more connection to a server; if need be idle ones are closed for it: servers' go first unless callers
+    /// hold most.
     fn make_place(&self) -> bool {
-        self.make(Room::has_place, Room::has_last_place)
-    }
-
-    /// The same for one more caller.
-    pub fn make_caller_place(&self) -> bool {
-        self.make(Room::has_caller_place, Room::has_last_caller_place)
-    }
-
-    /// Servers' idle connections go first unless callers hold most.
-    fn make(&self, has_place: impl Fn(&Room) -> bool, has_last_place: impl Fn(&Room) -> bool) -> bool {
-        let crowding = || self.room.callers_crowd() && self.room.close_idle();
-        if has_place(&self.room) {
+        let crowding = || self.room.callers_crowd() && self.room.close_spare();
+        if self.room.has_place() {
             return true;
         }
         // What is closed makes room where there may be one more, and no further one for whoever has all of its own.
         if crowding() || !self.close_one() {
             // Where callers crowd this is a second one: with one alone more of the servers' connections had to go.
-            self.room.close_idle();
+            self.room.close_spare();
+        }
+        self.room.has_last_place()
+    }
+
+    /// Room for one more caller, whose request may lie on its connection: for each that is let in beyond the ordinary most
+    /// one goes that has none.
+    pub fn make_caller_place(&self) -> bool {
+        if self.room.has_caller_place() {
+            return true;
         }
-        has_last_place(&self.room)
+        let close_server = || self.room.servers_exceed_their_part() && self.close_one();
+        let _ = !self.room.callers_crowd() && close_server() || self.room.close_spare() || close_server();
+        self.room.has_last_caller_place()
     }
 
     /// Jobs are let in only as far as there can be connections for them: one is free in a moment.
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -126,7 +126,7 @@
                     break "ended";
                 }
                 never = wire.read_ahead() => match never {},
-                () = caller.cut.notified() => break "stalled",
+                () = caller.cut.notified() => if caller.is_to_be_cut() { break "stalled" },
                 () = caller.told.notified(), if closing.is_none() => {
                     closing = Some((wire.moved(), false));
                     end(connection.as_mut());
