--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -131,40 +131,40 @@
         };
         let ended = loop {
             tokio::select! {
-                                        biased;
-                                        ended = connection.as_mut() => {
-                                            // A caller that breaks off shows on its job, if it had one.
-                                            if let Err(error) = ended {
-                                                if error.is_parse() {
-                                                    self.refuse_malformed(&error.to_string());
-                                                    caller.answer_early();
-                                                } else if caller.ends_with_connection() {
-                                                    wire.reset_when_closed();
-                                                }
-                                            }
-                                            if caller.is_answered_early() {
-                                                wire.linger().await;
-                                            }
-                                            break Ended::InTurn;
-                                        }
-                            never = wire.look_behind() => match never {},
-                            ended = self.flow_ended(&caller) => break ended,
-                            () = caller.cut.notified() => if caller.is_to_be_cut() { break Ended::Stalled },
-            () = caller.told.notified(), if closing.is_none() => {
-                                            closing = Some((wire.moved(), false));
-                                            end(connection.as_mut());
-                                        }
-                                        () = sleep(STUCK), if closing.is_some() => {
-                                            // A head that goes on and on moves nothing forward either.
-                                            let quiet = |moved| moved == wire.moved() && !wire.has_unread();
-                                            let stuck = |(moved, in_head)| quiet(moved) || in_head && wire.in_head();
-                                            if caller.is_idle() && closing.is_some_and(stuck) {
-                                                break Ended::LetGo;
-                                            }
-                                            closing = Some((wire.moved(), wire.in_head()));
-                                            end(connection.as_mut());
-                                        }
-                                    }
+                biased;
+                ended = connection.as_mut() => {
+                    // A caller that breaks off shows on its job, if it had one.
+                    if let Err(error) = ended {
+                        if error.is_parse() {
+                            self.refuse_malformed(&error.to_string());
+                            caller.answer_early();
+                        } else if caller.ends_with_connection() {
+                            wire.reset_when_closed();
+                        }
+                    }
+                    if caller.is_answered_early() {
+                        wire.linger().await;
+                    }
+                    break Ended::InTurn;
+                }
+                never = wire.look_behind() => match never {},
+                ended = self.flow_ended(&caller) => break ended,
+                () = caller.cut.notified() => if caller.is_to_be_cut() { break Ended::Stalled },
+                () = caller.told.notified(), if closing.is_none() => {
+                    closing = Some((wire.moved(), false));
+                    end(connection.as_mut());
+                }
+                () = sleep(STUCK), if closing.is_some() => {
+                    // A head that goes on and on moves nothing forward either.
+                    let quiet = |moved| moved == wire.moved() && !wire.has_unread();
+                    let stuck = |(moved, in_head)| quiet(moved) || in_head && wire.in_head();
+                    if caller.is_idle() && closing.is_some_and(stuck) {
+                        break Ended::LetGo;
+                    }
+                    closing = Some((wire.moved(), wire.in_head()));
+                    end(connection.as_mut());
+                }
+            }
         };
         if ended == Ended::BrokenOff {
             self.book.flows_broken.add();
