Test: a short request beyond the 16 KB that are looked at waits for the one before it

A client sends a request of 3 s, one with a body of 50 kB (or 150 heads), and one of 0.6 s in one write. Nothing was answered and nothing reset 1.1 s later: the last one waits for the whole time of the first.

By reading: wire.rs `look` peeks at 16 KB (`MOST_SEEN`), `Framing::due_behind` knows only the requests whose heads lie there, so `Deadline::ends_at` follows the 3 s of those. `is_full` is known, and is used for a request whose head was seen, not for what nobody has seen.

The product is not changed.

--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -68,7 +68,7 @@
 }
 
 /// A machine whose kernel takes the beginning of what is sent; nobody ever reads it.
-fn takes_nothing() -> (SocketAddr, TcpListener) {
+pub fn takes_nothing() -> (SocketAddr, TcpListener) {
     let address = Server::nowhere();
     let listener = TcpListener::bind(address).unwrap();
     socket2::SockRef::from(&listener).set_recv_buffer_size(16 * 1024).unwrap();
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -10,6 +10,7 @@
 mod shutdown;
 mod stale;
 mod system_calls;
+mod unended;
 mod watch;
 
 use crate::stand_ins::{Act, Caller, Discovery, Node, Platform, Server, config, entry, head, in_time, list};
--- /dev/null
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -0,0 +1,49 @@
+//! Waits that nobody ended, and answers that were cut off: what a review of the way of a request through a client's connection
+//! found.
+
+use super::deadline::{End, all_within, over};
+use crate::stand_ins::{Act, Node, Server, config, head, in_time};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// How long the client of the short requests here waits, and how much later an answer is lost.
+const TIME: Duration = Duration::from_millis(600);
+const LOST_AFTER: Duration = Duration::from_millis(500);
+
+/// By then, are there so many answers, or was the connection reset over what lay unread?
+fn answered_or_reset_within(stream: &TcpStream, count: usize, time: Duration) -> Result<(), String> {
+    let begun = Instant::now();
+    let mut all = Vec::new();
+    while begun.elapsed() < time {
+        let (more, end) = all_within(stream, Duration::from_millis(20));
+        all.extend(more);
+        let answers = String::from_utf8_lossy(&all).matches("HTTP/1.1 ").count();
+        if answers == count || end == End::Reset {
+            return Ok(());
+        }
+    }
+    let answers = String::from_utf8_lossy(&all).matches("HTTP/1.1 ").count();
+    Err(format!("{answers} of {count} answers after {time:?}, and the connection stands"))
+}
+
+// A short request that lies further behind than the node looks: the one before it kept its whole time.
+#[test_case(50_000, 1; "behind a long body")]
+#[test_case(0, 150; "behind many heads")]
+fn a_short_request_far_behind_a_long_one_is_answered_or_shut_unread_in_its_time(length: usize, count: usize) {
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        let mut all = head("read", "3", 0).into_bytes();
+        for _ in 0..count {
+            all.extend(head("pay", "3", length).into_bytes());
+            all.extend(vec![b'x'; length]);
+        }
+        all.extend(head("read", "0.6", 0).into_bytes());
+        caller.send("", &all);
+        answered_or_reset_within(&caller.stream, count + 2, TIME + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
