Test: a short request behind a body that no server takes waits for that body's time

A body of 300 kB with 3 s, no server to take it, and a request of 0.6 s behind it: no answer and no reset 1.1 s later.

By reading: `look_behind` looks only between requests; in the middle of a body that is held back nobody looks at what lies behind it, and nothing says that it may have come.

The product is not changed.

--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -47,3 +47,18 @@
         Ok(())
     });
 }
+
+// The same behind a body that no server takes: while it is read nothing is looked at behind it.
+#[test]
+fn a_short_request_behind_a_body_that_is_not_taken_is_answered_or_shut_unread_in_its_time() {
+    const LENGTH: usize = 300_000;
+    in_time(|| {
+        let node = Node::start(&config(&[]));
+        let mut caller = node.caller();
+        caller.send(&head("pay", "3", LENGTH), &vec![b'x'; LENGTH]);
+        caller.send(&head("read", "0.6", 0), b"");
+        answered_or_reset_within(&caller.stream, 2, TIME + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
