Test: a reset over unread bytes takes away an answer that was on its way

A client gets 40,916 bytes of an answer of 1,000,000 where its next request crosses the last answer of a drain; it gets no whole answer where a line end comes behind a request that says `Connection: close`. With nothing behind it the answer comes whole.

By reading: hyper is done once the kernel has taken the answer; wire.rs `poll_shutdown` then sends no end over unread bytes, `serve` drops the connection, and the kernel's reset throws away what it has not sent yet. `linger` is for malformed requests only.

The product is not changed.

--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -3,7 +3,9 @@
 
 use super::deadline::{End, all_within, over};
 use crate::stand_ins::{Act, Node, Server, config, head, in_time};
+use socket2::SockRef;
 use std::net::TcpStream;
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
@@ -62,3 +64,47 @@
         Ok(())
     });
 }
+
+// A line end behind the last request, as some clients send it: the connection is closed over it, and the reset takes away what
+// the client has not read of its answer.
+#[test_case(""; "with nothing behind it")]
+#[test_case("\r\n"; "with a line end behind it")]
+fn the_last_answer_on_a_connection_comes_whole(behind: &str) {
+    const LENGTH: usize = 1_000_000;
+    let server = Server::start(Act::Serve(vec![b'x'; LENGTH]));
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    SockRef::from(&caller.stream).set_recv_buffer_size(16 * 1024).unwrap();
+    let request = head("read", "3", 0).replace("Host:", "Connection: close\r\nHost:");
+    caller.send(&request, behind.as_bytes());
+    sleep(TIME);
+    let length = caller.answer().map(|answer| answer.body.len());
+    assert_eq!(length, Some(LENGTH));
+    over(node);
+}
+
+// In a drain the last answer says that the connection ends; a request that crosses it is not read, and the reset over it took away
+// what the client had not read of that answer.
+#[test_case(false; "with nothing behind it")]
+#[test_case(true; "with a request that crosses it")]
+fn the_last_answer_in_a_drain_comes_whole(crosses: bool) {
+    const LENGTH: usize = 1_000_000;
+    let server = Server::start(Act::Hold(vec![b'x'; LENGTH]));
+    let node = Node::start_for_operators(config(&[server.address]));
+    let mut caller = node.caller();
+    SockRef::from(&caller.stream).set_recv_buffer_size(16 * 1024).unwrap();
+    caller.send(&head("read", "5", 0), b"");
+    server.wait_for("job 1");
+    assert_eq!(node.call("PUT /_lameduck/on"), 200);
+    sleep(2 * TIME);
+    server.go_on();
+    // Its head is on the way then.
+    let first = String::from_utf8(caller.take(100)).unwrap();
+    assert!(first.contains("connection: close\r\n"), "{first}");
+    if crosses {
+        caller.send(&head("read", "5", 0), b"");
+    }
+    sleep(TIME);
+    let length = caller.take(usize::MAX).len();
+    assert!(length >= LENGTH, "{length} bytes");
+}
