Test: a line longer than 256 bytes is read otherwise by the node than by hyper

By reading: framing.rs `line` keeps 256 bytes of a line (`MOST_LINE`), white space included. The node then takes the body to be none, or without an end: `is_held` keeps hyper from its body until the body is given up after 2.5 s, or nothing is held back any more.

The product is not changed.

--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -1,7 +1,7 @@
 //! Waits that nobody ended, and answers that were cut off: what a review of the way of a request through a client's connection
 //! found.
 
-use super::deadline::{End, all_within, over};
+use super::deadline::{End, all_within, answered_within, over};
 use crate::stand_ins::{Act, Node, Server, config, head, in_time};
 use socket2::SockRef;
 use std::net::TcpStream;
@@ -83,6 +83,44 @@
     over(node);
 }
 
+// A line of which the node looked at the beginning only: it took the body to end elsewhere than hyper, and what hyper waited for
+// was never read.
+#[test_case(0, 0; "short lines")]
+#[test_case(300, 0; "much white space before the coding")]
+#[test_case(0, 300; "many zeros before a size")]
+fn a_body_in_chunks_with_a_long_line_is_served_in_its_time(spaces: usize, zeros: usize) {
+    in_time(|| {
+        let server = Server::start(Act::Serve(b"fine".to_vec()));
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        let coding = format!("Transfer-Encoding: {}chunked", " ".repeat(spaces));
+        let body = format!("{}7\r\na\r\n\r\nbc\r\n0\r\n\r\n", "0".repeat(zeros));
+        caller.send(&head("pay", "0.6", 0).replace("Content-Length: 0", &coding), body.as_bytes());
+        answered_within(&caller.stream, 1, TIME + LOST_AFTER)?;
+        match server.jobs().iter().map(|job| job.body.len()).collect::<Vec<_>>()[..] {
+            [7] => Ok(()),
+            ref other => Err(format!("{other:?}")),
+        }
+    });
+}
+
+// The same with a length that the node did not find: it took all that came behind for that body, and the requests there had no time.
+#[test_case(0; "little")]
+#[test_case(300; "much")]
+fn white_space_before_a_length_hides_no_request_behind_the_body(spaces: usize) {
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        let length = format!("Content-Length: {}", " ".repeat(spaces));
+        let first = head("pay", "0.6", 5).replace("Content-Length: ", &length);
+        caller.send(&[first.as_str(), "hello", &head("read", "3", 0), &head("read", "0.6", 0)].concat(), b"");
+        answered_or_reset_within(&caller.stream, 3, TIME + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
+
 // In a drain the last answer says that the connection ends; a request that crosses it is not read, and the reset over it took away
 // what the client had not read of that answer.
 #[test_case(false; "with nothing behind it")]
