Test: a request of a negative time is not due behind another one

A request of -0.1 s behind one of 3 s has neither an answer nor a reset 0.5 s later; one of 0 s has.

By reading: framing.rs `seconds` takes a negative time for none at all, `decode_call` takes it.

The product is not changed.

--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -121,6 +121,21 @@
     });
 }
 
+// A request of a time that is over already, behind one that waits long: it is due as much as one of no time.
+#[test_case("0"; "none")]
+#[test_case("-0.1"; "less than none")]
+fn a_request_of_no_time_behind_a_long_one_is_answered_or_shut_unread_at_once(left: &str) {
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        caller.send(&[head("read", "3", 0), head("read", left, 0)].concat(), b"");
+        answered_or_reset_within(&caller.stream, 2, LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
+
 // In a drain the last answer says that the connection ends; a request that crosses it is not read, and the reset over it took away
 // what the client had not read of that answer.
 #[test_case(false; "with nothing behind it")]
