Test: a body that stops while its server takes nothing is not given up within 3 s

A client stops in the middle of a body, the server takes nothing: its error came 5.06 s later (time of the request: 6 s; a trial).

By reading: take_in.rs `pass_on` counts only the wait for the client; while it waits for the server (`pieces.send`) the module's limit of the attempt is the only end.

The product is not changed.

--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -4,6 +4,7 @@
 use super::deadline::{End, all_within, answered_within, over};
 use crate::stand_ins::{Act, Node, Server, config, head, in_time};
 use socket2::SockRef;
+use std::io::Write;
 use std::net::TcpStream;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -136,6 +137,22 @@
     });
 }
 
+// A client stops in the middle of a body of which its server takes nothing: it is owed an error within 3 s of its last byte.
+#[test]
+fn a_body_that_stops_while_its_server_takes_nothing_is_given_up_in_time() {
+    const OWED: Duration = Duration::from_secs(3);
+    in_time(|| {
+        let (address, _listener) = super::deadline::takes_nothing();
+        let node = Node::start(&config(&[address]));
+        let mut caller = node.caller();
+        caller.send(&head("pay", "6", 12 * 1024 * 1024), b"");
+        // Until the node has read all that it can pass on.
+        caller.stream.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+        while caller.stream.write_all(&[b'x'; 16 * 1024]).is_ok() {}
+        answered_within(&caller.stream, 1, OWED)
+    });
+}
+
 // In a drain the last answer says that the connection ends; a request that crosses it is not read, and the reset over it took away
 // what the client had not read of that answer.
 #[test_case(false; "with nothing behind it")]
