Test: a client that pauses with its reading in a drain loses its answer

By reading: `is_idle` is true once an answer has been handed to hyper, whether or not the kernel has taken it; `serve` then cuts the connection off after 0.2 s in which nothing moved (`STUCK`, `LetGo`).

The product is not changed.

--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -2,7 +2,7 @@
 //! found.
 
 use super::deadline::{End, all_within, answered_within, over};
-use crate::stand_ins::{Act, Node, Server, config, head, in_time};
+use crate::stand_ins::{Act, ESTABLISHED, Node, Server, config, head, in_table, in_time};
 use socket2::SockRef;
 use std::io::Write;
 use std::net::TcpStream;
@@ -153,6 +153,47 @@
     });
 }
 
+/// Bytes that the kernel holds of what the node has sent to this client.
+fn sent_and_not_read(caller: &TcpStream) -> u64 {
+    let words = format!(
+        "{} {} {ESTABLISHED} ",
+        in_table(caller.peer_addr().unwrap()),
+        in_table(caller.local_addr().unwrap())
+    );
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let line = table.split_once(&words).expect("an open connection").1;
+    u64::from_str_radix(line.split(':').next().unwrap(), 16).unwrap()
+}
+
+// Told to drain, a node cut off a client that had read nothing for 0.2 s, with an answer in hand that the kernel had not taken.
+#[test]
+fn a_client_that_pauses_with_its_reading_in_a_drain_gets_its_answers_whole() {
+    const LENGTH: usize = 60_000;
+    const PAUSE: Duration = Duration::from_millis(2500);
+    let server = Server::start(Act::Serve(vec![b'x'; LENGTH]));
+    let node = Node::start_for_operators(config(&[server.address]));
+    let mut caller = node.caller();
+    SockRef::from(&caller.stream).set_recv_buffer_size(16 * 1024).unwrap();
+    let (mut count, mut held) = (0, 0);
+    // Until the kernel does not take an answer whole.
+    loop {
+        caller.send(&head("read", "60", 0), b"");
+        count += 1;
+        server.wait_for(&format!("job {count}"));
+        sleep(Duration::from_millis(50));
+        let now = sent_and_not_read(&caller.stream);
+        if count > 2 && now < held + LENGTH as u64 {
+            break;
+        }
+        held = now;
+    }
+    assert_eq!(node.call("PUT /_lameduck/on"), 200);
+    sleep(PAUSE);
+    let whole =
+        (0..count).take_while(|_| caller.answer().is_some_and(|answer| answer.body.len() == LENGTH)).count();
+    assert_eq!(whole, count);
+}
+
 // In a drain the last answer says that the connection ends; a request that crosses it is not read, and the reset over it took away
 // what the client had not read of that answer.
 #[test_case(false; "with nothing behind it")]
