Test: a request is failed for one behind it whose body is still coming

A request of 3 s is answered 502 when 0.6 s have passed since the head of the one behind it came, of which nine tenths of a body of 50 kB are there; its server would have answered. With a body of 5 kB it is served.

By reading: `ReadRequest::due` takes a request to be whole as long as 16 KB or more lie unread. The kernel knows how many do (FIONREAD).

The product is not changed.

--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -219,3 +219,27 @@
     let length = caller.take(usize::MAX).len();
     assert!(length >= LENGTH, "{length} bytes");
 }
+
+// A request whose body comes slowly, behind one that is being answered: it is due only from its last byte on, and the one before
+// it was ended as if that had come.
+#[test_case(5_000; "short")]
+#[test_case(50_000; "longer than what is looked at")]
+fn a_request_does_not_make_way_for_one_whose_body_is_still_coming(length: usize) {
+    in_time(|| {
+        let server = Server::start(Act::Hold(b"fine".to_vec()));
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        let body = vec![b'x'; length];
+        let (begun, rest) = body.split_at(length * 9 / 10);
+        caller.send(&[head("read", "3", 0), head("pay", "0.6", length)].concat(), begun);
+        sleep(2 * TIME);
+        server.go_on();
+        let status = caller.answer().map(|answer| answer.status());
+        caller.stream.write_all(rest).unwrap();
+        let behind = caller.answer().map(|answer| answer.status());
+        match (status, behind) {
+            (Some(200), Some(200)) => Ok(()),
+            other => Err(format!("{other:?}")),
+        }
+    });
+}
