Test: clients that read none of their small answers keep all others out for good

A client that reads nothing of a large answer is cut off after 15 s.

By reading: hyper hands out the next request and does not poll its answer while its buffer is full, so `begin` has made the client busy and nobody owns the request: `can_be_spared`, `is_unfinished` and `LetGo` want an idle one, `cut_if_stalled` one to which an answer flows.

The product is not changed.

--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -3,6 +3,7 @@
 
 use super::deadline::{End, all_within, answered_within, over};
 use crate::stand_ins::{Act, ESTABLISHED, Node, Server, config, head, in_table, in_time};
+use serde_json::json;
 use socket2::SockRef;
 use std::io::Write;
 use std::net::TcpStream;
@@ -243,3 +244,45 @@
         }
     });
 }
+
+// Clients that ask for small answers again and again and read none: their next request is read and not begun to be answered, so
+// they count as busy, and nobody cuts them off. Others are let in once those that take nothing have been given up.
+#[test]
+fn clients_that_read_none_of_their_small_answers_do_not_keep_others_out() {
+    const STALLED: Duration = Duration::from_secs(15 + 5);
+    const EACH: usize = 100;
+    let server = Server::start(Act::Serve(vec![b'x'; 60_000]));
+    let mut config = config(&[server.address]);
+    config["limits"]["sockets"] = json!(48);
+    let node = Node::start(&config);
+    let crowd: Vec<TcpStream> = (0..24)
+        .map(|_| {
+            let mut stream = TcpStream::connect(node.address).unwrap();
+            SockRef::from(&stream).set_recv_buffer_size(16 * 1024).unwrap();
+            // One that is shut unread has no answer.
+            let _ = stream.write_all((0..EACH).map(|_| head("read", "60", 0)).collect::<String>().as_bytes());
+            // Until no more of them are begun.
+            loop {
+                let before = server.jobs().len();
+                sleep(Duration::from_millis(80));
+                if server.jobs().len() == before {
+                    return stream;
+                }
+            }
+        })
+        .collect();
+    let begun = Instant::now();
+    let mut last = None;
+    while begun.elapsed() < STALLED {
+        sleep(Duration::from_millis(500));
+        let mut other = node.caller();
+        if other.stream.write_all(head("read", "0.6", 0).as_bytes()).is_ok() {
+            last = other.answer().map(|answer| answer.status());
+        }
+        if last == Some(200) {
+            drop(crowd);
+            return;
+        }
+    }
+    panic!("still kept out after {:?}: {last:?}", begun.elapsed());
+}
