Test: a process that ends accepts nothing although the next one stands still

The next process of a node says that it is ready and stands still for 1 s; the one before it is told to end. A request that comes then has no answer 1.1 s later.

By reading: handover.rs has no time by which the other process has to be heard, although each says something every 50 ms; `Lifecycle::accepts` counts on it.

The product is not changed.

--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -2,7 +2,7 @@
 //! found.
 
 use super::deadline::{End, all_within, answered_within, over};
-use crate::stand_ins::{Act, ESTABLISHED, Node, Server, config, head, in_table, in_time};
+use crate::stand_ins::{Act, ESTABLISHED, Node, Platform, Server, config, head, in_table, in_time};
 use serde_json::json;
 use socket2::SockRef;
 use std::io::Write;
@@ -286,3 +286,28 @@
     }
     panic!("still kept out after {:?}: {last:?}", begun.elapsed());
 }
+
+// A process that ends leaves what comes to the one that follows it, also where that stands still: nobody accepts.
+#[test_case(false; "and runs")]
+#[test_case(true; "and stands still")]
+fn what_comes_in_a_hand_over_is_answered_whatever_the_next_process_does(stands_still: bool) {
+    in_time(|| {
+        let server = Server::start(Act::Serve(b"fine".to_vec()));
+        let platform = Platform::new();
+        let config = config(&[server.address]);
+        let old = platform.start(&config);
+        old.wait_for_call("GET /_ready", 200);
+        let new = platform.start(&config);
+        new.wait_for_call("GET /_ready", 200);
+        if stands_still {
+            new.signal("-STOP");
+            new.wait_until_stopped();
+            sleep(Duration::from_secs(1));
+        }
+        old.signal("-TERM");
+        sleep(Duration::from_millis(300));
+        let mut caller = old.caller();
+        caller.send(&head("read", "0.6", 0), b"");
+        answered_within(&caller.stream, 1, TIME + LOST_AFTER)
+    });
+}
