--- /dev/null
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -0,0 +1,313 @@
+//! Waits that nobody ended, and answers that were cut off: what a review of the way of a request through a client's connection
+//! found.
+
+use super::deadline::{End, all_within, answered_within, over};
+use crate::stand_ins::{Act, ESTABLISHED, Node, Platform, Server, config, head, in_table, in_time};
+use serde_json::json;
+use socket2::SockRef;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// How long the client of the short requests here waits, and how much later an answer is lost.
+const TIME: Duration = Duration::from_millis(600);
+const LOST_AFTER: Duration = Duration::from_millis(500);
+
+/// By then, are there so many answers, or was the connection reset over what lay unread?
+fn answered_or_reset_within(stream: &TcpStream, count: usize, time: Duration) -> Result<(), String> {
+    let begun = Instant::now();
+    let mut all = Vec::new();
+    while begun.elapsed() < time {
+        let (more, end) = all_within(stream, Duration::from_millis(20));
+        all.extend(more);
+        let answers = String::from_utf8_lossy(&all).matches("HTTP/1.1 ").count();
+        if answers == count || end == End::Reset {
+            return Ok(());
+        }
+    }
+    let answers = String::from_utf8_lossy(&all).matches("HTTP/1.1 ").count();
+    Err(format!("{answers} of {count} answers after {time:?}, and the connection stands"))
+}
+
+// A short request that lies further behind than the node looks: the one before it kept its whole time.
+#[test_case(50_000, 1; "behind a long body")]
+#[test_case(0, 150; "behind many heads")]
+fn a_short_request_far_behind_a_long_one_is_answered_or_shut_unread_in_its_time(length: usize, count: usize) {
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        let mut all = head("read", "3", 0).into_bytes();
+        for _ in 0..count {
+            all.extend(head("pay", "3", length).into_bytes());
+            all.extend(vec![b'x'; length]);
+        }
+        all.extend(head("read", "0.6", 0).into_bytes());
+        caller.send("", &all);
+        answered_or_reset_within(&caller.stream, count + 2, TIME + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
+
+// The same behind a body that no server takes: while it is read nothing is looked at behind it.
+#[test]
+fn a_short_request_behind_a_body_that_is_not_taken_is_answered_or_shut_unread_in_its_time() {
+    const LENGTH: usize = 300_000;
+    in_time(|| {
+        let node = Node::start(&config(&[]));
+        let mut caller = node.caller();
+        caller.send(&head("pay", "3", LENGTH), &vec![b'x'; LENGTH]);
+        caller.send(&head("read", "0.6", 0), b"");
+        answered_or_reset_within(&caller.stream, 2, TIME + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
+
+// A line end behind the last request, as some clients send it: the connection is closed over it, and the reset takes away what
+// the client has not read of its answer.
+#[test_case(""; "with nothing behind it")]
+#[test_case("\r\n"; "with a line end behind it")]
+fn the_last_answer_on_a_connection_comes_whole(behind: &str) {
+    const LENGTH: usize = 1_000_000;
+    let server = Server::start(Act::Serve(vec![b'x'; LENGTH]));
+    let node = Node::start(&config(&[server.address]));
+    let mut caller = node.caller();
+    SockRef::from(&caller.stream).set_recv_buffer_size(16 * 1024).unwrap();
+    let request = head("read", "3", 0).replace("Host:", "Connection: close\r\nHost:");
+    caller.send(&request, behind.as_bytes());
+    sleep(TIME);
+    let length = caller.answer().map(|answer| answer.body.len());
+    assert_eq!(length, Some(LENGTH));
+    over(node);
+}
+
+// A line of which the node looked at the beginning only: it took the body to end elsewhere than hyper, and what hyper waited for
+// was never read.
+#[test_case(0, 0; "short lines")]
+#[test_case(300, 0; "much white space before the coding")]
+#[test_case(0, 300; "many zeros before a size")]
+fn a_body_in_chunks_with_a_long_line_is_served_in_its_time(spaces: usize, zeros: usize) {
+    in_time(|| {
+        let server = Server::start(Act::Serve(b"fine".to_vec()));
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        let coding = format!("Transfer-Encoding: {}chunked", " ".repeat(spaces));
+        let body = format!("{}7\r\na\r\n\r\nbc\r\n0\r\n\r\n", "0".repeat(zeros));
+        caller.send(&head("pay", "0.6", 0).replace("Content-Length: 0", &coding), body.as_bytes());
+        answered_within(&caller.stream, 1, TIME + LOST_AFTER)?;
+        match server.jobs().iter().map(|job| job.body.len()).collect::<Vec<_>>()[..] {
+            [7] => Ok(()),
+            ref other => Err(format!("{other:?}")),
+        }
+    });
+}
+
+// The same with a length that the node did not find: it took all that came behind for that body, and the requests there had no time.
+#[test_case(0; "little")]
+#[test_case(300; "much")]
+fn white_space_before_a_length_hides_no_request_behind_the_body(spaces: usize) {
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        let length = format!("Content-Length: {}", " ".repeat(spaces));
+        let first = head("pay", "0.6", 5).replace("Content-Length: ", &length);
+        caller.send(&[first.as_str(), "hello", &head("read", "3", 0), &head("read", "0.6", 0)].concat(), b"");
+        answered_or_reset_within(&caller.stream, 3, TIME + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
+
+// A request of a time that is over already, behind one that waits long: it is due as much as one of no time.
+#[test_case("0"; "none")]
+#[test_case("-0.1"; "less than none")]
+fn a_request_of_no_time_behind_a_long_one_is_answered_or_shut_unread_at_once(left: &str) {
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        caller.send(&[head("read", "3", 0), head("read", left, 0)].concat(), b"");
+        answered_or_reset_within(&caller.stream, 2, LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
+
+// A client stops in the middle of a body of which its server takes nothing: it is owed an error within 3 s of its last byte.
+#[test]
+fn a_body_that_stops_while_its_server_takes_nothing_is_given_up_in_time() {
+    const OWED: Duration = Duration::from_secs(3);
+    in_time(|| {
+        let (address, _listener) = super::deadline::takes_nothing();
+        let node = Node::start(&config(&[address]));
+        let mut caller = node.caller();
+        caller.send(&head("pay", "6", 12 * 1024 * 1024), b"");
+        // Until the node has read all that it can pass on.
+        caller.stream.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+        while caller.stream.write_all(&[b'x'; 16 * 1024]).is_ok() {}
+        answered_within(&caller.stream, 1, OWED)
+    });
+}
+
+/// Bytes that the kernel holds of what the node has sent to this client.
+fn sent_and_not_read(caller: &TcpStream) -> u64 {
+    let words = format!(
+        "{} {} {ESTABLISHED} ",
+        in_table(caller.peer_addr().unwrap()),
+        in_table(caller.local_addr().unwrap())
+    );
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let line = table.split_once(&words).expect("an open connection").1;
+    u64::from_str_radix(line.split(':').next().unwrap(), 16).unwrap()
+}
+
+// Told to drain, a node cut off a client that had read nothing for 0.2 s, with an answer in hand that the kernel had not taken.
+#[test]
+fn a_client_that_pauses_with_its_reading_in_a_drain_gets_its_answers_whole() {
+    const LENGTH: usize = 60_000;
+    const PAUSE: Duration = Duration::from_millis(2500);
+    let server = Server::start(Act::Serve(vec![b'x'; LENGTH]));
+    let node = Node::start_for_operators(config(&[server.address]));
+    let mut caller = node.caller();
+    SockRef::from(&caller.stream).set_recv_buffer_size(16 * 1024).unwrap();
+    let (mut count, mut held) = (0, 0);
+    // Until the kernel does not take an answer whole.
+    loop {
+        caller.send(&head("read", "60", 0), b"");
+        count += 1;
+        server.wait_for(&format!("job {count}"));
+        sleep(Duration::from_millis(50));
+        let now = sent_and_not_read(&caller.stream);
+        if count > 2 && now < held + LENGTH as u64 {
+            break;
+        }
+        held = now;
+    }
+    assert_eq!(node.call("PUT /_lameduck/on"), 200);
+    sleep(PAUSE);
+    let whole =
+        (0..count).take_while(|_| caller.answer().is_some_and(|answer| answer.body.len() == LENGTH)).count();
+    assert_eq!(whole, count);
+}
+
+// In a drain the last answer says that the connection ends; a request that crosses it is not read, and the reset over it took away
+// what the client had not read of that answer.
+#[test_case(false; "with nothing behind it")]
+#[test_case(true; "with a request that crosses it")]
+fn the_last_answer_in_a_drain_comes_whole(crosses: bool) {
+    const LENGTH: usize = 1_000_000;
+    let server = Server::start(Act::Hold(vec![b'x'; LENGTH]));
+    let node = Node::start_for_operators(config(&[server.address]));
+    let mut caller = node.caller();
+    SockRef::from(&caller.stream).set_recv_buffer_size(16 * 1024).unwrap();
+    caller.send(&head("read", "5", 0), b"");
+    server.wait_for("job 1");
+    assert_eq!(node.call("PUT /_lameduck/on"), 200);
+    sleep(2 * TIME);
+    server.go_on();
+    // Its head is on the way then.
+    let first = String::from_utf8(caller.take(100)).unwrap();
+    assert!(first.contains("connection: close\r\n"), "{first}");
+    if crosses {
+        caller.send(&head("read", "5", 0), b"");
+    }
+    sleep(TIME);
+    let length = caller.take(usize::MAX).len();
+    assert!(length >= LENGTH, "{length} bytes");
+}
+
+// A request whose body comes slowly, behind one that is being answered: it is due only from its last byte on, and the one before
+// it was ended as if that had come.
+#[test_case(5_000; "short")]
+#[test_case(50_000; "longer than what is looked at")]
+fn a_request_does_not_make_way_for_one_whose_body_is_still_coming(length: usize) {
+    in_time(|| {
+        let server = Server::start(Act::Hold(b"fine".to_vec()));
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        let body = vec![b'x'; length];
+        let (begun, rest) = body.split_at(length * 9 / 10);
+        caller.send(&[head("read", "3", 0), head("pay", "0.6", length)].concat(), begun);
+        sleep(2 * TIME);
+        server.go_on();
+        let status = caller.answer().map(|answer| answer.status());
+        caller.stream.write_all(rest).unwrap();
+        let behind = caller.answer().map(|answer| answer.status());
+        match (status, behind) {
+            (Some(200), Some(200)) => Ok(()),
+            other => Err(format!("{other:?}")),
+        }
+    });
+}
+
+// Clients that ask for small answers again and again and read none: their next request is read and not begun to be answered, so
+// they count as busy, and nobody cuts them off. Others are let in once those that take nothing have been given up.
+#[test]
+fn clients_that_read_none_of_their_small_answers_do_not_keep_others_out() {
+    const STALLED: Duration = Duration::from_secs(15 + 5);
+    const EACH: usize = 100;
+    let server = Server::start(Act::Serve(vec![b'x'; 60_000]));
+    let mut config = config(&[server.address]);
+    config["limits"]["sockets"] = json!(48);
+    let node = Node::start(&config);
+    let crowd: Vec<TcpStream> = (0..24)
+        .map(|_| {
+            let mut stream = TcpStream::connect(node.address).unwrap();
+            SockRef::from(&stream).set_recv_buffer_size(16 * 1024).unwrap();
+            // One that is shut unread has no answer.
+            let _ = stream.write_all((0..EACH).map(|_| head("read", "60", 0)).collect::<String>().as_bytes());
+            // Until no more of them are begun.
+            loop {
+                let before = server.jobs().len();
+                sleep(Duration::from_millis(80));
+                if server.jobs().len() == before {
+                    return stream;
+                }
+            }
+        })
+        .collect();
+    let begun = Instant::now();
+    let mut last = None;
+    while begun.elapsed() < STALLED {
+        sleep(Duration::from_millis(500));
+        let mut other = node.caller();
+        if other.stream.write_all(head("read", "0.6", 0).as_bytes()).is_ok() {
+            last = other.answer().map(|answer| answer.status());
+        }
+        if last == Some(200) {
+            drop(crowd);
+            return;
+        }
+    }
+    panic!("still kept out after {:?}: {last:?}", begun.elapsed());
+}
+
+// A process that ends leaves what comes to the one that follows it, also where that stands still: nobody accepts.
+#[test_case(false; "and runs")]
+#[test_case(true; "and stands still")]
+fn what_comes_in_a_hand_over_is_answered_whatever_the_next_process_does(stands_still: bool) {
+    in_time(|| {
+        let server = Server::start(Act::Serve(b"fine".to_vec()));
+        let platform = Platform::new();
+        let config = config(&[server.address]);
+        let old = platform.start(&config);
+        old.wait_for_call("GET /_ready", 200);
+        let new = platform.start(&config);
+        new.wait_for_call("GET /_ready", 200);
+        if stands_still {
+            new.signal("-STOP");
+            new.wait_until_stopped();
+            sleep(Duration::from_secs(1));
+        }
+        old.signal("-TERM");
+        sleep(Duration::from_millis(300));
+        let mut caller = old.caller();
+        caller.send(&head("read", "0.6", 0), b"");
+        answered_within(&caller.stream, 1, TIME + LOST_AFTER)
+    });
+}
