Long lines and times below zero are read as hyper reads them

Found by a review, by plays: a body in chunks whose coding stands behind 300 spaces, or whose size has 300 zeros, had no answer in its time, as the node looked at 256 bytes of a line and took the body to end elsewhere; a request of -0.1 s behind one of 3 s had none either, as a negative time counted as none told. Lines are looked at as far as hyper reads heads, and a negative time is over as it comes.

--- a/crates/pearfront-node/src/framing.rs
+++ b/crates/pearfront-node/src/framing.rs
@@ -13,8 +13,8 @@
 const LONGEST_TIME: Duration = Duration::from_secs(24 * 3600);
 /// What each of a row of answers may take.
 const ONE_ANSWER: Duration = Duration::from_millis(1);
-/// So much of a line is looked at.
-const MOST_LINE: usize = 256;
+/// So much of a line is looked at: as much as hyper reads of a head.
+const MOST_LINE: usize = 16 * 1024;
 
 /// Where in a client's requests the bytes that come next stand.
 #[derive(Default, Clone, Copy, PartialEq, Eq, Debug)]
@@ -233,8 +233,8 @@
 
 /// What says nothing of a time is turned down when its turn comes.
 fn seconds(text: &[u8]) -> Option<Duration> {
-    let text = std::str::from_utf8(text).ok()?;
-    Duration::try_from_secs_f64(text.trim().parse().ok()?).ok().filter(|time| *time < LONGEST_TIME)
+    let seconds: f64 = std::str::from_utf8(text).ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds.max(0.0)).ok().filter(|time| *time < LONGEST_TIME)
 }
 
 #[cfg(test)]
--- a/crates/pearfront-node/src/framing/tests.rs
+++ b/crates/pearfront-node/src/framing/tests.rs
@@ -64,7 +64,7 @@
     let request = |time: &str| format!("GET /a HTTP/1.1\r\nX-Expires-In: {time}\r\n\r\n");
     let now = Instant::now();
     let mut framing = Framing::default();
-    let all = ["9", "0.5", " 0.25 ", "-1", "none"].map(request).concat();
+    let all = ["9", "0.5", " 0.25 ", "none"].map(request).concat();
     framing.read(&all.as_bytes()[..all.len() - 1], now);
     // It is the third: two more answers come before it.
     assert_eq!(framing.due_behind(false), Some(now + Duration::from_millis(250) - 2 * ONE_ANSWER));
@@ -73,3 +73,12 @@
     framing.hand_out();
     assert_eq!(framing.due_behind(false), None);
 }
+
+// A time that is over already is none at all to wait.
+#[test]
+fn a_request_of_a_negative_time_is_due_as_it_comes() {
+    let now = Instant::now();
+    let mut framing = Framing::default();
+    framing.read(b"GET /a HTTP/1.1\r\nX-Expires-In: -1\r\n\r\n", now);
+    assert_eq!(framing.due_behind(false), Some(now));
+}
