A process that ends takes what comes while the next one stands still

Each says something every 50 ms: one that has been silent for 300 ms is left nothing until it speaks again.

--- a/crates/pearfront-node/src/handover.rs
+++ b/crates/pearfront-node/src/handover.rs
@@ -12,6 +12,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::path::PathBuf;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -32,6 +33,8 @@
 const WAITING: usize = 4096;
 /// Longest line, bytes: a list of thousands of servers.
 const LONGEST: u64 = 8 * 1024 * 1024;
+/// Silent for so long, though each says something every 50 ms, another process may stand still: nothing is left to it.
+const SILENT: Duration = Duration::from_millis(300);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -59,6 +62,8 @@
     out: Sender<Word>,
     greeted: Cell<bool>,
     ready: Cell<bool>,
+    /// Has it said nothing for too long?
+    silent: Cell<bool>,
     uses: Cell<Use>,
     ids: RefCell<HashSet<String>>,
     /// Rung when it does not read what it is told.
@@ -179,6 +184,7 @@
             out,
             greeted: Cell::new(false),
             ready: Cell::new(false),
+            silent: Cell::new(false),
             uses: Cell::default(),
             ids: RefCell::default(),
             lost: Notify::new(),
@@ -230,7 +236,9 @@
         let mut reader = BufReader::new(read);
         loop {
             let mut line = Vec::new();
-            match (&mut reader).take(LONGEST).read_until(b'\n', &mut line).await {
+            let read =
+                self.follow_silence(other, (&mut reader).take(LONGEST).read_until(b'\n', &mut line)).await;
+            match read {
                 Ok(0) => return "it has ended".into(),
                 Ok(_) => {}
                 Err(error) => return error.to_string(),
@@ -242,6 +250,19 @@
         }
     }
 
+    /// Waits for its next word; meanwhile it is known whether it has been silent for too long.
+    async fn follow_silence<T>(&self, other: &Other, word: impl Future<Output = T>) -> T {
+        let mut word = pin!(word);
+        if let Ok(word) = timeout(SILENT, word.as_mut()).await {
+            return word;
+        }
+        other.silent.set(true);
+        self.share();
+        let word = word.await;
+        other.silent.set(false);
+        word
+    }
+
     fn take(&self, other: &Other, word: Word, discovery: &Rc<Discovery>) -> Result<(), String> {
         match word {
             Word::Hello { version: VERSION } => other.greeted.set(true),
@@ -267,7 +288,7 @@
         let others = self.others.borrow();
         let known: Vec<_> = others.iter().filter(|other| other.greeted.get()).collect();
         self.room.share(&known.iter().map(|other| other.uses.get()).collect::<Vec<_>>());
-        self.life.succeeded(known.iter().any(|other| other.ready.get()));
+        self.life.succeeded(known.iter().any(|other| other.ready.get() && !other.silent.get()));
     }
 }
 
