Operators' calls survive system calls that may be repeated

Clients' and servers' connections repeat such calls, operators' went to hyper as they were. They are the same socket now.

--- a/crates/pearfront-node/src/admin.rs
+++ b/crates/pearfront-node/src/admin.rs
@@ -4,13 +4,13 @@
 use crate::lifecycle::{Lifecycle, State};
 use crate::logger::{Limited, Seldom};
 use crate::message::{self, AdminCall, Body};
+use crate::wire::{Socket, Wire};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
-use hyper_util::rt::TokioIo;
 use pearfront_cluster::Cluster;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -97,12 +97,11 @@
 
     async fn call(&self, stream: TcpStream) {
         let service = service_fn(async |request| Ok::<_, Infallible>(self.answer(request).await));
-        // Small writes that the system holds back would go with a reset.
-        let _ = stream.set_nodelay(true);
+        let socket = Socket(Wire::of_operator(stream));
         let mut server = Builder::new();
         server.keep_alive(false).half_close(true).max_buf_size(LARGEST);
         // How it ended only its caller can care about.
-        let _ = server.serve_connection(TokioIo::new(stream), service).await;
+        let _ = server.serve_connection(socket, service).await;
     }
 
     /// The permit to drain, where one is needed. Without it, once it is lost, the node takes jobs again: another is to go.
--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -140,7 +140,7 @@
 
     /// A place of the node's own, one of `FIXED`: nobody else can take it.
     pub fn own_place(&self) -> Place {
-        Place { room: None, caller: false }
+        Place::own()
     }
 
     /// Most callers beside the last resort: servers have a part of their own, and where they use more of it one is left.
@@ -279,6 +279,13 @@
     caller: bool,
 }
 
+impl Place {
+    /// One of the node's own, which is counted nowhere.
+    pub fn own() -> Self {
+        Self { room: None, caller: false }
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         if let Some(room) = &self.room {
--- a/crates/pearfront-node/tests/endings/system_calls.rs
+++ b/crates/pearfront-node/tests/endings/system_calls.rs
@@ -3,6 +3,7 @@
 use crate::stand_ins::{Act, Node, Server, config, head};
 use pearfront_soak::shim::{Control, Fault, build};
 use std::path::PathBuf;
+use std::process::Command;
 use std::thread::sleep;
 use std::time::Duration;
 use test_case::test_case;
@@ -26,10 +27,11 @@
     }
 
     fn start(&self, config: &serde_json::Value) -> Node {
-        let (library, control) = (self.library.clone(), self.control.path.clone());
-        Node::start_in(config, |command| {
-            command.env("LD_PRELOAD", &library).env("FAULT_SHIM", &control);
-        })
+        Node::start_in(config, |command| self.load(command))
+    }
+
+    fn load(&self, command: &mut Command) {
+        command.env("LD_PRELOAD", &self.library).env("FAULT_SHIM", &self.control.path);
     }
 }
 
@@ -39,6 +41,22 @@
     }
 }
 
+// Operators' calls went without an answer or a word in the log where a read of them failed so.
+#[test_case(Fault::Interrupted, 50_000; "interrupted")]
+#[test_case(Fault::Short, 200_000; "short")]
+#[test_case(Fault::NoBuffers, 50_000; "no buffers")]
+fn no_operators_call_is_lost_by_a_call_that_may_be_repeated(fault: Fault, per_million: u32) {
+    const CALLS: usize = 100;
+    let shim = Shim::new(&format!("operators-{fault:?}"), 11);
+    let node = Node::start_for_operators_in(config(&[]), |command| shim.load(command));
+    assert_eq!(node.call("GET /_ready"), 200);
+    shim.control.set(fault, per_million).unwrap();
+    let answered = (0..CALLS).filter(|_| node.call("GET /_ready") == 200).count();
+    shim.control.set(fault, 0).unwrap();
+    node.end();
+    assert_eq!(answered, CALLS, "{:?}", shim.control.counts());
+}
+
 // One call in twenty fails so, or is cut short: each request has its answer, on a kept connection that stays.
 #[test_case(Fault::Interrupted, 50_000; "interrupted")]
 #[test_case(Fault::Short, 200_000; "short")]
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -700,10 +700,15 @@
     }
 
     /// A node that operators can call, told of it by its file.
-    pub fn start_for_operators(mut config: Value) -> Self {
+    pub fn start_for_operators(config: Value) -> Self {
+        Self::start_for_operators_in(config, |_| {})
+    }
+
+    /// The same with its process started with other variables.
+    pub fn start_for_operators_in(mut config: Value, change: impl Fn(&mut Command)) -> Self {
         let admin = fresh_address();
         config["admin"] = json!(admin.to_string());
-        let mut node = Self::start(&config);
+        let mut node = Self::start_in(&config, change);
         node.admin = admin;
         node
     }
