hyper hands out no request while an answer waits, and no answer is cut off by a reset

(1) 24 clients that read none of their answers of 60 kB held all places of a node for good: hyper takes the next request, and does not begin its answer while its buffer is full, so nobody owned that request's time. While the kernel takes nothing what comes stays unread, and such a client is neither idle nor spared: it is cut off after 15 s, as with a large answer. (2) For the same reason a drain cut off a client that paused with its reading for 0.2 s. (3) A connection that was closed behind its last answer over unread bytes was reset, and the kernel dropped what the client had not taken: 40,916 of 1,000,000 bytes. Behind a large answer the end goes out in order, and the connection stays for the client to end it, 15 s at the most. (4) 16 kB behind a request were looked at, so a short one behind 50 kB, or behind 150 heads, was late, and one whose body was still coming was taken for whole: 256 kB now.

--- a/crates/pearfront-node/src/client.rs
+++ b/crates/pearfront-node/src/client.rs
@@ -59,9 +59,9 @@
         }
     }
 
-    /// Nothing that came on it is being answered.
+    /// Nothing that came on it is being answered, and its client has taken what was.
     pub fn is_idle(&self) -> bool {
-        !self.busy.get()
+        !self.busy.get() && !self.wire.is_write_blocked()
     }
 
     /// Requests that were read whole on it and have no answer; one whose answer is on its way has.
@@ -113,7 +113,7 @@
 
     /// Is it still to be cut off? What has come since that was chosen may be the rest of a request: then it goes on.
     pub fn is_to_be_cut(&self) -> bool {
-        let is_to_be_cut = self.flowing.get() || self.has_half_a_head();
+        let is_to_be_cut = self.is_taking() || self.has_half_a_head();
         self.closing.set(is_to_be_cut);
         is_to_be_cut
     }
@@ -165,13 +165,18 @@
     /// With an answer under way on it, but nothing that moves: it holds what others could use.
     pub fn cut_if_stalled(&self) {
         let (moved, since) = self.moved.get();
-        if !self.flowing.get() || moved != self.wire.moved() {
+        if !self.is_taking() || moved != self.wire.moved() {
             self.moved.set((self.wire.moved(), Instant::now()));
         } else if since.elapsed() > STALLED {
             self.cut.notify_one();
         }
     }
 
+    /// Is an answer on its way to it that the kernel has not taken whole?
+    fn is_taking(&self) -> bool {
+        self.flowing.get() || self.wire.is_write_blocked()
+    }
+
     /// An answer begins to flow to it; it is busy until what is returned has gone.
     pub fn flow(self: &Rc<Self>) -> Flowing {
         self.flowing.set(true);
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -144,6 +144,8 @@
                     }
                     if caller.is_answered_early() {
                         wire.linger().await;
+                    } else {
+                        wire.wait_for_taker().await;
                     }
                     break Ended::InTurn;
                 }
--- a/crates/pearfront-node/src/unread.rs
+++ b/crates/pearfront-node/src/unread.rs
@@ -6,8 +6,8 @@
 use std::task::Waker;
 use tokio::sync::Notify;
 
-/// Most bytes that are looked at ahead of their turn: some fifty requests without a body.
-pub const MOST_SEEN: usize = 16 * 1024;
+/// Most bytes that are looked at ahead of their turn.
+pub const MOST_SEEN: usize = 256 * 1024;
 
 /// How far a client's connection may be read. Positions count bytes from the beginning of the connection.
 #[derive(Default)]
@@ -85,7 +85,13 @@
         }
     }
 
-    fn wake(&self) {
+    /// A request has been read to its end: what lies behind it has to be looked at.
+    pub fn request_over(&self) {
+        self.changed.notify_one();
+    }
+
+    /// What waits may be read, or has to be looked at once more.
+    pub fn wake(&self) {
         self.changed.notify_one();
         if let Some(reader) = self.reader.take() {
             reader.wake();
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -27,6 +27,10 @@
 const END_OF_CHUNKS: &[u8] = b"0\r\n\r\n";
 /// How often is looked at what more a client sends behind a request that is being answered, once something lies there.
 const LOOK: Duration = Duration::from_millis(10);
+/// An answer up to this is with its client's kernel once it has been written.
+const SMALL_ANSWER: usize = 16 * 1024;
+/// How long a connection stays open behind a larger one that its client may still be taking.
+const TAKES_ANSWER: Duration = Duration::from_secs(15);
 /// Longest time and most bytes for which a connection that was answered early is read on.
 const LINGER: Duration = Duration::from_millis(500);
 const MOST_LINGER: usize = 1024 * 1024;
@@ -50,6 +54,10 @@
     last_chunk: Cell<bool>,
     /// Bytes read and written so far.
     moved: Cell<usize>,
+    /// Bytes written since the last request was handed out.
+    answer_written: Cell<usize>,
+    /// Does the kernel take no more for now of what is to be written?
+    is_write_blocked: Cell<bool>,
     /// Has anything come since a message was expected to be written?
     answered: Cell<bool>,
     /// What the message that is about to be written needs, until the kernel has taken the first byte of it.
@@ -75,6 +83,11 @@
         Self::new(stream, place, None, Instant::now())
     }
 
+    /// An operator's connection: one call, and nothing to be followed.
+    pub fn of_operator(stream: TcpStream) -> Rc<Self> {
+        Self::new(stream, Place::own(), None, Instant::now())
+    }
+
     fn new(stream: TcpStream, place: Place, framing: Option<RefCell<Framing>>, came: Instant) -> Rc<Self> {
         if let Err(error) = stream.set_nodelay(true) {
             log::warn!("a connection stays slow, nodelay was refused: {error}");
@@ -87,6 +100,8 @@
             tail: Cell::default(),
             last_chunk: Cell::new(false),
             moved: Cell::new(0),
+            answer_written: Cell::new(0),
+            is_write_blocked: Cell::new(false),
             answered: Cell::new(false),
             permit: RefCell::default(),
             withheld: Cell::new(false),
@@ -165,6 +180,9 @@
         self.unread.advance(bytes.len());
         self.note_seen(bytes, ahead, Instant::now());
         self.has_read.notify_waiters();
+        if self.is_between_requests() {
+            self.unread.request_over();
+        }
     }
 
     /// How many bytes were looked at that have not been read.
@@ -187,9 +205,23 @@
     /// A request of the client has been handed out and has no answer yet, or has it: meanwhile what comes behind it stays
     /// unread.
     pub fn answers(&self, is_answering: bool) {
+        if is_answering {
+            self.answer_written.set(0);
+        }
         self.unread.answers(is_answering);
     }
 
+    /// Does an answer wait for the client to take what came before? hyper hands out no answer meanwhile.
+    pub fn is_write_blocked(&self) -> bool {
+        self.is_write_blocked.get()
+    }
+
+    fn set_write_blocked(&self, is_blocked: bool) {
+        if self.is_write_blocked.replace(is_blocked) && !is_blocked {
+            self.unread.wake();
+        }
+    }
+
     /// Has a request been read to its end, and nothing of what comes behind it? Also where nothing has been read.
     fn is_between_requests(&self) -> bool {
         self.framed(|framing| framing.has_read(self.unread.position())).unwrap_or_default()
@@ -197,7 +229,8 @@
 
     /// Has what comes next to wait until the request before it is answered, or is it not read any more?
     fn is_held(&self) -> bool {
-        (self.unread.is_answering() || self.unread.has_ended()) && self.is_between_requests()
+        let is_held = self.unread.is_answering() || self.unread.has_ended() || self.is_write_blocked.get();
+        is_held && self.is_between_requests()
     }
 
     /// Looks at what a client sends behind a request that waits for its answer, so that it is known when that came. It has to
@@ -221,9 +254,23 @@
 
     /// Looks once; false if nothing lies there. Once something does, the runtime does not tell when more has come.
     fn look(&self) -> bool {
-        let mut chunk = [0; MOST_SEEN];
+        let mut chunk = [0; CHUNK];
+        let looked = self.look_into(&mut chunk);
+        // Few clients send so much at once: only for them there is more room.
+        let looked = if looked < CHUNK { looked } else { self.look_into(&mut vec![0; MOST_SEEN]) };
+        let now = Instant::now();
+        self.unread.fill(looked);
+        if self.unread.is_full() {
+            self.arrival.looks_away(now);
+        } else {
+            self.arrival.found_nothing();
+        }
+        looked > 0
+    }
+
+    fn look_into(&self, chunk: &mut [u8]) -> usize {
         let (ahead, now) = (self.seen_ahead(), Instant::now());
-        let looked = match pin!(self.stream.peek(&mut chunk)).poll(&mut Context::from_waker(Waker::noop())) {
+        let looked = match pin!(self.stream.peek(chunk)).poll(&mut Context::from_waker(Waker::noop())) {
             Poll::Ready(looked) => looked.unwrap_or_default(),
             Poll::Pending => 0,
         };
@@ -233,13 +280,7 @@
             self.note_seen(&chunk[..looked], ahead, at);
             self.has_read.notify_waiters();
         }
-        self.unread.fill(looked);
-        if self.unread.is_full() {
-            self.arrival.looks_away(now);
-        } else {
-            self.arrival.found_nothing();
-        }
-        looked > 0
+        looked
     }
 
     /// Has the other side begun to answer what was written last?
@@ -317,6 +358,14 @@
         let _ = timeout(LINGER, all).await;
     }
 
+    /// Waits for the end of a client that may still be taking a large answer, where more of what it sends lies unread: closed over
+    /// that, the kernel would drop what the client has not taken.
+    pub async fn wait_for_taker(&self) {
+        if self.has_bytes() && self.answer_written.get() > SMALL_ANSWER {
+            let _ = timeout(TAKES_ANSWER, self.ended()).await;
+        }
+    }
+
     /// Waits until the other side has ended its sending or reset the connection, whatever of it is still unread. hyper
     /// sees that only once it has read all that came before, and it reads nothing while a job with bytes behind it is
     /// open, or while a body is held back. The kernel tells it beside unread bytes; to ask for what is urgent waits for
@@ -510,7 +559,11 @@
         parts: &[IoSlice],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.stream.poll_write_ready(context))?;
+            let Poll::Ready(is_ready) = self.0.stream.poll_write_ready(context) else {
+                self.0.set_write_blocked(true);
+                return Poll::Pending;
+            };
+            is_ready?;
             if !self.0.may_write() {
                 return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
             }
@@ -520,6 +573,8 @@
                         permit.written();
                     }
                     self.0.moved.set(self.0.moved.get() + count);
+                    self.0.answer_written.set(self.0.answer_written.get() + count);
+                    self.0.set_write_blocked(false);
                     let mut left = count;
                     for part in parts {
                         let written = part.len().min(left);
@@ -540,8 +595,9 @@
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
         // Closed over what lies unread a connection is reset, which tells its client that nobody has read that: an orderly end
-        // before it would say that somebody may have.
-        if self.0.framing.is_some() && self.0.has_bytes() {
+        // before it would say that somebody may have. But the reset takes away what the client has not taken of an answer.
+        let is_taken = self.0.answer_written.get() <= SMALL_ANSWER;
+        if self.0.framing.is_some() && is_taken && self.0.has_bytes() {
             return Poll::Ready(Ok(()));
         }
         Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
