--- a/crates/pearfront-soak/src/client/crowd.rs
+++ b/crates/pearfront-soak/src/client/crowd.rs
@@ -29,6 +29,7 @@
             (0..count).map(|_| Request::draw_plain(chance, &self.role)).collect()
         };
         let all: Vec<u8> = requests.iter().flat_map(Request::head).collect();
+        let began = clock::now();
         if connection.write(&all).await.is_err() {
             return;
         }
@@ -36,7 +37,16 @@
         for request in &requests {
             let (id, effect, deadline) = (request.id.clone(), request.effect, request.deadline);
             let line = Some(Line { first: requests[0].id.clone(), together: true });
-            self.recorder.write(&Record::Request { id, node, effect, at, deadline, fresh: true, line });
+            self.recorder.write(&Record::Request {
+                id,
+                node,
+                effect,
+                began,
+                at,
+                deadline,
+                fresh: true,
+                line,
+            });
         }
         let longest = requests.iter().map(|request| request.deadline).fold(0.0, f64::max);
         let until = Instant::now() + Duration::from_secs_f64(longest / 1000.0) + PATIENCE;
--- a/crates/pearfront-soak/src/client/exchange.rs
+++ b/crates/pearfront-soak/src/client/exchange.rs
@@ -159,8 +159,9 @@
         connection: &mut Connection,
         fresh: bool,
     ) -> Ended {
+        let began = clock::now();
         match write(request, connection).await {
-            Written::Whole(at) => self.wait(node, request, connection, fresh, at).await,
+            Written::Whole(at) => self.wait(node, request, connection, began, Sent { at, fresh }).await,
             // Not taken: its last byte was never written.
             Written::Broke if !fresh && request.length == 0 => Ended::Crossed,
             Written::Broke | Written::AnsweredBefore => Ended::Over,
@@ -177,20 +178,30 @@
         self.recorder.write(&Record::Stalled { node, at, ended });
     }
 
-    /// Waits for the answer to a request whose last byte was written then.
+    /// Waits for the answer to a request whose first byte was written at `began`.
     async fn wait(
         &self,
         node: usize,
         request: &Request,
         connection: &mut Connection,
-        fresh: bool,
-        at: f64,
+        began: f64,
+        sent: Sent,
     ) -> Ended {
+        let Sent { at, fresh } = sent;
         let (id, deadline, effect) = (request.id.clone(), request.deadline, request.effect);
         let line = None;
-        self.recorder.write(&Record::Request { id: id.clone(), node, effect, at, deadline, fresh, line });
+        self.recorder.write(&Record::Request {
+            id: id.clone(),
+            node,
+            effect,
+            began,
+            at,
+            deadline,
+            fresh,
+            line,
+        });
         tokio::select! {
-            ended = self.take(request, connection, Sent { at, fresh }) => ended,
+            ended = self.take(request, connection, sent) => ended,
             () = leaving(request.leaves) => {
                 // It is written down before it can be seen.
                 self.recorder.write(&Record::Left { id, at: clock::now() });
--- a/crates/pearfront-soak/src/client/line.rs
+++ b/crates/pearfront-soak/src/client/line.rs
@@ -102,6 +102,7 @@
         let mut first = None;
         for requests in writes {
             let bytes: Vec<u8> = requests.iter().flat_map(Request::head).collect();
+            let began = clock::now();
             if writer.write(&bytes).await.is_err() {
                 return;
             }
@@ -113,6 +114,7 @@
                     id: request.id.clone(),
                     node,
                     effect: request.effect,
+                    began,
                     at,
                     deadline: request.deadline,
                     fresh: fresh && is_first,
--- a/crates/pearfront-soak/src/judge/history.rs
+++ b/crates/pearfront-soak/src/judge/history.rs
@@ -8,6 +8,8 @@
 pub(super) struct Request {
     pub(super) node: usize,
     pub(super) effect: Effect,
+    /// When its first byte was written, and its last.
+    pub(super) began: f64,
     pub(super) at: f64,
     pub(super) deadline: f64,
     pub(super) left: Option<f64>,
@@ -155,10 +157,11 @@
 
     pub(super) fn take(&mut self, record: &Record) {
         match record {
-            Record::Request { id, node, effect, at, deadline, fresh, line } => {
+            Record::Request { id, node, effect, began, at, deadline, fresh, line } => {
                 let request = Request {
                     node: *node,
                     effect: *effect,
+                    began: *began,
                     at: *at,
                     deadline: *deadline,
                     left: None,
--- a/crates/pearfront-soak/src/record.rs
+++ b/crates/pearfront-soak/src/record.rs
@@ -97,11 +97,12 @@
 #[serde(rename_all = "snake_case", tag = "what")]
 pub enum Record {
     // Of clients.
-    /// A request has been sent whole; its client waits so long, ms.
+    /// A request has been sent whole, its first byte at `began`; its client waits so long, ms.
     Request {
         id: String,
         node: usize,
         effect: Effect,
+        began: f64,
         at: f64,
         deadline: f64,
         fresh: bool,
