Soak: system calls fail around operators' calls; today's node leaves them unanswered

Around half of the operators' drains the node's system calls are interrupted, short or without buffers for 0.3 s, as Linux documents them.

Cause: `admin.rs` `call` hands hyper the bare stream (`TokioIo`), and EINTR or ENOBUFS, which `Wire` takes for what they are on clients' connections, end the operator's. A short read is also taken for the last one, and the rest is never looked for.

--- a/crates/pearfront-soak/src/plan.rs
+++ b/crates/pearfront-soak/src/plan.rs
@@ -26,6 +26,11 @@
 const BETWEEN_DRAINS: Range<f64> = 300.0..2500.0;
 const OPERATORS_DRAIN_MS: Range<u64> = 300..5500;
 const OPERATORS_STREAM: u64 = 1;
+/// Share of operators' calls around which system calls fail, which, from when on, ms, and for how long.
+const CALLS_FAIL: f64 = 0.5;
+const OPERATORS_FAULTS: [Fault; 3] = [Fault::Interrupted, Fault::Short, Fault::NoBuffers];
+const BEFORE_CALL: f64 = 50.0;
+const OPERATORS_FAULT_MS: u64 = 300;
 /// Servers that stay as they are.
 const SPARED_SERVERS: usize = 2;
 
@@ -251,6 +256,12 @@
     while at < length - QUIET {
         let (node, ms) = (chance.random_range(0..fleet.nodes), chance.random_range(OPERATORS_DRAIN_MS));
         drains.push((at, Event::DrainNode { node, ms }));
+        if chance.random_bool(CALLS_FAIL) {
+            let fault = *OPERATORS_FAULTS.choose(&mut chance).expect("some");
+            let per_million = chance.random_range(30_000..100_000);
+            let ms = OPERATORS_FAULT_MS;
+            drains.push((at - BEFORE_CALL, Event::Calls { node, fault, per_million, ms }));
+        }
         at += chance.random_range(BETWEEN_DRAINS);
     }
     drains
