The end of reading leaves a body that is on its way alone

Only between requests is looked at what has come. A look that fails says nothing of what lies there. The test (a body that no server takes, in a drain) failed before.

--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -255,9 +255,11 @@
     /// Looks once; false if nothing lies there. Once something does, the runtime does not tell when more has come.
     fn look(&self) -> bool {
         let mut chunk = [0; CHUNK];
-        let looked = self.look_into(&mut chunk);
-        // Few clients send so much at once: only for them there is more room.
-        let looked = if looked < CHUNK { looked } else { self.look_into(&mut vec![0; MOST_SEEN]) };
+        let Some(mut looked) = self.look_into(&mut chunk) else { return true };
+        if looked == CHUNK {
+            // Few clients send so much at once: only for them there is more room.
+            looked = self.look_into(&mut vec![0; MOST_SEEN]).unwrap_or(looked);
+        }
         let now = Instant::now();
         self.unread.fill(looked);
         if self.unread.is_full() {
@@ -268,10 +270,11 @@
         looked > 0
     }
 
-    fn look_into(&self, chunk: &mut [u8]) -> usize {
+    /// How many bytes lie there; nothing where the kernel does not say for now.
+    fn look_into(&self, chunk: &mut [u8]) -> Option<usize> {
         let (ahead, now) = (self.seen_ahead(), Instant::now());
         let looked = match pin!(self.stream.peek(chunk)).poll(&mut Context::from_waker(Waker::noop())) {
-            Poll::Ready(looked) => looked.unwrap_or_default(),
+            Poll::Ready(looked) => looked.ok()?,
             Poll::Pending => 0,
         };
         if looked > ahead {
@@ -280,7 +283,7 @@
             self.note_seen(&chunk[..looked], ahead, at);
             self.has_read.notify_waiters();
         }
-        looked
+        Some(looked)
     }
 
     /// Has the other side begun to answer what was written last?
@@ -424,7 +427,11 @@
     /// No further request is begun to be read than what has come: that has its answer, and the rest was never taken. Behind a
     /// stop of the process the runtime may not know yet what has come: then this is left to the next time.
     pub fn end_reading(&self) {
-        if !self.unread.is_ending() && (self.look() || !self.has_bytes()) {
+        if self.unread.is_ending() {
+            return;
+        }
+        // In the middle of a body nothing behind it is looked at.
+        if !self.is_between_requests() || self.look() || !self.has_bytes() {
             self.unread.end(self.framed(|framing| framing.position()).unwrap_or_default());
         }
     }
--- a/crates/pearfront-node/tests/endings/resume.rs
+++ b/crates/pearfront-node/tests/endings/resume.rs
@@ -133,3 +133,17 @@
     node.end();
     assert_eq!(answered, CLIENTS);
 }
+
+// The end of reading looked into a body that no server took, and its request had no time from then on.
+#[test]
+fn a_body_that_is_not_taken_has_its_answer_in_time_in_a_drain() {
+    const LONG: Duration = Duration::from_millis(3500);
+    let node = Node::start_for_operators(config(&[]));
+    let mut client = node.caller();
+    client.send(&head("pay", "3", LARGE), &vec![b'x'; LARGE]);
+    assert_eq!(node.call("PUT /_lameduck/on"), 200);
+    client.stream.set_read_timeout(Some(LONG)).unwrap();
+    let status = client.answer().map(|answer| answer.status());
+    node.end();
+    assert_eq!(status, Some(503));
+}
