--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -24,8 +24,6 @@
 const AHEAD: f64 = 10.0;
 /// How long the process reads what came while it stood still, and the module plays its round.
 const CATCH_UP: Duration = Duration::from_millis(60);
-/// The same where there is no round to wait for.
-const CATCH_UP_FLOW: Duration = Duration::from_millis(10);
 /// Lines a second of the log.
 const LINES: u32 = 10;
 
@@ -109,7 +107,13 @@
         if cfg!(feature = "broken-deadline") {
             pending().await
         }
-        reached(self.clock, &self.pulse, &self.client, CATCH_UP, || self.ends_at()).await;
+        let is_reached = || reached(self.clock, &self.client, || self.ends_at());
+        is_reached().await;
+        if self.pulse.stopped_at(self.clock.now()).is_some() {
+            // What came meanwhile is being read, and the module plays its round.
+            sleep(CATCH_UP).await;
+            is_reached().await;
+        }
     }
 }
 
@@ -119,27 +123,19 @@
 }
 
 /// Waits until an answer that is on its way to this client has to end, as one behind it is due.
-pub async fn one_behind_is_due(clock: Clock, pulse: &Pulse, client: &Rc<Wire>) {
+pub async fn one_behind_is_due(clock: Clock, client: &Rc<Wire>) {
     let at = || ends_for_one_behind(client, clock).unwrap_or(f64::INFINITY);
-    reached(clock, pulse, &Rc::downgrade(client), CATCH_UP_FLOW, at).await;
+    reached(clock, &Rc::downgrade(client), at).await;
 }
 
-/// Waits until that time, ms, which is asked for again whenever more has come of what the client sends. Behind a stop of the
-/// process what came meanwhile is read first, once.
-async fn reached(clock: Clock, pulse: &Pulse, client: &Weak<Wire>, catch_up: Duration, at: impl Fn() -> f64) {
-    let mut has_caught_up = false;
-    loop {
-        let (at, now) = (at(), clock.now());
-        if now < at {
-            tokio::select! {
-                () = sleep_until(clock.at(at)) => {}
-                () = more_has_come(client) => {}
-            }
-        } else if !has_caught_up && pulse.stopped_at(now).is_some() {
-            sleep(catch_up).await;
-            has_caught_up = true;
-        } else {
-            return;
+/// Waits until that time, ms, which is asked for again whenever more has come of what the client sends.
+async fn reached(clock: Clock, client: &Weak<Wire>, at: impl Fn() -> f64) {
+    while let at = at()
+        && clock.now() < at
+    {
+        tokio::select! {
+            () = sleep_until(clock.at(at)) => {}
+            () = more_has_come(client) => {}
         }
     }
 }
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -133,6 +133,7 @@
             tokio::select! {
                 biased;
                 ended = connection.as_mut() => {
+                    let is_whole = ended.is_ok();
                     // A caller that breaks off shows on its job, if it had one.
                     if let Err(error) = ended {
                         if error.is_parse() {
@@ -144,7 +145,7 @@
                     }
                     if caller.is_answered_early() {
                         wire.linger().await;
-                    } else {
+                    } else if is_whole {
                         wire.wait_for_taker().await;
                     }
                     break Ended::InTurn;
--- a/crates/pearfront-node/tests/endings/behind.rs
+++ b/crates/pearfront-node/tests/endings/behind.rs
@@ -94,3 +94,24 @@
         Ok(())
     });
 }
+
+// An answer that its server breaks off: its connection was held open for those that lay unread behind it.
+#[test]
+fn a_request_behind_an_answer_that_its_server_breaks_off_is_shut_unread_at_once() {
+    in_time(|| {
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", LARGE + 1000);
+        let first = [answer.as_bytes(), &vec![b'x'; LARGE]].concat();
+        let server = Server::start(Act::Raw(first, b"x".to_vec()));
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        caller.send(&[head("read", "9", 0), head("read", "9", 0)].concat(), b"");
+        sleep(LATER);
+        server.go_on();
+        let (all, end) = all_within(&caller.stream, TIME);
+        if end == End::Reset && all.len() > LARGE {
+            Ok(())
+        } else {
+            Err(format!("{} bytes, {end:?}", all.len()))
+        }
+    });
+}
