--- a/crates/pearfront-node/src/confirm.rs
+++ b/crates/pearfront-node/src/confirm.rs
@@ -1,11 +1,12 @@
 //! What happens while the list is too old to go by: servers are probed, those that answer well go on by their own word, and
 //! the module is told of the others as of ones that drain, until the list or they themselves say otherwise.
 
+use crate::clock::{Clock, ms};
 use crate::discovery::{self, Discovery};
 use crate::guard::Guard;
 use crate::logger::Limited;
 use crate::probe::Prober;
-use crate::route::{Clock, Inbox, ms};
+use crate::route::Inbox;
 use crate::terms::InForce;
 use pearfront::chance::Chance;
 use pearfront::interface::{Address, Listing, Standing};
--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -2,9 +2,9 @@
 //! to that.
 
 use crate::book::Book;
+use crate::clock::Clock;
 use crate::logger::Limited;
 use crate::pulse::Pulse;
-use crate::route::Clock;
 use crate::wire::Wire;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -5,12 +5,13 @@
 pub use roster::Place;
 
 use crate::book::Book;
+use crate::clock::Clock;
 use crate::handover::Peers;
 use crate::lease::{Contact, Leases, MARGIN, Rules};
 use crate::logger::Seldom;
 use crate::message::{self, Line, List};
 use crate::pulse::Pulse;
-use crate::route::{Clock, Inbox};
+use crate::route::Inbox;
 use crate::send::{Link, Senders};
 use crate::terms::InForce;
 use crate::wall_clock::{self, WallClock};
--- a/crates/pearfront-node/src/guard.rs
+++ b/crates/pearfront-node/src/guard.rs
@@ -4,11 +4,12 @@
 
 use crate::book::Book;
 use crate::client::Client;
+use crate::clock::Clock;
 use crate::discovery::Discovery;
 use crate::lease::MARGIN;
 use crate::lifecycle::Lifecycle;
 use crate::logger::Limited;
-use crate::route::{Clock, Held};
+use crate::route::Held;
 use crate::wire::WritePermit;
 use pearfront::interface::{Effect, Group};
 use std::net::SocketAddr;
--- a/crates/pearfront-node/src/probe.rs
+++ b/crates/pearfront-node/src/probe.rs
@@ -1,11 +1,12 @@
 //! Probes: one small call to a server, whose answer the load table gets.
 
 use crate::book::Book;
+use crate::clock::Clock;
 use crate::discovery::Discovery;
 use crate::guard::Guard;
 use crate::logger::{Limited, Seldom};
 use crate::message;
-use crate::route::{Clock, Inbox};
+use crate::route::Inbox;
 use crate::send::Senders;
 use crate::terms::InForce;
 use pearfront::interface::Address;
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -3,6 +3,7 @@
 
 use crate::admit::Share;
 use crate::book::Book;
+use crate::clock::{Clock, NEVER};
 use crate::deadline::{self, Deadline};
 use crate::discovery::{self, Discovery, Place};
 use crate::flow::Broken;
@@ -11,7 +12,6 @@
 use crate::logger::Limited;
 use crate::message::{Answer, Job};
 use crate::probe::Prober;
-use crate::pulse::Pulse;
 use crate::relay::Relay;
 use crate::send::{Attempt, ConnectionEnd, Senders};
 use crate::terms::InForce;
@@ -27,7 +27,6 @@
 use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
@@ -36,8 +35,6 @@
 const ROUNDING: f64 = 0.01;
 /// Lines a second that tell of requests that were refused, repeated or not sent.
 const TOLD_IN_LOG: u32 = 10;
-/// A wake that never comes, ms: some thirty years.
-const NEVER: f64 = 1e12;
 
 type Word = Box<dyn FnOnce(&mut Balancer)>;
 
@@ -55,40 +52,6 @@
     }
 }
 
-/// A time in the module's terms as the runtime takes it.
-pub fn ms(time: f64) -> Duration {
-    Duration::from_secs_f64(time / 1000.0)
-}
-
-/// The node's time: milliseconds since its start.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-}
-
-impl Clock {
-    pub fn start() -> Self {
-        Self { start: Instant::now() }
-    }
-
-    pub fn now(&self) -> f64 {
-        self.start.elapsed().as_secs_f64() * 1000.0
-    }
-
-    /// Follows whether the process stands still.
-    pub fn pulse(&self) -> Rc<Pulse> {
-        Pulse::start(self.start)
-    }
-
-    pub fn time_of(&self, instant: Instant) -> f64 {
-        instant.saturating_duration_since(self.start).as_secs_f64() * 1000.0
-    }
-
-    pub fn at(&self, time: f64) -> Instant {
-        self.start + ms(time.clamp(0.0, NEVER))
-    }
-}
-
 /// An id as processes tell it one another.
 fn text(id: &HeaderValue) -> Cow<'_, str> {
     String::from_utf8_lossy(id.as_bytes())
--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -12,9 +12,9 @@
 
 use crate::admit::Room;
 use crate::book::Book;
+use crate::clock::ms;
 use crate::dial::Dialer;
 use crate::logger::Seldom;
-use crate::route::ms;
 use crate::terms::InForce;
 use break_rates::BreakRates;
 use link::{Idle, QUIET};
--- a/crates/pearfront-node/src/test_support.rs
+++ b/crates/pearfront-node/src/test_support.rs
@@ -1,6 +1,7 @@
 //! The stages of a node around a discovery service and servers of a unit test's own.
 
 use crate::book::Book;
+use crate::clock::Clock;
 use crate::discovery::{Discovery, Parts};
 use crate::guard::Guard;
 use crate::handover::Peers;
@@ -8,7 +9,7 @@
 use crate::logger::{Limited, Seldom};
 use crate::message::{Line, List};
 use crate::probe::{LOGGED_FAILURES, Prober};
-use crate::route::{Clock, Inbox};
+use crate::route::Inbox;
 use crate::send::Senders;
 use crate::terms::{InForce, Terms};
 use pearfront::interface::Standing;
--- a/crates/pearfront-node/src/watch.rs
+++ b/crates/pearfront-node/src/watch.rs
@@ -3,8 +3,8 @@
 //! not held may take all but what a further one needs; a pause lasts half at the most. Both modes go by it, lists pushed
 //! and asked for. The calls themselves are `discovery.rs`'s; nothing here knows of sockets.
 
+use crate::clock::ms;
 use crate::lease::{TOLD, TOLD_MOVED};
-use crate::route::ms;
 use pearfront::chance::Chance;
 use rand::Rng;
 use std::pin::pin;
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -1,21 +1,22 @@
 //! A TCP connection as hyper takes it, which also sees how much of an attempt has really been written, and whether
 //! the other side has something for us. No other file touches a connection's bytes.
 
+mod reading;
+
 use crate::admit::Place;
 use crate::arrival::Arrival;
 use crate::framing::{Framing, ReadRequest};
 use crate::system::{is_interrupted, is_transient};
-use crate::unread::{MOST_SEEN, Unread};
+use crate::unread::Unread;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::io::{Interest, ReadBuf};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
@@ -25,8 +26,6 @@
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
 /// How a body in chunks ends.
 const END_OF_CHUNKS: &[u8] = b"0\r\n\r\n";
-/// How often is looked at what more a client sends behind a request that is being answered, once something lies there.
-const LOOK: Duration = Duration::from_millis(10);
 /// An answer up to this is with its client's kernel once it has been written.
 const SMALL_ANSWER: usize = 16 * 1024;
 /// How long a connection stays open behind a larger one that its client may still be taking.
@@ -185,23 +184,6 @@
         }
     }
 
-    /// How many bytes were looked at that have not been read.
-    fn seen_ahead(&self) -> usize {
-        self.framed(|framing| framing.position() - self.unread.position()).unwrap_or_default() as usize
-    }
-
-    /// Follows what lies first in the connection, which was looked at before as far as `ahead`, to the ends of requests.
-    fn note_seen(&self, bytes: &[u8], ahead: usize, at: Instant) {
-        let new = &bytes[ahead.min(bytes.len())..];
-        if !new.is_empty() {
-            self.framed(|framing| {
-                // Between requests any byte may be the last.
-                self.arrival.read(at, new.len(), framing.body_left());
-                framing.read(new, self.arrival.earliest());
-            });
-        }
-    }
-
     /// A request of the client has been handed out and has no answer yet, or has it: meanwhile what comes behind it stays
     /// unread.
     pub fn answers(&self, is_answering: bool) {
@@ -222,70 +204,6 @@
         }
     }
 
-    /// Has a request been read to its end, and nothing of what comes behind it? Also where nothing has been read.
-    fn is_between_requests(&self) -> bool {
-        self.framed(|framing| framing.has_read(self.unread.position())).unwrap_or_default()
-    }
-
-    /// Has what comes next to wait until the request before it is answered, or is it not read any more?
-    fn is_held(&self) -> bool {
-        let is_held = self.unread.is_answering() || self.unread.has_ended() || self.is_write_blocked.get();
-        is_held && self.is_between_requests()
-    }
-
-    /// Looks at what a client sends behind a request that waits for its answer, so that it is known when that came. It has to
-    /// be polled beside hyper's connection, and never returns.
-    pub async fn look_behind(&self) -> Infallible {
-        loop {
-            if !self.unread.is_answering() || !self.is_between_requests() {
-                self.unread.changed().await;
-                continue;
-            }
-            tokio::select! {
-                // What it fails with is found by the read.
-                _ = self.stream.readable() => {}
-                () = self.unread.changed() => continue,
-            }
-            if self.look() {
-                let _ = timeout(LOOK, self.unread.changed()).await;
-            }
-        }
-    }
-
-    /// Looks once; false if nothing lies there. Once something does, the runtime does not tell when more has come.
-    fn look(&self) -> bool {
-        let mut chunk = [0; CHUNK];
-        let Some(mut looked) = self.look_into(&mut chunk) else { return true };
-        if looked == CHUNK {
-            // Few clients send so much at once: only for them there is more room.
-            looked = self.look_into(&mut vec![0; MOST_SEEN]).unwrap_or(looked);
-        }
-        let now = Instant::now();
-        self.unread.fill(looked);
-        if self.unread.is_full() {
-            self.arrival.looks_away(now);
-        } else {
-            self.arrival.found_nothing();
-        }
-        looked > 0
-    }
-
-    /// How many bytes lie there; nothing where the kernel does not say for now.
-    fn look_into(&self, chunk: &mut [u8]) -> Option<usize> {
-        let (ahead, now) = (self.seen_ahead(), Instant::now());
-        let looked = match pin!(self.stream.peek(chunk)).poll(&mut Context::from_waker(Waker::noop())) {
-            Poll::Ready(looked) => looked.ok()?,
-            Poll::Pending => 0,
-        };
-        if looked > ahead {
-            // More than was seen came behind the last look.
-            let at = if ahead > 0 { now - LOOK } else { now };
-            self.note_seen(&chunk[..looked], ahead, at);
-            self.has_read.notify_waiters();
-        }
-        Some(looked)
-    }
-
     /// Has the other side begun to answer what was written last?
     pub fn has_begun(&self) -> bool {
         self.answered.get()
@@ -407,107 +325,6 @@
         self.peek().is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Are there bytes that hyper has not read yet, and that are to be read?
-    pub fn has_unread(&self) -> bool {
-        !self.is_read_out() && self.has_bytes()
-    }
-
-    /// Are there bytes that nobody has read?
-    fn has_bytes(&self) -> bool {
-        self.peek().is_ok_and(|count| count > 0)
-    }
-
-    /// Has a request come, or begun to come, behind the one that was handed out last?
-    pub fn has_more(&self) -> bool {
-        self.has_unread()
-            || !self.is_read_out() && self.in_head()
-            || self.framed(|framing| framing.has_waiting()).unwrap_or_default() && !self.is_read_out()
-    }
-
-    /// No further request is begun to be read than what has come: that has its answer, and the rest was never taken. Behind a
-    /// stop of the process the runtime may not know yet what has come: then this is left to the next time.
-    pub fn end_reading(&self) {
-        if self.unread.is_ending() {
-            return;
-        }
-        // In the middle of a body nothing behind it is looked at.
-        if !self.is_between_requests() || self.look() || !self.has_bytes() {
-            self.unread.end(self.framed(|framing| framing.position()).unwrap_or_default());
-        }
-    }
-
-    /// Is the connection to end once what has come is answered?
-    pub fn is_ending(&self) -> bool {
-        self.unread.is_ending()
-    }
-
-    fn is_read_out(&self) -> bool {
-        self.unread.has_ended() && self.is_between_requests()
-    }
-
-    /// Reads what a client sends, and nothing behind the end of a request.
-    fn poll_read_request(&self, context: &mut Context, chunk: &mut [u8]) -> Poll<io::Result<usize>> {
-        loop {
-            if self.is_held() {
-                return self.poll_client_end(context);
-            }
-            let most = match ready!(self.poll_readable(context, chunk)) {
-                Ok(0) => return Poll::Ready(Ok(0)),
-                Ok(most) => most,
-                Err(error) if is_interrupted(&error) => continue,
-                Err(error) => return self.failed(context, error),
-            };
-            match self.stream.try_read(&mut chunk[..most]) {
-                Ok(count) => {
-                    self.note_read(&chunk[..count]);
-                    return Poll::Ready(Ok(count));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock || is_interrupted(&error) => {}
-                Err(error) => return self.failed(context, error),
-            }
-        }
-    }
-
-    /// How many bytes may be read: as far as the end of the request, if that is here.
-    fn poll_readable(&self, context: &mut Context, chunk: &mut [u8]) -> Poll<io::Result<usize>> {
-        let ahead = self.seen_ahead();
-        let piece = self.framed(|framing| framing.piece_left()).flatten();
-        if let Some(left) = piece.filter(|_| ahead == 0) {
-            let Poll::Ready(is_ready) = self.stream.poll_read_ready(context) else {
-                return self.nothing_to_read(context);
-            };
-            return Poll::Ready(is_ready.map(|()| left.min(chunk.len() as u64) as usize));
-        }
-        let Poll::Ready(looked) = self.stream.poll_peek(context, &mut ReadBuf::new(chunk)) else {
-            return self.nothing_to_read(context);
-        };
-        let looked = looked?;
-        self.note_seen(&chunk[..looked], ahead, Instant::now());
-        let position = self.unread.position();
-        let end = self.framed(|framing| framing.end_behind(position)).flatten();
-        Poll::Ready(Ok(end.map_or(looked, |end| looked.min((end - position) as usize))))
-    }
-
-    fn nothing_to_read<T>(&self, context: &Context) -> Poll<T> {
-        self.arrival.found_nothing();
-        self.unread.wait(context.waker());
-        Poll::Pending
-    }
-
-    /// Of a client that is not read only the end is told.
-    fn poll_client_end(&self, context: &mut Context) -> Poll<io::Result<usize>> {
-        self.unread.wait(context.waker());
-        loop {
-            let mut byte = [0];
-            match ready!(self.stream.poll_peek(context, &mut ReadBuf::new(&mut byte))) {
-                Ok(0) => return Poll::Ready(Ok(0)),
-                Ok(_) => return Poll::Pending,
-                Err(error) if is_interrupted(&error) => {}
-                Err(error) => return self.failed(context, error),
-            }
-        }
-    }
-
     fn failed<T>(&self, context: &Context, error: io::Error) -> Poll<io::Result<T>> {
         if !is_transient(&error) {
             return Poll::Ready(Err(error));
