--- a/crates/pearfront-node/src/wire/reading.rs
+++ b/crates/pearfront-node/src/wire/reading.rs
@@ -75,7 +75,7 @@
         self.unread.fill(looked);
         if self.unread.is_full() {
             self.arrival.looks_away(now);
-        } else {
+        } else if looked > 0 || self.is_quiet() {
             self.arrival.found_nothing();
         }
         looked > 0
@@ -183,7 +183,10 @@
     }
 
     fn nothing_to_read<T>(&self, context: &Context) -> Poll<T> {
-        self.arrival.found_nothing();
+        // Of a new connection the runtime may not have been told yet what came while it waited to be accepted.
+        if self.moved() > 0 || self.is_quiet() {
+            self.arrival.found_nothing();
+        }
         self.unread.wait(context.waker());
         Poll::Pending
     }
