What a process finds in a shared queue counts from before its start

On an inherited listener it counts from 0.32 s before that: longer than that nothing waits while a process serves the queue. Before its first look the queue is not taken for empty, and how many connections can lie in it is the kernel's word, as another may have opened it.

--- a/crates/pearfront-node/src/accept.rs
+++ b/crates/pearfront-node/src/accept.rs
@@ -3,6 +3,7 @@
 
 use crate::BACKLOG;
 use crate::framing::Framing;
+use crate::inherited;
 use crate::logger::Seldom;
 use crate::queue::Queue;
 use crate::take_in::{LAST_SERVED, TakeIn};
@@ -60,8 +61,16 @@
 }
 
 impl Acceptor {
-    pub fn new(listener: TcpListener, take_in: Rc<TakeIn>) -> Self {
-        let queue = Queue::since(BACKLOG as usize + BEYOND_BACKLOG, Instant::now());
+    /// `shared` says that other processes may have served the listener before: what they leave in its queue came while they
+    /// did.
+    pub fn new(listener: TcpListener, shared: bool, take_in: Rc<TakeIn>) -> Self {
+        let now = Instant::now();
+        let (backlog, opened) = if shared {
+            (inherited::longest_queue(), now.checked_sub(LONGEST_WAIT + NO_PLACE).unwrap_or(now))
+        } else {
+            (BACKLOG as usize, now)
+        };
+        let queue = Queue::since(backlog + BEYOND_BACKLOG, opened);
         Self {
             listener,
             queue,
@@ -78,6 +87,8 @@
     /// Accepts clients until told to end; then until no more come, and serves those that stay almost as long as the
     /// node runs: they may have nowhere else to go. `end` tells when the module will give its last answers.
     pub async fn run(self, end: impl Future<Output = f64>) {
+        // Until the runtime has looked for the first time, a queue with connections from before seems to be empty.
+        yield_now().await;
         let answered = tokio::select! {
             never = self.accept_all() => match never {},
             answered = end => answered,
--- a/crates/pearfront-node/src/client.rs
+++ b/crates/pearfront-node/src/client.rs
@@ -14,6 +14,8 @@
 /// How much longer than one that has brought nothing yet a connection is spared whose client has sent requests: more of
 /// them are likely.
 const USED: Duration = Duration::from_millis(150);
+/// How long one that has just been opened is left alone also where others wait: its request comes right behind.
+const JUST_OPENED: Duration = Duration::from_millis(20);
 /// How long a client may take for its first head, or for the rest of one: it is owed an error or a close within 3 s
 /// of connecting.
 const WHOLE_HEAD: Duration = Duration::from_millis(2200);
@@ -98,7 +100,8 @@
     /// May it go for one that brings a request, if there is nothing on it or no more than half a head? Whoever closes it
     /// asks the kernel as well.
     pub fn may_go(&self) -> bool {
-        self.is_idle() && !self.closing.get()
+        let is_open_for_long = self.used.get() || self.since.get().elapsed() > JUST_OPENED;
+        self.is_idle() && is_open_for_long && !self.closing.get()
     }
 
     /// Has it brought nothing that is not answered? The kernel is asked last: that takes longest.
--- a/crates/pearfront-node/src/clock.rs
+++ b/crates/pearfront-node/src/clock.rs
@@ -34,7 +34,9 @@
     }
 
     pub fn time_of(&self, instant: Instant) -> f64 {
-        instant.saturating_duration_since(self.start).as_secs_f64() * 1000.0
+        let after = instant.saturating_duration_since(self.start);
+        let before = self.start.saturating_duration_since(instant);
+        (after.as_secs_f64() - before.as_secs_f64()) * 1000.0
     }
 
     pub fn at(&self, time: f64) -> Instant {
--- a/crates/pearfront-node/src/inherited.rs
+++ b/crates/pearfront-node/src/inherited.rs
@@ -4,6 +4,9 @@
 use std::net::SocketAddr;
 use std::os::fd::{FromRawFd, OwnedFd, RawFd};
 
+/// The same where the kernel doesn't say: more than is of use on any machine.
+const LONGEST_QUEUE: usize = 65_535;
+
 /// Takes over the descriptor of that number, if a listener at the address stands behind it.
 pub fn listener(number: RawFd, address: SocketAddr) -> Result<std::net::TcpListener, String> {
     if std::fs::read_link(format!("/proc/self/fd/{number}")).is_err() {
@@ -21,6 +24,12 @@
     Ok(socket.into())
 }
 
+/// Most connections that wait in a listener's queue, whoever opened it.
+pub fn longest_queue() -> usize {
+    let most = std::fs::read_to_string("/proc/sys/net/core/somaxconn").ok();
+    most.and_then(|most| most.trim().parse().ok()).unwrap_or(LONGEST_QUEUE)
+}
+
 /// The only unsafe line: no safe call makes an owner of a number. It is called once, before anything else has been
 /// opened, with the number that the platform says is ours and that has just been seen to be open.
 #[allow(unsafe_code)]
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -173,7 +173,7 @@
         take_in.route.inbox.tell(move |balancer| balancer.closing(answered));
         answered
     };
-    Acceptor::new(listener, take_in.clone()).run(ended).await;
+    Acceptor::new(listener, shared, take_in.clone()).run(ended).await;
     if timeout_at(clock.at(last.get()), take_in.finish()).await.is_err() {
         // Whatever they still wait for, also where the process stood still beyond its last moment.
         take_in.route.expire_all();
--- a/crates/pearfront-node/tests/endings/room.rs
+++ b/crates/pearfront-node/tests/endings/room.rs
@@ -1,6 +1,6 @@
 //! Clients that hold all the descriptors that they can get, each kind in its own way, while discovery is down.
 
-use crate::stand_ins::{Act, Node, Server, config, entry, head, in_time, list};
+use crate::stand_ins::{Act, Caller, Node, Platform, Server, config, entry, head, in_time, list};
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -214,3 +214,30 @@
         Err(format!("{} of {REQUESTS} lost: {lost:?}, {most} descriptors, {counters:?}", lost.len()))
     });
 }
+
+/// How much more than what is left to its client a server may be told.
+const SLACK: f64 = 0.15;
+
+// In a hand-over a request waits in the queue that the processes share. The one that takes it counts its time from when it
+// can have come, not from its own start: what it tells the server is left.
+#[test]
+fn a_request_that_waited_for_the_next_process_is_told_what_is_left() {
+    const DEADLINE: f64 = 2.5;
+    const WAITED: Duration = Duration::from_millis(250);
+    let server = Server::start(Act::Serve(b"fine".to_vec()));
+    let (platform, config) = (Platform::new(), config(&[server.address]));
+    let old = platform.start(&config);
+    old.wait_for_call("GET /_ready", 200);
+    let address = old.address;
+    old.kill();
+    let mut caller = Caller::connect(address).unwrap();
+    let sent = Instant::now();
+    caller.send(&head("read", &DEADLINE.to_string(), 0), b"");
+    sleep(WAITED);
+    let new = platform.start(&config);
+    assert_eq!(caller.answer().map(|answer| answer.status()), Some(200));
+    let left = DEADLINE - sent.elapsed().as_secs_f64();
+    let told: f64 = server.jobs()[0].headers["x-expires-in"].parse().unwrap();
+    assert!(told <= left + SLACK, "told {told}, {left} left");
+    new.kill();
+}
