A connection that is read out ends, whatever it waited for before

Now the connection itself waits for the moment in which nothing further is read and nothing is answered, and ends then, in place of looks at two other moments. The test failed before: no answer.

--- a/crates/pearfront-node/src/client.rs
+++ b/crates/pearfront-node/src/client.rs
@@ -147,21 +147,12 @@
         self.busy.set(false);
         self.since.set(Instant::now());
         self.wire.answers(false);
-        // What comes on it from now on would lie there unread.
-        if self.wire.is_ending() && !self.wire.has_unread() {
-            self.close();
-        }
     }
 
-    /// No further request is begun to be read than what has come; without any it is closed. On one that has just been opened the
-    /// first may be on its way.
+    /// No further request is begun to be read than what has come. On one that has just been opened the first may be on its way.
     pub fn end_reading(&self) {
-        if !self.has_begun() {
-            return;
-        }
-        self.wire.end_reading();
-        if self.wire.is_ending() && self.is_idle() && !self.closing.get() && !self.wire.has_unread() {
-            self.close();
+        if self.has_begun() {
+            self.wire.end_reading();
         }
     }
 
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -157,6 +157,10 @@
                     closing = Some((wire.moved(), false));
                     end(connection.as_mut());
                 }
+                () = wire.read_out(), if closing.is_none() => {
+                    closing = Some((wire.moved(), false));
+                    end(connection.as_mut());
+                }
                 () = sleep(STUCK), if closing.is_some() => {
                     // A head that goes on and on moves nothing forward either.
                     let quiet = |moved| moved == wire.moved() && !wire.has_unread();
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -191,6 +191,7 @@
             self.answer_written.set(0);
         }
         self.unread.answers(is_answering);
+        self.has_read.notify_waiters();
     }
 
     /// Does an answer wait for the client to take what came before? hyper hands out no answer meanwhile.
--- a/crates/pearfront-node/src/wire/reading.rs
+++ b/crates/pearfront-node/src/wire/reading.rs
@@ -123,6 +123,7 @@
         // In the middle of a body nothing behind it is looked at.
         if !self.is_between_requests() || self.look() || !self.has_bytes() {
             self.unread.end(self.framed(|framing| framing.position()).unwrap_or_default());
+            self.has_read.notify_waiters();
         }
     }
 
@@ -131,6 +132,17 @@
         self.unread.is_ending()
     }
 
+    /// Waits until no further request is read, and the last one has its answer: what comes from then on would lie there.
+    pub async fn read_out(&self) {
+        loop {
+            let more = self.has_read.notified();
+            if self.is_read_out() && !self.unread.is_answering() {
+                return;
+            }
+            more.await;
+        }
+    }
+
     fn is_read_out(&self) -> bool {
         self.unread.has_ended() && self.is_between_requests()
     }
--- a/crates/pearfront-node/tests/endings/resume.rs
+++ b/crates/pearfront-node/tests/endings/resume.rs
@@ -147,3 +147,18 @@
     node.end();
     assert_eq!(status, Some(503));
 }
+
+// A request that was answered before its body had been read: what came behind that body, once a drain had been taken back, lay there.
+#[test]
+fn a_request_behind_a_body_that_outlives_a_drain_and_its_answer_is_answered() {
+    let node = Node::start_for_operators(config(&[]));
+    let mut client = node.caller();
+    client.send(&head("pay", "2.6", LARGE), &vec![b'x'; LARGE]);
+    assert_eq!(node.call("PUT /_lameduck/on"), 200);
+    sleep(DRAINED);
+    assert_eq!(node.call("PUT /_lameduck/off"), 200);
+    assert_eq!(client.answer().map(|answer| answer.status()), Some(503));
+    let status = ask_in_time(&node, &mut client);
+    node.end();
+    assert_eq!(status, 503);
+}
