--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -84,9 +84,13 @@
         }
     }
 
-    /// Is too little of it left for any attempt?
+    /// Is too little of it left for any attempt, or too little until it has to end for one behind it?
     pub fn is_over(&self) -> bool {
-        self.left(self.clock.now()) <= AHEAD.min(self.time)
+        let now = self.clock.now();
+        let is_soon = |end: f64| now >= end - AHEAD;
+        let behind =
+            self.client.upgrade().and_then(|client| ends_for_one_behind(&client, self.clock, &self.pulse));
+        self.left(now) <= AHEAD.min(self.time) || behind.is_some_and(is_soon)
     }
 
     /// What is left of it, ms.
@@ -98,7 +102,8 @@
     /// before it, their answers have to wait for its own.
     fn ends_at(&self) -> f64 {
         let own = self.at() - if self.is_coming() { AHEAD } else { LAST_MOMENT };
-        let behind = self.client.upgrade().and_then(|client| ends_for_one_behind(&client, self.clock));
+        let behind =
+            self.client.upgrade().and_then(|client| ends_for_one_behind(&client, self.clock, &self.pulse));
         behind.map_or(own, |behind| own.min(behind))
     }
 
@@ -118,13 +123,14 @@
 }
 
 /// When the answer to a request has to end at the latest, ms, for the first of those behind it to be in time.
-fn ends_for_one_behind(client: &Wire, clock: Clock) -> Option<f64> {
-    client.due_behind().map(|due| clock.time_of(due) - AHEAD)
+fn ends_for_one_behind(client: &Wire, clock: Clock, pulse: &Pulse) -> Option<f64> {
+    let came_at = |seen| pulse.stopped_at(clock.time_of(seen)).map_or(seen, |begun| clock.at(begun));
+    client.due_behind(came_at).map(|due| clock.time_of(due) - AHEAD)
 }
 
 /// Waits until an answer that is on its way to this client has to end, as one behind it is due.
-pub async fn one_behind_is_due(clock: Clock, client: &Rc<Wire>) {
-    let at = || ends_for_one_behind(client, clock).unwrap_or(f64::INFINITY);
+pub async fn one_behind_is_due(clock: Clock, pulse: &Pulse, client: &Rc<Wire>) {
+    let at = || ends_for_one_behind(client, clock, pulse).unwrap_or(f64::INFINITY);
     reached(clock, &Rc::downgrade(client), at).await;
 }
 
--- a/crates/pearfront-node/src/framing.rs
+++ b/crates/pearfront-node/src/framing.rs
@@ -45,9 +45,9 @@
 
 impl ReadRequest {
     /// When its answer is due, if it is whole; `may_be_whole` if what is missing may have come, and was not looked at.
-    fn due(&self, may_be_whole: bool) -> Option<Instant> {
+    fn due(&self, may_be_whole: bool, came_at: impl Fn(Instant) -> Instant) -> Option<Instant> {
         let came = self.came.or(self.head_came.filter(|_| may_be_whole));
-        Some(came? + self.time?)
+        Some(came_at(came?) + self.time?)
     }
 }
 
@@ -194,10 +194,11 @@
     }
 
     /// When the answer to the request handed out last has to end, so that those that can come only behind it are in time: each of
-    /// them takes a moment. `may_be_whole` if more of what the client has sent lies where it was not looked at.
-    pub fn due_behind(&self, may_be_whole: bool) -> Option<Instant> {
+    /// them takes a moment. `may_be_whole` if more of what the client has sent lies where it was not looked at; `came_at` tells when
+    /// what was seen then can have come at the earliest.
+    pub fn due_behind(&self, may_be_whole: bool, came_at: impl Fn(Instant) -> Instant) -> Option<Instant> {
         let due = |(place, request): (usize, &ReadRequest)| {
-            let due = request.due(may_be_whole)?;
+            let due = request.due(may_be_whole, &came_at)?;
             due.checked_sub(ONE_ANSWER * place as u32)
         };
         self.waiting.iter().enumerate().filter_map(due).min()
--- a/crates/pearfront-node/src/framing/tests.rs
+++ b/crates/pearfront-node/src/framing/tests.rs
@@ -67,11 +67,14 @@
     let all = ["9", "0.5", " 0.25 ", "none"].map(request).concat();
     framing.read(&all.as_bytes()[..all.len() - 1], now);
     // It is the third: two more answers come before it.
-    assert_eq!(framing.due_behind(false), Some(now + Duration::from_millis(250) - 2 * ONE_ANSWER));
+    assert_eq!(
+        framing.due_behind(false, |came| came),
+        Some(now + Duration::from_millis(250) - 2 * ONE_ANSWER)
+    );
     assert_eq!([framing.hand_out(), framing.hand_out()].map(|request| request.came), [Some(now); 2]);
-    assert_eq!(framing.due_behind(false), Some(now + Duration::from_millis(250)));
+    assert_eq!(framing.due_behind(false, |came| came), Some(now + Duration::from_millis(250)));
     framing.hand_out();
-    assert_eq!(framing.due_behind(false), None);
+    assert_eq!(framing.due_behind(false, |came| came), None);
 }
 
 // A time that is over already is none at all to wait.
@@ -80,5 +83,14 @@
     let now = Instant::now();
     let mut framing = Framing::default();
     framing.read(b"GET /a HTTP/1.1\r\nX-Expires-In: -1\r\n\r\n", now);
-    assert_eq!(framing.due_behind(false), Some(now));
+    assert_eq!(framing.due_behind(false, |came| came), Some(now));
+}
+
+// What was seen behind a stop of the process may have come at its beginning.
+#[test]
+fn a_request_is_due_from_when_it_can_have_come() {
+    let (seen, begun) = (Instant::now() + Duration::from_millis(300), Instant::now());
+    let mut framing = Framing::default();
+    framing.read(b"GET /a HTTP/1.1\r\nX-Expires-In: 0.5\r\n\r\n", seen);
+    assert_eq!(framing.due_behind(false, |_| begun), Some(begun + Duration::from_millis(500)));
 }
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -250,7 +250,7 @@
 
     /// Waits until an answer that is on its way to this client has to end, as one behind it is due.
     pub async fn one_behind_is_due(&self, client: &Rc<Wire>) {
-        deadline::one_behind_is_due(self.clock, client).await;
+        deadline::one_behind_is_due(self.clock, &self.discovery.pulse(), client).await;
     }
 
     /// The last byte of a job has come: its times count from now on.
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -237,8 +237,8 @@
 
     /// When the first of the answers is due that can come only behind the one to the request handed out last, of those
     /// requests that have been read.
-    pub fn due_behind(&self) -> Option<Instant> {
-        self.framed(|framing| framing.due_behind(self.unread.is_full())).flatten()
+    pub fn due_behind(&self, came_at: impl Fn(Instant) -> Instant) -> Option<Instant> {
+        self.framed(|framing| framing.due_behind(self.unread.is_full(), came_at)).flatten()
     }
 
     /// Waits until more has been read.
