Request bodies are read ahead of their server, up to 1 MiB

Callers saw: a short request behind a 300 kB body that no server takes was answered only with that body, seconds late; a client that stopped in the middle of a body whose server takes nothing was told at its request's time (6 s), not within 3 s.

Cause: a body was read only as fast as its server took it. So a server that takes nothing hid from the node what the client does: the bytes behind the body lay at the client's end, and a client that stopped looked like one that waits.

Change: `upload.rs` owns a large body between client and server. It is read ahead up to 1 MiB, counted with the room for bodies and in at most half of it; where there is no room, a piece at a time as before. Where more has come than that, and nothing of it is taken for 2.5 s, the request is given up: nothing tells a client that was held back and stopped from one that waits, and it is owed its error within 3 s.

--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -186,6 +186,15 @@
         })
     }
 
+    /// Takes room for so many bytes of a body that is read ahead of its server; none where bodies have half of all room: the rest
+    /// is for requests that are still to come.
+    pub fn read_ahead(self: &Rc<Self>, bytes: usize) -> Option<ReadAhead> {
+        (self.bytes.get() + bytes <= self.most_bytes.get() / 2).then(|| {
+            self.bytes.set(self.bytes.get() + bytes);
+            ReadAhead { room: self.clone(), bytes }
+        })
+    }
+
     pub fn jobs(&self) -> usize {
         self.jobs.get()
     }
@@ -318,5 +327,17 @@
     }
 }
 
+/// Room of bytes that were read ahead of their server.
+pub struct ReadAhead {
+    room: Rc<Room>,
+    bytes: usize,
+}
+
+impl Drop for ReadAhead {
+    fn drop(&mut self) {
+        self.room.bytes.set(self.room.bytes.get() - self.bytes);
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/pearfront-node/src/admit/tests.rs
+++ b/crates/pearfront-node/src/admit/tests.rs
@@ -35,3 +35,15 @@
     room.share(&[]);
     assert_eq!((room.most_open.get(), room.most_bytes.get()), (alone, bytes));
 }
+
+// Bodies that are read ahead of servers that take nothing must not keep out the requests that come behind them.
+#[test]
+fn bodies_read_ahead_leave_half_of_the_room_to_requests() {
+    let room = Room::new(1024, 1.0);
+    const CHUNK: usize = 16 * 1024;
+    let ahead: Vec<ReadAhead> = std::iter::from_fn(|| room.read_ahead(CHUNK)).collect();
+    assert_eq!(ahead.len(), room.most_bytes.get() / 2 / CHUNK);
+    assert!(room.job(MOST_WHOLE).is_some());
+    drop(ahead);
+    assert_eq!(room.bytes.get(), 0);
+}
--- a/crates/pearfront-node/src/flow.rs
+++ b/crates/pearfront-node/src/flow.rs
@@ -1,6 +1,7 @@
 //! Bodies that are too large to be kept: passed on in pieces, the next one read once the last was taken. The reader's
 //! pace holds back the writer, and a flow takes no more memory than a buffer or two.
 
+use crate::upload::Piece;
 use bytes::{Buf, Bytes};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -9,7 +10,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::sync::mpsc::Receiver;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, Sleep, sleep, timeout};
 
 /// Most bytes that are kept whole.
@@ -38,6 +39,8 @@
     Cut,
     TooLong,
     Stalled,
+    /// Its server takes nothing of it.
+    NotTaken,
 }
 
 impl std::fmt::Display for Broken {
@@ -46,6 +49,7 @@
             Broken::Cut => "the body did not come whole",
             Broken::TooLong => "a body of more than 33554432 bytes",
             Broken::Stalled => "its body does not come",
+            Broken::NotTaken => "its body is not taken",
         })
     }
 }
@@ -75,15 +79,9 @@
     Ok(Start::Whole(read.into()))
 }
 
-/// What a flow is fed with where its source is read elsewhere; without an end it is not whole.
-pub enum Piece {
-    Data(Bytes),
-    End,
-}
-
 enum Source {
     Answer(Incoming),
-    Fed(Receiver<Piece>),
+    Fed(UnboundedReceiver<Piece>),
     Over,
 }
 
@@ -127,7 +125,7 @@
     }
 
     /// A body of this length, if that was told, whose pieces come through a channel.
-    pub fn fed(first: Bytes, rest: Receiver<Piece>, length: Option<u64>) -> Self {
+    pub fn fed(first: Bytes, rest: UnboundedReceiver<Piece>, length: Option<u64>) -> Self {
         Self::new(first, Source::Fed(rest), length)
     }
 
@@ -156,7 +154,10 @@
             let piece = match &mut self.rest {
                 Source::Over => None,
                 Source::Fed(pieces) => match ready!(pieces.poll_recv(context)) {
-                    Some(Piece::Data(data)) => Some(Ok(data)),
+                    Some(Piece::Data(data, place)) => {
+                        drop(place);
+                        Some(Ok(data))
+                    }
                     Some(Piece::End) => None,
                     None => Some(Err(Broken::Cut)),
                 },
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -33,6 +33,7 @@
 #[cfg(test)]
 mod test_support;
 mod unread;
+mod upload;
 mod wall_clock;
 mod watch;
 mod wire;
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -276,17 +276,18 @@
     pub async fn expire(&self, held: &Held) -> Infallible {
         held.deadline.over().await;
         let why = held.deadline.why();
-        self.end(held, why);
+        self.give_up(held, why);
         pending().await
     }
 
     /// The same for all that are open, as the process ends.
     pub fn expire_all(&self) {
         let held: Vec<_> = self.held.borrow().values().cloned().collect();
-        held.iter().for_each(|held| self.end(held, "the process ends"));
+        held.iter().for_each(|held| self.give_up(held, "the process ends"));
     }
 
-    fn end(&self, held: &Held, why: &str) {
+    /// Answers the job, if nobody else has, that there is no answer, for this reason.
+    pub fn give_up(&self, held: &Held, why: &str) {
         if !held.relay.is_open() {
             return;
         }
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -5,15 +5,16 @@
 use crate::book::Book;
 use crate::client::Client;
 use crate::deadline::{Answered, Deadline, Overdue};
-use crate::flow::{self, Broken, MOST, MOST_WHOLE, Piece, Start};
+use crate::flow::{Broken, MOST_WHOLE, Start};
 use crate::lifecycle::Lifecycle;
 use crate::logger::{Limited, Seldom};
 use crate::message::{self, Answer, Body, Call, Job, JobBody};
 use crate::route::{Held, Route};
 use crate::send::{BUFFER, Senders};
 use crate::terms::InForce;
+use crate::upload::{self, Upload};
 use crate::wire::{Socket, Wire};
-use http_body_util::{BodyExt, Either};
+use http_body_util::Either;
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1::{Builder, Connection};
 use hyper::service::service_fn;
@@ -23,10 +24,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::{self, Sender};
 use tokio::sync::oneshot::Receiver;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// How often is looked whether clients are to be let go, or have gone.
 const LOOK: Duration = Duration::from_millis(5);
@@ -35,18 +35,8 @@
 /// A caller that is to be closed, and has begun a head or not taken its answer, is cut off once nothing has moved
 /// on its connection for so long.
 const STUCK: Duration = Duration::from_millis(200);
-/// How long a body may bring nothing: with the head it is owed an error or a close within 3 s of connecting.
-const NEXT_PIECE: Duration = Duration::from_millis(2500);
-/// The least of that, where its last bytes had to wait: a caller whose sending was held back goes on at once.
-const LEAST_PATIENCE: Duration = Duration::from_millis(400);
-/// A body may take this time, and for each byte what it takes at the slowest: 16 kB a second, a quarter of what slow
-/// callers are said to bring.
-const WHOLE_BODY: Duration = Duration::from_millis(2500);
-const SLOWEST: Duration = Duration::from_nanos(62_500);
 /// Lines a second of the log that tell of answers that were broken off.
 const LINES: u32 = 10;
-/// How long the rest of a body is read whose request has its answer.
-const LONGEST_DRAIN: Duration = Duration::from_secs(5);
 
 /// How a client's connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -230,7 +220,7 @@
                 Err(Problem::Gone) => return Err(Broken::Cut),
                 Err(Problem::Malformed(problem)) => problem,
             },
-            Err(problem) => match read(body, false).await {
+            Err(problem) => match upload::begin(body, false).await {
                 Ok(Start::Whole(_)) => return Ok(self.refuse_malformed(&problem)),
                 Err(Broken::Cut) => return Err(Broken::Cut),
                 _ => problem,
@@ -268,7 +258,7 @@
         let length = body.size_hint().exact();
         let kept = length.map_or(MOST_WHOLE, |length| MOST_WHOLE.min(length as usize));
         let share = self.room.job(kept);
-        let start = read(body, share.is_some()).await?;
+        let start = upload::begin(body, share.is_some()).await?;
         let Some(share) = share else {
             self.book.no_room.add();
             self.crowded.warn("no room for a job, rejected");
@@ -296,9 +286,9 @@
                 self.answered(caller, &guard.held, answer).await
             }
             Start::Begun(first, rest) => {
-                let (pieces, source) = mpsc::channel(1);
+                let (upload, source) = Upload::new(self.room.clone());
                 job.body = JobBody::Flowing { first, rest: RefCell::new(Some(source)), length };
-                self.flow(caller, job, deadline, share, rest, pieces).await
+                self.flow(caller, job, deadline, share, rest, upload).await
             }
         }
     }
@@ -311,7 +301,7 @@
         deadline: Deadline,
         share: Share,
         mut body: Incoming,
-        pieces: Sender<Piece>,
+        upload: Upload,
     ) -> Result<Response<Body>, Problem> {
         self.book.flows_in.add();
         let (held, mut answer) = self.route.take(&caller.wire, job, deadline, share);
@@ -321,16 +311,22 @@
             answer = &mut answer => {
                 // Answered at once; what still comes is read, so that the caller gets to see it.
                 drop(guard);
-                spawn_local(drain(body));
+                spawn_local(upload::drain(body));
                 return Ok(answer.unwrap_or(Answer::Failed).encode());
             }
             // While a server takes nothing, nobody reads the body, and its end is not seen there.
             () = caller.wire.ended() => Err(Broken::Cut),
-            came = pass_on(&caller.wire, &mut body, &pieces) => came,
+            came = upload.pass_on(&caller.wire, &mut body) => came,
             never = self.route.expire(&guard.held) => match never {},
         };
-        came?;
-        self.route.body_came(&guard.held);
+        match came {
+            Ok(()) => self.route.body_came(&guard.held),
+            Err(Broken::NotTaken) => {
+                self.route.give_up(&guard.held, "its server takes nothing of its body");
+                spawn_local(upload::drain(body));
+            }
+            Err(broken) => return Err(broken.into()),
+        }
         self.answered(caller, &guard.held, answer).await
     }
 
@@ -408,47 +404,7 @@
 /// Rejects a job of which no more was read than this; the rest is read without being kept.
 fn reject(start: Start) -> Response<Body> {
     if let Start::Begun(_, rest) = start {
-        spawn_local(drain(rest));
+        spawn_local(upload::drain(rest));
     }
     Answer::Rejected(0.0).encode()
 }
-
-/// Reads a body as far as it is kept whole; without room for it, nothing of it is. One that comes too slowly is given up.
-async fn read(body: Incoming, keep: bool) -> Result<Start, Broken> {
-    let longest = WHOLE_BODY + SLOWEST * MOST_WHOLE as u32;
-    timeout(longest, flow::start(body, MOST_WHOLE, NEXT_PIECE, keep)).await.unwrap_or(Err(Broken::Stalled))
-}
-
-/// Passes a body on as it comes, each piece once the last was taken; if nobody takes it any more it is still read to
-/// its end, as its answer may be on the way.
-async fn pass_on(wire: &Wire, body: &mut Incoming, pieces: &Sender<Piece>) -> Result<(), Broken> {
-    let begun = Instant::now();
-    let mut length = 0_u64;
-    // While a server takes nothing, its caller can bring nothing: only the waiting for the caller counts.
-    let mut held_back = Duration::ZERO;
-    loop {
-        // What was read late, as its server took nothing, came long ago; so its caller has waited since.
-        let patience = NEXT_PIECE.saturating_sub(wire.waited_until().elapsed()).max(LEAST_PATIENCE);
-        let frame = timeout(patience, body.frame()).await.map_err(|_| Broken::Stalled)?;
-        let Some(frame) = frame else { break };
-        let Ok(data) = frame.map_err(|_| Broken::Cut)?.into_data() else { continue };
-        length += data.len() as u64;
-        if length > MOST {
-            return Err(Broken::TooLong);
-        }
-        if begun.elapsed() > WHOLE_BODY + SLOWEST.mul_f64(length as f64) + held_back {
-            return Err(Broken::Stalled);
-        }
-        let passed = Instant::now();
-        let _ = pieces.send(Piece::Data(data)).await;
-        held_back += passed.elapsed();
-    }
-    let _ = pieces.send(Piece::End).await;
-    Ok(())
-}
-
-/// Reads the rest of a body that nobody needs, so that its client gets to see the answer; one that goes on is cut off.
-async fn drain(mut body: Incoming) {
-    let all = async { while let Ok(Some(Ok(_))) = timeout(NEXT_PIECE, body.frame()).await {} };
-    let _ = timeout(LONGEST_DRAIN, all).await;
-}
--- /dev/null
+++ b/crates/pearfront-node/src/upload.rs
@@ -0,0 +1,119 @@
+//! Request bodies: how they are read from their clients, and how large ones get on to a server. A large body is read ahead of
+//! its server, so that a server that takes nothing hides neither whether the client still sends nor what it sends behind.
+
+use crate::admit::{ReadAhead, Room};
+use crate::flow::{self, Broken, MOST, MOST_WHOLE, Start};
+use crate::wire::Wire;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, timeout};
+
+/// Most bytes of a body that are read ahead of its server.
+const READ_AHEAD: usize = 1024 * 1024;
+/// How long a body may bring nothing, or its server take nothing of it: with the head its client is owed an error or a close
+/// within 3 s of its last byte.
+const NEXT_PIECE: Duration = Duration::from_millis(2500);
+/// The least of that, where its last bytes had to wait: a client whose sending was held back goes on at once.
+const LEAST_PATIENCE: Duration = Duration::from_millis(400);
+/// A body may take this time, and for each byte what it takes at the slowest: 16 kB a second, a quarter of what slow
+/// clients are said to bring.
+const WHOLE_BODY: Duration = Duration::from_millis(2500);
+const SLOWEST: Duration = Duration::from_nanos(62_500);
+/// How long the rest of a body is read whose request has its answer.
+const LONGEST_DRAIN: Duration = Duration::from_secs(5);
+
+/// A part of a body for its server; without an end the body is not whole.
+pub enum Piece {
+    Data(Bytes, Place),
+    End,
+}
+
+/// What a piece takes of the room until its server has it.
+pub struct Place {
+    _permit: OwnedSemaphorePermit,
+    _room: Option<ReadAhead>,
+}
+
+/// A body that is read ahead of its server.
+pub struct Upload {
+    pieces: UnboundedSender<Piece>,
+    ahead: Arc<Semaphore>,
+    room: Rc<Room>,
+}
+
+impl Upload {
+    /// With the end from which its pieces are taken.
+    pub fn new(room: Rc<Room>) -> (Self, UnboundedReceiver<Piece>) {
+        let (pieces, source) = mpsc::unbounded_channel();
+        (Self { pieces, ahead: Arc::new(Semaphore::new(READ_AHEAD)), room }, source)
+    }
+
+    /// Reads the body as it comes, ahead of its server as far as there is room; if nobody takes it any more it is still read to
+    /// its end, as its answer may be on the way.
+    ///
+    /// # Errors
+    /// Where the body does not come whole, or nobody takes it.
+    pub async fn pass_on(self, client: &Wire, body: &mut Incoming) -> Result<(), Broken> {
+        let begun = Instant::now();
+        let mut length = 0_u64;
+        // While a server takes nothing, its client can bring nothing: only the waiting for the client counts.
+        let mut held_back = Duration::ZERO;
+        while let Some(data) = next_piece(client, body).await? {
+            length += data.len() as u64;
+            if length > MOST {
+                return Err(Broken::TooLong);
+            }
+            if begun.elapsed() > WHOLE_BODY + SLOWEST.mul_f64(length as f64) + held_back {
+                return Err(Broken::Stalled);
+            }
+            let passed = Instant::now();
+            timeout(NEXT_PIECE, self.push(data)).await.map_err(|_| Broken::NotTaken)?;
+            held_back += passed.elapsed();
+        }
+        let _ = self.pieces.send(Piece::End);
+        Ok(())
+    }
+
+    /// Without room for it a piece is read once its server has all before it.
+    async fn push(&self, data: Bytes) {
+        let room = self.room.read_ahead(data.len());
+        let permits = if room.is_some() { data.len().min(READ_AHEAD) } else { READ_AHEAD };
+        let permit = self.ahead.clone().acquire_many_owned(permits as u32).await;
+        let place = Place { _permit: permit.expect("is never closed"), _room: room };
+        let _ = self.pieces.send(Piece::Data(data, place));
+    }
+}
+
+/// The next bytes of a body; none at its end.
+async fn next_piece(client: &Wire, body: &mut Incoming) -> Result<Option<Bytes>, Broken> {
+    loop {
+        // What was read late, as its server took nothing, came long ago; so its client has waited since.
+        let patience = NEXT_PIECE.saturating_sub(client.waited_until().elapsed()).max(LEAST_PATIENCE);
+        let frame = timeout(patience, body.frame()).await.map_err(|_| Broken::Stalled)?;
+        let Some(frame) = frame else { return Ok(None) };
+        if let Ok(data) = frame.map_err(|_| Broken::Cut)?.into_data() {
+            return Ok(Some(data));
+        }
+    }
+}
+
+/// Reads a body as far as it is kept whole; without room for it, nothing of it is. One that comes too slowly is given up.
+///
+/// # Errors
+/// Where it does not come.
+pub async fn begin(body: Incoming, keep: bool) -> Result<Start, Broken> {
+    let longest = WHOLE_BODY + SLOWEST * MOST_WHOLE as u32;
+    timeout(longest, flow::start(body, MOST_WHOLE, NEXT_PIECE, keep)).await.unwrap_or(Err(Broken::Stalled))
+}
+
+/// Reads the rest of a body that nobody needs, so that its client gets to see the answer; one that goes on is cut off.
+pub async fn drain(mut body: Incoming) {
+    let all = async { while let Ok(Some(Ok(_))) = timeout(NEXT_PIECE, body.frame()).await {} };
+    let _ = timeout(LONGEST_DRAIN, all).await;
+}
