Behind a stop in a crowd the queue is not shut before a place could be made

Cause: "no place for 20 ms" and "in the queue for 0.3 s" were both taken for a crowd whose requests hold all places. Behind a stop both hold at once, and nobody has had the time to answer what is over or to close what is idle.

Change: within the 50 ms in which the process catches up nothing is shut.

--- a/crates/pearfront-node/src/accept.rs
+++ b/crates/pearfront-node/src/accept.rs
@@ -199,8 +199,12 @@
         has_place
     }
 
-    /// Is there no place, and something in the queue that can't wait for one any longer?
+    /// Is there no place, and something in the queue that can't wait for one any longer? Right behind a stop of the process nobody
+    /// has had the time yet to make one.
     fn is_too_late(&self) -> bool {
+        if self.take_in.route.has_just_stopped() {
+            return false;
+        }
         let without_place = self.without_place.get().is_some_and(|since| since.elapsed() > NO_PLACE);
         without_place && self.queue.of_waiting().elapsed() > LONGEST_WAIT
     }
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -248,6 +248,11 @@
         Deadline::new(self.clock, self.discovery.pulse(), time, caller)
     }
 
+    /// Has the process just stood still, so that it has not caught up with what came meanwhile?
+    pub fn has_just_stopped(&self) -> bool {
+        self.discovery.pulse().stopped_at(self.clock.now()).is_some()
+    }
+
     /// Waits until an answer that is on its way to this client has to end, as one behind it is due.
     pub async fn one_behind_is_due(&self, client: &Rc<Wire>) {
         deadline::one_behind_is_due(self.clock, &self.discovery.pulse(), client).await;
--- a/crates/pearfront-node/tests/endings/room.rs
+++ b/crates/pearfront-node/tests/endings/room.rs
@@ -153,8 +153,8 @@
 const APART: Duration = Duration::from_millis(50);
 const TIME: Duration = Duration::from_millis(600);
 
-/// Sends a request on a new connection; the first bytes of its answer, or how it ended without one.
-fn ask_anew(address: SocketAddr) -> Result<Duration, String> {
+/// Sends a request on a new connection; the status of its answer and how soon it came, or how the connection ended without one.
+fn ask_anew(address: SocketAddr) -> Result<(String, Duration), String> {
     let begun = Instant::now();
     let mut stream = TcpStream::connect(address).map_err(|error| error.to_string())?;
     let sent = stream.write_all(head("read", "0.6", 0).as_bytes());
@@ -162,9 +162,10 @@
     let mut chunk = [0; 1024];
     let read = sent.and_then(|()| stream.read(&mut chunk));
     let taken = begun.elapsed();
+    let text = String::from_utf8_lossy(&chunk).into_owned();
     match read {
-        Ok(count) if chunk[..count].starts_with(b"HTTP/1.1 200 ") && taken < TIME => Ok(taken),
-        Ok(count) => Err(format!("after {taken:?} {:?}", String::from_utf8_lossy(&chunk[..count.min(16)]))),
+        Ok(_) if text.starts_with("HTTP/1.1 ") && taken < TIME => Ok((text[9..12].to_string(), taken)),
+        Ok(count) => Err(format!("after {taken:?} {count} bytes")),
         Err(error) => Err(format!("after {taken:?} {error}")),
     }
 }
@@ -202,8 +203,9 @@
             answers
         });
         let (most, counters) = (most.into_inner(), node.end());
-        let lost: Vec<_> = answers.iter().filter_map(|answer| answer.as_ref().err()).collect();
-        let slowest = answers.iter().flatten().max();
+        let is_served = |answer: &&_| matches!(answer, Ok((status, _)) if status == "200");
+        let lost: Vec<_> = answers.iter().filter(|answer| !is_served(answer)).collect();
+        let slowest = answers.iter().flatten().map(|(_, taken)| taken).max();
         println!(
             "{client:?} {sockets} {before_ms}: {} lost, slowest {slowest:?}, {most} descriptors",
             lost.len()
@@ -215,6 +217,41 @@
     });
 }
 
+// The process stands still in a crowd, and requests come meanwhile. Behind the stop it took the crowd for one that had held all
+// places all the while, and shut what it had not looked at. They may have come at its beginning, so some are answered with 503.
+#[test_case(Idle; "idle")]
+#[test_case(HalfAHead; "half a head")]
+fn requests_that_come_in_a_crowd_while_the_process_stands_still_are_answered(client: Client) {
+    const STOP: Duration = Duration::from_millis(700);
+    const BEFORE_ITS_END: Duration = Duration::from_millis(250);
+    in_time(|| {
+        let server = Server::start(Act::Serve(b"fine".to_vec()));
+        let mut config = config(&[server.address]);
+        config["limits"]["sockets"] = json!(64);
+        let node = Node::start(&config);
+        let over = AtomicBool::new(false);
+        let answers: Vec<_> = scope(|scope| {
+            scope.spawn(|| hold(node.address, client, CROWD, &over));
+            sleep(Duration::from_secs(1));
+            node.signal("-STOP");
+            node.wait_until_stopped();
+            sleep(STOP - BEFORE_ITS_END);
+            let asked: Vec<_> = (0..REQUESTS).map(|_| scope.spawn(|| ask_anew(node.address))).collect();
+            sleep(BEFORE_ITS_END);
+            node.signal("-CONT");
+            let answers = asked.into_iter().map(|asked| asked.join().unwrap()).collect();
+            over.store(true, Ordering::Relaxed);
+            answers
+        });
+        let counters = node.end();
+        let lost: Vec<_> = answers.iter().filter_map(|answer| answer.as_ref().err()).collect();
+        if lost.is_empty() {
+            return Ok(());
+        }
+        Err(format!("{} of {REQUESTS} lost: {lost:?}, {counters:?}", lost.len()))
+    });
+}
+
 /// How much more than what is left to its client a server may be told.
 const SLACK: f64 = 0.15;
 
