--- a/crates/pearfront-soak/src/http.rs
+++ b/crates/pearfront-soak/src/http.rs
@@ -1,8 +1,10 @@
 //! As much of HTTP/1.1 as a soak's own clients, servers, discovery and relay need, with the times at which bytes came.
 
 use crate::clock;
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
@@ -109,18 +111,21 @@
     read: Vec<u8>,
     first: f64,
     end: Option<End>,
+    /// Has a write on it met its reset? The kernel tells of that once only, and shows an orderly end from then on.
+    write_met_reset: Rc<Cell<bool>>,
 }
 
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, read: Vec::new(), first: 0.0, end: None }
+        Self { stream, read: Vec::new(), first: 0.0, end: None, write_met_reset: Rc::default() }
     }
 
     /// Reads more; nothing if the other side has ended.
     async fn more(&mut self) -> Option<()> {
         let mut chunk = vec![0; CHUNK];
         let count = match self.stream.read(&mut chunk).await {
+            Ok(0) if self.write_met_reset.get() => Err(End::Reset),
             Ok(0) => Err(End::Orderly),
             Ok(count) => Ok(count),
             Err(_) => Err(End::Reset),
@@ -243,7 +248,9 @@
     /// The same connection to write on while this one is read.
     pub fn writer(&self) -> Option<Self> {
         let socket = socket2::SockRef::from(&self.stream).try_clone().ok()?;
-        TcpStream::from_std(socket.into()).ok().map(Self::new)
+        let mut writer = TcpStream::from_std(socket.into()).ok().map(Self::new)?;
+        writer.write_met_reset = self.write_met_reset.clone();
+        Some(writer)
     }
 
     /// Waits until the other side has closed or reset it, whatever lies unread.
@@ -277,7 +284,11 @@
     /// # Errors
     /// Where the connection has broken.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        let written = self.stream.write_all(bytes).await;
+        if written.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::ConnectionReset) {
+            self.write_met_reset.set(true);
+        }
+        written
     }
 
     /// Ends it at once, with a reset.
--- a/crates/pearfront-soak/src/http/tests.rs
+++ b/crates/pearfront-soak/src/http/tests.rs
@@ -49,3 +49,18 @@
     let (raw, content, is_whole) = pass(sent, ends);
     assert_eq!((raw, content, is_whole), (sent.to_vec(), 4, false));
 }
+
+// A reset that a write met first looked like an orderly end to the reader, and a request that was shut unread like a lost one.
+#[test]
+fn a_reset_is_one_for_the_reader_although_a_write_met_it_first() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let (mut client, server) = pair().await;
+        let mut writer = client.writer().unwrap();
+        server.reset();
+        sleep(Duration::from_millis(20)).await;
+        assert!(writer.write(b"GET / HTTP/1.1\r\n\r\n").await.is_err());
+        client.ended().await;
+        assert_eq!(client.end(), Some(End::Reset));
+    });
+}
