--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -1,21 +1,14 @@
-//! When the answer to a request is due: the one owner of its time, whatever it waits for meanwhile; and how far answers kept
-//! to that.
+//! When the answer to a request is due: the one owner of its time, whatever it waits for meanwhile.
 
-use crate::book::Book;
 use crate::clock::Clock;
-use crate::logger::Limited;
 use crate::pulse::Pulse;
 use crate::wire::Wire;
-use hyper::StatusCode;
-use hyper::header::HeaderValue;
 use std::cell::Cell;
 use std::future::pending;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// From when on behind its time an answer is lost, ms.
-const LOST_AFTER: f64 = 500.0;
 /// How long ahead of its time a request gets its answer that nobody else has given, ms: behind the module's last call, which is
 /// two rounds ahead.
 const LAST_MOMENT: f64 = 4.0;
@@ -24,8 +17,6 @@
 const AHEAD: f64 = 10.0;
 /// How long the process reads what came while it stood still, and the module plays its round.
 const CATCH_UP: Duration = Duration::from_millis(60);
-/// Lines a second of the log.
-const LINES: u32 = 10;
 
 /// When the answer to one request is due, ms on the node's clock. Its time counts from its last byte. As long as that has not
 /// been read it may lie unread in the kernel, and counts from when it can have come at the earliest.
@@ -63,10 +54,9 @@
         self.came.get().or_else(read).or_else(unread).unwrap_or_else(|| self.clock.now())
     }
 
-    /// When that came, at the earliest, which was read then: while the process stood still nothing was read.
+    /// When that came, at the earliest, which was read then, ms.
     fn came_at(&self, read: Instant) -> f64 {
-        let read = self.clock.time_of(read);
-        self.pulse.stopped_at(read).unwrap_or(read)
+        self.clock.time_of(earliest(self.clock, &self.pulse, read))
     }
 
     pub fn at(&self) -> f64 {
@@ -88,9 +78,7 @@
     pub fn is_over(&self) -> bool {
         let now = self.clock.now();
         let is_soon = |end: f64| now >= end - AHEAD;
-        let behind =
-            self.client.upgrade().and_then(|client| ends_for_one_behind(&client, self.clock, &self.pulse));
-        self.left(now) <= AHEAD.min(self.time) || behind.is_some_and(is_soon)
+        self.left(now) <= AHEAD.min(self.time) || self.ends_for_one_behind().is_some_and(is_soon)
     }
 
     /// What is left of it, ms.
@@ -102,9 +90,11 @@
     /// before it, their answers have to wait for its own.
     fn ends_at(&self) -> f64 {
         let own = self.at() - if self.is_coming() { AHEAD } else { LAST_MOMENT };
-        let behind =
-            self.client.upgrade().and_then(|client| ends_for_one_behind(&client, self.clock, &self.pulse));
-        behind.map_or(own, |behind| own.min(behind))
+        self.ends_for_one_behind().map_or(own, |behind| own.min(behind))
+    }
+
+    fn ends_for_one_behind(&self) -> Option<f64> {
+        ends_for_one_behind(&*self.client.upgrade()?, self.clock, &self.pulse)
     }
 
     /// Waits until then.
@@ -124,8 +114,12 @@
 
 /// When the answer to a request has to end at the latest, ms, for the first of those behind it to be in time.
 fn ends_for_one_behind(client: &Wire, clock: Clock, pulse: &Pulse) -> Option<f64> {
-    let came_at = |seen| pulse.stopped_at(clock.time_of(seen)).map_or(seen, |begun| clock.at(begun));
-    client.due_behind(came_at).map(|due| clock.time_of(due) - AHEAD)
+    client.due_behind(|seen| earliest(clock, pulse, seen)).map(|due| clock.time_of(due) - AHEAD)
+}
+
+/// When that came, at the earliest, which was read or seen then: while the process stood still nothing was read.
+fn earliest(clock: Clock, pulse: &Pulse, seen: Instant) -> Instant {
+    pulse.stopped_at(clock.time_of(seen)).map_or(seen, |begun| clock.at(begun))
 }
 
 /// Waits until an answer that is on its way to this client has to end, as one behind it is due.
@@ -153,56 +147,3 @@
         None => pending().await,
     }
 }
-
-/// How a request was answered. Times are ms on the node's clock.
-pub struct Answered {
-    pub id: HeaderValue,
-    pub status: StatusCode,
-    /// When its last byte came, its turn on its connection began, and its answer was there.
-    pub came: f64,
-    pub turn: f64,
-    pub answered: f64,
-    /// How long its client waits.
-    pub time: f64,
-}
-
-/// Counts answers that came too late or never, and tells why.
-pub struct Overdue {
-    book: Rc<Book>,
-    late: Limited,
-    never: Limited,
-}
-
-impl Overdue {
-    pub fn new(book: Rc<Book>) -> Self {
-        Self { book, late: Limited::new(LINES), never: Limited::new(LINES) }
-    }
-
-    /// An answer begins to go out.
-    pub fn answered(&self, answer: &Answered) {
-        let took = answer.answered - answer.came;
-        if took <= answer.time + LOST_AFTER {
-            return;
-        }
-        self.book.answers_late.add();
-        self.late.info(|| {
-            format!(
-                "late: request {} answered {} {:.0} ms behind its time of {:.0} ms; its turn came after {:.0} ms",
-                String::from_utf8_lossy(answer.id.as_bytes()),
-                answer.status.as_u16(),
-                took - answer.time,
-                answer.time,
-                answer.turn - answer.came
-            )
-        });
-    }
-
-    /// So many requests that were read get no answer.
-    pub fn never(&self, count: usize, why: &str) {
-        if count == 0 {
-            return;
-        }
-        (0..count).for_each(|_| self.book.answers_never.add());
-        self.never.info(|| format!("never answered: {count} requests that were read, {why}"));
-    }
-}
--- a/crates/pearfront-node/src/framing.rs
+++ b/crates/pearfront-node/src/framing.rs
@@ -220,8 +220,8 @@
     /// Bytes to come of the body, or of the chunk of it, that is being read: no request ends among them.
     pub fn piece_left(&self) -> Option<u64> {
         match self.part {
-            Part::Body(left) | Part::Chunk(left) => Some(left),
-            _ => None,
+            Part::Chunk(left) => Some(left),
+            _ => self.body_left(),
         }
     }
 }
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -21,6 +21,7 @@
 mod lifecycle;
 mod logger;
 mod message;
+mod overdue;
 mod probe;
 mod pulse;
 mod queue;
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -4,11 +4,12 @@
 use crate::admit::{Room, Share};
 use crate::book::Book;
 use crate::client::Client;
-use crate::deadline::{Answered, Deadline, Overdue};
+use crate::deadline::Deadline;
 use crate::flow::{Broken, MOST_WHOLE, Start};
 use crate::lifecycle::Lifecycle;
 use crate::logger::{Limited, Seldom};
 use crate::message::{self, Answer, Body, Call, Job, JobBody};
+use crate::overdue::{Answered, Overdue};
 use crate::route::{Held, Route};
 use crate::send::{BUFFER, Senders};
 use crate::terms::InForce;
--- a/crates/pearfront-node/src/wire/reading.rs
+++ b/crates/pearfront-node/src/wire/reading.rs
@@ -81,11 +81,11 @@
         looked > 0
     }
 
-    /// How many bytes lie there; nothing where the kernel does not say for now.
+    /// How many bytes lie there; nothing where the kernel does not say for now, or the client has ended its sending.
     fn look_into(&self, chunk: &mut [u8]) -> Option<usize> {
         let (ahead, now) = (self.seen_ahead(), Instant::now());
         let looked = match pin!(self.stream.peek(chunk)).poll(&mut Context::from_waker(Waker::noop())) {
-            Poll::Ready(looked) => looked.ok()?,
+            Poll::Ready(looked) => looked.ok().filter(|count| *count > 0)?,
             Poll::Pending => 0,
         };
         if looked > ahead {
@@ -109,9 +109,8 @@
 
     /// Has a request come, or begun to come, behind the one that was handed out last?
     pub fn has_more(&self) -> bool {
-        self.has_unread()
-            || !self.is_read_out() && self.in_head()
-            || self.framed(|framing| framing.has_waiting()).unwrap_or_default() && !self.is_read_out()
+        let has_waiting = || self.framed(|framing| framing.has_waiting()).unwrap_or_default();
+        !self.is_read_out() && (self.in_head() || has_waiting() || self.has_bytes())
     }
 
     /// No further request is begun to be read than what has come: that has its answer, and the rest was never taken. Behind a
