Test: a client that pauses has its small buffer before it connects

The test saw 0 of 65 answers once. It made the client's buffer smaller behind its connect: the node's kernel knew a window of 64 kB, what came within it was dropped, and the rest waited for the retransmission timer, which doubles. That is no pause of a client's reading, whose first read opens the window at once. At the old test's own pace the first answer came 6.5 s behind the first read (`ss`: timer on, backoff 5, rto 6528). A round of the filling takes 50 ms and a read of /proc/net/tcp, which was 87 ms with 42000 lines; where the filling takes about 25 s the timer stands at 26 s, the client's 20 s of patience end first, and no answer is whole.

The filling no longer stops because an answer is later than 50 ms: it looks ten times.

--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -171,22 +171,24 @@
 fn a_client_that_pauses_with_its_reading_in_a_drain_gets_its_answers_whole() {
     const LENGTH: usize = 60_000;
     const PAUSE: Duration = Duration::from_millis(2500);
+    // How often is looked, 50 ms apart, whether the kernel has taken an answer whole.
+    const LOOKS: usize = 10;
     let server = Server::start(Act::Serve(vec![b'x'; LENGTH]));
     let node = Node::start_for_operators(config(&[server.address]));
-    let mut caller = node.caller();
-    SockRef::from(&caller.stream).set_recv_buffer_size(16 * 1024).unwrap();
-    let (mut count, mut held) = (0, 0);
+    let mut caller = node.caller_with_buffer(16 * 1024);
+    let (mut count, mut held, mut is_taken) = (0, 0, true);
     // Until the kernel does not take an answer whole.
-    loop {
+    while is_taken {
         caller.send(&head("read", "60", 0), b"");
         count += 1;
         server.wait_for(&format!("job {count}"));
-        sleep(Duration::from_millis(50));
-        let now = sent_and_not_read(&caller.stream);
-        if count > 2 && now < held + LENGTH as u64 {
-            break;
-        }
-        held = now;
+        let before = held;
+        is_taken = (0..LOOKS).any(|_| {
+            sleep(Duration::from_millis(50));
+            held = sent_and_not_read(&caller.stream);
+            // Of the first ones a part is with the client's kernel.
+            count <= 2 || held >= before + LENGTH as u64
+        });
     }
     assert_eq!(node.call("PUT /_lameduck/on"), 200);
     sleep(PAUSE);
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -769,6 +769,15 @@
         Caller::new(TcpStream::connect(self.address).unwrap())
     }
 
+    /// A caller whose kernel holds only so many bytes for it, as is said before it connects: where a window that the other side
+    /// knows of is made smaller, what comes is dropped, and comes again only by timers that double.
+    pub fn caller_with_buffer(&self, bytes: usize) -> Caller {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(bytes).unwrap();
+        socket.connect(&self.address.into()).unwrap();
+        Caller::new(socket.into())
+    }
+
     /// An operator's call, on a connection of its own: its status.
     pub fn call(&self, call: &str) -> u16 {
         let mut caller = self.operator();
