Tests: other clients that take little have their small buffers before they connect

A buffer that is made smaller behind the connect lets the kernel drop what comes, and the rest waits for a timer that doubles (see the test of the client that pauses).

--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -4,7 +4,6 @@
 use super::deadline::{End, all_within, answered_within, over};
 use crate::stand_ins::{Act, ESTABLISHED, Node, Platform, Server, config, head, in_table, in_time};
 use serde_json::json;
-use socket2::SockRef;
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread::sleep;
@@ -75,8 +74,7 @@
     const LENGTH: usize = 1_000_000;
     let server = Server::start(Act::Serve(vec![b'x'; LENGTH]));
     let node = Node::start(&config(&[server.address]));
-    let mut caller = node.caller();
-    SockRef::from(&caller.stream).set_recv_buffer_size(16 * 1024).unwrap();
+    let mut caller = node.caller_with_buffer(16 * 1024);
     let request = head("read", "3", 0).replace("Host:", "Connection: close\r\nHost:");
     caller.send(&request, behind.as_bytes());
     sleep(TIME);
@@ -205,8 +203,7 @@
     const LENGTH: usize = 1_000_000;
     let server = Server::start(Act::Hold(vec![b'x'; LENGTH]));
     let node = Node::start_for_operators(config(&[server.address]));
-    let mut caller = node.caller();
-    SockRef::from(&caller.stream).set_recv_buffer_size(16 * 1024).unwrap();
+    let mut caller = node.caller_with_buffer(16 * 1024);
     caller.send(&head("read", "5", 0), b"");
     server.wait_for("job 1");
     assert_eq!(node.call("PUT /_lameduck/on"), 200);
@@ -259,8 +256,7 @@
     let node = Node::start(&config);
     let crowd: Vec<TcpStream> = (0..24)
         .map(|_| {
-            let mut stream = TcpStream::connect(node.address).unwrap();
-            SockRef::from(&stream).set_recv_buffer_size(16 * 1024).unwrap();
+            let mut stream = node.caller_with_buffer(16 * 1024).stream;
             // One that is shut unread has no answer.
             let _ = stream.write_all((0..EACH).map(|_| head("read", "60", 0)).collect::<String>().as_bytes());
             // Until no more of them are begun.
