--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -76,7 +76,7 @@
 }
 
 /// A server that reads so much at a time, with a pause, and never answers.
-fn takes_slowly(pause: Duration) -> SocketAddr {
+pub fn takes_slowly(pause: Duration) -> SocketAddr {
     let (address, listener) = takes_nothing();
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -6,6 +6,7 @@
 mod gone;
 mod repeats;
 mod resume;
+mod review;
 mod room;
 mod shutdown;
 mod stale;
--- /dev/null
+++ b/crates/pearfront-node/tests/endings/review.rs
@@ -0,0 +1,256 @@
+//! What a review of the whole way of a request found, by one who had not seen the earlier ones.
+
+use super::deadline::{End, all_within, answered_within, over, takes_nothing, takes_slowly};
+use super::unended::answered_or_reset_within;
+use super::without_cancels;
+use crate::stand_ins::{Act, Node, Server, config, head, in_time};
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread::{scope, sleep, spawn};
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// How long the client of the short requests here waits, and how much later an answer is lost.
+const TIME: Duration = Duration::from_millis(600);
+const LOST_AFTER: Duration = Duration::from_millis(500);
+const MB: usize = 1_000_000;
+
+/// Sends a request that waits for 3 s with a body of which its server takes nothing, and a short one behind it.
+fn short_behind_a_body(node: Node, length: usize) -> Result<(), String> {
+    let mut caller = node.caller();
+    caller.send(&head("pay", "3", length), &vec![b'x'; length]);
+    caller.send(&head("read", "0.6", 0), b"");
+    answered_or_reset_within(&caller.stream, 2, TIME + LOST_AFTER)?;
+    over(node);
+    Ok(())
+}
+
+// A body of which more has come than is read ahead: what lies behind it is in the node's kernel all the same, and is due.
+#[test_case(2 * MB, false; "without a server")]
+#[test_case(5 * MB, true; "with a server that hangs")]
+fn a_short_request_behind_a_body_longer_than_is_read_ahead_is_answered_in_time(length: usize, hangs: bool) {
+    in_time(|| {
+        let (address, _listener) = takes_nothing();
+        short_behind_a_body(
+            Node::start(&config(if hangs { std::slice::from_ref(&address) } else { &[] })),
+            length,
+        )
+    });
+}
+
+// The same where others' bodies, or a small limit, leave no room to read ahead.
+#[test]
+fn a_short_request_behind_a_body_without_room_to_read_ahead_is_answered_in_time() {
+    in_time(|| {
+        let mut config = config(&[]);
+        config["limits"]["memory_mb"] = json!(1);
+        short_behind_a_body(Node::start(&config), 200_000)
+    });
+}
+
+// A short request that lies further behind one in work than the node looks.
+#[test]
+fn a_short_request_behind_more_than_is_looked_at_is_answered_or_shut_unread_in_time() {
+    const LENGTH: usize = 300_000;
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        caller.send(&[head("read", "3", 0), head("pay", "3", LENGTH)].concat(), &vec![b'x'; LENGTH]);
+        caller.send(&head("read", "0.6", 0), b"");
+        answered_or_reset_within(&caller.stream, 3, TIME + LOST_AFTER)?;
+        over(node);
+        Ok(())
+    });
+}
+
+/// What the node's memory grows by, KiB, while so many clients do this and it has no server for their bodies.
+fn grown_by(clients: usize, act: impl Fn(TcpStream) + Sync) -> usize {
+    let node = Node::start(&config(&[]));
+    let before = node.peak_memory();
+    scope(|scope| {
+        for _ in 0..clients {
+            let (stream, act) = (TcpStream::connect(node.address).unwrap(), &act);
+            scope.spawn(move || act(stream));
+        }
+    });
+    node.peak_memory() - before
+}
+
+// What is read ahead of a server counts as much as it takes, however small the pieces are in which it comes.
+#[test]
+fn a_body_in_tiny_chunks_takes_no_more_memory_than_is_counted() {
+    const CLIENTS: usize = 1;
+    const EACH_KB: usize = 4 * 1024;
+    let grown = grown_by(CLIENTS, |mut stream| {
+        let chunked = head("pay", "60", 0).replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        stream.set_write_timeout(Some(Duration::from_secs(1))).unwrap();
+        let _ = stream.write_all(chunked.as_bytes());
+        let _ = stream.write_all(&b"1\r\nx\r\n".repeat(MB));
+        sleep(Duration::from_secs(5));
+    });
+    assert!(grown < CLIENTS * EACH_KB, "{grown} KiB");
+}
+
+// A piece of a few bytes kept the whole buffer of 8 KiB into which it was read.
+#[test]
+fn a_body_in_small_segments_takes_no_more_memory_than_is_counted() {
+    const CLIENTS: usize = 4;
+    const EACH_KB: usize = 4 * 1024;
+    let grown = grown_by(CLIENTS, |mut stream| {
+        stream.set_nodelay(true).unwrap();
+        let _ = stream.write_all(head("pay", "60", MB).as_bytes());
+        let begun = Instant::now();
+        while begun.elapsed() < Duration::from_millis(2000) && stream.write_all(&[b'x'; 400]).is_ok() {
+            sleep(Duration::from_millis(1));
+        }
+    });
+    assert!(grown < CLIENTS * EACH_KB, "{grown} KiB");
+}
+
+/// A server that gives so much of a large answer once it has the head, and the rest once it has the whole body.
+fn answers_early(length: usize, first: usize, answer: usize) -> SocketAddr {
+    let address = Server::nowhere();
+    let listener = TcpListener::bind(address).unwrap();
+    spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            spawn(move || {
+                let (mut seen, mut chunk) = (Vec::new(), vec![0; 64 * 1024]);
+                let mut begun = None;
+                while let Ok(count) = stream.read(&mut chunk)
+                    && count > 0
+                {
+                    seen.extend_from_slice(&chunk[..count]);
+                    let Some(end) = seen.windows(4).position(|four| four == b"\r\n\r\n") else { continue };
+                    if !seen.starts_with(b"POST /pay") {
+                        seen.clear();
+                        let _ = stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+                    } else if begun.is_none() {
+                        begun = Some(());
+                        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {answer}\r\n\r\n");
+                        let _ = stream.write_all(&[head.as_bytes(), &vec![b'y'; first]].concat());
+                    }
+                    if seen.len() == end + 4 + length {
+                        let _ = stream.write_all(&vec![b'y'; answer - first]);
+                        seen.clear();
+                        begun = None;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+// A server begins to answer before it has the whole body: its answer was cut, as the rest of the body was kept from it.
+#[test_case(100_000; "and goes on when it has it")]
+#[test_case(300_000; "and needs none of it")]
+fn a_large_answer_that_begins_before_its_body_has_come_is_whole(first: usize) {
+    const LENGTH: usize = 400_000;
+    const ANSWER: usize = 300_000;
+    in_time(|| {
+        let node = Node::start(&config(&[answers_early(LENGTH, first, ANSWER)]));
+        let mut caller = node.caller();
+        let body = vec![b'x'; LENGTH];
+        caller.send(&head("pay", "3", LENGTH), &body[..LENGTH / 2]);
+        sleep(Duration::from_millis(300));
+        // Its answer is on the way.
+        let begun = caller.take(1000).len();
+        let _ = caller.stream.write_all(&body[LENGTH / 2..]);
+        let rest = caller.take(ANSWER - 1000).len();
+        if begun + rest == ANSWER { Ok(()) } else { Err(format!("{} of {ANSWER} bytes", begun + rest)) }
+    });
+}
+
+// A body is whole in the moment in which its attempt begins: nobody told the attempt, which had no end of its own then.
+#[test]
+fn an_attempt_that_begins_with_the_end_of_its_body_ends_with_its_time() {
+    const COUNT: usize = 40;
+    const SIDE_BY_SIDE: usize = 4;
+    in_time(|| {
+        let server = Server::start(Act::Silence);
+        let node = Node::start(&without_cancels(&config(&[server.address])));
+        for length in 0..COUNT {
+            let length = 70_000 + 8_000 * length;
+            let mut callers: Vec<_> = (0..SIDE_BY_SIDE).map(|_| node.caller()).collect();
+            for caller in &mut callers {
+                caller.send(&head("pay", "0.3", length), &vec![b'x'; length]);
+            }
+            for caller in callers {
+                answered_within(&caller.stream, 1, TIME + LOST_AFTER)?;
+            }
+        }
+        sleep(TIME);
+        let counters = node.end();
+        let open = counters["attempts"] - counters["attempt_timed_out"];
+        if open == 0 { Ok(()) } else { Err(format!("{counters:?}")) }
+    });
+}
+
+// A server that takes a body slowly, and without a pause: it is not one that takes nothing.
+#[test_case(192; "with room to read ahead")]
+#[test_case(4; "with little room to read ahead")]
+fn a_body_that_is_taken_slowly_without_a_pause_is_not_given_up(memory_mb: usize) {
+    const LENGTH: usize = 6 * MB;
+    let mut config = config(&[takes_slowly(Duration::from_millis(60))]);
+    config["limits"]["memory_mb"] = json!(memory_mb);
+    let node = Node::start(&config);
+    let caller = node.caller();
+    let mut sending = caller.stream.try_clone().unwrap();
+    spawn(move || sending.write_all(&[head("pay", "60", LENGTH).as_bytes(), &vec![b'x'; LENGTH]].concat()));
+    let begun = Instant::now();
+    let (mut all, mut end) = (Vec::new(), End::Open);
+    while all.is_empty() && end == End::Open && begun.elapsed() < Duration::from_secs(12) {
+        (all, end) = all_within(&caller.stream, Duration::from_millis(50));
+    }
+    let all = String::from_utf8_lossy(&all);
+    assert!(all.is_empty() && end == End::Open, "{end:?} after {:?}: {all}", begun.elapsed());
+}
+
+// A body that lies in the kernel as long as it is taken, more of it than a kernel was believed to hold.
+#[test]
+fn a_long_body_that_is_taken_too_slowly_has_its_answer_in_time() {
+    const LENGTH: usize = 30 * MB;
+    in_time(|| {
+        let node = Node::start(&config(&[takes_slowly(Duration::from_millis(2))]));
+        let mut caller = node.caller();
+        let begun = Instant::now();
+        caller.send(&head("pay", "0.6", LENGTH), &vec![b'x'; LENGTH]);
+        println!("written after {:?}", begun.elapsed());
+        let ended = answered_within(&caller.stream, 1, TIME + LOST_AFTER);
+        println!("answered after {:?}", begun.elapsed());
+        ended
+    });
+}
+
+// A server resets in the middle of a body: the request behind it has its answer in time.
+#[test]
+fn a_short_request_behind_a_body_whose_server_resets_is_answered_in_time() {
+    in_time(|| {
+        let address = Server::nowhere();
+        let listener = TcpListener::bind(address).unwrap();
+        spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let _ = stream.read(&mut [0; 1000]);
+                let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            }
+        });
+        short_behind_a_body(Node::start(&config(&[address])), 5 * MB)
+    });
+}
+
+// What can't be used, with a body that is not kept whole: what lies behind it was read and dropped as the connection ended.
+#[test]
+fn a_request_behind_a_large_body_that_is_refused_is_answered_or_shut_unread() {
+    const LENGTH: usize = 200_000;
+    in_time(|| {
+        let server = Server::start(Act::Serve(b"fine".to_vec()));
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        let refused = head("pay", "3", LENGTH).replace("/pay/", "/unknown/");
+        let all = [refused.as_bytes(), &vec![b'x'; LENGTH], head("read", "0.6", 0).as_bytes()].concat();
+        caller.send("", &all);
+        answered_or_reset_within(&caller.stream, 2, TIME + LOST_AFTER)
+    });
+}
--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -16,7 +16,7 @@
 const LOST_AFTER: Duration = Duration::from_millis(500);
 
 /// By then, are there so many answers, or was the connection reset over what lay unread?
-fn answered_or_reset_within(stream: &TcpStream, count: usize, time: Duration) -> Result<(), String> {
+pub fn answered_or_reset_within(stream: &TcpStream, count: usize, time: Duration) -> Result<(), String> {
     let begun = Instant::now();
     let mut all = Vec::new();
     while begun.elapsed() < time {
