An attempt learns that its body came whole between its choice and its beginning

Cause: the module chose the attempt while the body was coming, so it had no end of its own; `body_came` rang before the attempt's task had been polled for the first time, and nobody waited for that. A body that is read ahead can be whole so early. Where nothing may be called off the attempt stayed out for ever, with its place, its room and its id. Change: `Route::over` asks the deadline whether the body is still coming before it waits for that.

--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -369,10 +369,14 @@
 
     /// Waits until an attempt's time is over: its own, or what the job's last byte leaves it once that has come.
     async fn over(&self, held: &Held, until: Instant) {
-        tokio::select! {
-            () = sleep_until(until) => {}
-            () = held.whole.notified() => sleep_until(self.clock.at(held.deadline.at())).await,
+        if held.deadline.is_coming() {
+            tokio::select! {
+                () = sleep_until(until) => return,
+                () = held.whole.notified() => {}
+            }
         }
+        // Its last byte may have come between the choice of the attempt and its beginning, so nothing rings here for it.
+        sleep_until(until.min(self.clock.at(held.deadline.at()))).await;
     }
 
     fn attempt_ended(&self, held: &Rc<Held>, place: usize, server: Address, mut attempt: Attempt, took: f64) {
