A piece that is read ahead counts as much memory as it takes

Cause: a piece counted its bytes only. A small one takes more for itself, and each read of a few bytes kept the buffer of 8 KiB into which hyper had read it. Change: pieces are copied out of that buffer, and each counts 128 bytes more.

--- a/crates/pearfront-node/src/upload.rs
+++ b/crates/pearfront-node/src/upload.rs
@@ -16,6 +16,8 @@
 
 /// Most bytes of a body that are read ahead of its server.
 const READ_AHEAD: usize = 1024 * 1024;
+/// Bytes that a piece takes beside its data: small ones take more for this than for themselves.
+const BESIDE_DATA: usize = 128;
 /// How long a body may bring nothing, or its server take nothing of it: with the head its client is owed an error or a close
 /// within 3 s of its last byte.
 const NEXT_PIECE: Duration = Duration::from_millis(2500);
@@ -82,8 +84,10 @@
 
     /// Without room for it a piece is read once its server has all before it.
     async fn push(&self, data: Bytes) {
-        let room = self.room.read_ahead(data.len());
-        let permits = if room.is_some() { data.len().min(READ_AHEAD) } else { READ_AHEAD };
+        // A copy of its own: it would keep the whole buffer into which it was read.
+        let (data, counted) = (Bytes::copy_from_slice(&data), data.len() + BESIDE_DATA);
+        let room = self.room.read_ahead(counted);
+        let permits = if room.is_some() { counted.min(READ_AHEAD) } else { READ_AHEAD };
         let permit = self.ahead.clone().acquire_many_owned(permits as u32).await;
         let place = Place { _permit: permit.expect("is never closed"), _room: room };
         let _ = self.pieces.send(Piece::Data(data, place));
