What lies behind a large body that is refused has its turn

Cause: a request that can't be used, or whose id is open, with a body over 64 KiB ended its connection; `linger` then read up to 1 MiB of what lay there, the requests behind that body among it, and the orderly end dropped them: they were read and had no answer. Change: the rest of such a body is drained, as behind a rejection, and the connection goes on.

--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -221,9 +221,12 @@
                 Err(Problem::Malformed(problem)) => problem,
             },
             Err(problem) => match upload::begin(body, false).await {
-                Ok(Start::Whole(_)) => return Ok(self.refuse_malformed(&problem)),
+                Ok(start) => {
+                    drain_rest(start);
+                    return Ok(self.refuse_malformed(&problem));
+                }
                 Err(Broken::Cut) => return Err(Broken::Cut),
-                _ => problem,
+                Err(_) => problem,
             },
         };
         // Its body goes on: nothing that comes on the connection from now on is a job.
@@ -273,10 +276,8 @@
             return Ok(reject(start));
         }
         if self.route.has_open(&job) {
-            return match start {
-                Start::Whole(_) => Ok(self.refuse_malformed("another job with its id is open")),
-                Start::Begun(..) => Err(Problem::Malformed("another job with its id is open".into())),
-            };
+            drain_rest(start);
+            return Ok(self.refuse_malformed("another job with its id is open"));
         }
         match start {
             Start::Whole(body) => {
@@ -401,10 +402,15 @@
     }
 }
 
-/// Rejects a job of which no more was read than this; the rest is read without being kept.
+/// Rejects a job of which no more was read than this.
 fn reject(start: Start) -> Response<Body> {
+    drain_rest(start);
+    Answer::Rejected(0.0).encode()
+}
+
+/// Reads the rest of a body that nobody needs without keeping it, so that what comes behind it has its turn.
+fn drain_rest(start: Start) {
     if let Start::Begun(_, rest) = start {
         spawn_local(upload::drain(rest));
     }
-    Answer::Rejected(0.0).encode()
 }
