A large answer that begins before its body has come is passed on whole

Cause: with the answer the reading of the body ended and its rest was drained, so the body broke at its server, and hyper ended that connection with the answer still on it: a server that answers while it takes the body, with more than 64 KiB, had its answer cut. The client's connection is not kept open by it.

--- a/crates/pearfront-node/src/message/clients.rs
+++ b/crates/pearfront-node/src/message/clients.rs
@@ -4,6 +4,7 @@
 use super::request::Job;
 use super::servers::Reply;
 use crate::terms::Terms;
+use http_body_util::Either;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::request;
 use hyper::{Method, Response, StatusCode};
@@ -52,6 +53,11 @@
 }
 
 impl Answer {
+    /// Is it passed on while it comes?
+    pub fn flows(&self) -> bool {
+        matches!(self, Answer::Served(reply) if matches!(reply.body, Either::Right(_)))
+    }
+
     /// The answer as a response to the client.
     pub fn encode(self) -> Response<Body> {
         match self {
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -301,30 +301,32 @@
         job: Job,
         deadline: Deadline,
         share: Share,
-        mut body: Incoming,
+        body: Incoming,
         upload: Upload,
     ) -> Result<Response<Body>, Problem> {
         self.book.flows_in.add();
         let (held, mut answer) = self.route.take(&caller.wire, job, deadline, share);
         let guard = Guard { route: &self.route, held };
-        let came = tokio::select! {
+        let mut passing = Box::pin(upload.pass_on(Rc::downgrade(&caller.wire), body));
+        let passed = tokio::select! {
             biased;
             answer = &mut answer => {
                 // Answered at once; what still comes is read, so that the caller gets to see it.
                 drop(guard);
-                spawn_local(upload::drain(body));
-                return Ok(answer.unwrap_or(Answer::Failed).encode());
+                let answer = answer.unwrap_or(Answer::Failed);
+                spawn_local(upload::go_on(passing, answer.flows()));
+                return Ok(answer.encode());
             }
             // While a server takes nothing, nobody reads the body, and its end is not seen there.
-            () = caller.wire.ended() => Err(Broken::Cut),
-            came = upload.pass_on(&caller.wire, &mut body) => came,
+            () = caller.wire.ended() => return Err(Problem::Gone),
+            passed = passing.as_mut() => passed,
             never = self.route.expire(&guard.held) => match never {},
         };
-        match came {
+        match passed.came {
             Ok(()) => self.route.body_came(&guard.held),
             Err(Broken::NotTaken) => {
                 self.route.give_up(&guard.held, "its server takes nothing of its body");
-                spawn_local(upload::drain(body));
+                spawn_local(upload::drain(passed.body));
             }
             Err(broken) => return Err(broken.into()),
         }
--- a/crates/pearfront-node/src/upload.rs
+++ b/crates/pearfront-node/src/upload.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
@@ -42,6 +42,12 @@
     _room: Option<ReadAhead>,
 }
 
+/// How the passing of a body ended, and what is left of it: an error where it did not come whole, or nobody takes it.
+pub struct Passed {
+    pub came: Result<(), Broken>,
+    pub body: Incoming,
+}
+
 /// A body that is read ahead of its server.
 pub struct Upload {
     pieces: UnboundedSender<Piece>,
@@ -57,11 +63,13 @@
     }
 
     /// Reads the body as it comes, ahead of its server as far as there is room; if nobody takes it any more it is still read to
-    /// its end, as its answer may be on the way.
-    ///
-    /// # Errors
-    /// Where the body does not come whole, or nobody takes it.
-    pub async fn pass_on(self, client: &Wire, body: &mut Incoming) -> Result<(), Broken> {
+    /// its end, as its answer may be on the way. The client's connection is not kept open by it.
+    pub async fn pass_on(self, client: Weak<Wire>, mut body: Incoming) -> Passed {
+        let came = self.pass(&client, &mut body).await;
+        Passed { came, body }
+    }
+
+    async fn pass(&self, client: &Weak<Wire>, body: &mut Incoming) -> Result<(), Broken> {
         let begun = Instant::now();
         let mut length = 0_u64;
         // While a server takes nothing, its client can bring nothing: only the waiting for the client counts.
@@ -95,10 +103,11 @@
 }
 
 /// The next bytes of a body; none at its end.
-async fn next_piece(client: &Wire, body: &mut Incoming) -> Result<Option<Bytes>, Broken> {
+async fn next_piece(client: &Weak<Wire>, body: &mut Incoming) -> Result<Option<Bytes>, Broken> {
     loop {
         // What was read late, as its server took nothing, came long ago; so its client has waited since.
-        let patience = NEXT_PIECE.saturating_sub(client.waited_until().elapsed()).max(LEAST_PATIENCE);
+        let waited_until = client.upgrade().ok_or(Broken::Cut)?.waited_until();
+        let patience = NEXT_PIECE.saturating_sub(waited_until.elapsed()).max(LEAST_PATIENCE);
         let frame = timeout(patience, body.frame()).await.map_err(|_| Broken::Stalled)?;
         let Some(frame) = frame else { return Ok(None) };
         if let Ok(data) = frame.map_err(|_| Broken::Cut)?.into_data() {
@@ -116,6 +125,22 @@
     timeout(longest, flow::start(body, MOST_WHOLE, NEXT_PIECE, keep)).await.unwrap_or(Err(Broken::Stalled))
 }
 
+/// Goes on with a body whose request is answered: where its server still gives a large answer, as long as it takes the body, else
+/// so that its client gets to see the answer.
+pub async fn go_on(passing: impl Future<Output = Passed>, answer_flows: bool) {
+    let all = async {
+        let passed = passing.await;
+        if passed.came == Err(Broken::NotTaken) {
+            drain(passed.body).await;
+        }
+    };
+    if answer_flows {
+        all.await;
+    } else {
+        let _ = timeout(LONGEST_DRAIN, all).await;
+    }
+}
+
 /// Reads the rest of a body that nobody needs, so that its client gets to see the answer; one that goes on is cut off.
 pub async fn drain(mut body: Incoming) {
     let all = async { while let Ok(Some(Ok(_))) = timeout(NEXT_PIECE, body.frame()).await {} };
