--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -222,9 +222,12 @@
                 Err(Problem::Malformed(problem)) => problem,
             },
             Err(problem) => match upload::begin(body, false).await {
-                Ok(Start::Whole(_)) => return Ok(self.refuse_malformed(&problem)),
+                Ok(start) => {
+                    drain_rest(start);
+                    return Ok(self.refuse_malformed(&problem));
+                }
                 Err(Broken::Cut) => return Err(Broken::Cut),
-                _ => problem,
+                Err(_) => problem,
             },
         };
         // Its body goes on: nothing that comes on the connection from now on is a job.
@@ -274,10 +277,8 @@
             return Ok(reject(start));
         }
         if self.route.has_open(&job) {
-            return match start {
-                Start::Whole(_) => Ok(self.refuse_malformed("another job with its id is open")),
-                Start::Begun(..) => Err(Problem::Malformed("another job with its id is open".into())),
-            };
+            drain_rest(start);
+            return Ok(self.refuse_malformed("another job with its id is open"));
         }
         match start {
             Start::Whole(body) => {
@@ -301,30 +302,32 @@
         job: Job,
         deadline: Deadline,
         share: Share,
-        mut body: Incoming,
+        body: Incoming,
         upload: Upload,
     ) -> Result<Response<Body>, Problem> {
         self.book.flows_in.add();
         let (held, mut answer) = self.route.take(&caller.wire, job, deadline, share);
         let guard = Guard { route: &self.route, held };
-        let came = tokio::select! {
+        let mut passing = Box::pin(upload.pass_on(Rc::downgrade(&caller.wire), body));
+        let passed = tokio::select! {
             biased;
             answer = &mut answer => {
                 // Answered at once; what still comes is read, so that the caller gets to see it.
                 drop(guard);
-                spawn_local(upload::drain(body));
-                return Ok(answer.unwrap_or(Answer::Failed).encode());
+                let answer = answer.unwrap_or(Answer::Failed);
+                spawn_local(upload::go_on(passing, answer.flows()));
+                return Ok(answer.encode());
             }
             // While a server takes nothing, nobody reads the body, and its end is not seen there.
-            () = caller.wire.ended() => Err(Broken::Cut),
-            came = upload.pass_on(&caller.wire, &mut body) => came,
+            () = caller.wire.ended() => return Err(Problem::Gone),
+            passed = passing.as_mut() => passed,
             never = self.route.expire(&guard.held) => match never {},
         };
-        match came {
+        match passed.came {
             Ok(()) => self.route.body_came(&guard.held),
             Err(Broken::NotTaken) => {
                 self.route.give_up(&guard.held, "its server takes nothing of its body");
-                spawn_local(upload::drain(body));
+                spawn_local(upload::drain(passed.body));
             }
             Err(broken) => return Err(broken.into()),
         }
@@ -402,10 +405,15 @@
     }
 }
 
-/// Rejects a job of which no more was read than this; the rest is read without being kept.
+/// Rejects a job of which no more was read than this.
 fn reject(start: Start) -> Response<Body> {
+    drain_rest(start);
+    Answer::Rejected(0.0).encode()
+}
+
+/// Reads the rest of a body that nobody needs without keeping it, so that what comes behind it has its turn.
+fn drain_rest(start: Start) {
     if let Start::Begun(_, rest) = start {
         spawn_local(upload::drain(rest));
     }
-    Answer::Rejected(0.0).encode()
 }
