A server's connection that does not become free behind its answer is closed

Cause: `keep_link` waited without an end for hyper to have the connection free. Where a server has answered whole and takes no more of the request, it never is: a descriptor and a task stayed for good.

Change: 1 s (`LONGEST_SETTLING`), then the link is dropped. And a test for an attempt that waits for a descriptor: it had an end already (its time, its request's answer, its being called off), and no test of its own.

Measured: `a_connection_that_does_not_become_free_behind_its_answer_is_closed` failed before ("it is still open", after 10 s), and passes in 1.04 s. `an_attempt_that_waits_for_a_descriptor_ends_with_its_owner` (3 cases) passes before and after.

--- a/crates/pearfront-node/src/send.rs
+++ b/crates/pearfront-node/src/send.rs
@@ -25,13 +25,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// Share of the time after which servers close idle connections for which ours are kept: they close by then.
 const IDLE_PART: f64 = 0.8;
 /// So many connections to a server may be resting at once; a node that needs more of them than that uses the one that has
 /// been quiet longest.
 const MOST_RESTING: usize = 8;
+/// How long a connection may take to become free behind a whole answer: where its server takes no more of the request, or its side
+/// does not end, it never does.
+const LONGEST_SETTLING: Duration = Duration::from_secs(1);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -123,11 +126,11 @@
         self.dialer.dial(limit, open, || self.room.has_place()).await
     }
 
-    /// Takes a connection back whose message has been answered whole.
+    /// Takes a connection back whose message has been answered whole. One that does not become free again is closed.
     pub fn keep_link(self: &Rc<Self>, server: SocketAddr, mut link: Link) {
         let senders = self.clone();
         spawn_local(async move {
-            if link.settle().await {
+            if timeout(LONGEST_SETTLING, link.settle()).await.unwrap_or(false) {
                 let idle = Idle { link, since: Instant::now() };
                 senders.idle.borrow_mut().entry(server).or_default().push(idle);
             }
--- a/crates/pearfront-node/src/send/tests.rs
+++ b/crates/pearfront-node/src/send/tests.rs
@@ -1,8 +1,18 @@
 use super::*;
+use crate::flow::Flow;
+use crate::message::{Call, Job, decode_call};
 use crate::terms::Terms;
+use bytes::Bytes;
+use http_body_util::Either;
+use hyper::Request;
+use pearfront::interface::{Effect, Group, Profile, Settings};
 use pearfront_settings::Surroundings;
+use std::future::pending;
 use std::io::Write;
 use std::net::TcpListener;
+use test_case::test_case;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 /// A server's socket, its address, and what sends there.
 fn stage() -> (TcpListener, SocketAddr, Rc<Senders>) {
@@ -134,3 +144,79 @@
         assert!(senders.make_place());
     });
 }
+
+// A server that has answered and takes no more of the request keeps neither a descriptor nor a task for good.
+#[test]
+fn a_connection_that_does_not_become_free_behind_its_answer_is_closed() {
+    const PATIENCE: Duration = Duration::from_secs(10);
+    let (listener, server, senders) = stage();
+    let room = senders.room.clone();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let mut link = senders.link(server).await.unwrap();
+        let mut accepted = listener.accept().unwrap().0;
+        // The body is never whole: the message is on its way for as long as this end of it is kept.
+        let (_pieces, rest) = mpsc::unbounded_channel();
+        let body = Either::Right(Flow::fed(Bytes::new(), rest, None));
+        let request = Request::post("/pay/it").body(body).unwrap();
+        let answer = async {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            accepted.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        };
+        let (answered, ()) = tokio::join!(link.ask(request, 0), answer);
+        assert!(answered.is_ok());
+        senders.keep_link(server, link);
+        let closed = async {
+            while room.uses().connections > 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(PATIENCE, closed).await.expect("it is still open");
+    });
+}
+
+/// A request of a profile of its own.
+fn request() -> Job {
+    let profile = Profile {
+        name: "read".into(),
+        effect: Effect::Idempotent,
+        group: Group::All,
+        window: 0.0,
+        latency_target: 0.0,
+        gain: 0.0,
+    };
+    let settings = Settings { profiles: vec![profile], ..Settings::default() };
+    let around = Surroundings { profiles: vec!["read".into()], ..Surroundings::default() };
+    let terms = Rc::new(Terms { settings: Rc::new(settings), around });
+    let head = Request::get("/read/it").header("X-Trace-Id", "1").header("X-Expires-In", "60");
+    match decode_call(head.body(()).unwrap().into_parts().0, &terms, false) {
+        Ok(Call::Job(job)) => *job,
+        _ => panic!("no request"),
+    }
+}
+
+// An attempt that waits for a descriptor ends with whatever owns it, and nobody stands back for it any more.
+#[test_case(0, ConnectionEnd::TooLateBefore; "its time is over")]
+#[test_case(1, ConnectionEnd::CalledOffBefore; "its request has its answer")]
+#[test_case(2, ConnectionEnd::CalledOffBefore; "called off")]
+fn an_attempt_that_waits_for_a_descriptor_ends_with_its_owner(ended_by: usize, end: ConnectionEnd) {
+    const AFTER: Duration = Duration::from_millis(50);
+    let (_listener, server, senders) = stage();
+    let room = senders.room.clone();
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let _held: Vec<_> = std::iter::from_fn(|| room.has_last_place().then(|| room.place())).collect();
+        let ends =
+            async |owner| if owner == ended_by { tokio::time::sleep(AFTER).await } else { pending().await };
+        let (request, begun) = (request(), Instant::now());
+        let attempt = senders.attempt(server, &request, ends(0), ends(1), || None, ends(2));
+        let is_waited_for = async {
+            tokio::time::sleep(AFTER / 2).await;
+            room.is_waited_for()
+        };
+        let (attempt, is_waited_for) = tokio::join!(attempt, is_waited_for);
+        assert_eq!((attempt.end, is_waited_for, room.is_waited_for()), (end, true, false));
+        assert!(begun.elapsed() < 2 * AFTER, "{:?}", begun.elapsed());
+    });
+}
