A request that names its time twice is turned down

Cause: of two `X-Expires-In` the first counted for the request itself, and the last one for what lies behind another request.

Change: malformed, as a doubled id or key; until its turn comes the shorter one counts. Two lengths that differ are refused by hyper, which closes the connection (`a_caller_that_does_not_go_on_is_cut_off`, "two lengths").

Measured: `a_malformed_job_...` "two times" failed before with 200 for 400; `the_shorter_of_two_times_counts` with the shorter one first; both pass.

--- a/crates/pearfront-node/src/framing.rs
+++ b/crates/pearfront-node/src/framing.rs
@@ -144,7 +144,8 @@
                     self.length = Some(number(length, 10));
                 }
                 if let Some(time) = value(TIME) {
-                    self.time = seconds(time);
+                    // Of two the shorter one counts until its turn comes, and it is turned down.
+                    self.time = [self.time, seconds(time)].into_iter().flatten().min();
                 }
                 self.chunked |= value(CODING).is_some_and(|coding| coding.ends_with(b"chunked"));
                 return;
--- a/crates/pearfront-node/src/framing/tests.rs
+++ b/crates/pearfront-node/src/framing/tests.rs
@@ -86,6 +86,17 @@
     assert_eq!(framing.due_behind(false, |came| came), Some(now));
 }
 
+// Of two times the shorter one counts, whichever comes first: such a request is turned down when its turn comes.
+#[test_case("0.5", "60"; "the shorter one first")]
+#[test_case("60", "0.5"; "the longer one first")]
+fn the_shorter_of_two_times_counts(first: &str, second: &str) {
+    let now = Instant::now();
+    let mut framing = Framing::default();
+    let both = format!("GET /a HTTP/1.1\r\nX-Expires-In: {first}\r\nX-Expires-In: {second}\r\n\r\n");
+    framing.read(both.as_bytes(), now);
+    assert_eq!(framing.due_behind(false, |came| came), Some(now + Duration::from_millis(500)));
+}
+
 // What was seen behind a stop of the process may have come at its beginning.
 #[test]
 fn a_request_is_due_from_when_it_can_have_come() {
--- a/crates/pearfront-node/src/message/request.rs
+++ b/crates/pearfront-node/src/message/request.rs
@@ -107,13 +107,14 @@
     profile.ok_or_else(|| format!("unknown profile {named:?}"))
 }
 
-/// The request has an id, and names neither that nor a key twice: of two a server may take the other one.
+/// The request has an id, and names neither that nor a key nor a time twice: of two a server may take the other one, and so may
+/// whoever owns its time.
 fn check_own_headers(headers: &HeaderMap) -> Result<(), String> {
     if text(headers, &ID).is_none_or(str::is_empty) {
         return Err(format!("no {ID}"));
     }
     let is_twice = |name: &&HeaderName| headers.get_all(*name).iter().count() > 1;
-    match [ID, IDEMPOTENCY_KEY].iter().find(is_twice) {
+    match [ID, IDEMPOTENCY_KEY, TIME_LEFT].iter().find(is_twice) {
         Some(twice) => Err(format!("more than one {twice}")),
         None => Ok(()),
     }
--- a/crates/pearfront-node/tests/node.rs
+++ b/crates/pearfront-node/tests/node.rs
@@ -155,6 +155,7 @@
 #[test_case("/read/", "/write/", "unknown profile \"write\""; "unknown profile")]
 #[test_case("acme", "nobody", "unknown customer \"nobody\""; "unknown customer")]
 #[test_case("X-Expires-In: 5\r\n", "", "no time in x-expires-in"; "no time")]
+#[test_case("X-Expires-In: 5\r\n", "X-Expires-In: 5\r\nX-Expires-In: 60\r\n", "more than one x-expires-in"; "two times")]
 #[test_case("In: 5", "In: soon", "no time in x-expires-in"; "bad time")]
 #[test_case("In: 5", "In: inf", "no time in x-expires-in"; "endless time")]
 #[test_case("GET", "DELETE", "DELETE read does not fit its profile's effect"; "method")]
