What is left in the queue as a process stops accepting takes places as before

Cause: the last loop of `Acceptor::run` let in whatever was in the queue. A process that stood still at that time had all of it at once, without places.

Change: each takes a place, is waited for up to 0.3 s in all, and what finds none is shut unread and counted. It lasts 0.4 s at the most, and not beyond the module's last answers.

Measured: `what_is_left_in_the_queue_at_the_end_...` (64 descriptors, 200 clients) failed before with 215 descriptors, none shut; passes.

--- a/crates/pearfront-node/src/accept.rs
+++ b/crates/pearfront-node/src/accept.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{unconstrained, yield_now};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// Pause after a failed accept: what it lacked is back soon, and the loop must not spin.
 const PAUSE: Duration = Duration::from_millis(5);
@@ -29,6 +29,8 @@
 const LONGEST_WAIT: Duration = Duration::from_millis(300);
 /// How long there has to be no place for that: one that is being freed is there in a moment.
 const NO_PLACE: Duration = Duration::from_millis(20);
+/// How long is looked at last for what waits in the queue: time to wait for places, and to shut what found none.
+const LAST_LOOK: Duration = Duration::from_millis(400);
 /// Pause between two looks into the queue where each connection takes the place of another: requests on their way come
 /// meanwhile, and clients that come again at once don't take all of the processor.
 const LOOK: Duration = Duration::from_millis(20);
@@ -104,14 +106,37 @@
             () = sleep_until(self.take_in.route.clock.at(answered - LAST_SERVED)) => {}
             () = clients_end => {}
         }
-        // What the kernel has accepted counts as ours, unless another process serves the same socket.
+        let end = Instant::now() + LAST_LOOK;
+        let _ = timeout_at(end.min(self.take_in.route.clock.at(answered)), self.empty_queue()).await;
+    }
+
+    /// What the kernel has accepted counts as ours, unless another process serves the same socket. It takes places as at any other
+    /// time, and what finds none is shut unread.
+    async fn empty_queue(&self) {
+        let until = Instant::now() + LONGEST_WAIT;
         while self.take_in.life.accepts()
             && let Some(Ok(stream)) = self.accept_now().await
         {
-            self.open(stream);
+            if self.place_comes(until).await {
+                self.open(stream);
+            } else {
+                self.shut_unread(stream);
+            }
+            self.let_others_go_on().await;
         }
     }
 
+    /// Is there a place, or one more by that time?
+    async fn place_comes(&self, until: Instant) -> bool {
+        while !self.has_place() {
+            if Instant::now() >= until {
+                return false;
+            }
+            self.place_freed().await;
+        }
+        true
+    }
+
     /// Serves a connection. Where nothing is on it, what comes was not there while it waited.
     fn open(&self, stream: TcpStream) {
         let now = Instant::now();
@@ -209,20 +234,30 @@
     async fn stand_back(&self) {
         self.queue.looks_away(Instant::now());
         if !self.is_too_late() || !self.take_in.life.accepts() {
-            // What was just let in has not been read yet, and what was closed is still open: both are done soon.
-            for _ in 0..MOST_YIELDS {
-                yield_now().await;
-                if self.take_in.room.has_last_caller_place() {
-                    return;
-                }
-            }
-            return self.take_in.room.freed().await;
+            return self.place_freed().await;
         }
         while let Some(Ok(stream)) = self.accept_now().await {
-            self.take_in.book.shut_unread.add();
-            self.shut.warn("no place for a connection, shut unread");
-            drop(stream);
+            self.shut_unread(stream);
+        }
+    }
+
+    /// Waits until a place may have been freed.
+    async fn place_freed(&self) {
+        // What was just let in has not been read yet, and what was closed is still open: both are done soon.
+        for _ in 0..MOST_YIELDS {
+            yield_now().await;
+            if self.take_in.room.has_last_caller_place() {
+                return;
+            }
         }
+        self.take_in.room.freed().await;
+    }
+
+    /// Closes a connection without a look at what has come on it: its client may send that again.
+    fn shut_unread(&self, stream: TcpStream) {
+        self.take_in.book.shut_unread.add();
+        self.shut.warn("no place for a connection, shut unread");
+        drop(stream);
     }
 
     async fn accept(&self) -> io::Result<TcpStream> {
--- a/crates/pearfront-node/tests/endings/room.rs
+++ b/crates/pearfront-node/tests/endings/room.rs
@@ -241,3 +241,48 @@
     assert!(told <= left + SLACK, "told {told}, {left} left");
     new.kill();
 }
+
+// What waits in the queue as the process stops accepting takes a place as at any other time: a process that stood still at that
+// moment has no more descriptors than it may.
+#[test]
+fn what_is_left_in_the_queue_at_the_end_takes_no_more_descriptors_than_there_are() {
+    const SOCKETS: usize = 64;
+    const COME: usize = 200;
+    /// The process accepts until 2.4 s behind the word to end, and stands still at that time.
+    const BEFORE: Duration = Duration::from_millis(1000);
+    const BEHIND: Duration = Duration::from_millis(2600);
+    let server = Server::start(Act::Silence);
+    let mut config = config(&[server.address]);
+    config["limits"]["sockets"] = json!(SOCKETS);
+    let node = Node::start(&config);
+    let mut held = node.caller();
+    held.send(&head("read", "60", 0), b"");
+    server.wait_for("job 1");
+    let told = Instant::now();
+    node.signal("-TERM");
+    sleep(BEFORE.saturating_sub(told.elapsed()));
+    node.signal("-STOP");
+    node.wait_until_stopped();
+    // Each would keep its place to the end: the rest of its body does not come.
+    let half = [head("book", "60", 1000).into_bytes(), vec![b'x'; 10]].concat();
+    let come = |_| {
+        let mut stream = TcpStream::connect(node.address).unwrap();
+        stream.write_all(&half).unwrap();
+        stream
+    };
+    let _come: Vec<TcpStream> = (0..COME).map(come).collect();
+    sleep(BEHIND.saturating_sub(told.elapsed()));
+    let (over, most) = (AtomicBool::new(false), AtomicUsize::new(0));
+    scope(|scope| {
+        scope.spawn(|| watch_descriptors(&node, &most, &over));
+        node.signal("-CONT");
+        while descriptors(node.pid()) > 0 {
+            sleep(Duration::from_millis(5));
+        }
+        over.store(true, Ordering::Relaxed);
+    });
+    // Bodies that never came whole are left: their requests were not taken.
+    let (most, log) = (most.into_inner(), node.log());
+    assert!(most <= SOCKETS, "{most} descriptors, {log}");
+    assert!(!log.contains(" shut_unread=0 "), "{log}");
+}
