A process that stands still counts until it ends, however much it was told

Cause: another process of the node that read nothing of what it was told was taken for gone once 4096 words and the socket's buffer were full, also where it only stood still. Its descriptors and the ids that it had open were free here then, though it has the first and may go on with the second: the same non-idempotent request could run in both.

Change: where it is silent it counts until it speaks again or has ended. One that speaks and does not read is gone as before.

Measured: `a_process_that_stands_still_counts_until_it_ends` failed before (its id was free), and passes.

--- a/crates/pearfront-node/src/handover.rs
+++ b/crates/pearfront-node/src/handover.rs
@@ -76,6 +76,15 @@
             self.lost.notify_one();
         }
     }
+
+    /// Waits while it stands still. It has its connections meanwhile, and its requests may go on: nothing of that is free before
+    /// it speaks again, or has ended.
+    async fn stands_still(&self) {
+        sleep(SILENT + EVERY).await;
+        while self.silent.get() {
+            sleep(EVERY).await;
+        }
+    }
 }
 
 pub struct Peers {
@@ -207,10 +216,18 @@
             }
             "it does not listen".to_string()
         };
+        let told = async {
+            tokio::select! {
+                problem = writing => problem,
+                () = other.lost.notified() => {
+                    other.stands_still().await;
+                    "it does not read what it is told".to_string()
+                }
+            }
+        };
         let problem = tokio::select! {
-            problem = writing => problem,
+            problem = told => problem,
             problem = self.hear(&other, read, &discovery) => problem,
-            () = other.lost.notified() => "it does not read what it is told".to_string(),
         };
         self.others.borrow_mut().retain(|known| !Rc::ptr_eq(known, &other));
         self.share();
