Test: a connection whose server leaves a body unread ends behind the answer

The process test of the end that `keep_link` has now: a server reads the head of a request of 24 MiB, answers 100 kB and reads no more.

--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -2,12 +2,12 @@
 //! found.
 
 use super::deadline::{End, all_within, answered_within, over};
-use crate::stand_ins::{Act, ESTABLISHED, Node, Platform, Server, config, head, in_table, in_time};
+use crate::stand_ins::{Act, Caller, ESTABLISHED, Node, Platform, Server, config, head, in_table, in_time};
 use serde_json::json;
 use socket2::SockRef;
-use std::io::Write;
-use std::net::TcpStream;
-use std::thread::sleep;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
@@ -311,3 +311,48 @@
         answered_within(&caller.stream, 1, TIME + LOST_AFTER)
     });
 }
+
+/// An answer that is not kept whole, and a body of which the kernels hold a part only.
+const LARGE_ANSWER: usize = 100_000;
+const LARGE_BODY: usize = 24 * 1024 * 1024;
+
+/// A client's large request, of which a server reads the head alone; after that pause it answers whole. With both connections.
+fn answered_behind_its_head(pause: Duration) -> (Node, Caller, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = config(&[listener.local_addr().unwrap()]);
+    config["settings"]["limits"]["probes"] = json!(false);
+    let node = Node::start(&config);
+    let caller = node.caller();
+    let mut sending = caller.stream.try_clone().unwrap();
+    spawn(move || {
+        let _ = sending.write_all(head("book", "5", LARGE_BODY).as_bytes());
+        let _ = sending.write_all(&vec![b'x'; LARGE_BODY]);
+    });
+    let mut server = listener.accept().unwrap().0;
+    server.read_exact(&mut [0; 100]).unwrap();
+    sleep(pause);
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE_ANSWER}\r\n\r\n");
+    server.write_all(&[answer.as_bytes(), &vec![b'y'; LARGE_ANSWER]].concat()).unwrap();
+    (node, caller, server)
+}
+
+// A server that answers whole and reads no more of the request than its head: the node's connection to it ends, although nothing
+// moves on it any more.
+#[test]
+fn a_connection_whose_server_leaves_a_body_unread_ends_behind_the_answer() {
+    const UNTIL_NOTHING_MOVES: Duration = Duration::from_secs(1);
+    const LONGEST_OPEN: Duration = Duration::from_secs(8);
+    let (node, mut caller, server) = answered_behind_its_head(UNTIL_NOTHING_MOVES);
+    assert_eq!(caller.answer().map(|answer| answer.body.len()), Some(LARGE_ANSWER));
+    let ends = (in_table(server.peer_addr().unwrap()), in_table(server.local_addr().unwrap()));
+    let is_open = || {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        table.contains(&format!("{} {} {ESTABLISHED} ", ends.0, ends.1))
+    };
+    let begun = Instant::now();
+    while is_open() && begun.elapsed() < LONGEST_OPEN {
+        sleep(Duration::from_millis(20));
+    }
+    assert!(!is_open(), "still open after {LONGEST_OPEN:?}");
+    node.kill();
+}
