The decision module is split by job: src/policy/, same decisions

Change: policy.rs keeps `Balancer`, its settings and the round; src/policy/ has requests, admission, attempts, draw, servers, load, health and outcomes. Whole methods moved, their order of calls and of random draws kept.

--- /dev/null
+++ b/src/policy/attempts.rs
@@ -0,0 +1,127 @@
+//! Attempts: whether a request may have one more, sending it, and how it ended.
+
+use super::Balancer;
+use super::health::EJECTION_FAILURES;
+use super::load::IDLE;
+use crate::interface::{Effect, Ending, Writer};
+use crate::state::{Attempt, Request, Server};
+use std::rc::Rc;
+
+pub(super) const REACH_MOST: f64 = 1.0; // Share of the time left that an attempt may take: first and most.
+const REACH_LEAST: f64 = 0.3; // The same at the least: servers must stay at work.
+const REACH_SHRINK: f64 = 0.1; // Share by which the reach shrinks with a late answer.
+const REACH_GROW: f64 = 0.01; // Share by which it grows with an answer in time: some one in ten may be late.
+const REACH_POWER_BETTER: f64 = 0.5; // Power of the reach for requests above mean worth.
+const REACH_POWER_OTHERS: f64 = 2.0; // Power of the reach for the others.
+const LATE_EDGE: f64 = 0.6; // Share of the reach that an attempt was to take for its lateness to count.
+const RETRY_RATIO: f64 = 0.2; // Further attempts as a share of first ones, if all recent ones succeed.
+const RETRIES_FREE: f64 = 2.0; // Further attempts free in each span: a lone failure may always be retried.
+
+/// Whose group a request's further attempts are held to, if any.
+pub(super) type RetryScope = Option<Rc<Server>>;
+
+impl Balancer {
+    /// The only gate to a further attempt: to which servers may the request go, if to any?
+    pub(super) fn retry_scope(&self, request: &Request) -> Option<RetryScope> {
+        let attempts = request.attempts.borrow();
+        if attempts.len() >= request.rules.most_attempts || request.spent.get() {
+            return None;
+        }
+        let Some(first) = attempts.iter().find(|attempt| !attempt.never_ran()) else {
+            return Some(None);
+        };
+        let profile = self.profile(request);
+        match profile.effect {
+            Effect::NonIdempotent => None,
+            Effect::Idempotent => Some(None),
+            // Past the window its servers no longer know the mark, and the request would run twice.
+            Effect::Keyed if self.now >= first.sent + profile.window => None,
+            Effect::Keyed => Some(Some(first.server.clone())),
+        }
+    }
+
+    /// Sends the request by the paper's draw among the servers that may have it; false if there is none.
+    pub(super) fn send_attempt(
+        &mut self,
+        request: &Rc<Request>,
+        worth: Option<f64>,
+        out: &mut impl Writer,
+    ) -> bool {
+        let Some(scope) = self.retry_scope(request) else { return false };
+        let first = request.attempts.borrow().is_empty();
+        let further = !request.proven_unrun();
+        if !first && (self.fails_everywhere(request) || !self.within_retry_budget(further)) {
+            return false;
+        }
+        let Some((server, estimate)) = self.draw(request, scope) else { return false };
+        // Share of the time left that a server of this estimate will take, by what recent ones took.
+        let left =
+            (request.arrived.get() + self.profile(request).latency_target - self.now).max(f64::MIN_POSITIVE);
+        let promise =
+            self.usual_duration(request) * estimate / self.drawn.mean_beside(self.now, 1.0, 1.0) / left;
+        // What room there is under overload is for the better ones.
+        let power = |better| if better { REACH_POWER_BETTER } else { REACH_POWER_OTHERS };
+        let power = worth.map(|worth| power(self.is_above_mean_worth(worth)));
+        let idle = server.estimate.get().is_some_and(|held| held < IDLE);
+        if power.is_some_and(|power| !idle && promise >= self.reach.powf(power)) {
+            return false;
+        }
+        if first {
+            self.schedule_slow_mark(request);
+            self.first_attempts.add(self.now, 1.0);
+            if let Some(recent) = self.admitted.get_mut(request.customer) {
+                recent.add(self.now, 1.0);
+            }
+        } else {
+            self.further.add(self.now, f64::from(u8::from(further)));
+            self.rationed.add(self.now, 1.0);
+        }
+        self.drawn.add(self.now, estimate);
+        if server.out.replace(server.out.get() + 1) == 0 {
+            server.taken.set(self.now);
+        }
+        server.cold_credit.set(server.cold_credit.get() - 1.0);
+        // After its ejection it gets one attempt, and the next when that was served.
+        let health = server.health(request.profile);
+        health.on_trial.set(health.strikes.get() >= EJECTION_FAILURES && self.now >= health.back_at.get());
+        self.window.out.change(self.now, request.load());
+        out.attempt(request.id, server.line.get().server, request.limit.get() - self.now);
+        let usual = self.usual_duration(request) * self.overdue_factor();
+        let at = self.now + usual * server.slowness.get().min(2.0);
+        request.attempts.borrow_mut().push(Attempt::new(server, self.now, promise));
+        self.review_at(request, at);
+        true
+    }
+
+    /// Is there budget for an attempt beyond the first? `further` if the request may run twice by it.
+    fn within_retry_budget(&mut self, further: bool) -> bool {
+        let now = self.now;
+        // Further attempts follow the share of recent attempts that were served, or retries would feed a jam.
+        let served = self.endings.mean_beside(now, 1.0, 1.0);
+        let allowed = RETRIES_FREE + RETRY_RATIO * served * self.first_attempts.total(now).0;
+        let budget = self.settings.further_free + self.settings.further_ratio * self.taken.total(now).0;
+        (!further || self.further.total(now).1 < allowed) && self.rationed.total(now).1 + 1.0 <= budget
+    }
+
+    /// Records how an attempt ended and returns its server; none if that attempt is not out.
+    pub(super) fn record_ending(
+        &mut self,
+        request: &Request,
+        attempt: usize,
+        ending: Ending,
+    ) -> Option<Rc<Server>> {
+        let mut attempts = request.attempts.borrow_mut();
+        let attempt = attempts.get_mut(attempt).filter(|attempt| attempt.is_out())?;
+        attempt.ending = Some(ending);
+        // A late answer from where it was to be quick is chance, not crowding.
+        let late = self.now - request.arrived.get() > self.profile(request).latency_target;
+        if late && attempt.promise > LATE_EDGE * self.reach {
+            self.reach = (self.reach * (1.0 - REACH_SHRINK)).max(REACH_LEAST);
+        } else if ending == Ending::Served && !late {
+            self.reach = (self.reach * (1.0 + REACH_GROW)).min(REACH_MOST);
+        }
+        attempt.server.out.set(attempt.server.out.get() - 1);
+        self.window.out.change(self.now, -request.load());
+        Some(attempt.server.clone())
+    }
+}
--- /dev/null
+++ b/src/policy/requests.rs
@@ -0,0 +1,141 @@
+//! The life of a request, from its arrival to its final answer.
+
+use super::Balancer;
+use crate::interface::{Effect, Ending, Group, Profile, Settings, Writer};
+use crate::ring::SPAN;
+use crate::state::Request;
+use rand::prelude::Rng;
+use std::cell::Cell;
+use std::rc::{Rc, Weak};
+
+const ADVICE_SHARE: f64 = 0.25; // Advised pause before a retry, share of the latency target.
+
+impl Balancer {
+    /// Takes in a request under the settings in force.
+    pub fn job(&mut self, id: u32, profile: usize, customer: usize, limit: f64) {
+        self.job_under(&self.settings.clone(), id, profile, customer, limit);
+    }
+
+    /// Takes in a request under these settings, which need no longer be the ones in force.
+    pub fn job_under(&mut self, rules: &Rc<Settings>, id: u32, place: usize, customer: usize, limit: f64) {
+        let (now, profile) = (self.now, self.profile_index(&rules.profiles[place].name));
+        let (rules, asked) = (rules.clone(), Cell::new(f64::NEG_INFINITY));
+        let (arrived, limit) = (Cell::new(now), Cell::new(limit));
+        let request =
+            Request { id, rules, place, profile, customer, arrived, limit, asked, ..Request::default() };
+        let request = Rc::new(request);
+        self.taken.add(now, 1.0);
+        self.requests.insert(id, request.clone());
+        self.pending.push(request);
+    }
+
+    /// The last byte of a request's body has arrived: its times, and those of its attempt, count from now on.
+    pub fn body_came(&mut self, id: u32, limit: f64) {
+        let Some(request) = self.requests.get(&id).cloned() else { return };
+        request.arrived.set(self.now);
+        request.limit.set(limit);
+        for attempt in request.attempts.borrow_mut().iter_mut().filter(|attempt| attempt.is_out()) {
+            attempt.sent = self.now;
+            self.window.out.change(self.now, request.load());
+        }
+        self.schedule_slow_mark(&request);
+        self.pending.push(request);
+    }
+
+    /// A request's body is being streamed and is not buffered: there can be no further attempt.
+    pub fn spent(&mut self, id: u32) {
+        self.requests.get(&id).iter().for_each(|request| request.spent.set(true));
+    }
+
+    /// An attempt has ended; `done` if the client has its answer by it.
+    pub fn attempt_ended(&mut self, id: u32, attempt: usize, ending: Ending, took: f64, done: bool) {
+        let Some(request) = self.requests.get(&id).cloned() else { return };
+        let Some(server) = self.record_ending(&request, attempt, ending) else { return };
+        self.record_outcome(&server, &request, ending, took);
+        request.closed.set(done || request.closed.get());
+        self.pending.push(request);
+    }
+
+    /// The client has closed its connection: what is still out for its request is called off.
+    pub fn client_left(&mut self, id: u32) {
+        let Some(request) = self.requests.get(&id) else { return };
+        request.closed.set(true);
+        self.pending.push(request.clone());
+    }
+
+    /// The node shuts down at that time: every request that it still holds is answered before.
+    pub fn closing(&mut self, at: f64) {
+        self.closing = at;
+        let held: Vec<_> = self.due.values().filter_map(Weak::upgrade).collect();
+        held.iter().for_each(|request| self.review_at(request, at));
+    }
+
+    /// Takes the next step for a request: records that it is slow, answers, queues or sends it.
+    pub(super) fn decide(&mut self, request: &Rc<Request>, out: &mut impl Writer) {
+        if self.now >= request.due.get() {
+            self.record_timeliness(request, false);
+        }
+        if request.closed.get() {
+            return self.settle(request, out);
+        }
+        if self.now >= self.answer_by(request) {
+            return self.give_up(request, out);
+        }
+        if request.waiting.get() || self.settings.tier == 0 && request.attempts.borrow().is_empty() {
+            return self.enqueue(request);
+        }
+        if request.attempts.borrow().iter().all(|attempt| !attempt.is_out()) {
+            if self.send_attempt(request, None, out) {
+                return;
+            }
+            let open = request.proven_unrun() && self.retry_scope(request).is_some();
+            return if open { self.enqueue(request) } else { self.give_up(request, out) };
+        }
+        self.check_overdue(request, out);
+    }
+
+    /// The last moment for an answer of our own: two rounds ahead of the deadline, so that it leaves in time.
+    pub(super) fn answer_by(&self, request: &Request) -> f64 {
+        request.limit.get().min(self.closing) - 2.0 * self.settings.round
+    }
+
+    /// Looks at the request again at that time, or when it counts as slow or must be answered, if earlier.
+    pub(super) fn review_at(&mut self, request: &Rc<Request>, at: f64) {
+        let at = if self.now < request.due.get() { at.min(request.due.get()) } else { at };
+        let at = at.min(self.answer_by(request)).clamp(0.0, self.now + SPAN);
+        self.due.insert((at.to_bits(), request.id), Rc::downgrade(request));
+    }
+
+    /// May the client be told that a retry does no harm?
+    fn may_reject(&self, request: &Request) -> bool {
+        let Profile { effect, group, .. } = self.profile(request);
+        let harmless = *effect == Effect::Idempotent || *effect == Effect::Keyed && *group == Group::All;
+        harmless || request.proven_unrun()
+    }
+
+    /// Rejects the request where a retry does no harm, else fails it.
+    pub(super) fn give_up(&mut self, request: &Rc<Request>, out: &mut impl Writer) {
+        if self.may_reject(request) {
+            // All told the same would come back at once: the advice is spread.
+            let wait =
+                ADVICE_SHARE * self.profile(request).latency_target * self.chance.0.random_range(0.5..1.5);
+            out.reject(request.id, wait.min(self.settings.longest_wait));
+        } else {
+            out.fail(request.id);
+        }
+        request.closed.set(true);
+        self.settle(request, out);
+    }
+
+    /// Calls off what is still out for a closed request, and forgets it when nothing is.
+    fn settle(&mut self, request: &Rc<Request>, out: &mut impl Writer) {
+        let attempts = request.attempts.borrow();
+        let still_out = || attempts.iter().enumerate().filter(|(_, attempt)| attempt.is_out());
+        if !request.settled.replace(true) && request.rules.may_call_off {
+            still_out().for_each(|(number, _)| out.call_off(request.id, number as u16));
+        }
+        if still_out().next().is_none() {
+            self.requests.remove(&request.id);
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,11 +1,11 @@
-//! What a node remembers of servers and jobs, for `policy.rs`, which alone decides by it.
+//! What a node remembers of servers and jobs, for `policy.rs` and its modules, which alone decides by it.
 
 use crate::interface::{Ending, Listing, Settings};
 use crate::ring::Ring;
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 
-const PACE_MEMORY: f64 = 30_000.0; // Memory, ms, of how slow servers are: a caller has few samples.
+const PACE_MEMORY: f64 = 30_000.0; // Memory, ms, of how slow servers are: a client has few samples.
 
 pub(crate) type Recent = Ring<10>;
 
@@ -21,14 +21,14 @@
     pub(crate) probed: Cell<f64>,
     pub(crate) seen: Cell<f64>,
     pub(crate) out: Cell<u32>,
-    /// Since when it has held a job of this node's, and until when no report that says idle is believed.
+    /// Since when it has held a request of this node's, and until when no report that says idle is believed.
     pub(crate) taken: Cell<f64>,
     pub(crate) untrue: Cell<f64>,
     /// How each profile fares on it, or all of them where draws don't ask.
     pub(crate) health: RefCell<Vec<Rc<Health>>>,
     /// Its last attempt found no connection: no fault shared with others, and its line may be out of date.
     pub(crate) unreached: Cell<bool>,
-    /// When it last served a job.
+    /// When it last served a request.
     pub(crate) heard: Cell<f64>,
     /// Full a moment ago: it would turn the next attempt away too, and quickly, as if it were idle.
     pub(crate) rest_until: Cell<f64>,
@@ -51,14 +51,14 @@
 pub(crate) struct Attempt {
     pub(crate) server: Rc<Server>,
     pub(crate) sent: f64,
-    /// Share of the job's time left that it was to take.
+    /// Share of the request's time left that it was to take.
     pub(crate) promise: f64,
     pub(crate) ending: Option<Ending>,
     pub(crate) overdue: bool,
 }
 
 #[derive(Default)]
-pub(crate) struct Job {
+pub(crate) struct Request {
     pub(crate) id: u32,
     /// The settings that it came under, and its profile's place in them.
     pub(crate) rules: Rc<Settings>,
@@ -71,7 +71,7 @@
     pub(crate) limit: Cell<f64>,
     /// Its body has been sent and was not kept.
     pub(crate) spent: Cell<bool>,
-    /// When servers were last asked for it, and its lot among the jobs that cold ones may see then.
+    /// When servers were last asked for it, and its lot among the requests that cold ones may see then.
     pub(crate) asked: Cell<f64>,
     pub(crate) lot: Cell<f64>,
     pub(crate) attempts: RefCell<Vec<Attempt>>,
@@ -85,16 +85,16 @@
     pub(crate) settled: Cell<bool>,
 }
 
-/// Share of a profile's jobs that are answered in time.
+/// Share of a profile's requests that are answered in time.
 pub(crate) struct Fare {
     pub(crate) timely: Recent,
     /// Hardly any is, while other profiles fare well: it is slow or fails wherever it goes.
     pub(crate) hopeless: bool,
-    pub(crate) trial: Weak<Job>,
+    pub(crate) trial: Weak<Request>,
 }
 
-impl Job {
-    /// Its part of the jobs out: before its last byte has come no server works on it.
+impl Request {
+    /// Its part of the requests out: before its last byte has come no server works on it.
     pub(crate) fn load(&self) -> f64 {
         f64::from(u8::from(self.limit.get().is_finite() && !self.apart.get()))
     }
@@ -118,7 +118,7 @@
         self.ending.is_none()
     }
 
-    /// Has it ended with proof that the job did not run by it?
+    /// Has it ended with proof that the request did not run by it?
     pub(crate) fn never_ran(&self) -> bool {
         self.ending.is_some_and(Ending::never_ran)
     }
--- a/src/window.rs
+++ b/src/window.rs
@@ -1,4 +1,4 @@
-//! How many jobs a node of the clients' own tier may have out; `policy.rs` tells it of answers and jobs out.
+//! How many jobs a node of the clients' own tier may have out; the modules of `policy` tell it of answers and jobs out.
 //!
 //! A server has in hand what it would have if nobody waited there, its rate times the time that jobs take
 //! by themselves, and a few that wait. The first differs by deployment: servers hold jobs for inner tiers.
