--- a/crates/pearfront-membership/src/probe.rs
+++ b/crates/pearfront-membership/src/probe.rs
@@ -184,7 +184,7 @@
         self.counts.probes_failed += 1;
         // Helpers that did not even say "not yet" were not heard: that speaks against this process.
         if probe.not_yet < probe.asked.max(1) {
-            self.worse();
+            self.worsen_local_health();
         }
         if self.deafness.missed(probe.began, now) {
             self.changed(Change::Deaf);
@@ -260,9 +260,9 @@
         let news = News { card: member.card.clone(), standing: Standing::Suspect, by: Some(me.clone()) };
         if member.standing == Standing::Alive {
             self.counts.suspicions += 1;
-            self.set(news.clone(), None, now);
+            self.apply(news.clone(), None, now);
         } else if self.suspicions.get(name).is_some_and(|suspicion| !suspicion.accusers.contains(&me)) {
-            self.tell(news);
+            self.disseminate(news);
         }
         if let Some(suspicion) = self.suspicions.get_mut(name) {
             suspicion.accusers.insert(me);
@@ -282,7 +282,7 @@
             return;
         };
         if suspicion.accusers.len() <= CONFIRMATIONS && suspicion.accusers.insert(by.clone()) {
-            self.tell(news);
+            self.disseminate(news);
         }
     }
 
@@ -337,7 +337,7 @@
             }
             return;
         }
-        self.set(News::of(&card, Standing::Silent), None, now);
+        self.apply(News::of(&card, Standing::Silent), None, now);
         if self.deafness.since().is_some() {
             // What a deaf process takes from the silence is its own affair.
             self.spread.withdraw(name);
