Nothing is looked at in a body; a stop restarts the time without a place once

A reading of the merged text followed through what looking ahead in a body does to times: a large upload that moves steadily counted from its first hold (failed at its time, though its last byte had not come), the end of a body could count from a look long ago, and each piece taken cost a look of 1 MiB.

Also found there: in a machine that lags all the time the queue of a crowded node was never shut. A stop now lets the time without a place count anew, once, and waits 50 ms instead of 20 behind it.

--- a/crates/pearfront-node/src/accept.rs
+++ b/crates/pearfront-node/src/accept.rs
@@ -29,6 +29,8 @@
 const LONGEST_WAIT: Duration = Duration::from_millis(300);
 /// How long there has to be no place for that: one that is being freed is there in a moment.
 const NO_PLACE: Duration = Duration::from_millis(20);
+/// The same behind a stop of the process: what came meanwhile is read first, and answered.
+const CATCH_UP: Duration = Duration::from_millis(50);
 /// How long is looked at last for what waits in the queue: time to wait for places, and to shut what found none.
 const LAST_LOOK: Duration = Duration::from_millis(400);
 /// Pause between two looks into the queue where each connection takes the place of another: requests on their way come
@@ -56,6 +58,8 @@
     has_place_left: Cell<bool>,
     /// Since when there has been no place at all.
     without_place: Cell<Option<Instant>>,
+    /// Since when the process stood still at its last stop, ms.
+    stopped: Cell<Option<f64>>,
     /// How many were accepted since others had their turn.
     in_a_row: Cell<usize>,
     failed: Seldom,
@@ -80,6 +84,7 @@
             crowded: Cell::new(false),
             has_place_left: Cell::new(false),
             without_place: Cell::new(None),
+            stopped: Cell::new(None),
             in_a_row: Cell::new(0),
             failed: Seldom::default(),
             shut: Seldom::default(),
@@ -219,21 +224,27 @@
         self.crowded.set(self.crowded.get() || !room.has_caller_place());
         let has_place_left = self.has_place_left.take() && room.has_last_caller_place();
         let has_place = !room.is_waited_for() && (has_place_left || self.take_in.make_place());
+        self.note_stop();
         let since = self.without_place.get().unwrap_or_else(Instant::now);
         self.without_place.set((!has_place).then_some(since));
         has_place
     }
 
-    /// Is there no place, and something in the queue that can't wait for one any longer? Right behind a stop of the process nobody
-    /// has had the time yet to make one.
+    /// Is there no place, and something in the queue that can't wait for one any longer?
     fn is_too_late(&self) -> bool {
-        if self.take_in.route.has_just_stopped() {
-            return false;
-        }
-        let without_place = self.without_place.get().is_some_and(|since| since.elapsed() > NO_PLACE);
+        let no_place = if self.take_in.route.stopped_since().is_some() { CATCH_UP } else { NO_PLACE };
+        let without_place = self.without_place.get().is_some_and(|since| since.elapsed() > no_place);
         without_place && self.queue.of_waiting().elapsed() > LONGEST_WAIT
     }
 
+    /// While the process stood still nobody could make a place: the time without one counts anew, once for each stop.
+    fn note_stop(&self) {
+        let stopped = self.take_in.route.stopped_since();
+        if stopped.is_some() && self.stopped.replace(stopped) != stopped {
+            self.without_place.set(None);
+        }
+    }
+
     /// There is no place: waits for one, and shuts what has waited for too long.
     async fn stand_back(&self) {
         self.queue.looks_away(Instant::now());
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -248,9 +248,9 @@
         Deadline::new(self.clock, self.discovery.pulse(), time, caller)
     }
 
-    /// Has the process just stood still, so that it has not caught up with what came meanwhile?
-    pub fn has_just_stopped(&self) -> bool {
-        self.discovery.pulse().stopped_at(self.clock.now()).is_some()
+    /// Since when the process stood still, ms, if it has just done so and not caught up with what came meanwhile.
+    pub fn stopped_since(&self) -> Option<f64> {
+        self.discovery.pulse().stopped_at(self.clock.now())
     }
 
     /// Waits until an answer that is on its way to this client has to end, as one behind it is due.
--- a/crates/pearfront-node/src/unread.rs
+++ b/crates/pearfront-node/src/unread.rs
@@ -5,10 +5,9 @@
 use std::cell::{Cell, RefCell};
 use std::task::Waker;
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 /// Most bytes that are looked at ahead of their turn.
-pub const MOST_SEEN: usize = 1024 * 1024;
+pub const MOST_SEEN: usize = 256 * 1024;
 
 /// How far a client's connection may be read. Positions count bytes from the beginning of the connection.
 #[derive(Default)]
@@ -19,11 +18,8 @@
     is_answering: Cell<bool>,
     /// Position up to which requests are still begun to be read, where no further ones are.
     last: Cell<Option<u64>>,
-    /// Does the body that is being read wait for its server?
-    is_held_back: Cell<bool>,
-    /// How many bytes lay there at the last look, and when that was.
-    lying: Cell<usize>,
-    looked_at: Cell<Option<Instant>>,
+    /// Was as much seen ahead as is looked at, so that more may lie behind it?
+    is_full: Cell<bool>,
     /// Rung when one of these changes.
     changed: Notify,
     /// Woken when bytes that wait for their turn may be read.
@@ -50,35 +46,13 @@
         self.is_answering.get()
     }
 
-    /// The body that is being read waits for its server (or goes on).
-    pub fn hold_back(&self, is_held_back: bool) {
-        self.is_held_back.set(is_held_back);
-        self.changed.notify_one();
-    }
-
-    pub fn is_held_back(&self) -> bool {
-        self.is_held_back.get()
-    }
-
-    /// So many bytes lay there when it was looked.
-    pub fn looked(&self, at: Instant, lying: usize) {
-        self.looked_at.set(Some(at));
-        self.lying.set(lying);
-    }
-
-    /// When it was looked last, if ever.
-    pub fn looked_at(&self) -> Option<Instant> {
-        self.looked_at.get()
-    }
-
-    /// How many bytes lay there then.
-    pub fn lying(&self) -> usize {
-        self.lying.get()
+    /// So many bytes lay there at the last look.
+    pub fn fill(&self, count: usize) {
+        self.is_full.set(count >= MOST_SEEN);
     }
 
-    /// Was as much seen as is looked at, so that more may lie behind it?
     pub fn is_full(&self) -> bool {
-        self.lying.get() >= MOST_SEEN
+        self.is_full.get()
     }
 
     /// No request that begins at this position or behind it is read any more.
--- a/crates/pearfront-node/src/upload.rs
+++ b/crates/pearfront-node/src/upload.rs
@@ -127,22 +127,16 @@
                 return Err(Broken::Stalled);
             }
             let passed = Instant::now();
-            self.push(client, &data).await?;
+            self.push(&data).await?;
             held_back += passed.elapsed();
         }
         let _ = self.pieces.send(Piece::End);
         Ok(())
     }
 
-    async fn push(&self, client: &Weak<Wire>, data: &[u8]) -> Result<(), Broken> {
+    async fn push(&self, data: &[u8]) -> Result<(), Broken> {
         let bytes = data.len() + BESIDE_DATA;
-        let place = match self.ahead.place(bytes) {
-            Some(place) => place,
-            None => {
-                let _held_back = client.upgrade().map(Wire::hold_back);
-                self.ahead.wait_for_place(bytes).await?
-            }
-        };
+        let place = self.ahead.wait_for_place(bytes).await?;
         // A copy of its own: it would keep the whole buffer into which it was read.
         let _ = self.pieces.send(Piece::Data(Bytes::copy_from_slice(data), place));
         Ok(())
--- a/crates/pearfront-node/src/wire/reading.rs
+++ b/crates/pearfront-node/src/wire/reading.rs
@@ -7,16 +7,13 @@
 use std::convert::Infallible;
 use std::io;
 use std::pin::pin;
-use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::io::ReadBuf;
 use tokio::time::{Instant, timeout};
 
-/// How often is looked at what more a client sends behind a request that is being answered, once something lies there, and by how
-/// much longer the pause is for each so many bytes there: they are looked at anew each time.
+/// How often is looked at what more a client sends behind a request that is being answered, once something lies there.
 const LOOK: Duration = Duration::from_millis(10);
-const BYTES_A_LOOK: usize = 128 * 1024;
 
 impl Wire {
     /// How many bytes were looked at that have not been read.
@@ -47,22 +44,11 @@
         is_held && self.is_between_requests()
     }
 
-    /// Is nothing read for now of what a client sends, as a request waits for its answer or a body for its server?
-    fn is_not_read(&self) -> bool {
-        self.unread.is_answering() && (self.unread.is_held_back() || self.is_between_requests())
-    }
-
-    /// The body that is being read waits for its server, as long as what is returned is kept.
-    pub fn hold_back(self: Rc<Self>) -> HeldBack {
-        self.unread.hold_back(true);
-        HeldBack(self)
-    }
-
-    /// Looks at what a client sends behind a request that waits for its answer, or in a body that waits for its server, so that it
-    /// is known when that came. It has to be polled beside hyper's connection, and never returns.
+    /// Looks at what a client sends behind a request that waits for its answer, so that it is known when that came. It has to
+    /// be polled beside hyper's connection, and never returns.
     pub async fn look_behind(&self) -> Infallible {
         loop {
-            if !self.is_not_read() {
+            if !self.unread.is_answering() || !self.is_between_requests() {
                 self.unread.changed().await;
                 continue;
             }
@@ -72,8 +58,7 @@
                 () = self.unread.changed() => continue,
             }
             if self.look() {
-                let pause = LOOK + LOOK * (self.unread.lying() / BYTES_A_LOOK) as u32;
-                let _ = timeout(pause, self.unread.changed()).await;
+                let _ = timeout(LOOK, self.unread.changed()).await;
             }
         }
     }
@@ -87,14 +72,11 @@
             looked = self.look_into(&mut vec![0; MOST_SEEN]).unwrap_or(looked);
         }
         let now = Instant::now();
-        self.unread.looked(now, looked);
-        // In a body all that lies there counts as unread.
-        if self.is_between_requests() {
-            if self.unread.is_full() {
-                self.arrival.looks_away(now);
-            } else if looked > 0 || self.is_quiet() {
-                self.arrival.found_nothing();
-            }
+        self.unread.fill(looked);
+        if self.unread.is_full() {
+            self.arrival.looks_away(now);
+        } else if looked > 0 || self.is_quiet() {
+            self.arrival.found_nothing();
         }
         looked > 0
     }
@@ -107,14 +89,9 @@
             Poll::Pending => 0,
         };
         if looked > ahead {
-            // What was not there at the last look came behind it.
-            let last = self.unread.looked_at().filter(|_| ahead > 0);
-            if self.is_between_requests() {
-                self.note_seen(&chunk[..looked], ahead, last.unwrap_or(now));
-            } else {
-                let came = last.unwrap_or_else(|| self.arrival.earliest());
-                self.framed(|framing| framing.read(&chunk[ahead..looked], came));
-            }
+            // More than was seen came behind the last look.
+            let at = if ahead > 0 { now - LOOK } else { now };
+            self.note_seen(&chunk[..looked], ahead, at);
             self.has_read.notify_waiters();
         }
         Some(looked)
@@ -239,12 +216,3 @@
         }
     }
 }
-
-/// A body that waits for its server.
-pub struct HeldBack(Rc<Wire>);
-
-impl Drop for HeldBack {
-    fn drop(&mut self) {
-        self.0.unread.hold_back(false);
-    }
-}
