The queue's age is the kernel's word for each connection that is accepted

Each accept tells the queue now what the kernel says, which holds for all behind it; a process that takes over a queue trusts nothing else. What came while the process stood still no longer counts from before its connection was there.

--- a/crates/pearfront-node/src/accept.rs
+++ b/crates/pearfront-node/src/accept.rs
@@ -52,8 +52,6 @@
     listener: TcpListener,
     /// When what waits in the queue came.
     queue: Queue,
-    /// What was in it before came after this, as far as that can be known.
-    opened: Instant,
     take_in: Rc<TakeIn>,
     /// Has a connection had to go for another since the queue was empty?
     crowded: Cell<bool>,
@@ -74,16 +72,15 @@
     /// did.
     pub fn new(listener: TcpListener, shared: bool, take_in: Rc<TakeIn>) -> Self {
         let now = Instant::now();
-        let (backlog, opened) = if shared {
-            (inherited::longest_queue(), now.checked_sub(LONGEST_WAIT + NO_PLACE).unwrap_or(now))
+        let queue = if shared {
+            let assumed = now.checked_sub(LONGEST_WAIT + NO_PLACE).unwrap_or(now);
+            Queue::taken_over(inherited::longest_queue() + BEYOND_BACKLOG, assumed)
         } else {
-            (BACKLOG as usize, now)
+            Queue::since(BACKLOG as usize + BEYOND_BACKLOG, now)
         };
-        let queue = Queue::since(backlog + BEYOND_BACKLOG, opened);
         Self {
             listener,
             queue,
-            opened,
             take_in,
             crowded: Cell::new(false),
             has_place_left: Cell::new(false),
@@ -151,7 +148,7 @@
         let now = Instant::now();
         let peeked = SockRef::from(&stream).peek(&mut [MaybeUninit::uninit()]);
         let has_nothing = peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
-        let came = if has_nothing { now } else { self.earliest_request(&stream) };
+        let came = if has_nothing { now } else { self.queue.earliest() };
         if !self.crowded.get() || now.saturating_duration_since(self.queue.earliest()) <= BEHIND {
             return self.take_in.open(stream, came);
         }
@@ -164,17 +161,6 @@
         }
     }
 
-    /// What is on a connection that has just been accepted came behind this time.
-    fn earliest_request(&self, stream: &TcpStream) -> Instant {
-        let in_queue = self.queue.earliest();
-        match established::earliest(stream) {
-            // Other processes may have left it in the queue, at any time.
-            Some(established) if in_queue <= self.opened => established,
-            Some(established) => established.max(in_queue),
-            None => in_queue,
-        }
-    }
-
     /// The connection if it is to be served by a node that can't keep up with the crowd: requests that wait behind those
     /// that bring none would be late. Half a head goes only where nothing idle is left that could go for it.
     fn with_request(&self, stream: TcpStream, has_nothing: bool) -> Option<TcpStream> {
@@ -307,7 +293,9 @@
                 Poll::Pending
             }
             Poll::Ready(accepted) => {
-                self.queue.accepted(Instant::now());
+                let established =
+                    accepted.as_ref().ok().and_then(|(stream, _)| established::earliest(stream));
+                self.queue.accepted(Instant::now(), established);
                 Poll::Ready(accepted.map(|(stream, _)| stream))
             }
         }
--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -49,14 +49,12 @@
 
     /// When its last byte came, or can have come at the earliest.
     pub fn counts_from(&self) -> f64 {
-        let read = || self.client.upgrade()?.came().map(|came| self.came_at(came));
-        let unread = || self.client.upgrade().map(|client| self.came_at(client.unread_since()));
-        self.came.get().or_else(read).or_else(unread).unwrap_or_else(|| self.clock.now())
-    }
-
-    /// When that came, at the earliest, which was read then, ms.
-    fn came_at(&self, read: Instant) -> f64 {
-        self.clock.time_of(earliest(self.clock, &self.pulse, read))
+        let read = || {
+            let client = self.client.upgrade()?;
+            let seen = client.came().unwrap_or_else(|| client.unread_since());
+            Some(self.clock.time_of(earliest(&client, self.clock, &self.pulse, seen)))
+        };
+        self.came.get().or_else(read).unwrap_or_else(|| self.clock.now())
     }
 
     pub fn at(&self) -> f64 {
@@ -114,12 +112,13 @@
 
 /// When the answer to a request has to end at the latest, ms, for the first of those behind it to be in time.
 fn ends_for_one_behind(client: &Wire, clock: Clock, pulse: &Pulse) -> Option<f64> {
-    client.due_behind(|seen| earliest(clock, pulse, seen)).map(|due| clock.time_of(due) - AHEAD)
+    client.due_behind(|seen| earliest(client, clock, pulse, seen)).map(|due| clock.time_of(due) - AHEAD)
 }
 
-/// When that came, at the earliest, which was read or seen then: while the process stood still nothing was read.
-fn earliest(clock: Clock, pulse: &Pulse, seen: Instant) -> Instant {
-    pulse.stopped_at(clock.time_of(seen)).map_or(seen, |begun| clock.at(begun))
+/// When that came from a client, at the earliest, which was read or seen then: while the process stood still nothing was read.
+fn earliest(client: &Wire, clock: Clock, pulse: &Pulse, seen: Instant) -> Instant {
+    let stopped = pulse.stopped_at(clock.time_of(seen)).map(|begun| clock.at(begun));
+    stopped.map_or(seen, |begun| begun.max(client.opened()))
 }
 
 /// Waits until an answer that is on its way to this client has to end, as one behind it is due.
--- a/crates/pearfront-node/src/queue.rs
+++ b/crates/pearfront-node/src/queue.rs
@@ -1,5 +1,5 @@
-//! When the connections came that wait in a listener's queue. The kernel does not say, and whoever accepts them may have had
-//! something else to do; so this tells the earliest time at which they can have come. It hands them out in their order.
+//! When the connections came that wait in a listener's queue, at the earliest: whoever accepts them may have had something else to
+//! do. The kernel says it of most that are accepted, and hands them out in their order; else it follows from what a queue can hold.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -14,6 +14,8 @@
     most: usize,
     /// What was accepted last came after this time.
     earliest: Cell<Instant>,
+    /// Is that time only taken for true, as other processes accepted from it before?
+    is_assumed: Cell<bool>,
     /// The last look found nothing, and what comes next is accepted at once.
     is_watched: Cell<bool>,
     /// How many were accepted so far.
@@ -28,12 +30,21 @@
         Self {
             most,
             earliest: Cell::new(opened),
+            is_assumed: Cell::new(false),
             is_watched: Cell::new(false),
             accepted: Cell::new(0),
             marks: RefCell::default(),
         }
     }
 
+    /// A queue from which other processes accepted before: so far they are taken to have left nothing there that came before this
+    /// time.
+    pub fn taken_over(most: usize, assumed: Instant) -> Self {
+        let queue = Self::since(most, assumed);
+        queue.is_assumed.set(true);
+        queue
+    }
+
     /// What was accepted last came after this time.
     pub fn earliest(&self) -> Instant {
         self.earliest.get()
@@ -56,8 +67,8 @@
         }
     }
 
-    /// One more was accepted.
-    pub fn accepted(&self, now: Instant) {
+    /// One more was accepted, which was established after that time, where that is known: so was what waits behind it.
+    pub fn accepted(&self, now: Instant, established: Option<Instant>) {
         if self.is_watched.take() {
             self.begin(now);
         }
@@ -73,10 +84,15 @@
         if count.is_multiple_of(STEP) {
             marks.push_back((count, now));
         }
+        if let Some(established) = established {
+            let is_better = self.is_assumed.take() || established > self.earliest.get();
+            self.earliest.set(if is_better { established } else { self.earliest.get() });
+        }
     }
 
     fn begin(&self, earliest: Instant) {
         self.earliest.set(earliest);
+        self.is_assumed.set(false);
         self.marks.borrow_mut().clear();
     }
 }
--- a/crates/pearfront-node/src/queue/tests.rs
+++ b/crates/pearfront-node/src/queue/tests.rs
@@ -9,11 +9,11 @@
 fn what_is_waited_for_comes_when_it_is_accepted_and_the_rest_may_have_come_right_behind_it() {
     let opened = Instant::now();
     let queue = Queue::since(100, opened);
-    queue.accepted(at(opened, 50));
+    queue.accepted(at(opened, 50), None);
     assert_eq!(queue.earliest(), opened);
     queue.found_nothing();
-    queue.accepted(at(opened, 700));
-    queue.accepted(at(opened, 900));
+    queue.accepted(at(opened, 700), None);
+    queue.accepted(at(opened, 900), None);
     assert_eq!((queue.earliest(), queue.of_waiting()), (at(opened, 700), at(opened, 700)));
 }
 
@@ -24,7 +24,7 @@
     queue.found_nothing();
     queue.looks_away(at(opened, 100));
     queue.looks_away(at(opened, 300));
-    queue.accepted(at(opened, 400));
+    queue.accepted(at(opened, 400), None);
     assert_eq!(queue.earliest(), at(opened, 100));
 }
 
@@ -36,9 +36,30 @@
     let opened = Instant::now();
     let queue = Queue::since(MOST, opened);
     for number in 1..1000_usize {
-        queue.accepted(at(opened, number as u64));
+        queue.accepted(at(opened, number as u64), None);
         let can_have_come = at(opened, number.saturating_sub(MOST + 1) as u64);
         assert!(queue.earliest() <= can_have_come, "{number}");
         assert!(queue.earliest() + Duration::from_millis(STEP as u64) >= can_have_come, "{number}");
     }
 }
+
+// A queue that is never empty, from which few are accepted: what came in a moment ago was taken for as old as the queue is long.
+#[test]
+fn what_the_kernel_says_of_one_holds_for_those_behind_it() {
+    let opened = Instant::now();
+    let queue = Queue::since(100, opened);
+    queue.accepted(at(opened, 500), Some(at(opened, 400)));
+    queue.accepted(at(opened, 600), None);
+    assert_eq!((queue.earliest(), queue.of_waiting()), (at(opened, 400), at(opened, 400)));
+}
+
+// The process before died, and what it left waited for longer than a process that serves leaves anything.
+#[test]
+fn what_was_left_by_others_is_as_old_as_the_kernel_says() {
+    let started = Instant::now();
+    let queue = Queue::taken_over(100, at(started, 1000));
+    queue.accepted(at(started, 1500), Some(started));
+    assert_eq!(queue.earliest(), started);
+    queue.accepted(at(started, 1500), Some(at(started, 200)));
+    assert_eq!(queue.earliest(), at(started, 200));
+}
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -68,6 +68,8 @@
     withheld: Cell<bool>,
     /// What a caller sends; nothing on a connection to a server.
     framing: Option<RefCell<Framing>>,
+    /// Nothing came on it before this.
+    opened: Instant,
     arrival: Arrival,
     /// Rung with each read.
     has_read: Notify,
@@ -110,6 +112,7 @@
             permit: RefCell::default(),
             withheld: Cell::new(false),
             framing,
+            opened: came,
             arrival: Arrival::since(came),
             has_read: Notify::new(),
             unread: Unread::default(),
@@ -235,6 +238,11 @@
         self.framed(|framing| framing.came()).flatten()
     }
 
+    /// Nothing came on the connection before this time.
+    pub fn opened(&self) -> Instant {
+        self.opened
+    }
+
     /// Since when that can have come which lies unread.
     pub fn unread_since(&self) -> Instant {
         self.arrival.of_unread()
