Requests that nobody can see behind one in work are reckoned with

Callers saw: behind a request of 3 s in work and 300 kB of another one, a request of 0.6 s had no answer and no reset within 1.1 s.

Cause: the node looks at 256 kB behind a request in work, but its kernel holds some 128 kB of a connection that is not read (92 to 128 kB measured, by the size of the pieces). The rest stays in the client's kernel, and the node took what it saw for all there is. Of more than 256 kB it knew that more may lie there, and reckoned with nothing.

Change: where 32 kB lie unread behind a request in work the kernel's buffer of that connection is set to 512 KiB (325 kB of payload measured at the least, 256 kB are looked at), counted in the room for bodies, an eighth of it at the most, until the connection ends. A window that was shut opens at the client's next question, 0.2 s later; what comes by then counts from before. What lies behind all that is looked at, or behind 64 kB without that room, can't be seen whatever the sizes are: the request before it ends 0.3 s after the unseen can have come, and the next one is read. Not so where what is seen ends in a body of which more than 8 MiB are to come: nothing behind it can have been written.

The price: a request in work over 0.3 s ends where its client has sent over 256 kB behind it, be it one large body. An answer that flows already is not broken off for what is not seen.

--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -15,6 +15,9 @@
 /// The same for one whose body is not whole, as the module waits for the body, and for one behind which another is due. One of
 /// which no more is left when its turn comes is answered at once, so that those behind it are in time.
 const AHEAD: f64 = 10.0;
+/// How long behind its coming a request that nobody can see has to be the next: less than the shortest time, and the 0.5 s behind
+/// it in which an answer earns nothing and is not lost.
+const UNSEEN: f64 = 300.0;
 /// How long the process reads what came while it stood still, and the module plays its round.
 const CATCH_UP: Duration = Duration::from_millis(60);
 
@@ -92,7 +95,10 @@
     }
 
     fn ends_for_one_behind(&self) -> Option<f64> {
-        ends_for_one_behind(&*self.client.upgrade()?, self.clock, &self.pulse)
+        let client = self.client.upgrade()?;
+        let seen = ends_for_one_behind(&client, self.clock, &self.pulse);
+        let unseen = client.hides_since().map(|since| self.came_at(since) + UNSEEN);
+        seen.into_iter().chain(unseen).reduce(f64::min)
     }
 
     /// Waits until then.
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -38,6 +38,7 @@
 mod upload;
 mod wall_clock;
 mod watch;
+mod window;
 mod wire;
 
 use accept::Acceptor;
--- a/crates/pearfront-node/tests/endings/review.rs
+++ b/crates/pearfront-node/tests/endings/review.rs
@@ -49,15 +49,23 @@
     });
 }
 
-// A short request that lies further behind one in work than the node looks.
-#[test]
-fn a_short_request_behind_more_than_is_looked_at_is_answered_or_shut_unread_in_time() {
-    const LENGTH: usize = 300_000;
+// A short request that lies further behind one in work than the node looks, or than its kernel holds.
+#[test_case(300_000, 192; "a little more")]
+#[test_case(1_200_000, 192; "far more")]
+#[test_case(300_000, 1; "a little more, without room")]
+#[test_case(60_000, 1; "what the kernel may not hold, without room")]
+#[test_case(1_200_000, 1; "far more, without room")]
+fn a_short_request_behind_more_than_is_looked_at_is_answered_or_shut_unread_in_time(
+    length: usize,
+    memory_mb: usize,
+) {
     in_time(|| {
         let server = Server::start(Act::Silence);
-        let node = Node::start(&config(&[server.address]));
+        let mut config = config(&[server.address]);
+        config["limits"]["memory_mb"] = json!(memory_mb);
+        let node = Node::start(&config);
         let mut caller = node.caller();
-        caller.send(&[head("read", "3", 0), head("pay", "3", LENGTH)].concat(), &vec![b'x'; LENGTH]);
+        caller.send(&[head("read", "3", 0), head("pay", "3", length)].concat(), &vec![b'x'; length]);
         caller.send(&head("read", "0.6", 0), b"");
         answered_or_reset_within(&caller.stream, 3, TIME + LOST_AFTER)?;
         over(node);
@@ -65,6 +73,61 @@
     });
 }
 
+/// A server that answers a GET after one pause, and a POST with a body of this length after another.
+fn answers_late(length: usize, pauses: [Duration; 2]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            spawn(move || {
+                let (mut seen, mut chunk) = (Vec::new(), vec![0; 64 * 1024]);
+                while let Ok(count) = stream.read(&mut chunk)
+                    && count > 0
+                {
+                    seen.extend_from_slice(&chunk[..count]);
+                    let Some(end) = seen.windows(4).position(|four| four == b"\r\n\r\n") else { continue };
+                    let is_post = seen.starts_with(b"POST");
+                    if seen.len() == end + 4 + if is_post { length } else { 0 } {
+                        sleep(pauses[usize::from(is_post)]);
+                        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                        seen.clear();
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+// More than is looked at lies behind a request, and no request behind that: each of the two has its own time.
+#[test]
+fn a_large_body_behind_a_request_has_its_whole_time() {
+    const LENGTH: usize = 1_200_000;
+    const PAUSES: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(900)];
+    in_time(|| {
+        let node = Node::start(&config(&[answers_late(LENGTH, PAUSES)]));
+        let mut caller = node.caller();
+        caller.send(&[head("read", "3", 0), head("pay", "3", LENGTH)].concat(), &vec![b'x'; LENGTH]);
+        let statuses = [(); 2].map(|()| caller.answer().map(|answer| answer.status()));
+        if statuses == [Some(200); 2] { Ok(()) } else { Err(format!("{statuses:?}")) }
+    });
+}
+
+// Many small requests at once, more than the node's kernel holds: none is refused for what can't be seen for a moment.
+#[test_case(800; "more than the kernel surely holds")]
+#[test_case(1500; "more than it does")]
+fn a_long_row_of_small_requests_is_served(count: usize) {
+    in_time(|| {
+        let server = Server::start(Act::Serve(b"fine".to_vec()));
+        let node = Node::start(&config(&[server.address]));
+        let mut caller = node.caller();
+        caller.send(&(0..count).map(|_| head("read", "30", 0)).collect::<String>(), b"");
+        let served =
+            (0..count).filter(|_| caller.answer().is_some_and(|answer| answer.status() == 200)).count();
+        if served == count { Ok(()) } else { Err(format!("{served} of {count}")) }
+    });
+}
+
 /// What the node's memory grows by, KiB, while so many clients do this and it has no server for their bodies.
 fn grown_by(clients: usize, act: impl Fn(TcpStream) + Sync) -> usize {
     let node = Node::start(&config(&[]));
