--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -55,11 +55,16 @@
         let read = || {
             let client = self.client.upgrade()?;
             let seen = client.came().unwrap_or_else(|| client.unread_since());
-            Some(self.clock.time_of(earliest(&client, self.clock, &self.pulse, seen)))
+            Some(self.came_at(&client, seen))
         };
         self.came.get().or_else(read).unwrap_or_else(|| self.clock.now())
     }
 
+    /// When that came, at the earliest, which was read or seen then, ms.
+    fn came_at(&self, client: &Wire, seen: Instant) -> f64 {
+        self.clock.time_of(earliest(client, self.clock, &self.pulse, seen))
+    }
+
     pub fn at(&self) -> f64 {
         self.counts_from() + self.time
     }
@@ -97,7 +102,7 @@
     fn ends_for_one_behind(&self) -> Option<f64> {
         let client = self.client.upgrade()?;
         let seen = ends_for_one_behind(&client, self.clock, &self.pulse);
-        let unseen = client.hides_since().map(|since| self.came_at(since) + UNSEEN);
+        let unseen = client.hides_since().map(|since| self.came_at(&client, since) + UNSEEN);
         seen.into_iter().chain(unseen).reduce(f64::min)
     }
 
