Node: an answer that its server breaks off is no close over an open request

Cause: the guard took "the kernel takes no more for this client" for an answer that is still owed. Where a server breaks off its answer while the client has not taken all before, the connection ends at once, and what was left of that answer is of no use.

Change: the client's connection knows that its answer broke; the guard goes by that. A request in work, and a whole answer that the kernel has not taken, count as before. A flow may be watched for its break by more than one.

Evidence: `an_answer_that_its_server_breaks_off_counts_as_no_close_over_an_open_request` plays twelve lengths of such an answer.

--- a/crates/pearfront-node/src/client.rs
+++ b/crates/pearfront-node/src/client.rs
@@ -25,6 +25,8 @@
     pub wire: Rc<Wire>,
     busy: Cell<bool>,
     flowing: Cell<bool>,
+    /// Was its last answer broken off by the server that gave it?
+    answer_broke: Cell<bool>,
     used: Cell<bool>,
     /// Of the last request.
     version: Cell<Version>,
@@ -48,6 +50,7 @@
             wire,
             busy: Cell::new(false),
             flowing: Cell::new(false),
+            answer_broke: Cell::new(false),
             used: Cell::new(false),
             version: Cell::new(Version::HTTP_11),
             since: Cell::new(Instant::now()),
@@ -66,6 +69,12 @@
         !self.busy.get() && !self.wire.is_write_blocked()
     }
 
+    /// Is a request that was read on it being answered, or is there more of an answer for its client to take? What is left of
+    /// one that its server broke off is of no use to it.
+    pub fn has_open_request(&self) -> bool {
+        self.busy.get() || self.wire.is_write_blocked() && !self.answer_broke.get()
+    }
+
     /// Requests that were read whole on it and have no answer; one whose answer is on its way has.
     pub fn unanswered(&self) -> usize {
         let is_owed = self.busy.get() && !self.flowing.get() && self.wire.came().is_some();
@@ -178,6 +187,11 @@
         Flowing(self.clone())
     }
 
+    /// Its answer ends in its middle, and the connection with it.
+    pub fn answer_broke(&self) {
+        self.answer_broke.set(true);
+    }
+
     /// What it sends was answered before its end, and is not read any further.
     pub fn answer_early(&self) {
         self.answered_early.set(true);
--- a/crates/pearfront-node/src/flow.rs
+++ b/crates/pearfront-node/src/flow.rs
@@ -101,7 +101,7 @@
     waits_since: Option<Instant>,
     give_up: Pin<Box<Sleep>>,
     at_end: Option<Box<dyn FnOnce()>>,
-    at_break: Option<Box<dyn FnOnce(Broken)>>,
+    at_break: Vec<Box<dyn FnOnce(Broken)>>,
     kept: Vec<Rc<dyn Any>>,
 }
 
@@ -116,7 +116,7 @@
             waits_since: None,
             give_up: Box::pin(sleep(STALLED)),
             at_end: None,
-            at_break: None,
+            at_break: Vec::new(),
             kept: Vec::new(),
         }
     }
@@ -142,9 +142,9 @@
         self.due = Some(at);
     }
 
-    /// What is done if it breaks.
+    /// What is done if it breaks, beside what else was said so.
     pub fn at_break(&mut self, act: impl FnOnce(Broken) + 'static) {
-        self.at_break = Some(Box::new(act));
+        self.at_break.push(Box::new(act));
     }
 
     /// Keeps something as long as it lasts.
@@ -246,7 +246,7 @@
 
 impl Flow {
     fn broke(&mut self, problem: Broken) {
-        self.at_break.take().into_iter().for_each(|act| act(problem));
+        self.at_break.drain(..).for_each(|act| act(problem));
     }
 
     fn end(&mut self) {
--- a/crates/pearfront-node/src/guard.rs
+++ b/crates/pearfront-node/src/guard.rs
@@ -100,7 +100,7 @@
     /// A client's connection is closed: no request that was read on it may be without its answer, unless the client has ended
     /// it.
     pub fn close(&self, caller: &Client, why: &str) {
-        if !caller.is_idle() && !caller.is_answered_early() && !caller.wire.has_ended() {
+        if caller.has_open_request() && !caller.is_answered_early() && !caller.wire.has_ended() {
             self.book.violations_close.add();
             self.broken.info(|| format!("violation: a connection with an open request is closed, {why}"));
         }
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -199,7 +199,11 @@
     ) -> Result<Response<Body>, Broken> {
         let mut answer = self.call(caller, request).await;
         match answer.as_mut().map(Response::body_mut) {
-            Ok(Either::Right(flow)) => flow.keep(Rc::new(caller.flow())),
+            Ok(Either::Right(flow)) => {
+                let client = caller.clone();
+                flow.at_break(move |_| client.answer_broke());
+                flow.keep(Rc::new(caller.flow()));
+            }
             _ => caller.end(),
         }
         // Only the last of the requests that have come may say that it is.
--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -4,6 +4,7 @@
 use super::deadline::{End, all_within, answered_within, over};
 use crate::stand_ins::{Act, Caller, ESTABLISHED, Node, Platform, Server, config, head, in_table, in_time};
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread::{sleep, spawn};
@@ -364,3 +365,41 @@
     node.kill();
     let _ = reading.join().unwrap();
 }
+
+/// A client for which the node's kernel holds little of what is on its way, so that the node itself holds the rest.
+fn caller_for_whom_little_is_held(node: &Node) -> TcpStream {
+    const SEGMENT: u32 = 536;
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4 * 1024).unwrap();
+    socket.set_tcp_mss(SEGMENT).unwrap();
+    socket.connect(&node.address.into()).unwrap();
+    socket.into()
+}
+
+// Its server breaks off an answer whose client has not taken all before: the node counted it as a close over an open request.
+// Of several lengths some end where the kernel takes no more.
+#[test]
+fn an_answer_that_its_server_breaks_off_counts_as_no_close_over_an_open_request() {
+    const SHORTEST: usize = 68 * 1024;
+    const STEP: usize = 4 * 1024;
+    const COUNT: usize = 12;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = config(&[listener.local_addr().unwrap()]);
+    config["settings"]["limits"]["probes"] = json!(false);
+    let node = Node::start(&config);
+    for length in (0..COUNT).map(|number| SHORTEST + number * STEP) {
+        let mut caller = caller_for_whom_little_is_held(&node);
+        caller.write_all(head("read", "60", 0).as_bytes()).unwrap();
+        let mut server = listener.accept().unwrap().0;
+        assert!(server.read(&mut [0; 4096]).unwrap() > 0);
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", length + 1);
+        server.write_all(&[answer.as_bytes(), &vec![b'y'; length]].concat()).unwrap();
+        drop(server);
+        // Slowly: the kernel takes no more most of the time.
+        while caller.read(&mut [0; 1024]).is_ok_and(|count| count > 0) {
+            sleep(Duration::from_millis(1));
+        }
+    }
+    let counters = node.end();
+    assert_eq!((counters["flows_broken"], counters["violations_close"]), (COUNT as u64, 0));
+}
