Node: `flow.rs` says what its flows take today

At its top it said that a flow takes a buffer or two. That holds for answers alone since request bodies are read ahead of their servers (`upload.rs`). A comment only.

--- a/crates/pearfront-node/src/flow.rs
+++ b/crates/pearfront-node/src/flow.rs
@@ -1,5 +1,6 @@
-//! Bodies that are too large to be kept: passed on in pieces, the next one read once the last was taken. The reader's
-//! pace holds back the writer, and a flow takes no more memory than a buffer or two.
+//! Bodies and answers that are too large to be kept: passed on in pieces. Of an answer the next piece is read once the last was
+//! taken: the client's pace holds back the server, and it takes no more memory than a buffer or two. The pieces of a request's
+//! body come from `upload`, which reads them ahead of the server and bounds what that takes.
 
 use crate::upload::Piece;
 use bytes::{Buf, Bytes};
