Node: what is read behind a stop has one constant

50 ms stood in `pulse.rs`, and 60 ms in `deadline.rs`, which adds the module's round. The latter is derived from the former by name now; the values are as they were.

--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -1,7 +1,7 @@
 //! When the answer to a request is due: the one owner of its time, whatever it waits for meanwhile.
 
 use crate::clock::Clock;
-use crate::pulse::Pulse;
+use crate::pulse::{CATCH_UP, Pulse};
 use crate::wire::Wire;
 use std::cell::Cell;
 use std::future::pending;
@@ -18,8 +18,10 @@
 /// How long behind its coming a request that nobody can see has to be the next: less than the shortest time, and the 0.5 s behind
 /// it in which an answer earns nothing and is not lost.
 const UNSEEN: f64 = 300.0;
+/// What the module is given for its round behind a stop, once what came meanwhile has been read.
+const ROUND: Duration = Duration::from_millis(10);
 /// How long the process reads what came while it stood still, and the module plays its round.
-const CATCH_UP: Duration = Duration::from_millis(60);
+const CATCH_UP_AND_ROUND: Duration = CATCH_UP.saturating_add(ROUND);
 
 /// When the answer to one request is due, ms on the node's clock. Its time counts from its last byte. As long as that has not
 /// been read it may lie unread in the kernel, and counts from when it can have come at the earliest.
@@ -115,7 +117,7 @@
         is_reached().await;
         if self.pulse.stopped_at(self.clock.now()).is_some() {
             // What came meanwhile is being read, and the module plays its round.
-            sleep(CATCH_UP).await;
+            sleep(CATCH_UP_AND_ROUND).await;
             is_reached().await;
         }
     }
--- a/crates/pearfront-node/src/pulse.rs
+++ b/crates/pearfront-node/src/pulse.rs
@@ -9,8 +9,10 @@
 const BEAT: Duration = Duration::from_millis(50);
 /// Beats further apart than this, ms, are a stop.
 const STOP: f64 = 120.0;
-/// How long after a stop, ms, what is read may still have come during it.
-const CATCH_UP: f64 = 50.0;
+/// How long after a stop what is read may still have come during it.
+pub const CATCH_UP: Duration = Duration::from_millis(50);
+/// The same, ms.
+const CATCH_UP_MS: f64 = CATCH_UP.as_millis() as f64;
 
 /// Times are ms since the start.
 pub struct Pulse {
@@ -49,7 +51,7 @@
         if time - self.last.get() > STOP {
             Some(self.begun(self.last.get()))
         } else {
-            (begun..ended + CATCH_UP).contains(&time).then_some(begun)
+            (begun..ended + CATCH_UP_MS).contains(&time).then_some(begun)
         }
     }
 
@@ -57,12 +59,12 @@
     /// have read nothing.
     fn begun(&self, last: f64) -> f64 {
         let (begun, ended) = self.stop.get();
-        if last - ended < CATCH_UP { begun } else { last }
+        if last - ended < CATCH_UP_MS { begun } else { last }
     }
 
     /// What is read now came after this time.
     pub fn awake_since(&self, now: f64) -> f64 {
-        self.stopped_at(now).unwrap_or(now - CATCH_UP)
+        self.stopped_at(now).unwrap_or(now - CATCH_UP_MS)
     }
 }
 
