Node: a server's zone and cell are its `ServerLocation`

Three types were named `Place`: a place for a connection, room for a piece of a body, and where a server stands. The last one is renamed; nothing else changes.

Ran: the unit tests of pearfront-node, all passed.

--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -2,7 +2,7 @@
 
 mod roster;
 
-pub use roster::Place;
+pub use roster::ServerLocation;
 
 use crate::book::Book;
 use crate::clock::Clock;
@@ -180,7 +180,7 @@
     }
 
     /// Where the server at this address stands.
-    pub fn place_of(&self, server: SocketAddr) -> Option<Place> {
+    pub fn place_of(&self, server: SocketAddr) -> Option<ServerLocation> {
         self.roster.borrow().place_of(server)
     }
 
--- a/crates/pearfront-node/src/discovery/roster.rs
+++ b/crates/pearfront-node/src/discovery/roster.rs
@@ -7,7 +7,7 @@
 
 /// Where a server stands, as far as repeats of keyed requests are held to it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Place {
+pub struct ServerLocation {
     pub zone: u16,
     pub cell: u16,
 }
@@ -25,9 +25,9 @@
     }
 
     /// Where the server at this address stands.
-    pub(super) fn place_of(&self, server: SocketAddr) -> Option<Place> {
+    pub(super) fn place_of(&self, server: SocketAddr) -> Option<ServerLocation> {
         let line = self.lines.values().find(|line| SocketAddr::from(line.address) == server)?;
-        Some(Place { zone: line.zone, cell: line.cell })
+        Some(ServerLocation { zone: line.zone, cell: line.cell })
     }
 
     /// Does the list have the server as ready?
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -5,7 +5,7 @@
 use crate::book::Book;
 use crate::clock::{Clock, NEVER};
 use crate::deadline::{self, Deadline};
-use crate::discovery::{self, Discovery, Place};
+use crate::discovery::{self, Discovery, ServerLocation};
 use crate::flow::Broken;
 use crate::guard::{Guard, OUT_OF_SIGHT};
 use crate::handover::Peers;
@@ -80,13 +80,13 @@
     /// When its first byte was written, ms.
     pub written: f64,
     /// Where its server stands.
-    pub place: Option<Place>,
+    pub place: Option<ServerLocation>,
 }
 
 /// One attempt of a request.
 struct Sent {
     server: SocketAddr,
-    place: Option<Place>,
+    place: Option<ServerLocation>,
     /// When its first byte was written, ms.
     written: Option<f64>,
     /// Rung when it is called off.
