--- a/crates/pearfront-node/tests/endings/behind.rs
+++ b/crates/pearfront-node/tests/endings/behind.rs
@@ -1,8 +1,8 @@
 //! Requests behind one another on a connection: each has its answer by the end of its time, or lies unread on a connection that is
 //! reset by then, so that its client may send it again. Whatever the answer before it does.
 
-use super::deadline::{End, all_within, answered_within, drips, over};
-use crate::stand_ins::{Act, Node, Server, config, head, in_time};
+use super::deadline::{End, all_within, answered_within, drips, on_one_connection, over};
+use crate::stand_ins::{Act, Caller, Node, Server, config, head, in_time};
 use serde_json::json;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -14,6 +14,13 @@
 /// What is passed on while it comes.
 const LARGE: usize = 200_000;
 
+/// Sends a long request, and a little later one whose client waits so long.
+fn long_and_later(caller: &mut Caller, time: &str) {
+    caller.send(&head("read", "3", 0), b"");
+    sleep(LATER);
+    caller.send(&head("read", time, 0), b"");
+}
+
 // A short request behind an answer that does not come to its end is not read: its connection is reset in its time.
 #[test_case(0, Duration::ZERO; "that stalls")]
 #[test_case(100, Duration::from_millis(50); "that drips")]
@@ -22,16 +29,14 @@
     in_time(|| {
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", LARGE + 1000);
         let node = Node::start(&config(&[drips(answer, LARGE, pause, drip)]));
-        let mut caller = node.caller();
-        caller.send(&head("read", "3", 0), b"");
-        sleep(LATER);
-        caller.send(&head("read", "0.4", 0), b"");
-        let (all, end) = all_within(&caller.stream, TIME);
-        if end != End::Reset || all.len() < LARGE / 2 {
-            return Err(format!("{} bytes, {end:?}", all.len()));
-        }
-        over(node);
-        Ok(())
+        on_one_connection(
+            node,
+            |caller| long_and_later(caller, "0.4"),
+            |caller| match all_within(&caller.stream, TIME) {
+                (all, End::Reset) if all.len() >= LARGE / 2 => Ok(()),
+                (all, end) => Err(format!("{} bytes, {end:?}", all.len())),
+            },
+        )
     });
 }
 
@@ -42,18 +47,16 @@
     in_time(|| {
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", LARGE + DRIPS);
         let node = Node::start(&config(&[drips(answer, LARGE, Duration::from_millis(50), DRIPS)]));
-        let mut caller = node.caller();
-        caller.send(&head("read", "3", 0), b"");
-        sleep(LATER);
-        caller.send(&head("read", "3", 0), b"");
-        for _ in 0..2 {
-            match caller.answer() {
-                Some(answer) if answer.body.len() == LARGE + DRIPS => {}
-                _ => return Err("no whole answer".into()),
-            }
-        }
-        over(node);
-        Ok(())
+        let is_whole =
+            |caller: &mut Caller| caller.answer().is_some_and(|answer| answer.body.len() == LARGE + DRIPS);
+        on_one_connection(
+            node,
+            |caller| long_and_later(caller, "3"),
+            |caller| {
+                let are_whole = (0..2).all(|_| is_whole(caller));
+                are_whole.then_some(()).ok_or_else(|| "no whole answer".into())
+            },
+        )
     });
 }
 
@@ -63,12 +66,12 @@
     const COUNT: usize = 40;
     in_time(|| {
         let server = Server::start(Act::Silence);
-        let node = Node::start(&config(&[server.address]));
-        let mut caller = node.caller();
-        caller.send(&(0..COUNT).map(|_| head("read", "0.4", 0)).collect::<String>(), b"");
-        answered_within(&caller.stream, COUNT, TIME)?;
-        over(node);
-        Ok(())
+        let all: String = (0..COUNT).map(|_| head("read", "0.4", 0)).collect();
+        on_one_connection(
+            Node::start(&config(&[server.address])),
+            |caller| caller.send(&all, b""),
+            |caller| answered_within(&caller.stream, COUNT, TIME),
+        )
     });
 }
 
--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -67,6 +67,19 @@
     assert_eq!((counters["answers_late"], counters["answers_never"]), (0, 0), "{counters:?}");
 }
 
+/// Sends a node what comes on one connection; then that has to hold, and no request may be late or without its answer.
+pub fn on_one_connection(
+    node: Node,
+    send: impl FnOnce(&mut Caller),
+    holds: impl FnOnce(&mut Caller) -> Result<(), String>,
+) -> Result<(), String> {
+    let mut caller = node.caller();
+    send(&mut caller);
+    holds(&mut caller)?;
+    over(node);
+    Ok(())
+}
+
 /// A machine whose kernel takes the beginning of what is sent; nobody ever reads it.
 pub fn takes_nothing() -> (SocketAddr, TcpListener) {
     let address = Server::nowhere();
--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -1,7 +1,7 @@
 //! Waits that nobody ended, and answers that were cut off: what a review of the way of a request through a client's connection
 //! found.
 
-use super::deadline::{End, all_within, answered_within, over};
+use super::deadline::{End, all_within, answered_within, on_one_connection, over};
 use crate::stand_ins::{Act, Caller, ESTABLISHED, Node, Platform, Server, config, head, in_table, in_time};
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
@@ -37,18 +37,17 @@
 fn a_short_request_far_behind_a_long_one_is_answered_or_shut_unread_in_its_time(length: usize, count: usize) {
     in_time(|| {
         let server = Server::start(Act::Silence);
-        let node = Node::start(&config(&[server.address]));
-        let mut caller = node.caller();
         let mut all = head("read", "3", 0).into_bytes();
         for _ in 0..count {
             all.extend(head("pay", "3", length).into_bytes());
             all.extend(vec![b'x'; length]);
         }
         all.extend(head("read", "0.6", 0).into_bytes());
-        caller.send("", &all);
-        answered_or_reset_within(&caller.stream, count + 2, TIME + LOST_AFTER)?;
-        over(node);
-        Ok(())
+        on_one_connection(
+            Node::start(&config(&[server.address])),
+            |caller| caller.send("", &all),
+            |caller| answered_or_reset_within(&caller.stream, count + 2, TIME + LOST_AFTER),
+        )
     });
 }
 
@@ -57,13 +56,14 @@
 fn a_short_request_behind_a_body_that_is_not_taken_is_answered_or_shut_unread_in_its_time() {
     const LENGTH: usize = 300_000;
     in_time(|| {
-        let node = Node::start(&config(&[]));
-        let mut caller = node.caller();
-        caller.send(&head("pay", "3", LENGTH), &vec![b'x'; LENGTH]);
-        caller.send(&head("read", "0.6", 0), b"");
-        answered_or_reset_within(&caller.stream, 2, TIME + LOST_AFTER)?;
-        over(node);
-        Ok(())
+        on_one_connection(
+            Node::start(&config(&[])),
+            |caller| {
+                caller.send(&head("pay", "3", LENGTH), &vec![b'x'; LENGTH]);
+                caller.send(&head("read", "0.6", 0), b"");
+            },
+            |caller| answered_or_reset_within(&caller.stream, 2, TIME + LOST_AFTER),
+        )
     });
 }
 
@@ -111,14 +111,14 @@
 fn white_space_before_a_length_hides_no_request_behind_the_body(spaces: usize) {
     in_time(|| {
         let server = Server::start(Act::Silence);
-        let node = Node::start(&config(&[server.address]));
-        let mut caller = node.caller();
         let length = format!("Content-Length: {}", " ".repeat(spaces));
         let first = head("pay", "0.6", 5).replace("Content-Length: ", &length);
-        caller.send(&[first.as_str(), "hello", &head("read", "3", 0), &head("read", "0.6", 0)].concat(), b"");
-        answered_or_reset_within(&caller.stream, 3, TIME + LOST_AFTER)?;
-        over(node);
-        Ok(())
+        let all = [first.as_str(), "hello", &head("read", "3", 0), &head("read", "0.6", 0)].concat();
+        on_one_connection(
+            Node::start(&config(&[server.address])),
+            |caller| caller.send(&all, b""),
+            |caller| answered_or_reset_within(&caller.stream, 3, TIME + LOST_AFTER),
+        )
     });
 }
 
@@ -128,12 +128,11 @@
 fn a_request_of_no_time_behind_a_long_one_is_answered_or_shut_unread_at_once(left: &str) {
     in_time(|| {
         let server = Server::start(Act::Silence);
-        let node = Node::start(&config(&[server.address]));
-        let mut caller = node.caller();
-        caller.send(&[head("read", "3", 0), head("read", left, 0)].concat(), b"");
-        answered_or_reset_within(&caller.stream, 2, LOST_AFTER)?;
-        over(node);
-        Ok(())
+        on_one_connection(
+            Node::start(&config(&[server.address])),
+            |caller| caller.send(&[head("read", "3", 0), head("read", left, 0)].concat(), b""),
+            |caller| answered_or_reset_within(&caller.stream, 2, LOST_AFTER),
+        )
     });
 }
 
