--- a/crates/pearfront-node/src/accept.rs
+++ b/crates/pearfront-node/src/accept.rs
@@ -6,6 +6,7 @@
 use crate::framing::Framing;
 use crate::inherited;
 use crate::logger::Seldom;
+use crate::pulse::CATCH_UP;
 use crate::queue::Queue;
 use crate::take_in::{LAST_SERVED, TakeIn};
 use socket2::SockRef;
@@ -30,8 +31,6 @@
 const LONGEST_WAIT: Duration = Duration::from_millis(300);
 /// How long there has to be no place for that: one that is being freed is there in a moment.
 const NO_PLACE: Duration = Duration::from_millis(20);
-/// The same behind a stop of the process: what came meanwhile is read first, and answered.
-const CATCH_UP: Duration = Duration::from_millis(50);
 /// How long is looked at last for what waits in the queue: time to wait for places, and to shut what found none.
 const LAST_LOOK: Duration = Duration::from_millis(400);
 /// Pause between two looks into the queue where each connection takes the place of another: requests on their way come
@@ -233,6 +232,7 @@
 
     /// Is there no place, and something in the queue that can't wait for one any longer?
     fn is_too_late(&self) -> bool {
+        // Behind a stop what came meanwhile is read first, and answered.
         let no_place = if self.take_in.route.stopped_since().is_some() { CATCH_UP } else { NO_PLACE };
         let without_place = self.without_place.get().is_some_and(|since| since.elapsed() > no_place);
         without_place && self.queue.of_waiting().elapsed() > LONGEST_WAIT
