A body without an attempt is held back for 80 ms of the process's own running

A process that stood still for 80 ms rejected a body for want of room before it had a turn to begin an attempt. The wait is four waits of 20 ms now.

What contradicted the test of the largest body is settled there: its bound of 4 MiB stands, and the node's limit is such that a body may not be read ahead for more (96 MB).

--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -30,7 +30,7 @@
 /// Share of the memory limit that bodies may take; the rest is for connections' buffers and answers.
 const BODIES: f64 = 0.3;
 /// Part of the room left to bodies that are read ahead which one of them may have.
-const READ_AHEAD_PART: usize = 8;
+const READ_AHEAD_PART: usize = 4;
 /// Part of all room for what kernels keep of clients that send much ahead of their turn.
 const WINDOWS_PART: usize = 8;
 /// Least bytes a job counts for: its answer takes room as well.
--- a/crates/pearfront-node/src/admit/tests.rs
+++ b/crates/pearfront-node/src/admit/tests.rs
@@ -49,7 +49,7 @@
     };
     let bodies: Vec<Vec<ReadAhead>> = (0..100).map(|_| read_all()).collect();
     let part = |body: &Vec<ReadAhead>| body.len() * CHUNK;
-    assert!(part(&bodies[0]).abs_diff(half / 9) <= CHUNK, "{} of {half}", part(&bodies[0]));
+    assert!(part(&bodies[0]).abs_diff(half / 5) <= CHUNK, "{} of {half}", part(&bodies[0]));
     assert!(part(&bodies[9]) >= CHUNK, "nothing is left for the tenth");
     assert!(bodies.iter().map(part).sum::<usize>() <= half);
     assert!(room.job(MOST_WHOLE).is_some());
--- a/crates/pearfront-node/src/upload.rs
+++ b/crates/pearfront-node/src/upload.rs
@@ -25,9 +25,11 @@
 /// clients are said to bring.
 const WHOLE_BODY: Duration = Duration::from_millis(2500);
 const SLOWEST: Duration = Duration::from_nanos(62_500);
-/// How long a body that no attempt has asked for may be held back for want of room. Meanwhile nobody sees what its client sends
-/// behind it, nor whether that has left; an attempt may begin up to 0.1 s behind the client's end.
-const UNCLAIMED: Duration = Duration::from_millis(80);
+/// How long, and how often, a body that no attempt has asked for is held back for want of room. Meanwhile nobody sees what its client
+/// sends behind it, nor whether that has left; an attempt may begin up to 0.1 s behind the client's end. In several waits, as a
+/// process that stood still has had no time to begin an attempt.
+const UNCLAIMED: Duration = Duration::from_millis(20);
+const UNCLAIMED_WAITS: usize = 4;
 /// How long the rest of a body is read whose request has its answer.
 const LONGEST_DRAIN: Duration = Duration::from_secs(5);
 
@@ -56,16 +58,20 @@
     /// Where the server takes nothing, or there is none.
     async fn wait_for_place(self: &Rc<Self>, bytes: usize) -> Result<Place, Broken> {
         let begun = Instant::now();
+        let mut unclaimed = 0;
         loop {
             if let Some(place) = self.place(bytes) {
                 return Ok(place);
             }
-            let (until, problem) = if self.is_claimed.get() {
-                (begun.max(self.taken_at.get()) + NEXT_PIECE, Broken::NotTaken)
-            } else {
-                (begun + UNCLAIMED, Broken::NoRoom)
-            };
-            timeout_at(until, self.taken.notified()).await.map_err(|_| problem)?;
+            if self.is_claimed.get() {
+                let until = begun.max(self.taken_at.get()) + NEXT_PIECE;
+                timeout_at(until, self.taken.notified()).await.map_err(|_| Broken::NotTaken)?;
+                continue;
+            }
+            if unclaimed == UNCLAIMED_WAITS {
+                return Err(Broken::NoRoom);
+            }
+            unclaimed += usize::from(timeout(UNCLAIMED, self.taken.notified()).await.is_err());
         }
     }
 
--- a/crates/pearfront-node/tests/days/mod.rs
+++ b/crates/pearfront-node/tests/days/mod.rs
@@ -273,7 +273,10 @@
 #[test]
 fn a_body_of_the_largest_size_flows_to_a_server_once() {
     let server = Server::start(Act::Serve(b"fine".to_vec()));
-    let node = Node::start(&config(&[server.address]));
+    let mut config = config(&[server.address]);
+    // Of which a body has 2.9 MiB at the most while its server takes nothing.
+    config["limits"]["memory_mb"] = json!(96);
+    let node = Node::start(&config);
     let before = node.peak_memory();
     let body = large(LARGEST);
     let mut caller = node.caller();
--- a/crates/pearfront-node/tests/endings/review.rs
+++ b/crates/pearfront-node/tests/endings/review.rs
@@ -122,9 +122,9 @@
         let node = Node::start(&config(&[server.address]));
         let mut caller = node.caller();
         caller.send(&(0..count).map(|_| head("read", "30", 0)).collect::<String>(), b"");
-        let served =
-            (0..count).filter(|_| caller.answer().is_some_and(|answer| answer.status() == 200)).count();
-        if served == count { Ok(()) } else { Err(format!("{served} of {count}")) }
+        let statuses = (0..count).map(|_| caller.answer().map(|answer| answer.status()));
+        let lost: Vec<_> = statuses.enumerate().filter(|(_, status)| *status != Some(200)).collect();
+        if lost.is_empty() { Ok(()) } else { Err(format!("{lost:?} of {count}")) }
     });
 }
 
