--- a/crates/pearfront-soak/src/judge/tests.rs
+++ b/crates/pearfront-soak/src/judge/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::plan::KILL_AFTER;
-use crate::record::{Line, OperatorCall};
+use crate::record::{AnswerEnd, Effect, Line, OperatorCall, ReplyEnd};
 use test_case::test_case;
 
 const ID: &str = "a request";
