Accept: a connection's age is asked for without what only the newest kernels tell

The node asks TCP_INFO for the whole struct of the C library's header (280 bytes, as long as that of Linux 6.18). A kernel whose own is shorter returns less, and nix asserts the length: the process would panic at its first accept on any older kernel. Found by reading; no older kernel was at hand. A probe that asked this kernel for 400 bytes panicked in getsockopt (left: 280, right: 400).

Asked for is the beginning up to the time of the last byte sent, 48 bytes, which every Linux since 2.6 tells. The test holds the length under 104 bytes and the field at the place that the C library names; the length before was 280.

--- a/crates/pearfront-node/src/established.rs
+++ b/crates/pearfront-node/src/established.rs
@@ -6,13 +6,23 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// The beginning of what Linux tells of a connection: each version tells more behind it, and one that tells less than it is asked for
+/// is taken for broken.
+#[repr(C)]
+pub struct TcpInfo {
+    state_and_options: [u8; 8],
+    timeouts_and_segments: [u32; 9],
+    /// Time since then, ms.
+    last_data_sent: u32,
+}
+
 sockopt_impl!(
     /// What the kernel knows of a connection.
-    TcpInfo,
+    ConnectionInfo,
     GetOnly,
     libc::IPPROTO_TCP,
     libc::TCP_INFO,
-    libc::tcp_info
+    TcpInfo
 );
 
 /// The longest tick by which a kernel counts.
@@ -22,8 +32,8 @@
 /// end of the handshake as the time of the last byte sent. None where it does not say.
 pub fn earliest(stream: &impl AsFd) -> Option<Instant> {
     let now = Instant::now();
-    let info = nix::sys::socket::getsockopt(stream, TcpInfo).ok()?;
-    let age = Duration::from_millis(info.tcpi_last_data_sent.into());
+    let info = nix::sys::socket::getsockopt(stream, ConnectionInfo).ok()?;
+    let age = Duration::from_millis(info.last_data_sent.into());
     now.checked_sub(age + TICK)
 }
 
--- a/crates/pearfront-node/src/established/tests.rs
+++ b/crates/pearfront-node/src/established/tests.rs
@@ -18,3 +18,15 @@
     assert!(earliest <= connected, "{:?} late", earliest - connected);
     assert!(earliest + 3 * TICK >= before, "{:?} early", before - earliest);
 }
+
+// An older kernel tells less than the C library's header of the day names: the answer was taken for broken, and the process ended.
+#[test]
+fn no_more_is_asked_of_a_connection_than_every_kernel_tells() {
+    /// What Linux 2.6 tells.
+    const TOLD: usize = 104;
+    assert!(size_of::<TcpInfo>() <= TOLD, "{} bytes", size_of::<TcpInfo>());
+    assert_eq!(
+        std::mem::offset_of!(TcpInfo, last_data_sent),
+        std::mem::offset_of!(libc::tcp_info, tcpi_last_data_sent)
+    );
+}
