A server's word is younger than a list that broke off only if it was asked for behind that

Discovery cut its lists, so the node went on by the servers' own words. What a cut list said counts from the earliest time at which it can have come, 50 ms before it is read; the same time told which words are older than it. A word asked for in those 50 ms, right before the drain, counted as younger and lasted for 6 s. It has to be asked for behind the last byte that was read now.

The new unit test failed before (9830 in place of 3800).

--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -340,11 +340,16 @@
             return Err(Failure::Refused(format!("answered {}", head.status)));
         }
         // Whatever becomes of the rest.
-        shows(Contact::Cut { at });
+        let show_cut = || shows(Contact::Cut { at, until: self.clock.now() });
+        let cut = |problem| {
+            show_cut();
+            Failure::Cut(problem)
+        };
+        show_cut();
         let body = timeout(REST, message::whole_of(body, MOST_LIST)).await;
-        let body = body.map_err(|_| Failure::Cut("a list that stalled".into()))?;
-        let body = body.map_err(|()| Failure::Cut("a list that broke off".into()))?;
-        let list = message::decode_list(&body, &self.terms.now().around).map_err(Failure::Cut)?;
+        let body = body.map_err(|_| cut("a list that stalled".into()))?;
+        let body = body.map_err(|()| cut("a list that broke off".into()))?;
+        let list = message::decode_list(&body, &self.terms.now().around).map_err(cut)?;
         // What the old place tells is not all that a new one has.
         if service == self.service.get() {
             shows(Contact::Heard { at });
--- a/crates/pearfront-node/src/lease.rs
+++ b/crates/pearfront-node/src/lease.rs
@@ -45,8 +45,9 @@
     Unreachable { since: f64 },
     /// It answered that there are too many callers, or ended the connection: it may have had something to tell.
     Crowded { since: f64 },
-    /// A list that broke off began to come at this time: what it said counts as told.
-    Cut { at: f64 },
+    /// A list that broke off began to come at the first of these times at the earliest, and had not come whole at the second: what it
+    /// said counts as told.
+    Cut { at: f64, until: f64 },
     /// The node has stopped waiting for an answer: it may be on its way, or be written later, and counts as told then.
     GivenUp { at: f64 },
 }
@@ -90,7 +91,7 @@
             // The watch is over: what it has counts at once.
             Contact::Crowded { since } if rules.pushed => self.list.set(self.list.get().min(since)),
             Contact::Crowded { .. } => {}
-            Contact::Cut { at } => self.limit(Told { since: at, from: at }),
+            Contact::Cut { at, until } => self.limit(Told { since: until, from: at }),
             Contact::GivenUp { at } => {
                 self.list.set(self.list.get().min(at));
                 self.missed.set(true);
--- a/crates/pearfront-node/src/lease/tests.rs
+++ b/crates/pearfront-node/src/lease/tests.rs
@@ -20,8 +20,8 @@
 #[test_case(PUSHED, Contact::Crowded { since: 2000.0 }, 4800.0; "crowded, pushed")]
 #[test_case(ASKED, Contact::GivenUp { at: 2000.0 }, 4800.0; "given up, asked: its answer may be on its way")]
 #[test_case(PUSHED, Contact::GivenUp { at: 2000.0 }, 4800.0; "given up, pushed")]
-#[test_case(ASKED, Contact::Cut { at: 2000.0 }, 4800.0; "cut, asked: what it said counts")]
-#[test_case(PUSHED, Contact::Cut { at: 2000.0 }, 4800.0; "cut, pushed")]
+#[test_case(ASKED, Contact::Cut { at: 2000.0, until: 2000.0 }, 4800.0; "cut, asked: what it said counts")]
+#[test_case(PUSHED, Contact::Cut { at: 2000.0, until: 2000.0 }, 4800.0; "cut, pushed")]
 fn a_call_renews_the_list(rules: Rules, contact: Contact, until: f64) {
     let leases = Leases::default();
     leases.begin(rules, 0.0);
@@ -34,7 +34,7 @@
 fn what_a_cut_list_said_counts_until_a_whole_one_is_heard() {
     let leases = Leases::default();
     leases.renew(ASKED, Contact::Heard { at: 0.0 });
-    leases.renew(ASKED, Contact::Cut { at: 1000.0 });
+    leases.renew(ASKED, Contact::Cut { at: 1000.0, until: 1000.0 });
     leases.renew(ASKED, Contact::Unreachable { since: 2000.0 });
     assert_eq!(leases.of_list(ASKED), 3800.0);
     leases.renew(ASKED, Contact::Heard { at: 3000.0 });
@@ -84,12 +84,22 @@
 fn a_servers_word_from_before_a_cut_list_does_not_outlast_it() {
     let leases = Leases::default();
     leases.confirmed(server(1), 500.0);
-    leases.renew(ASKED, Contact::Cut { at: 1000.0 });
+    leases.renew(ASKED, Contact::Cut { at: 1000.0, until: 1000.0 });
     assert_eq!(leases.of(ASKED, server(1)), 3800.0);
     leases.confirmed(server(1), 1500.0);
     assert_eq!(leases.of(ASKED, server(1)), 10_300.0);
 }
 
+// A list counts from when it can have come at the earliest, some 50 ms before it is read: a word that was asked for in between is not
+// younger than what it said.
+#[test]
+fn a_servers_word_from_right_before_a_cut_list_was_read_does_not_outlast_it() {
+    let leases = Leases::default();
+    leases.confirmed(server(1), 1030.0);
+    leases.renew(ASKED, Contact::Cut { at: 1000.0, until: 1050.0 });
+    assert_eq!(leases.of(ASKED, server(1)), 3800.0);
+}
+
 // Each further call that is answered so proves nothing: what discovery has counts from the end of the watch.
 #[test]
 fn a_crowded_service_that_pushes_renews_nothing() {
