--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -131,16 +131,11 @@
         since.map_or(0.0, |since| since.elapsed().as_secs_f64() * 1000.0)
     }
 
-    /// Waits until it is known that its client has been there a moment ago, or until nobody waits for its answer. False if that
-    /// can't be known before it has its answer.
-    async fn caller_in_sight(&self) -> bool {
+    /// Waits until it is known that its client has been there a moment ago, or until nobody waits for its answer.
+    async fn caller_in_sight(&self) {
         while self.is_open() && self.caller_out_of_sight() > OUT_OF_SIGHT {
-            if self.caller.upgrade().is_some_and(|caller| caller.hides_more()) {
-                return false;
-            }
             sleep(LOOK).await;
         }
-        true
     }
 
     /// The first of its attempts that may have run, beside the one at this place.
@@ -382,9 +377,7 @@
             };
             let over = route.over(&held, until);
             let (closed, called_off) = (held.relay.closed(), called_off.notified());
-            if !held.caller_in_sight().await && held.out.get() == 1 {
-                route.give_up(&held, "nobody sees whether its client is there");
-            }
+            held.caller_in_sight().await;
             let attempt = route.senders.attempt(to, &held.job, over, closed, permit, called_off).await;
             if attempt.end == ConnectionEnd::CallerGone {
                 route.left(&held);
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -271,11 +271,6 @@
         (may_hide && fits()).then(|| self.arrival.of_unread())
     }
 
-    /// Does more lie where it can't be seen, until the request before it has its answer?
-    pub fn hides_more(&self) -> bool {
-        self.unread.hides() == Hides::More && self.is_between_requests()
-    }
-
     /// Since when the client may have ended its sending, and that lies where it can't be seen: behind bytes that the node's kernel has
     /// no room for.
     pub fn end_hides_since(&self) -> Option<Instant> {
