--- a/crates/pearfront-node/src/guard.rs
+++ b/crates/pearfront-node/src/guard.rs
@@ -17,8 +17,6 @@
 
 /// How long a permit to write lasts, ms: what is told of the time left is that old by then.
 const PERMIT_LASTS: f64 = 100.0;
-/// How long a client may be out of sight, ms, for an attempt to begin: 100 behind its end none may.
-pub const OUT_OF_SIGHT: f64 = 80.0;
 /// Lines a second of the log.
 const LINES: u32 = 10;
 
@@ -29,8 +27,6 @@
     Over,
     /// Nothing is left of the time that its client waits.
     TooLate,
-    /// Nobody can see whether its client is still there.
-    OutOfSight,
     /// The list has the server as draining or gone, or is too old to say.
     NoLease,
     /// An earlier attempt may have run, and the request may not run twice.
@@ -146,8 +142,6 @@
             Some(Refusal::Over)
         } else if self.held.left(now) <= 0.0 {
             Some(Refusal::TooLate)
-        } else if self.held.caller_out_of_sight() > OUT_OF_SIGHT {
-            Some(Refusal::OutOfSight)
         } else if !self.guard.discovery.may_send(self.server) {
             Some(Refusal::NoLease)
         } else if now - self.granted > PERMIT_LASTS {
--- a/crates/pearfront-node/src/route.rs
+++ b/crates/pearfront-node/src/route.rs
@@ -7,7 +7,7 @@
 use crate::deadline::{self, Deadline};
 use crate::discovery::{self, Discovery, ServerLocation};
 use crate::flow::Broken;
-use crate::guard::{Guard, OUT_OF_SIGHT};
+use crate::guard::Guard;
 use crate::handover::Peers;
 use crate::logger::Limited;
 use crate::message::{Answer, Job};
@@ -27,15 +27,12 @@
 use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 /// Added to each wake, ms, so that rounding never lets a round come just before what it is for.
 const ROUNDING: f64 = 0.01;
-/// How often is looked whether a client can be seen again.
-const LOOK: Duration = Duration::from_millis(10);
 /// Lines a second that tell of requests that were refused, repeated or not sent.
 const TOLD_IN_LOG: u32 = 10;
 
@@ -125,19 +122,6 @@
         self.caller.upgrade().is_none_or(|caller| caller.has_ended())
     }
 
-    /// How long its client may have been gone without a sign, ms: its end would lie behind bytes for which there is no room here.
-    pub fn caller_out_of_sight(&self) -> f64 {
-        let since = self.caller.upgrade().and_then(|caller| caller.end_hides_since());
-        since.map_or(0.0, |since| since.elapsed().as_secs_f64() * 1000.0)
-    }
-
-    /// Waits until it is known that its client has been there a moment ago, or until nobody waits for its answer.
-    async fn caller_in_sight(&self) {
-        while self.is_open() && self.caller_out_of_sight() > OUT_OF_SIGHT {
-            sleep(LOOK).await;
-        }
-    }
-
     /// The first of its attempts that may have run, beside the one at this place.
     pub fn first_that_may_have_run(&self, place: usize) -> Option<Earlier> {
         let attempts = self.attempts.borrow();
@@ -377,7 +361,6 @@
             };
             let over = route.over(&held, until);
             let (closed, called_off) = (held.relay.closed(), called_off.notified());
-            held.caller_in_sight().await;
             let attempt = route.senders.attempt(to, &held.job, over, closed, permit, called_off).await;
             if attempt.end == ConnectionEnd::CallerGone {
                 route.left(&held);
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -271,13 +271,6 @@
         (may_hide && fits()).then(|| self.arrival.of_unread())
     }
 
-    /// Since when the client may have ended its sending, and that lies where it can't be seen: behind bytes that the node's kernel has
-    /// no room for.
-    pub fn end_hides_since(&self) -> Option<Instant> {
-        let hides = self.unread.hides() != Hides::Nothing && self.is_between_requests();
-        hides.then(|| self.arrival.of_unread())
-    }
-
     /// Waits until more has been read.
     pub async fn read_more(&self) {
         self.has_read.notified().await;
