Revert "Requests that nobody can see behind one in work are reckoned with"

Of a row of 1,600 requests of 250 B 14 to 16 were served (of 400 at a limit of 24 MB, or behind 16 idle connections that had sent much, as well): all were before. Three bodies of 300 kB behind one another, served in 0.5 s each: 502, 503, 200 in place of 200 three times, although the first had run.

--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -31,8 +31,6 @@
 const BODIES: f64 = 0.3;
 /// Part of the room left to bodies that are read ahead which one of them may have.
 const READ_AHEAD_PART: usize = 4;
-/// Part of all room for what kernels keep of clients that send much ahead of their turn.
-const WINDOWS_PART: usize = 8;
 /// Least bytes a job counts for: its answer takes room as well.
 const LEAST_BODY: usize = 4 * 1024;
 
@@ -56,8 +54,6 @@
     callers_open: Cell<usize>,
     most_bytes: Cell<usize>,
     bytes: Cell<usize>,
-    /// What kernels keep among them.
-    window_bytes: Cell<usize>,
     /// Jobs taken in, or being read, and not answered.
     jobs: Cell<usize>,
     /// Attempts that wait for a connection: callers stand back for them.
@@ -79,7 +75,6 @@
             callers_open: Cell::new(0),
             most_bytes: Cell::new(0),
             bytes: Cell::new(0),
-            window_bytes: Cell::new(0),
             jobs: Cell::new(0),
             waiting: Cell::new(0),
             freed: Notify::new(),
@@ -204,15 +199,6 @@
         })
     }
 
-    /// Takes room for what the kernel may keep of a connection that nobody has read yet.
-    fn window(self: &Rc<Self>, bytes: usize) -> Option<Window> {
-        let windows = self.window_bytes.get() + bytes;
-        let fits = windows <= self.most_bytes.get() / WINDOWS_PART;
-        let share = self.read_ahead(0, bytes).filter(|_| fits)?;
-        self.window_bytes.set(windows);
-        Some(Window(share))
-    }
-
     pub fn jobs(&self) -> usize {
         self.jobs.get()
     }
@@ -311,11 +297,6 @@
     pub fn own() -> Self {
         Self { room: None, caller: false }
     }
-
-    /// Room for what the kernel may keep of its connection.
-    pub fn window(&self, bytes: usize) -> Option<Window> {
-        self.room.as_ref()?.window(bytes)
-    }
 }
 
 impl Drop for Place {
@@ -362,15 +343,5 @@
     }
 }
 
-/// Room of what the kernel may keep of a connection.
-pub struct Window(ReadAhead);
-
-impl Drop for Window {
-    fn drop(&mut self) {
-        let room = &self.0.room;
-        room.window_bytes.set(room.window_bytes.get() - self.0.bytes);
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/pearfront-node/src/arrival.rs
+++ b/crates/pearfront-node/src/arrival.rs
@@ -22,11 +22,6 @@
 }
 
 impl Arrival {
-    /// Can so many bytes have come that nobody has read?
-    pub fn can_lie_unread(count: u64) -> bool {
-        count <= UNREAD as u64
-    }
-
     /// Nothing came before this time.
     pub fn since(opened: Instant) -> Self {
         Self {
@@ -71,7 +66,7 @@
         if waited {
             self.waited_until.set(now);
         }
-        if waited || to_come.is_some_and(|left| !Self::can_lie_unread(left)) {
+        if waited || to_come.is_some_and(|left| left > UNREAD as u64) {
             self.begin(now, now);
             return;
         }
--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -15,9 +15,6 @@
 /// The same for one whose body is not whole, as the module waits for the body, and for one behind which another is due. One of
 /// which no more is left when its turn comes is answered at once, so that those behind it are in time.
 const AHEAD: f64 = 10.0;
-/// How long behind its coming a request that nobody can see has to be the next: less than the shortest time, and the 0.5 s behind
-/// it in which an answer earns nothing and is not lost.
-const UNSEEN: f64 = 300.0;
 /// What the module is given for its round behind a stop, once what came meanwhile has been read.
 const ROUND: Duration = Duration::from_millis(10);
 /// How long the process reads what came while it stood still, and the module plays its round.
@@ -102,10 +99,7 @@
     }
 
     fn ends_for_one_behind(&self) -> Option<f64> {
-        let client = self.client.upgrade()?;
-        let seen = ends_for_one_behind(&client, self.clock, &self.pulse);
-        let unseen = client.hides_since().map(|since| self.came_at(&client, since) + UNSEEN);
-        seen.into_iter().chain(unseen).reduce(f64::min)
+        ends_for_one_behind(&*self.client.upgrade()?, self.clock, &self.pulse)
     }
 
     /// Waits until then.
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -38,7 +38,6 @@
 mod upload;
 mod wall_clock;
 mod watch;
-mod window;
 mod wire;
 
 use accept::Acceptor;
--- a/crates/pearfront-node/src/unread.rs
+++ b/crates/pearfront-node/src/unread.rs
@@ -9,17 +9,6 @@
 /// Most bytes that are looked at ahead of their turn.
 pub const MOST_SEEN: usize = 256 * 1024;
 
-/// What of all that a client has written can't be looked at.
-#[derive(Default, Clone, Copy, PartialEq, Eq)]
-pub enum Hides {
-    #[default]
-    Nothing,
-    /// What is on its way for a moment.
-    Arriving,
-    /// Whatever lies behind as much as is looked at, or as the kernel holds.
-    More,
-}
-
 /// How far a client's connection may be read. Positions count bytes from the beginning of the connection.
 #[derive(Default)]
 pub struct Unread {
@@ -29,8 +18,8 @@
     is_answering: Cell<bool>,
     /// Position up to which requests are still begun to be read, where no further ones are.
     last: Cell<Option<u64>>,
-    /// May more have come than was seen at the last look?
-    hides: Cell<Hides>,
+    /// Was as much seen ahead as is looked at, so that more may lie behind it?
+    is_full: Cell<bool>,
     /// Rung when one of these changes.
     changed: Notify,
     /// Woken when bytes that wait for their turn may be read.
@@ -57,13 +46,13 @@
         self.is_answering.get()
     }
 
-    /// So much could not be seen at the last look.
-    pub fn looked(&self, hides: Hides) {
-        self.hides.set(hides);
+    /// So many bytes lay there at the last look.
+    pub fn fill(&self, count: usize) {
+        self.is_full.set(count >= MOST_SEEN);
     }
 
-    pub fn hides(&self) -> Hides {
-        self.hides.get()
+    pub fn is_full(&self) -> bool {
+        self.is_full.get()
     }
 
     /// No request that begins at this position or behind it is read any more.
--- a/crates/pearfront-node/src/wire.rs
+++ b/crates/pearfront-node/src/wire.rs
@@ -7,8 +7,7 @@
 use crate::arrival::Arrival;
 use crate::framing::{Framing, ReadRequest};
 use crate::system::{is_interrupted, is_transient};
-use crate::unread::{Hides, Unread};
-use crate::window::Window;
+use crate::unread::Unread;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
@@ -75,8 +74,7 @@
     /// Rung with each read.
     has_read: Notify,
     unread: Unread,
-    window: Window,
-    place: Place,
+    _place: Place,
 }
 
 impl Wire {
@@ -118,8 +116,7 @@
             arrival: Arrival::since(came),
             has_read: Notify::new(),
             unread: Unread::default(),
-            window: Window::default(),
-            place,
+            _place: place,
         })
     }
 
@@ -190,10 +187,6 @@
         self.unread.advance(bytes.len());
         self.note_seen(bytes, ahead, Instant::now());
         self.has_read.notify_waiters();
-        if self.seen_ahead() == 0 {
-            // What lies behind is looked at once it has to wait again.
-            self.unread.looked(Hides::Nothing);
-        }
         if self.is_between_requests() {
             self.unread.request_over();
         }
@@ -258,17 +251,7 @@
     /// When the first of the answers is due that can come only behind the one to the request handed out last, of those
     /// requests that have been read.
     pub fn due_behind(&self, came_at: impl Fn(Instant) -> Instant) -> Option<Instant> {
-        let may_be_whole = self.unread.hides() != Hides::Nothing;
-        self.framed(|framing| framing.due_behind(may_be_whole, came_at)).flatten()
-    }
-
-    /// Since when a request may lie where nobody can see it behind the one that is being answered, and waits for that answer alone.
-    pub fn hides_since(&self) -> Option<Instant> {
-        let may_hide = self.unread.hides() == Hides::More && self.is_between_requests();
-        // Of a very long body not all can have come.
-        let fits =
-            || self.framed(|framing| framing.body_left()).flatten().is_none_or(Arrival::can_lie_unread);
-        (may_hide && fits()).then(|| self.arrival.of_unread())
+        self.framed(|framing| framing.due_behind(self.unread.is_full(), came_at)).flatten()
     }
 
     /// Waits until more has been read.
--- a/crates/pearfront-node/src/wire/reading.rs
+++ b/crates/pearfront-node/src/wire/reading.rs
@@ -3,7 +3,7 @@
 
 use super::{CHUNK, Wire};
 use crate::system::is_interrupted;
-use crate::unread::{Hides, MOST_SEEN};
+use crate::unread::MOST_SEEN;
 use std::convert::Infallible;
 use std::io;
 use std::pin::pin;
@@ -72,14 +72,8 @@
             looked = self.look_into(&mut vec![0; MOST_SEEN]).unwrap_or(looked);
         }
         let now = Instant::now();
-        self.window.fit(looked, &self.stream, &self.place);
-        let hides = match self.window.is_full(looked) {
-            true => Hides::More,
-            false if self.window.is_settling() => Hides::Arriving,
-            false => Hides::Nothing,
-        };
-        self.unread.looked(hides);
-        if hides != Hides::Nothing {
+        self.unread.fill(looked);
+        if self.unread.is_full() {
             self.arrival.looks_away(now);
         } else if looked > 0 || self.is_quiet() {
             self.arrival.found_nothing();
