Queue: what the kernel says of a connection stands above all that is reckoned

Cause: the queue took the later of the kernel's word and its own reckoning. Where the process had no place right behind a stop it looked away, and reckoned from that moment on, although the queue had been seen empty only before the stop. Two exceptions stood for the same thing already: a queue taken over from others, and an accept behind a look that found nothing.

The kernel's word decides wherever it is known now; the reckoning is for kernels that don't tell. Both exceptions go, with the state of the first. A connection accepted at once still counts from then, not from a tick before.

--- a/crates/pearfront-node/src/accept.rs
+++ b/crates/pearfront-node/src/accept.rs
@@ -71,15 +71,14 @@
     /// did.
     pub fn new(listener: TcpListener, shared: bool, take_in: Rc<TakeIn>) -> Self {
         let now = Instant::now();
-        let queue = if shared {
-            let assumed = now.checked_sub(LONGEST_WAIT + NO_PLACE).unwrap_or(now);
-            Queue::taken_over(inherited::longest_queue() + BEYOND_BACKLOG, assumed)
+        let (most, opened) = if shared {
+            (inherited::longest_queue(), now.checked_sub(LONGEST_WAIT + NO_PLACE).unwrap_or(now))
         } else {
-            Queue::since(BACKLOG as usize + BEYOND_BACKLOG, now)
+            (BACKLOG as usize, now)
         };
         Self {
             listener,
-            queue,
+            queue: Queue::since(most + BEYOND_BACKLOG, opened),
             take_in,
             crowded: Cell::new(false),
             has_place_left: Cell::new(false),
--- a/crates/pearfront-node/src/queue.rs
+++ b/crates/pearfront-node/src/queue.rs
@@ -18,8 +18,6 @@
     most: usize,
     /// What was accepted last came after this time.
     earliest: Cell<Instant>,
-    /// Is that time only taken for true, as other processes accepted from it before?
-    is_assumed: Cell<bool>,
     /// The last look found nothing, and what comes next is accepted at once.
     is_watched: Cell<bool>,
     /// How many were accepted so far.
@@ -34,21 +32,12 @@
         Self {
             most,
             earliest: Cell::new(opened),
-            is_assumed: Cell::new(false),
             is_watched: Cell::new(false),
             accepted: Cell::new(0),
             marks: RefCell::default(),
         }
     }
 
-    /// A queue from which other processes accepted before: so far they are taken to have left nothing there that came before this
-    /// time.
-    pub fn taken_over(most: usize, assumed: Instant) -> Self {
-        let queue = Self::since(most, assumed);
-        queue.is_assumed.set(true);
-        queue
-    }
-
     /// What was accepted last came after this time.
     pub fn earliest(&self) -> Instant {
         self.earliest.get()
@@ -71,13 +60,12 @@
         }
     }
 
-    /// One more was accepted, which was established after that time, where that is known: so was what waits behind it.
+    /// One more was accepted, which was established after that time, where that is known: so was what waits behind it. Whatever
+    /// else is known may be wrong, as the process may have stood still, or another one have accepted before.
     pub fn accepted(&self, now: Instant, established: Option<Instant>) {
-        if self.is_watched.take() {
-            // The process may have stood still meanwhile.
-            let waited =
-                established.filter(|established| now.saturating_duration_since(*established) > AT_ONCE);
-            self.begin(waited.unwrap_or(now));
+        let was_watched = self.is_watched.take();
+        if was_watched {
+            self.begin(now);
         }
         let count = self.accepted.get() + 1;
         self.accepted.set(count);
@@ -91,15 +79,15 @@
         if count.is_multiple_of(STEP) {
             marks.push_back((count, now));
         }
-        if let Some(established) = established {
-            let is_better = self.is_assumed.take() || established > self.earliest.get();
-            self.earliest.set(if is_better { established } else { self.earliest.get() });
+        let at_once =
+            |established: Instant| was_watched && now.saturating_duration_since(established) <= AT_ONCE;
+        if let Some(established) = established.filter(|established| !at_once(*established)) {
+            self.earliest.set(established);
         }
     }
 
     fn begin(&self, earliest: Instant) {
         self.earliest.set(earliest);
-        self.is_assumed.set(false);
         self.marks.borrow_mut().clear();
     }
 }
--- a/crates/pearfront-node/src/queue/tests.rs
+++ b/crates/pearfront-node/src/queue/tests.rs
@@ -62,11 +62,22 @@
     assert_eq!(queue.earliest(), at(opened, 300));
 }
 
+// The same where the process looked away right behind the stop, as it had no place: that is not when the queue was empty last.
+#[test]
+fn what_came_before_the_process_looked_away_is_as_old_as_the_kernel_says() {
+    let opened = Instant::now();
+    let queue = Queue::since(100, opened);
+    queue.found_nothing();
+    queue.looks_away(at(opened, 2000));
+    queue.accepted(at(opened, 2010), Some(at(opened, 300)));
+    assert_eq!(queue.earliest(), at(opened, 300));
+}
+
 // The process before died, and what it left waited for longer than a process that serves leaves anything.
 #[test]
 fn what_was_left_by_others_is_as_old_as_the_kernel_says() {
     let started = Instant::now();
-    let queue = Queue::taken_over(100, at(started, 1000));
+    let queue = Queue::since(100, at(started, 1000));
     queue.accepted(at(started, 1500), Some(started));
     assert_eq!(queue.earliest(), started);
     queue.accepted(at(started, 1500), Some(at(started, 200)));
