Bodies: one arm for those that nobody takes, one guard for their bytes

What is done with a body that its server does not take, and with one for which there is no room, stood twice, and which of the two it is in a third place: `Broken::is_untaken` says it, and its text is the reason that the log had. A job's share and bytes read ahead counted the same bytes in two guards: a share holds the other one. `Room::own_place` was `Place::own` once more.

--- a/crates/pearfront-node/src/admit.rs
+++ b/crates/pearfront-node/src/admit.rs
@@ -140,11 +140,6 @@
         place
     }
 
-    /// A place of the node's own, one of `FIXED`: nobody else can take it.
-    pub fn own_place(&self) -> Place {
-        Place::own()
-    }
-
     /// Most callers beside the last resort: servers have a part of their own, and where they use more of it one is left.
     fn most_callers(&self) -> usize {
         let servers = self.open.get() - self.callers_open.get() + PROBES;
@@ -182,21 +177,22 @@
         let bytes = body.max(LEAST_BODY);
         let connected = (self.jobs.get() + 1) * CONNECTIONS + PROBES <= self.most_open.get();
         (connected && self.bytes.get() + bytes <= self.most_bytes.get()).then(|| {
-            self.bytes.set(self.bytes.get() + bytes);
             self.jobs.set(self.jobs.get() + 1);
-            Share { room: self.clone(), bytes }
+            Share(self.hold(bytes))
         })
     }
 
+    fn hold(self: &Rc<Self>, bytes: usize) -> HeldBytes {
+        self.bytes.set(self.bytes.get() + bytes);
+        HeldBytes { room: self.clone(), bytes }
+    }
+
     /// Takes room for more bytes of a body, of which so many have been read ahead of its server. Such bytes have half of all room,
     /// the rest is for requests that are still to come; and one body no more than a part of what is then left of that half, so
     /// that there is some for others.
-    pub fn read_ahead(self: &Rc<Self>, held: usize, bytes: usize) -> Option<ReadAhead> {
+    pub fn read_ahead(self: &Rc<Self>, held: usize, bytes: usize) -> Option<HeldBytes> {
         let left = (self.most_bytes.get() / 2).checked_sub(self.bytes.get() + bytes)?;
-        (held + bytes <= left / READ_AHEAD_PART).then(|| {
-            self.bytes.set(self.bytes.get() + bytes);
-            ReadAhead { room: self.clone(), bytes }
-        })
+        (held + bytes <= left / READ_AHEAD_PART).then(|| self.hold(bytes))
     }
 
     pub fn jobs(&self) -> usize {
@@ -293,7 +289,7 @@
 }
 
 impl Place {
-    /// One of the node's own, which is counted nowhere.
+    /// One of the node's own, one of `FIXED`: nobody else can take it, and it is counted nowhere.
     pub fn own() -> Self {
         Self { room: None, caller: false }
     }
@@ -319,25 +315,22 @@
 }
 
 /// One job's share of the room.
-pub struct Share {
-    room: Rc<Room>,
-    bytes: usize,
-}
+pub struct Share(HeldBytes);
 
 impl Drop for Share {
     fn drop(&mut self) {
-        self.room.bytes.set(self.room.bytes.get() - self.bytes);
-        self.room.jobs.set(self.room.jobs.get() - 1);
+        let jobs = &self.0.room.jobs;
+        jobs.set(jobs.get() - 1);
     }
 }
 
-/// Room of bytes that were read ahead of their server.
-pub struct ReadAhead {
+/// Bytes of bodies, as long as they take room.
+pub struct HeldBytes {
     room: Rc<Room>,
     bytes: usize,
 }
 
-impl Drop for ReadAhead {
+impl Drop for HeldBytes {
     fn drop(&mut self) {
         self.room.bytes.set(self.room.bytes.get() - self.bytes);
     }
--- a/crates/pearfront-node/src/admit/tests.rs
+++ b/crates/pearfront-node/src/admit/tests.rs
@@ -42,13 +42,13 @@
     const CHUNK: usize = 16 * 1024;
     let room = Room::new(1024, 64.0);
     let half = room.most_bytes.get() / 2;
-    let read_all = || -> Vec<ReadAhead> {
+    let read_all = || -> Vec<HeldBytes> {
         let mut held = 0;
         let next = || room.read_ahead(held, CHUNK).inspect(|_| held += CHUNK);
         std::iter::from_fn(next).collect()
     };
-    let bodies: Vec<Vec<ReadAhead>> = (0..100).map(|_| read_all()).collect();
-    let part = |body: &Vec<ReadAhead>| body.len() * CHUNK;
+    let bodies: Vec<Vec<HeldBytes>> = (0..100).map(|_| read_all()).collect();
+    let part = |body: &Vec<HeldBytes>| body.len() * CHUNK;
     assert!(part(&bodies[0]).abs_diff(half / 5) <= CHUNK, "{} of {half}", part(&bodies[0]));
     assert!(part(&bodies[9]) >= CHUNK, "nothing is left for the tenth");
     assert!(bodies.iter().map(part).sum::<usize>() <= half);
--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -4,6 +4,7 @@
 
 pub use roster::ServerLocation;
 
+use crate::admit::Place;
 use crate::book::Book;
 use crate::clock::Clock;
 use crate::handover::Peers;
@@ -312,7 +313,7 @@
     async fn connection(&self, anew: bool) -> io::Result<Link> {
         match self.link.take().filter(|link| !anew && link.is_usable()) {
             Some(link) => Ok(link),
-            None => Link::open(self.service.get(), self.peers.room.own_place()).await,
+            None => Link::open(self.service.get(), Place::own()).await,
         }
     }
 }
--- a/crates/pearfront-node/src/flow.rs
+++ b/crates/pearfront-node/src/flow.rs
@@ -46,14 +46,21 @@
     NoRoom,
 }
 
+impl Broken {
+    /// Is its client not to blame: does the body come, and nobody takes it?
+    pub fn is_untaken(self) -> bool {
+        matches!(self, Broken::NotTaken | Broken::NoRoom)
+    }
+}
+
 impl std::fmt::Display for Broken {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         f.write_str(match self {
             Broken::Cut => "the body did not come whole",
             Broken::TooLong => "a body of more than 33554432 bytes",
             Broken::Stalled => "its body does not come",
-            Broken::NotTaken => "its body is not taken",
-            Broken::NoRoom => "no room for its body",
+            Broken::NotTaken => "its server takes nothing of its body",
+            Broken::NoRoom => "no room for its body until a server takes it",
         })
     }
 }
--- a/crates/pearfront-node/src/take_in.rs
+++ b/crates/pearfront-node/src/take_in.rs
@@ -329,12 +329,8 @@
         };
         match passed.came {
             Ok(()) => self.route.body_came(&guard.held),
-            Err(Broken::NotTaken) => {
-                self.route.give_up(&guard.held, "its server takes nothing of its body");
-                spawn_local(upload::drain(passed.body));
-            }
-            Err(Broken::NoRoom) => {
-                self.route.give_up(&guard.held, "no room for its body until a server takes it");
+            Err(broken) if broken.is_untaken() => {
+                self.route.give_up(&guard.held, &broken.to_string());
                 spawn_local(upload::drain(passed.body));
             }
             Err(broken) => return Err(broken.into()),
--- a/crates/pearfront-node/src/upload.rs
+++ b/crates/pearfront-node/src/upload.rs
@@ -1,7 +1,7 @@
 //! Request bodies: how they are read from their clients, and how large ones get on to a server. A large body is read ahead of
 //! its server, so that a server that takes nothing hides neither whether the client still sends nor what it sends behind.
 
-use crate::admit::{ReadAhead, Room};
+use crate::admit::{HeldBytes, Room};
 use crate::flow::{self, Broken, MOST, MOST_WHOLE, Start};
 use crate::wire::Wire;
 use bytes::Bytes;
@@ -94,7 +94,7 @@
 pub struct Place {
     ahead: Rc<Ahead>,
     bytes: usize,
-    _room: Option<ReadAhead>,
+    _room: Option<HeldBytes>,
 }
 
 impl Drop for Place {
@@ -205,7 +205,7 @@
 pub async fn go_on(passing: impl Future<Output = Passed>, answer_flows: bool) {
     let all = async {
         let passed = passing.await;
-        if matches!(passed.came, Err(Broken::NotTaken | Broken::NoRoom)) {
+        if passed.came.is_err_and(Broken::is_untaken) {
             drain(passed.body).await;
         }
     };
