--- a/crates/pearfront-node/src/deadline.rs
+++ b/crates/pearfront-node/src/deadline.rs
@@ -54,16 +54,11 @@
         let read = || {
             let client = self.client.upgrade()?;
             let seen = client.came().unwrap_or_else(|| client.unread_since());
-            Some(self.came_at(&client, seen))
+            Some(self.clock.time_of(earliest(&client, self.clock, &self.pulse, seen)))
         };
         self.came.get().or_else(read).unwrap_or_else(|| self.clock.now())
     }
 
-    /// When that came, at the earliest, which was read or seen then, ms.
-    fn came_at(&self, client: &Wire, seen: Instant) -> f64 {
-        self.clock.time_of(earliest(client, self.clock, &self.pulse, seen))
-    }
-
     pub fn at(&self) -> f64 {
         self.counts_from() + self.time
     }
