Tests: the wait for a line of the kernel's table stands once

The tests of the watch had one of their own, as they want to know whether they looked often enough: the shared one says how long its longest look took. Bounds and verdicts are as they were.

--- a/crates/pearfront-node/tests/endings/watch.rs
+++ b/crates/pearfront-node/tests/endings/watch.rs
@@ -1,7 +1,7 @@
 //! Orders of calls to discovery that fail, each in its own way, on sockets: the list behind them has to be with the node by
 //! when it counts as told.
 
-use crate::stand_ins::{Message, Node, Server, config, in_table, in_time_unless_late, list};
+use crate::stand_ins::{Message, Node, Server, config, in_table, in_time_unless_late, list, wait_for_table};
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
 use std::io::{BufReader, Write};
@@ -105,21 +105,6 @@
     }
 }
 
-/// Waits until the kernel's table has these words. Was it looked at often enough to see the first connection that had them?
-fn wait_for_connection(words: &str) -> bool {
-    let is_there = || std::fs::read_to_string("/proc/net/tcp").unwrap().contains(words);
-    let mut longest = Duration::ZERO;
-    for _ in 0..4000 {
-        let begun = Instant::now();
-        if is_there() {
-            return longest.max(begun.elapsed()) <= LOOKS_APART;
-        }
-        thread::sleep(Duration::from_millis(5));
-        longest = longest.max(begun.elapsed());
-    }
-    panic!("no connection came: {words:?}");
-}
-
 /// Keeps the way full until a connection has tried it. Was it free again before that one's next try?
 fn shut_out(listener: &TcpListener, address: SocketAddr) -> bool {
     let mut queued = Vec::new();
@@ -131,7 +116,7 @@
         }
     }
     let words = format!("{} {CONNECTING} ", in_table(address));
-    let is_first = wait_for_connection(&words);
+    let is_first = wait_for_table(&words, true) <= LOOKS_APART;
     thread::sleep(WAY_FREE);
     queued.iter().for_each(|_| drop(listener.accept().unwrap()));
     // What the kernel says of it: its queues, its timer, and how often it was sent again.
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -533,13 +533,17 @@
     format!("{:08X}:{:04X}", u32::from_le_bytes(address.ip().octets()), address.port())
 }
 
-/// Waits until that table says of a line with these words whether it is there.
-pub fn wait_for_table(words: &str, is_there: bool) {
+/// Waits until that table says of a line with these words whether it is there. The longest time that one look took, and the pause
+/// behind it: what came and went within may not have been seen.
+pub fn wait_for_table(words: &str, is_there: bool) -> Duration {
+    let mut longest = Duration::ZERO;
     for _ in 0..4000 {
+        let begun = Instant::now();
         if std::fs::read_to_string("/proc/net/tcp").unwrap().contains(words) == is_there {
-            return;
+            return longest.max(begun.elapsed());
         }
         thread::sleep(Duration::from_millis(5));
+        longest = longest.max(begun.elapsed());
     }
     panic!("{words:?} is there: {}", !is_there);
 }
