--- a/crates/pearfront-node/tests/endings/review.rs
+++ b/crates/pearfront-node/tests/endings/review.rs
@@ -1,7 +1,7 @@
 //! What a review of the whole way of a request found, by one who had not seen the earlier ones.
 
-use super::deadline::{End, all_within, answered_within, over, takes_nothing, takes_slowly};
-use super::unended::answered_or_reset_within;
+use super::deadline::{End, all_within, answered_within, on_one_connection, takes_nothing, takes_slowly};
+use super::unended::{answered_or_reset_within, short_behind_a_body};
 use super::without_cancels;
 use crate::stand_ins::{Act, Node, Server, config, head, in_time};
 use serde_json::json;
@@ -16,16 +16,6 @@
 const LOST_AFTER: Duration = Duration::from_millis(500);
 const MB: usize = 1_000_000;
 
-/// Sends a request that waits for 3 s with a body of which its server takes nothing, and a short one behind it.
-fn short_behind_a_body(node: Node, length: usize) -> Result<(), String> {
-    let mut caller = node.caller();
-    caller.send(&head("pay", "3", length), &vec![b'x'; length]);
-    caller.send(&head("read", "0.6", 0), b"");
-    answered_or_reset_within(&caller.stream, 2, TIME + LOST_AFTER)?;
-    over(node);
-    Ok(())
-}
-
 // A body of which more has come than is read ahead: what lies behind it is in the node's kernel all the same, and is due.
 #[test_case(2 * MB, false; "without a server")]
 #[test_case(5 * MB, true; "with a server that hangs")]
@@ -55,13 +45,14 @@
     const LENGTH: usize = 300_000;
     in_time(|| {
         let server = Server::start(Act::Silence);
-        let node = Node::start(&config(&[server.address]));
-        let mut caller = node.caller();
-        caller.send(&[head("read", "3", 0), head("pay", "3", LENGTH)].concat(), &vec![b'x'; LENGTH]);
-        caller.send(&head("read", "0.6", 0), b"");
-        answered_or_reset_within(&caller.stream, 3, TIME + LOST_AFTER)?;
-        over(node);
-        Ok(())
+        on_one_connection(
+            Node::start(&config(&[server.address])),
+            |caller| {
+                caller.send(&[head("read", "3", 0), head("pay", "3", LENGTH)].concat(), &vec![b'x'; LENGTH]);
+                caller.send(&head("read", "0.6", 0), b"");
+            },
+            |caller| answered_or_reset_within(&caller.stream, 3, TIME + LOST_AFTER),
+        )
     });
 }
 
--- a/crates/pearfront-node/tests/endings/unended.rs
+++ b/crates/pearfront-node/tests/endings/unended.rs
@@ -51,20 +51,23 @@
     });
 }
 
+/// Sends a request that waits for 3 s with a body of which its server takes nothing, and a short one behind it.
+pub fn short_behind_a_body(node: Node, length: usize) -> Result<(), String> {
+    on_one_connection(
+        node,
+        |caller| {
+            caller.send(&head("pay", "3", length), &vec![b'x'; length]);
+            caller.send(&head("read", "0.6", 0), b"");
+        },
+        |caller| answered_or_reset_within(&caller.stream, 2, TIME + LOST_AFTER),
+    )
+}
+
 // The same behind a body that no server takes: while it is read nothing is looked at behind it.
 #[test]
 fn a_short_request_behind_a_body_that_is_not_taken_is_answered_or_shut_unread_in_its_time() {
     const LENGTH: usize = 300_000;
-    in_time(|| {
-        on_one_connection(
-            Node::start(&config(&[])),
-            |caller| {
-                caller.send(&head("pay", "3", LENGTH), &vec![b'x'; LENGTH]);
-                caller.send(&head("read", "0.6", 0), b"");
-            },
-            |caller| answered_or_reset_within(&caller.stream, 2, TIME + LOST_AFTER),
-        )
-    });
+    in_time(|| short_behind_a_body(Node::start(&config(&[])), LENGTH));
 }
 
 // A line end behind the last request, as some clients send it: the connection is closed over it, and the reset takes away what
