Node: an idle connection is never used before its quiet period is over

What callers saw: a 200 with the body that was made for another caller's request.

Cause: a connection rests for 10 ms behind an answer, so that a late copy shows before the next request is written. With eight or more idle connections to one server, all still resting, `ConnectionPool::take_idle` took the oldest at once, so as to open no further one: the safety measure gave way to a limit. Several requests answered at the same moment, and their clients' next ones, are enough.

Change: the type of an idle connection gives the connection out only through `rested`, which waits for the end of the quiet period and looks whether the peer has closed it or sent something. With eight or more resting, an attempt reserves the one that is over it first and waits, 10 ms at the most; so no further connections are opened. Counters: `connections_awaited` for these waits, `connections_unsolicited` for connections dropped as data came that nobody asked for, with a log line.

The unit test `a_connection_rests_after_an_answer` asserted the exception itself (the ninth request gets a resting connection at once). It now asserts that this request waits to the end of the quiet period and opens none.

--- a/crates/pearfront-node/src/connection_pool.rs
+++ b/crates/pearfront-node/src/connection_pool.rs
@@ -6,10 +6,12 @@
 mod break_rates;
 mod connection_end;
 mod http_connection;
+mod idle_connection;
 
 pub use attempt::Attempt;
 pub use connection_end::ConnectionEnd;
 pub use http_connection::{BUFFER_BYTES, HttpConnection};
+pub use idle_connection::IdleConnection;
 
 use crate::capacity::Capacity;
 use crate::clock::ms;
@@ -18,7 +20,6 @@
 use crate::logger::WarnLimiter;
 use crate::runtime_settings::SharedSettings;
 use break_rates::BreakRates;
-use http_connection::{Idle, QUIET_PERIOD};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -31,8 +32,8 @@
 /// Idle connections are kept for this share of the servers' idle time-out, so that the node closes them
 /// first.
 const IDLE_SHARE: f64 = 0.8;
-/// Most connections to one server that rest at once; a node that needs more uses the one that has been idle
-/// longest.
+/// With this many idle connections to one server, all still in their quiet period, an attempt waits for one of
+/// them instead of opening one more.
 const MAX_RESTING: usize = 8;
 /// How long a connection may take to become free after a complete answer. If its server takes no more of the
 /// request, or does not end its side, that would never happen.
@@ -42,13 +43,15 @@
 
 /// Connections to servers; idle ones are kept for the next attempts.
 pub struct ConnectionPool {
-    idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
+    /// By server, in the order in which they became idle.
+    idle: RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>,
     break_rates: BreakRates,
     dialer: Dialer,
     settings: Rc<SharedSettings>,
     capacity: Rc<Capacity>,
     counters: Rc<Counters>,
     descriptor_log: WarnLimiter,
+    unsolicited_log: WarnLimiter,
 }
 
 impl ConnectionPool {
@@ -61,46 +64,74 @@
             capacity,
             counters,
             descriptor_log: WarnLimiter::default(),
+            unsolicited_log: WarnLimiter::default(),
         })
     }
 
     /// The most recently used idle connection to the server that has been quiet long enough and is still
     /// open.
-    fn take_idle(&self, server: SocketAddr) -> Option<HttpConnection> {
+    async fn take_rested(&self, server: SocketAddr) -> Option<HttpConnection> {
         loop {
-            let mut idle = {
+            let idle = {
                 let mut idle = self.idle.borrow_mut();
                 let connections = idle.get_mut(&server)?;
-                let quiet = connections.iter().rposition(Idle::is_quiet);
-                let oldest = (connections.len() >= MAX_RESTING).then_some(0);
-                connections.remove(quiet.or(oldest)?)
+                let rested = connections.iter().rposition(IdleConnection::has_rested)?;
+                connections.remove(rested)
             };
-            if self.is_reusable(&idle) {
-                self.counters.connections_reused.add();
-                idle.connection.reused = true;
-                return Some(idle.connection);
+            if let Some(connection) = self.reuse(server, idle).await {
+                return Some(connection);
             }
         }
     }
 
+    /// Reserves the idle connection to the server whose quiet period ends first, if there are so many that no
+    /// further one is to be opened.
+    fn reserve_resting(&self, server: SocketAddr) -> Option<IdleConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&server)?;
+        (connections.len() >= MAX_RESTING).then(|| connections.remove(0))
+    }
+
+    /// Waits until an idle connection has been quiet long enough; `None` if it can't be used.
+    async fn reuse(&self, server: SocketAddr, idle: IdleConnection) -> Option<HttpConnection> {
+        if self.is_expired(&idle) {
+            return None;
+        }
+        let connection = idle.rested().await.map_err(|idle| self.count_unsolicited(server, &idle)).ok()?;
+        self.counters.connections_reused.add();
+        Some(connection)
+    }
+
     /// When the next idle connection will have been quiet long enough.
-    fn next_idle_at(&self, server: SocketAddr) -> Option<Instant> {
-        Some(self.idle.borrow().get(&server)?.first()?.since + QUIET_PERIOD)
+    fn next_rest_ends_at(&self, server: SocketAddr) -> Option<Instant> {
+        Some(self.idle.borrow().get(&server)?.first()?.rest_ends_at())
     }
 
-    /// A connection to the server: an idle one, or a new one. If one is still in its quiet period, whichever
-    /// is ready first is used, since a new connection may be established late.
+    /// A connection to the server: an idle one, or a new one. If some are still in their quiet period, whichever
+    /// is ready first is used, since a new connection may be established late; if many are, none is opened.
     pub async fn connection(&self, server: SocketAddr) -> Result<HttpConnection, ()> {
-        if let Some(connection) = self.take_idle(server) {
-            return Ok(connection);
+        loop {
+            if let Some(connection) = self.take_rested(server).await {
+                return Ok(connection);
+            }
+            let Some(resting) = self.reserve_resting(server) else { break };
+            self.counters.connections_awaited.add();
+            if let Some(connection) = self.reuse(server, resting).await {
+                return Ok(connection);
+            }
         }
+        self.open_or_reuse(server).await
+    }
+
+    /// A new connection, or an idle one whose quiet period ends before that is established.
+    async fn open_or_reuse(&self, server: SocketAddr) -> Result<HttpConnection, ()> {
         let mut new = pin!(self.open_connection(server));
-        while let Some(at) = self.next_idle_at(server) {
+        while let Some(at) = self.next_rest_ends_at(server) {
             tokio::select! {
                 biased;
                 connection = new.as_mut() => return connection,
                 () = sleep_until(at) => {
-                    if let Some(connection) = self.take_idle(server) {
+                    if let Some(connection) = self.take_rested(server).await {
                         return Ok(connection);
                     }
                 }
@@ -134,8 +165,7 @@
         let pool = self.clone();
         spawn_local(async move {
             if timeout(SETTLE_TIMEOUT, connection.wait_until_free()).await.unwrap_or(false) {
-                let idle = Idle { connection, since: Instant::now() };
-                pool.idle.borrow_mut().entry(server).or_default().push(idle);
+                pool.idle.borrow_mut().entry(server).or_default().push(IdleConnection::new(connection));
             }
         });
     }
@@ -196,26 +226,42 @@
         let oldest = idle
             .values_mut()
             .filter(|connections| !connections.is_empty())
-            .min_by_key(|connections| connections[0].since);
+            .min_by_key(|connections| connections[0].since());
         oldest.map(|connections| connections.remove(0)).is_some()
     }
 
-    /// Neither closed by its server nor idle for so long that the server will soon close it.
-    fn is_reusable(&self, idle: &Idle) -> bool {
-        idle.connection.is_usable()
-            && idle.since.elapsed() < ms(self.settings.current().node_settings.idle_timeout * IDLE_SHARE)
+    /// Has it been idle for so long that the server will soon close it?
+    fn is_expired(&self, idle: &IdleConnection) -> bool {
+        idle.since().elapsed() >= ms(self.settings.current().node_settings.idle_timeout * IDLE_SHARE)
+    }
+
+    /// Counts an idle connection that is closed because its server sent data that nobody asked for.
+    fn count_unsolicited(&self, server: SocketAddr, idle: &IdleConnection) {
+        if idle.has_unsolicited_data() {
+            self.counters.connections_unsolicited.add();
+            self.unsolicited_log
+                .warn(format_args!("connection to {server} closed: it sent data that nobody asked for"));
+        }
     }
 
     /// Closes connections that were idle too long or were closed by their server, as long as the node runs.
     pub async fn close_expired(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
-            self.idle.borrow_mut().retain(|_, connections| {
-                connections.retain(|idle| self.is_reusable(idle));
+            self.idle.borrow_mut().retain(|server, connections| {
+                connections.retain(|idle| self.is_kept(*server, idle));
                 !connections.is_empty()
             });
         }
     }
+
+    fn is_kept(&self, server: SocketAddr, idle: &IdleConnection) -> bool {
+        if !idle.is_usable() {
+            self.count_unsolicited(server, idle);
+            return false;
+        }
+        !self.is_expired(idle)
+    }
 }
 
 #[cfg(test)]
--- a/crates/pearfront-node/src/connection_pool/http_connection.rs
+++ b/crates/pearfront-node/src/connection_pool/http_connection.rs
@@ -17,11 +17,8 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
-/// How long a connection must have been quiet after an answer before it is reused: a server may send more
-/// some milliseconds late, and that would be taken for the answer to the next attempt.
-pub(super) const QUIET_PERIOD: Duration = Duration::from_millis(10);
 /// How often a connection attempt that failed on this machine is retried, and the pause before each retry.
 const MAX_CONNECT_RETRIES: usize = 4;
 const CONNECT_RETRY_PAUSE: Duration = Duration::from_millis(5);
@@ -113,16 +110,3 @@
         self.sender.is_ready() && self.stream.is_quiet()
     }
 }
-
-/// An open connection without a message in flight.
-pub(super) struct Idle {
-    pub(super) connection: HttpConnection,
-    pub(super) since: Instant,
-}
-
-impl Idle {
-    /// Has it been quiet long enough since its last answer?
-    pub(super) fn is_quiet(&self) -> bool {
-        self.since.elapsed() >= QUIET_PERIOD
-    }
-}
--- a/crates/pearfront-node/src/connection_pool/tests.rs
+++ b/crates/pearfront-node/src/connection_pool/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the connection pool: reuse, quiet period, late dials, descriptor limits and attempts that wait.
 
+use super::idle_connection::QUIET_PERIOD;
 use super::*;
 use crate::message::{ClientCall, ClientRequest, decode_client_call};
 use crate::runtime_settings::RuntimeSettings;
@@ -34,7 +35,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let usable =
-            |idle: &Vec<Idle>| idle.iter().any(|idle| idle.is_quiet() && idle.connection.is_usable());
+            |idle: &Vec<IdleConnection>| idle.iter().any(|idle| idle.has_rested() && idle.is_usable());
         let until = async |wanted| {
             while pool.idle.borrow().get(&server).is_some_and(usable) != wanted {
                 tokio::time::sleep(Duration::from_millis(1)).await;
@@ -61,7 +62,8 @@
 }
 
 // Data that a server sends some milliseconds after an answer must not be taken for the answer to the next
-// attempt, so the connection rests first; unless so many rest that the node would open more and more of them.
+// attempt, so the connection rests first. Where so many rest that the node would open more and more of them, it waits
+// for the first to have rested.
 #[test]
 fn a_connection_rests_after_an_answer() {
     let (_listener, server, pool) = start_pool();
@@ -88,8 +90,68 @@
         for _ in 2..MAX_RESTING {
             give_back(pool.open_connection(server).await.unwrap()).await;
         }
-        drop(pool.connection(server).await.unwrap());
+        let (rest_ends_at, asked_at) = (pool.next_rest_ends_at(server).unwrap(), Instant::now());
+        assert!(asked_at < rest_ends_at);
+        let connection = pool.connection(server).await.unwrap();
+        assert!(Instant::now() >= rest_ends_at, "after {:?}", asked_at.elapsed());
+        assert!(asked_at.elapsed() < 2 * QUIET_PERIOD, "after {:?}", asked_at.elapsed());
         assert_eq!((counters.connections.value(), idle_count()), (MAX_RESTING as u64, MAX_RESTING - 1));
+        assert_eq!((connection.reused, counters.connections_awaited.value()), (true, 1));
+    });
+}
+
+// A connection that was awaited to the end of its quiet period, and on which data came meanwhile, is not used.
+#[test]
+fn an_awaited_connection_with_unsolicited_data_is_not_used() {
+    let (listener, server, pool) = start_pool();
+    crate::test_support::run(async {
+        let mut accepted = Vec::new();
+        let mut connections = Vec::new();
+        for _ in 0..MAX_RESTING {
+            connections.push(pool.open_connection(server).await.unwrap());
+            accepted.push(listener.accept().unwrap().0);
+        }
+        connections.into_iter().for_each(|connection| pool.release(server, connection));
+        while pool.idle.borrow().get(&server).map_or(0, Vec::len) < MAX_RESTING {
+            tokio::task::yield_now().await;
+        }
+        let write_all = async {
+            tokio::task::yield_now().await;
+            accepted.iter_mut().for_each(|server| server.write_all(b"HTTP/1.1 200 OK\r\n\r\n").unwrap());
+        };
+        let (connection, ()) = tokio::join!(pool.connection(server), write_all);
+        assert!(!connection.unwrap().reused);
+        assert_eq!(pool.counters.connections_unsolicited.value(), MAX_RESTING as u64);
+        assert_eq!(pool.counters.connections_reused.value(), 0);
+    });
+}
+
+// Requests that come all at once, each time the ones before are answered, must not open more and more connections.
+#[test]
+fn bursts_open_few_connections_beyond_their_size() {
+    const BURST: usize = 16;
+    const ROUNDS: usize = 20;
+    let (_listener, server, pool) = start_pool();
+    crate::test_support::run(async {
+        for _ in 0..ROUNDS {
+            let burst: Vec<_> = (0..BURST)
+                .map(|_| {
+                    let pool = pool.clone();
+                    spawn_local(async move { pool.connection(server).await.unwrap() })
+                })
+                .collect();
+            let mut connections = Vec::new();
+            for connection in burst {
+                connections.push(connection.await.unwrap());
+            }
+            let idle = pool.idle.borrow().get(&server).map_or(0, Vec::len);
+            connections.into_iter().for_each(|connection| pool.release(server, connection));
+            while pool.idle.borrow().get(&server).map_or(0, Vec::len) < idle + BURST {
+                tokio::task::yield_now().await;
+            }
+        }
+        assert!(pool.capacity.usage().connections < BURST + MAX_RESTING, "{}", pool.capacity);
+        assert!(pool.counters.connections.value() < (BURST + MAX_RESTING) as u64);
     });
 }
 
--- a/crates/pearfront-node/src/counters.rs
+++ b/crates/pearfront-node/src/counters.rs
@@ -60,6 +60,10 @@
     attempts,
     connections,
     connections_reused,
+    /// Attempts and probes that waited for the end of an idle connection's quiet period.
+    connections_awaited,
+    /// Idle connections closed because the server sent data that nobody asked for.
+    connections_unsolicited,
     attempt_served,
     attempt_error,
     attempt_full,
--- a/crates/pearfront-node/src/probe/tests.rs
+++ b/crates/pearfront-node/src/probe/tests.rs
@@ -7,7 +7,7 @@
 use std::future::pending;
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
 // A server that began to drain while its connection was being established was not asked: only the guard's
@@ -67,3 +67,46 @@
         assert!(is_probed || node.counters.probes_failed.value() == 0);
     });
 }
+
+/// Answers the probes of one connection; counts those that come while a copy of the last answer may be on its way.
+async fn serve_connection(mut stream: TcpStream, early: Rc<Cell<usize>>) {
+    let (mut bytes, mut answered_at) = ([0; 1024], None::<Instant>);
+    while stream.read(&mut bytes).await.is_ok_and(|count| count > 0) {
+        let is_early = answered_at.is_some_and(|at| at.elapsed() < LATEST_COPY);
+        early.set(early.get() + usize::from(is_early));
+        answered_at = Some(Instant::now());
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+    }
+}
+
+/// How late a server may send an answer a second time.
+const LATEST_COPY: Duration = Duration::from_millis(6);
+
+// A probe took the late copy of an earlier answer for its own, once many connections to one server had just become
+// free.
+#[test]
+fn probes_at_once_go_where_no_late_copy_can_be_on_its_way() {
+    const AT_ONCE: usize = 20;
+    const ROUNDS: usize = 5;
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = listener.local_addr().unwrap();
+        let early = Rc::new(Cell::new(0));
+        let counted = early.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(serve_connection(stream, counted.clone()));
+            }
+        });
+        let node = TestNode::new(server);
+        node.list_server(2, server, ServerState::Ready);
+        for _ in 0..ROUNDS {
+            let probe = |_| spawn_local(node.prober.clone().probe([0; 6], server));
+            for probe in (0..AT_ONCE).map(probe).collect::<Vec<_>>() {
+                probe.await.unwrap();
+            }
+        }
+        assert_eq!(early.get(), 0);
+        assert!(node.counters.connections_reused.value() > 0);
+    });
+}
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -4,6 +4,7 @@
 mod connection_limits;
 mod deadline;
 mod gone;
+mod late_copies;
 mod pipelining;
 mod resume;
 mod retries;
--- a/crates/pearfront-node/tests/stand_ins/mod.rs
+++ b/crates/pearfront-node/tests/stand_ins/mod.rs
@@ -1,8 +1,10 @@
 //! Small stand-ins for what a node talks to: clients, servers and discovery, all on loopback addresses of the test's
 //! own. They wait for events and never measure time. Used by all modules of the `node` test target.
 
+mod late_copies;
 mod machine_delay;
 
+pub use late_copies::RepeatingPeer;
 pub use machine_delay::{in_time, in_time_by, in_time_unless_late};
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
@@ -88,7 +90,7 @@
 }
 
 /// An HTTP answer with a `Content-Length`.
-fn response(status: &str, body: &[u8]) -> Vec<u8> {
+pub fn response(status: &str, body: &[u8]) -> Vec<u8> {
     let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
     [head.as_bytes(), body].concat()
 }
