Node: a late copy of a list is not taken for the answer to the next call

What callers saw: nothing was reported. A discovery that sends a list a second time some milliseconds late would have had the copy taken for the answer to the next call, and from then on each call would have had the answer to the one before it: a list counts as heard now that may be as old as a call.

The watch's connection was used again as soon as it was free, with no quiet period.

Change: between two calls the connection is an `IdleConnection`, as in the pool, and can only be had back rested and still quiet; else a new one is opened.

--- a/crates/pearfront-node/src/discovery.rs
+++ b/crates/pearfront-node/src/discovery.rs
@@ -7,7 +7,7 @@
 
 use crate::capacity::ConnectionSlot;
 use crate::clock::Clock;
-use crate::connection_pool::{ConnectionPool, HttpConnection};
+use crate::connection_pool::{ConnectionPool, HttpConnection, IdleConnection};
 use crate::counters::Counters;
 use crate::dispatcher::EventQueue;
 use crate::handover::Peers;
@@ -118,7 +118,7 @@
     stall_monitor: Rc<StallMonitor>,
     list_version: Cell<u64>,
     /// The watch's connection between its calls.
-    watch_connection: RefCell<Option<HttpConnection>>,
+    watch_connection: RefCell<Option<IdleConnection>>,
     /// Random source for the jitter of the watch's pauses; taken when the watch starts.
     jitter: Cell<Option<SeededRng>>,
     /// Notified when a list has come from the service.
@@ -322,14 +322,13 @@
 
     /// The watch's kept connection, or a new one.
     async fn connection(&self, new_connection: bool) -> io::Result<HttpConnection> {
-        match self
-            .watch_connection
-            .take()
-            .filter(|watch_connection| !new_connection && watch_connection.is_usable())
+        let idle = self.watch_connection.take().filter(|_| !new_connection);
+        if let Some(idle) = idle
+            && let Ok(connection) = idle.rested().await
         {
-            Some(watch_connection) => Ok(watch_connection),
-            None => HttpConnection::open(self.service.get(), ConnectionSlot::uncounted()).await,
+            return Ok(connection);
         }
+        HttpConnection::open(self.service.get(), ConnectionSlot::uncounted()).await
     }
 }
 
@@ -375,7 +374,7 @@
             self.apply_list(list, false);
         }
         if watch_connection.wait_until_free().await {
-            self.watch_connection.replace(Some(watch_connection));
+            self.watch_connection.replace(Some(IdleConnection::new(watch_connection)));
         }
         Ok(())
     }
--- a/crates/pearfront-node/tests/endings/late_copies.rs
+++ b/crates/pearfront-node/tests/endings/late_copies.rs
@@ -1,9 +1,10 @@
 //! Answers that a peer sends a second time, some milliseconds late: none may meet the next message on its connection.
 
-use crate::stand_ins::{Message, Node, RepeatingPeer, config, head, response};
+use crate::stand_ins::{Message, Node, RepeatingPeer, config, head, list, response};
 use serde_json::json;
 use std::sync::Barrier;
 use std::thread;
+use std::time::Duration;
 use test_case::test_case;
 
 /// Requests that each client sends, one after the other.
@@ -48,3 +49,27 @@
     assert_eq!((foreign, server.copies()), (0, 0), "foreign answers and copies of {messages}, {counters:?}");
     assert_eq!(counters["served"], (clients * REQUESTS) as u64, "{counters:?}");
 }
+
+// The same for lists: the next call went out right behind a list, and a late copy of that was taken for its answer. From
+// then on each call had the list of the one before it.
+#[test_case("pushed"; "pushed")]
+#[test_case("on_request"; "asked")]
+fn a_late_copy_of_a_list_meets_no_other_call(mode: &str) {
+    const PLAYED: Duration = Duration::from_secs(2);
+    const INTERVAL: Duration = Duration::from_millis(20);
+    let discovery = RepeatingPeer::start(|call| {
+        thread::sleep(INTERVAL);
+        let (_, rest) = call.start.split_once("from=").unwrap();
+        let version: u64 = rest.split('&').next().unwrap().parse().unwrap();
+        response("200 OK", list(version + 1, false, &[]).to_string().as_bytes())
+    });
+    let mut config = config(&[]);
+    config["settings"]["discovery"] = json!(mode);
+    let node = Node::start_in(&config, |node| {
+        node.env("ROUTER_DISCOVERY", discovery.address.to_string());
+    });
+    thread::sleep(PLAYED);
+    node.end();
+    assert!(discovery.messages() > 2, "{} calls", discovery.messages());
+    assert_eq!(discovery.copies(), 0, "of {} calls", discovery.messages());
+}
