Node: nothing is written behind data that nobody asked for

What callers saw: with the quiet period kept, a late copy of an answer could still be served to the next caller: if it came between the choice of the connection and the first byte of the request, as when the process was held up there.

Cause: the last look at the connection is a step before the write. Whatever arrives between the two lies in the kernel in front of the answer.

Change: `TrackedStream` asks the kernel in the write of a message's first byte, as it does for a client that has left. Behind the peer's end, or data, nothing is written. It holds for all messages to servers, probes and calls to discovery alike. On a reused connection the attempt goes on with the next connection and a new permit of the guard, and a probe likewise; a body that was not buffered ends its attempt as never sent, since it can be sent once. On a new connection it counts as broken before the last byte, as before. The permit of an attempt is a trait, so that a test can force the order.

Evidence: unit tests on real sockets write the copy, or the end, between the choice and the first byte. Without the look 6 of 6 fail: a request is served "other" instead of "ours", and one behind the server's end is broken, which may have run; now it is served.

--- a/crates/pearfront-node/src/connection_pool.rs
+++ b/crates/pearfront-node/src/connection_pool.rs
@@ -8,7 +8,7 @@
 mod http_connection;
 mod idle_connection;
 
-pub use attempt::Attempt;
+pub use attempt::{Attempt, AttemptPermit};
 pub use connection_end::ConnectionEnd;
 pub use http_connection::{BUFFER_BYTES, HttpConnection};
 pub use idle_connection::IdleConnection;
--- a/crates/pearfront-node/src/connection_pool/attempt.rs
+++ b/crates/pearfront-node/src/connection_pool/attempt.rs
@@ -3,17 +3,27 @@
 use super::ConnectionPool;
 use super::connection_end::ConnectionEnd;
 use super::http_connection::HttpConnection;
-use crate::guard::Permit;
 use crate::message::{self, ClientRequest, Reply};
 use crate::streaming::BodyStart;
-use crate::tracked_stream::TrackedStream;
+use crate::tracked_stream::{TrackedStream, WritePermit};
 use http_body_util::Either;
 use hyper::http::response;
-use std::cell::OnceCell;
+use std::cell::RefCell;
 use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// Permission for one attempt, granted once its connection is open.
+pub trait AttemptPermit: WritePermit + 'static {
+    /// Time left to the request's deadline, ms, as its server is told.
+    fn remaining_ms(&self) -> f64;
+    /// Has the client of the request ended its connection?
+    fn client_has_left(&self) -> bool;
+}
+
+/// The stream of the connection that an attempt uses at present.
+type CurrentStream = RefCell<Option<Rc<TrackedStream>>>;
+
 /// The result of an attempt.
 pub struct Attempt {
     pub end: ConnectionEnd,
@@ -35,17 +45,17 @@
     /// any time; `request_closed`, the end of the request, only before its last byte is written, because an
     /// attempt that no server can have started needs no call-off, which some deployments don't allow.
     /// `permit` asks the guard once the connection is open.
-    pub async fn attempt(
+    pub async fn attempt<P: AttemptPermit>(
         self: &Rc<Self>,
         server: SocketAddr,
         request: &ClientRequest,
         timed_out: impl Future<Output = ()>,
         request_closed: impl Future<Output = ()>,
-        permit: impl Fn() -> Option<Rc<Permit>>,
+        permit: impl Fn() -> Option<Rc<P>>,
         called_off: impl Future<Output = ()>,
     ) -> Attempt {
-        let (mut connection, stream) = (None, OnceCell::new());
-        let written = || stream.get().is_some_and(|stream: &Rc<TrackedStream>| stream.is_fully_written());
+        let (mut connection, stream) = (None, CurrentStream::default());
+        let written = || stream.borrow().as_ref().is_some_and(|stream| stream.is_fully_written());
         let exchange = self.exchange(&mut connection, &stream, server, request, permit);
         let request_closed_before_written = async {
             request_closed.await;
@@ -63,13 +73,31 @@
         Attempt::ended(if written() { after } else { before })
     }
 
-    async fn exchange(
+    /// Sends the request on the first connection that is not stale; a body that was not buffered can only be
+    /// sent once.
+    async fn exchange<P: AttemptPermit>(
         &self,
         slot: &mut Option<HttpConnection>,
-        stream: &OnceCell<Rc<TrackedStream>>,
+        stream: &CurrentStream,
         server: SocketAddr,
         request: &ClientRequest,
-        permit: impl Fn() -> Option<Rc<Permit>>,
+        permit: impl Fn() -> Option<Rc<P>>,
+    ) -> Attempt {
+        loop {
+            let attempt = self.exchange_once(slot, stream, server, request, &permit).await;
+            if attempt.end != ConnectionEnd::Stale || request.is_streamed() {
+                return attempt;
+            }
+        }
+    }
+
+    async fn exchange_once<P: AttemptPermit>(
+        &self,
+        slot: &mut Option<HttpConnection>,
+        stream: &CurrentStream,
+        server: SocketAddr,
+        request: &ClientRequest,
+        permit: impl Fn() -> Option<Rc<P>>,
     ) -> Attempt {
         // A server may have closed an idle connection without the node knowing yet. Where that happens, a
         // request that cannot be sent again must not be the one that finds out.
@@ -82,9 +110,9 @@
         let Ok(connection) = connection else { return Attempt::ended(ConnectionEnd::NeverUp) };
         // Bytes written before belong to another message.
         connection.stream.begin_message(Some(0));
-        stream.get_or_init(|| connection.stream.clone());
+        stream.replace(Some(connection.stream.clone()));
         let connection = slot.insert(connection);
-        let encoded = permit().and_then(|permit| Some((request.encode(permit.remaining_ms)?, permit)));
+        let encoded = permit().and_then(|permit| Some((request.encode(permit.remaining_ms())?, permit)));
         let Some((encoded, permit)) = encoded else {
             return Attempt::ended(ConnectionEnd::NotSent);
         };
@@ -94,6 +122,13 @@
             let gone = permit.client_has_left();
             return Attempt::ended(if gone { ConnectionEnd::CallerGone } else { ConnectionEnd::Withheld });
         }
+        if connection.stream.is_unwritten() {
+            return Attempt::ended(if connection.reused {
+                ConnectionEnd::Stale
+            } else {
+                ConnectionEnd::BrokenBefore
+            });
+        }
         self.break_rates.record(connection.reused, answer.is_err() && !connection.stream.has_received());
         match answer {
             Ok((head, body)) => self.read(head, body),
--- a/crates/pearfront-node/src/connection_pool/connection_end.rs
+++ b/crates/pearfront-node/src/connection_pool/connection_end.rs
@@ -36,6 +36,9 @@
     CallerGone,
     /// When the first byte was about to be written, the guard refused it. The connection is closed.
     Withheld,
+    /// When the first byte was about to be written, the server had closed the reused connection or sent
+    /// unsolicited data on it. The connection is closed.
+    Stale,
 }
 
 impl ConnectionEnd {
@@ -50,7 +53,7 @@
             Self::TooLateAfter => AttemptOutcome::TimedOut,
             // Ended without showing anything about the server.
             Self::CalledOffAfter | Self::TurnedDown => AttemptOutcome::Cancelled,
-            Self::CalledOffBefore | Self::NotSent | Self::CallerGone | Self::Withheld => {
+            Self::CalledOffBefore | Self::NotSent | Self::CallerGone | Self::Withheld | Self::Stale => {
                 AttemptOutcome::NeverSent
             }
         }
--- a/crates/pearfront-node/src/connection_pool/http_connection.rs
+++ b/crates/pearfront-node/src/connection_pool/http_connection.rs
@@ -109,4 +109,10 @@
     pub fn is_usable(&self) -> bool {
         self.sender.is_ready() && self.stream.is_quiet()
     }
+
+    /// After a failed message: had the peer closed the reused connection, or sent unsolicited data on it, before
+    /// the first byte was written? That says nothing about the peer, and another connection may do.
+    pub fn was_stale(&self) -> bool {
+        self.reused && self.stream.is_unwritten()
+    }
 }
--- a/crates/pearfront-node/src/guard.rs
+++ b/crates/pearfront-node/src/guard.rs
@@ -5,6 +5,7 @@
 
 use crate::client_connection::ClientConnection;
 use crate::clock::Clock;
+use crate::connection_pool::AttemptPermit;
 use crate::counters::Counters;
 use crate::discovery::Discovery;
 use crate::dispatcher::OpenRequest;
@@ -144,15 +145,20 @@
     server: SocketAddr,
     granted_at: f64,
     /// Time left to the request's deadline when the permit was granted, ms; the server is told this.
-    pub remaining_ms: f64,
+    remaining_ms: f64,
 }
 
-impl Permit {
-    /// Has the client of the request ended its connection?
-    pub fn client_has_left(&self) -> bool {
+impl AttemptPermit for Permit {
+    fn remaining_ms(&self) -> f64 {
+        self.remaining_ms
+    }
+
+    fn client_has_left(&self) -> bool {
         self.request.client_has_left()
     }
+}
 
+impl Permit {
     fn refusal(&self, now: f64) -> Option<Refusal> {
         if !self.request.is_open() {
             Some(Refusal::Over)
--- a/crates/pearfront-node/src/probe.rs
+++ b/crates/pearfront-node/src/probe.rs
@@ -10,6 +10,8 @@
 use crate::logger::{InfoLimiter, WarnLimiter};
 use crate::message;
 use crate::runtime_settings::SharedSettings;
+use bytes::Bytes;
+use hyper::http::response;
 use pearfront::interface::Address;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -103,15 +105,7 @@
 
     /// The server's load report; empty where the deployment has none.
     async fn exchange(&self, server: SocketAddr) -> Result<Result<Vec<f64>, String>, Failure> {
-        let mut connection = self.pool.connection(server).await.map_err(|()| Failure::NoConnection)?;
-        if !self.guard.permits_probe(server) {
-            self.pool.release(server, connection);
-            return Err(Failure::Refused);
-        }
-        let call = message::encode_probe(server, self.settings.current().node_settings.load_reports);
-        let (head, body) =
-            connection.request_whole(call, MAX_REPORT_BYTES).await.map_err(|()| Failure::Broken)?;
-        self.pool.release(server, connection);
+        let (head, body) = self.request(server).await?;
         let report = || {
             message::decode_report(&String::from_utf8_lossy(&body), &self.settings.current().node_settings)
         };
@@ -122,6 +116,26 @@
         }
     }
 
+    /// The server's answer to one call, on the first connection that is not stale.
+    async fn request(&self, server: SocketAddr) -> Result<(response::Parts, Bytes), Failure> {
+        loop {
+            let mut connection = self.pool.connection(server).await.map_err(|()| Failure::NoConnection)?;
+            if !self.guard.permits_probe(server) {
+                self.pool.release(server, connection);
+                return Err(Failure::Refused);
+            }
+            let call = message::encode_probe(server, self.settings.current().node_settings.load_reports);
+            match connection.request_whole(call, MAX_REPORT_BYTES).await {
+                Ok(answer) => {
+                    self.pool.release(server, connection);
+                    return Ok(answer);
+                }
+                Err(()) if connection.was_stale() => {}
+                Err(()) => return Err(Failure::Broken),
+            }
+        }
+    }
+
     /// Counts an invalid load report and logs a warning.
     pub fn drop_report(&self, problem: &str) {
         self.counters.reports_dropped.add();
--- a/crates/pearfront-node/src/tracked_stream.rs
+++ b/crates/pearfront-node/src/tracked_stream.rs
@@ -64,6 +64,8 @@
     is_write_blocked: Cell<bool>,
     /// Whether any data has arrived since `begin_message`.
     has_received: Cell<bool>,
+    /// Whether a message was begun of which no byte has been written.
+    is_unwritten: Cell<bool>,
     /// Permission for the message about to be written, until the kernel has taken its first byte.
     permit: RefCell<Option<Rc<dyn WritePermit>>>,
     /// Whether nothing of the message was written because the permission had lapsed.
@@ -118,6 +120,7 @@
             answer_written: Cell::new(0),
             is_write_blocked: Cell::new(false),
             has_received: Cell::new(false),
+            is_unwritten: Cell::new(false),
             permit: RefCell::default(),
             withheld: Cell::new(false),
             framing,
@@ -136,6 +139,7 @@
         self.body_bytes_left.set(body);
         self.last_chunk.set(false);
         self.has_received.set(false);
+        self.is_unwritten.set(true);
         self.withheld.set(false);
     }
 
@@ -149,6 +153,18 @@
         self.withheld.get()
     }
 
+    /// Whether no byte of the message begun last has been written.
+    pub fn is_unwritten(&self) -> bool {
+        self.is_unwritten.get()
+    }
+
+    /// Whether the other side has ended, or has sent data that can't be an answer to the message begun
+    /// last. Checked right before its first byte, as there may be a long delay between the choice of a
+    /// connection and that byte: the data would be taken for the answer.
+    fn has_unsolicited(&self) -> bool {
+        self.is_unwritten() && (self.has_received() || !self.is_quiet())
+    }
+
     /// Checked right before a write, as there may be a long delay between the choice of a
     /// connection and its first byte.
     fn may_write(&self) -> bool {
@@ -424,11 +440,12 @@
                 return Poll::Pending;
             };
             is_ready?;
-            if !self.0.may_write() {
+            if self.0.has_unsolicited() || !self.0.may_write() {
                 return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
             }
             match self.0.stream.try_write_vectored(parts) {
                 Ok(count) => {
+                    self.0.is_unwritten.set(false);
                     if let Some(permit) = self.0.permit.take() {
                         permit.written();
                     }
