Node: without a free descriptor an attempt waits for a resting connection

What callers saw: nothing wrong, but connections that servers have to work for. With no descriptor free an attempt closed the connection that had been idle longest and opened another one, though one to its own server was to be had some milliseconds later.

Change: with no descriptor free an attempt reserves the resting connection, as it does with eight or more of them.

The unit test fails without the change: the connection it gets is a new one.

--- a/crates/pearfront-node/src/connection_pool.rs
+++ b/crates/pearfront-node/src/connection_pool.rs
@@ -84,12 +84,13 @@
         }
     }
 
-    /// Reserves the idle connection to the server whose quiet period ends first, if there are so many that no
-    /// further one is to be opened.
+    /// Reserves the idle connection to the server whose quiet period ends first, if no further one is to be
+    /// opened: there are many, or a descriptor would have to be taken from another connection.
     fn reserve_resting(&self, server: SocketAddr) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
-        (connections.len() >= MAX_RESTING).then(|| connections.remove(0))
+        let opens_none = connections.len() >= MAX_RESTING || !self.has_room();
+        (opens_none && !connections.is_empty()).then(|| connections.remove(0))
     }
 
     /// Waits until an idle connection has been quiet long enough; `None` if it can't be used.
--- a/crates/pearfront-node/src/connection_pool/tests.rs
+++ b/crates/pearfront-node/src/connection_pool/tests.rs
@@ -28,6 +28,13 @@
     (listener, server, ConnectionPool::new(settings, Capacity::new(64, 1.0), Rc::default()))
 }
 
+/// Runs a test whose clock moves only while nothing else can happen.
+fn run_with_paused_clock(test: impl Future<Output = ()>) {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
 // A connection that its server closed while idle must not cost a request its only attempt.
 #[test]
 fn a_connection_closed_by_its_server_is_not_reused() {
@@ -69,9 +76,7 @@
 fn a_connection_rests_after_an_answer() {
     let (_listener, server, pool) = start_pool();
     let counters = pool.counters.clone();
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, async {
+    run_with_paused_clock(async {
         let idle_count = || pool.idle.borrow().get(&server).map_or(0, Vec::len);
         let give_back = async |connection| {
             let before = idle_count();
@@ -166,7 +171,7 @@
 #[test]
 fn an_awaited_connection_with_unsolicited_data_is_not_used() {
     let (listener, server, pool) = start_pool();
-    crate::test_support::run(async {
+    run_with_paused_clock(async {
         let mut accepted = Vec::new();
         let mut connections = Vec::new();
         for _ in 0..MAX_RESTING {
@@ -188,6 +193,26 @@
     });
 }
 
+// Without a free descriptor an attempt closed the idle connection that it could have had some milliseconds later, and
+// opened another one instead.
+#[test]
+fn without_a_free_descriptor_an_attempt_waits_for_a_resting_connection() {
+    let (_listener, server, pool) = start_pool();
+    run_with_paused_clock(async {
+        let connection = pool.connection(server).await.unwrap();
+        let _held: Vec<_> =
+            std::iter::from_fn(|| pool.has_room().then(|| pool.capacity.take_slot())).collect();
+        pool.release(server, connection);
+        while !pool.idle.borrow().contains_key(&server) {
+            tokio::task::yield_now().await;
+        }
+        let rest_ends_at = pool.next_rest_ends_at(server).unwrap();
+        assert!(pool.connection(server).await.unwrap().reused);
+        assert!(Instant::now() >= rest_ends_at);
+        assert_eq!((pool.counters.connections.value(), pool.counters.connections_awaited.value()), (1, 1));
+    });
+}
+
 // Requests that come all at once, each time the ones before are answered, must not open more and more connections.
 #[test]
 fn bursts_open_few_connections_beyond_their_size() {
@@ -388,9 +413,7 @@
     const AFTER: Duration = Duration::from_millis(50);
     let (_listener, server, pool) = start_pool();
     let capacity = pool.capacity.clone();
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, async {
+    run_with_paused_clock(async {
         let _held: Vec<_> =
             std::iter::from_fn(|| capacity.has_reserve_slot().then(|| capacity.take_slot())).collect();
         let ends =
