--- /dev/null
+++ b/review/support-2/common.sh
@@ -0,0 +1,125 @@
+# Common parts of the scripts in `review/6` to `review/10`; sourced from the root of the repository.
+# Nodes, discovery and servers run on free loopback ports, in a temporary folder.
+
+platform=target/review-2/platform
+pearfront=target/release/pearfront
+trouble=${TROUBLE:-1}
+started=()
+
+for program in "$platform" "$pearfront" target/release/pearfront-node; do
+    if [ ! -x "$program" ]; then
+        echo "$program is missing: cargo build --release, then review/build-2.sh"
+        exit 2
+    fi
+done
+
+folder=$(mktemp -d)
+: > "$record"
+
+# All processes that were started are ended, by their ids, also stopped ones.
+clean_up() {
+    local pid
+    exec 2> /dev/null
+    for pid in "${started[@]}"; do
+        kill -CONT "$pid"
+        kill -KILL "$pid"
+    done
+    # A command of `pearfront duty` ends within 20 ms of its parent.
+    sleep 0.3
+    if [ -f "$folder/commands" ]; then
+        for pid in $(cut -d' ' -f1 "$folder/commands"); do
+            if grep -qs review/support-2 "/proc/$pid/cmdline"; then kill -KILL "$pid"; fi
+        done
+    fi
+    wait
+    rm -rf "$folder"
+}
+trap clean_up EXIT
+trap 'exit 2' TERM INT
+
+now() { "$platform" now; }
+begin=$(now)
+note() { echo "$(($(now) - begin)) ms: $*" | tee -a "$record"; }
+
+could_not_run() {
+    note "could not run: $*"
+    [ -n "${1:-}" ] && for log in "$folder"/*.log; do echo "--- $log"; tail -n 20 "$log"; done >&2
+    exit 2
+}
+
+# start_nodes COUNT KEYS [BEHIND]: nodes n0 to n(COUNT-1), of which the first three are voters. KEYS are put into the key
+# `cluster` of each file. Node BEHIND reaches the others, and is reached by them, through a relay ($relay).
+start_nodes() {
+    local count=$1 keys=$2 behind=${3:-none} ports number other
+    mapfile -t ports < <("$platform" ports $((4 * count + 3)))
+    discovery=127.0.0.1:${ports[0]}
+    local first=127.0.0.1:${ports[1]} second=127.0.0.1:${ports[2]}
+    "$platform" discovery "$discovery" "$first" "$second" 2> "$folder/discovery.log" &
+    started+=($!)
+    "$platform" server "$first" 2> "$folder/server-1.log" &
+    started+=($!)
+    "$platform" server "$second" 2> "$folder/server-2.log" &
+    started+=($!)
+    local at=3 through=() ways=()
+    for ((number = 0; number < count; number++)); do
+        cluster[number]=127.0.0.1:${ports[at]}
+        admin[number]=127.0.0.1:${ports[at + 1]}
+        clients[number]=127.0.0.1:${ports[at + 2]}
+        through[number]=127.0.0.1:${ports[at + 3]}
+        ways+=("${through[number]}" "${cluster[number]}")
+        at=$((at + 4))
+    done
+    if [ "$behind" != none ]; then
+        "$platform" relay "${ways[@]}" 2> "$folder/relay.log" &
+        relay=$!
+        started+=("$relay")
+        sleep 0.2
+    fi
+    for ((number = 0; number < count; number++)); do
+        local reached="\"seeds\": [\"${cluster[0]}\", \"${cluster[1]}\"]"
+        if [ "$number" = "$behind" ]; then
+            reached="\"advertise\": \"${through[number]}\", \"seeds\": [\"${through[0]}\", \"${through[1]}\"], \"peers\": {"
+            for ((other = 0; other < count; other++)); do
+                [ "$other" = "$number" ] || reached+="\"n$other\": \"${through[other]}\", "
+            done
+            reached="${reached%, }}"
+        fi
+        sed -e "s|\"admin\": \"[^\"]*\"|\"admin\": \"${admin[number]}\"|" \
+            -e "s|127.0.0.1:9001|$first|; s|127.0.0.1:9002|$second|" \
+            -e "s|\"limits\": {\"memory|\"cluster\": {\"installation\": \"review\", \"zone\": \"a\", \"listen\": \"${cluster[number]}\", $reached, \"folder\": \"$folder/n$number\", \"voters\": [\"n0\", \"n1\", \"n2\"]$keys},\n  \"limits\": {\"memory|" \
+            deploy/example.json > "$folder/n$number.json"
+        start_node "$number"
+    done
+    for ((number = 0; number < count; number++)); do
+        wait_for 100 node_is_ready "$number" || could_not_run "n$number is not ready"
+        wait_for 200 has_leader "$number" || could_not_run "n$number hears no leader of the voters"
+    done
+    note "$count nodes are ready, and hear the leader of the voters"
+}
+
+# The command of deploy/balancer.toml.
+start_node() {
+    ROUTER_NAME=n$1 ROUTER_LISTEN=${clients[$1]} ROUTER_DISCOVERY=$discovery ROUTER_CONFIG=$folder/n$1.json \
+        /bin/sh -c "exec target/release/pearfront-node" 2>> "$folder/n$1.log" &
+    nodes[$1]=$!
+    started+=($!)
+}
+
+node_is_ready() { [ "$("$platform" call "${clients[$1]}" GET /up)" = 200 ]; }
+
+has_leader() { "$pearfront" duties "${admin[$1]}" --json 2> /dev/null | grep -q '"duties":\['; }
+
+# The number of the node whose voter leads.
+leader() { "$pearfront" duties "${admin[0]}" --json | sed -n 's/.*"leader":"n\([0-9]\)".*/\1/p' | head -n 1; }
+
+# wait_for STEPS COMMAND...: waits until the command succeeds, 0.1 s a step.
+wait_for() {
+    local steps=$1
+    shift
+    while [ "$steps" -gt 0 ]; do
+        if "$@"; then return 0; fi
+        sleep 0.1
+        steps=$((steps - 1))
+    done
+    return 1
+}
