review: a keyed request runs in two zones once new settings name one more zone

Cause: the node keeps a server's zone as its place in `azs` when its entry came. SIGHUP swaps the settings and not what the list holds, so servers of two zones have one place, and a repeat goes to a zone that does not know the key.

The stand-ins have clients, servers that note what they ran, and a list that grows.

--- a/review/support-2/common.sh
+++ b/review/support-2/common.sh
@@ -47,6 +47,17 @@
     exit 2
 }
 
+# An entry of the list of servers: listed ID ADDRESS ZONE STARTED.
+listed() {
+    echo "{\"instanceId\":\"$1\",\"hostPort\":\"$2\",\"zone\":\"$3\",\"machineType\":\"m1\",\"cell\":0,\"lifecycle\":\"Ready\",\"weight\":1.0,\"startedAtMs\":$4}"
+}
+
+# A stand-in in the background; its id is in $!.
+start_platform() {
+    "$platform" "$@" 2>> "$folder/$1.log" &
+    started+=($!)
+}
+
 # start_nodes COUNT KEYS [BEHIND]: nodes n0 to n(COUNT-1), of which the first three are voters. KEYS are put into the key
 # `cluster` of each file. Node BEHIND reaches the others, and is reached by them, through a relay ($relay).
 start_nodes() {
@@ -54,12 +65,11 @@
     mapfile -t ports < <("$platform" ports $((4 * count + 3)))
     discovery=127.0.0.1:${ports[0]}
     local first=127.0.0.1:${ports[1]} second=127.0.0.1:${ports[2]}
-    "$platform" discovery "$discovery" "$first" "$second" 2> "$folder/discovery.log" &
-    started+=($!)
-    "$platform" server "$first" 2> "$folder/server-1.log" &
-    started+=($!)
-    "$platform" server "$second" 2> "$folder/server-2.log" &
-    started+=($!)
+    listed s-1 "$first" a 0 > "$folder/list"
+    listed s-2 "$second" a 0 >> "$folder/list"
+    start_platform discovery "$discovery" "$folder/list"
+    start_platform server "$first" 0 "$folder/ran-1"
+    start_platform server "$second" 0 "$folder/ran-2"
     local at=3 through=() ways=()
     for ((number = 0; number < count; number++)); do
         cluster[number]=127.0.0.1:${ports[at]}
@@ -70,9 +80,8 @@
         at=$((at + 4))
     done
     if [ "$behind" != none ]; then
-        "$platform" relay "${ways[@]}" 2> "$folder/relay.log" &
+        start_platform relay "${ways[@]}"
         relay=$!
-        started+=("$relay")
         sleep 0.2
     fi
     for ((number = 0; number < count; number++)); do
--- a/review/support-2/platform.rs
+++ b/review/support-2/platform.rs
@@ -1,18 +1,29 @@
 //! Stand-ins for the scripts in `review/6` to `review/10`, with the standard library alone:
 //!
 //!     platform ports COUNT                    free loopback ports, one a line
-//!     platform discovery ADDRESS SERVER...    discovery with a list that does not change
-//!     platform server ADDRESS                 a server that answers every request at once
+//!     platform discovery ADDRESS FILE         discovery; each line of the file is an entry, lines are added at its end
+//!     platform server ADDRESS FAILS FILE      a server that runs every request for 30 ms and notes it in the file; it answers
+//!                                             200, but to each FAILS-th one 500 (0: to none)
+//!     platform client ADDRESS CLASS COUNT FILE  keyed requests of that class, one behind the other; notes their answers
+//!     platform slow-server ADDRESS PAUSE FILE  a server whose answers have 300,000 bytes, in pieces of 30,000 with so many
+//!                                             ms between two; notes how much of each it could write
+//!     platform reader ADDRESS CLASS COUNT FILE  requests that are safe to repeat, each on a connection of its own; notes how
+//!                                             much of each answer came
 //!     platform relay LISTEN TARGET ...        a way between nodes, for TCP and UDP, in pairs; silent while it is stopped
 //!     platform call ADDRESS METHOD PATH       one call; prints the status, or 000 without an answer within 1 s
 //!     platform now                            ms of the monotonic clock that goes on while a process is stopped
 
+use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// A call may be held for so long at most, ms.
 const MAX_HOLD_MS: u64 = 60_000;
+/// How long a server runs a request.
+const RUN_TIME: Duration = Duration::from_millis(30);
 /// How long an operator or the front waits for an answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -21,11 +32,25 @@
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     match words.as_slice() {
         ["ports", count] => ports(count.parse().expect("a count")),
-        ["discovery", address, servers @ ..] => {
-            let list = server_list(servers);
-            listen(address, move |message| answer_discovery(message, &list));
+        ["discovery", address, file] => {
+            let file = file.to_string();
+            listen(address, move |message| answer_discovery(message, &file));
         }
-        ["server", address] => listen(address, answer_request),
+        ["server", address, fails, file] => {
+            let (fails, count, file) = (fails.parse().expect("a count"), AtomicUsize::new(0), notes(file));
+            listen(address, move |message| answer_request(message, fails, &count, &file));
+        }
+        ["client", address, class, count, file] => client(address, class, count.parse().expect("a count"), &notes(file)),
+        ["slow-server", address, pause, file] => {
+            let pause = Duration::from_millis(pause.parse().expect("a pause"));
+            let file = std::sync::Arc::new(notes(file));
+            let listener = TcpListener::bind(address).expect("the address");
+            for stream in listener.incoming().flatten() {
+                let file = file.clone();
+                std::thread::spawn(move || answer_slowly(stream, pause, &file));
+            }
+        }
+        ["reader", address, class, count, file] => reader(address, class, count.parse().expect("a count"), &notes(file)),
         ["relay", ways @ ..] if ways.len() >= 2 && ways.len() % 2 == 0 => relay(ways),
         ["call", address, method, path] => println!("{}", call(address, method, path).unwrap_or("000".into())),
         ["now"] => println!("{}", uptime_ms()),
@@ -102,41 +127,156 @@
     }
 }
 
-fn server_list(servers: &[&str]) -> String {
-    let entry = |(number, address): (usize, &&str)| {
-        format!(
-            r#"{{"instanceId":"s-{}","hostPort":"{address}","zone":"a","machineType":"m1","cell":0,"lifecycle":"Ready","weight":1.0,"startedAtMs":0}}"#,
-            number + 1
-        )
-    };
-    servers.iter().enumerate().map(entry).collect::<Vec<_>>().join(",")
-}
-
-fn answer_discovery(message: &Message, list: &str) -> (u16, String) {
+/// The list is at version N with its first N lines; a call is told what came behind the version that it names.
+fn answer_discovery(message: &Message, file: &str) -> (u16, String) {
     let (path, query) = message.target.split_once('?').unwrap_or((&message.target, ""));
     if path != "/discovery/hosts" {
         return (404, String::new());
     }
     let number = |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.parse::<u64>().ok());
-    match number("from=") {
-        Some(1) => {
-            let hold = number("hold_ms=").unwrap_or(0).min(MAX_HOLD_MS);
-            std::thread::sleep(Duration::from_millis(hold));
-            (200, r#"{"generation":1,"reset":false,"instances":[]}"#.into())
+    let hold = Duration::from_millis(number("hold_ms=").unwrap_or(0).min(MAX_HOLD_MS));
+    let started = Instant::now();
+    loop {
+        let text = std::fs::read_to_string(file).unwrap_or_default();
+        let entries: Vec<&str> = text.lines().collect();
+        let from = number("from=").filter(|from| (1..=entries.len() as u64).contains(from)).unwrap_or(0) as usize;
+        if from < entries.len() || started.elapsed() >= hold {
+            let (version, reset, changed) = (entries.len(), from == 0, entries[from..].join(","));
+            return (200, format!(r#"{{"generation":{version},"reset":{reset},"instances":[{changed}]}}"#));
         }
-        _ => (200, format!(r#"{{"generation":1,"reset":true,"instances":[{list}]}}"#)),
+        std::thread::sleep(Duration::from_millis(20));
     }
 }
 
-fn answer_request(message: &Message) -> (u16, String) {
+fn notes(file: &str) -> Mutex<File> {
+    Mutex::new(OpenOptions::new().create(true).append(true).open(file).expect("the file"))
+}
+
+/// One write for a line: several processes may write to the file.
+fn add(file: &Mutex<File>, line: &str) {
+    let _ = file.lock().expect("the file").write_all(line.as_bytes());
+}
+
+fn answer_request(message: &Message, fails: usize, count: &AtomicUsize, file: &Mutex<File>) -> (u16, String) {
     match (message.method.as_str(), message.target.as_str(), message.id.as_str()) {
         ("GET", "/alive", _) => (200, String::new()),
         ("GET", "/metrics/load", _) => (200, "TEXT utilization=0.10".into()),
         (_, _, "") => (404, String::new()),
-        (.., id) => (200, format!("answer to {id}")),
+        (method, target, id) => {
+            std::thread::sleep(RUN_TIME);
+            let number = count.fetch_add(1, Ordering::Relaxed) + 1;
+            let status = if fails > 0 && number % fails == 0 { 500 } else { 200 };
+            add(file, &format!("{} {id} {method} {target} {status}\n", uptime_ms()));
+            (status, format!("answer to {id}"))
+        }
+    }
+}
+
+/// Sends keyed requests on one connection, 20 ms apart.
+fn client(address: &str, class: &str, count: usize, file: &Mutex<File>) {
+    let mut connection: Option<BufReader<TcpStream>> = None;
+    for number in 0..count {
+        std::thread::sleep(Duration::from_millis(20));
+        let id = format!("{:08x}{number:08x}", std::process::id());
+        let text = format!(
+            "POST /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: {id}\r\nX-Customer: acme\r\nX-Expires-In: 1.000\r\n\
+             Idempotency-Key: {id}{id}\r\nContent-Length: 2\r\n\r\nhi"
+        );
+        let mut reader = match connection.take() {
+            Some(reader) => reader,
+            None => BufReader::new(TcpStream::connect(address).expect("the node")),
+        };
+        let _ = reader.get_ref().set_read_timeout(Some(Duration::from_millis(1600)));
+        let status = reader.get_mut().write_all(text.as_bytes()).ok().and_then(|()| read_status(&mut reader));
+        add(file, &format!("{} {id} {}\n", uptime_ms(), status.unwrap_or(0)));
+        connection = status.map(|_| reader);
     }
 }
 
+/// Bytes of a slow server's answer, and of its pieces.
+const ANSWER_BYTES: usize = 300_000;
+const PIECE_BYTES: usize = 30_000;
+
+/// Answers requests on one connection, piece by piece.
+fn answer_slowly(stream: TcpStream, pause: Duration, file: &Mutex<File>) {
+    let _ = stream.set_nodelay(true);
+    let Ok(mut writer) = stream.try_clone() else { return };
+    let mut reader = BufReader::new(stream);
+    while let Some(message) = read_message(&mut reader) {
+        if message.id.is_empty() {
+            let (status, body) = if message.target == "/alive" { (200, "") } else { (404, "") };
+            let _ = write!(writer, "HTTP/1.1 {status} -\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            continue;
+        }
+        let mut written = 0;
+        let head = format!("HTTP/1.1 200 -\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n");
+        let mut is_open = writer.write_all(head.as_bytes()).is_ok();
+        while is_open && written < ANSWER_BYTES {
+            is_open = writer.write_all(&[b'x'; PIECE_BYTES]).is_ok();
+            written += PIECE_BYTES;
+            if written < ANSWER_BYTES {
+                std::thread::sleep(pause);
+            }
+        }
+        let what = if is_open { "written to its end" } else { "cut off by the node" };
+        add(file, &format!("{} {} {what}, {written} bytes\n", uptime_ms(), message.id));
+        if !is_open {
+            return;
+        }
+    }
+}
+
+/// Sends requests and reads each answer to its end.
+fn reader(address: &str, class: &str, count: usize, file: &Mutex<File>) {
+    for number in 0..count {
+        let id = format!("{:08x}{number:08x}", std::process::id());
+        let text = format!(
+            "GET /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: {id}\r\nX-Customer: acme\r\nX-Expires-In: 1.000\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(address).expect("the node");
+        // Longer than any answer takes.
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(20)));
+        let _ = stream.write_all(text.as_bytes());
+        let mut reader = BufReader::new(stream);
+        let (mut status, mut length, mut line) = (0, 0, String::new());
+        while reader.read_line(&mut line).is_ok_and(|count| count > 0) && !line.trim_end().is_empty() {
+            if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+                length = value.trim().parse().unwrap_or(0);
+            } else if line.starts_with("HTTP/") {
+                status = line.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
+            }
+            line.clear();
+        }
+        let (mut got, mut piece) = (0, [0; 65536]);
+        while got < length {
+            match reader.read(&mut piece) {
+                Ok(count @ 1..) => got += count,
+                _ => break,
+            }
+        }
+        let what = if got == length { "whole" } else { "broken" };
+        add(file, &format!("{} {id} {status} {what} {got} of {length} bytes\n", uptime_ms()));
+    }
+}
+
+/// Reads an answer with a length; its status.
+fn read_status(reader: &mut BufReader<TcpStream>) -> Option<u16> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok().filter(|count| *count > 0)?;
+    let status = line.split(' ').nth(1)?.parse().ok()?;
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|count| *count > 0)?;
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        if name.eq_ignore_ascii_case("content-length") {
+            length = value.trim().parse().ok()?;
+        }
+    }
+    reader.read_exact(&mut vec![0; length]).ok()?;
+    Some(status)
+}
+
 /// Passes on connections and datagrams. Between nodes a datagram names its sender, so its way back is another pair.
 fn relay(ways: &[&str]) {
     let mut threads = Vec::new();
