review: a second answer 12 ms late is served to another client

Cause: an idle connection is used again after 10 ms of quiet; what comes behind that, and behind the next request, is taken for its answer.

Change: review/10 has servers 5 ms away that write one answer in ten a second time, 12 ms later, where nothing waits. What only the dropped cases used is out.

--- a/review/support-2/common.sh
+++ b/review/support-2/common.sh
@@ -58,11 +58,11 @@
     started+=($!)
 }
 
-# start_nodes COUNT KEYS [BEHIND]: nodes n0 to n(COUNT-1), of which the first three are voters. KEYS are put into the key
-# `cluster` of each file. Node BEHIND reaches the others, and is reached by them, through a relay ($relay).
+# start_nodes COUNT KEYS: nodes n0 to n(COUNT-1), of which the first three are voters. KEYS are put into the key `cluster` of
+# each file.
 start_nodes() {
-    local count=$1 keys=$2 behind=${3:-none} ports number other
-    mapfile -t ports < <("$platform" ports $((4 * count + 3)))
+    local count=$1 keys=$2 ports number at=3
+    mapfile -t ports < <("$platform" ports $((3 * count + 3)))
     discovery=127.0.0.1:${ports[0]}
     local first=127.0.0.1:${ports[1]} second=127.0.0.1:${ports[2]}
     listed s-1 "$first" a 0 > "$folder/list"
@@ -70,32 +70,16 @@
     start_platform discovery "$discovery" "$folder/list"
     start_platform server "$first" 0 "$folder/ran-1"
     start_platform server "$second" 0 "$folder/ran-2"
-    local at=3 through=() ways=()
     for ((number = 0; number < count; number++)); do
         cluster[number]=127.0.0.1:${ports[at]}
         admin[number]=127.0.0.1:${ports[at + 1]}
         clients[number]=127.0.0.1:${ports[at + 2]}
-        through[number]=127.0.0.1:${ports[at + 3]}
-        ways+=("${through[number]}" "${cluster[number]}")
-        at=$((at + 4))
+        at=$((at + 3))
     done
-    if [ "$behind" != none ]; then
-        start_platform relay "${ways[@]}"
-        relay=$!
-        sleep 0.2
-    fi
     for ((number = 0; number < count; number++)); do
-        local reached="\"seeds\": [\"${cluster[0]}\", \"${cluster[1]}\"]"
-        if [ "$number" = "$behind" ]; then
-            reached="\"advertise\": \"${through[number]}\", \"seeds\": [\"${through[0]}\", \"${through[1]}\"], \"peers\": {"
-            for ((other = 0; other < count; other++)); do
-                [ "$other" = "$number" ] || reached+="\"n$other\": \"${through[other]}\", "
-            done
-            reached="${reached%, }}"
-        fi
         sed -e "s|\"admin\": \"[^\"]*\"|\"admin\": \"${admin[number]}\"|" \
             -e "s|127.0.0.1:9001|$first|; s|127.0.0.1:9002|$second|" \
-            -e "s|\"limits\": {\"memory|\"cluster\": {\"installation\": \"review\", \"zone\": \"a\", \"listen\": \"${cluster[number]}\", $reached, \"folder\": \"$folder/n$number\", \"voters\": [\"n0\", \"n1\", \"n2\"]$keys},\n  \"limits\": {\"memory|" \
+            -e "s|\"limits\": {\"memory|\"cluster\": {\"installation\": \"review\", \"zone\": \"a\", \"listen\": \"${cluster[number]}\", \"seeds\": [\"${cluster[0]}\", \"${cluster[1]}\"], \"folder\": \"$folder/n$number\", \"voters\": [\"n0\", \"n1\", \"n2\"]$keys},\n  \"limits\": {\"memory|" \
             deploy/example.json > "$folder/n$number.json"
         start_node "$number"
     done
--- a/review/support-2/platform.rs
+++ b/review/support-2/platform.rs
@@ -9,14 +9,18 @@
 //!                                             ms between two; notes how much of each it could write
 //!     platform reader ADDRESS CLASS COUNT FILE  requests that are safe to repeat, each on a connection of its own; notes how
 //!                                             much of each answer came
-//!     platform relay LISTEN TARGET ...        a way between nodes, for TCP and UDP, in pairs; silent while it is stopped
+//!     platform twice-server ADDRESS LATE FILE  a server that runs a request for 30 ms and answers with its id; each tenth
+//!                                             answer is written again LATE ms later (0: none), if nothing waits then
+//!     platform getter ADDRESS CLASS SECONDS FILE  safe requests on one kept connection, one behind the other; notes answers
+//!                                             that were made for another request, and how many there were in all
+//!     platform way LISTEN TARGET MS           a way to a server that takes so many ms in each direction
 //!     platform call ADDRESS METHOD PATH       one call; prints the status, or 000 without an answer within 1 s
 //!     platform now                            ms of the monotonic clock that goes on while a process is stopped
 
 use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
@@ -43,7 +47,7 @@
         ["client", address, class, count, file] => client(address, class, count.parse().expect("a count"), &notes(file)),
         ["slow-server", address, pause, file] => {
             let pause = Duration::from_millis(pause.parse().expect("a pause"));
-            let file = std::sync::Arc::new(notes(file));
+            let file = Arc::new(notes(file));
             let listener = TcpListener::bind(address).expect("the address");
             for stream in listener.incoming().flatten() {
                 let file = file.clone();
@@ -51,7 +55,29 @@
             }
         }
         ["reader", address, class, count, file] => reader(address, class, count.parse().expect("a count"), &notes(file)),
-        ["relay", ways @ ..] if ways.len() >= 2 && ways.len() % 2 == 0 => relay(ways),
+        ["twice-server", address, late, file] => {
+            let late = Duration::from_millis(late.parse().expect("a time"));
+            let (file, count) = (Arc::new(notes(file)), Arc::new(AtomicUsize::new(0)));
+            let listener = TcpListener::bind(address).expect("the address");
+            for stream in listener.incoming().flatten() {
+                let (file, count) = (file.clone(), count.clone());
+                std::thread::spawn(move || answer_twice(stream, late, &count, &file));
+            }
+        }
+        ["getter", address, class, seconds, file] => getter(address, class, seconds.parse().expect("a time"), &notes(file)),
+        ["way", near, far, ms] => {
+            let delay = Duration::from_millis(ms.parse().expect("a time"));
+            let listener = TcpListener::bind(near).expect("the address");
+            for stream in listener.incoming().flatten() {
+                let far = far.to_string();
+                std::thread::spawn(move || {
+                    let Ok(other) = TcpStream::connect(far) else { return };
+                    let (Ok(one), Ok(two)) = (stream.try_clone(), other.try_clone()) else { return };
+                    delayed(stream, two, delay);
+                    delayed(other, one, delay);
+                });
+            }
+        }
         ["call", address, method, path] => println!("{}", call(address, method, path).unwrap_or("000".into())),
         ["now"] => println!("{}", uptime_ms()),
         _ => {
@@ -109,7 +135,7 @@
 /// Answers messages on kept connections; the answer is a status and a body.
 fn listen(address: &str, answer: impl Fn(&Message) -> (u16, String) + Send + Sync + 'static) {
     let listener = TcpListener::bind(address).expect("the address");
-    let answer = std::sync::Arc::new(answer);
+    let answer = Arc::new(answer);
     for stream in listener.incoming().flatten() {
         let answer = answer.clone();
         std::thread::spawn(move || {
@@ -259,8 +285,99 @@
     }
 }
 
+/// Answers requests on one connection, some of them a second time.
+fn answer_twice(stream: TcpStream, late: Duration, count: &AtomicUsize, file: &Mutex<File>) {
+    let _ = stream.set_nodelay(true);
+    let Ok(mut writer) = stream.try_clone() else { return };
+    let mut reader = BufReader::new(stream);
+    while let Some(message) = read_message(&mut reader) {
+        if message.id.is_empty() {
+            let (status, body) = if message.target == "/alive" { (200, "") } else { (404, "") };
+            let _ = write!(writer, "HTTP/1.1 {status} -\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            continue;
+        }
+        std::thread::sleep(RUN_TIME);
+        let body = format!("answer to {}", message.id);
+        let answer = format!("HTTP/1.1 200 -\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        if writer.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+        add(file, &format!("{} {} answered\n", uptime_ms(), message.id));
+        if late.is_zero() || count.fetch_add(1, Ordering::Relaxed) % 10 != 9 {
+            continue;
+        }
+        std::thread::sleep(late);
+        // Not where a request has come meanwhile, or the end.
+        let _ = writer.set_nonblocking(true);
+        let waits = !matches!(writer.peek(&mut [0]), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock);
+        let _ = writer.set_nonblocking(false);
+        if reader.buffer().is_empty() && !waits {
+            if writer.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+            add(file, &format!("{} {} answered a second time\n", uptime_ms(), message.id));
+        }
+    }
+}
+
+/// Passes on what comes, each piece so much later.
+fn delayed(mut from: TcpStream, mut to: TcpStream, delay: Duration) {
+    let (sender, pieces) = std::sync::mpsc::channel::<(Instant, Vec<u8>)>();
+    std::thread::spawn(move || {
+        let _ = from.set_nodelay(true);
+        let mut piece = [0; 65536];
+        while let Ok(count @ 1..) = from.read(&mut piece) {
+            if sender.send((Instant::now() + delay, piece[..count].to_vec())).is_err() {
+                return;
+            }
+        }
+    });
+    std::thread::spawn(move || {
+        let _ = to.set_nodelay(true);
+        for (at, piece) in pieces {
+            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            if to.write_all(&piece).is_err() {
+                return;
+            }
+        }
+        let _ = to.shutdown(std::net::Shutdown::Both);
+    });
+}
+
+/// Sends requests for so many seconds.
+fn getter(address: &str, class: &str, seconds: u64, file: &Mutex<File>) {
+    let (started, mut connection): (_, Option<BufReader<TcpStream>>) = (Instant::now(), None);
+    let (mut number, mut served) = (0, 0);
+    while started.elapsed() < Duration::from_secs(seconds) {
+        let id = format!("{:08x}{number:08x}", std::process::id());
+        number += 1;
+        let text = format!(
+            "GET /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: {id}\r\nX-Customer: acme\r\nX-Expires-In: 1.000\r\n\r\n"
+        );
+        let mut reader = match connection.take() {
+            Some(reader) => reader,
+            None => BufReader::new(TcpStream::connect(address).expect("the node")),
+        };
+        let _ = reader.get_ref().set_read_timeout(Some(Duration::from_millis(1600)));
+        let answer = reader.get_mut().write_all(text.as_bytes()).ok().and_then(|()| read_answer(&mut reader));
+        if let Some((200, body)) = &answer {
+            served += 1;
+            if *body != format!("answer to {id}") {
+                add(file, &format!("{} {id} foreign: {body}\n", uptime_ms()));
+            }
+        }
+        connection = answer.map(|_| reader);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    add(file, &format!("{} sent {number} served {served}\n", uptime_ms()));
+}
+
 /// Reads an answer with a length; its status.
 fn read_status(reader: &mut BufReader<TcpStream>) -> Option<u16> {
+    read_answer(reader).map(|(status, _)| status)
+}
+
+fn read_answer(reader: &mut BufReader<TcpStream>) -> Option<(u16, String)> {
     let mut line = String::new();
     reader.read_line(&mut line).ok().filter(|count| *count > 0)?;
     let status = line.split(' ').nth(1)?.parse().ok()?;
@@ -273,52 +390,9 @@
             length = value.trim().parse().ok()?;
         }
     }
-    reader.read_exact(&mut vec![0; length]).ok()?;
-    Some(status)
-}
-
-/// Passes on connections and datagrams. Between nodes a datagram names its sender, so its way back is another pair.
-fn relay(ways: &[&str]) {
-    let mut threads = Vec::new();
-    for way in ways.chunks(2) {
-        let listener = TcpListener::bind(way[0]).expect("the address");
-        let socket = UdpSocket::bind(way[0]).expect("the address");
-        let (target, datagram_target) = (way[1].to_string(), way[1].to_string());
-        threads.push(std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let target = target.clone();
-                std::thread::spawn(move || pass_on(stream, &target));
-            }
-        }));
-        threads.push(std::thread::spawn(move || {
-            let mut datagram = [0; 65536];
-            while let Ok((count, _)) = socket.recv_from(&mut datagram) {
-                let _ = socket.send_to(&datagram[..count], &datagram_target);
-            }
-        }));
-    }
-    threads.into_iter().for_each(|thread| drop(thread.join()));
-}
-
-fn pass_on(near: TcpStream, target: &str) {
-    let Ok(far) = TcpStream::connect(target) else { return };
-    let (Ok(from_near), Ok(to_near)) = (near.try_clone(), near.try_clone()) else { return };
-    let (Ok(from_far), Ok(to_far)) = (far.try_clone(), far.try_clone()) else { return };
-    let back = std::thread::spawn(move || copy(from_far, to_near));
-    copy(from_near, to_far);
-    let _ = back.join();
-}
-
-fn copy(mut from: TcpStream, mut to: TcpStream) {
-    let _ = to.set_nodelay(true);
-    let mut piece = [0; 65536];
-    while let Ok(count @ 1..) = from.read(&mut piece) {
-        if to.write_all(&piece[..count]).is_err() {
-            break;
-        }
-    }
-    let _ = to.shutdown(std::net::Shutdown::Both);
-    let _ = from.shutdown(std::net::Shutdown::Both);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some((status, String::from_utf8_lossy(&body).into_owned()))
 }
 
 /// The status of the answer to one call.
