--- a/review/support-2/common.sh
+++ b/review/support-2/common.sh
@@ -6,7 +6,7 @@
 trouble=${TROUBLE:-1}
 started=()
 
-for program in "$platform" "$pearfront" target/release/pearfront-node; do
+for program in "$platform" target/release/pearfront-node ${needs_command_line:+"$pearfront"}; do
     if [ ! -x "$program" ]; then
         echo "$program is missing: cargo build --release, then review/build-2.sh"
         exit 2
--- a/review/support-2/platform.rs
+++ b/review/support-2/platform.rs
@@ -31,7 +31,7 @@
 /// How long an operator or the front waits for an answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-fn main() {
+pub fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     match words.as_slice() {
