review: the scripts' ports are none that the kernel gives to connections

The ports came from the range that the kernel gives to outgoing connections.

Change: `platform ports` draws them below that range.

--- a/review/support-2/platform.rs
+++ b/review/support-2/platform.rs
@@ -93,11 +93,22 @@
     (seconds * 1000.0) as u64
 }
 
-/// Ports that are free for TCP and UDP; all are held until the last one is found.
+/// Ports that are free for TCP and UDP; all are held until the last one is found. They lie below those that the kernel gives
+/// to connections: one of these could be taken by any connection before its program listens there.
 fn ports(count: usize) {
+    const LOWEST: u64 = 10_000;
+    let range = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap_or_default();
+    let given_from = range.split_whitespace().next().and_then(|word| word.parse().ok()).unwrap_or(32_768);
+    let time = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a time");
+    let mut random = (time.as_nanos() as u64 ^ u64::from(std::process::id()) << 32) | 1;
     let mut held = Vec::new();
     while held.len() < count {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        // Xorshift.
+        random ^= random << 13;
+        random ^= random >> 7;
+        random ^= random << 17;
+        let port = if given_from > 2 * LOWEST { LOWEST + random % (given_from - LOWEST) } else { 0 };
+        let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) else { continue };
         if let Ok(socket) = UdpSocket::bind(listener.local_addr().expect("an address")) {
             held.push((listener, socket));
         }
