--- a/review/7/play.py
+++ b/review/candidates/b/play.py
@@ -9,7 +9,7 @@
 import threading
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
 from lib2 import (
     BROKEN,
     HELD,
--- a/review/9/play.py
+++ b/review/candidates/d/play.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
 from lib2 import BROKEN, HELD, PEARFRONT, TROUBLE, NotRun, main, voters, wait_for
 
 HERE = os.path.dirname(os.path.abspath(__file__))
