--- a/review/lib2.py
+++ b/review/lib2.py
@@ -284,9 +284,9 @@
             raise NotRun(f"relay: {self.failure}")
 
 
-def voters(case, count, duties, cut_of=None, **cluster):
+def voters(case, count, duties, cut_of=None, zones=None, **cluster):
     """So many nodes that are voters of one installation. With `cut_of`, the ways between that one and all others are relays,
-    which are returned."""
+    which are returned. `zones` names the zones of some; the others are in zone a."""
     discovery = free_port()
     names = [f"n{number}" for number in range(count)]
     ports = {name: free_port() for name in names}
@@ -305,7 +305,7 @@
             "settings": settings(),
             "cluster": {
                 "installation": "review",
-                "zone": "a",
+                "zone": (zones or {}).get(name, "a"),
                 "listen": f"{HOST}:{ports[name]}",
                 "seeds": seeds,
                 "peers": peers,
