--- a/review/support-2/platform.rs
+++ b/review/support-2/platform.rs
@@ -13,7 +13,7 @@
 //!                                             answer is written again LATE ms later (0: none), if nothing waits then
 //!     platform getter ADDRESS CLASS SECONDS FILE  safe requests on one kept connection, one behind the other; notes answers
 //!                                             that were made for another request, and how many there were in all
-//!     platform way LISTEN TARGET MS           a way to a server that takes so many ms in each direction
+//!     platform way LISTEN TARGET LEAST MOST   a way to a server that takes LEAST to MOST ms in each direction
 //!     platform call ADDRESS METHOD PATH       one call; prints the status, or 000 without an answer within 1 s
 //!     platform now                            ms of the monotonic clock that goes on while a process is stopped
 
@@ -65,8 +65,9 @@
             }
         }
         ["getter", address, class, seconds, file] => getter(address, class, seconds.parse().expect("a time"), &notes(file)),
-        ["way", near, far, ms] => {
-            let delay = Duration::from_millis(ms.parse().expect("a time"));
+        ["way", near, far, least, most] => {
+            let time = |text: &str| text.parse::<f64>().expect("a time") / 1000.0;
+            let delay = (time(least), time(most));
             let listener = TcpListener::bind(near).expect("the address");
             for stream in listener.incoming().flatten() {
                 let far = far.to_string();
@@ -331,13 +332,20 @@
     }
 }
 
-/// Passes on what comes, each piece so much later.
-fn delayed(mut from: TcpStream, mut to: TcpStream, delay: Duration) {
+/// Passes on what comes in its order, each piece later by a time that is drawn between these, s.
+fn delayed(mut from: TcpStream, mut to: TcpStream, (least, most): (f64, f64)) {
+    let time = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a time");
+    let mut random = time.as_nanos() as u64 | 1;
     let (sender, pieces) = std::sync::mpsc::channel::<(Instant, Vec<u8>)>();
     std::thread::spawn(move || {
         let _ = from.set_nodelay(true);
         let mut piece = [0; 65536];
         while let Ok(count @ 1..) = from.read(&mut piece) {
+            // Xorshift.
+            random ^= random << 13;
+            random ^= random >> 7;
+            random ^= random << 17;
+            let delay = Duration::from_secs_f64(least + (most - least) * (random % 1000) as f64 / 1000.0);
             if sender.send((Instant::now() + delay, piece[..count].to_vec())).is_err() {
                 return;
             }
