The log of a broken-off answer says how long its server had been silent

Callers see an answer over 64 KiB end in its middle. The log line told only that it stalled and how late it was. It could not tell a server that had stopped from one that paused for a moment. Change: the line also has the bytes that were passed on and how long the server had yielded nothing.

--- a/crates/pearfront-node/src/dispatcher.rs
+++ b/crates/pearfront-node/src/dispatcher.rs
@@ -14,7 +14,7 @@
 use crate::message::{Answer, ClientRequest};
 use crate::probe::Prober;
 use crate::runtime_settings::SharedSettings;
-use crate::streaming::BodyError;
+use crate::streaming::BrokenBody;
 use crate::tracked_stream::TrackedStream;
 use http_body_util::Either;
 use hyper::header::HeaderValue;
@@ -453,15 +453,18 @@
     }
 
     /// Counts and logs an answer that is broken off.
-    fn break_callback(&self, open: &OpenRequest) -> impl FnOnce(BodyError) + 'static {
+    fn break_callback(&self, open: &OpenRequest) -> impl FnOnce(BrokenBody) + 'static {
         let (id, due, clock) = (id_text(open.request.id()).into_owned(), open.deadline.at(), self.clock);
         let (counters, log) = (self.counters.clone(), self.broken_log.clone());
-        move |problem| {
+        move |broken| {
             counters.flows_broken.add();
             let late = clock.now() - due;
             log.info(|| {
                 format!(
-                    "answer to request {id} ends in its middle, {late:.0} ms after its deadline: {problem:?}"
+                    "answer to request {id} ends in its middle, {late:.0} ms after its deadline: {:?}, {} bytes passed on, its server silent for {} ms",
+                    broken.error,
+                    broken.bytes_passed,
+                    broken.silent_for.as_millis()
                 )
             });
         }
--- a/crates/pearfront-node/src/streaming.rs
+++ b/crates/pearfront-node/src/streaming.rs
@@ -69,6 +69,16 @@
 
 impl std::error::Error for BodyError {}
 
+/// How a body broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrokenBody {
+    pub error: BodyError,
+    /// Bytes of it that were passed on.
+    pub bytes_passed: u64,
+    /// How long its source had yielded no data when it broke off.
+    pub silent_for: Duration,
+}
+
 /// Reads a body to its end, or until more than `most` bytes have arrived: a client that sends no
 /// body costs no server anything. No frame may take longer than `pause`. Without `keep` the data is
 /// dropped.
@@ -117,7 +127,7 @@
     waiting_since: Option<Instant>,
     give_up_timer: Pin<Box<Sleep>>,
     on_end: Option<Box<dyn FnOnce()>>,
-    on_break: Vec<Box<dyn FnOnce(BodyError)>>,
+    on_break: Vec<Box<dyn FnOnce(BrokenBody)>>,
     kept_alive: Vec<Rc<dyn Any>>,
 }
 
@@ -160,7 +170,7 @@
     }
 
     /// Adds a callback for when the body breaks off.
-    pub fn on_break(&mut self, act: impl FnOnce(BodyError) + 'static) {
+    pub fn on_break(&mut self, act: impl FnOnce(BrokenBody) + 'static) {
         self.on_break.push(Box::new(act));
     }
 
@@ -199,7 +209,9 @@
             return Poll::Ready(Some(Ok(std::mem::take(&mut self.first))));
         }
         if let Poll::Ready(piece) = self.poll_rest(context) {
-            self.waiting_since = None;
+            if let Some(Ok(_)) = piece {
+                self.waiting_since = None;
+            }
             return Poll::Ready(piece);
         }
         let mut since = *self.waiting_since.get_or_insert_with(Instant::now);
@@ -262,8 +274,13 @@
 }
 
 impl StreamedBody {
-    fn report_break(&mut self, problem: BodyError) {
-        self.on_break.drain(..).for_each(|act| act(problem));
+    fn report_break(&mut self, error: BodyError) {
+        let broken = BrokenBody {
+            error,
+            bytes_passed: MAX_BODY_BYTES - self.max_left,
+            silent_for: self.waiting_since.map_or(Duration::ZERO, |since| since.elapsed()),
+        };
+        self.on_break.drain(..).for_each(|act| act(broken));
     }
 
     fn report_end(&mut self) {
