An answer that its server still gives is no longer cut off behind its time

Cause: 'StreamedBody' ended an answer once nothing had come for 0.35 s behind the request's time. No pause behind the time tells that a server has stopped: 0.35 s was what had been seen. Change: the request's time no longer shortens the limit for silence, 15 s, which held before the time already. An answer that really stops ends then, and its client can tell. Up to 64 KiB nothing changes.

--- a/crates/pearfront-node/src/dispatcher.rs
+++ b/crates/pearfront-node/src/dispatcher.rs
@@ -432,7 +432,6 @@
             if let Either::Right(streamed) = &mut reply.body {
                 self.counters.flows.add();
                 streamed.keep_alive(open.clone());
-                streamed.set_deadline(self.clock.instant_at(open.deadline.at()));
                 streamed.on_break(self.break_callback(open));
             }
             open.answer.send(Answer::Served(Box::new(reply)));
--- a/crates/pearfront-node/src/streaming.rs
+++ b/crates/pearfront-node/src/streaming.rs
@@ -19,12 +19,11 @@
 pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 /// Largest request body or answer, bytes.
 pub const MAX_BODY_BYTES: u64 = 32 * 1024 * 1024;
-/// How long a streamed body may make no progress, or its client take none of it, before it is given
-/// up whatever its deadline: far longer than any pause of a server that is still sending.
+/// How long the source of a streamed body may be silent, or its client take none of it, before the
+/// body is broken off. The request's deadline does not shorten it: only the first bytes of a
+/// streamed answer have to meet the deadline. It exceeds 6 s, the longest network partition that a
+/// connection survives, and the TCP retransmission timeout behind that, which doubles.
 pub const STALL_TIMEOUT: Duration = Duration::from_secs(15);
-/// How long a server may pause within its answer once the request's deadline has passed; after a
-/// longer pause the answer counts as lost.
-const MAX_LATE_PAUSE: Duration = Duration::from_millis(350);
 /// A timer that fires later than this indicates a process stall: data that arrived meanwhile has
 /// not been read.
 const STALL_THRESHOLD: Duration = Duration::from_millis(50);
@@ -121,8 +120,6 @@
     /// Bytes left, if the length is known.
     bytes_left: Option<u64>,
     max_left: u64,
-    /// The request's deadline, if this is an answer.
-    deadline: Option<Instant>,
     /// Since when the source has been polled without yielding data.
     waiting_since: Option<Instant>,
     give_up_timer: Pin<Box<Sleep>>,
@@ -138,7 +135,6 @@
             rest,
             bytes_left: left,
             max_left: MAX_BODY_BYTES,
-            deadline: None,
             waiting_since: None,
             give_up_timer: Box::pin(sleep(STALL_TIMEOUT)),
             on_end: None,
@@ -163,12 +159,6 @@
         self.on_end = Some(Box::new(act));
     }
 
-    /// Sets the request's deadline: after it, the body continues only as long as its server keeps
-    /// sending.
-    pub fn set_deadline(&mut self, at: Instant) {
-        self.deadline = Some(at);
-    }
-
     /// Adds a callback for when the body breaks off.
     pub fn on_break(&mut self, act: impl FnOnce(BrokenBody) + 'static) {
         self.on_break.push(Box::new(act));
@@ -215,23 +205,17 @@
             return Poll::Ready(piece);
         }
         let mut since = *self.waiting_since.get_or_insert_with(Instant::now);
-        if self.gives_up_at(since) + STALL_THRESHOLD < Instant::now() {
+        if since + STALL_TIMEOUT + STALL_THRESHOLD < Instant::now() {
             since = Instant::now();
             self.waiting_since = Some(since);
         }
-        let until = self.gives_up_at(since);
+        let until = since + STALL_TIMEOUT;
         if self.give_up_timer.deadline() != until {
             self.give_up_timer.as_mut().reset(until);
         }
         ready!(self.give_up_timer.as_mut().poll(context));
         Poll::Ready(Some(Err(BodyError::Stalled)))
     }
-
-    /// When the body is given up if no data has arrived since `since`.
-    fn gives_up_at(&self, since: Instant) -> Instant {
-        let stalled = since + STALL_TIMEOUT;
-        self.deadline.map_or(stalled, |due| (due.max(since) + MAX_LATE_PAUSE).min(stalled))
-    }
 }
 
 impl Body for StreamedBody {
--- a/crates/pearfront-node/tests/endings/mod.rs
+++ b/crates/pearfront-node/tests/endings/mod.rs
@@ -10,6 +10,7 @@
 mod retries;
 mod review;
 mod shutdown;
+mod slow_answers;
 mod stale_list;
 mod stalled_connections;
 mod system_calls;
--- /dev/null
+++ b/crates/pearfront-node/tests/endings/slow_answers.rs
@@ -0,0 +1,392 @@
+//! Answers over 64 KiB whose server pauses between two writes. Only their first bytes have to meet the deadline; the rest is
+//! forwarded completely, whatever the node does meanwhile. An answer that stops for good holds its connections for a limited
+//! time.
+
+use super::deadline::{End, all_within, over};
+use crate::stand_ins::{Client, Node, Platform, Server, config, head, in_time, response};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use test_case::test_matrix;
+
+/// Time that the clients wait for the first bytes.
+const TIME: &str = "0.6";
+/// First piece of an answer, which is too large to be buffered, and all of it, bytes.
+const FIRST_PIECE: usize = 120_000;
+const LENGTH: usize = 300_000;
+/// How long a server may be silent in the middle of its answer before the answer is broken off, and how much later a client may
+/// see that.
+const SILENCE_LIMIT: Duration = Duration::from_secs(15);
+const TOLERANCE: Duration = Duration::from_millis(1500);
+/// Longest time that a test waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// How a server frames its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Form {
+    Length,
+    Chunked,
+    UntilClose,
+    /// The same in HTTP/1.0.
+    Http10,
+}
+
+use Form::{Chunked, Http10, Length, UntilClose};
+
+impl Form {
+    fn head(self) -> String {
+        match self {
+            Length => format!("HTTP/1.1 200 OK\r\nContent-Length: {LENGTH}\r\n\r\n"),
+            Chunked => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".into(),
+            UntilClose => "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".into(),
+            Http10 => "HTTP/1.0 200 OK\r\n\r\n".into(),
+        }
+    }
+
+    fn piece(self, bytes: usize) -> Vec<u8> {
+        let data = vec![b'x'; bytes];
+        match self {
+            Chunked => [format!("{bytes:x}\r\n").as_bytes(), &data, b"\r\n"].concat(),
+            _ => data,
+        }
+    }
+}
+
+/// HTTP version of a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Version {
+    Http10,
+    Http11,
+}
+
+impl Version {
+    fn request(self, time: &str) -> String {
+        let head = head("read", time, 0);
+        if self == Version::Http10 { head.replace("HTTP/1.1", "HTTP/1.0") } else { head }
+    }
+}
+
+/// A piece of an answer: its size in bytes, and the pause before it.
+type Piece = (Duration, usize);
+
+/// The first piece at once, and the rest after a pause.
+fn one_pause(pause: Duration) -> Vec<Piece> {
+    vec![(Duration::ZERO, FIRST_PIECE), (pause, LENGTH - FIRST_PIECE)]
+}
+
+/// A server that writes its answers in pieces.
+struct PacedServer {
+    address: SocketAddr,
+    /// Answers of which the first piece has been written, and those whose connection ended before the last one was.
+    begun: Arc<AtomicUsize>,
+    cut_off: Arc<AtomicUsize>,
+}
+
+impl PacedServer {
+    /// With `stops` the last piece is not the end of the answer, but no more comes.
+    fn start(form: Form, pieces: Vec<Piece>, stops: bool) -> Self {
+        let address = Server::unused_address();
+        let listener = TcpListener::bind(address).unwrap();
+        let (begun, cut_off) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let server = Self { address, begun: begun.clone(), cut_off: cut_off.clone() };
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (pieces, begun, cut_off) = (pieces.clone(), begun.clone(), cut_off.clone());
+                std::thread::spawn(move || {
+                    let connection = PacedConnection { stream, form, pieces, stops, begun };
+                    if connection.serve().is_err() {
+                        cut_off.fetch_add(1, Ordering::Relaxed);
+                    }
+                });
+            }
+        });
+        server
+    }
+
+    /// Waits until this many answers have begun.
+    fn wait_for_begun(&self, count: usize) {
+        let begun = Instant::now();
+        while self.begun.load(Ordering::Relaxed) < count {
+            assert!(begun.elapsed() < PATIENCE, "{} of {count} answers", self.begun.load(Ordering::Relaxed));
+            sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn cut_off(&self) -> usize {
+        self.cut_off.load(Ordering::Relaxed)
+    }
+}
+
+/// The node closed the connection in the middle of an answer.
+struct CutOff;
+
+struct PacedConnection {
+    stream: TcpStream,
+    form: Form,
+    pieces: Vec<Piece>,
+    stops: bool,
+    begun: Arc<AtomicUsize>,
+}
+
+impl PacedConnection {
+    fn serve(mut self) -> Result<(), CutOff> {
+        let mut request = [0; 4096];
+        while self.stream.read(&mut request).is_ok_and(|count| count > 0) {
+            if !request.starts_with(b"GET /read") {
+                let _ = self.stream.write_all(&response("404 Not Found", b""));
+                continue;
+            }
+            self.answer()?;
+            if matches!(self.form, UntilClose | Http10) {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self) -> Result<(), CutOff> {
+        self.write(self.form.head().as_bytes())?;
+        for (pause, bytes) in self.pieces.clone() {
+            self.wait(pause)?;
+            self.write(&self.form.piece(bytes))?;
+            self.begun.fetch_add(1, Ordering::Relaxed);
+        }
+        if self.stops {
+            return self.wait(Duration::from_secs(600));
+        }
+        if self.form == Chunked { self.write(b"0\r\n\r\n") } else { Ok(()) }
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> Result<(), CutOff> {
+        self.stream.write_all(bytes).map_err(|_| CutOff)
+    }
+
+    /// Pauses, unless the node ends the connection meanwhile. A read with a time-out would be up to an eighth late.
+    fn wait(&mut self, pause: Duration) -> Result<(), CutOff> {
+        let until = Instant::now() + pause;
+        while let left = until.saturating_duration_since(Instant::now())
+            && !left.is_zero()
+        {
+            if self.has_ended() {
+                return Err(CutOff);
+            }
+            sleep(left.min(Duration::from_millis(20)));
+        }
+        Ok(())
+    }
+
+    fn has_ended(&self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let peeked = self.stream.peek(&mut [0]);
+        self.stream.set_nonblocking(false).unwrap();
+        !peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+/// Reads an answer; whether it is whole. A client of HTTP/1.0 sees that by the orderly end of its connection.
+fn read_whole(client: &mut Client, version: Version) -> Result<(), String> {
+    if version == Version::Http11 {
+        return match client.answer() {
+            Some(answer) if answer.status() == 200 && answer.body.len() == LENGTH => Ok(()),
+            Some(answer) => Err(format!("{}, {} bytes", answer.start, answer.body.len())),
+            None => Err("cut off".into()),
+        };
+    }
+    let (all, end) = all_within(&client.stream, PATIENCE);
+    let body = body_length(&all);
+    if body == LENGTH && end == End::Closed { Ok(()) } else { Err(format!("{body} bytes, {end:?}")) }
+}
+
+/// Length of what follows an answer's head, bytes.
+fn body_length(answer: &[u8]) -> usize {
+    let head = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+    head.map_or(0, |at| answer.len() - at - 4)
+}
+
+/// Whether this end of its connection tells a client that the answer is not whole.
+fn shows_break(all: &[u8], end: End, version: Version) -> bool {
+    match version {
+        Version::Http10 => end == End::Reset,
+        Version::Http11 => end != End::Open && !all.ends_with(b"0\r\n\r\n"),
+    }
+}
+
+/// When a server pauses.
+#[derive(Debug, Clone, Copy)]
+enum Stage {
+    BeforeDeadline,
+    AcrossDeadline,
+    AfterDeadline,
+    /// For longer than any network partition that a connection has to survive.
+    LongAfterDeadline,
+    /// Before each piece.
+    Throughout,
+}
+
+use Stage::{AcrossDeadline, AfterDeadline, BeforeDeadline, LongAfterDeadline, Throughout};
+
+impl Stage {
+    fn time(self) -> &'static str {
+        match self {
+            BeforeDeadline => "3",
+            Throughout => "1.5",
+            _ => TIME,
+        }
+    }
+
+    fn pieces(self) -> Vec<Piece> {
+        let ms = Duration::from_millis;
+        match self {
+            BeforeDeadline | AcrossDeadline => one_pause(ms(1200)),
+            AfterDeadline => vec![
+                (Duration::ZERO, FIRST_PIECE),
+                (ms(500), 30_000),
+                (ms(300), 30_000),
+                (ms(2500), LENGTH - FIRST_PIECE - 60_000),
+            ],
+            LongAfterDeadline => one_pause(ms(7000)),
+            Throughout => vec![(ms(420), 30_000); LENGTH / 30_000],
+        }
+    }
+}
+
+// Answers were broken off once their server had paused for 0.35 s after the deadline, while it was still writing.
+#[test_matrix(
+    [Length, Chunked, UntilClose, Http10],
+    [Version::Http11, Version::Http10],
+    [BeforeDeadline, AcrossDeadline, AfterDeadline, LongAfterDeadline, Throughout]
+)]
+fn a_paused_answer_is_forwarded_completely(form: Form, version: Version, stage: Stage) {
+    in_time(|| {
+        let server = PacedServer::start(form, stage.pieces(), false);
+        let node = Node::start(&config(&[server.address]));
+        let mut client = node.client();
+        client.send(&version.request(stage.time()), b"");
+        read_whole(&mut client, version)?;
+        drop(client);
+        over(node);
+        Ok(())
+    });
+}
+
+// The same with a pipelined request that is not due yet: both answers are complete.
+#[test_matrix([Length, Chunked, UntilClose, Http10])]
+fn a_paused_answer_before_a_pipelined_request_is_forwarded_completely(form: Form) {
+    in_time(|| {
+        let server = PacedServer::start(form, one_pause(Duration::from_millis(1200)), false);
+        let node = Node::start(&config(&[server.address]));
+        let mut client = node.client();
+        client.send(&[head("read", TIME, 0), head("read", "5", 0)].concat(), b"");
+        read_whole(&mut client, Version::Http11)?;
+        read_whole(&mut client, Version::Http11)?;
+        drop(client);
+        over(node);
+        Ok(())
+    });
+}
+
+// A drain waits for the end of an answer under way, and closes its connection then.
+#[test_matrix([Length, Chunked, UntilClose, Http10], [Version::Http11, Version::Http10])]
+fn a_paused_answer_is_forwarded_completely_during_a_drain(form: Form, version: Version) {
+    in_time(|| {
+        let server = PacedServer::start(form, one_pause(Duration::from_secs(5)), false);
+        let node = Node::start_for_operators(config(&[server.address]));
+        let mut client = node.client();
+        client.send(&version.request(TIME), b"");
+        server.wait_for_begun(1);
+        assert_eq!(node.call("PUT /_lameduck/on"), 200);
+        read_whole(&mut client, version)?;
+        let (more, end) = all_within(&client.stream, Duration::from_secs(1));
+        if end == End::Open || !more.is_empty() {
+            return Err(format!("{} bytes behind it, {end:?}", more.len()));
+        }
+        over(node);
+        Ok(())
+    });
+}
+
+// A process that got SIGTERM forwards answers until it exits, which is 3.5 s later here.
+#[test_matrix([Length, Chunked, UntilClose, Http10], [Version::Http11, Version::Http10])]
+fn a_paused_answer_is_forwarded_completely_after_sigterm(form: Form, version: Version) {
+    in_time(|| {
+        let server = PacedServer::start(form, one_pause(Duration::from_millis(2500)), false);
+        let node = Node::start(&config(&[server.address]));
+        let mut client = node.client();
+        client.send(&version.request(TIME), b"");
+        server.wait_for_begun(1);
+        node.signal("-TERM");
+        read_whole(&mut client, version)?;
+        let counters = node.wait_for_end();
+        assert_eq!((counters["answers_never"], counters["flows_broken"]), (0, 0), "{counters:?}");
+        Ok(())
+    });
+}
+
+// The same while another process takes over.
+#[test_matrix([Length, Chunked, UntilClose, Http10], [Version::Http11, Version::Http10])]
+fn a_paused_answer_is_forwarded_completely_during_an_upgrade(form: Form, version: Version) {
+    in_time(|| {
+        let server = PacedServer::start(form, one_pause(Duration::from_millis(3000)), false);
+        let (platform, config) = (Platform::new(), config(&[server.address]));
+        let old = platform.start(&config);
+        old.wait_for_call("GET /_ready", 200);
+        let mut client = old.client();
+        client.send(&version.request(TIME), b"");
+        server.wait_for_begun(1);
+        let new = platform.start(&config);
+        new.wait_for_call("GET /_ready", 200);
+        old.signal("-TERM");
+        read_whole(&mut client, version)?;
+        let counters = old.wait_for_end();
+        assert_eq!((counters["answers_never"], counters["flows_broken"]), (0, 0), "{counters:?}");
+        new.end();
+        Ok(())
+    });
+}
+
+// Before 64 KiB of it have arrived, an answer of unknown length may be a small one, whose last byte has to meet the deadline: its
+// client gets a complete error in time.
+#[test_matrix([Chunked, UntilClose, Http10], [Version::Http11, Version::Http10])]
+fn an_answer_of_unknown_size_that_pauses_within_64_kib_fails_by_its_deadline(form: Form, version: Version) {
+    in_time(|| {
+        let pieces = vec![(Duration::ZERO, 40_000), (Duration::from_millis(2000), LENGTH - 40_000)];
+        let server = PacedServer::start(form, pieces, false);
+        let node = Node::start(&config(&[server.address]));
+        let mut client = node.client();
+        client.send(&version.request(TIME), b"");
+        let asked = Instant::now();
+        let status = client.answer().map(|answer| answer.status());
+        let took = asked.elapsed();
+        if !matches!(status, Some(502..=504)) || took > Duration::from_millis(600) {
+            return Err(format!("{status:?} after {took:?}"));
+        }
+        over(node);
+        Ok(())
+    });
+}
+
+// An answer that stops for good is broken off 15 s after its last byte, and its client can tell that it is incomplete. Both
+// connections are closed.
+#[test_matrix([Length, Chunked, UntilClose, Http10], [Version::Http11, Version::Http10])]
+fn an_answer_that_stops_is_broken_off_after_the_silence_limit(form: Form, version: Version) {
+    in_time(|| {
+        let server = PacedServer::start(form, vec![(Duration::ZERO, 200_000)], true);
+        let node = Node::start(&config(&[server.address]));
+        let mut client = node.client();
+        client.send(&version.request(TIME), b"");
+        let begun = Instant::now();
+        let (all, end) = all_within(&client.stream, SILENCE_LIMIT + TOLERANCE);
+        let took = begun.elapsed();
+        if !shows_break(&all, end, version) || body_length(&all) < 200_000 || took < SILENCE_LIMIT {
+            return Err(format!("{} bytes, {end:?} after {took:?}", all.len()));
+        }
+        drop(client);
+        let counters = node.end();
+        assert_eq!((counters["answers_late"], counters["answers_never"]), (0, 0), "{counters:?}");
+        assert_eq!((counters["flows_broken"], server.cut_off()), (1, 1), "{counters:?}");
+        Ok(())
+    });
+}
