An answer that the end of the process cuts off does not look complete, and is counted

What callers saw: a client of HTTP/1.0 took half an answer for the whole of it where the process exited or was killed in its middle, or where the client itself had taken nothing for 15 s: only the end of its connection tells it that an answer is complete, and that end was an orderly one. Operators saw nothing: no line, 'flows_broken' 0, and 'jobs_held' 1 in the last counters. Cause: the reset for HTTP/1.0 hung on the error of the body. Where the node ended the connection for another reason, or the kernel for a process that was gone, there was none. Change: the socket is set to reset on close when an answer begins to flow to HTTP/1.0, and set back once it is whole. A client is held to 15 s for what it does not take alone; a silent server has its own limit, so that each end has one owner and one line. Evidence: failed before: 12 of the 16 cases of 'an_answer_under_way_when_the_process_ends_does_not_look_complete' and both of 'an_answer_that_its_client_does_not_take_does_not_look_complete' (200056 and 3932216 bytes, then an orderly close).

--- a/crates/pearfront-node/src/capacity.rs
+++ b/crates/pearfront-node/src/capacity.rs
@@ -284,6 +284,13 @@
         self.clients.borrow().values().for_each(|client| client.stop_reading());
     }
 
+    /// Breaks off the answers that are being streamed to clients.
+    pub fn break_off_answers(&self) {
+        let clients = self.clients.borrow();
+        let receiving = clients.values().filter(|client| client.is_streaming());
+        receiving.for_each(|client| client.exit_requested.notify_one());
+    }
+
     /// Closes all client connections that have been idle for `pause`.
     pub fn close_idle(&self, pause: Duration) {
         let clients = self.clients.borrow();
--- a/crates/pearfront-node/src/client_connection.rs
+++ b/crates/pearfront-node/src/client_connection.rs
@@ -48,6 +48,8 @@
     pub close_requested: Notify,
     /// Notified when it is to be aborted in the middle of an exchange.
     pub abort_requested: Notify,
+    /// Notified when the answer under way is to be broken off because the process exits.
+    pub exit_requested: Notify,
 }
 
 impl ClientConnection {
@@ -67,6 +69,7 @@
             streaming_changed: Notify::new(),
             close_requested: Notify::new(),
             abort_requested: Notify::new(),
+            exit_requested: Notify::new(),
         }
     }
 
@@ -140,7 +143,7 @@
     /// Whether it still has to be aborted. If the rest of a request has arrived since it was
     /// chosen, it goes on.
     pub fn confirm_abort(&self) -> bool {
-        let must_abort = self.is_receiving_answer() || self.has_partial_head();
+        let must_abort = self.stream.is_write_blocked() || self.has_partial_head();
         self.closing.set(must_abort);
         must_abort
     }
@@ -164,11 +167,18 @@
         self.stream.set_answering(true);
     }
 
-    /// Whether only the end of the connection tells this client that an answer is complete.
-    pub fn answer_ends_with_connection(&self) -> bool {
+    /// Whether only the end of the connection may tell this client that an answer is complete.
+    fn answer_ends_with_connection(&self) -> bool {
         self.version.get() < Version::HTTP_11
     }
 
+    /// All answers have been passed on completely, so the connection may end in an orderly way.
+    pub fn mark_answers_complete(&self) {
+        if self.answer_ends_with_connection() {
+            self.stream.set_reset_on_close(false);
+        }
+    }
+
     /// The request has been answered.
     pub fn end_request(&self) {
         self.is_answering.set(false);
@@ -184,24 +194,25 @@
         }
     }
 
-    /// Aborts a connection on which an answer is under way but no bytes move, as it holds resources
-    /// that others need.
+    /// Aborts a connection whose client takes nothing of its answer, as it holds resources that
+    /// others need. A server that sends nothing is not the client's fault: its answer has a limit of
+    /// its own.
     pub fn abort_if_stalled(&self) {
         let (progress, since) = self.progress.get();
-        if !self.is_receiving_answer() || progress != self.stream.bytes_moved() {
+        if !self.stream.is_write_blocked() || progress != self.stream.bytes_moved() {
             self.progress.set((self.stream.bytes_moved(), Instant::now()));
         } else if since.elapsed() > STALL_TIMEOUT {
             self.abort_requested.notify_one();
         }
     }
 
-    /// Whether an answer is under way to it that the kernel has not taken completely.
-    fn is_receiving_answer(&self) -> bool {
-        self.streaming.get() || self.stream.is_write_blocked()
-    }
-
     /// An answer starts being streamed to it; it is busy until the returned guard is dropped.
+    /// Whatever ends the connection or the process before the answer is complete, a client of
+    /// HTTP/1.0 gets a reset.
     pub fn start_streaming(self: &Rc<Self>) -> StreamingMark {
+        if self.answer_ends_with_connection() {
+            self.stream.set_reset_on_close(true);
+        }
         self.streaming.set(true);
         self.streaming_changed.notify_one();
         StreamingMark(self.clone())
--- a/crates/pearfront-node/src/client_service.rs
+++ b/crates/pearfront-node/src/client_service.rs
@@ -47,14 +47,32 @@
     /// The client ended it, or its last answer announced the close, or its data could not be
     /// parsed.
     InTurn,
-    /// An answer under way made no more progress.
-    Stalled,
+    /// Its slot was needed, and it had at most a partial head.
+    Evicted,
     /// It was to be closed, and the partial request on it made no more progress.
     LetGo,
     /// The client left in the middle of an answer.
     ClientLeft,
-    /// An answer was broken off because the answer to a pipelined request is due.
-    BrokenOff,
+    /// The node broke off an answer under way.
+    BrokenOff(BreakReason),
+}
+
+/// Why the node broke off an answer under way whose server had not ended it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BreakReason {
+    PipelinedAnswerDue,
+    ClientStalled,
+    ProcessExit,
+}
+
+impl std::fmt::Display for BreakReason {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str(match self {
+            BreakReason::PipelinedAnswerDue => "the answer to a pipelined request is due",
+            BreakReason::ClientStalled => "its client takes none of it",
+            BreakReason::ProcessExit => "the process ends",
+        })
+    }
 }
 
 /// Serves all client connections of the process.
@@ -133,24 +151,23 @@
                 ended = connection.as_mut() => {
                     let is_whole = ended.is_ok();
                     // A client that disconnects is noticed by its request, if it has one.
-                    if let Err(error) = ended {
-                        if error.is_parse() {
-                            self.refuse_malformed(&error.to_string());
-                            client.mark_answered_early();
-                        } else if client.answer_ends_with_connection() {
-                            stream.reset_on_close();
-                        }
+                    if let Err(error) = ended
+                        && error.is_parse()
+                    {
+                        self.refuse_malformed(&error.to_string());
+                        client.mark_answered_early();
                     }
                     if client.is_answered_early() {
                         stream.linger().await;
                     } else if is_whole {
+                        client.mark_answers_complete();
                         stream.wait_for_receiver().await;
                     }
                     break ConnectionOutcome::InTurn;
                 }
                 never = stream.watch_pipelined() => match never {},
                 outcome = self.wait_for_early_end(&client) => break outcome,
-                () = client.abort_requested.notified() => if client.confirm_abort() { break ConnectionOutcome::Stalled },
+                () = client.abort_requested.notified() => if client.confirm_abort() { break abort_outcome(&client) },
                 () = client.close_requested.notified(), if closing.is_none() => {
                     closing = Some((stream.bytes_moved(), false));
                     end(connection.as_mut());
@@ -171,22 +188,33 @@
                 }
             }
         };
-        if outcome == ConnectionOutcome::BrokenOff {
-            self.counters.flows_broken.add();
-            self.broken_off_log.info(|| "answer broken off: the answer to a pipelined request is due".into());
-        } else if outcome != ConnectionOutcome::Stalled {
-            self.dispatcher.guard.check_close(&client, &format!("{outcome:?}"));
-            if !stream.has_ended() {
-                self.late_answers
-                    .record_unanswered(client.unanswered(), &format!("their connection ended: {outcome:?}"));
+        self.record_outcome(&client, outcome);
+        self.capacity.remove_client(number);
+    }
+
+    /// Counts and logs the end of a connection where it cuts off an answer or a request.
+    fn record_outcome(&self, client: &ClientConnection, outcome: ConnectionOutcome) {
+        match outcome {
+            ConnectionOutcome::Evicted => return,
+            ConnectionOutcome::BrokenOff(reason) => {
+                if client.is_streaming() {
+                    self.counters.flows_broken.add();
+                }
+                self.broken_off_log.info(|| format!("answer broken off: {reason}"));
+                return;
             }
+            ConnectionOutcome::InTurn | ConnectionOutcome::LetGo | ConnectionOutcome::ClientLeft => {}
+        }
+        self.dispatcher.guard.check_close(client, &format!("{outcome:?}"));
+        if !client.stream.has_ended() {
+            self.late_answers
+                .record_unanswered(client.unanswered(), &format!("their connection ended: {outcome:?}"));
         }
-        self.capacity.remove_client(number);
     }
 
-    /// Waits until an answer under way has to be broken off: its client has left, or the answer to
-    /// a pipelined request is due, which cannot be sent before this one ends. Pipelined requests
-    /// are still unread then, so the client may safely send them again.
+    /// Waits until an answer under way has to be broken off: its client has left, the process exits,
+    /// or the answer to a pipelined request is due, which cannot be sent before this one ends.
+    /// Pipelined requests are still unread then, so the client may safely send them again.
     async fn wait_for_early_end(&self, client: &ClientConnection) -> ConnectionOutcome {
         loop {
             if !client.is_streaming() {
@@ -196,7 +224,12 @@
             tokio::select! {
                 () = client.streaming_changed() => {}
                 () = client.stream.wait_for_end() => return ConnectionOutcome::ClientLeft,
-                () = self.dispatcher.pipelined_answer_is_due(&client.stream) => return ConnectionOutcome::BrokenOff,
+                () = self.dispatcher.pipelined_answer_is_due(&client.stream) => {
+                    return ConnectionOutcome::BrokenOff(BreakReason::PipelinedAnswerDue);
+                }
+                () = client.exit_requested.notified() => {
+                    return ConnectionOutcome::BrokenOff(BreakReason::ProcessExit);
+                }
             }
         }
     }
@@ -400,6 +433,11 @@
         }
     }
 
+    /// Breaks off the answers under way, as the process exits.
+    pub fn break_off_answers(&self) {
+        self.capacity.break_off_answers();
+    }
+
     /// Records, as the process exits, that the requests that were read and have no answer get none.
     pub fn log_unanswered(&self, why: &str) {
         self.late_answers.record_unanswered(self.capacity.unanswered_requests(), why);
@@ -414,6 +452,15 @@
     }
 }
 
+/// The outcome for a connection that is aborted.
+fn abort_outcome(client: &ClientConnection) -> ConnectionOutcome {
+    if client.stream.is_write_blocked() {
+        ConnectionOutcome::BrokenOff(BreakReason::ClientStalled)
+    } else {
+        ConnectionOutcome::Evicted
+    }
+}
+
 /// Reports to the dispatcher that the client has left, if that happens before the answer.
 struct ClientLeftGuard<'a> {
     dispatcher: &'a Dispatcher,
--- a/crates/pearfront-node/src/tracked_stream.rs
+++ b/crates/pearfront-node/src/tracked_stream.rs
@@ -304,10 +304,10 @@
         self.with_framing(|framing| framing.waiting_requests()).unwrap_or_default()
     }
 
-    /// Makes closing reset the connection, so that the client does not take it for the end of an
-    /// answer.
-    pub fn reset_on_close(&self) {
-        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    /// Sets whether closing resets the connection, also when the process is killed, so that the
+    /// client does not take the close for the end of an answer.
+    pub fn set_reset_on_close(&self, resets: bool) {
+        let _ = socket2::SockRef::from(&self.stream).set_linger(resets.then_some(Duration::ZERO));
     }
 
     /// Shuts down the sending side, and for a moment reads what still arrives: closing with unread
--- a/crates/pearfront-node/tests/endings/slow_answers.rs
+++ b/crates/pearfront-node/tests/endings/slow_answers.rs
@@ -384,8 +384,79 @@
             return Err(format!("{} bytes, {end:?} after {took:?}", all.len()));
         }
         drop(client);
+        node.signal("-TERM");
+        let log = node.log();
+        let cause = "Stalled, 200000 bytes passed on, its server silent for 150";
+        assert!(log.contains(cause) && log.contains(" flows_broken=1 "), "{log}");
+        assert!(log.contains(" answers_late=0 answers_never=0 ") && log.contains(" jobs_held=0"), "{log}");
+        assert_eq!(server.cut_off(), 1);
+        Ok(())
+    });
+}
+
+/// How a process ends that is forwarding an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProcessEnd {
+    Exit,
+    Kill,
+}
+
+use ProcessEnd::{Exit, Kill};
+
+// A client of HTTP/1.0 took the answer for complete when the process exited or was killed: only the end of its connection marks
+// the end of the answer. Answers that were under way at the exit were in no counter, and their requests were still open.
+#[test_matrix([Length, Chunked, UntilClose, Http10], [Version::Http11, Version::Http10], [Exit, Kill])]
+fn an_answer_under_way_when_the_process_ends_does_not_look_complete(
+    form: Form,
+    version: Version,
+    process_end: ProcessEnd,
+) {
+    const EXIT: Duration = Duration::from_millis(3700);
+    in_time(|| {
+        let server = PacedServer::start(form, vec![(Duration::ZERO, 200_000)], true);
+        let node = Node::start(&config(&[server.address]));
+        let mut client = node.client();
+        client.send(&version.request(TIME), b"");
+        server.wait_for_begun(1);
+        let exiting = match process_end {
+            Exit => {
+                node.signal("-TERM");
+                Some(node)
+            }
+            Kill => {
+                // By then the node has begun to forward the answer.
+                sleep(Duration::from_millis(200));
+                node.kill();
+                None
+            }
+        };
+        let (all, end) = all_within(&client.stream, EXIT);
+        if !shows_break(&all, end, version) {
+            return Err(format!("{} bytes, {end:?}", all.len()));
+        }
+        if let Some(node) = exiting {
+            let counters = node.wait_for_end();
+            assert_eq!((counters["flows_broken"], counters["answers_never"]), (1, 0), "{counters:?}");
+        }
+        Ok(())
+    });
+}
+
+// The same for a client that takes nothing of its answer for 15 s, and goes on too late.
+#[test_matrix([Version::Http11, Version::Http10])]
+fn an_answer_that_its_client_does_not_take_does_not_look_complete(version: Version) {
+    const LENGTH: usize = 16 * 1024 * 1024;
+    in_time(|| {
+        let server = PacedServer::start(UntilClose, vec![(Duration::ZERO, LENGTH)], false);
+        let node = Node::start(&config(&[server.address]));
+        let mut client = node.client();
+        client.send(&version.request(TIME), b"");
+        sleep(SILENCE_LIMIT + TOLERANCE);
+        let (all, end) = all_within(&client.stream, PATIENCE);
+        if body_length(&all) >= LENGTH || !shows_break(&all, end, version) {
+            return Err(format!("{} bytes, {end:?}", all.len()));
+        }
         let counters = node.end();
-        assert_eq!((counters["answers_late"], counters["answers_never"]), (0, 0), "{counters:?}");
         assert_eq!((counters["flows_broken"], server.cut_off()), (1, 1), "{counters:?}");
         Ok(())
     });
