--- a/crates/pearfront-node/tests/endings/slow_answers.rs
+++ b/crates/pearfront-node/tests/endings/slow_answers.rs
@@ -4,13 +4,14 @@
 
 use super::deadline::{End, all_within, over};
 use crate::stand_ins::{Client, Node, Platform, Server, config, head, in_time, response};
+use serde_json::json;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
-use test_case::test_matrix;
+use test_case::{test_case, test_matrix};
 
 /// Time that the clients wait for the first bytes.
 const TIME: &str = "0.6";
@@ -136,7 +137,8 @@
         let mut request = [0; 4096];
         while self.stream.read(&mut request).is_ok_and(|count| count > 0) {
             if !request.starts_with(b"GET /read") {
-                let _ = self.stream.write_all(&response("404 Not Found", b""));
+                let status = if request.starts_with(b"POST") { "200 OK" } else { "404 Not Found" };
+                let _ = self.stream.write_all(&response(status, b""));
                 continue;
             }
             self.answer()?;
@@ -461,3 +463,109 @@
         Ok(())
     });
 }
+
+/// Memory that the pages of the node count for a streamed answer: 64 KiB, and two buffers of 16 KiB a side, KiB.
+const MEMORY_PER_ANSWER: usize = 64 + 4 * 16;
+
+/// Starts this many answers that stop for good; returns their clients.
+fn start_stopped_answers(node: &Node, server: &PacedServer, count: usize) -> Vec<Client> {
+    let clients = (0..count).map(|_| {
+        let mut client = node.client();
+        client.send(&head("read", TIME, 0), b"");
+        client
+    });
+    let clients = clients.collect();
+    server.wait_for_begun(count);
+    clients
+}
+
+/// Number of open descriptors of the node.
+fn descriptors(node: &Node) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", node.pid())).unwrap().count()
+}
+
+// What answers cost whose server has stopped for good: two descriptors and a bounded amount of memory each, until they are broken
+// off. Meanwhile other requests are answered by their deadline.
+#[test]
+fn stopped_answers_cost_two_descriptors_and_bounded_memory_each() {
+    const COUNT: usize = 100;
+    in_time(|| {
+        let server = PacedServer::start(Chunked, vec![(Duration::ZERO, 200_000)], true);
+        let node = Node::start(&config(&[server.address]));
+        let mut other = node.client();
+        assert_eq!(other.ask(&head("pay", TIME, 0), b"").status(), 200);
+        let (descriptors_before, memory_before) = (descriptors(&node), node.peak_memory());
+        let begun = Instant::now();
+        let clients = start_stopped_answers(&node, &server, COUNT);
+        while begun.elapsed() < SILENCE_LIMIT / 3 {
+            let asked = Instant::now();
+            assert_eq!(other.ask(&head("pay", TIME, 0), b"").status(), 200);
+            if asked.elapsed() > Duration::from_millis(600) {
+                return Err(format!("answered after {:?}", asked.elapsed()));
+            }
+            sleep(Duration::from_millis(100));
+        }
+        let used = descriptors(&node) - descriptors_before;
+        let memory = node.peak_memory() - memory_before;
+        println!("{COUNT} stopped answers: {used} descriptors, {memory} KiB");
+        // Idle connections to the server may be open besides.
+        assert!((2 * COUNT..=2 * COUNT + 4).contains(&used), "{used}");
+        assert!(memory <= COUNT * MEMORY_PER_ANSWER, "{memory} KiB");
+        for client in &clients {
+            let left = (SILENCE_LIMIT + TOLERANCE).saturating_sub(begun.elapsed());
+            let (all, end) = all_within(&client.stream, left.max(Duration::from_millis(1)));
+            if !shows_break(&all, end, Version::Http11) {
+                return Err(format!("{} bytes, {end:?} after {:?}", all.len(), begun.elapsed()));
+            }
+        }
+        // The server's connection is closed right behind the client's.
+        sleep(Duration::from_millis(200));
+        let left = descriptors(&node);
+        assert!(left <= descriptors_before + 4, "{left} descriptors, {descriptors_before} before");
+        assert_eq!(other.ask(&head("pay", TIME, 0), b"").status(), 200);
+        drop((clients, other));
+        let counters = node.end();
+        assert_eq!((counters["flows_broken"], server.cut_off()), (COUNT as u64, COUNT), "{counters:?}");
+        Ok(())
+    });
+}
+
+// Where stopped answers hold all descriptors that requests may have, further requests are rejected at once, so that their clients
+// may send them elsewhere, and are served again once the answers have been broken off.
+#[test_case(64)]
+#[test_case(256)]
+fn requests_are_rejected_at_once_while_stopped_answers_hold_all_descriptors(sockets: usize) {
+    const AT_ONCE: Duration = Duration::from_millis(200);
+    in_time(|| {
+        let server = PacedServer::start(Length, vec![(Duration::ZERO, 200_000)], true);
+        let mut config = config(&[server.address]);
+        config["limits"]["sockets"] = json!(sockets);
+        let node = Node::start(&config);
+        let begun = Instant::now();
+        let mut clients = Vec::new();
+        let rejected_after = loop {
+            assert!(clients.len() < sockets / 2, "{} answers", clients.len());
+            let mut client = node.client();
+            let asked = Instant::now();
+            client.send(&head("read", TIME, 0), b"");
+            let start = client.take(12);
+            if start != b"HTTP/1.1 200" {
+                assert_eq!(start, b"HTTP/1.1 503");
+                break asked.elapsed();
+            }
+            clients.push(client);
+        };
+        println!("{} answers hold all of {sockets} descriptors", clients.len());
+        if rejected_after > AT_ONCE {
+            return Err(format!("rejected after {rejected_after:?}"));
+        }
+        sleep((SILENCE_LIMIT + TOLERANCE).saturating_sub(begun.elapsed()));
+        let status = node.client().ask(&head("pay", TIME, 0), b"").status();
+        if status != 200 {
+            return Err(format!("{status} behind the limit"));
+        }
+        drop(clients);
+        over(node);
+        Ok(())
+    });
+}
