The soak finds answers that are cut off in a pause of their server

Change: servers pause for 0.05 to 2.5 s between two pieces, drawn for each answer. When a node closes the connection of an answer the relay waits 3 s for more from its server: where more comes, or the server ends the answer, the node cut off what was still given, however long the pause was.

--- a/crates/pearfront-soak/src/client/exchange.rs
+++ b/crates/pearfront-soak/src/client/exchange.rs
@@ -2,7 +2,7 @@
 
 use super::Client;
 use super::request::{Pace, Request};
-use crate::answer_spec::MAX_BUFFERED_BYTES;
+use crate::answer_spec::{AnswerForm, MAX_BUFFERED_BYTES};
 use crate::clock;
 use crate::http::{Connection, End, Message, RemainingBody, Truncated};
 use crate::record::{AnswerEnd, Record};
@@ -13,8 +13,9 @@
 pub const CLOSE_RACE_MS: f64 = 50.0;
 /// How long a client waits beyond the deadline for an answer to begin.
 const GIVE_UP_AFTER_DEADLINE: Duration = Duration::from_secs(3);
-/// How long a client goes on reading an answer that has begun.
+/// How long a client goes on reading an answer that has begun, and one that stops half-way.
 const MAX_ANSWER_TIME: Duration = Duration::from_secs(4);
+const MAX_STOPPED_ANSWER_TIME: Duration = Duration::from_secs(17);
 /// How long a stalled client keeps its connection open.
 pub const STALLED_TIMEOUT: Duration = Duration::from_secs(6);
 /// Longest time for writing a body.
@@ -260,7 +261,8 @@
     ) -> bool {
         let slow = request.reads_slowly;
         let mut last = clock::now();
-        let until = Instant::now() + MAX_ANSWER_TIME;
+        let stops = request.answer_spec.is_some_and(|answer_spec| answer_spec.form == AnswerForm::Stalls);
+        let until = Instant::now() + if stops { MAX_STOPPED_ANSWER_TIME } else { MAX_ANSWER_TIME };
         let end = loop {
             let left = until.saturating_duration_since(Instant::now());
             match timeout(left, connection.piece(&mut rest)).await {
--- a/crates/pearfront-soak/src/record.rs
+++ b/crates/pearfront-soak/src/record.rs
@@ -78,10 +78,10 @@
     Complete,
     #[serde(rename = "server_broke")]
     ServerClosed,
-    /// The node closed the connection while the server sent nothing.
+    /// The node closed the connection, and the server sent nothing more.
     #[serde(rename = "left_by_node")]
     NodeClosed,
-    /// The node closed the connection with bytes of the answer still unread.
+    /// The node closed the connection while the server was sending the answer, or pausing in it.
     #[serde(rename = "cut_by_node")]
     NodeStoppedReading,
 }
--- a/crates/pearfront-soak/src/relay.rs
+++ b/crates/pearfront-soak/src/relay.rs
@@ -6,6 +6,7 @@
 use crate::http::{Connection, Message, RemainingBody, Truncated};
 use crate::record::{Record, Recorder, ReplyEnd};
 use crate::role::{Order, Orders, RelayMode, RelayRole, listen};
+use crate::server::MAX_PAUSE_MS;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
@@ -15,7 +16,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// The relay in front of one server.
 struct ServerRelay {
@@ -26,19 +27,34 @@
     rng: Rc<RefCell<ChaCha8Rng>>,
 }
 
+/// How long the relay waits for more of an answer after the node has closed the connection, ms: longer than any pause of a
+/// server.
+const MORE_WITHIN: Duration = Duration::from_millis(MAX_PAUSE_MS + 500);
+
 /// How the forwarding of an answer ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ReplyOutcome {
     Complete,
     /// Complete, and ended by the end of the server's connection.
     CompleteAtClose,
-    /// The node closed the connection while the server sent nothing, or with bytes of the answer unread.
+    /// The node closed the connection, and the server sent no more of the answer.
     NodeClosed,
+    /// The node closed the connection, and the server went on sending.
     NodeStoppedReading,
     /// The server's connection broke before the answer was complete.
     ServerClosed,
 }
 
+/// How far an answer has been forwarded.
+struct ReplyProgress {
+    /// Bytes of its content.
+    content: usize,
+    /// When the last bytes went to the node, ms.
+    last: f64,
+    /// When the node closed the connection, ms, if it did while the server was silent.
+    ended: Option<f64>,
+}
+
 impl ReplyOutcome {
     fn reply_end(self) -> ReplyEnd {
         match self {
@@ -177,25 +193,25 @@
             let (id, server) = (id.to_string(), self.number);
             self.recorder.write(&Record::Reply { id, server, at: clock::now(), never_ran });
         }
-        let (mut content, mut last) = (0, clock::now());
-        let outcome = self.forward_body(&head, node, server, &mut content, &mut last).await;
+        let mut progress = ReplyProgress { content: 0, last: clock::now(), ended: None };
+        let outcome = self.forward_body(&head, node, server, &mut progress).await;
         if let Some(id) = id
-            && content > MAX_BUFFERED_BYTES
+            && progress.content > MAX_BUFFERED_BYTES
         {
             let (id, server, end) = (id.to_string(), self.number, outcome.reply_end());
-            self.recorder.write(&Record::ReplyEnded { id, server, at: clock::now(), end, last });
+            let at = progress.ended.unwrap_or_else(clock::now);
+            self.recorder.write(&Record::ReplyEnded { id, server, at, end, last: progress.last });
         }
         outcome
     }
 
-    /// Forwards an answer as it comes; counts the bytes of its content and notes when the last ones went to the node.
+    /// Forwards an answer as it comes.
     async fn forward_body(
         &self,
         head: &Message,
         node: &mut Connection,
         server: &mut Connection,
-        content: &mut usize,
-        last: &mut f64,
+        progress: &mut ReplyProgress,
     ) -> ReplyOutcome {
         let mut rest = RemainingBody::of_answer(head);
         let mut bytes = head.bytes.clone();
@@ -203,14 +219,17 @@
             if node.write(&bytes).await.is_err() {
                 return ReplyOutcome::NodeStoppedReading;
             }
-            *last = clock::now();
+            progress.last = clock::now();
             let piece = tokio::select! {
                 piece = server.piece(&mut rest) => piece,
-                () = node.closed() => return ReplyOutcome::NodeClosed,
+                () = node.closed() => {
+                    progress.ended = Some(clock::now());
+                    return outcome_after_close(server, &mut rest).await;
+                }
             };
             match piece {
                 Ok(Some(piece)) => {
-                    *content += piece.content;
+                    progress.content += piece.content;
                     bytes = piece.raw;
                 }
                 Ok(None) if RemainingBody::of_answer(head) == RemainingBody::UntilEnd => {
@@ -249,3 +268,12 @@
         });
     }
 }
+
+/// The outcome of an answer whose node has closed the connection while the server was silent: whether that server was only
+/// pausing is known once it sends more.
+async fn outcome_after_close(server: &mut Connection, rest: &mut RemainingBody) -> ReplyOutcome {
+    match timeout(MORE_WITHIN, server.piece(rest)).await {
+        Ok(Ok(_)) => ReplyOutcome::NodeStoppedReading,
+        Ok(Err(Truncated)) | Err(_) => ReplyOutcome::NodeClosed,
+    }
+}
--- a/crates/pearfront-soak/src/server.rs
+++ b/crates/pearfront-soak/src/server.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -22,13 +23,15 @@
 const ERROR_SHARE: f64 = 0.01;
 /// Bytes written at a time.
 const BLOCK_BYTES: usize = 64 * 1024;
-/// Bytes of a block of a trickling answer, and the pause between two.
+/// Bytes of a block of a trickling answer, and the range from which the pause between two is drawn, ms.
 const TRICKLE_BYTES: usize = 2048;
-const TRICKLE_PAUSE: Duration = Duration::from_millis(150);
+const TRICKLE_PAUSE_MS: Range<u64> = 50..MAX_PAUSE_MS;
+/// All pauses of a trickling answer that has an end, ms: its clients wait for longer.
+const TRICKLE_TIME_MS: u64 = 3000;
 /// Delay of an answer that begins late.
 const LATE_DELAY: Duration = Duration::from_millis(2000);
-/// Most blocks of a trickling answer that has an end.
-const MAX_TRICKLE_BLOCKS: usize = 20;
+/// Longest pause of a server within an answer, ms.
+pub const MAX_PAUSE_MS: u64 = 2500;
 
 struct Server {
     role: ServerRole,
@@ -85,7 +88,9 @@
             Some(id) if self.role.serves_on || !self.draining.get() => {
                 let is_served = self.execute(id).await;
                 match AnswerSpec::decode(message) {
-                    Some(answer_spec) if is_served => return write_answer(answer_spec, connection).await,
+                    Some(answer_spec) if is_served => {
+                        return self.write_answer(answer_spec, connection).await;
+                    }
                     _ if is_served => answer("200 OK", "", id.as_bytes()),
                     _ => answer("500 Oops", "", b""),
                 }
@@ -111,53 +116,65 @@
         self.in_flight.set(self.in_flight.get() - 1);
         !fails
     }
-}
 
-/// Writes an answer in the form that the request asks for.
-async fn write_answer(answer_spec: AnswerSpec, connection: &mut Connection) -> io::Result<NextStep> {
-    let framing = match answer_spec.form {
-        AnswerForm::Length | AnswerForm::Stalls | AnswerForm::Trickles | AnswerForm::Late => {
-            format!("Content-Length: {}", answer_spec.length)
-        }
-        AnswerForm::Chunked | AnswerForm::Endless => "Transfer-Encoding: chunked".to_string(),
-        AnswerForm::UntilEnd => "Connection: close".to_string(),
-    };
-    if answer_spec.form == AnswerForm::Late {
-        sleep(LATE_DELAY).await;
+    /// Draws a pause between two blocks of an answer.
+    fn draw_pause(&self) -> Duration {
+        Duration::from_millis(self.rng.borrow_mut().random_range(TRICKLE_PAUSE_MS))
     }
-    connection.write(format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").as_bytes()).await?;
-    match answer_spec.form {
-        AnswerForm::Length | AnswerForm::Late => write_bytes(connection, answer_spec.length).await?,
-        AnswerForm::UntilEnd => {
-            write_bytes(connection, answer_spec.length).await?;
-            return Ok(NextStep::Close);
-        }
-        AnswerForm::Chunked => {
-            write_chunk(connection, answer_spec.length).await?;
-            connection.write(b"0\r\n\r\n").await?;
-        }
-        AnswerForm::Stalls => {
-            write_bytes(connection, answer_spec.length / 2).await?;
-            connection.closed().await;
-            return Ok(NextStep::Close);
-        }
-        AnswerForm::Trickles => {
-            let blocks = (answer_spec.length / 2 / TRICKLE_BYTES).min(MAX_TRICKLE_BLOCKS);
-            write_bytes(connection, answer_spec.length - blocks * TRICKLE_BYTES).await?;
-            for _ in 0..blocks {
-                sleep(TRICKLE_PAUSE).await;
-                write_bytes(connection, TRICKLE_BYTES).await?;
+
+    /// Writes an answer in the form that the request asks for.
+    async fn write_answer(
+        &self,
+        answer_spec: AnswerSpec,
+        connection: &mut Connection,
+    ) -> io::Result<NextStep> {
+        let framing = match answer_spec.form {
+            AnswerForm::Length | AnswerForm::Stalls | AnswerForm::Trickles | AnswerForm::Late => {
+                format!("Content-Length: {}", answer_spec.length)
             }
+            AnswerForm::Chunked | AnswerForm::Endless => "Transfer-Encoding: chunked".to_string(),
+            AnswerForm::UntilEnd => "Connection: close".to_string(),
+        };
+        if answer_spec.form == AnswerForm::Late {
+            sleep(LATE_DELAY).await;
         }
-        AnswerForm::Endless => {
-            write_chunk(connection, answer_spec.length).await?;
-            loop {
-                sleep(TRICKLE_PAUSE).await;
-                write_chunk(connection, TRICKLE_BYTES).await?;
+        connection.write(format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").as_bytes()).await?;
+        match answer_spec.form {
+            AnswerForm::Length | AnswerForm::Late => write_bytes(connection, answer_spec.length).await?,
+            AnswerForm::UntilEnd => {
+                write_bytes(connection, answer_spec.length).await?;
+                return Ok(NextStep::Close);
+            }
+            AnswerForm::Chunked => {
+                write_chunk(connection, answer_spec.length).await?;
+                connection.write(b"0\r\n\r\n").await?;
+            }
+            AnswerForm::Stalls => {
+                write_bytes(connection, answer_spec.length / 2).await?;
+                connection.closed().await;
+                return Ok(NextStep::Close);
+            }
+            AnswerForm::Trickles => {
+                let pause = self.draw_pause();
+                let max_blocks = Duration::from_millis(TRICKLE_TIME_MS).div_duration_f64(pause) as usize;
+                let blocks = (answer_spec.length / 2 / TRICKLE_BYTES).min(max_blocks);
+                write_bytes(connection, answer_spec.length - blocks * TRICKLE_BYTES).await?;
+                for _ in 0..blocks {
+                    sleep(pause).await;
+                    write_bytes(connection, TRICKLE_BYTES).await?;
+                }
+            }
+            AnswerForm::Endless => {
+                let pause = self.draw_pause();
+                write_chunk(connection, answer_spec.length).await?;
+                loop {
+                    sleep(pause).await;
+                    write_chunk(connection, TRICKLE_BYTES).await?;
+                }
             }
         }
+        Ok(NextStep::KeepAlive)
     }
-    Ok(NextStep::KeepAlive)
 }
 
 async fn write_bytes(connection: &mut Connection, length: usize) -> io::Result<()> {
