--- a/crates/pearfront-soak/src/judge/tests.rs
+++ b/crates/pearfront-soak/src/judge/tests.rs
@@ -205,7 +205,13 @@
         request(behind, false, pipeline(false)),
         Record::Attempt { id: ID.into(), server: 0, at: 110.0, deadline_sent: 590.0 },
         Record::Answer { id: ID.into(), at: 200.0, status: 200 },
-        Record::ReplyEnded { id: ID.into(), server: 0, at, end: ReplyEnd::NodeStoppedReading, last: at - 50.0 },
+        Record::ReplyEnded {
+            id: ID.into(),
+            server: 0,
+            at,
+            end: ReplyEnd::NodeStoppedReading,
+            last: at - 50.0,
+        },
         Record::AnswerEnded { id: ID.into(), at, end: AnswerEnd::Truncated, last: at - 50.0, slow: false },
         Record::Answer { id: behind.into(), at: at + 1.0, status: 503 },
     ];
