A process that is told to end no longer cuts off large answers that are under way

What callers saw: an answer over 64 KiB that its server was still giving ended in its middle 3.55 s behind SIGTERM, as the process exited 0.15 s before the platform may kill it. Cause: the process's last moment, the longest deadline and 0.5 s, was taken for the end of everything, as if an answer behind its request's time were over. Change: at its last moment the process answers what is open, prints its counters and leaves its cluster as before, and then goes on for answers under way alone. Each ends by itself: whole, 15 s behind its server's last byte, or when its client takes nothing for 15 s or leaves. A kill ends it at any time. The break of such answers at the exit is taken out with its counters' line. The comment on the closing of half heads said the same of answers, which it does not do.

--- a/crates/pearfront-node/src/capacity.rs
+++ b/crates/pearfront-node/src/capacity.rs
@@ -284,11 +284,9 @@
         self.clients.borrow().values().for_each(|client| client.stop_reading());
     }
 
-    /// Breaks off the answers that are being streamed to clients.
-    pub fn break_off_answers(&self) {
-        let clients = self.clients.borrow();
-        let receiving = clients.values().filter(|client| client.is_streaming());
-        receiving.for_each(|client| client.exit_requested.notify_one());
+    /// Whether a client is receiving an answer that it has not taken completely.
+    pub fn has_answers_under_way(&self) -> bool {
+        self.clients.borrow().values().any(|client| client.is_receiving_answer())
     }
 
     /// Closes all client connections that have been idle for `pause`.
--- a/crates/pearfront-node/src/client_connection.rs
+++ b/crates/pearfront-node/src/client_connection.rs
@@ -48,8 +48,6 @@
     pub close_requested: Notify,
     /// Notified when it is to be aborted in the middle of an exchange.
     pub abort_requested: Notify,
-    /// Notified when the answer under way is to be broken off because the process exits.
-    pub exit_requested: Notify,
 }
 
 impl ClientConnection {
@@ -69,7 +67,6 @@
             streaming_changed: Notify::new(),
             close_requested: Notify::new(),
             abort_requested: Notify::new(),
-            exit_requested: Notify::new(),
         }
     }
 
@@ -98,6 +95,12 @@
         self.streaming.get()
     }
 
+    /// Whether an answer is under way to it that the kernel has not taken completely. One that its
+    /// server broke off does not count.
+    pub fn is_receiving_answer(&self) -> bool {
+        (self.streaming.get() || self.stream.is_write_blocked()) && !self.answer_broken.get()
+    }
+
     pub async fn streaming_changed(&self) {
         self.streaming_changed.notified().await;
     }
--- a/crates/pearfront-node/src/client_service.rs
+++ b/crates/pearfront-node/src/client_service.rs
@@ -28,16 +28,18 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot::Receiver;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Interval at which connections are checked in a drain or at exit.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Time, ms, before the decision module's last answers in which client connections are closed:
 /// nearly all requests are answered within it.
 pub const CLOSING_PERIOD_MS: f64 = 1000.0;
-/// A connection that is to be closed, but has a partial head or an answer its client has not
-/// received, is aborted once no bytes have moved on it for this long.
+/// A connection that is to be closed, but has a partial head, is closed once no bytes have moved on
+/// it for this long.
 const NO_PROGRESS: Duration = Duration::from_millis(200);
+/// How long connections may take to be closed after the last answer, as the process exits.
+const FINAL_CLOSE_TIME: Duration = Duration::from_millis(50);
 /// Log lines per second about answers that were broken off.
 const LOG_LINES_PER_SECOND: u32 = 10;
 
@@ -62,7 +64,6 @@
 enum BreakReason {
     PipelinedAnswerDue,
     ClientStalled,
-    ProcessExit,
 }
 
 impl std::fmt::Display for BreakReason {
@@ -70,7 +71,6 @@
         f.write_str(match self {
             BreakReason::PipelinedAnswerDue => "the answer to a pipelined request is due",
             BreakReason::ClientStalled => "its client takes none of it",
-            BreakReason::ProcessExit => "the process ends",
         })
     }
 }
@@ -212,9 +212,9 @@
         }
     }
 
-    /// Waits until an answer under way has to be broken off: its client has left, the process exits,
-    /// or the answer to a pipelined request is due, which cannot be sent before this one ends.
-    /// Pipelined requests are still unread then, so the client may safely send them again.
+    /// Waits until an answer under way has to be broken off: its client has left, or the answer to
+    /// a pipelined request is due, which cannot be sent before this one ends. Pipelined requests
+    /// are still unread then, so the client may safely send them again.
     async fn wait_for_early_end(&self, client: &ClientConnection) -> ConnectionOutcome {
         loop {
             if !client.is_streaming() {
@@ -227,9 +227,6 @@
                 () = self.dispatcher.pipelined_answer_is_due(&client.stream) => {
                     return ConnectionOutcome::BrokenOff(BreakReason::PipelinedAnswerDue);
                 }
-                () = client.exit_requested.notified() => {
-                    return ConnectionOutcome::BrokenOff(BreakReason::ProcessExit);
-                }
             }
         }
     }
@@ -433,9 +430,19 @@
         }
     }
 
-    /// Breaks off the answers under way, as the process exits.
-    pub fn break_off_answers(&self) {
-        self.capacity.break_off_answers();
+    /// Whether a client is receiving an answer.
+    pub fn has_answers_under_way(&self) -> bool {
+        self.capacity.has_answers_under_way()
+    }
+
+    /// Waits for the end of the answers under way. Each ends by itself: its server or its client may
+    /// pause for a limited time only.
+    pub async fn finish_answers(&self) {
+        while self.has_answers_under_way() {
+            self.capacity.close_idle(Duration::ZERO);
+            sleep(CHECK_INTERVAL).await;
+        }
+        let _ = timeout(FINAL_CLOSE_TIME, self.close_all()).await;
     }
 
     /// Records, as the process exits, that the requests that were read and have no answer get none.
--- a/crates/pearfront-node/src/main.rs
+++ b/crates/pearfront-node/src/main.rs
@@ -88,8 +88,6 @@
 const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(2500);
 /// How long the answers that are given at the very end may take to be written.
 const FINAL_WRITE_TIME: Duration = Duration::from_millis(50);
-/// How long connections may take to be closed whose answers are broken off at the very end.
-const FINAL_CLOSE_TIME: Duration = Duration::from_millis(20);
 /// Time, ms, between the decision module's last answers and the end of the node, for writing them.
 const FINAL_ANSWERS_MS: f64 = 100.0;
 
@@ -199,30 +197,34 @@
         answered
     };
     Acceptor::new(listener, shared, client_service.clone()).run(ended).await;
-    close_clients(&client_service, clock.instant_at(last_moment.get())).await;
-    log::info!("{counters} {}{}", client_service.capacity, cluster_counters(cluster.as_ref()));
-    if let Some(cluster) = cluster {
+    answer_all(&client_service, clock.instant_at(last_moment.get())).await;
+    let print_counters =
+        || log::info!("{counters} {}{}", client_service.capacity, cluster_counters(cluster.as_ref()));
+    print_counters();
+    if let Some(cluster) = &cluster {
         cluster.leave();
     }
+    if client_service.has_answers_under_way() {
+        log::info!("waiting for answers under way");
+        client_service.finish_answers().await;
+        print_counters();
+    }
     Ok(())
 }
 
-/// Closes all client connections: by `last_moment` once their requests are answered, then with an answer in any
-/// case, and at last in the middle of an answer.
-async fn close_clients(client_service: &ClientService, last_moment: Instant) {
+/// Answers all requests by `last_moment` and closes their connections, except those to which an answer is under way.
+async fn answer_all(client_service: &ClientService, last_moment: Instant) {
     if timeout_at(last_moment, client_service.close_all()).await.is_ok() {
         return;
     }
     // Whatever they still wait for; also if the process was stalled beyond its last moment.
     client_service.dispatcher.expire_all();
-    if timeout(FINAL_WRITE_TIME, client_service.close_all()).await.is_ok() {
-        return;
-    }
-    client_service.break_off_answers();
-    if timeout(FINAL_CLOSE_TIME, client_service.close_all()).await.is_err() {
-        log::warn!("ended with {} jobs unanswered", client_service.capacity.open_requests());
+    let _ = timeout(FINAL_WRITE_TIME, client_service.close_all()).await;
+    let unanswered = client_service.capacity.unanswered_requests();
+    if unanswered > 0 {
+        log::warn!("ended with {unanswered} jobs unanswered");
         client_service.log_unanswered("the process ends");
-        client_service.dispatcher.guard.record_unanswered(client_service.capacity.unanswered_requests());
+        client_service.dispatcher.guard.record_unanswered(unanswered);
     }
 }
 
