Node: the dispatcher's event queue, open requests and decisions are modules of their own

Its event queue, the requests with their attempts and the writer of decisions stand in files of their own now, 379 lines are left; nothing but places and visibility changed.

--- a/crates/pearfront-node/src/dispatcher.rs
+++ b/crates/pearfront-node/src/dispatcher.rs
@@ -1,13 +1,17 @@
 //! Drives the decision module. Events for the module wait in a queue for the next round, and its
 //! decisions are carried out from here. Used by `client_service`; other modules push events.
 
+mod decisions;
+mod event_queue;
+mod open_request;
+
 use crate::answer_sender::AnswerSender;
 use crate::capacity::RequestReservation;
 use crate::clock::{Clock, NEVER_MS};
 use crate::connection_pool::{Attempt, ConnectionEnd, ConnectionPool};
 use crate::counters::Counters;
 use crate::deadline::{self, Deadline};
-use crate::discovery::{self, Discovery, ServerLocation};
+use crate::discovery::{self, Discovery};
 use crate::guard::Guard;
 use crate::handover::Peers;
 use crate::logger::InfoLimiter;
@@ -16,150 +20,25 @@
 use crate::runtime_settings::SharedSettings;
 use crate::streaming::BrokenBody;
 use crate::tracked_stream::TrackedStream;
+use decisions::Decisions;
+pub use event_queue::EventQueue;
 use http_body_util::Either;
-use hyper::header::HeaderValue;
-use pearfront::interface::{Address, DecisionWriter, Profile};
+pub use open_request::OpenRequest;
+use open_request::{AttemptRecord, id_text};
+use pearfront::interface::Address;
 use pearfront::policy::Balancer;
-use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::pending;
-use std::net::SocketAddr;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
-/// Added to each wake-up time, ms, so that rounding never starts a round just before what it is
-/// for.
-const WAKE_MARGIN_MS: f64 = 0.01;
 /// Log lines per second about requests that were refused, repeated or not sent.
 const LOG_LINES_PER_SECOND: u32 = 10;
 
-type Event = Box<dyn FnOnce(&mut Balancer)>;
-
-/// Events for the decision module's next round, in order of arrival.
-#[derive(Default)]
-pub struct EventQueue {
-    queued: RefCell<Vec<Event>>,
-    pushed: Notify,
-}
-
-impl EventQueue {
-    /// Adds an event for the next round.
-    pub fn push(&self, event: impl FnOnce(&mut Balancer) + 'static) {
-        self.queued.borrow_mut().push(Box::new(event));
-        self.pushed.notify_one();
-    }
-}
-
-/// A request id as text, as exchanged between processes.
-fn id_text(id: &HeaderValue) -> Cow<'_, str> {
-    String::from_utf8_lossy(id.as_bytes())
-}
-
-/// A request from its acceptance to the end of its last attempt.
-pub struct OpenRequest {
-    number: u32,
-    request: ClientRequest,
-    deadline: Deadline,
-    /// Notified when the request is complete and its deadline is known.
-    completed: Notify,
-    answer: AnswerSender,
-    /// The connection that it arrived on; a weak reference, so that it does not keep the connection
-    /// open.
-    stream: Weak<TrackedStream>,
-    attempts: RefCell<Vec<AttemptRecord>>,
-    attempts_running: Cell<usize>,
-    _reservation: RequestReservation,
-}
-
-/// An attempt that may have run.
-pub struct EarlierAttempt {
-    /// When its first byte was written, ms.
-    pub written_at: f64,
-    /// Zone and cell of its server.
-    pub location: Option<ServerLocation>,
-}
-
-/// One attempt of a request.
-struct AttemptRecord {
-    server: SocketAddr,
-    server_location: Option<ServerLocation>,
-    /// When its first byte was written, ms.
-    written_at: Option<f64>,
-    /// Notified when it is called off.
-    called_off: Rc<Notify>,
-    /// How it ended, once it has.
-    end: Option<ConnectionEnd>,
-}
-
-impl AttemptRecord {
-    fn may_have_run(&self) -> bool {
-        self.written_at.is_some() && !self.end.is_some_and(ConnectionEnd::never_ran)
-    }
-}
-
-impl OpenRequest {
-    pub fn id(&self) -> Cow<'_, str> {
-        id_text(self.request.id())
-    }
-
-    /// Whether an answer is still due.
-    pub fn is_open(&self) -> bool {
-        self.answer.is_open()
-    }
-
-    /// Time left until its deadline, ms.
-    pub fn time_left(&self, now: f64) -> f64 {
-        self.deadline.time_left(now)
-    }
-
-    pub fn profile(&self) -> &Profile {
-        &self.request.settings.policy_settings.profiles[self.request.profile]
-    }
-
-    /// Whether its client has ended the connection.
-    pub fn client_has_left(&self) -> bool {
-        self.stream.upgrade().is_none_or(|stream| stream.has_ended())
-    }
-
-    /// The first of its attempts, other than the one with this index, that may have run.
-    pub fn first_that_may_have_run(&self, index: usize) -> Option<EarlierAttempt> {
-        let attempts = self.attempts.borrow();
-        let others =
-            attempts.iter().enumerate().filter(|(other, attempt)| *other != index && attempt.may_have_run());
-        let first = others
-            .map(|(_, attempt)| attempt)
-            .min_by(|a, b| a.written_at.partial_cmp(&b.written_at).unwrap())?;
-        Some(EarlierAttempt { written_at: first.written_at?, location: first.server_location })
-    }
-
-    /// Whether no attempt of it can have run.
-    fn is_unsent(&self) -> bool {
-        !self.attempts.borrow().iter().any(AttemptRecord::may_have_run)
-    }
-
-    /// Records that the first byte of an attempt has been written.
-    pub fn record_written(&self, index: usize, now: f64) {
-        self.attempts.borrow_mut()[index].written_at = Some(now);
-    }
-
-    /// The outcome of its attempts, for the log.
-    fn history(&self) -> String {
-        let attempts = self.attempts.borrow();
-        let one = |attempt: &AttemptRecord| match attempt.end {
-            Some(end) => format!("{} {end:?}", attempt.server),
-            None => format!("{} open", attempt.server),
-        };
-        match attempts.is_empty() {
-            true => "no attempt".into(),
-            false => attempts.iter().map(one).collect::<Vec<_>>().join(", "),
-        }
-    }
-}
-
 /// Holds the open requests, passes events to the decision module and carries out its decisions.
 pub struct Dispatcher {
     pub clock: Clock,
@@ -496,50 +375,5 @@
     }
 }
 
-/// Carries out the decisions of the module.
-struct Decisions<'a> {
-    dispatcher: &'a Rc<Dispatcher>,
-    now: f64,
-    wake: f64,
-}
-
-impl DecisionWriter for Decisions<'_> {
-    fn attempt(&mut self, request: u32, server: Address, limit: f64) {
-        self.dispatcher.attempt(request, server, limit);
-    }
-
-    fn cancel(&mut self, request: u32, attempt: u16) {
-        if let Some(open) = self.dispatcher.open_requests.borrow().get(&request)
-            && let Some(attempt) = open.attempts.borrow().get(usize::from(attempt))
-        {
-            attempt.called_off.notify_one();
-        }
-    }
-
-    fn reject(&mut self, request: u32, wait: f64) {
-        self.dispatcher.answer(request, Answer::Rejected(wait));
-    }
-
-    fn fail(&mut self, request: u32) {
-        self.dispatcher.answer(request, Answer::Failed);
-    }
-
-    fn probe(&mut self, server: Address) {
-        spawn_local(self.dispatcher.prober.clone().probe(server, discovery::decode_address(server)));
-    }
-
-    fn wake_after(&mut self, delay: f64) {
-        self.wake = self.wake.min(self.now + delay + WAKE_MARGIN_MS);
-    }
-
-    fn watch_list(&mut self) {
-        self.dispatcher.discovery.start_watch();
-    }
-
-    fn log(&mut self, line: &str) {
-        log::info!("{line}");
-    }
-}
-
 #[cfg(test)]
 mod tests;
