A stopped answer ends soon after a hold-up of the node, not after a second limit

What callers saw: an answer that its server had stopped giving stayed open for longer than 15 s where the node was held up by over 50 ms just when that limit ended. Cause: a late timer tells of a hold-up, and what arrived meanwhile has yet to be read; the code began the whole limit anew for that. Change: it reads for 50 ms (the stall monitor's time for catching up), and then the limit holds. Evidence: 'a_stopped_answer_is_broken_off_soon_after_the_node_was_held_up' failed before (SIGSTOP from 14 to 17 s: still open 1.5 s later) and passes; 'an_answer_that_goes_on_while_the_node_is_held_up_is_forwarded_completely' passed before and after.

--- a/crates/pearfront-node/src/streaming.rs
+++ b/crates/pearfront-node/src/streaming.rs
@@ -3,6 +3,7 @@
 //! a buffer or two is used. The pieces of a request body come from `upload`, which reads ahead of
 //! the server within limits. Used by `message`, `connection_pool` and `client_service`.
 
+use crate::stall_monitor::CATCH_UP;
 use crate::upload::Piece;
 use bytes::{Buf, Bytes};
 use http_body_util::BodyExt;
@@ -25,7 +26,7 @@
 /// connection survives, and the TCP retransmission timeout behind that, which doubles.
 pub const STALL_TIMEOUT: Duration = Duration::from_secs(15);
 /// A timer that fires later than this indicates a process stall: data that arrived meanwhile has
-/// not been read.
+/// yet to be read.
 const STALL_THRESHOLD: Duration = Duration::from_millis(50);
 
 /// The beginning of a body: all of it, or what was read before it became too large to be buffered.
@@ -204,16 +205,14 @@
             }
             return Poll::Ready(piece);
         }
-        let mut since = *self.waiting_since.get_or_insert_with(Instant::now);
-        if since + STALL_TIMEOUT + STALL_THRESHOLD < Instant::now() {
-            since = Instant::now();
-            self.waiting_since = Some(since);
+        let since = *self.waiting_since.get_or_insert_with(Instant::now);
+        let timer = &mut self.give_up_timer;
+        if timer.deadline() < since + STALL_TIMEOUT {
+            timer.as_mut().reset(since + STALL_TIMEOUT);
+        } else if timer.deadline() + STALL_THRESHOLD < Instant::now() {
+            timer.as_mut().reset(Instant::now() + CATCH_UP);
         }
-        let until = since + STALL_TIMEOUT;
-        if self.give_up_timer.deadline() != until {
-            self.give_up_timer.as_mut().reset(until);
-        }
-        ready!(self.give_up_timer.as_mut().poll(context));
+        ready!(timer.as_mut().poll(context));
         Poll::Ready(Some(Err(BodyError::Stalled)))
     }
 }
--- a/crates/pearfront-node/tests/endings/slow_answers.rs
+++ b/crates/pearfront-node/tests/endings/slow_answers.rs
@@ -396,6 +396,45 @@
     });
 }
 
+/// Stops the node from 14 s to 17 s after the start of an answer, over the silence limit.
+fn stop_across_silence_limit(node: &Node, begun: Instant) {
+    const FROM: Duration = Duration::from_secs(14);
+    sleep(FROM.saturating_sub(begun.elapsed()));
+    node.signal("-STOP");
+    node.wait_until_stopped();
+    sleep(Duration::from_secs(3));
+    node.signal("-CONT");
+}
+
+// A node that was held up over the limit of an answer that had stopped gave it the whole limit once more.
+#[test]
+fn a_stopped_answer_is_broken_off_soon_after_the_node_was_held_up() {
+    in_time(|| {
+        let server = PacedServer::start(Length, vec![(Duration::ZERO, 200_000)], true);
+        let node = Node::start(&config(&[server.address]));
+        let mut client = node.client();
+        client.send(&head("read", TIME, 0), b"");
+        server.wait_for_begun(1);
+        stop_across_silence_limit(&node, Instant::now());
+        let (all, end) = all_within(&client.stream, TOLERANCE);
+        if end == End::Open { Err(format!("{} bytes, held open", all.len())) } else { Ok(()) }
+    });
+}
+
+// What arrived while the node was held up has yet to be read: the answer goes on.
+#[test]
+fn an_answer_that_goes_on_while_the_node_is_held_up_is_forwarded_completely() {
+    in_time(|| {
+        let server = PacedServer::start(Length, one_pause(Duration::from_millis(14_500)), false);
+        let node = Node::start(&config(&[server.address]));
+        let mut client = node.client();
+        client.send(&head("read", TIME, 0), b"");
+        server.wait_for_begun(1);
+        stop_across_silence_limit(&node, Instant::now());
+        read_whole(&mut client, Version::Http11)
+    });
+}
+
 // A process that is told to end was to end by itself 3.5 s later, in the middle of answers that their servers were still sending.
 // It ends behind the last of them; whoever cannot wait for that kills it.
 #[test_matrix([Length, Chunked, UntilClose, Http10], [Version::Http11, Version::Http10])]
