--- a/Makefile
+++ b/Makefile
@@ -146,7 +146,7 @@
 
 soak-broken-guard: build
 	cargo build --release --locked -p pearfront-node --features broken-guard --target-dir target/broken-guard
-	target/release/pearfront soak --seeds 8 --first 1 --seconds 16 --beside 4 \
+	target/release/pearfront soak --seeds 24 --first 1 --seconds 16 --beside 4 \
 		--node target/broken-guard/release/pearfront-node; test $$? -eq 3
 
 soak-broken-deadline: build
