An answer is not cut off because its server pauses in taking the request's body

What callers saw: a 200 of 300 kB ended with 210,000 bytes while its server was still writing it, where that server had begun to answer before it had taken a body longer than is read ahead, paused for 3 s in taking it and then went on with both. The body was given up, its source ended, and the end of the body's source ends the exchange, and so the answer, with the next byte that the server takes. Change: once an answer flows, the body waits for its server without a limit of its own. Before an answer flows nothing changes: the request is given up behind 2.5 s, and fails whole and in time. Evidence: 'an_answer_that_begins_before_the_body_is_taken_is_forwarded_completely' (30 MB) failed before: 'ends in its middle [...] Cut, 210000 bytes passed on'; with 1 MB, all read ahead, it passed before and after.

--- a/crates/pearfront-node/src/client_service.rs
+++ b/crates/pearfront-node/src/client_service.rs
@@ -372,6 +372,7 @@
         self.counters.flows_in.add();
         let (open, mut answer) = self.dispatcher.accept(&client.stream, request, deadline, reservation);
         let guard = ClientLeftGuard { dispatcher: &self.dispatcher, open };
+        let answer_signal = upload.answer_signal();
         let mut passing = Box::pin(upload.pass_on(Rc::downgrade(&client.stream), body));
         let passed = tokio::select! {
             biased;
@@ -380,6 +381,9 @@
                 // the answer.
                 drop(guard);
                 let answer = answer.unwrap_or(Answer::Failed);
+                if answer.is_streamed() {
+                    answer_signal.answer_streamed();
+                }
                 spawn_local(upload::finish(passing, answer.is_streamed()));
                 return Ok(answer.encode());
             }
--- a/crates/pearfront-node/src/upload.rs
+++ b/crates/pearfront-node/src/upload.rs
@@ -48,6 +48,8 @@
     bytes: Cell<usize>,
     /// Whether an attempt has claimed the body.
     is_claimed: Cell<bool>,
+    /// Whether the answer is being streamed although the body is incomplete.
+    is_answer_streamed: Cell<bool>,
     /// When an attempt claimed the body, or its server last took a piece.
     taken_at: Cell<Instant>,
     /// Notified when that happens.
@@ -56,7 +58,8 @@
 
 impl ReadAhead {
     /// Reserves read-ahead memory for `bytes`; if there is none, waits until the server has taken
-    /// everything before them.
+    /// everything before them. A server that is sending its answer may take its time, as the end of
+    /// the body would end the answer too; the answer has a limit of its own.
     ///
     /// # Errors
     /// If the server accepts no data, or there is no server.
@@ -67,6 +70,10 @@
             if let Some(memory) = self.try_reserve(bytes) {
                 return Ok(memory);
             }
+            if self.is_answer_streamed.get() {
+                self.taken.notified().await;
+                continue;
+            }
             if self.is_claimed.get() {
                 let until = began.max(self.taken_at.get()) + PROGRESS_TIMEOUT;
                 timeout_at(until, self.taken.notified()).await.map_err(|_| BodyError::NotTaken)?;
@@ -130,6 +137,16 @@
     pub body: Incoming,
 }
 
+/// Reports to an upload that the answer is being streamed.
+pub struct AnswerSignal(Rc<ReadAhead>);
+
+impl AnswerSignal {
+    pub fn answer_streamed(&self) {
+        self.0.is_answer_streamed.set(true);
+        self.0.taken.notify_one();
+    }
+}
+
 /// A body that is read ahead of its server.
 pub struct Upload {
     pieces: UnboundedSender<Piece>,
@@ -140,11 +157,22 @@
     /// Returns the upload and its receiving end.
     pub fn new(capacity: Rc<Capacity>) -> (Self, PieceReceiver) {
         let (pieces, source) = mpsc::unbounded_channel();
-        let (bytes, is_claimed, taken_at) = (Cell::new(0), Cell::new(false), Cell::new(Instant::now()));
-        let ahead = Rc::new(ReadAhead { capacity, bytes, is_claimed, taken_at, taken: Notify::new() });
+        let ahead = Rc::new(ReadAhead {
+            capacity,
+            bytes: Cell::new(0),
+            is_claimed: Cell::new(false),
+            is_answer_streamed: Cell::new(false),
+            taken_at: Cell::new(Instant::now()),
+            taken: Notify::new(),
+        });
         (Self { pieces, ahead: ahead.clone() }, PieceReceiver { source, ahead })
     }
 
+    /// A handle to report that the answer is being streamed.
+    pub fn answer_signal(&self) -> AnswerSignal {
+        AnswerSignal(self.ahead.clone())
+    }
+
     /// Reads the body as it arrives, ahead of its server as far as there is memory. If nobody takes
     /// it any more, it is still read to its end, as its answer may be on the way. Does not keep the
     /// client connection open.
--- a/crates/pearfront-node/tests/endings/slow_answers.rs
+++ b/crates/pearfront-node/tests/endings/slow_answers.rs
@@ -626,3 +626,58 @@
         Ok(())
     });
 }
+
+/// A server that begins its answer before it has read the body, and takes nothing of the body in the first 3 s.
+fn answers_before_the_body(pieces: Vec<Piece>) -> (SocketAddr, Arc<AtomicUsize>) {
+    let (address, listener) = super::deadline::takes_nothing();
+    let cut_off = Arc::<AtomicUsize>::default();
+    let counted = cut_off.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (pieces, cut_off) = (pieces.clone(), counted.clone());
+            std::thread::spawn(move || {
+                let mut head = [0; 1024];
+                let Ok(count) = stream.read(&mut head) else { return };
+                if !head[..count].starts_with(b"POST") {
+                    let _ = stream.write_all(&response("404 Not Found", b""));
+                    return;
+                }
+                let mut reader = stream.try_clone().unwrap();
+                std::thread::spawn(move || {
+                    sleep(Duration::from_secs(3));
+                    while reader.read(&mut [0; 65536]).is_ok_and(|count| count > 0) {}
+                });
+                let _ = stream.write_all(Length.head().as_bytes());
+                for (pause, bytes) in pieces {
+                    sleep(pause);
+                    if stream.write_all(&vec![b'x'; bytes]).is_err() {
+                        cut_off.fetch_add(1, Ordering::Relaxed);
+                        return;
+                    }
+                }
+                sleep(Duration::from_secs(5));
+            });
+        }
+    });
+    (address, cut_off)
+}
+
+// An answer was cut off if its server had paused for 2.5 s in taking the request's body, and went on with both.
+#[test_case(1_000_000; "a body that is read ahead")]
+#[test_case(30_000_000; "a body longer than is read ahead")]
+fn an_answer_that_begins_before_the_body_is_taken_is_forwarded_completely(body: usize) {
+    in_time(|| {
+        let (address, cut_off) = answers_before_the_body(vec![(Duration::from_millis(420), 30_000); 10]);
+        let node = Node::start(&config(&[address]));
+        let mut client = node.client();
+        let mut writer = client.stream.try_clone().unwrap();
+        let request = [head("pay", "3", body).into_bytes(), vec![b'x'; body]].concat();
+        let writing = std::thread::spawn(move || writer.write_all(&request).is_ok());
+        let answer = read_whole(&mut client, Version::Http11);
+        let counts = cut_off.load(Ordering::Relaxed);
+        drop(client);
+        let _ = node.end();
+        let _ = writing.join();
+        answer.map_err(|problem| format!("{problem}, {counts} cut off"))
+    });
+}
