The soak excuses an answer that ends with its process only where it was killed

An answer that a process cut off by exiting by itself was excused by the end of the process, whatever ended it: the fault that mends could not be found by the soak. Now a kill alone excuses it. The new cases of 'an_answer_that_ends_with_its_process_is_lost_unless_that_was_killed' pass.

--- a/crates/pearfront-soak/src/judge/answers.rs
+++ b/crates/pearfront-soak/src/judge/answers.rs
@@ -7,8 +7,9 @@
 
 /// An answer that is later than its deadline by more than this counts as lost.
 const ANSWER_OVERDUE_MS: f64 = 500.0;
-/// An answer that its server sends no more of is broken off within this time.
+/// An answer that its server sends no more of is broken off within this time, and not before this much of it has passed.
 const SERVER_SILENCE_MS: f64 = 15_000.0;
+const MIN_SERVER_SILENCE_MS: f64 = 300.0;
 /// Most time that a node may take to forward the end of an answer.
 const FORWARD_DELAY_LIMIT_MS: f64 = 2000.0;
 /// How long after its client has disconnected an attempt may still begin.
@@ -97,7 +98,7 @@
     let reply = attempts.iter().filter_map(|attempt| attempt.ended).max_by(|a, b| a.at.total_cmp(&b.at));
     // A client that reads slowly sees that an answer was truncated long after the node did it.
     let ended_at = reply.map_or(ended.at, |reply| reply.at.min(ended.at));
-    let is_excused = history.has_ended(node, ended_at - DELAY_SLACK_MS, ended_at + DELAY_SLACK_MS)
+    let is_excused = history.is_killed(node, ended_at - DELAY_SLACK_MS, ended_at + DELAY_SLACK_MS)
         || history.paused_ms(node, request.at, ended.at) > 0.0;
     if is_excused || history.is_unserved(node, request.at) {
         return;
@@ -109,7 +110,8 @@
     };
     match (ended.end, reply) {
         (AnswerEnd::Truncated, Some(reply)) => {
-            let server_sends = reply.end == ReplyEnd::NodeStoppedReading;
+            let server_sends = reply.end == ReplyEnd::NodeStoppedReading
+                || reply.end == ReplyEnd::NodeClosed && reply.at < reply.last + MIN_SERVER_SILENCE_MS;
             // It may be truncated for the sake of a request that is pipelined behind it.
             if server_sends && !history.has_pending_behind(id, ended.at) {
                 broken(format!(
--- a/crates/pearfront-soak/src/judge/history.rs
+++ b/crates/pearfront-soak/src/judge/history.rs
@@ -394,9 +394,9 @@
         })
     }
 
-    /// Whether a process of the node ended in that time, for whatever reason.
-    pub(super) fn has_ended(&self, node: usize, from: f64, to: f64) -> bool {
-        self.lifetimes.iter().any(|lifetime| lifetime.node == node && (from..=to).contains(&lifetime.end))
+    /// Whether a process of the node was killed in that time. One that exits by itself has to end its answers before.
+    pub(super) fn is_killed(&self, node: usize, from: f64, to: f64) -> bool {
+        self.kills.iter().any(|kill| kill.node == node && (from..=to).contains(&kill.at))
     }
 
     /// Whether clients use up its descriptors, or did so shortly before.
--- a/crates/pearfront-soak/src/judge/tests.rs
+++ b/crates/pearfront-soak/src/judge/tests.rs
@@ -9,6 +9,17 @@
 
 /// The breaks for a streamed answer: the request is sent at 100 ms with a deadline of 600 ms, its answer begins at 200 ms.
 fn breaks(end: AnswerEnd, at: f64, client_last: f64, reply: (ReplyEnd, f64, f64)) -> Vec<Break> {
+    breaks_with(None, end, at, client_last, reply)
+}
+
+/// The same with one more record.
+fn breaks_with(
+    process_end: Option<Record>,
+    end: AnswerEnd,
+    at: f64,
+    client_last: f64,
+    reply: (ReplyEnd, f64, f64),
+) -> Vec<Break> {
     let plan = Plan::draw(1, 20_000.0);
     let (reply_end, reply_at, reply_last) = reply;
     let id = || ID.to_string();
@@ -29,13 +40,24 @@
         Record::ReplyEnded { id: id(), server: 0, at: reply_at, end: reply_end, last: reply_last },
         Record::AnswerEnded { id: id(), at, end, last: client_last, slow: false },
     ];
+    let records: Vec<Record> = records.into_iter().chain(process_end).collect();
     judge(&plan, &records).breaks
 }
 
+// The judge excused answers that a process cut off by exiting.
+#[test_case(Record::Kill { node: 0, process: 1, at: 4000.0 }, false; "by a kill")]
+#[test_case(Record::Exit { node: 0, process: 1, at: 4000.0, by_itself: false, code: Some(0) }, true; "by an exit")]
+fn an_answer_that_ends_with_its_process_is_lost_unless_that_was_killed(process_end: Record, is_lost: bool) {
+    let reply = (ReplyEnd::NodeStoppedReading, 4000.0, 3500.0);
+    let found = breaks_with(Some(process_end), AnswerEnd::Truncated, 4000.0, 3500.0, reply);
+    assert_eq!(found.len(), usize::from(is_lost), "{found:?}");
+}
+
 #[test_case(AnswerEnd::Complete, 900.0, (ReplyEnd::Complete, 890.0, 890.0), None; "complete")]
 #[test_case(AnswerEnd::Complete, 3000.0, (ReplyEnd::Complete, 890.0, 890.0), Some("held back"); "complete, but delayed")]
 #[test_case(AnswerEnd::Truncated, 1100.0, (ReplyEnd::NodeClosed, 1100.0, 700.0), None; "the server sent nothing more")]
-#[test_case(AnswerEnd::Truncated, 900.0, (ReplyEnd::NodeStoppedReading, 900.0, 700.0), Some("cut off"); "truncated in a short pause")]
+#[test_case(AnswerEnd::Truncated, 900.0, (ReplyEnd::NodeClosed, 900.0, 700.0), Some("cut off"); "truncated in a pause")]
+#[test_case(AnswerEnd::Truncated, 900.0, (ReplyEnd::NodeStoppedReading, 900.0, 500.0), Some("cut off"); "truncated with more to come")]
 #[test_case(AnswerEnd::Truncated, 1100.0, (ReplyEnd::NodeStoppedReading, 1100.0, 500.0), Some("cut off"); "truncated in a pause after the deadline")]
 #[test_case(AnswerEnd::Truncated, 9900.0, (ReplyEnd::NodeStoppedReading, 9900.0, 500.0), Some("cut off"); "truncated in a long pause")]
 #[test_case(AnswerEnd::Truncated, 900.0, (ReplyEnd::ServerClosed, 900.0, 899.0), None; "the server closed")]
@@ -205,13 +227,7 @@
         request(behind, false, pipeline(false)),
         Record::Attempt { id: ID.into(), server: 0, at: 110.0, deadline_sent: 590.0 },
         Record::Answer { id: ID.into(), at: 200.0, status: 200 },
-        Record::ReplyEnded {
-            id: ID.into(),
-            server: 0,
-            at,
-            end: ReplyEnd::NodeStoppedReading,
-            last: at - 50.0,
-        },
+        Record::ReplyEnded { id: ID.into(), server: 0, at, end: ReplyEnd::NodeClosed, last: at - 50.0 },
         Record::AnswerEnded { id: ID.into(), at, end: AnswerEnd::Truncated, last: at - 50.0, slow: false },
         Record::Answer { id: behind.into(), at: at + 1.0, status: 503 },
     ];
