--- a/crates/pearfront-node/tests/endings/deadline.rs
+++ b/crates/pearfront-node/tests/endings/deadline.rs
@@ -12,6 +12,8 @@
 /// Time that the clients wait, and how much later an answer counts as lost.
 const TIME: Duration = Duration::from_millis(600);
 const LOST_AFTER: Duration = Duration::from_millis(500);
+/// How long a server may be silent in an answer that is too large to be buffered.
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(15);
 /// Larger than what is buffered of a body or an answer, bytes.
 const LARGE: usize = 300_000;
 /// More than the kernels hold between a node and a server that reads nothing, and less than together with those before the
@@ -209,6 +211,34 @@
     });
 }
 
+// An answer that stops midway ends 15 s behind its last byte, not sooner, and must not look complete.
+#[test_case("Content-Length: 300000\r\n\r\n", 1.0; "with a length")]
+#[test_case("Transfer-Encoding: chunked\r\n\r\n493e0\r\n", 1.0; "in chunks")]
+#[test_case("Connection: close\r\n\r\n", 1.0; "without a length")]
+#[test_case("Content-Length: 300000\r\n\r\n", 1.1; "to a client of the old version")]
+fn an_answer_that_stops_in_its_middle_ends_with_the_silence_limit(form: &str, version: f32) {
+    in_time(|| {
+        let answer = format!("HTTP/1.1 200 OK\r\n{form}");
+        let node = Node::start(&config(&[drips(answer, 200_000, Duration::ZERO, 0)]));
+        let mut client = node.client();
+        let head = head("read", "0.6", 0);
+        let old = version > 1.0;
+        client.send(&if old { head.replace("HTTP/1.1", "HTTP/1.0") } else { head }, b"");
+        let (early, end) = all_within(&client.stream, SILENCE_LIMIT - LOST_AFTER);
+        if end != End::Open {
+            return Err(format!("cut off behind {} bytes, {end:?}", early.len()));
+        }
+        let (late, end) = all_within(&client.stream, 2 * LOST_AFTER);
+        let all = [early, late].concat();
+        let is_end = if old { end == End::Reset } else { end != End::Open };
+        if !is_end || all.len() < 100_000 || all.ends_with(b"0\r\n\r\n") {
+            return Err(format!("{} bytes, {end:?}", all.len()));
+        }
+        over(node);
+        Ok(())
+    });
+}
+
 // An answer that a server is still sending is not cut off, however late it is.
 #[test_case(Duration::from_millis(50), 40; "fast")]
 #[test_case(Duration::from_millis(250), 12; "slowly")]
